--- a/src/bin/oakslip-wirehost/main.rs
+++ b/src/bin/gradepin-adapter/main.rs
@@ -3,7 +3,7 @@
 
 mod wire;
 
-use oakslip::{Action, Controller, Event, Time};
+use gradepin::{Action, Controller, Event, Time};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
@@ -121,7 +121,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("oakslip-wirehost: {message}");
+            eprintln!("gradepin-adapter: {message}");
             ExitCode::from(2)
         }
     }
--- a/src/bin/oakslip-wirehost/wire.rs
+++ b/src/bin/gradepin-adapter/wire.rs
@@ -1,6 +1,6 @@
 //! The text of the wire: lines to settings and events, actions to lines.
 
-use oakslip::{Action, Event, Gauges, Outcome, Request, RequestId, Settings, Span, Time};
+use gradepin::{Action, Event, Gauges, Outcome, Request, RequestId, Settings, Span, Time};
 use std::fmt::Write;
 
 /// Names of classes and tenants, in the order of the settings.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! oakslip decides, inside one server of a fleet, what that server takes, holds, runs, calls and turns away.
+//! gradepin decides, inside one server of a fleet, what that server takes, holds, runs, calls and turns away.
 //!
 //! A worker makes one [`Controller`] at its start, hands it what happened with [`Controller::handle`], and
 //! carries out the [`Action`]s that come back. The controller has no clock, does no I/O and keeps no globals:
 //! the same events give the same actions.
 //!
 //! ```
-//! use oakslip::{Action, Controller, Event, Request, RequestId, Settings, Span, Time};
+//! use gradepin::{Action, Controller, Event, Request, RequestId, Settings, Span, Time};
 //!
 //! let settings: Settings = serde_json::from_str(r#"{
 //!     "granularity": 1000000,
