--- a/src/bin/gradepin-adapter/main.rs
+++ b/src/bin/gradepin-adapter/main.rs
@@ -3,15 +3,15 @@
 
 mod wire;
 
-use gradepin::{Action, Controller, Event, Time};
+use gradepin::{Action, Controller, Event, Settings, Time};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
-/// One instance: its controller and the names that its settings gave to classes and tenants.
+/// One instance: its controller and the settings, which name classes and tenants.
 struct Instance {
     controller: Controller,
-    names: wire::Names,
+    settings: Settings,
     events: Vec<Event>,
 }
 
@@ -44,10 +44,11 @@
         let (name, rest) = rest.split_once(' ').unwrap_or((rest, ""));
         match op {
             "start" => {
-                let (seed, settings, names) = wire::start(rest)?;
-                let controller = Controller::new(settings, seed, now);
+                let (seed, settings) = wire::start(rest)?;
+                let controller = Controller::new(settings.clone(), seed, now);
                 self.touch(name);
-                self.instances.insert(name.to_string(), Instance { controller, names, events: Vec::new() });
+                self.instances
+                    .insert(name.to_string(), Instance { controller, settings, events: Vec::new() });
             }
             "exit" => {
                 self.instances.remove(name);
@@ -61,7 +62,7 @@
                         Ok(false)
                     };
                 };
-                if let Some(event) = wire::event(op, rest, &instance.names)? {
+                if let Some(event) = wire::event(op, rest, &instance.settings)? {
                     instance.events.push(event);
                 }
                 self.touch(name);
--- a/src/bin/gradepin-adapter/wire.rs
+++ b/src/bin/gradepin-adapter/wire.rs
@@ -3,12 +3,6 @@
 use gradepin::{Action, Event, Gauges, Outcome, Request, RequestId, Settings, Span, Time};
 use std::fmt::Write;
 
-/// Names of classes and tenants, in the order of the settings.
-pub struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
-}
-
 const EVENTS: [&str; 7] =
     ["req", "left", "completed", "ready_to_call", "call_result", "sigterm", "deadline_hit"];
 
@@ -24,44 +18,20 @@
 }
 
 /// Seed and settings of a new instance.
-pub fn start(rest: &str) -> Result<(u64, Settings, Names), String> {
+pub fn start(rest: &str) -> Result<(u64, Settings), String> {
     let (seed, params) = rest.split_once(' ').ok_or("expected 'start INSTANCE SEED PARAMS'")?;
     let seed = seed.parse::<u64>().or_else(|_| seed.parse::<i64>().map(i64::cast_unsigned));
     let seed = seed.map_err(|_| "expected a whole number as seed".to_string())?;
     let settings: Settings = serde_json::from_str(params).map_err(|e| format!("expected settings: {e}"))?;
-    sensible(&settings)?;
-    let names = Names {
-        classes: settings.profiles.iter().map(|p| p.name.clone()).collect(),
-        tenants: settings.customers.iter().map(|c| c.name.clone()).collect(),
-    };
-    Ok((seed, settings, names))
-}
-
-fn sensible(s: &Settings) -> Result<(), String> {
-    let positive = |name: &str, value: f64| {
-        if value > 0.0 && value.is_finite() {
-            Ok(())
-        } else {
-            Err(format!("expected settings: {name} above 0, got {value}"))
-        }
-    };
-    positive("number of profiles", s.profiles.len() as f64)?;
-    positive("specifics.n_cores", f64::from(s.specifics.n_cores))?;
-    positive("specifics.memory_kb", s.specifics.memory_kb)?;
-    positive("specifics.run_factor", s.specifics.run_factor)?;
-    positive("rules.tip_multiple", s.rules.tip_multiple)?;
-    for profile in &s.profiles {
-        positive("profiles[].deadline", profile.deadline.0 as f64)?;
-        positive("profiles[].promise", profile.promise.0 as f64)?;
-    }
-    Ok(())
+    settings.check()?;
+    Ok((seed, settings))
 }
 
 /// One event, or none where its kind is unknown.
-pub fn event(op: &str, rest: &str, names: &Names) -> Result<Option<Event>, String> {
+pub fn event(op: &str, rest: &str, settings: &Settings) -> Result<Option<Event>, String> {
     let mut parts = Parts { op, parts: rest.split(' ') };
     Ok(Some(match op {
-        "req" => Event::Arrived(request(&mut parts, names)?),
+        "req" => Event::Arrived(request(&mut parts, settings)?),
         "left" => Event::Left(parts.id()?),
         "completed" => {
             Event::Completed { id: parts.id()?, outcome: parts.outcome()?, took: parts.span("took")? }
@@ -79,16 +49,15 @@
     }))
 }
 
-fn request(parts: &mut Parts, names: &Names) -> Result<Request, String> {
+fn request(parts: &mut Parts, settings: &Settings) -> Result<Request, String> {
     let id = parts.id()?;
     let expires_in = parts.number::<u64>("expires_in")?.filter(|&ns| ns > 0).map(Span);
     let class = parts.some("service")?;
-    let class = names.classes.iter().position(|name| name == class);
-    let class = class.ok_or("expected in 'req' a service that the settings list")?;
+    let class = settings.class(class).ok_or("expected in 'req' a service that the settings list")?;
     let has_key = parts.next().is_some();
     let caller = parts.number("who")?.unwrap_or(0);
     let work = parts.number("work")?.map(Span);
-    let tenant = parts.next().and_then(|team| names.tenants.iter().position(|name| name == team));
+    let tenant = parts.next().and_then(|team| settings.tenant(team));
     let size_kb: f64 = parts.number("size_kb")?.unwrap_or(0.0);
     if !size_kb.is_finite() || size_kb < 0.0 {
         return Err("expected in 'req' a size_kb of 0 or more".to_string());
@@ -121,14 +90,7 @@
     for pair in text.unwrap_or("").split(',').filter(|pair| !pair.is_empty()) {
         let value = pair.split_once(':').and_then(|(name, value)| Some((name, value.parse::<f64>().ok()?)));
         let (name, value) = value.ok_or_else(|| format!("expected gauges as name:value, got '{pair}'"))?;
-        let value = Some(value).filter(|value| value.is_finite());
-        match name {
-            "core_use" => gauges.core_use = value,
-            "on_cores" => gauges.on_cores = value,
-            "heap_share" => gauges.heap_share = value,
-            "links" => gauges.links = value,
-            _ => {}
-        }
+        gauges.set(name, value);
     }
     Ok(gauges)
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -81,6 +81,39 @@
     pub specifics: Specifics,
 }
 
+impl Settings {
+    /// Whether the module can work with these; if not, why.
+    pub fn check(&self) -> Result<(), String> {
+        let positive = |name: &str, value: f64| {
+            if value > 0.0 && value.is_finite() {
+                Ok(())
+            } else {
+                Err(format!("expected settings: {name} above 0, got {value}"))
+            }
+        };
+        positive("number of profiles", self.profiles.len() as f64)?;
+        positive("specifics.n_cores", f64::from(self.specifics.n_cores))?;
+        positive("specifics.memory_kb", self.specifics.memory_kb)?;
+        positive("specifics.run_factor", self.specifics.run_factor)?;
+        positive("rules.tip_multiple", self.rules.tip_multiple)?;
+        for profile in &self.profiles {
+            positive("profiles[].deadline", profile.deadline.0 as f64)?;
+            positive("profiles[].promise", profile.promise.0 as f64)?;
+        }
+        Ok(())
+    }
+
+    /// The class of a name.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.profiles.iter().position(|profile| profile.name == name)
+    }
+
+    /// The tenant of a name.
+    pub fn tenant(&self, name: &str) -> Option<usize> {
+        self.customers.iter().position(|customer| customer.name == name)
+    }
+}
+
 fn one() -> u32 {
     1
 }
@@ -273,6 +306,9 @@
     pub fresh_for: Span,
     #[serde(default)]
     pub full_checks: bool,
+    /// Names of the gauges, in the order in which they come.
+    #[serde(default)]
+    pub gauges: Vec<String>,
     #[serde(default)]
     pub heeded: Span,
     #[serde(default)]
@@ -366,6 +402,20 @@
     pub links: Option<f64>,
 }
 
+impl Gauges {
+    /// Sets the gauge of a name; other names, and values that are no numbers, change nothing.
+    pub fn set(&mut self, name: &str, value: f64) {
+        let value = Some(value).filter(|value| value.is_finite());
+        match name {
+            "core_use" => self.core_use = value,
+            "on_cores" => self.on_cores = value,
+            "heap_share" => self.heap_share = value,
+            "links" => self.links = value,
+            _ => {}
+        }
+    }
+}
+
 /// What happened.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,5 @@
 //! gradepin decides, inside one server of a fleet, what that server takes, holds, runs, calls and turns away.
+//! [`node`] is the tile server around it.
 //!
 //! A worker makes one [`Controller`] at its start, hands it what happened with [`Controller::handle`], and
 //! carries out the [`Action`]s that come back. The controller has no clock, does no I/O and keeps no globals:
@@ -28,6 +29,7 @@
 
 mod choice;
 mod interface;
+pub mod node;
 
 pub use choice::{Controller, throttling};
 pub use interface::*;
--- /dev/null
+++ b/src/node/clock.rs
@@ -0,0 +1,34 @@
+//! The system's clocks, read in one place.
+
+use crate::Time;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// One reading of both clocks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Moment {
+    /// The monotonic clock, which the module and all timers go by.
+    pub now: Time,
+    /// The Unix clock in milliseconds, which the stamps of requests go by.
+    pub unix_ms: u64,
+}
+
+/// A monotonic clock that starts at 1,000 s, so that earlier times can be told too.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock(Instant);
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        Self(Instant::now())
+    }
+
+    /// Reads both clocks.
+    pub fn read(&self) -> Moment {
+        let nanos = u64::try_from(self.0.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Moment {
+            now: Time(1_000_000_000_000_u64.saturating_add(nanos)),
+            unix_ms: u64::try_from(unix.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/keys.rs
@@ -0,0 +1,127 @@
+//! The table of keyed requests: which try holds a token's entry, what ran under it, and what that run made.
+
+use super::pool::Buffer;
+use crate::{RequestId, Time};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+/// Results kept at a time; over that the oldest is dropped, and a repeat of it fails instead of running again.
+const MOST_RESULTS: usize = 4096;
+/// Milliseconds past its window that a run is known: tries sent within the window may be read so much later.
+const READ_LATE_MS: u64 = 30_000;
+
+#[derive(Debug, Default)]
+pub struct Keys {
+    records: HashMap<Arc<str>, Record>,
+    /// Tokens with a kept result, oldest first.
+    kept: VecDeque<Arc<str>>,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    /// The try that holds the entry, and until when.
+    holder: Option<(RequestId, Time)>,
+    run: Option<Run>,
+    /// Tries to be answered from the run.
+    waiters: Vec<RequestId>,
+}
+
+#[derive(Debug)]
+struct Run {
+    id: RequestId,
+    /// End of its window, in Unix milliseconds.
+    closes_ms: u64,
+    end: Option<End>,
+}
+
+/// How a run ended, for its repeats.
+#[derive(Debug, Clone)]
+pub enum End {
+    /// With this result.
+    Served(Arc<Buffer>),
+    /// Without one, or it is no longer kept.
+    Failed,
+}
+
+impl Keys {
+    /// The try that a request stamped `t0` repeats: the one that holds the entry, if it is still held or any
+    /// try has run, or else the one that ran less than a window before.
+    pub fn earlier(
+        &self,
+        token: &str,
+        t0: u64,
+        now: Time,
+        held: impl Fn(&RequestId) -> bool,
+    ) -> Option<RequestId> {
+        let record = self.records.get(token)?;
+        let holder = record.holder.as_ref().filter(|(_, until)| *until > now).map(|(id, _)| id);
+        let holder = holder.filter(|id| record.run.is_some() || held(id));
+        let run = record.run.as_ref().filter(|run| t0 < run.closes_ms).map(|run| &run.id);
+        holder.or(run).cloned()
+    }
+
+    /// Gives a token's entry to a try.
+    pub fn remember(&mut self, token: &Arc<str>, id: &RequestId, until: Time) {
+        self.records.entry(Arc::clone(token)).or_default().holder = Some((id.clone(), until));
+    }
+
+    /// Takes the entry out, if this try holds it.
+    pub fn release(&mut self, token: &str, id: &RequestId) {
+        if let Some(record) = self.records.get_mut(token) {
+            record.holder.take_if(|(holder, _)| holder == id);
+        }
+    }
+
+    /// A try was begun.
+    pub fn began(&mut self, token: &Arc<str>, id: &RequestId, closes_ms: u64) {
+        let run = Run { id: id.clone(), closes_ms, end: None };
+        self.records.entry(Arc::clone(token)).or_default().run = Some(run);
+    }
+
+    /// A run has ended, or with no end was never started; returns the tries that wait for it.
+    pub fn ended(&mut self, token: &Arc<str>, id: &RequestId, end: Option<End>) -> Vec<RequestId> {
+        let Some(record) = self.records.get_mut(token) else { return Vec::new() };
+        let Some(run) = record.run.as_mut().filter(|run| run.id == *id) else { return Vec::new() };
+        let waiters = std::mem::take(&mut record.waiters);
+        match end {
+            None => record.run = None,
+            Some(end) => {
+                if let End::Served(_) = end {
+                    self.kept.push_back(Arc::clone(token));
+                }
+                run.end = Some(end);
+            }
+        }
+        if self.kept.len() > MOST_RESULTS {
+            let oldest = self.kept.pop_front();
+            let run = oldest.and_then(|token| self.records.get_mut(&token)?.run.as_mut());
+            if let Some(run) = run.filter(|run| run.end.is_some()) {
+                run.end = Some(End::Failed);
+            }
+        }
+        waiters
+    }
+
+    /// What a repeat is answered with; none if its run still goes on, and then it waits for that.
+    pub fn join(&mut self, token: &str, id: &RequestId) -> Option<End> {
+        let Some(record) = self.records.get_mut(token) else { return Some(End::Failed) };
+        let Some(run) = &record.run else { return Some(End::Failed) };
+        if run.end.is_none() {
+            record.waiters.push(id.clone());
+        }
+        run.end.clone()
+    }
+
+    /// Forgets what no try can ask for any more.
+    pub fn sweep(&mut self, now: Time, unix_ms: u64) {
+        self.records.retain(|_, record| {
+            record.holder.take_if(|(_, until)| *until <= now);
+            let past = |run: &mut Run| run.end.is_some() && run.closes_ms + READ_LATE_MS <= unix_ms;
+            record.run.take_if(past);
+            record.holder.is_some() || record.run.is_some()
+        });
+        let records = &self.records;
+        let kept = |token: &Arc<str>| records.get(token).is_some_and(|record| record.run.is_some());
+        self.kept.retain(kept);
+    }
+}
--- /dev/null
+++ b/src/node/messages.rs
@@ -0,0 +1,153 @@
+//! What the reducer is told and what it asks for, in terms of no protocol.
+
+use super::pool::Buffer;
+use crate::{RequestId, Span, Time};
+use std::sync::Arc;
+
+/// Names a client connection; never used again.
+pub type ConnId = u64;
+
+/// Names a request on its connection.
+pub type SeqId = i32;
+
+/// A request as its client proxy sent it.
+#[derive(Debug)]
+pub struct Call {
+    /// Its id, new with every try.
+    pub id: RequestId,
+    /// Index into the settings' profiles.
+    pub class: usize,
+    /// Index into the settings' customers.
+    pub tenant: Option<usize>,
+    /// Number of the client proxy.
+    pub caller: u64,
+    /// When it came to the machine, in Unix milliseconds.
+    pub t0: u64,
+    /// Milliseconds from `t0` that its caller waits.
+    pub budget: u64,
+    /// A further try or a second copy.
+    pub retry: bool,
+    /// Memory booked for it while it is held.
+    pub size_kb: f64,
+    /// Its rank.
+    pub precedence: f64,
+    /// What all tries of a keyed request share.
+    pub token: Option<Arc<str>>,
+    /// Whether it names a subject.
+    pub has_key: bool,
+    /// Its body, as it came.
+    pub body: Buffer,
+}
+
+/// How the processor says that a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunEnd {
+    /// With a result.
+    Ok,
+    /// It failed.
+    Error,
+    /// It was stopped.
+    Stopped,
+    /// Nothing was started.
+    Moot,
+}
+
+/// What came in.
+#[derive(Debug)]
+pub enum Input {
+    /// A client connection was accepted.
+    Opened(ConnId),
+    /// It ended, or can't be used any more.
+    Closed(ConnId),
+    /// A request.
+    Call(ConnId, SeqId, Box<Call>),
+    /// A message that asks for an answer but makes no sense, and why.
+    Invalid(ConnId, SeqId, String),
+    /// Nobody waits for a request any more.
+    Cancel(ConnId, SeqId),
+    /// A health check.
+    Health(ConnId, SeqId),
+    /// The processor greets on a new link: the link's number, whether it began cold, and how long ago.
+    LinkUp {
+        /// Number of the link, from 1.
+        link: u64,
+        /// Whether the processor was cold when it started.
+        cold: bool,
+        /// How long ago it started.
+        age: Span,
+    },
+    /// The link has ended.
+    LinkDown,
+    /// A run is over: the number of the notice, the request, its end, the time it took and the result.
+    Complete {
+        /// Number of the notice.
+        notice: u64,
+        /// Which request.
+        id: RequestId,
+        /// How it ended.
+        end: RunEnd,
+        /// How long it took.
+        took: Span,
+        /// What it made.
+        result: Buffer,
+    },
+    /// The gauges in the order of the settings, asked for under this number.
+    Used(u64, Vec<f64>),
+    /// A run was not begun.
+    Rejected(RequestId),
+    /// The notice to leave.
+    Terminate,
+}
+
+/// A final answer.
+#[derive(Debug, Clone)]
+pub enum Answer {
+    /// The result of a run.
+    Served(Arc<Buffer>),
+    /// Turned away; it never ran.
+    Refused {
+        /// How long to stay away.
+        backoff: Span,
+        /// Whether to ask that no other server be tried.
+        last: bool,
+    },
+    /// Failed.
+    Failed,
+    /// The message made no sense.
+    Invalid(String),
+    /// To a health check: whether all is well.
+    Health(bool),
+}
+
+/// What is to be done.
+#[derive(Debug)]
+pub enum Effect {
+    /// Send an answer, with the free value if one is set.
+    Answer(ConnId, SeqId, Answer, Option<f64>),
+    /// No answer will be sent to a request of this connection.
+    Forget(ConnId),
+    /// Tell a connection that no more requests should come on it.
+    Draining(ConnId),
+    /// Close a connection once all is written.
+    Close(ConnId),
+    /// Run a request: on which link, its id, its class and its body.
+    Begin(u64, RequestId, usize, Arc<Buffer>),
+    /// Ask on a link for the gauges, under a number.
+    Usage(u64, u64),
+    /// Give a link up and make a new one.
+    Renew(u64),
+    /// Report to the control plane whether this server takes work.
+    Report(bool),
+    /// Write a line to the log.
+    Log(slog::Level, String),
+    /// End the process.
+    Exit,
+}
+
+/// What a host may have to wait for.
+pub(crate) fn sooner(a: Option<Time>, b: Option<Time>) -> Option<Time> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
--- /dev/null
+++ b/src/node/pool.rs
@@ -0,0 +1,93 @@
+//! Buffers of one size, used again: for reading, for bodies, for results and for frames to be written.
+
+use std::ops::Deref;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Bytes in a buffer: the largest result (4 KiB) and the envelope it travels in.
+pub const SIZE: usize = 4608;
+
+/// The buffers that are free now.
+#[derive(Debug)]
+pub struct Pool {
+    free: Mutex<Vec<Box<[u8]>>>,
+    keep: usize,
+}
+
+impl Pool {
+    /// A pool that keeps at most this many free buffers for later.
+    pub fn new(keep: usize) -> Arc<Self> {
+        Arc::new(Self { free: Mutex::default(), keep })
+    }
+
+    /// An empty buffer.
+    pub fn take(self: &Arc<Self>) -> Buffer {
+        let free = self.free.lock().unwrap_or_else(PoisonError::into_inner).pop();
+        let bytes = free.unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
+        Buffer { bytes, len: 0, pool: Arc::clone(self) }
+    }
+
+    /// A buffer that holds a copy of the bytes, or none if they are too many.
+    pub fn copy(self: &Arc<Self>, bytes: &[u8]) -> Option<Buffer> {
+        let mut buffer = self.take();
+        buffer.extend(bytes).then_some(buffer)
+    }
+}
+
+/// A buffer on loan; it goes back to its pool when dropped.
+#[derive(Debug)]
+pub struct Buffer {
+    bytes: Box<[u8]>,
+    len: usize,
+    pool: Arc<Pool>,
+}
+
+impl Buffer {
+    /// Appends the bytes, or nothing and says `false` where they don't fit.
+    pub fn extend(&mut self, bytes: &[u8]) -> bool {
+        let end = self.len + bytes.len();
+        let fits = end <= self.bytes.len();
+        if fits {
+            self.bytes[self.len..end].copy_from_slice(bytes);
+            self.len = end;
+        }
+        fits
+    }
+
+    /// The unused part, to read into; [`Buffer::filled`] then says how much of it was used.
+    pub fn space(&mut self) -> &mut [u8] {
+        &mut self.bytes[self.len..]
+    }
+
+    /// Counts bytes that were put into [`Buffer::space`].
+    pub fn filled(&mut self, bytes: usize) {
+        self.len = (self.len + bytes).min(self.bytes.len());
+    }
+
+    /// Takes bytes off the front.
+    pub fn consume(&mut self, bytes: usize) {
+        let bytes = bytes.min(self.len);
+        self.bytes.copy_within(bytes..self.len, 0);
+        self.len -= bytes;
+    }
+
+    /// Writes over bytes already there; the place must lie within them.
+    pub fn patch(&mut self, at: usize, bytes: &[u8]) {
+        self.bytes[..self.len][at..at + bytes.len()].copy_from_slice(bytes);
+    }
+}
+
+impl Deref for Buffer {
+    type Target = [u8];
+    fn deref(&self) -> &[u8] {
+        &self.bytes[..self.len]
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        let mut free = self.pool.free.lock().unwrap_or_else(PoisonError::into_inner);
+        if free.len() < self.pool.keep {
+            free.push(std::mem::take(&mut self.bytes));
+        }
+    }
+}
--- /dev/null
+++ b/src/node/processor.rs
@@ -0,0 +1,246 @@
+//! The processor: lines over one link that is made again whenever it falls.
+
+use super::messages::{Input, RunEnd};
+use super::pool::{Buffer, Pool};
+use crate::{RequestId, Span};
+use crossbeam_channel::{Receiver, Sender, unbounded};
+use slog::{Logger, info, warn};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+const STACK: usize = 64 * 1024;
+const MOST_RESULT: usize = 4096;
+/// Between tries to connect.
+const RETRY: Duration = Duration::from_millis(20);
+const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+const WRITE_PATIENCE: Duration = Duration::from_secs(5);
+
+/// A command to the processor.
+enum Command {
+    Begin(RequestId, String, Arc<Buffer>),
+    Usage(u64),
+}
+
+/// The link in use: its number, its queue and its socket.
+struct Link {
+    number: u64,
+    commands: Sender<Command>,
+    socket: Arc<TcpStream>,
+}
+
+/// The link to the processor, as the reducer's effects see it.
+pub struct Processor {
+    link: Arc<Mutex<Option<Link>>>,
+}
+
+impl Processor {
+    /// Keeps a link to the address from now on, and sends what comes in as inputs.
+    pub fn connect(
+        address: SocketAddr,
+        inputs: Sender<Input>,
+        pool: Arc<Pool>,
+        log: Logger,
+    ) -> io::Result<Self> {
+        let link = Arc::new(Mutex::new(None));
+        let slot = Arc::clone(&link);
+        let keeps = move || keep(address, &slot, &inputs, &pool, &log);
+        thread::Builder::new().name("processor".into()).stack_size(STACK).spawn(keeps)?;
+        Ok(Self { link })
+    }
+
+    /// What was meant for an earlier link is dropped: the reducer settles it on the new one.
+    fn on(&self, number: u64, act: impl FnOnce(&Link)) {
+        let link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(link) = link.as_ref().filter(|link| link.number == number) {
+            act(link);
+        }
+    }
+
+    /// Queues the command to run a request.
+    pub fn begin(&self, link: u64, id: RequestId, class: &str, body: Arc<Buffer>) {
+        self.on(link, |link| drop(link.commands.send(Command::Begin(id, class.to_string(), body))));
+    }
+
+    /// Queues the question for the gauges.
+    pub fn usage(&self, link: u64, tag: u64) {
+        self.on(link, |link| drop(link.commands.send(Command::Usage(tag))));
+    }
+
+    /// Ends a link; a new one follows.
+    pub fn renew(&self, link: u64) {
+        self.on(link, |link| drop(link.socket.shutdown(Shutdown::Both)));
+    }
+}
+
+/// Connects, reads until the link falls, and again.
+fn keep(
+    address: SocketAddr,
+    slot: &Mutex<Option<Link>>,
+    inputs: &Sender<Input>,
+    pool: &Arc<Pool>,
+    log: &Logger,
+) {
+    let mut last_notice = 0;
+    for number in 1.. {
+        let socket = loop {
+            match TcpStream::connect_timeout(&address, CONNECT_PATIENCE) {
+                Ok(socket) => break Arc::new(socket),
+                Err(_) => thread::sleep(RETRY),
+            }
+        };
+        let ended = start(&socket, last_notice, pool).and_then(|commands| {
+            let link = Link { number, commands, socket: Arc::clone(&socket) };
+            *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(link);
+            read(number, &socket, &mut last_notice, inputs, pool)
+        });
+        *slot.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        let _ = socket.shutdown(Shutdown::Both);
+        match ended {
+            Err(e) if e.kind() == io::ErrorKind::BrokenPipe && e.get_ref().is_some() => return,
+            Err(e) => warn!(log, "the link to the processor fell"; "link" => number, "reason" => %e),
+            Ok(()) => info!(log, "the processor closed the link"; "link" => number),
+        }
+        if inputs.send(Input::LinkDown).is_err() {
+            return;
+        }
+        thread::sleep(RETRY);
+    }
+}
+
+/// Says hello, and starts the thread that writes.
+fn start(socket: &Arc<TcpStream>, last_notice: u64, pool: &Arc<Pool>) -> io::Result<Sender<Command>> {
+    socket.set_nodelay(true)?;
+    socket.set_write_timeout(Some(WRITE_PATIENCE))?;
+    (&**socket).write_all(format!("hello {last_notice}\r\n").as_bytes())?;
+    let (commands, queue) = unbounded();
+    let (socket, pool) = (Arc::clone(socket), Arc::clone(pool));
+    thread::Builder::new().name("processor-write".into()).stack_size(STACK).spawn(move || {
+        // The reader notices the end of the socket, and reports it.
+        let _ = write(&socket, &queue, &pool);
+        let _ = socket.shutdown(Shutdown::Both);
+    })?;
+    Ok(commands)
+}
+
+fn write(mut socket: &TcpStream, queue: &Receiver<Command>, pool: &Arc<Pool>) -> io::Result<()> {
+    for command in queue {
+        let mut buffer = pool.take();
+        let fits = match command {
+            Command::Begin(id, class, body) => {
+                let line = format!("begin {} {class} {}\r\n", id.0, body.len());
+                buffer.extend(line.as_bytes()) && buffer.extend(&body) && buffer.extend(b"\r\n")
+            }
+            Command::Usage(tag) => buffer.extend(format!("usage {tag}\r\n").as_bytes()),
+        };
+        if !fits {
+            return Err(io::Error::other("a command that fits no buffer"));
+        }
+        socket.write_all(&buffer)?;
+    }
+    Ok(())
+}
+
+fn read(
+    number: u64,
+    mut socket: &TcpStream,
+    last_notice: &mut u64,
+    inputs: &Sender<Input>,
+    pool: &Arc<Pool>,
+) -> io::Result<()> {
+    let gone = || io::Error::new(io::ErrorKind::BrokenPipe, "the server has ended");
+    let mut buffer = pool.take();
+    loop {
+        let mut used = 0;
+        while let Some((len, line)) = parse(&buffer[used..], pool)? {
+            used += len;
+            let input = match line {
+                Line::Hi(cold, age) => Input::LinkUp { link: number, cold, age },
+                Line::Complete(notice, id, end, took, result) => {
+                    *last_notice = notice.max(*last_notice);
+                    Input::Complete { notice, id, end, took, result }
+                }
+                Line::Used(tag, values) => Input::Used(tag, values),
+                Line::Reject(id) => Input::Rejected(id),
+                Line::Remark(notice) => {
+                    *last_notice = notice.max(*last_notice);
+                    continue;
+                }
+                Line::Nothing => continue,
+            };
+            inputs.send(input).map_err(|_| gone())?;
+        }
+        buffer.consume(used);
+        if buffer.space().is_empty() {
+            return Err(bad(&buffer));
+        }
+        match socket.read(buffer.space()) {
+            Ok(0) => return Ok(()),
+            Ok(len) => buffer.filled(len),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+/// A line from the processor.
+#[derive(Debug)]
+enum Line {
+    Hi(bool, Span),
+    Complete(u64, RequestId, RunEnd, Span, Buffer),
+    Used(u64, Vec<f64>),
+    Reject(RequestId),
+    Remark(u64),
+    Nothing,
+}
+
+fn bad(line: &[u8]) -> io::Error {
+    let text = String::from_utf8_lossy(&line[..line.len().min(80)]).into_owned();
+    io::Error::new(io::ErrorKind::InvalidData, format!("expected a line of the processor, got '{text}'"))
+}
+
+/// The first line with the bytes that follow it, and the length of it all; none while it isn't whole.
+fn parse(bytes: &[u8], pool: &Arc<Pool>) -> io::Result<Option<(usize, Line)>> {
+    let Some(end) = bytes.windows(2).position(|two| two == b"\r\n") else { return Ok(None) };
+    let line = &bytes[..end];
+    let text = std::str::from_utf8(line).map_err(|_| bad(line))?;
+    let words: Vec<&str> = text.split(' ').collect();
+    let number = |text: &str| text.parse::<u64>().map_err(|_| bad(line));
+    let millis = |text: &str| number(text).map(|ms| Span(ms.saturating_mul(1_000_000)));
+    let mut whole = end + 2;
+    let line = match words[..] {
+        ["hi", state @ ("COLD" | "WARM"), ms] => Line::Hi(state == "COLD", millis(ms)?),
+        ["complete", n, id, ended, ms, len] => {
+            let len = usize::try_from(number(len)?).unwrap_or(usize::MAX);
+            if len > MOST_RESULT {
+                return Err(bad(line));
+            }
+            let Some(rest) = bytes.get(whole..whole + len + 2) else { return Ok(None) };
+            let (body, tail) = rest.split_at(len);
+            let ended = match ended {
+                "OK" => RunEnd::Ok,
+                "ERROR" => RunEnd::Error,
+                "STOPPED" => RunEnd::Stopped,
+                "MOOT" => RunEnd::Moot,
+                _ => return Err(bad(line)),
+            };
+            if tail != b"\r\n" {
+                return Err(bad(line));
+            }
+            whole += len + 2;
+            let result = pool.copy(body).ok_or_else(|| bad(line))?;
+            Line::Complete(number(n)?, RequestId::new(id), ended, millis(ms)?, result)
+        }
+        ["used", tag, ref values @ ..] => {
+            let values: Result<Vec<f64>, _> = values.iter().map(|value| value.parse()).collect();
+            Line::Used(number(tag)?, values.map_err(|_| bad(line))?)
+        }
+        ["reject", "begin", id] => Line::Reject(RequestId::new(id)),
+        ["reject", ..] => Line::Nothing,
+        ["remark", n, ..] => Line::Remark(number(n)?),
+        _ => return Err(bad(line)),
+    };
+    Ok(Some((whole, line)))
+}
--- /dev/null
+++ b/src/node/reducer.rs
@@ -0,0 +1,595 @@
+//! All state of the tile server, and all changes to it: inputs in, effects out.
+//!
+//! The reducer hosts one [`Controller`] and decides nothing itself. It does no I/O and reads no clock, so a
+//! test can drive it through any course of events.
+
+use super::clock::Moment;
+use super::config::Config;
+use super::keys::{End, Keys};
+use super::messages::{Answer, Call, ConnId, Effect, Input, RunEnd, SeqId, sooner};
+use super::pool::Buffer;
+use crate::{
+    Action, Controller, Event, Gauges, Outcome, Request, RequestId, Settings, Span, Time, after, before,
+};
+use slog::Level;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+const MS: u64 = 1_000_000;
+/// Between reports to the control plane, which forgets a server after 3 s.
+const REPORT_EVERY: Span = Span(500 * MS);
+/// How long a due timer waits for its gauges; then it fires without.
+const GAUGES_WAIT: Span = Span(15 * MS);
+/// How long the processor may leave a question for the gauges open before the link counts as dead.
+const LINK_PATIENCE: Span = Span(5_000 * MS);
+/// How much sooner than told the module is to be done when the process will be stopped: the notice and the
+/// last answers take their time to cross.
+const STOP_MARGIN: Span = Span(100 * MS);
+/// After the told stop: the end of a process that nobody stopped.
+const STOP_OVERDUE: Span = Span(2_000 * MS);
+/// Between sweeps through connections and keys.
+const SWEEP_EVERY: Span = Span(250 * MS);
+/// How long a peer that was asked to drain an idle connection has before it is closed from here.
+const DRAIN_PATIENCE: Span = Span(1_000 * MS);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Held,
+    /// Waits for another try's run, since a time.
+    Joined(Time),
+    Running,
+}
+
+/// A request that is open or runs.
+#[derive(Debug)]
+struct Open {
+    conn: ConnId,
+    seq: SeqId,
+    class: usize,
+    t0: u64,
+    token: Option<Arc<str>>,
+    state: State,
+    /// Whether its caller still waits for an answer.
+    owed: bool,
+    body: Arc<Buffer>,
+}
+
+#[derive(Debug, Default)]
+struct Connection {
+    open: HashMap<SeqId, RequestId>,
+    last: Time,
+    /// Since when it is asked to drain.
+    draining: Option<Time>,
+}
+
+/// The link to the processor.
+#[derive(Debug, Default)]
+struct Link {
+    /// Its number, while it stands.
+    number: Option<u64>,
+    /// The question after which begins left over from an earlier link are sent again.
+    settles: Option<u64>,
+    last_notice: u64,
+    /// Questions asked so far, and when the open one was.
+    asked: u64,
+    open_since: Option<Time>,
+    gauges: Option<(Time, Gauges)>,
+    /// Begins that may not have arrived, with the questions asked before each.
+    unproven: Vec<(RequestId, u64)>,
+}
+
+/// The state of one tile server.
+pub struct Reducer {
+    settings: Arc<Settings>,
+    seed: u64,
+    stop: Span,
+    controller: Option<Controller>,
+    moment: Moment,
+    requests: HashMap<RequestId, Open>,
+    /// Held requests whose caller left in this batch.
+    left: Vec<RequestId>,
+    /// Keyed requests of this batch, not in the table yet.
+    batch: HashMap<Arc<str>, RequestId>,
+    connections: BTreeMap<ConnId, Connection>,
+    keys: Keys,
+    timers: BTreeSet<Time>,
+    link: Link,
+    active: bool,
+    hint: Option<f64>,
+    idle: Option<Span>,
+    exit_at: Option<Time>,
+    next_report: Time,
+    next_sweep: Time,
+    /// For the module's next turn.
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    effects: Vec<Effect>,
+}
+
+impl Reducer {
+    /// The state at the start of a server.
+    pub fn new(config: &Config, settings: Arc<Settings>) -> Result<Self, String> {
+        Ok(Self {
+            seed: config.seed()?,
+            stop: Span(config.stop_ms.saturating_mul(MS)),
+            settings,
+            controller: None,
+            moment: Moment::default(),
+            requests: HashMap::new(),
+            left: Vec::new(),
+            batch: HashMap::new(),
+            connections: BTreeMap::new(),
+            keys: Keys::default(),
+            timers: BTreeSet::new(),
+            link: Link::default(),
+            active: false,
+            hint: None,
+            idle: None,
+            exit_at: None,
+            next_report: Time(0),
+            next_sweep: Time(0),
+            events: Vec::new(),
+            actions: Vec::new(),
+            effects: Vec::new(),
+        })
+    }
+
+    /// Takes in all inputs, lets the module decide once, and appends what is to be done.
+    pub fn step(
+        &mut self,
+        moment: Moment,
+        inputs: impl IntoIterator<Item = Input>,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.moment = moment;
+        for input in inputs {
+            self.input(input);
+        }
+        self.fire();
+        self.decide();
+        self.housekeeping();
+        effects.append(&mut self.effects);
+    }
+
+    /// When [`Reducer::step`] must be called again though nothing came in.
+    pub fn wake_at(&self) -> Option<Time> {
+        if !self.events.is_empty() {
+            return Some(self.moment.now);
+        }
+        let timer = self.timers.first().map(|&due| match self.link.open_since {
+            Some(since) if due <= self.moment.now => after(since, GAUGES_WAIT),
+            _ => due,
+        });
+        sooner(sooner(timer, self.exit_at), Some(self.next_sweep.min(self.next_report)))
+    }
+
+    fn log(&mut self, level: Level, text: String) {
+        self.effects.push(Effect::Log(level, text));
+    }
+
+    // ---- inputs
+
+    fn input(&mut self, input: Input) {
+        match input {
+            Input::Opened(conn) => {
+                let connection = Connection { last: self.moment.now, ..Connection::default() };
+                self.connections.insert(conn, connection);
+                if self.exit_at.is_some() {
+                    self.ask_to_drain(conn);
+                }
+            }
+            Input::Closed(conn) => self.closed(conn),
+            Input::Call(conn, seq, call) => self.call(conn, seq, *call),
+            Input::Invalid(conn, seq, why) => self.invalid(conn, seq, why),
+            Input::Cancel(conn, seq) => self.cancel(conn, seq),
+            Input::Health(conn, seq) => {
+                self.touch(conn);
+                self.effects.push(Effect::Answer(conn, seq, Answer::Health(self.active), self.hint));
+            }
+            Input::LinkUp { link, cold, age } => self.link_up(link, cold, age),
+            Input::LinkDown => {
+                self.link.number = None;
+                self.link.settles = None;
+                self.link.open_since = None;
+            }
+            Input::Complete { notice, id, end, took, result } => {
+                // After a reconnect the processor may tell again what was already read.
+                if notice > self.link.last_notice {
+                    self.link.last_notice = notice;
+                    self.complete(&id, end, took, result);
+                }
+            }
+            Input::Used(tag, values) => self.used(tag, &values),
+            Input::Rejected(id) => {
+                self.log(Level::Error, format!("the processor rejected the run of {}", id.0));
+                self.ended(&id, RunEnd::Moot, Span(0), None);
+            }
+            Input::Terminate => self.terminate(),
+        }
+    }
+
+    fn touch(&mut self, conn: ConnId) -> Option<&mut Connection> {
+        let connection = self.connections.get_mut(&conn)?;
+        connection.last = self.moment.now;
+        Some(connection)
+    }
+
+    fn call(&mut self, conn: ConnId, seq: SeqId, call: Call) {
+        let Some(connection) = self.touch(conn) else { return };
+        if connection.open.contains_key(&seq) {
+            // Two answers under one number could not be told apart.
+            self.log(Level::Warning, format!("closing connection {conn}: request {seq} came twice"));
+            return self.drop_connection(conn);
+        }
+        if self.requests.contains_key(&call.id) {
+            return self.invalid(conn, seq, format!("the rid {} is open already", call.id.0));
+        }
+        if self.controller.is_none() {
+            // No processor yet, so nobody to ask; nothing has run.
+            let answer = Answer::Refused { backoff: Span(0), last: false };
+            return self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
+        }
+        let Some(connection) = self.connections.get_mut(&conn) else { return };
+        connection.open.insert(seq, call.id.clone());
+        let unix = self.moment.unix_ms;
+        let due = call.t0.saturating_add(call.budget);
+        let earlier = call.token.as_ref().and_then(|token| self.earlier(token, call.t0));
+        if let Some(token) = &call.token {
+            self.batch.insert(Arc::clone(token), call.id.clone());
+        }
+        self.events.push(Event::Arrived(Request {
+            id: call.id.clone(),
+            expires_in: Some(Span(due.saturating_sub(unix).saturating_mul(MS))),
+            class: call.class,
+            has_key: call.has_key,
+            caller: call.caller,
+            work: None,
+            tenant: call.tenant,
+            size_kb: call.size_kb,
+            precedence: call.precedence,
+            retry: call.retry,
+            write: call.token.is_some(),
+            earlier,
+            queued_for: Span(unix.saturating_sub(call.t0).saturating_mul(MS)),
+        }));
+        let open = Open {
+            conn,
+            seq,
+            class: call.class,
+            t0: call.t0,
+            token: call.token,
+            state: State::Held,
+            owed: true,
+            body: Arc::new(call.body),
+        };
+        self.requests.insert(call.id, open);
+    }
+
+    fn earlier(&self, token: &str, t0: u64) -> Option<RequestId> {
+        let held =
+            |id: &RequestId| self.requests.get(id).is_some_and(|open| open.state == State::Held && open.owed);
+        // Two of one batch are linked before the module could keep the first.
+        let batch = self.batch.get(token).filter(|id| held(id)).cloned();
+        batch.or_else(|| self.keys.earlier(token, t0, self.moment.now, held))
+    }
+
+    fn invalid(&mut self, conn: ConnId, seq: SeqId, why: String) {
+        self.touch(conn);
+        self.log(Level::Warning, format!("a request on connection {conn} made no sense: {why}"));
+        self.effects.push(Effect::Answer(conn, seq, Answer::Invalid(why), self.hint));
+    }
+
+    fn cancel(&mut self, conn: ConnId, seq: SeqId) {
+        // Otherwise the cancel has crossed the answer.
+        if let Some(id) = self.touch(conn).and_then(|connection| connection.open.remove(&seq)) {
+            self.effects.push(Effect::Forget(conn));
+            self.gone(&id);
+        }
+    }
+
+    fn closed(&mut self, conn: ConnId) {
+        if let Some(connection) = self.connections.remove(&conn) {
+            for id in connection.open.into_values().collect::<BTreeSet<_>>() {
+                self.gone(&id);
+            }
+            self.effects.push(Effect::Close(conn));
+        }
+    }
+
+    fn drop_connection(&mut self, conn: ConnId) {
+        self.closed(conn);
+    }
+
+    /// Nobody waits for a request any more.
+    fn gone(&mut self, id: &RequestId) {
+        let Some(open) = self.requests.get_mut(id) else { return };
+        open.owed = false;
+        if open.state != State::Running {
+            // The module may still release its key: it is taken out after that.
+            self.left.push(id.clone());
+        }
+        self.events.push(Event::Left(id.clone()));
+    }
+
+    // ---- the processor
+
+    fn link_up(&mut self, number: u64, cold: bool, age: Span) {
+        let now = self.moment.now;
+        if self.controller.is_none() {
+            // Warmth counts from the start of the processor, which may be long after this process's.
+            let mut settings = Settings::clone(&self.settings);
+            settings.specifics.just_started = cold;
+            self.controller = Some(Controller::new(settings, self.seed, before(now, age)));
+            self.active = true;
+            self.next_report = now;
+            self.log(Level::Info, format!("the processor is up, {}", if cold { "cold" } else { "warm" }));
+        }
+        self.link.number = Some(number);
+        self.link.open_since = None;
+        if !self.link.unproven.is_empty() {
+            // The answer comes behind all notices of runs that ended meanwhile.
+            self.ask(number);
+            self.link.settles = Some(self.link.asked);
+        }
+    }
+
+    /// Asks for the gauges.
+    fn ask(&mut self, link: u64) {
+        self.link.asked += 1;
+        self.link.open_since = Some(self.moment.now);
+        self.effects.push(Effect::Usage(link, self.link.asked));
+    }
+
+    fn used(&mut self, tag: u64, values: &[f64]) {
+        if tag != self.link.asked || self.link.open_since.take().is_none() {
+            return;
+        }
+        let mut gauges = Gauges::default();
+        for (name, value) in self.settings.specifics.gauges.iter().zip(values) {
+            gauges.set(name, *value);
+        }
+        self.link.gauges = Some((self.moment.now, gauges));
+        if self.link.settles.take_if(|settles| *settles <= tag).is_some() {
+            // Begins that the fallen link lost. Guards against requests that hang because a link fell.
+            for (id, _) in std::mem::take(&mut self.link.unproven) {
+                self.begin(&id);
+            }
+        }
+        self.link.unproven.retain(|(_, asked)| *asked >= tag);
+    }
+
+    /// Sends a request to its run, now or once the link stands and is settled.
+    fn begin(&mut self, id: &RequestId) {
+        let Some(open) = self.requests.get(id) else { return };
+        self.link.unproven.push((id.clone(), self.link.asked));
+        if let Some(link) = self.link.number.filter(|_| self.link.settles.is_none()) {
+            self.effects.push(Effect::Begin(link, id.clone(), open.class, Arc::clone(&open.body)));
+        }
+    }
+
+    fn complete(&mut self, id: &RequestId, end: RunEnd, took: Span, result: Buffer) {
+        self.ended(id, end, took, Some(Arc::new(result)));
+    }
+
+    /// A run is over, or was never begun.
+    fn ended(&mut self, id: &RequestId, end: RunEnd, took: Span, result: Option<Arc<Buffer>>) {
+        let Some(open) = self.requests.get(id).filter(|open| open.state == State::Running) else { return };
+        let token = open.token.clone();
+        self.link.unproven.retain(|(unproven, _)| unproven != id);
+        let (outcome, kept) = match (end, result) {
+            (RunEnd::Ok, Some(result)) => (Outcome::Delivered, Some(End::Served(result))),
+            (RunEnd::Moot, _) => (Outcome::Unused, None),
+            (RunEnd::Stopped, _) => (Outcome::Revoked, Some(End::Failed)),
+            (RunEnd::Ok | RunEnd::Error, _) => (Outcome::AppError, Some(End::Failed)),
+        };
+        let answer = kept.clone().unwrap_or(End::Failed);
+        if outcome != Outcome::Revoked {
+            self.answer_end(id, answer.clone());
+        }
+        self.events.push(Event::Completed { id: id.clone(), outcome, took });
+        if outcome != Outcome::Revoked || !self.requests.get(id).is_some_and(|open| open.owed) {
+            self.requests.remove(id);
+        }
+        let waiters = token.map(|token| self.keys.ended(&token, id, kept)).unwrap_or_default();
+        for waiter in waiters {
+            self.joined(&waiter, answer.clone());
+        }
+    }
+
+    fn answer_end(&mut self, id: &RequestId, end: End) {
+        self.answer(id, if let End::Served(result) = end { Answer::Served(result) } else { Answer::Failed });
+    }
+
+    /// A repeat is answered from the run of another try.
+    fn joined(&mut self, id: &RequestId, end: End) {
+        let Some(Open { state: State::Joined(since), owed: true, .. }) = self.requests.get(id) else {
+            return;
+        };
+        let took = Span(self.moment.now.0.saturating_sub(since.0));
+        let outcome = if matches!(end, End::Served(_)) { Outcome::Delivered } else { Outcome::AppError };
+        self.answer_end(id, end);
+        self.requests.remove(id);
+        self.events.push(Event::Completed { id: id.clone(), outcome, took });
+    }
+
+    /// Sends the one final answer, if it is still owed.
+    fn answer(&mut self, id: &RequestId, answer: Answer) {
+        let Some(open) = self.requests.get_mut(id).filter(|open| open.owed) else { return };
+        open.owed = false;
+        let (conn, seq) = (open.conn, open.seq);
+        if let Some(connection) = self.touch(conn) {
+            connection.open.remove(&seq);
+        }
+        self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
+    }
+
+    // ---- timers
+
+    /// Fires what is due, with the gauges of this moment, or without where the processor doesn't tell them.
+    fn fire(&mut self) {
+        let now = self.moment.now;
+        let Some(&due) = self.timers.first().filter(|due| **due <= now) else { return };
+        let fresh = self.link.gauges.filter(|(at, _)| *at >= due);
+        if fresh.is_none() {
+            match (self.link.number, self.link.open_since) {
+                (None, _) => {}
+                (Some(link), None) => return self.ask(link),
+                (Some(_), Some(since)) if now < after(since, GAUGES_WAIT) => return,
+                (Some(link), Some(since)) if now >= after(since, LINK_PATIENCE) => {
+                    self.log(Level::Warning, "the processor doesn't answer; renewing the link".into());
+                    self.effects.push(Effect::Renew(link));
+                    self.link.open_since = Some(now);
+                }
+                _ => {}
+            }
+        }
+        let gauges = fresh.map(|(_, gauges)| gauges).unwrap_or_default();
+        while self.timers.first().is_some_and(|due| *due <= now) {
+            self.timers.pop_first();
+            self.events.push(Event::Timer(gauges));
+        }
+    }
+
+    // ---- the module
+
+    fn decide(&mut self) {
+        let Some(controller) = &mut self.controller else { return };
+        if self.events.is_empty() && self.timers.first().is_some_and(|due| *due > self.moment.now) {
+            return;
+        }
+        let mut actions = std::mem::take(&mut self.actions);
+        controller.handle(self.moment.now, &self.events, &mut actions);
+        self.events.clear();
+        self.batch.clear();
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+        for id in std::mem::take(&mut self.left) {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Process(id) => self.process(&id),
+            Action::Refuse { id, come_back, last } => {
+                self.finish(&id, Answer::Refused { backoff: come_back, last })
+            }
+            Action::Error(id) => self.finish(&id, Answer::Failed),
+            Action::Remember { id, hold_for } => {
+                let until = after(self.moment.now, hold_for);
+                if let Some(token) = self.requests.get(&id).and_then(|open| open.token.as_ref()) {
+                    self.keys.remember(token, &id, until);
+                }
+            }
+            Action::ReleaseKey(id) => {
+                if let Some(token) = self.requests.get(&id).and_then(|open| open.token.as_ref()) {
+                    self.keys.release(token, &id);
+                }
+            }
+            Action::Join(id) => {
+                let Some(open) = self.requests.get_mut(&id) else { return };
+                open.state = State::Joined(self.moment.now);
+                let token = open.token.clone();
+                let end = token.map_or(Some(End::Failed), |token| self.keys.join(&token, &id));
+                if let Some(end) = end {
+                    self.joined(&id, end);
+                }
+            }
+            Action::ReportHealth { active, .. } => {
+                if active != self.active {
+                    self.active = active;
+                    self.next_report = self.moment.now;
+                }
+            }
+            Action::Signal(value) => self.hint = Some(value),
+            Action::IdleLimit(span) => self.idle = Some(span),
+            Action::Remind(time) => drop(self.timers.insert(time)),
+            Action::Emit(text) => self.log(Level::Info, text),
+            Action::Suspend(_) | Action::AskBelow { .. } | Action::Degrade(_) => {
+                self.log(Level::Error, "the module asked for what this protocol can't do".into());
+            }
+        }
+    }
+
+    fn process(&mut self, id: &RequestId) {
+        let Some(open) = self.requests.get_mut(id).filter(|open| open.state == State::Held) else {
+            let (id, outcome) = (id.clone(), Outcome::Unused);
+            return self.events.push(Event::Completed { id, outcome, took: Span(0) });
+        };
+        open.state = State::Running;
+        if let Some(token) = &open.token {
+            let window_ms = self.settings.profiles[open.class].window.0.div_ceil(MS);
+            self.keys.began(token, id, open.t0.saturating_add(window_ms));
+        }
+        self.begin(id);
+    }
+
+    /// A final answer of the module's own; a run goes on in the books until its notice.
+    fn finish(&mut self, id: &RequestId, answer: Answer) {
+        self.answer(id, answer);
+        if self.requests.get(id).is_some_and(|open| open.state != State::Running) {
+            self.requests.remove(id);
+        }
+    }
+
+    // ---- leaving, connections, reports
+
+    fn terminate(&mut self) {
+        if self.exit_at.is_some() {
+            return;
+        }
+        let told = Span(self.stop.0.saturating_sub(STOP_MARGIN.0));
+        self.events.push(Event::Sigterm(told));
+        self.exit_at = Some(after(after(self.moment.now, self.stop), STOP_OVERDUE));
+        self.active &= self.controller.is_some();
+        for conn in self.connections.keys().copied().collect::<Vec<_>>() {
+            self.ask_to_drain(conn);
+        }
+    }
+
+    fn ask_to_drain(&mut self, conn: ConnId) {
+        if let Some(connection) = self.connections.get_mut(&conn).filter(|c| c.draining.is_none()) {
+            connection.draining = Some(self.moment.now);
+            self.effects.push(Effect::Draining(conn));
+        }
+    }
+
+    fn housekeeping(&mut self) {
+        let now = self.moment.now;
+        if now >= self.next_report {
+            self.next_report = after(now, REPORT_EVERY);
+            if self.controller.is_some() {
+                self.effects.push(Effect::Report(self.active));
+            }
+        }
+        if now >= self.next_sweep {
+            self.next_sweep = after(now, SWEEP_EVERY);
+            self.keys.sweep(now, self.moment.unix_ms);
+            self.close_idle();
+        }
+        if self.exit_at.is_some_and(|at| now >= at) {
+            self.effects.push(Effect::Exit);
+        }
+    }
+
+    /// Idle connections are asked to drain, which no request can cross unanswered, and closed only if their
+    /// peers don't.
+    fn close_idle(&mut self) {
+        let (now, Some(idle)) = (self.moment.now, self.idle) else { return };
+        let idle = if idle.0 == 0 { self.settings.specifics.idle } else { idle };
+        let rested = |c: &Connection, idle| c.open.is_empty() && after(c.last, idle) <= now;
+        let quiet = self.connections.iter().filter(|(_, c)| rested(c, idle));
+        let quiet: Vec<(ConnId, Option<Time>)> = quiet.map(|(&conn, c)| (conn, c.draining)).collect();
+        for (conn, draining) in quiet {
+            match draining {
+                None => self.ask_to_drain(conn),
+                Some(since) if after(since, DRAIN_PATIENCE) <= now && self.exit_at.is_none() => {
+                    self.closed(conn)
+                }
+                Some(_) => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/serve.rs
@@ -0,0 +1,96 @@
+//! Joins the parts: the one thread that owns the reducer, and carries out what it asks for.
+
+use super::clients::Clients;
+use super::clock::Clock;
+use super::config::Config;
+use super::control::Control;
+use super::messages::{Effect, Input};
+use super::pool::Pool;
+use super::processor::Processor;
+use super::reducer::Reducer;
+use crossbeam_channel::{RecvTimeoutError, Sender, bounded};
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+use slog::{Level, Logger, error, info, warn};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// Inputs that may wait for the reducer; more hold their readers back.
+const QUEUE: usize = 1024;
+/// Free buffers kept, some 9 MB.
+const POOL: usize = 2048;
+const STACK: usize = 64 * 1024;
+
+/// Serves until the process is told to leave and its time is up.
+pub fn serve(config: Config, log: &Logger) -> Result<(), String> {
+    let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+    let settings = Arc::new(config.settings.clone());
+    let mut reducer = Reducer::new(&config, Arc::clone(&settings))?;
+    let pool = Pool::new(POOL);
+    let (inputs, queue) = bounded(QUEUE);
+    watch_signals(inputs.clone()).map_err(failed("signals"))?;
+    let control = Control::new(&config.name, config.listen, config.control).map_err(failed("control"))?;
+    let clients = Clients::listen(
+        config.listen,
+        config.connections(),
+        Arc::clone(&settings),
+        inputs.clone(),
+        Arc::clone(&pool),
+        log.clone(),
+    );
+    let clients = clients.map_err(|e| format!("listening on {}: {e}", config.listen))?;
+    let processor = Processor::connect(config.processor, inputs, pool, log.clone());
+    let processor = processor.map_err(failed("processor"))?;
+    info!(log, "serving"; "listen" => %clients.local_addr(), "version" => env!("CARGO_PKG_VERSION"));
+
+    let clock = Clock::start();
+    let (mut arrived, mut effects): (Vec<Input>, Vec<Effect>) = (Vec::new(), Vec::new());
+    loop {
+        reducer.step(clock.read(), arrived.drain(..), &mut effects);
+        for effect in effects.drain(..) {
+            match effect {
+                Effect::Answer(conn, seq, answer, hint) => clients.answer(conn, seq, answer, hint),
+                Effect::Forget(conn) => clients.forget(conn),
+                Effect::Draining(conn) => clients.draining(conn),
+                Effect::Close(conn) => clients.close(conn),
+                Effect::Begin(link, id, class, body) => {
+                    processor.begin(link, id, &settings.profiles[class].name, body);
+                }
+                Effect::Usage(link, tag) => processor.usage(link, tag),
+                Effect::Renew(link) => processor.renew(link),
+                Effect::Report(ready) => {
+                    if let Err(e) = control.report(ready) {
+                        info!(log, "a report could not be sent"; "error" => %e);
+                    }
+                }
+                Effect::Log(Level::Info, text) => info!(log, "{}", text),
+                Effect::Log(Level::Warning, text) => warn!(log, "{}", text),
+                Effect::Log(_, text) => error!(log, "{}", text),
+                Effect::Exit => {
+                    info!(log, "leaving");
+                    return Ok(());
+                }
+            }
+        }
+        let wait = reducer.wake_at().map(|at| Duration::from_nanos(at.0.saturating_sub(clock.read().now.0)));
+        match queue.recv_timeout(wait.unwrap_or(Duration::from_secs(1))) {
+            Ok(input) => arrived.push(input),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return Err("every thread that reads has ended".into()),
+        }
+        arrived.extend(queue.try_iter().take(QUEUE));
+    }
+}
+
+fn watch_signals(inputs: Sender<Input>) -> std::io::Result<()> {
+    let mut signals = Signals::new([SIGTERM])?;
+    let watch = move || {
+        for _ in signals.forever() {
+            if inputs.send(Input::Terminate).is_err() {
+                return;
+            }
+        }
+    };
+    thread::Builder::new().name("signals".into()).stack_size(STACK).spawn(watch).map(drop)
+}
