--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 
 pub use choice::{Controller, throttling};
 pub use interface::*;
+pub(crate) use interface::{after, before, span};
 
 /// The examples of README.md, compiled as doc tests.
 #[cfg(doctest)]
--- a/src/node/processor.rs
+++ b/src/node/processor.rs
@@ -2,7 +2,7 @@
 
 use super::messages::{Input, RunEnd};
 use super::pool::{Buffer, Pool};
-use crate::{RequestId, Span};
+use crate::{RequestId, Span, span};
 use crossbeam_channel::{Receiver, Sender, unbounded};
 use slog::{Logger, info, warn};
 use std::io::{self, Read, Write};
@@ -208,7 +208,11 @@
     let text = std::str::from_utf8(line).map_err(|_| bad(line))?;
     let words: Vec<&str> = text.split(' ').collect();
     let number = |text: &str| text.parse::<u64>().map_err(|_| bad(line));
-    let millis = |text: &str| number(text).map(|ms| Span(ms.saturating_mul(1_000_000)));
+    // Times come with a decimal point as well as without: a reader of whole numbers lost every notice.
+    let millis = |text: &str| match text.parse::<f64>() {
+        Ok(ms) if ms >= 0.0 && ms.is_finite() => Ok(span(ms / 1e3)),
+        _ => Err(bad(line)),
+    };
     let mut whole = end + 2;
     let line = match words[..] {
         ["hi", state @ ("COLD" | "WARM"), ms] => Line::Hi(state == "COLD", millis(ms)?),
