Measure a new module's progress from its birth, so that no start looks stalled

Controller::new left 'progress' at time 0, so the first period (src/choice.rs, period()) found nothing moving since the clock's zero, called it a stall and reported bad health until the next period. Ruled out: the node's reports, which follow report_health, and the processor (WARM from the start).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -186,6 +186,8 @@
             pace: CALL_PACE[1],
             idle_part: IDLE_LEAST,
             next_period: now,
+            // Guards against a stall seen in the first period, which took each new server off the list.
+            progress: now,
             set,
             ..Self::default()
         }
