Count a module's progress from its first turn, so that an older processor is no stall

Seen: with health changes logged, every node went bad in its first millisecond and good 0.10 s later, though progress counted from birth: the node dates birth from the processor's start, seconds before the first turn. Now handle() sets it on the first turn.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -186,8 +186,6 @@
             pace: CALL_PACE[1],
             idle_part: IDLE_LEAST,
             next_period: now,
-            // Guards against a stall seen in the first period, which took each new server off the list.
-            progress: now,
             set,
             ..Self::default()
         }
@@ -197,7 +195,9 @@
     pub fn handle(&mut self, now: Time, events: &[Event], out: &mut Vec<Action>) {
         self.now = self.now.max(now);
         if !self.begun {
-            self.begun = true;
+            // Guards against a stall seen in the first period, which took each new server off the list: its
+            // clock may have started at any time, and its processor long before it.
+            (self.begun, self.progress) = (true, self.now);
             out.push(Action::ReportHealth { shallow: true, active: true });
         }
         self.forget_keys();
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -501,6 +501,7 @@
                 if active != self.active {
                     self.active = active;
                     self.next_report = self.moment.now;
+                    self.log(Level::Info, format!("health is {}", if active { "good" } else { "bad" }));
                 }
             }
             Action::Signal(value) => self.hint = Some(value),
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -775,10 +775,11 @@
 
 #[test]
 fn a_new_worker_is_not_stalled_in_its_first_period() {
-    // Guards against a first period that measured progress from the clock's zero: health went bad for a
-    // period after each start, and the list took the server off for a second.
+    // Guards against a first period that measured progress from the clock's zero, or from the start of a
+    // processor that came up before its server: health went bad for a period after each start, and the list
+    // took the server off for a second.
     let start = Time(8_000 * MS);
-    let mut c = gradepin::Controller::new(settings(base()), 11, start);
+    let mut c = gradepin::Controller::new(settings(base()), 11, Time(2_000 * MS));
     let mut out = Vec::new();
     c.handle(start, &[], &mut out);
     c.handle(Time(start.0 + 100 * MS), &[timer(0.1)], &mut out);
