Test the server with scenarios on a virtual clock and on loopback sockets

Found by them: after an overdue stop the reducer asked to exit again at every step without end (housekeeping() left exit_at set; the test's events filled the memory); it asks once now.

--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -97,6 +97,8 @@
     active: bool,
     hint: Option<f64>,
     idle: Option<Span>,
+    /// Whether the notice to leave has come, and when the process ends if nobody stops it.
+    leaving: bool,
     exit_at: Option<Time>,
     next_report: Time,
     next_sweep: Time,
@@ -125,6 +127,7 @@
             active: false,
             hint: None,
             idle: None,
+            leaving: false,
             exit_at: None,
             next_report: Time(0),
             next_sweep: Time(0),
@@ -174,7 +177,7 @@
             Input::Opened(conn) => {
                 let connection = Connection { last: self.moment.now, ..Connection::default() };
                 self.connections.insert(conn, connection);
-                if self.exit_at.is_some() {
+                if self.leaving {
                     self.ask_to_drain(conn);
                 }
             }
@@ -538,7 +541,7 @@
     // ---- leaving, connections, reports
 
     fn terminate(&mut self) {
-        if self.exit_at.is_some() {
+        if std::mem::replace(&mut self.leaving, true) {
             return;
         }
         let told = Span(self.stop.0.saturating_sub(STOP_MARGIN.0));
@@ -570,7 +573,7 @@
             self.keys.sweep(now, self.moment.unix_ms);
             self.close_idle();
         }
-        if self.exit_at.is_some_and(|at| now >= at) {
+        if self.exit_at.take_if(|at| now >= *at).is_some() {
             self.effects.push(Effect::Exit);
         }
     }
@@ -586,9 +589,7 @@
         for (conn, draining) in quiet {
             match draining {
                 None => self.ask_to_drain(conn),
-                Some(since) if after(since, DRAIN_PATIENCE) <= now && self.exit_at.is_none() => {
-                    self.closed(conn)
-                }
+                Some(since) if after(since, DRAIN_PATIENCE) <= now && !self.leaving => self.closed(conn),
                 Some(_) => {}
             }
         }
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,296 @@
+//! Scenarios of the whole server on a virtual clock; the language is described in `scenario/mod.rs`.
+
+mod scenario;
+use scenario::play;
+use scenario::virtually::Virtually;
+
+fn up(text: &str) {
+    play(&mut Virtually::up(), text);
+}
+
+#[test]
+fn a_request_runs_once_and_is_answered_once() {
+    up("send a call 1 rid=1 body=hello
+        expect processor begin 1 read hello
+        send processor complete 1 1 OK out
+        expect a 1 served out
+        send processor complete 2 1 OK again
+        expect no a 1");
+}
+
+#[test]
+fn before_the_processor_is_up_health_is_bad_and_requests_are_turned_away() {
+    play(
+        &mut Virtually::new(),
+        "send a health 1
+         expect a 1 bad
+         send a call 2 rid=1
+         expect a 2 refused
+         expect no control
+         send processor hi COLD 0
+         expect control Ready
+         send a health 3
+         expect a 3 good
+         send a call 4 rid=2
+         expect processor begin 2",
+    );
+}
+
+#[test]
+fn a_cancel_ends_what_is_owed_even_if_it_crosses_the_answer() {
+    up("send a call 1 rid=1
+        send a cancel 1
+        send processor complete 1 1 OK out
+        expect no a 1
+        send a call 2 rid=2
+        send processor complete 2 2 OK out
+        expect a 2 served out
+        send a cancel 2
+        send a call 3 rid=3
+        expect processor begin 3");
+}
+
+#[test]
+fn a_closed_connection_takes_its_requests_along() {
+    up("send a call 1 rid=1
+        close a
+        expect a closed
+        send processor complete 1 1 OK out
+        expect no a 1
+        send b call 1 rid=2
+        expect processor begin 2");
+}
+
+#[test]
+fn a_reused_seqid_closes_the_connection_and_a_reused_rid_is_an_exception() {
+    up("send a call 1 rid=1
+        send b call 1 rid=1
+        expect b 1 invalid the rid
+        send a call 1 rid=2
+        expect a closed
+        send b health 2
+        expect b 2 good");
+}
+
+#[test]
+fn what_makes_no_sense_gets_an_exception() {
+    up("send a call 1 method=novelty
+        expect a 1 invalid unknown method 'novelty'
+        send a call 2 acct=nobody
+        expect a 2 invalid unknown tenant 'nobody'
+        send a call 3 mem=0
+        expect a 3 invalid mem out of range
+        send a call 4 mem=NaN
+        expect a 4 invalid mem out of range
+        send a call 5 method=claim
+        expect a 5 invalid no token
+        send a call 6 t0=0 budget=soon
+        expect a 6 invalid no number as budget
+        expect no processor begin");
+}
+
+#[test]
+fn a_repeat_of_a_running_request_waits_for_its_result() {
+    up("send a call 1 method=claim token=t rid=1
+        expect processor begin 1 claim
+        send b call 1 method=claim token=t rid=2
+        expect no b 1
+        send processor complete 1 1 OK out
+        expect a 1 served out
+        expect b 1 served out
+        send a call 2 method=claim token=t rid=3
+        expect a 2 served out
+        expect no processor begin");
+}
+
+#[test]
+fn a_repeat_of_a_cancelled_run_gets_its_result() {
+    up("send a call 1 method=claim token=t rid=1
+        expect processor begin 1
+        send a cancel 1
+        send a call 2 method=claim token=t rid=2
+        send processor complete 1 1 OK out
+        expect a 2 served out
+        expect no a 1
+        expect no processor begin");
+}
+
+#[test]
+fn a_repeat_of_a_failed_run_fails_and_does_not_run() {
+    up("send a call 1 method=claim token=t rid=1
+        expect processor begin 1
+        send b call 1 method=claim token=t rid=2
+        send processor complete 1 1 ERROR
+        expect a 1 failed
+        expect b 1 failed
+        send a call 2 method=claim token=t rid=3
+        expect a 2 failed
+        expect no processor begin");
+}
+
+#[test]
+fn a_run_that_was_never_started_leaves_the_key_free() {
+    up("send a call 1 method=claim token=t rid=1
+        expect processor begin 1
+        send a cancel 1
+        send processor complete 1 1 MOOT
+        send a call 2 method=claim token=t rid=2
+        expect processor begin 2");
+}
+
+#[test]
+fn within_the_window_from_t0_nothing_runs_again() {
+    // The window is 9 s. The last repeat was sent within it, but read after the entry had run out.
+    up("send a call 1 method=claim token=t rid=1 t0=-500
+        expect processor begin 1
+        send processor complete 1 1 OK out
+        wait 8400
+        send b call 1 method=claim token=t rid=2
+        expect b 1 served out
+        wait 300
+        send b call 2 method=claim token=t rid=3 t0=-250
+        expect b 2 served out
+        expect no processor begin
+        send b call 3 method=claim token=t rid=4
+        expect processor begin 4");
+}
+
+#[test]
+fn two_tries_that_arrive_together_run_once() {
+    up("send a + call 1 method=claim token=t rid=1
+        send b call 1 method=claim token=t rid=2
+        expect processor begin
+        expect no processor begin
+        send processor complete 1 2 OK out
+        expect b 1 served out
+        expect a 1 refused");
+}
+
+#[test]
+fn a_fallen_link_loses_no_request() {
+    // The first begin was proven by an answered question, the second may be lost; the third came meanwhile.
+    up("send a call 1 rid=1
+        expect processor begin 1
+        wait 150
+        send processor mute
+        send a call 2 rid=2
+        expect processor begin 2
+        close processor
+        send a call 3 rid=3
+        expect no processor begin
+        send processor hi WARM 1000
+        expect no processor begin
+        send processor complete 1 1 OK one
+        expect a 1 served one");
+    up("send processor mute
+        send a call 1 rid=1
+        expect processor begin 1
+        close processor
+        send a call 2 rid=2
+        send processor unmute
+        send processor hi WARM 1000
+        expect processor begin 1
+        expect processor begin 2
+        send processor complete 1 2 OK two
+        expect a 2 served two
+        send processor complete 1 1 OK old
+        expect no a 1
+        send processor complete 2 1 OK one
+        expect a 1 served one");
+}
+
+#[test]
+fn what_ended_while_the_link_was_down_is_not_begun_again() {
+    up("send processor mute
+        send a call 1 rid=1
+        expect processor begin 1
+        close processor
+        send processor hi WARM 1000
+        send processor complete 1 1 OK one
+        expect a 1 served one
+        send processor unmute
+        wait 200
+        expect no processor begin");
+}
+
+#[test]
+fn a_rejected_begin_is_answered() {
+    up("send a call 1 rid=1
+        send processor reject 1
+        expect a 1 failed");
+}
+
+#[test]
+fn timers_fire_and_what_is_due_is_answered_with_the_link_down_or_silent() {
+    up("send a call 1 rid=1 budget=1000
+        close processor
+        wait 990
+        expect no a 1
+        wait 20
+        expect a 1 failed");
+    up("send a call 1 rid=1 budget=1000
+        send processor mute
+        wait 1040
+        expect a 1 failed
+        expect no renew
+        wait 5000
+        expect renew");
+}
+
+#[test]
+fn time_waited_unread_counts_from_t0() {
+    up("send a call 1 rid=1 t0=-800 budget=1000
+        wait 190
+        expect no a 1
+        wait 20
+        expect a 1 failed");
+}
+
+#[test]
+fn reports_repeat_well_inside_their_lapse() {
+    up("expect control Ready
+        wait 900
+        expect control Ready
+        wait 900
+        expect control Ready");
+}
+
+#[test]
+fn a_server_told_to_leave_answers_everything_and_starts_nothing_late() {
+    // Grace is 1 s, the stop comes after 2 s; nobody ends the process before it.
+    up("send a call 1 rid=1 budget=4000
+        expect processor begin 1
+        expect control Ready
+        send server TERM
+        expect a draining
+        expect control NotReady
+        expect no control Ready
+        send a health 2
+        expect a 2 bad
+        wait 1100
+        send b call 1 rid=2
+        expect b draining
+        expect b 1 refused
+        expect no processor begin
+        expect no a 1
+        wait 850
+        expect a 1 failed
+        wait 1000
+        expect no exit
+        wait 1100
+        expect exit");
+}
+
+#[test]
+fn idle_connections_are_asked_to_drain_and_closed_only_if_they_stay() {
+    up("send a call 1 rid=1
+        send b health 1
+        wait 1000
+        expect no b draining
+        wait 800
+        expect b draining
+        expect no b closed
+        wait 1500
+        expect b closed
+        expect no a draining");
+}
--- /dev/null
+++ b/tests/scenario/mod.rs
@@ -0,0 +1,103 @@
+//! The scenario language of the server's tests. A scenario is a text; each line is one of
+//!
+//! - `send CONN call SEQ [field=value ..]`, `send CONN cancel SEQ`, `send CONN health SEQ`, `send CONN hex BYTES`,
+//!   `send processor LINE` and `send server TERM`: something reaches the server. A connection opens when it is
+//!   first named. Fields have defaults; `rid` is a plain number and `t0` counts from now. `+` before `call` holds
+//!   the message back until the next one, so that both arrive together.
+//! - `expect EVENT`: an event that begins with these words has come or comes now; `expect no EVENT`: none has.
+//!   Events are `CONN SEQ served BODY`, `CONN SEQ refused|failed|invalid|good|bad [fields]`, `CONN draining`,
+//!   `CONN closed`, `processor hello|begin ..`, `control Ready|NotReady` and `exit`.
+//! - `close CONN` and `close processor`: a peer ends its connection.
+//! - `wait MS`: time passes; on the virtual stage no real time does.
+//!
+//! The processor answers every `usage` by itself, unless it was sent `mute`.
+#![allow(dead_code)]
+
+#[path = "../common/mod.rs"]
+pub mod common;
+pub mod sockets;
+pub mod thrift;
+pub mod virtually;
+
+use serde_json::{Value, json};
+
+/// Where a scenario is played.
+pub trait Stage {
+    /// A frame of a client connection.
+    fn client(&mut self, conn: &str, bytes: &[u8], more: bool);
+    /// A line of the processor.
+    fn processor(&mut self, line: &str);
+    /// The notice to leave.
+    fn terminate(&mut self);
+    fn close(&mut self, peer: &str);
+    fn wait(&mut self, ms: u64);
+    /// The Unix clock, in ms.
+    fn unix_ms(&self) -> u64;
+    /// Waits for an event that begins with the words and takes it; or says what came instead.
+    fn take(&mut self, words: &str) -> Result<String, Vec<String>>;
+    /// What has come and was not taken.
+    fn rest(&mut self) -> Vec<String>;
+}
+
+/// Whether an event begins with all these words.
+pub fn begins(event: &str, words: &str) -> bool {
+    event.strip_prefix(words).is_some_and(|rest| rest.is_empty() || rest.starts_with(' '))
+}
+
+/// The configuration of the server under test: two classes, four cores.
+pub fn config(listen: &str, processor: &str, control: &str) -> Value {
+    let mut settings = common::base();
+    settings["specifics"]["below"] = json!("off");
+    settings["specifics"]["gauges"] = json!(["core_use", "on_cores", "heap_share", "links"]);
+    settings["customers"] = json!([{"name": "acme", "quota_rps": 100.0, "portion": 1.0}]);
+    json!({"name": "n1", "listen": listen, "processor": processor, "control": control, "seed": "8c1f30d27a5be964",
+           "stop_ms": 2000, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings})
+}
+
+fn call(words: &[&str], unix_ms: u64) -> Vec<u8> {
+    let field = |name: &str| words.iter().find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+    let number = |name: &str| field(name).map(|text| text.parse::<i64>().expect("a number"));
+    let t0 = i64::try_from(unix_ms).expect("a time") + number("t0").unwrap_or(0);
+    let mut fields = vec![
+        ("method", field("method").unwrap_or("read").to_string()),
+        ("rid", format!("{:016x}", number("rid").unwrap_or(1))),
+        ("t0", t0.to_string()),
+        ("peer", "4".to_string()),
+        ("acct", field("acct").unwrap_or("acme").to_string()),
+        ("budget", field("budget").unwrap_or("4000").to_string()),
+        ("mem", field("mem").unwrap_or("20.5").to_string()),
+        ("prio", "0.6250".to_string()),
+    ];
+    fields.extend(field("token").map(|token| ("token", token.to_string())));
+    thrift::call(words[0].parse().expect("a number"), &fields, field("body").unwrap_or("in").as_bytes())
+}
+
+/// Plays a scenario.
+pub fn play(stage: &mut impl Stage, text: &str) {
+    for (number, line) in text.lines().enumerate() {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let at = format!("line {}: {}", number + 1, line.trim());
+        let seq = |n: usize| words[n].parse::<i32>().expect("a number");
+        match words[..] {
+            [] => {}
+            ["send", "processor", ..] => stage.processor(&words[2..].join(" ")),
+            ["send", "server", "TERM"] => stage.terminate(),
+            ["send", conn, "call", ..] => stage.client(conn, &call(&words[3..], stage.unix_ms()), false),
+            ["send", conn, "+", "call", ..] => stage.client(conn, &call(&words[4..], stage.unix_ms()), true),
+            ["send", conn, "cancel", _] => stage.client(conn, &thrift::cancel(seq(3)), false),
+            ["send", conn, "health", _] => stage.client(conn, &thrift::health(seq(3)), false),
+            ["send", conn, "hex", bytes] => stage.client(conn, &thrift::unhex(bytes), false),
+            ["expect", "no", ..] => {
+                let (words, rest) = (words[2..].join(" "), stage.rest());
+                assert!(!rest.iter().any(|event| begins(event, &words)), "{at}: came, in {rest:?}");
+            }
+            ["expect", ..] => {
+                let taken = stage.take(&words[1..].join(" "));
+                assert!(taken.is_ok(), "{at}: there is only {:?}", taken.err());
+            }
+            ["close", peer] => stage.close(peer),
+            ["wait", ms] => stage.wait(ms.parse().expect("milliseconds")),
+            _ => panic!("{at}: not in the scenario language"),
+        }
+    }
+}
--- /dev/null
+++ b/tests/scenario/sockets.rs
@@ -0,0 +1,207 @@
+//! A stage of loopback sockets: the real program, with the test as its client proxies, processor and control
+//! plane. Waits here are upper bounds; nothing passes or fails by how long anything takes.
+
+use super::{Stage, begins, config, thrift};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub struct Sockets {
+    program: Child,
+    file: PathBuf,
+    address: String,
+    conns: HashMap<String, TcpStream>,
+    held_back: Vec<u8>,
+    link: Arc<Mutex<Option<TcpStream>>>,
+    sender: Sender<String>,
+    receiver: Receiver<String>,
+    events: Vec<String>,
+}
+
+impl Sockets {
+    /// Starts the program; its processor greets as warm on each link.
+    pub fn up(name: &str) -> Self {
+        let (processor, control) = (TcpListener::bind("127.0.0.1:0"), UdpSocket::bind("127.0.0.1:0"));
+        let (processor, control) = (processor.expect("a port"), control.expect("a port"));
+        let free = TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr());
+        let address = free.expect("a port").to_string();
+        let of = |address: std::io::Result<std::net::SocketAddr>| address.expect("an address").to_string();
+        let text = config(&address, &of(processor.local_addr()), &of(control.local_addr())).to_string();
+        let file = std::env::temp_dir().join(format!("gradepin-{}-{name}.json", std::process::id()));
+        std::fs::write(&file, text).expect("a file for the configuration");
+        let mut program = Command::new(env!("CARGO_BIN_EXE_gradepin"));
+        let program = program.arg("serve").env("GW_CONFIG", &file).stderr(Stdio::null());
+        let program = program.spawn().expect("the program starts");
+        let (sender, receiver) = channel();
+        let link = Arc::new(Mutex::new(None));
+        let (events, slot) = (sender.clone(), Arc::clone(&link));
+        thread::spawn(move || {
+            for socket in processor.incoming().flatten() {
+                *slot.lock().expect("whole") = Some(socket.try_clone().expect("a clone"));
+                serve_link(socket, &events);
+            }
+        });
+        let events = sender.clone();
+        thread::spawn(move || {
+            let mut datagram = [0; 64];
+            while let Ok(len) = control.recv(&mut datagram) {
+                let text = String::from_utf8_lossy(&datagram[..len]).into_owned();
+                let _ = events.send(format!("control {}", text.strip_prefix("lease n1 ").expect("a lease")));
+            }
+        });
+        let (conns, held_back) = (HashMap::new(), Vec::new());
+        Self { program, file, address, conns, held_back, link, sender, receiver, events: Vec::new() }
+    }
+
+    fn conn(&mut self, name: &str) -> TcpStream {
+        if !self.conns.contains_key(name) {
+            let start = Instant::now();
+            let socket = loop {
+                match TcpStream::connect(&self.address) {
+                    Ok(socket) => break socket,
+                    Err(e) => assert!(start.elapsed() < PATIENCE, "the program doesn't listen: {e}"),
+                }
+                thread::sleep(Duration::from_millis(5));
+            };
+            let (mut reads, events) = (socket.try_clone().expect("a clone"), self.sender.clone());
+            let conn = name.to_string();
+            thread::spawn(move || {
+                let mut prefix = [0; 4];
+                while reads.read_exact(&mut prefix).is_ok() {
+                    let mut frame = vec![0; u32::from_be_bytes(prefix) as usize];
+                    if reads.read_exact(&mut frame).is_ok() {
+                        let _ = events.send(format!("{conn} {}", thrift::event(&frame)));
+                    }
+                }
+                let _ = events.send(format!("{conn} closed"));
+            });
+            self.conns.insert(name.to_string(), socket);
+        }
+        self.conns[name].try_clone().expect("a clone")
+    }
+
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Status and message of the program's end.
+    pub fn ends_with(text: &str) -> (Option<i32>, String) {
+        let file = std::env::temp_dir().join(format!("gradepin-{}-bad.json", std::process::id()));
+        std::fs::write(&file, text).expect("a file for the configuration");
+        let out = Command::new(env!("CARGO_BIN_EXE_gradepin")).arg("serve").env("GW_CONFIG", &file).output();
+        let out = out.expect("the program starts");
+        let _ = std::fs::remove_file(file);
+        (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
+    }
+}
+
+/// Reads the server's commands on one link, and answers those that scenarios need not name.
+fn serve_link(socket: TcpStream, events: &Sender<String>) {
+    let mut writes = socket.try_clone().expect("a clone");
+    let mut reads = BufReader::new(socket);
+    let mut line = String::new();
+    while reads.read_line(&mut line).is_ok_and(|len| len > 0) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let _ = match words[..] {
+            ["hello", n] => {
+                let _ = events.send(format!("processor hello {n}"));
+                writes.write_all(b"hi WARM 1.500\r\n")
+            }
+            ["usage", tag] => writes.write_all(format!("used {tag} 0.5 2 0.1 9\r\n").as_bytes()),
+            ["begin", id, class, len] => {
+                let mut body = vec![0; len.parse::<usize>().expect("a length") + 2];
+                reads.read_exact(&mut body).expect("a body");
+                let id = u64::from_str_radix(id, 16).expect("hex");
+                let body = String::from_utf8_lossy(&body[..body.len() - 2]).into_owned();
+                drop(events.send(format!("processor begin {id} {class} {body}")));
+                Ok(())
+            }
+            _ => panic!("no command: {line}"),
+        };
+        line.clear();
+    }
+}
+
+impl Stage for Sockets {
+    fn client(&mut self, conn: &str, bytes: &[u8], more: bool) {
+        self.held_back.extend_from_slice(bytes);
+        if !more {
+            let bytes = std::mem::take(&mut self.held_back);
+            // In pieces that no message ends with.
+            for piece in bytes.chunks(bytes.len() / 3 + 1) {
+                let _ = self.conn(conn).write_all(piece);
+                thread::sleep(Duration::from_millis(1));
+            }
+        }
+    }
+
+    fn processor(&mut self, line: &str) {
+        let words: Vec<&str> = line.split(' ').collect();
+        let text = match words[..] {
+            ["complete", n, id, end, ref result @ ..] => {
+                let (id, result) = (id.parse::<u64>().expect("a number"), result.join(" "));
+                format!("complete {n} {id:016x} {end} 5.125 {}\r\n{result}\r\n", result.len())
+            }
+            _ => format!("{line}\r\n"),
+        };
+        let link = self.link.lock().expect("whole");
+        link.as_ref().expect("a link").write_all(text.as_bytes()).expect("the link takes lines");
+    }
+
+    fn terminate(&mut self) {
+        let kill =
+            Command::new("/bin/sh").arg("-c").arg(format!("kill -TERM {}", self.program.id())).status();
+        assert!(kill.expect("a shell").success());
+    }
+
+    fn close(&mut self, peer: &str) {
+        let socket = if peer == "processor" {
+            self.link.lock().expect("whole").take()
+        } else {
+            self.conns.remove(peer)
+        };
+        socket.expect("a connection").shutdown(Shutdown::Both).expect("it stood");
+    }
+
+    fn wait(&mut self, ms: u64) {
+        thread::sleep(Duration::from_millis(ms));
+    }
+
+    fn unix_ms(&self) -> u64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+    }
+
+    fn take(&mut self, words: &str) -> Result<String, Vec<String>> {
+        let start = Instant::now();
+        loop {
+            if let Some(place) = self.events.iter().position(|event| begins(event, words)) {
+                return Ok(self.events.remove(place));
+            }
+            match self.receiver.recv_timeout(PATIENCE.saturating_sub(start.elapsed())) {
+                Ok(event) => self.events.push(event),
+                Err(_) => return Err(self.events.clone()),
+            }
+        }
+    }
+
+    fn rest(&mut self) -> Vec<String> {
+        self.events.extend(self.receiver.try_iter());
+        self.events.clone()
+    }
+}
+
+impl Drop for Sockets {
+    fn drop(&mut self) {
+        let _ = self.program.kill();
+        let _ = self.program.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
--- /dev/null
+++ b/tests/scenario/virtually.rs
@@ -0,0 +1,184 @@
+//! A stage with no sockets and no real time: the reducer alone, with the clients' codec before it.
+
+use super::{Stage, begins, config, thrift};
+use gradepin::node::clients::thrift as codec;
+use gradepin::node::clock::Moment;
+use gradepin::node::config::Config;
+use gradepin::node::messages::{ConnId, Effect, Input, RunEnd};
+use gradepin::node::pool::Pool;
+use gradepin::node::reducer::Reducer;
+use gradepin::{RequestId, Settings, Span, Time};
+use std::sync::Arc;
+
+const MS: u64 = 1_000_000;
+
+pub struct Virtually {
+    reducer: Reducer,
+    settings: Arc<Settings>,
+    pool: Arc<Pool>,
+    ms: u64,
+    /// Names of connections; the place is the id.
+    conns: Vec<String>,
+    waiting: Vec<Input>,
+    events: Vec<String>,
+    muted: bool,
+    link: u64,
+}
+
+impl Virtually {
+    /// A server whose processor has greeted.
+    pub fn up() -> Self {
+        let mut stage = Self::new();
+        stage.processor("hi WARM 0");
+        stage
+    }
+
+    pub fn new() -> Self {
+        let text = config("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3").to_string();
+        let config = Config::parse(&text).expect("a whole configuration");
+        let settings = Arc::new(config.settings.clone());
+        Self {
+            reducer: Reducer::new(&config, Arc::clone(&settings)).expect("a whole configuration"),
+            settings,
+            pool: Pool::new(8),
+            ms: 1_000_000,
+            conns: Vec::new(),
+            waiting: Vec::new(),
+            events: Vec::new(),
+            muted: false,
+            link: 0,
+        }
+    }
+
+    fn conn(&mut self, name: &str) -> ConnId {
+        let place = self.conns.iter().position(|known| known == name).unwrap_or_else(|| {
+            self.conns.push(name.to_string());
+            self.waiting.push(Input::Opened(self.conns.len() as ConnId - 1));
+            self.conns.len() - 1
+        });
+        place as ConnId
+    }
+
+    /// Steps until nothing more happens at this moment.
+    fn settle(&mut self) {
+        loop {
+            let moment = Moment { now: Time(self.ms * MS), unix_ms: self.ms };
+            let mut effects = Vec::new();
+            self.reducer.step(moment, std::mem::take(&mut self.waiting), &mut effects);
+            for effect in effects {
+                self.carry_out(effect);
+            }
+            if self.waiting.is_empty() && self.reducer.wake_at().is_none_or(|at| at > moment.now) {
+                return;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let name = |conn: ConnId| self.conns[conn as usize].clone();
+        let event = match effect {
+            Effect::Answer(conn, seq, answer, hint) => {
+                let frame = codec::encode(seq, &answer, hint, &self.pool).expect("an answer that fits");
+                format!("{} {}", name(conn), thrift::event(&frame[4..]))
+            }
+            Effect::Draining(conn) => format!("{} draining", name(conn)),
+            Effect::Close(conn) => format!("{} closed", name(conn)),
+            Effect::Begin(_, id, class, body) => {
+                let id = u64::from_str_radix(&id.0, 16).expect("hex");
+                let class = &self.settings.profiles[class].name;
+                format!("processor begin {id} {class} {}", String::from_utf8_lossy(&body))
+            }
+            Effect::Usage(_, tag) => {
+                if !self.muted {
+                    self.waiting.push(Input::Used(tag, vec![0.5, 2.0, 0.1, 9.0]));
+                }
+                return;
+            }
+            Effect::Report(ready) => format!("control {}", if ready { "Ready" } else { "NotReady" }),
+            Effect::Renew(_) => "renew".to_string(),
+            Effect::Exit => "exit".to_string(),
+            Effect::Log(..) | Effect::Forget(_) => return,
+        };
+        self.events.push(event);
+    }
+}
+
+impl Stage for Virtually {
+    fn client(&mut self, conn: &str, bytes: &[u8], more: bool) {
+        let conn = self.conn(conn);
+        let input = match codec::decode(&bytes[4..], &self.settings, &self.pool).expect("well-formed") {
+            codec::Message::Call(seq, call) => Input::Call(conn, seq, call),
+            codec::Message::Health(seq) => Input::Health(conn, seq),
+            codec::Message::Cancel(seq) => Input::Cancel(conn, seq),
+            codec::Message::Invalid(seq, why) => Input::Invalid(conn, seq, why),
+            codec::Message::Unknown => return,
+        };
+        self.waiting.push(input);
+        if !more {
+            self.settle();
+        }
+    }
+
+    fn processor(&mut self, line: &str) {
+        let words: Vec<&str> = line.split(' ').collect();
+        let id = |text: &str| RequestId::new(&format!("{:016x}", text.parse::<u64>().expect("a number")));
+        let input = match words[..] {
+            ["hi", state, ms] => {
+                self.link += 1;
+                let age = Span(ms.parse::<u64>().expect("ms") * MS);
+                Input::LinkUp { link: self.link, cold: state == "COLD", age }
+            }
+            ["complete", n, rid, end, ref result @ ..] => Input::Complete {
+                notice: n.parse().expect("a number"),
+                id: id(rid),
+                end: match end {
+                    "OK" => RunEnd::Ok,
+                    "ERROR" => RunEnd::Error,
+                    "STOPPED" => RunEnd::Stopped,
+                    _ => RunEnd::Moot,
+                },
+                took: Span(20 * MS),
+                result: self.pool.copy(result.join(" ").as_bytes()).expect("fits"),
+            },
+            ["reject", rid] => Input::Rejected(id(rid)),
+            ["mute"] => return self.muted = true,
+            ["unmute"] => return self.muted = false,
+            _ => panic!("no line of the processor: {line}"),
+        };
+        self.waiting.push(input);
+        self.settle();
+    }
+
+    fn terminate(&mut self) {
+        self.waiting.push(Input::Terminate);
+        self.settle();
+    }
+
+    fn close(&mut self, peer: &str) {
+        let input = if peer == "processor" { Input::LinkDown } else { Input::Closed(self.conn(peer)) };
+        self.waiting.push(input);
+        self.settle();
+    }
+
+    fn wait(&mut self, ms: u64) {
+        let until = self.ms + ms;
+        while self.ms < until {
+            let wake = self.reducer.wake_at().map_or(until, |at| at.0.div_ceil(MS));
+            self.ms = wake.clamp(self.ms + 1, until);
+            self.settle();
+        }
+    }
+
+    fn unix_ms(&self) -> u64 {
+        self.ms
+    }
+
+    fn take(&mut self, words: &str) -> Result<String, Vec<String>> {
+        let place = self.events.iter().position(|event| begins(event, words));
+        place.map(|place| self.events.remove(place)).ok_or_else(|| self.events.clone())
+    }
+
+    fn rest(&mut self) -> Vec<String> {
+        self.events.clone()
+    }
+}
