--- a/tests/node.rs
+++ b/tests/node.rs
@@ -180,6 +180,12 @@
         expect no processor begin
         send processor hi WARM 1000
         expect no processor begin
+        send processor unmute
+        close processor
+        send processor hi WARM 1000
+        expect processor begin 2
+        expect processor begin 3
+        expect no processor begin
         send processor complete 1 1 OK one
         expect a 1 served one");
     up("send processor mute
