Fail the runs of a processor that restarts alone, and pause longer after links that bring nothing

Seen by reading: after a restart of the processor alone, its runs stayed in the reducer's books and the module's count of runs for ever, and its notices, numbered from 1 again, were dropped as replays. The start told in 'hi' tells it apart. Both hosts of the test peers' 'hi' count from a real start.

--- a/src/node/processor.rs
+++ b/src/node/processor.rs
@@ -9,12 +9,15 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const STACK: usize = 64 * 1024;
 const MOST_RESULT: usize = 4096;
-/// Between tries to connect.
+/// Between tries to connect; doubled with each link that brought nothing, up to a bound.
 const RETRY: Duration = Duration::from_millis(20);
+const MOST_RETRY: Duration = Duration::from_secs(1);
+/// A processor that started so much later than was told before is another one.
+const RESTARTED: Duration = Duration::from_secs(1);
 const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
 const WRITE_PATIENCE: Duration = Duration::from_secs(5);
 
@@ -24,6 +27,24 @@
     Usage(u64),
 }
 
+/// What is known of the processor across links.
+#[derive(Default)]
+struct Progress {
+    last_notice: u64,
+    started: Option<Instant>,
+}
+
+impl Progress {
+    /// Notes when the processor says that it started; whether it is the one that told the notices so far.
+    fn same(&mut self, age: Span) -> bool {
+        let now = Instant::now();
+        let started = now.checked_sub(Duration::from_nanos(age.0)).unwrap_or(now);
+        let same = self.started.is_none_or(|before| started < before + RESTARTED);
+        self.started = Some(started);
+        same
+    }
+}
+
 /// The link in use: its number, its queue and its socket.
 struct Link {
     number: u64,
@@ -83,7 +104,8 @@
     pool: &Arc<Pool>,
     log: &Logger,
 ) {
-    let mut last_notice = 0;
+    let mut progress = Progress::default();
+    let mut pause = RETRY;
     for number in 1.. {
         let socket = loop {
             match TcpStream::connect_timeout(&address, CONNECT_PATIENCE) {
@@ -91,10 +113,11 @@
                 Err(_) => thread::sleep(RETRY),
             }
         };
-        let ended = start(&socket, last_notice, pool).and_then(|commands| {
+        let before = progress.last_notice;
+        let ended = start(&socket, before, pool).and_then(|commands| {
             let link = Link { number, commands, socket: Arc::clone(&socket) };
             *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(link);
-            read(number, &socket, &mut last_notice, inputs, pool)
+            read(number, &socket, &mut progress, inputs, pool)
         });
         *slot.lock().unwrap_or_else(PoisonError::into_inner) = None;
         let _ = socket.shutdown(Shutdown::Both);
@@ -106,7 +129,9 @@
         if inputs.send(Input::LinkDown).is_err() {
             return;
         }
-        thread::sleep(RETRY);
+        // Guards against a bad line that comes again on each link: it would fill the log.
+        pause = if progress.last_notice == before { (pause * 2).min(MOST_RETRY) } else { RETRY };
+        thread::sleep(pause);
     }
 }
 
@@ -146,7 +171,7 @@
 fn read(
     number: u64,
     mut socket: &TcpStream,
-    last_notice: &mut u64,
+    progress: &mut Progress,
     inputs: &Sender<Input>,
     pool: &Arc<Pool>,
 ) -> io::Result<()> {
@@ -157,15 +182,23 @@
         while let Some((len, line)) = parse(&buffer[used..], pool)? {
             used += len;
             let input = match line {
-                Line::Hi(cold, age) => Input::LinkUp { link: number, cold, age },
+                Line::Hi(cold, age) => {
+                    let same = progress.same(age);
+                    if !same && progress.last_notice > 0 {
+                        // Its notices begin at 1 again, and it was greeted with a later number.
+                        progress.last_notice = 0;
+                        return Err(io::Error::other("the processor has restarted"));
+                    }
+                    Input::LinkUp { link: number, cold, age }
+                }
                 Line::Complete(notice, id, end, took, result) => {
-                    *last_notice = notice.max(*last_notice);
+                    progress.last_notice = notice.max(progress.last_notice);
                     Input::Complete { notice, id, end, took, result }
                 }
                 Line::Used(tag, values) => Input::Used(tag, values),
                 Line::Reject(id) => Input::Rejected(id),
                 Line::Remark(notice) => {
-                    *last_notice = notice.max(*last_notice);
+                    progress.last_notice = notice.max(progress.last_notice);
                     continue;
                 }
                 Line::Nothing => continue,
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -27,6 +27,8 @@
 const STOP_MARGIN: Span = Span(100 * MS);
 /// After the told stop: the end of a process that nobody stopped.
 const STOP_OVERDUE: Span = Span(2_000 * MS);
+/// A processor that started so much later than was told before is another one.
+const RESTARTED: Span = Span(1_000 * MS);
 /// Between sweeps through connections and keys.
 const SWEEP_EVERY: Span = Span(250 * MS);
 /// How long a peer that was asked to drain an idle connection has before it is closed from here.
@@ -69,6 +71,8 @@
     number: Option<u64>,
     /// The question after which begins left over from an earlier link are sent again.
     settles: Option<u64>,
+    /// When the processor started.
+    started: Time,
     last_notice: u64,
     /// Questions asked so far, and when the open one was.
     asked: u64,
@@ -326,7 +330,10 @@
             self.active = true;
             self.next_report = now;
             self.log(Level::Info, format!("the processor is up, {}", if cold { "cold" } else { "warm" }));
+        } else if before(now, age) > after(self.link.started, RESTARTED) {
+            self.restarted();
         }
+        self.link.started = before(now, age);
         self.link.number = Some(number);
         self.link.open_since = None;
         if !self.link.unproven.is_empty() {
@@ -336,6 +343,17 @@
         }
     }
 
+    /// Another processor: what ran on the one before has no end to wait for, and notices begin at 1 again.
+    fn restarted(&mut self) {
+        self.log(Level::Warning, "the processor has restarted; its runs are lost".into());
+        self.link.last_notice = 0;
+        let running = self.requests.iter().filter(|(_, open)| open.state == State::Running);
+        // In order of their ids: the same inputs give the same effects.
+        for id in running.map(|(id, _)| id.clone()).collect::<BTreeSet<_>>() {
+            self.ended(&id, RunEnd::Error, Span(0), None);
+        }
+    }
+
     /// Asks for the gauges.
     fn ask(&mut self, link: u64) {
         self.link.asked += 1;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -812,3 +812,21 @@
     assert_eq!(level(80), 0.0);
     assert!(level(300) > 0.3, "a long wait still does");
 }
+
+#[test]
+fn a_first_try_that_another_worker_may_take_raises_no_level() {
+    // Guards against a level that rose on a fleet with room, since one worker passed a few first tries on.
+    let level = |retry: bool| {
+        let mut value = base();
+        value["specifics"]["advert"] = json!("threshold");
+        let mut c = started(value);
+        let crowd = (0..12).map(|n| read(&format!("r{n}"))).collect();
+        arrive(&mut c, 1000, crowd);
+        // Its caller waits less than a run takes: it is turned away at once.
+        let late = Request { retry, expires_in: Some(Span(100 * MS)), ..read("late") };
+        assert_eq!(refused(&arrive(&mut c, 1001, vec![late])), ["late"]);
+        at(&mut c, 1102, vec![timer(0.1)]).iter().any(|a| matches!(a, Action::Signal(_)))
+    };
+    assert!(!level(false));
+    assert!(level(true), "a refused retry has nowhere else to go");
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -219,6 +219,23 @@
         expect no processor begin");
 }
 
+#[test]
+fn a_processor_that_restarts_alone_fails_its_runs_and_is_served_on() {
+    // Guards against runs that stay in the books for ever, and notices taken for old ones.
+    up("send a call 1 rid=1
+        send processor complete 1 1 OK one
+        send a call 2 rid=2
+        expect processor begin 2
+        close processor
+        wait 3000
+        send processor hi COLD 100
+        expect a 2 failed
+        send a call 3 rid=3
+        expect processor begin 3
+        send processor complete 1 3 OK three
+        expect a 3 served three");
+}
+
 #[test]
 fn a_rejected_begin_is_answered() {
     up("send a call 1 rid=1
--- a/tests/scenario/sockets.rs
+++ b/tests/scenario/sockets.rs
@@ -42,11 +42,11 @@
         let program = program.spawn().expect("the program starts");
         let (sender, receiver) = channel();
         let link = Arc::new(Mutex::new(None));
-        let (events, slot) = (sender.clone(), Arc::clone(&link));
+        let (events, slot, started) = (sender.clone(), Arc::clone(&link), Instant::now());
         thread::spawn(move || {
             for socket in processor.incoming().flatten() {
                 *slot.lock().expect("whole") = Some(socket.try_clone().expect("a clone"));
-                serve_link(socket, &events);
+                serve_link(socket, started, &events);
             }
         });
         let events = sender.clone();
@@ -104,7 +104,7 @@
 }
 
 /// Reads the server's commands on one link, and answers those that scenarios need not name.
-fn serve_link(socket: TcpStream, events: &Sender<String>) {
+fn serve_link(socket: TcpStream, started: Instant, events: &Sender<String>) {
     let mut writes = socket.try_clone().expect("a clone");
     let mut reads = BufReader::new(socket);
     let mut line = String::new();
@@ -113,7 +113,7 @@
         let _ = match words[..] {
             ["hello", n] => {
                 let _ = events.send(format!("processor hello {n}"));
-                writes.write_all(b"hi WARM 1.500\r\n")
+                writes.write_all(format!("hi WARM {}.500\r\n", started.elapsed().as_millis()).as_bytes())
             }
             ["usage", tag] => writes.write_all(format!("used {tag} 0.5 2 0.1 9\r\n").as_bytes()),
             ["begin", id, class, len] => {
