Keep the notice to leave until there is a module to tell, and quote peers' words on one line

Seen by reading: a SIGTERM before the processor's 'hi' left an event that no module could take, and wake_at() (src/node/reducer.rs) was due at once for ever: a full core until the exit. The module is now told when it starts, with what is left then. The new scenario stops with 'the reducer never rests' without the change. An unknown method's or tenant's name went into the log as it came, line ends too; it is quoted and cut to 40 characters.

--- a/src/node/clients/thrift.rs
+++ b/src/node/clients/thrift.rs
@@ -87,9 +87,8 @@
             Message::Health(seq)
         }
         (name, CALL) => {
-            let name = String::from_utf8_lossy(&name[..name.len().min(40)]).into_owned();
             r.each_field(|_, _, _| Ok(false))?;
-            Message::Invalid(seq, format!("{UNKNOWN}'{name}'"))
+            Message::Invalid(seq, format!("{UNKNOWN}{}", quoted(&String::from_utf8_lossy(name))))
         }
         (_, ONEWAY) => {
             r.each_field(|_, _, _| Ok(false))?;
@@ -102,6 +101,11 @@
 
 const UNKNOWN: &str = "unknown method ";
 
+/// A peer's word in a message: short, and on one line whatever it holds, since it goes into the log too.
+fn quoted(word: &str) -> String {
+    format!("{:?}", word.chars().take(40).collect::<String>())
+}
+
 /// The fields of a call that mean something here.
 #[derive(Default)]
 struct Fields<'a> {
@@ -148,9 +152,11 @@
 
     fn call(&self, body: &[u8], settings: &Settings, pool: &Arc<Pool>) -> Result<Call, String> {
         let method = self.method.ok_or("no method")?;
-        let class = settings.class(method).ok_or_else(|| format!("{UNKNOWN}'{method}'"))?;
+        let class = settings.class(method).ok_or_else(|| format!("{UNKNOWN}{}", quoted(method)))?;
         let tenant = match self.acct {
-            Some(name) => Some(settings.tenant(name).ok_or_else(|| format!("unknown tenant '{name}'"))?),
+            Some(name) => {
+                Some(settings.tenant(name).ok_or_else(|| format!("unknown tenant {}", quoted(name)))?)
+            }
             None => None,
         };
         // The id goes into the processor's lines: anything but hex digits could forge one.
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -329,6 +329,9 @@
             self.controller = Some(Controller::new(settings, self.seed, before(now, age)));
             self.active = true;
             self.next_report = now;
+            if self.leaving {
+                self.tell_leaving();
+            }
             self.log(Level::Info, format!("the processor is up, {}", if cold { "cold" } else { "warm" }));
         } else if before(now, age) > after(self.link.started, RESTARTED) {
             self.restarted();
@@ -562,15 +565,22 @@
         if std::mem::replace(&mut self.leaving, true) {
             return;
         }
-        let told = Span(self.stop.0.saturating_sub(STOP_MARGIN.0));
-        self.events.push(Event::Sigterm(told));
         self.exit_at = Some(after(after(self.moment.now, self.stop), STOP_OVERDUE));
-        self.active &= self.controller.is_some();
+        if self.controller.is_some() {
+            self.tell_leaving();
+        }
         for conn in self.connections.keys().copied().collect::<Vec<_>>() {
             self.ask_to_drain(conn);
         }
     }
 
+    /// Tells the module how long it has, a margin less than is left until the stop.
+    fn tell_leaving(&mut self) {
+        let spent = Span(STOP_OVERDUE.0 + STOP_MARGIN.0);
+        let end = self.exit_at.map_or(self.moment.now, |exit| before(exit, spent));
+        self.events.push(Event::Sigterm(Span(end.0.saturating_sub(self.moment.now.0))));
+    }
+
     fn ask_to_drain(&mut self, conn: ConnId) {
         if let Some(connection) = self.connections.get_mut(&conn).filter(|c| c.draining.is_none()) {
             connection.draining = Some(self.moment.now);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -36,6 +36,24 @@
     );
 }
 
+#[test]
+fn a_notice_to_leave_before_the_processor_is_up_is_waited_out() {
+    // Guards against a turn of the module that was due at once, again and again, with no module there.
+    play(
+        &mut Virtually::new(),
+        "send server TERM
+         send a health 1
+         expect a draining
+         expect a 1 bad
+         wait 1000
+         send processor hi COLD 0
+         expect control NotReady
+         send a call 2 rid=1
+         wait 3500
+         expect exit",
+    );
+}
+
 #[test]
 fn a_cancel_ends_what_is_owed_even_if_it_crosses_the_answer() {
     up("send a call 1 rid=1
@@ -75,9 +93,9 @@
 #[test]
 fn what_makes_no_sense_gets_an_exception() {
     up("send a call 1 method=novelty
-        expect a 1 invalid unknown method 'novelty'
+        expect a 1 invalid unknown method \"novelty\"
         send a call 2 acct=nobody
-        expect a 2 invalid unknown tenant 'nobody'
+        expect a 2 invalid unknown tenant \"nobody\"
         send a call 3 mem=0
         expect a 3 invalid mem out of range
         send a call 4 mem=NaN
