--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -116,7 +116,8 @@
     pub fn sweep(&mut self, now: Time, unix_ms: u64) {
         self.records.retain(|_, record| {
             record.holder.take_if(|(_, until)| *until <= now);
-            let past = |run: &mut Run| run.end.is_some() && run.closes_ms + READ_LATE_MS <= unix_ms;
+            let past =
+                |run: &mut Run| run.end.is_some() && run.closes_ms.saturating_add(READ_LATE_MS) <= unix_ms;
             record.run.take_if(past);
             record.holder.is_some() || record.run.is_some()
         });
--- a/src/node/processor.rs
+++ b/src/node/processor.rs
@@ -122,7 +122,6 @@
         *slot.lock().unwrap_or_else(PoisonError::into_inner) = None;
         let _ = socket.shutdown(Shutdown::Both);
         match ended {
-            Err(e) if e.kind() == io::ErrorKind::BrokenPipe && e.get_ref().is_some() => return,
             Err(e) => warn!(log, "the link to the processor fell"; "link" => number, "reason" => %e),
             Ok(()) => info!(log, "the processor closed the link"; "link" => number),
         }
@@ -175,7 +174,6 @@
     inputs: &Sender<Input>,
     pool: &Arc<Pool>,
 ) -> io::Result<()> {
-    let gone = || io::Error::new(io::ErrorKind::BrokenPipe, "the server has ended");
     let mut buffer = pool.take();
     loop {
         let mut used = 0;
@@ -203,7 +201,7 @@
                 }
                 Line::Nothing => continue,
             };
-            inputs.send(input).map_err(|_| gone())?;
+            inputs.send(input).map_err(|_| io::Error::other("the server has ended"))?;
         }
         buffer.consume(used);
         if buffer.space().is_empty() {
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -239,8 +239,10 @@
         let Some(connection) = self.connections.get_mut(&conn) else { return };
         connection.open.insert(seq, call.id.clone());
         let unix = self.moment.unix_ms;
-        let due = call.t0.saturating_add(call.budget);
-        let earlier = call.token.as_ref().and_then(|token| self.earlier(token, call.t0));
+        // Nothing came later than it is read. Guards against a stamp that keeps a key's run for ever.
+        let t0 = call.t0.min(unix);
+        let due = t0.saturating_add(call.budget);
+        let earlier = call.token.as_ref().and_then(|token| self.earlier(token, t0));
         if let Some(token) = &call.token {
             self.batch.insert(Arc::clone(token), call.id.clone());
         }
@@ -257,13 +259,13 @@
             retry: call.retry,
             write: call.token.is_some(),
             earlier,
-            queued_for: Span(unix.saturating_sub(call.t0).saturating_mul(MS)),
+            queued_for: Span(unix.saturating_sub(t0).saturating_mul(MS)),
         }));
         let open = Open {
             conn,
             seq,
             class: call.class,
-            t0: call.t0,
+            t0,
             token: call.token,
             state: State::Held,
             owed: true,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -173,6 +173,20 @@
         expect processor begin 4");
 }
 
+#[test]
+fn a_stamp_from_the_future_counts_as_now() {
+    up("send a call 1 method=claim token=t rid=1 t0=9000000000000000000
+        expect processor begin 1
+        send processor complete 1 1 OK out
+        wait 9100
+        send b call 1 method=claim token=t rid=2
+        expect processor begin 2
+        wait 3990
+        expect no b 1
+        wait 20
+        expect b 1 failed");
+}
+
 #[test]
 fn two_tries_that_arrive_together_run_once() {
     up("send a + call 1 method=claim token=t rid=1
