Give each program under test a loopback address of its own

The socket stage took a port that was free a moment before; another test's outgoing connection could take it first, and the verdict would have hung on that.

--- a/tests/scenario/sockets.rs
+++ b/tests/scenario/sockets.rs
@@ -7,11 +7,13 @@
 use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+static NEXT: AtomicU8 = AtomicU8::new(1);
 const PATIENCE: Duration = Duration::from_secs(20);
 
 pub struct Sockets {
@@ -31,8 +33,9 @@
     pub fn up(name: &str) -> Self {
         let (processor, control) = (TcpListener::bind("127.0.0.1:0"), UdpSocket::bind("127.0.0.1:0"));
         let (processor, control) = (processor.expect("a port"), control.expect("a port"));
-        let free = TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr());
-        let address = free.expect("a port").to_string();
+        // An address of its own for each program: a port that was only free a moment ago may be taken.
+        let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let address = format!("127.{}.{}.{n}:18443", 64 + (pid >> 8) % 64, pid % 256);
         let of = |address: std::io::Result<std::net::SocketAddr>| address.expect("an address").to_string();
         let text = config(&address, &of(processor.local_addr()), &of(control.local_addr())).to_string();
         let file = std::env::temp_dir().join(format!("gradepin-{}-{name}.json", std::process::id()));
