Reload on SIGHUP, and give a token with another body an exception

Checked: watch_signals() registered SIGTERM alone (serve.rs), and the socket scenario fails there with the process gone. Keys::earlier() compared nothing but the token; the scenario with a second body was served the first one's result. Ruled out as a way to be 'served': an open rid (an exception already) and ids unknown to the processor (rejected). Changed: a reload is an input of the reducer; processor and reports are re-targeted, runs, notice numbers, keys and client connections stay. Records of keys hold a print of body and class. The pause before a new link no longer grows after long quiet links. Both tests fail without the change.

--- a/src/main.rs
+++ b/src/main.rs
@@ -32,20 +32,21 @@
     Version,
 }
 
-fn load(path: Option<PathBuf>) -> Result<Config, String> {
+fn load(path: Option<PathBuf>) -> Result<(Config, PathBuf), String> {
     let path = path.or_else(|| std::env::var_os("GW_CONFIG").map(PathBuf::from));
-    Config::load(&path.ok_or("no configuration: give --config FILE or set GW_CONFIG")?)
+    let path = path.ok_or("no configuration: give --config FILE or set GW_CONFIG")?;
+    Ok((Config::load(&path)?, path))
 }
 
 fn run(command: Command) -> Result<(), String> {
     match command {
         Command::Serve { config } => {
-            let config = load(config)?;
+            let (config, file) = load(config)?;
             let log = log::root(&config.name);
-            serve::serve(config, &log)
+            serve::serve(config, file, &log)
         }
         Command::Check { config } => {
-            let config = load(config)?;
+            let (config, _) = load(config)?;
             let (classes, tenants) = (config.settings.profiles.len(), config.settings.customers.len());
             println!("{}: listens on {}, {classes} classes, {tenants} tenants", config.name, config.listen);
             Ok(())
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -20,6 +20,11 @@
         Ok(Self { socket, to, name: name.to_string() })
     }
 
+    /// Reports to another address from now on.
+    pub fn retarget(&mut self, to: SocketAddr) {
+        self.to = to;
+    }
+
     /// Sends one report; it never blocks, and the next one makes up for a lost one.
     pub fn report(&self, ready: bool) -> io::Result<()> {
         let state = if ready { "Ready" } else { "NotReady" };
--- a/src/node/keys.rs
+++ b/src/node/keys.rs
@@ -24,8 +24,13 @@
     run: Option<Run>,
     /// Tries to be answered from the run.
     waiters: Vec<RequestId>,
+    /// Of the body and the class of its tries.
+    print: Print,
 }
 
+/// Tells requests under one token apart: all tries of one request have the same body and class.
+pub type Print = u64;
+
 #[derive(Debug)]
 struct Run {
     id: RequestId,
@@ -45,24 +50,26 @@
 
 impl Keys {
     /// The try that a request stamped `t0` repeats: the one that holds the entry, if it is still held or any
-    /// try has run, or else the one that ran less than a window before.
+    /// try has run, or else the one that ran less than a window before. With it the print that its tries share.
     pub fn earlier(
         &self,
         token: &str,
         t0: u64,
         now: Time,
         held: impl Fn(&RequestId) -> bool,
-    ) -> Option<RequestId> {
+    ) -> Option<(RequestId, Print)> {
         let record = self.records.get(token)?;
         let holder = record.holder.as_ref().filter(|(_, until)| *until > now).map(|(id, _)| id);
         let holder = holder.filter(|id| record.run.is_some() || held(id));
         let run = record.run.as_ref().filter(|run| t0 < run.closes_ms).map(|run| &run.id);
-        holder.or(run).cloned()
+        holder.or(run).map(|id| (id.clone(), record.print))
     }
 
     /// Gives a token's entry to a try.
-    pub fn remember(&mut self, token: &Arc<str>, id: &RequestId, until: Time) {
-        self.records.entry(Arc::clone(token)).or_default().holder = Some((id.clone(), until));
+    pub fn remember(&mut self, token: &Arc<str>, print: Print, id: &RequestId, until: Time) {
+        let record = self.records.entry(Arc::clone(token)).or_default();
+        record.holder = Some((id.clone(), until));
+        record.print = print;
     }
 
     /// Takes the entry out, if this try holds it.
@@ -73,9 +80,10 @@
     }
 
     /// A try was begun.
-    pub fn began(&mut self, token: &Arc<str>, id: &RequestId, closes_ms: u64) {
-        let run = Run { id: id.clone(), closes_ms, end: None };
-        self.records.entry(Arc::clone(token)).or_default().run = Some(run);
+    pub fn began(&mut self, token: &Arc<str>, print: Print, id: &RequestId, closes_ms: u64) {
+        let record = self.records.entry(Arc::clone(token)).or_default();
+        record.run = Some(Run { id: id.clone(), closes_ms, end: None });
+        record.print = print;
     }
 
     /// A run has ended, or with no end was never started; returns the tries that wait for it.
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -1,7 +1,9 @@
 //! What the reducer is told and what it asks for, in terms of no protocol.
 
+use super::config::Config;
 use super::pool::Buffer;
 use crate::{RequestId, Span, Time};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Names a client connection; never used again.
@@ -97,6 +99,8 @@
     Rejected(RequestId),
     /// The notice to leave.
     Terminate,
+    /// The configuration was read again.
+    Reload(Box<Config>),
 }
 
 /// A final answer.
@@ -136,6 +140,10 @@
     Usage(u64, u64),
     /// Give a link up and make a new one.
     Renew(u64),
+    /// Keep the link to this address from now on, and make a new one at once.
+    Processor(SocketAddr),
+    /// Report to this address from now on.
+    Control(SocketAddr),
     /// Report to the control plane whether this server takes work.
     Report(bool),
     /// Write a line to the log.
--- a/src/node/processor.rs
+++ b/src/node/processor.rs
@@ -3,7 +3,7 @@
 use super::messages::{Input, RunEnd};
 use super::pool::{Buffer, Pool};
 use crate::{RequestId, Span, span};
-use crossbeam_channel::{Receiver, Sender, unbounded};
+use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use slog::{Logger, info, warn};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -16,6 +16,8 @@
 /// Between tries to connect; doubled with each link that brought nothing, up to a bound.
 const RETRY: Duration = Duration::from_millis(20);
 const MOST_RETRY: Duration = Duration::from_secs(1);
+/// A link that lasted so long was no failure, whatever it brought.
+const STOOD: Duration = Duration::from_millis(500);
 /// A processor that started so much later than was told before is another one.
 const RESTARTED: Duration = Duration::from_secs(1);
 const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
@@ -52,9 +54,17 @@
     socket: Arc<TcpStream>,
 }
 
+/// Where the processor is, and the link to it while one stands.
+struct Target {
+    address: SocketAddr,
+    link: Option<Link>,
+}
+
 /// The link to the processor, as the reducer's effects see it.
 pub struct Processor {
-    link: Arc<Mutex<Option<Link>>>,
+    target: Arc<Mutex<Target>>,
+    /// Ends a pause before the next try to connect.
+    hurry: Sender<()>,
 }
 
 impl Processor {
@@ -65,17 +75,30 @@
         pool: Arc<Pool>,
         log: Logger,
     ) -> io::Result<Self> {
-        let link = Arc::new(Mutex::new(None));
-        let slot = Arc::clone(&link);
-        let keeps = move || keep(address, &slot, &inputs, &pool, &log);
+        let target = Arc::new(Mutex::new(Target { address, link: None }));
+        let (hurry, hurries) = bounded(1);
+        let shared = Arc::clone(&target);
+        let keeps = move || keep(&shared, &hurries, &inputs, &pool, &log);
         thread::Builder::new().name("processor".into()).stack_size(STACK).spawn(keeps)?;
-        Ok(Self { link })
+        Ok(Self { target, hurry })
+    }
+
+    /// Keeps the link to another address from now on. The old one ends at once: what was under way on it is
+    /// settled on the new one, as after any break.
+    pub fn retarget(&self, address: SocketAddr) {
+        let mut target = self.target.lock().unwrap_or_else(PoisonError::into_inner);
+        target.address = address;
+        if let Some(link) = &target.link {
+            let _ = link.socket.shutdown(Shutdown::Both);
+        }
+        // A full queue means that the pause ends already.
+        let _ = self.hurry.try_send(());
     }
 
     /// What was meant for an earlier link is dropped: the reducer settles it on the new one.
     fn on(&self, number: u64, act: impl FnOnce(&Link)) {
-        let link = self.link.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(link) = link.as_ref().filter(|link| link.number == number) {
+        let target = self.target.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(link) = target.link.as_ref().filter(|link| link.number == number) {
             act(link);
         }
     }
@@ -98,8 +121,8 @@
 
 /// Connects, reads until the link falls, and again.
 fn keep(
-    address: SocketAddr,
-    slot: &Mutex<Option<Link>>,
+    target: &Mutex<Target>,
+    hurries: &Receiver<()>,
     inputs: &Sender<Input>,
     pool: &Arc<Pool>,
     log: &Logger,
@@ -107,19 +130,29 @@
     let mut progress = Progress::default();
     let mut pause = RETRY;
     for number in 1.. {
-        let socket = loop {
+        let locked = || target.lock().unwrap_or_else(PoisonError::into_inner);
+        let (socket, address) = loop {
+            let address = locked().address;
             match TcpStream::connect_timeout(&address, CONNECT_PATIENCE) {
-                Ok(socket) => break Arc::new(socket),
-                Err(_) => thread::sleep(RETRY),
+                Ok(socket) => break (Arc::new(socket), address),
+                Err(_) => drop(hurries.recv_timeout(RETRY)),
             }
         };
-        let before = progress.last_notice;
+        let (before, since) = (progress.last_notice, Instant::now());
         let ended = start(&socket, before, pool).and_then(|commands| {
-            let link = Link { number, commands, socket: Arc::clone(&socket) };
-            *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(link);
+            let mut target = locked();
+            if target.address != address {
+                return Err(io::Error::other("the processor has another address by now"));
+            }
+            target.link = Some(Link { number, commands, socket: Arc::clone(&socket) });
+            drop(target);
             read(number, &socket, &mut progress, inputs, pool)
         });
-        *slot.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        let moved = {
+            let mut target = locked();
+            target.link = None;
+            target.address != address
+        };
         let _ = socket.shutdown(Shutdown::Both);
         match ended {
             Err(e) => warn!(log, "the link to the processor fell"; "link" => number, "reason" => %e),
@@ -128,12 +161,19 @@
         if inputs.send(Input::LinkDown).is_err() {
             return;
         }
-        // Guards against a bad line that comes again on each link: it would fill the log.
-        pause = if progress.last_notice == before { (pause * 2).min(MOST_RETRY) } else { RETRY };
-        thread::sleep(pause);
+        pause = next_pause(pause, progress.last_notice != before, since.elapsed());
+        if !moved {
+            let _ = hurries.recv_timeout(pause);
+        }
     }
 }
 
+/// The pause after a link. It grows against a bad line that comes again on each: that would fill the log. A link
+/// that stood for long is no such sign, though it was quiet.
+fn next_pause(pause: Duration, brought: bool, stood: Duration) -> Duration {
+    if brought || stood >= STOOD { RETRY } else { (pause * 2).min(MOST_RETRY) }
+}
+
 /// Says hello, and starts the thread that writes.
 fn start(socket: &Arc<TcpStream>, last_notice: u64, pool: &Arc<Pool>) -> io::Result<Sender<Command>> {
     socket.set_nodelay(true)?;
@@ -279,3 +319,18 @@
     };
     Ok(Some((whole, line)))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a link that is made later and later because the ones before it were only quiet.
+    #[test]
+    fn only_links_that_fell_young_and_brought_nothing_lengthen_the_pause() {
+        let young = Duration::from_millis(3);
+        assert_eq!(next_pause(RETRY, false, young), RETRY * 2);
+        assert_eq!(next_pause(MOST_RETRY, false, young), MOST_RETRY);
+        assert_eq!(next_pause(MOST_RETRY, false, STOOD), RETRY);
+        assert_eq!(next_pause(MOST_RETRY, true, young), RETRY);
+    }
+}
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -5,14 +5,16 @@
 
 use super::clock::Moment;
 use super::config::Config;
-use super::keys::{End, Keys};
+use super::keys::{End, Keys, Print};
 use super::messages::{Answer, Call, ConnId, Effect, Input, RunEnd, SeqId, sooner};
 use super::pool::Buffer;
 use crate::{
     Action, Controller, Event, Gauges, Outcome, Request, RequestId, Settings, Span, Time, after, before,
 };
 use slog::Level;
+use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 const MS: u64 = 1_000_000;
@@ -50,12 +52,21 @@
     class: usize,
     t0: u64,
     token: Option<Arc<str>>,
+    /// Of its body and class, if it has a token.
+    print: Print,
     state: State,
     /// Whether its caller still waits for an answer.
     owed: bool,
     body: Arc<Buffer>,
 }
 
+impl Open {
+    /// Its token and the print that goes with it.
+    fn key(&self) -> Option<(&Arc<str>, Print)> {
+        self.token.as_ref().map(|token| (token, self.print))
+    }
+}
+
 #[derive(Debug, Default)]
 struct Connection {
     open: HashMap<SeqId, RequestId>,
@@ -85,6 +96,7 @@
 /// The state of one tile server.
 pub struct Reducer {
     settings: Arc<Settings>,
+    config: Config,
     seed: u64,
     stop: Span,
     controller: Option<Controller>,
@@ -117,6 +129,7 @@
     pub fn new(config: &Config, settings: Arc<Settings>) -> Result<Self, String> {
         Ok(Self {
             seed: config.seed()?,
+            config: config.clone(),
             stop: Span(config.stop_ms.saturating_mul(MS)),
             settings,
             controller: None,
@@ -212,6 +225,7 @@
                 self.ended(&id, RunEnd::Moot, Span(0), None);
             }
             Input::Terminate => self.terminate(),
+            Input::Reload(config) => self.reload(*config),
         }
     }
 
@@ -236,13 +250,19 @@
             let answer = Answer::Refused { backoff: Span(0), last: false };
             return self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
         }
-        let Some(connection) = self.connections.get_mut(&conn) else { return };
-        connection.open.insert(seq, call.id.clone());
         let unix = self.moment.unix_ms;
         // Nothing came later than it is read. Guards against a stamp that keeps a key's run for ever.
         let t0 = call.t0.min(unix);
         let due = t0.saturating_add(call.budget);
+        let print = if call.token.is_some() { self.print(&call) } else { 0 };
         let earlier = call.token.as_ref().and_then(|token| self.earlier(token, t0));
+        if earlier.as_ref().is_some_and(|(_, first)| *first != print) {
+            // Guards against a stranger who learnt a token: its request would be served another's result.
+            return self.invalid(conn, seq, "the token came before with another body or class".into());
+        }
+        let earlier = earlier.map(|(id, _)| id);
+        let Some(connection) = self.connections.get_mut(&conn) else { return };
+        connection.open.insert(seq, call.id.clone());
         if let Some(token) = &call.token {
             self.batch.insert(Arc::clone(token), call.id.clone());
         }
@@ -267,6 +287,7 @@
             class: call.class,
             t0,
             token: call.token,
+            print,
             state: State::Held,
             owed: true,
             body: Arc::new(call.body),
@@ -274,11 +295,19 @@
         self.requests.insert(call.id, open);
     }
 
-    fn earlier(&self, token: &str, t0: u64) -> Option<RequestId> {
+    /// Keyed with the seed, so that nobody can choose two bodies with one print.
+    fn print(&self, call: &Call) -> Print {
+        let mut hasher = DefaultHasher::new();
+        (self.seed, call.class, &call.body[..]).hash(&mut hasher);
+        hasher.finish()
+    }
+
+    fn earlier(&self, token: &str, t0: u64) -> Option<(RequestId, Print)> {
         let held =
             |id: &RequestId| self.requests.get(id).is_some_and(|open| open.state == State::Held && open.owed);
         // Two of one batch are linked before the module could keep the first.
-        let batch = self.batch.get(token).filter(|id| held(id)).cloned();
+        let batch = self.batch.get(token).filter(|id| held(id));
+        let batch = batch.and_then(|id| Some((id.clone(), self.requests.get(id)?.print)));
         batch.or_else(|| self.keys.earlier(token, t0, self.moment.now, held))
     }
 
@@ -505,8 +534,8 @@
             Action::Error(id) => self.finish(&id, Answer::Failed),
             Action::Remember { id, hold_for } => {
                 let until = after(self.moment.now, hold_for);
-                if let Some(token) = self.requests.get(&id).and_then(|open| open.token.as_ref()) {
-                    self.keys.remember(token, &id, until);
+                if let Some((token, print)) = self.requests.get(&id).and_then(Open::key) {
+                    self.keys.remember(token, print, &id, until);
                 }
             }
             Action::ReleaseKey(id) => {
@@ -548,7 +577,7 @@
         open.state = State::Running;
         if let Some(token) = &open.token {
             let window_ms = self.settings.profiles[open.class].window.0.div_ceil(MS);
-            self.keys.began(token, id, open.t0.saturating_add(window_ms));
+            self.keys.began(token, open.print, id, open.t0.saturating_add(window_ms));
         }
         self.begin(id);
     }
@@ -563,6 +592,25 @@
 
     // ---- leaving, connections, reports
 
+    /// Takes over what may change while serving: where the other parties are, and the time to stop.
+    fn reload(&mut self, config: Config) {
+        if (&config.name, config.listen) != (&self.config.name, self.config.listen) {
+            self.log(Level::Warning, "a new name or address to listen on takes a restart".into());
+        }
+        if config.processor != self.config.processor {
+            self.effects.push(Effect::Processor(config.processor));
+        }
+        if config.control != self.config.control {
+            self.effects.push(Effect::Control(config.control));
+        }
+        // The new control plane is to hear of this server at once, whether or not it knows the old one's list.
+        self.next_report = self.moment.now;
+        self.stop = Span(config.stop_ms.saturating_mul(MS));
+        let (processor, control) = (config.processor, config.control);
+        self.log(Level::Info, format!("reloaded: the processor is at {processor}, control at {control}"));
+        (self.config.processor, self.config.control) = (processor, control);
+    }
+
     fn terminate(&mut self) {
         if std::mem::replace(&mut self.leaving, true) {
             return;
--- a/src/node/serve.rs
+++ b/src/node/serve.rs
@@ -9,9 +9,10 @@
 use super::processor::Processor;
 use super::reducer::Reducer;
 use crossbeam_channel::{RecvTimeoutError, Sender, bounded};
-use signal_hook::consts::SIGTERM;
+use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook::iterator::Signals;
 use slog::{Level, Logger, error, info, warn};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -20,17 +21,18 @@
 const QUEUE: usize = 1024;
 /// Free buffers kept, some 9 MB.
 const POOL: usize = 2048;
-const STACK: usize = 64 * 1024;
+/// Of the thread that reads the configuration again, nested as it is.
+const SIGNAL_STACK: usize = 256 * 1024;
 
 /// Serves until the process is told to leave and its time is up.
-pub fn serve(config: Config, log: &Logger) -> Result<(), String> {
+pub fn serve(config: Config, file: PathBuf, log: &Logger) -> Result<(), String> {
     let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
     let settings = Arc::new(config.settings.clone());
     let mut reducer = Reducer::new(&config, Arc::clone(&settings))?;
     let pool = Pool::new(POOL);
     let (inputs, queue) = bounded(QUEUE);
-    watch_signals(inputs.clone()).map_err(failed("signals"))?;
-    let control = Control::new(&config.name, config.listen, config.control).map_err(failed("control"))?;
+    watch_signals(file, inputs.clone(), log.clone()).map_err(failed("signals"))?;
+    let mut control = Control::new(&config.name, config.listen, config.control).map_err(failed("control"))?;
     let clients = Clients::listen(
         config.listen,
         config.connections(),
@@ -59,6 +61,8 @@
                 }
                 Effect::Usage(link, tag) => processor.usage(link, tag),
                 Effect::Renew(link) => processor.renew(link),
+                Effect::Processor(address) => processor.retarget(address),
+                Effect::Control(address) => control.retarget(address),
                 Effect::Report(ready) => {
                     if let Err(e) = control.report(ready) {
                         info!(log, "a report could not be sent"; "error" => %e);
@@ -83,14 +87,26 @@
     }
 }
 
-fn watch_signals(inputs: Sender<Input>) -> std::io::Result<()> {
-    let mut signals = Signals::new([SIGTERM])?;
+/// SIGTERM becomes the notice to leave. SIGHUP becomes the configuration, read again; where that can't be used,
+/// the one in force stays.
+fn watch_signals(file: PathBuf, inputs: Sender<Input>, log: Logger) -> std::io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGHUP])?;
     let watch = move || {
-        for _ in signals.forever() {
-            if inputs.send(Input::Terminate).is_err() {
+        for signal in signals.forever() {
+            let input = match signal {
+                SIGHUP => match Config::load(&file) {
+                    Ok(config) => Input::Reload(Box::new(config)),
+                    Err(why) => {
+                        error!(log, "the configuration stays as it was"; "reason" => why);
+                        continue;
+                    }
+                },
+                _ => Input::Terminate,
+            };
+            if inputs.send(input).is_err() {
                 return;
             }
         }
     };
-    thread::Builder::new().name("signals".into()).stack_size(STACK).spawn(watch).map(drop)
+    thread::Builder::new().name("signals".into()).stack_size(SIGNAL_STACK).spawn(watch).map(drop)
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -349,3 +349,45 @@
         expect b closed
         expect no a draining");
 }
+
+#[test]
+fn a_reload_moves_the_link_and_the_reports_and_settles_what_was_under_way() {
+    // Guards against commands lost with the old link, and a new control plane that hears nothing for a while.
+    up("send processor mute
+        send a call 1 rid=1
+        expect processor begin 1
+        expect control Ready
+        send server HUP moved
+        expect link to 127.0.0.1:8
+        expect reports to 127.0.0.1:9
+        expect control Ready
+        close processor
+        send processor unmute
+        send processor hi WARM 1000
+        expect processor begin 1
+        send processor complete 1 1 OK out
+        expect a 1 served out
+        send server HUP moved
+        expect no link to");
+}
+
+#[test]
+fn a_token_with_another_body_or_class_is_an_exception_and_never_served() {
+    // Guards against a stranger served with the result of a run whose token it sent with a body of its own:
+    // while the first try is held, runs and has ended, and when both come together.
+    up("send a call 1 method=claim token=t rid=1 body=mine
+        expect processor begin 1
+        send b call 1 method=claim token=t rid=2 body=other
+        expect b 1 invalid the token
+        send processor complete 1 1 OK out
+        expect a 1 served out
+        send b call 2 method=claim token=t rid=3 body=other
+        expect b 2 invalid the token
+        send b call 3 method=claim token=t rid=4 body=mine
+        expect b 3 served out
+        send a + call 2 method=claim token=u rid=5 body=mine
+        send b call 4 method=claim token=u rid=6 body=other
+        expect b 4 invalid the token
+        expect processor begin 5 claim mine
+        expect no processor begin");
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -1,8 +1,9 @@
 //! The scenario language of the server's tests. A scenario is a text; each line is one of
 //!
 //! - `send CONN call SEQ [field=value ..]`, `send CONN cancel SEQ`, `send CONN health SEQ`, `send CONN hex BYTES`,
-//!   `send processor LINE` and `send server TERM`: something reaches the server. A connection opens when it is
-//!   first named. Fields have defaults; `rid` is a plain number and `t0` counts from now. `+` before `call` holds
+//!   `send processor LINE`, `send server TERM` and `send server HUP [moved|broken]`: something reaches the server.
+//!   A move gives it another processor and another control plane, `processor2` and `control2` on sockets; a
+//!   broken configuration is no JSON. A connection opens when it is first named. Fields have defaults; `rid` is a plain number and `t0` counts from now. `+` before `call` holds
 //!   the message back until the next one, so that both arrive together.
 //! - `expect EVENT`: an event that begins with these words has come or comes now; `expect no EVENT`: none has.
 //!   Events are `CONN SEQ served BODY`, `CONN SEQ refused|failed|invalid|good|bad [fields]`, `CONN draining`,
@@ -29,6 +30,8 @@
     fn processor(&mut self, line: &str);
     /// The notice to leave.
     fn terminate(&mut self);
+    /// The configuration is read again, with what became of it: moved or broken.
+    fn reload(&mut self, how: &str);
     fn close(&mut self, peer: &str);
     fn wait(&mut self, ms: u64);
     /// The Unix clock, in ms.
@@ -82,6 +85,7 @@
             [] => {}
             ["send", "processor", ..] => stage.processor(&words[2..].join(" ")),
             ["send", "server", "TERM"] => stage.terminate(),
+            ["send", "server", "HUP", how] => stage.reload(how),
             ["send", conn, "call", ..] => stage.client(conn, &call(&words[3..], stage.unix_ms()), false),
             ["send", conn, "+", "call", ..] => stage.client(conn, &call(&words[4..], stage.unix_ms()), true),
             ["send", conn, "cancel", _] => stage.client(conn, &thrift::cancel(seq(3)), false),
--- a/tests/scenario/sockets.rs
+++ b/tests/scenario/sockets.rs
@@ -16,13 +16,17 @@
 static NEXT: AtomicU8 = AtomicU8::new(1);
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// The processor's end of the link in use.
+type Slot = Arc<Mutex<Option<TcpStream>>>;
+
 pub struct Sockets {
     program: Child,
     file: PathBuf,
     address: String,
     conns: HashMap<String, TcpStream>,
     held_back: Vec<u8>,
-    link: Arc<Mutex<Option<TcpStream>>>,
+    link: Slot,
+    started: Instant,
     sender: Sender<String>,
     receiver: Receiver<String>,
     events: Vec<String>,
@@ -31,37 +35,25 @@
 impl Sockets {
     /// Starts the program; its processor greets as warm on each link.
     pub fn up(name: &str) -> Self {
-        let (processor, control) = (TcpListener::bind("127.0.0.1:0"), UdpSocket::bind("127.0.0.1:0"));
-        let (processor, control) = (processor.expect("a port"), control.expect("a port"));
         // An address of its own for each program: a port that was only free a moment ago may be taken.
         let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         let address = format!("127.{}.{}.{n}:18443", 64 + (pid >> 8) % 64, pid % 256);
-        let of = |address: std::io::Result<std::net::SocketAddr>| address.expect("an address").to_string();
-        let text = config(&address, &of(processor.local_addr()), &of(control.local_addr())).to_string();
+        let (sender, receiver) = channel();
+        let link = Arc::new(Mutex::new(None));
+        let started = Instant::now();
+        let text = parties("", &address, &link, started, &sender);
         let file = std::env::temp_dir().join(format!("gradepin-{}-{name}.json", std::process::id()));
         std::fs::write(&file, text).expect("a file for the configuration");
         let mut program = Command::new(env!("CARGO_BIN_EXE_gradepin"));
         let program = program.arg("serve").env("GW_CONFIG", &file).stderr(Stdio::null());
         let program = program.spawn().expect("the program starts");
-        let (sender, receiver) = channel();
-        let link = Arc::new(Mutex::new(None));
-        let (events, slot, started) = (sender.clone(), Arc::clone(&link), Instant::now());
-        thread::spawn(move || {
-            for socket in processor.incoming().flatten() {
-                *slot.lock().expect("whole") = Some(socket.try_clone().expect("a clone"));
-                serve_link(socket, started, &events);
-            }
-        });
-        let events = sender.clone();
-        thread::spawn(move || {
-            let mut datagram = [0; 64];
-            while let Ok(len) = control.recv(&mut datagram) {
-                let text = String::from_utf8_lossy(&datagram[..len]).into_owned();
-                let _ = events.send(format!("control {}", text.strip_prefix("lease n1 ").expect("a lease")));
-            }
-        });
         let (conns, held_back) = (HashMap::new(), Vec::new());
-        Self { program, file, address, conns, held_back, link, sender, receiver, events: Vec::new() }
+        Self { program, file, address, conns, held_back, link, started, sender, receiver, events: Vec::new() }
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.program.id());
+        assert!(Command::new("/bin/sh").arg("-c").arg(kill).status().expect("a shell").success());
     }
 
     fn conn(&mut self, name: &str) -> TcpStream {
@@ -106,8 +98,32 @@
     }
 }
 
+/// A processor and a control plane whose events bear a mark, and the configuration that names them.
+fn parties(mark: &str, address: &str, link: &Slot, started: Instant, events: &Sender<String>) -> String {
+    let (processor, control) = (TcpListener::bind("127.0.0.1:0"), UdpSocket::bind("127.0.0.1:0"));
+    let (processor, control) = (processor.expect("a port"), control.expect("a port"));
+    let of = |address: std::io::Result<std::net::SocketAddr>| address.expect("an address").to_string();
+    let text = config(address, &of(processor.local_addr()), &of(control.local_addr())).to_string();
+    let (sender, slot, name) = (events.clone(), Arc::clone(link), format!("processor{mark}"));
+    thread::spawn(move || {
+        for socket in processor.incoming().flatten() {
+            *slot.lock().expect("whole") = Some(socket.try_clone().expect("a clone"));
+            serve_link(socket, started, &name, &sender);
+        }
+    });
+    let (events, name) = (events.clone(), format!("control{mark}"));
+    thread::spawn(move || {
+        let mut datagram = [0; 64];
+        while let Ok(len) = control.recv(&mut datagram) {
+            let text = String::from_utf8_lossy(&datagram[..len]).into_owned();
+            let _ = events.send(format!("{name} {}", text.strip_prefix("lease n1 ").expect("a lease")));
+        }
+    });
+    text
+}
+
 /// Reads the server's commands on one link, and answers those that scenarios need not name.
-fn serve_link(socket: TcpStream, started: Instant, events: &Sender<String>) {
+fn serve_link(socket: TcpStream, started: Instant, name: &str, events: &Sender<String>) {
     let mut writes = socket.try_clone().expect("a clone");
     let mut reads = BufReader::new(socket);
     let mut line = String::new();
@@ -115,7 +131,7 @@
         let words: Vec<&str> = line.split_whitespace().collect();
         let _ = match words[..] {
             ["hello", n] => {
-                let _ = events.send(format!("processor hello {n}"));
+                let _ = events.send(format!("{name} hello {n}"));
                 writes.write_all(format!("hi WARM {}.500\r\n", started.elapsed().as_millis()).as_bytes())
             }
             ["usage", tag] => writes.write_all(format!("used {tag} 0.5 2 0.1 9\r\n").as_bytes()),
@@ -124,7 +140,7 @@
                 reads.read_exact(&mut body).expect("a body");
                 let id = u64::from_str_radix(id, 16).expect("hex");
                 let body = String::from_utf8_lossy(&body[..body.len() - 2]).into_owned();
-                drop(events.send(format!("processor begin {id} {class} {body}")));
+                drop(events.send(format!("{name} begin {id} {class} {body}")));
                 Ok(())
             }
             _ => panic!("no command: {line}"),
@@ -160,9 +176,16 @@
     }
 
     fn terminate(&mut self) {
-        let kill =
-            Command::new("/bin/sh").arg("-c").arg(format!("kill -TERM {}", self.program.id())).status();
-        assert!(kill.expect("a shell").success());
+        self.signal("TERM");
+    }
+
+    fn reload(&mut self, how: &str) {
+        let text = match how {
+            "moved" => parties("2", &self.address, &self.link, self.started, &self.sender),
+            _ => "{".to_string(),
+        };
+        std::fs::write(&self.file, text).expect("a file for the configuration");
+        self.signal("HUP");
     }
 
     fn close(&mut self, peer: &str) {
--- a/tests/scenario/virtually.rs
+++ b/tests/scenario/virtually.rs
@@ -97,6 +97,8 @@
             }
             Effect::Report(ready) => format!("control {}", if ready { "Ready" } else { "NotReady" }),
             Effect::Renew(_) => "renew".to_string(),
+            Effect::Processor(address) => format!("link to {address}"),
+            Effect::Control(address) => format!("reports to {address}"),
             Effect::Exit => "exit".to_string(),
             Effect::Log(..) | Effect::Forget(_) => return,
         };
@@ -155,6 +157,14 @@
         self.settle();
     }
 
+    fn reload(&mut self, how: &str) {
+        assert_eq!(how, "moved", "a broken file never reaches the reducer");
+        let text = config("127.0.0.1:1", "127.0.0.1:8", "127.0.0.1:9").to_string();
+        let config = Config::parse(&text).expect("a whole configuration");
+        self.waiting.push(Input::Reload(Box::new(config)));
+        self.settle();
+    }
+
     fn close(&mut self, peer: &str) {
         let input = if peer == "processor" { Input::LinkDown } else { Input::Closed(self.conn(peer)) };
         self.waiting.push(input);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -121,3 +121,28 @@
         assert!(err.contains(message), "{err} should hold {message}");
     }
 }
+
+#[test]
+fn sighup_reads_the_configuration_again_and_keeps_all_that_is_open() {
+    // Guards against a server that ends on SIGHUP: no handler was there. Runs, connections and the number of the
+    // last notice outlive the move; a file that can't be used changes nothing.
+    play(
+        &mut Sockets::up("sighup"),
+        "expect processor hello 0
+         expect control Ready
+         send a call 1 rid=1
+         expect processor begin 1
+         send processor remark 1 nothing
+         send server HUP moved
+         expect processor2 hello 1
+         expect control2 Ready
+         send processor complete 2 1 OK out
+         expect a 1 served out
+         send server HUP broken
+         send a call 2 rid=2
+         expect processor2 begin 2
+         send processor complete 3 2 OK two
+         expect a 2 served two
+         expect no processor2 hello 2",
+    );
+}
