--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -34,7 +34,7 @@
 }
 
 /// Descriptors kept back for the listener, the link, signals, standard streams and health checks.
-const RESERVED_SOCKETS: usize = 64;
+const RESERVED_SOCKETS: usize = 32;
 
 impl Config {
     /// Reads and checks a file.
@@ -56,8 +56,8 @@
         if !word(&self.name) {
             return Err(format!("expected a name of printable characters, got '{}'", self.name));
         }
-        if self.limits.sockets < 2 * RESERVED_SOCKETS {
-            return Err(format!("expected limits.sockets of {} or more", 2 * RESERVED_SOCKETS));
+        if self.limits.sockets < 4 * RESERVED_SOCKETS {
+            return Err(format!("expected limits.sockets of {} or more", 4 * RESERVED_SOCKETS));
         }
         self.seed()?;
         self.settings.check()?;
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -128,8 +128,6 @@
 pub enum Effect {
     /// Send an answer, with the free value if one is set.
     Answer(ConnId, SeqId, Answer, Option<f64>),
-    /// No answer will be sent to a request of this connection.
-    Forget(ConnId),
     /// Tell a connection that no more requests should come on it.
     Draining(ConnId),
     /// Close a connection once all is written.
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -36,6 +36,9 @@
 /// How long a peer that was asked to drain an idle connection has before it is closed from here.
 const DRAIN_PATIENCE: Span = Span(1_000 * MS);
 
+/// Requests open on one connection.
+const WINDOW: usize = 32;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Held,
@@ -71,6 +74,8 @@
 struct Connection {
     open: HashMap<SeqId, RequestId>,
     last: Time,
+    /// Whether a whole message ever came.
+    spoke: bool,
     /// Since when it is asked to drain.
     draining: Option<Time>,
 }
@@ -107,6 +112,8 @@
     /// Keyed requests of this batch, not in the table yet.
     batch: HashMap<Arc<str>, RequestId>,
     connections: BTreeMap<ConnId, Connection>,
+    /// Connections from which on newcomers take the places of resting ones.
+    room: usize,
     keys: Keys,
     timers: BTreeSet<Time>,
     link: Link,
@@ -138,6 +145,7 @@
             left: Vec::new(),
             batch: HashMap::new(),
             connections: BTreeMap::new(),
+            room: config.connections() * 7 / 8,
             keys: Keys::default(),
             timers: BTreeSet::new(),
             link: Link::default(),
@@ -192,6 +200,7 @@
     fn input(&mut self, input: Input) {
         match input {
             Input::Opened(conn) => {
+                self.make_room();
                 let connection = Connection { last: self.moment.now, ..Connection::default() };
                 self.connections.insert(conn, connection);
                 if self.leaving {
@@ -232,6 +241,7 @@
     fn touch(&mut self, conn: ConnId) -> Option<&mut Connection> {
         let connection = self.connections.get_mut(&conn)?;
         connection.last = self.moment.now;
+        connection.spoke = true;
         Some(connection)
     }
 
@@ -240,7 +250,12 @@
         if connection.open.contains_key(&seq) {
             // Two answers under one number could not be told apart.
             self.log(Level::Warning, format!("closing connection {conn}: request {seq} came twice"));
-            return self.drop_connection(conn);
+            return self.closed(conn);
+        }
+        if connection.open.len() >= WINDOW {
+            // Guards against hundreds of requests at once: left unread, they would hide cancels and the close.
+            let answer = Answer::Refused { backoff: Span(0), last: false };
+            return self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
         }
         if self.requests.contains_key(&call.id) {
             return self.invalid(conn, seq, format!("the rid {} is open already", call.id.0));
@@ -320,7 +335,6 @@
     fn cancel(&mut self, conn: ConnId, seq: SeqId) {
         // Otherwise the cancel has crossed the answer.
         if let Some(id) = self.touch(conn).and_then(|connection| connection.open.remove(&seq)) {
-            self.effects.push(Effect::Forget(conn));
             self.gone(&id);
         }
     }
@@ -334,10 +348,6 @@
         }
     }
 
-    fn drop_connection(&mut self, conn: ConnId) {
-        self.closed(conn);
-    }
-
     /// Nobody waits for a request any more.
     fn gone(&mut self, id: &RequestId) {
         let Some(open) = self.requests.get_mut(id) else { return };
@@ -656,6 +666,19 @@
         }
     }
 
+    /// Near the limit, a newcomer takes the place of a connection with nothing open: the oldest that never said
+    /// anything, or else the one that rested longest. Guards against silent connections that keep all others,
+    /// health checks too, out of a full table.
+    fn make_room(&mut self) {
+        if self.connections.len() < self.room {
+            return;
+        }
+        let resting = self.connections.iter().filter(|(_, c)| c.open.is_empty());
+        if let Some((&conn, _)) = resting.min_by_key(|(_, c)| (c.spoke, c.last)) {
+            self.closed(conn);
+        }
+    }
+
     /// Idle connections are asked to drain, which no request can cross unanswered, and closed only if their
     /// peers don't.
     fn close_idle(&mut self) {
--- a/src/node/serve.rs
+++ b/src/node/serve.rs
@@ -8,7 +8,7 @@
 use super::pool::Pool;
 use super::processor::Processor;
 use super::reducer::Reducer;
-use crossbeam_channel::{RecvTimeoutError, Sender, bounded};
+use crossbeam_channel::{Sender, bounded, select};
 use signal_hook::consts::{SIGHUP, SIGTERM};
 use signal_hook::iterator::Signals;
 use slog::{Level, Logger, error, info, warn};
@@ -17,8 +17,11 @@
 use std::thread;
 use std::time::Duration;
 
-/// Inputs that may wait for the reducer; more hold their readers back.
-const QUEUE: usize = 1024;
+/// Inputs from clients that may wait for the reducer; more hold their readers back. It is short, so that one who
+/// sends at full speed delays the others by little.
+const QUEUE: usize = 128;
+/// Those from the processor and signals wait in a queue of their own, which no client fills.
+const URGENT: usize = 1024;
 /// Free buffers kept, some 9 MB.
 const POOL: usize = 2048;
 /// Of the thread that reads the configuration again, nested as it is.
@@ -31,18 +34,19 @@
     let mut reducer = Reducer::new(&config, Arc::clone(&settings))?;
     let pool = Pool::new(POOL);
     let (inputs, queue) = bounded(QUEUE);
-    watch_signals(file, inputs.clone(), log.clone()).map_err(failed("signals"))?;
+    let (urgently, urgent) = bounded(URGENT);
+    watch_signals(file, urgently.clone(), log.clone()).map_err(failed("signals"))?;
     let mut control = Control::new(&config.name, config.listen, config.control).map_err(failed("control"))?;
     let clients = Clients::listen(
         config.listen,
         config.connections(),
         Arc::clone(&settings),
-        inputs.clone(),
+        inputs,
         Arc::clone(&pool),
         log.clone(),
     );
     let clients = clients.map_err(|e| format!("listening on {}: {e}", config.listen))?;
-    let processor = Processor::connect(config.processor, inputs, pool, log.clone());
+    let processor = Processor::connect(config.processor, urgently, pool, log.clone());
     let processor = processor.map_err(failed("processor"))?;
     info!(log, "serving"; "listen" => %clients.local_addr(), "version" => env!("CARGO_PKG_VERSION"));
 
@@ -52,8 +56,7 @@
         reducer.step(clock.read(), arrived.drain(..), &mut effects);
         for effect in effects.drain(..) {
             match effect {
-                Effect::Answer(conn, seq, answer, hint) => clients.answer(conn, seq, answer, hint),
-                Effect::Forget(conn) => clients.forget(conn),
+                Effect::Answer(conn, seq, answer, hint) => clients.answer(conn, seq, &answer, hint),
                 Effect::Draining(conn) => clients.draining(conn),
                 Effect::Close(conn) => clients.close(conn),
                 Effect::Begin(link, id, class, body) => {
@@ -78,11 +81,14 @@
             }
         }
         let wait = reducer.wake_at().map(|at| Duration::from_nanos(at.0.saturating_sub(clock.read().now.0)));
-        match queue.recv_timeout(wait.unwrap_or(Duration::from_secs(1))) {
-            Ok(input) => arrived.push(input),
-            Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return Err("every thread that reads has ended".into()),
+        let wait = wait.unwrap_or(Duration::from_secs(1));
+        // Whichever comes; both are held by threads that last, so that an error is no more than a wait.
+        select! {
+            recv(urgent) -> input => arrived.extend(input),
+            recv(queue) -> input => arrived.extend(input),
+            default(wait) => {}
         }
+        arrived.extend(urgent.try_iter().take(URGENT));
         arrived.extend(queue.try_iter().take(QUEUE));
     }
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -391,3 +391,49 @@
         expect processor begin 5 claim mine
         expect no processor begin");
 }
+
+#[test]
+fn a_full_table_makes_room_by_closing_what_rests() {
+    // Guards against silent connections, hundreds at a time, that keep clients and health checks out. What has a
+    // request open is never closed for room, and what once spoke only after all that never did.
+    let silent = |from, to| (from..to).map(|n| format!("open s{n}\n")).collect::<String>();
+    up(&format!(
+        "send a call 1 rid=1
+         expect processor begin 1
+         send b health 1
+         expect b 1 good
+         {}
+         expect no s0 closed
+         {}
+         expect s0 closed
+         expect no a closed
+         expect no b closed
+         send h health 1
+         expect h 1 good
+         send processor complete 1 1 OK out
+         expect a 1 served out",
+        silent(0, 800),
+        silent(800, 1000),
+    ));
+}
+
+#[test]
+fn the_33rd_request_open_on_a_connection_is_refused_at_once() {
+    // Guards against requests past the window left unread: behind them, neither cancels nor the close are seen.
+    // The repeats wait for the first one's run, so that the window alone turns one away.
+    let repeats: String =
+        (2..=32).map(|n| format!("send a call {n} method=claim token=t rid={n}\n")).collect();
+    up(&format!(
+        "send a call 1 method=claim token=t rid=1
+         expect processor begin 1
+         {repeats}
+         expect no a
+         send a call 33 method=claim token=t rid=33
+         expect a 33 refused
+         send a cancel 2
+         send a call 34 method=claim token=t rid=34
+         send processor complete 1 1 OK out
+         expect a 34 served out
+         expect no a 2"
+    ));
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -8,6 +8,7 @@
 //! - `expect EVENT`: an event that begins with these words has come or comes now; `expect no EVENT`: none has.
 //!   Events are `CONN SEQ served BODY`, `CONN SEQ refused|failed|invalid|good|bad [fields]`, `CONN draining`,
 //!   `CONN closed`, `processor hello|begin ..`, `control Ready|NotReady` and `exit`.
+//! - `open CONN`: a connection opens, and nothing is sent on it.
 //! - `close CONN` and `close processor`: a peer ends its connection.
 //! - `wait MS`: time passes; on the virtual stage no real time does.
 //!
@@ -32,6 +33,7 @@
     fn terminate(&mut self);
     /// The configuration is read again, with what became of it: moved or broken.
     fn reload(&mut self, how: &str);
+    fn open(&mut self, conn: &str);
     fn close(&mut self, peer: &str);
     fn wait(&mut self, ms: u64);
     /// The Unix clock, in ms.
@@ -99,6 +101,7 @@
                 let taken = stage.take(&words[1..].join(" "));
                 assert!(taken.is_ok(), "{at}: there is only {:?}", taken.err());
             }
+            ["open", conn] => stage.open(conn),
             ["close", peer] => stage.close(peer),
             ["wait", ms] => stage.wait(ms.parse().expect("milliseconds")),
             _ => panic!("{at}: not in the scenario language"),
--- a/tests/scenario/sockets.rs
+++ b/tests/scenario/sockets.rs
@@ -103,7 +103,9 @@
     let (processor, control) = (TcpListener::bind("127.0.0.1:0"), UdpSocket::bind("127.0.0.1:0"));
     let (processor, control) = (processor.expect("a port"), control.expect("a port"));
     let of = |address: std::io::Result<std::net::SocketAddr>| address.expect("an address").to_string();
-    let text = config(address, &of(processor.local_addr()), &of(control.local_addr())).to_string();
+    let mut config = config(address, &of(processor.local_addr()), &of(control.local_addr()));
+    // The module's idle limit must not be what ends connections here.
+    config["settings"]["specifics"]["idle"] = serde_json::json!(600_000_000_000_u64);
     let (sender, slot, name) = (events.clone(), Arc::clone(link), format!("processor{mark}"));
     thread::spawn(move || {
         for socket in processor.incoming().flatten() {
@@ -119,7 +121,7 @@
             let _ = events.send(format!("{name} {}", text.strip_prefix("lease n1 ").expect("a lease")));
         }
     });
-    text
+    config.to_string()
 }
 
 /// Reads the server's commands on one link, and answers those that scenarios need not name.
@@ -188,6 +190,10 @@
         self.signal("HUP");
     }
 
+    fn open(&mut self, conn: &str) {
+        drop(self.conn(conn));
+    }
+
     fn close(&mut self, peer: &str) {
         let socket = if peer == "processor" {
             self.link.lock().expect("whole").take()
--- a/tests/scenario/virtually.rs
+++ b/tests/scenario/virtually.rs
@@ -100,7 +100,7 @@
             Effect::Processor(address) => format!("link to {address}"),
             Effect::Control(address) => format!("reports to {address}"),
             Effect::Exit => "exit".to_string(),
-            Effect::Log(..) | Effect::Forget(_) => return,
+            Effect::Log(..) => return,
         };
         self.events.push(event);
     }
@@ -165,6 +165,11 @@
         self.settle();
     }
 
+    fn open(&mut self, conn: &str) {
+        self.conn(conn);
+        self.settle();
+    }
+
     fn close(&mut self, peer: &str) {
         let input = if peer == "processor" { Input::LinkDown } else { Input::Closed(self.conn(peer)) };
         self.waiting.push(input);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -146,3 +146,24 @@
          expect no processor2 hello 2",
     );
 }
+
+#[test]
+fn silent_and_half_sent_connections_end_and_busy_ones_stay() {
+    // Guards against places held for good by who says nothing, or begins a frame and never ends it.
+    play(
+        &mut Sockets::up("silent"),
+        "expect processor hello 0
+         send a call 1 rid=1 budget=60000
+         expect processor begin 1
+         send b call 1 rid=2
+         send b hex 000000
+         open s
+         send h hex 000000
+         expect s closed
+         expect h closed
+         expect b closed
+         expect no a closed
+         send processor complete 1 1 OK out
+         expect a 1 served out",
+    );
+}
