Don't take a greeting some milliseconds on its way for another processor

Seen, reading the change of the restart rule again: a processor that told nothing since its greeting is as old as the time since that was heard, less the milliseconds the second greeting was on its way; it then counted as restarted and all that ran was failed. Checked with a virtual scenario: fails before (a 1 failed), passes now. Changed: 50 ms of slack (LEAST_RESTART), in processor.rs and reducer.rs alike.

--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -153,6 +153,9 @@
     Exit,
 }
 
+/// No processor ends and starts again in less. Tells a restart from a greeting that was on its way for a moment.
+pub(crate) const LEAST_RESTART: Span = Span(50_000_000);
+
 /// What a host may have to wait for.
 pub(crate) fn sooner(a: Option<Time>, b: Option<Time>) -> Option<Time> {
     match (a, b) {
--- a/src/node/processor.rs
+++ b/src/node/processor.rs
@@ -1,6 +1,6 @@
 //! The processor: lines over one link that is made again whenever it falls.
 
-use super::messages::{Input, RunEnd};
+use super::messages::{Input, LEAST_RESTART, RunEnd};
 use super::pool::{Buffer, Pool};
 use crate::{RequestId, Span, span};
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
@@ -39,7 +39,9 @@
     /// Whether a processor of this age is the one that told the notices so far: another one has started since
     /// that was last heard. Its start as such tells nothing: a machine's pause makes the greeting old.
     fn same(&self, age: Span) -> bool {
-        self.heard.is_none_or(|heard| u128::from(age.0) >= heard.elapsed().as_nanos())
+        self.heard.is_none_or(|heard| {
+            u128::from(age.0.saturating_add(LEAST_RESTART.0)) >= heard.elapsed().as_nanos()
+        })
     }
 }
 
--- a/src/node/reducer.rs
+++ b/src/node/reducer.rs
@@ -6,7 +6,7 @@
 use super::clock::Moment;
 use super::config::Config;
 use super::keys::{End, Keys, Print};
-use super::messages::{Answer, Call, ConnId, Effect, Input, RunEnd, SeqId, sooner};
+use super::messages::{Answer, Call, ConnId, Effect, Input, LEAST_RESTART, RunEnd, SeqId, sooner};
 use super::pool::Buffer;
 use crate::{
     Action, Controller, Event, Gauges, Outcome, Request, RequestId, Settings, Span, Time, after, before,
@@ -434,7 +434,7 @@
                 self.tell_leaving();
             }
             self.log(Level::Info, format!("the processor is up, {}", if cold { "cold" } else { "warm" }));
-        } else if before(now, age) > self.link.heard {
+        } else if before(now, age) > after(self.link.heard, LEAST_RESTART) {
             // It has started since it was last heard. A mere pause of the machine makes the greeting old, not young.
             self.restarted();
         }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -524,4 +524,13 @@
         send processor hi WARM 1600
         send processor complete 1 1 OK out
         expect a 1 served out");
+    // Nor for a greeting that took some milliseconds, of a processor that told nothing since its first one.
+    up("send processor mute
+        send a call 1 rid=1
+        expect processor begin 1
+        wait 300
+        close processor
+        send processor hi WARM 295
+        send processor complete 1 1 OK out
+        expect a 1 served out");
 }
