--- a/src/choice.rs
+++ b/src/choice.rs
@@ -330,7 +330,8 @@
             // Lost before it came here, as a retry after a timeout: turning it away is no sign of too little
             // room, and a level raised for it keeps callers from cores that idle.
             let (t, told) = (&self.tries[&seq], self.refused_now);
-            let free = self.busy < f64::from(self.set.specifics.n_cores);
+            let cores = f64::from(self.set.specifics.n_cores);
+            let free = self.busy < cores && (self.on_core as f64) < cores;
             let lost = free && left(t.arrived, t.aim) < self.classes[t.class].first_s;
             self.refuse(seq, out);
             self.refused_now = if lost { told } else { self.refused_now };
