--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,7 +45,7 @@
 const WINDOW_AIM: f64 = 0.25; // part of the shortest aim that callers' windows may fill with held work
 const UNREAD_UNWELL: f64 = 0.4; // part of the shortest aim waited unread at which health goes bad
 const FIRST_WAIT: f64 = 0.125; // part of the wait winnable that a first try may wait however short runs are
-const SWAMP_AIM: f64 = 0.4; // part of the shortest aim that readings alone may fill the cores: then health is bad
+const SWAMP_AIM: f64 = 0.4; // part of the shortest aim for which readings may fill the cores alone
 const UNREAD_WELL: f64 = 0.1; // and at which it is good again, and runs get all the cores
 
 /// Output of the law at a utilization, in per cent of the arrivals, before the danger zone is looked at.
@@ -777,12 +777,12 @@
             let late = profile.late_value > 0.0 && left(self.now, t.due) > base;
             let hopeless = target < 0.0 && !(late && self.held.len() as f64 <= self.limit);
             let starts_in = ahead / self.limit.max(1.0);
-            // A first try may wait a mean run of its class, or the part of its aim in which that costs nothing,
+            // A first try may wait a mean run of its class, or as much of its aim as costs nothing,
             // while another box has time for it; a retry more.
             let first = self.set.callers.marks_retry && !t.retry && !self.crowded();
             let bound = target * TRIM_SLACK;
             let bound = if first { bound.min(class.core_s.max(FIRST_WAIT * target)) } else { bound };
-            // On a warm server a guess turns nobody away before a run took longer than that: the first ones tell.
+            // On a warm server a guess turns nobody away before a run took longer than it.
             let guess = class.seen == 0.0 && !self.set.specifics.just_started;
             let starts_in = if guess && left(self.progress, self.now) < cost { 0.0 } else { starts_in };
             if self.stalled || hopeless || (target >= 0.0 && starts_in > bound) {
