--- a/src/bin/gradepin-adapter/main.rs
+++ b/crates/adapter/src/main.rs
@@ -3,7 +3,7 @@
 
 mod wire;
 
-use gradepin::{Action, Controller, Event, Settings, Time};
+use gradepin_decisions::{Action, Controller, Event, Settings, Time};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
--- a/src/bin/gradepin-adapter/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,6 +1,6 @@
 //! The text of the wire: lines to settings and events, actions to lines.
 
-use gradepin::{Action, Event, Gauges, Outcome, Request, RequestId, Settings, Span, Time};
+use gradepin_decisions::{Action, Event, Gauges, Outcome, Request, RequestId, Settings, Span, Time};
 use std::fmt::Write;
 
 const EVENTS: [&str; 7] =
@@ -23,7 +23,7 @@
     let seed = seed.parse::<u64>().or_else(|_| seed.parse::<i64>().map(i64::cast_unsigned));
     let seed = seed.map_err(|_| "expected a whole number as seed".to_string())?;
     let settings: Settings = serde_json::from_str(params).map_err(|e| format!("expected settings: {e}"))?;
-    settings.check()?;
+    settings.check().map_err(|e| e.to_string())?;
     Ok((seed, settings))
 }
 
--- a/tests/adapter.rs
+++ b/crates/adapter/tests/adapter.rs
@@ -1,5 +1,6 @@
 //! Transcripts of the adapter: what goes in and what comes out, good and bad.
 
+#[path = "../../decisions/tests/common/mod.rs"]
 mod common;
 use std::io::Write;
 use std::process::{Command, Stdio};
--- a/src/node/config.rs
+++ b/crates/core/src/config.rs
@@ -1,9 +1,8 @@
-//! The configuration of one tile server, from the JSON file that `GW_CONFIG` names.
+//! The configuration of one tile server, as JSON. Reading the file is the shell's.
 
-use crate::{Below, Settings};
+use gradepin_decisions::{BadSettings, Below, Settings};
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::path::Path;
 
 /// What a tile server is told when it starts. Unknown keys are skipped.
 #[derive(Debug, Clone, Deserialize)]
@@ -46,44 +45,62 @@
 /// Descriptors kept back for the listener, the link, signals, standard streams and health checks.
 const RESERVED_SOCKETS: usize = 32;
 
-impl Config {
-    /// Reads and checks a file.
-    pub fn load(path: &Path) -> Result<Self, String> {
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        Self::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
-    }
+/// Why a configuration can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// It is no JSON, or not of the form.
+    #[error("expected a configuration: {0}")]
+    Form(#[from] serde_json::Error),
+    /// The name can't stand in a report.
+    #[error("expected a name of printable characters, got '{0}'")]
+    Name(String),
+    /// Too few descriptors.
+    #[error("expected limits.sockets of {least} or more, got {0}", least = 4 * RESERVED_SOCKETS)]
+    Sockets(usize),
+    /// Too little memory.
+    #[error("expected limits.memory_mb of {LEAST_MEMORY_MB} or more, got {0}")]
+    Memory(u64),
+    /// The seed is no number.
+    #[error("expected hex digits as seed, got '{0}'")]
+    Seed(String),
+    /// The module can't work with its settings.
+    #[error(transparent)]
+    Settings(#[from] BadSettings),
+    /// The module would make calls.
+    #[error("expected specifics.below 'off': the processor's protocol has no calls below")]
+    Below,
+}
 
+impl Config {
     /// Reads and checks the text of a file.
-    pub fn parse(text: &str) -> Result<Self, String> {
-        let config: Self =
-            serde_json::from_str(text).map_err(|e| format!("expected a configuration: {e}"))?;
+    pub fn parse(text: &str) -> Result<Self, ConfigError> {
+        let config: Self = serde_json::from_str(text)?;
         config.check()?;
         Ok(config)
     }
 
-    fn check(&self) -> Result<(), String> {
+    fn check(&self) -> Result<(), ConfigError> {
         let word = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_graphic());
         if !word(&self.name) {
-            return Err(format!("expected a name of printable characters, got '{}'", self.name));
+            return Err(ConfigError::Name(self.name.clone()));
         }
         if self.limits.sockets < 4 * RESERVED_SOCKETS {
-            return Err(format!("expected limits.sockets of {} or more", 4 * RESERVED_SOCKETS));
+            return Err(ConfigError::Sockets(self.limits.sockets));
         }
         if self.limits.memory_mb < LEAST_MEMORY_MB {
-            return Err(format!("expected limits.memory_mb of {LEAST_MEMORY_MB} or more"));
+            return Err(ConfigError::Memory(self.limits.memory_mb));
         }
         self.seed()?;
         self.settings.check()?;
         if self.settings.specifics.below != Below::Off {
-            return Err("expected specifics.below 'off': the processor's protocol has no calls below".into());
+            return Err(ConfigError::Below);
         }
         Ok(())
     }
 
     /// The seed as a number.
-    pub fn seed(&self) -> Result<u64, String> {
-        u64::from_str_radix(&self.seed, 16)
-            .map_err(|_| format!("expected hex digits as seed, got '{}'", self.seed))
+    pub fn seed(&self) -> Result<u64, ConfigError> {
+        u64::from_str_radix(&self.seed, 16).map_err(|_| ConfigError::Seed(self.seed.clone()))
     }
 
     /// A part of the memory, in bytes.
--- a/src/node/keys.rs
+++ b/crates/core/src/keys.rs
@@ -1,7 +1,7 @@
 //! The table of keyed requests: which try holds a token's entry, what ran under it, and what that run made.
 
-use super::pool::Buffer;
-use crate::{RequestId, Time};
+use crate::pool::Buffer;
+use gradepin_decisions::{RequestId, Time};
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
@@ -155,8 +155,8 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::pool::Pool;
     use super::*;
+    use crate::pool::Pool;
 
     fn run(keys: &mut Keys, n: usize, end: Option<End>) {
         let (token, id) = (Arc::from(format!("t{n}")), RequestId::new(&format!("r{n}")));
--- a/src/node/messages.rs
+++ b/crates/core/src/messages.rs
@@ -1,8 +1,9 @@
 //! What the reducer is told and what it asks for, in terms of no protocol.
 
-use super::config::Config;
-use super::pool::Buffer;
-use crate::{RequestId, Span, Time};
+use crate::config::Config;
+use crate::pool::Buffer;
+use gradepin_decisions::{RequestId, Span, Time};
+use gradepin_registry::membership::{Ask, Reply};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -99,6 +100,12 @@
     Rejected(RequestId),
     /// The notice to leave.
     Terminate,
+    /// An operator takes the server out: told to those who list it, and drained once that may be known.
+    TakeOut,
+    /// An operator takes it back in, if its drain has not begun.
+    TakeIn,
+    /// What became of a question to a registry.
+    Registry(u64, Reply),
     /// The configuration was read again.
     Reload(Box<Config>),
 }
@@ -147,6 +154,8 @@
     Control(SocketAddr),
     /// Report to the control plane whether this server takes work.
     Report(bool),
+    /// Put a question to a registry.
+    Registry(Ask),
     /// Write a line to the log.
     Log(slog::Level, String),
     /// End the process.
@@ -154,10 +163,10 @@
 }
 
 /// No processor ends and starts again in less. Tells a restart from a greeting that was on its way for a moment.
-pub(crate) const LEAST_RESTART: Span = Span(50_000_000);
+pub const LEAST_RESTART: Span = Span(50_000_000);
 
 /// What a host may have to wait for.
-pub(crate) fn sooner(a: Option<Time>, b: Option<Time>) -> Option<Time> {
+pub fn sooner(a: Option<Time>, b: Option<Time>) -> Option<Time> {
     match (a, b) {
         (Some(a), Some(b)) => Some(a.min(b)),
         (a, b) => a.or(b),
--- /dev/null
+++ b/crates/core/src/moment.rs
@@ -0,0 +1,12 @@
+//! One reading of the system's clocks, as a shell makes it.
+
+use gradepin_decisions::Time;
+
+/// One reading of both clocks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Moment {
+    /// The monotonic clock, which the module and all timers go by.
+    pub now: Time,
+    /// The Unix clock in milliseconds, which the stamps of requests go by.
+    pub unix_ms: u64,
+}
--- a/src/node/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -3,12 +3,13 @@
 //! The reducer hosts one [`Controller`] and decides nothing itself. It does no I/O and reads no clock, so a
 //! test can drive it through any course of events.
 
-use super::clock::Moment;
-use super::config::Config;
-use super::keys::{End, Keys, Print};
-use super::messages::{Answer, Call, ConnId, Effect, Input, LEAST_RESTART, RunEnd, SeqId, sooner};
-use super::pool::Buffer;
-use crate::{
+use crate::config::{Config, ConfigError};
+use crate::keys::{End, Keys, Print};
+use crate::messages::{Answer, Call, ConnId, Effect, Input, LEAST_RESTART, RunEnd, SeqId, sooner};
+use crate::moment::Moment;
+use crate::pool::Buffer;
+use crate::registration::Registration;
+use gradepin_decisions::{
     Action, Controller, Event, Gauges, Outcome, Request, RequestId, Settings, Span, Time, after, before,
 };
 use slog::Level;
@@ -157,6 +158,7 @@
     /// Reports still to come soon of the last change.
     changes: u32,
     next_sweep: Time,
+    registration: Registration,
     /// For the module's next turn.
     events: Vec<Event>,
     actions: Vec<Action>,
@@ -165,7 +167,11 @@
 
 impl Reducer {
     /// The state at the start of a server.
-    pub fn new(config: &Config, settings: Arc<Settings>) -> Result<Self, String> {
+    pub fn new(
+        config: &Config,
+        settings: Arc<Settings>,
+        registration: Registration,
+    ) -> Result<Self, ConfigError> {
         Ok(Self {
             seed: config.seed()?,
             config: config.clone(),
@@ -191,6 +197,7 @@
             next_report: Time(0),
             changes: 0,
             next_sweep: Time(0),
+            registration,
             events: Vec::new(),
             actions: Vec::new(),
             effects: Vec::new(),
@@ -223,7 +230,11 @@
             Some(since) if due <= self.moment.now => after(since, GAUGES_WAIT),
             _ => due,
         });
-        sooner(sooner(timer, self.exit_at), Some(self.next_sweep.min(self.next_report)))
+        let own = sooner(timer, self.exit_at);
+        sooner(
+            sooner(own, self.registration.wake_at(self.moment.now)),
+            Some(self.next_sweep.min(self.next_report)),
+        )
     }
 
     fn log(&mut self, level: Level, text: String) {
@@ -261,6 +272,7 @@
             }
             Input::LinkUp { link, cold, age } => self.link_up(link, cold, age),
             Input::LinkDown => {
+                self.registration.processor_silent(self.moment.now);
                 self.link.number = None;
                 self.link.settles = None;
                 self.link.open_since = None;
@@ -282,6 +294,9 @@
                 self.ended(&id, RunEnd::Moot, Span(0), None);
             }
             Input::Terminate => self.terminate(),
+            Input::TakeOut => self.take_out(),
+            Input::TakeIn => self.take_in(),
+            Input::Registry(ticket, reply) => self.registration.reply(self.moment.now, ticket, reply),
             Input::Reload(config) => self.reload(*config),
         }
     }
@@ -423,12 +438,14 @@
 
     fn link_up(&mut self, number: u64, cold: bool, age: Span) {
         let now = self.moment.now;
+        self.registration.processor_up(before(now, age), cold);
         if self.controller.is_none() {
             // Warmth counts from the start of the processor, which may be long after this process's.
             let mut settings = Settings::clone(&self.settings);
             settings.specifics.just_started = cold;
             self.controller = Some(Controller::new(settings, self.seed, before(now, age)));
             self.active = true;
+            self.registration.health(now, true);
             self.changed();
             if self.leaving {
                 self.tell_leaving();
@@ -637,6 +654,7 @@
             Action::ReportHealth { active, .. } => {
                 if active != self.active {
                     self.active = active;
+                    self.registration.health(self.moment.now, active);
                     self.changed();
                     self.log(Level::Info, format!("health is {}", if active { "good" } else { "bad" }));
                 }
@@ -698,6 +716,7 @@
             return;
         }
         self.exit_at = Some(after(after(self.moment.now, self.stop), STOP_OVERDUE));
+        self.registration.leave(self.moment.now);
         if self.controller.is_some() {
             self.tell_leaving();
         }
@@ -706,6 +725,23 @@
         }
     }
 
+    /// Out of service for all who list this server, while callers may still think otherwise; then the drain.
+    fn take_out(&mut self) {
+        if self.leaving || !self.registration.take_out(self.moment.now) {
+            return;
+        }
+        self.changed();
+        self.log(Level::Info, "taken out of service, draining later".into());
+    }
+
+    fn take_in(&mut self) {
+        if self.leaving || !self.registration.take_in() {
+            return;
+        }
+        self.changed();
+        self.log(Level::Info, "taken back into service".into());
+    }
+
     /// Tells the module how long it has, a margin less than is left until the stop.
     fn tell_leaving(&mut self) {
         let spent = Span(STOP_OVERDUE.0 + STOP_MARGIN.0);
@@ -713,6 +749,11 @@
         self.events.push(Event::Sigterm(Span(end.0.saturating_sub(self.moment.now.0))));
     }
 
+    fn leaving_since(&self) -> Time {
+        let spent = Span(self.stop.0.saturating_add(STOP_OVERDUE.0));
+        self.exit_at.map_or(self.moment.now, |exit| before(exit, spent))
+    }
+
     fn ask_to_drain(&mut self, conn: ConnId) {
         if let Some(connection) = self.connections.get_mut(&conn).filter(|c| c.draining.is_none()) {
             connection.draining = Some(self.moment.now);
@@ -732,7 +773,8 @@
             self.changes = self.changes.saturating_sub(1);
             self.next_report = after(now, if self.changes > 0 { REPORT_AGAIN } else { REPORT_EVERY });
             if self.controller.is_some() {
-                self.effects.push(Effect::Report(self.active));
+                let ready = self.active && !self.registration.is_out();
+                self.effects.push(Effect::Report(ready));
             }
         }
         if now >= self.next_sweep {
@@ -740,6 +782,12 @@
             self.keys.sweep(now, self.moment.unix_ms);
             self.close_idle();
         }
+        if self.registration.drain_is_due(now) {
+            self.terminate();
+        }
+        let grace = after(self.leaving_since(), self.settings.rules.drain_grace);
+        let answered = self.leaving && self.requests.is_empty() && now > grace;
+        self.registration.step(self.moment, answered, &mut self.effects);
         if self.exit_at.take_if(|at| now >= *at).is_some() {
             self.effects.push(Effect::Exit);
         }
--- a/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -1,4 +1,4 @@
-//! Every decision of gradepin. Its interface (settings, events, actions, ids, times) is `src/interface.rs`.
+//! Every decision of gradepin. Its interface (settings, events, actions, ids, times) is `interface.rs`.
 //!
 //! A request's path: `arrive` (drain, the law's random share, repeats, memory) -> the hold -> `expire` and
 //! `trim` (what can't be won is turned away) -> `start` (best worth per core time, under the running limit)
--- a/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -13,23 +13,23 @@
 pub struct Span(pub u64);
 
 /// Seconds of a span.
-pub(crate) fn secs(span: Span) -> f64 {
+pub fn secs(span: Span) -> f64 {
     span.0 as f64 / 1e9
 }
 /// A span from seconds, none below 0.
-pub(crate) fn span(secs: f64) -> Span {
+pub fn span(secs: f64) -> Span {
     Span((secs.max(0.0) * 1e9) as u64)
 }
 /// The time a span later.
-pub(crate) fn after(t: Time, s: Span) -> Time {
+pub fn after(t: Time, s: Span) -> Time {
     Time(t.0.saturating_add(s.0))
 }
 /// The time a span earlier.
-pub(crate) fn before(t: Time, s: Span) -> Time {
+pub fn before(t: Time, s: Span) -> Time {
     Time(t.0.saturating_sub(s.0))
 }
 /// Seconds from one time to another, below 0 if it is past.
-pub(crate) fn left(from: Time, to: Time) -> f64 {
+pub fn left(from: Time, to: Time) -> f64 {
     (to.0 as f64 - from.0 as f64) / 1e9
 }
 
@@ -81,15 +81,21 @@
     pub specifics: Specifics,
 }
 
+/// A setting that the module can't work with.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+#[error("expected settings: {name} above 0, got {value}")]
+pub struct BadSettings {
+    /// Which one.
+    pub name: &'static str,
+    /// What was told.
+    pub value: f64,
+}
+
 impl Settings {
     /// Whether the module can work with these; if not, why.
-    pub fn check(&self) -> Result<(), String> {
-        let positive = |name: &str, value: f64| {
-            if value > 0.0 && value.is_finite() {
-                Ok(())
-            } else {
-                Err(format!("expected settings: {name} above 0, got {value}"))
-            }
+    pub fn check(&self) -> Result<(), BadSettings> {
+        let positive = |name: &'static str, value: f64| {
+            if value > 0.0 && value.is_finite() { Ok(()) } else { Err(BadSettings { name, value }) }
         };
         positive("number of profiles", self.profiles.len() as f64)?;
         positive("specifics.n_cores", f64::from(self.specifics.n_cores))?;
--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,12 +1,10 @@
 //! gradepin decides, inside one server of a fleet, what that server takes, holds, runs, calls and turns away.
-//! [`node`] is the tile server around it.
-//!
 //! A worker makes one [`Controller`] at its start, hands it what happened with [`Controller::handle`], and
 //! carries out the [`Action`]s that come back. The controller has no clock, does no I/O and keeps no globals:
 //! the same events give the same actions.
 //!
 //! ```
-//! use gradepin::{Action, Controller, Event, Request, RequestId, Settings, Span, Time};
+//! use gradepin_decisions::{Action, Controller, Event, Request, RequestId, Settings, Span, Time};
 //!
 //! let settings: Settings = serde_json::from_str(r#"{
 //!     "granularity": 1000000,
@@ -24,18 +22,15 @@
 //! controller.handle(Time(1_000_000), &[Event::Arrived(request)], &mut actions);
 //! assert!(actions.contains(&Action::Process(RequestId::new("r1"))));
 //! ```
-#![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod choice;
 mod interface;
-pub mod node;
 
 pub use choice::{Controller, throttling};
 pub use interface::*;
-pub(crate) use interface::{after, before, span};
 
 /// The examples of README.md, compiled as doc tests.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 pub struct ReadmeExamples;
--- /dev/null
+++ b/crates/gradepin/src/main.rs
@@ -0,0 +1,120 @@
+//! The command line of the tile server.
+
+use clap::{Parser, Subcommand, ValueEnum};
+use gradepin_core::config::Config;
+use gradepin_node::log::{self, LogFormat};
+use gradepin_node::settings::Own;
+use gradepin_node::{config, serve};
+use rustix::process::{Pid, Signal, kill_process};
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(version, about = "A tile server that decides what it takes, runs and turns away")]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(clap::Args)]
+struct Files {
+    /// The configuration, as JSON; without it, the file that GW_CONFIG names
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// Our own settings, as KDL; without it all that they switch on is off
+    #[arg(long, value_name = "FILE")]
+    settings: Option<PathBuf>,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Format {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve until SIGTERM and the stop time of the configuration
+    Serve {
+        #[command(flatten)]
+        files: Files,
+        /// The form of log lines on standard error
+        #[arg(long, value_enum, default_value = "text")]
+        log_format: Format,
+    },
+    /// Read and check the configuration and our own settings, and say what they hold
+    Check {
+        #[command(flatten)]
+        files: Files,
+    },
+    /// Take a running server out of service: told to the registry and the control plane at once, then drained
+    Leave {
+        /// The server's process id
+        #[arg(long)]
+        pid: i32,
+        /// Take it back in instead, if its drain has not begun
+        #[arg(long)]
+        cancel: bool,
+    },
+    /// Print the version
+    Version,
+}
+
+impl Files {
+    fn load(self) -> Result<(Config, Own, PathBuf), Box<dyn Error>> {
+        let path = self.config.or_else(|| std::env::var_os("GW_CONFIG").map(PathBuf::from));
+        let path = path.ok_or("no configuration: give --config FILE or set GW_CONFIG")?;
+        let own = self.settings.as_deref().map(Own::load).transpose()?.unwrap_or_default();
+        Ok((config::load(&path)?, own, path))
+    }
+}
+
+fn run(command: Command) -> Result<(), Box<dyn Error>> {
+    match command {
+        Command::Serve { files, log_format } => {
+            let (config, own, file) = files.load()?;
+            let format = match log_format {
+                Format::Text => LogFormat::Text,
+                Format::Json => LogFormat::Json,
+            };
+            let log = log::root(&config.name, format);
+            Ok(serve::serve(config, own, file, &log)?)
+        }
+        Command::Check { files } => {
+            let (config, own, _) = files.load()?;
+            let (classes, tenants) = (config.settings.profiles.len(), config.settings.customers.len());
+            println!("{}: listens on {}, {classes} classes, {tenants} tenants", config.name, config.listen);
+            match own.registry {
+                None => println!("registry: off"),
+                Some(registry) => {
+                    let id = registry.instance.as_ref().unwrap_or(&config.name);
+                    println!("registry: {} as {id}, {} service URLs", registry.app, registry.urls.len());
+                }
+            }
+            Ok(())
+        }
+        Command::Leave { pid, cancel } => {
+            let process = Pid::from_raw(pid).filter(|_| pid > 1).ok_or("expected a process id")?;
+            let signal = if cancel { Signal::USR2 } else { Signal::USR1 };
+            kill_process(process, signal).map_err(|e| format!("process {pid}: {e}"))?;
+            Ok(())
+        }
+        Command::Version => {
+            println!("gradepin {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Cli::parse().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            for line in message.to_string().lines() {
+                eprintln!("gradepin: {line}");
+            }
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -15,7 +15,7 @@
 //! The processor answers every `usage` by itself, unless it was sent `mute`.
 #![allow(dead_code)]
 
-#[path = "../common/mod.rs"]
+#[path = "../../../decisions/tests/common/mod.rs"]
 pub mod common;
 pub mod sockets;
 pub mod thrift;
--- a/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -1,13 +1,14 @@
 //! A stage with no sockets and no real time: the reducer alone, with the clients' codec before it.
 
 use super::{Stage, begins, config, thrift};
-use gradepin::node::clients::thrift as codec;
-use gradepin::node::clock::Moment;
-use gradepin::node::config::Config;
-use gradepin::node::messages::{ConnId, Effect, Input, RunEnd};
-use gradepin::node::pool::Pool;
-use gradepin::node::reducer::Reducer;
-use gradepin::{RequestId, Settings, Span, Time};
+use gradepin_core::config::Config;
+use gradepin_core::messages::{ConnId, Effect, Input, RunEnd};
+use gradepin_core::moment::Moment;
+use gradepin_core::pool::Pool;
+use gradepin_core::reducer::Reducer;
+use gradepin_core::registration::Registration;
+use gradepin_decisions::{RequestId, Settings, Span, Time};
+use gradepin_node::clients::thrift as codec;
 use std::sync::Arc;
 
 const MS: u64 = 1_000_000;
@@ -44,7 +45,8 @@
         let config = Config::parse(&config.to_string()).expect("a whole configuration");
         let settings = Arc::new(config.settings.clone());
         Self {
-            reducer: Reducer::new(&config, Arc::clone(&settings)).expect("a whole configuration"),
+            reducer: Reducer::new(&config, Arc::clone(&settings), Registration::default())
+                .expect("a whole configuration"),
             settings,
             pool: Pool::new(8),
             ms: 1_000_000,
@@ -109,6 +111,7 @@
             Effect::Renew(_) => "renew".to_string(),
             Effect::Processor(address) => format!("link to {address}"),
             Effect::Control(address) => format!("reports to {address}"),
+            Effect::Registry(ask) => format!("registry {:?}", ask.op),
             Effect::Exit => "exit".to_string(),
             Effect::Log(..) => return,
         };
--- /dev/null
+++ b/crates/kit/src/registry/state.rs
@@ -0,0 +1,395 @@
+//! What a registry holds and by which rules it changes, without I/O and without a clock: leases, overrides, eviction
+//! and self-preservation, the queue of changes, the cache of answers. From the public description of Eureka 1.x.
+
+use gradepin_registry::instance::{ActionType, Applications, Instance, Status, hash_code};
+use std::collections::{BTreeMap, VecDeque};
+
+/// How a registry behaves; all times in milliseconds.
+#[derive(Debug, Clone)]
+pub struct RegistrySettings {
+    /// Between looks for leases that ran out.
+    pub evict_every_ms: u64,
+    /// The part of the expected heartbeats under which nothing is evicted.
+    pub preserve_share: f64,
+    /// Whether self-preservation is on.
+    pub preserves: bool,
+    /// How old an answer with all applications, or with the changes, may be.
+    pub cache_ms: u64,
+    /// How long a change stays in the queue that deltas are made of.
+    pub delta_ms: u64,
+}
+
+impl Default for RegistrySettings {
+    fn default() -> Self {
+        let (evict_every_ms, cache_ms, delta_ms) = (60_000, 30_000, 180_000);
+        Self { evict_every_ms, preserve_share: 0.85, preserves: true, cache_ms, delta_ms }
+    }
+}
+
+/// An answer without content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Done.
+    Done,
+    /// No such instance; or its record is older than the caller's, which must register again.
+    NotFound,
+}
+
+/// What one registry tells its peers.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Replicated {
+    /// A registration.
+    Register(Box<Instance>),
+    /// A heartbeat.
+    Renew(String, String, u64),
+    /// A removal.
+    Cancel(String, String),
+    /// An override.
+    Override(String, String, Status, u64),
+    /// An override removed, and the state then.
+    ClearOverride(String, String, Status, u64),
+}
+
+#[derive(Debug)]
+struct Lease {
+    instance: Instance,
+    renewed_ms: u64,
+}
+
+/// The applications and when they were put together.
+type Cached = Option<(u64, Applications)>;
+
+/// One registry.
+#[derive(Debug)]
+pub struct Registry {
+    set: RegistrySettings,
+    leases: BTreeMap<(String, String), Lease>,
+    overrides: BTreeMap<(String, String), Status>,
+    changes: VecDeque<(u64, Instance)>,
+    full: Cached,
+    delta: Cached,
+    version: u64,
+    /// Times of heartbeats in the last minute.
+    renewals: VecDeque<u64>,
+    next_evict_ms: u64,
+}
+
+type Key = (String, String);
+
+fn key(app: &str, id: &str) -> Key {
+    (app.to_uppercase(), id.to_string())
+}
+
+impl Registry {
+    /// An empty registry that starts now.
+    pub fn new(set: RegistrySettings, now_ms: u64) -> Self {
+        Self {
+            next_evict_ms: now_ms + set.evict_every_ms,
+            set,
+            leases: BTreeMap::new(),
+            overrides: BTreeMap::new(),
+            changes: VecDeque::new(),
+            full: None,
+            delta: None,
+            version: 0,
+            renewals: VecDeque::new(),
+        }
+    }
+
+    fn changed(&mut self, now_ms: u64, key: &Key, action: ActionType) {
+        let Some(lease) = self.leases.get_mut(key) else { return };
+        lease.instance.updated_ms = now_ms;
+        let told = Instance { action, ..lease.instance.clone() };
+        self.version += 1;
+        self.changes.push_back((now_ms, told));
+        while self.changes.front().is_some_and(|(at, _)| at + self.set.delta_ms < now_ms) {
+            self.changes.pop_front();
+        }
+    }
+
+    /// The state that callers see: what an instance says of itself if it is down or starting, else the override, else
+    /// what its lease shows if that is up or out of service, else what it says.
+    fn status(&self, key: &Key, says: Status, replicated: bool) -> Status {
+        if !matches!(says, Status::Up | Status::OutOfService) {
+            return says;
+        }
+        if let Some(&status) = self.overrides.get(key) {
+            return status;
+        }
+        let shows = self.leases.get(key).map(|lease| lease.instance.status).filter(|_| !replicated);
+        shows.filter(|status| matches!(status, Status::Up | Status::OutOfService)).unwrap_or(says)
+    }
+
+    /// Registers, or replaces a record that is no newer.
+    pub fn register(&mut self, mut instance: Instance, replicated: bool, now_ms: u64) {
+        let key = key(&instance.app, &instance.id);
+        if let Some(lease) = self.leases.get(&key).filter(|lease| lease.instance.dirty_ms > instance.dirty_ms)
+        {
+            instance = lease.instance.clone();
+        }
+        if instance.overridden != Status::Unknown && !self.overrides.contains_key(&key) {
+            self.overrides.insert(key.clone(), instance.overridden);
+        }
+        instance.status = self.status(&key, instance.status, replicated);
+        instance.overridden = self.overrides.get(&key).copied().unwrap_or_default();
+        (instance.lease.registered_ms, instance.lease.renewed_ms) = (now_ms, now_ms);
+        if instance.status == Status::Up && instance.lease.up_ms == 0 {
+            instance.lease.up_ms = now_ms;
+        }
+        self.leases.insert(key.clone(), Lease { instance, renewed_ms: now_ms });
+        self.changed(now_ms, &key, ActionType::Added);
+    }
+
+    /// A heartbeat, with the time of the instance's own last change where it tells one.
+    pub fn renew(&mut self, app: &str, id: &str, dirty_ms: Option<u64>, now_ms: u64) -> Outcome {
+        let key = key(app, id);
+        let Some(lease) = self.leases.get_mut(&key) else { return Outcome::NotFound };
+        // A record older than the instance's own is of no use: it is to register again.
+        if lease.instance.status == Status::Unknown
+            || dirty_ms.is_some_and(|dirty| dirty > lease.instance.dirty_ms)
+        {
+            return Outcome::NotFound;
+        }
+        lease.renewed_ms = now_ms;
+        lease.instance.lease.renewed_ms = now_ms;
+        self.renewals.push_back(now_ms);
+        while self.renewals.front().is_some_and(|&at| at + 60_000 < now_ms) {
+            self.renewals.pop_front();
+        }
+        Outcome::Done
+    }
+
+    /// Removes a registration.
+    pub fn cancel(&mut self, app: &str, id: &str, now_ms: u64) -> Outcome {
+        let key = key(app, id);
+        if !self.leases.contains_key(&key) {
+            return Outcome::NotFound;
+        }
+        self.changed(now_ms, &key, ActionType::Deleted);
+        self.leases.remove(&key);
+        self.overrides.remove(&key);
+        Outcome::Done
+    }
+
+    /// Sets an override.
+    pub fn override_status(
+        &mut self,
+        app: &str,
+        id: &str,
+        status: Status,
+        dirty_ms: u64,
+        now_ms: u64,
+    ) -> Outcome {
+        let key = key(app, id);
+        let Some(lease) = self.leases.get_mut(&key) else { return Outcome::NotFound };
+        lease.renewed_ms = now_ms;
+        lease.instance.dirty_ms = lease.instance.dirty_ms.max(dirty_ms);
+        let same = lease.instance.status == status && self.overrides.get(&key) == Some(&status);
+        (lease.instance.status, lease.instance.overridden) = (status, status);
+        if !same {
+            self.overrides.insert(key.clone(), status);
+            self.changed(now_ms, &key, ActionType::Modified);
+        }
+        Outcome::Done
+    }
+
+    /// Removes an override; the instance then shows this state. Where there is none, nothing changes.
+    pub fn clear_override(
+        &mut self,
+        app: &str,
+        id: &str,
+        status: Status,
+        dirty_ms: u64,
+        now_ms: u64,
+    ) -> Outcome {
+        let key = key(app, id);
+        let Some(lease) = self.leases.get_mut(&key) else { return Outcome::NotFound };
+        lease.renewed_ms = now_ms;
+        if self.overrides.remove(&key).is_some() {
+            lease.instance.overridden = Status::Unknown;
+            lease.instance.status = status;
+            lease.instance.dirty_ms = lease.instance.dirty_ms.max(dirty_ms);
+            self.changed(now_ms, &key, ActionType::Modified);
+        }
+        Outcome::Done
+    }
+
+    /// Adds to an instance's metadata.
+    pub fn metadata(&mut self, app: &str, id: &str, pairs: &[(String, String)], now_ms: u64) -> Outcome {
+        let key = key(app, id);
+        let Some(lease) = self.leases.get_mut(&key) else { return Outcome::NotFound };
+        lease.instance.metadata.extend(pairs.iter().cloned());
+        self.changed(now_ms, &key, ActionType::Modified);
+        Outcome::Done
+    }
+
+    /// Takes a peer's word.
+    pub fn replicate(&mut self, told: Replicated, now_ms: u64) -> Outcome {
+        match told {
+            Replicated::Register(instance) => {
+                self.register(*instance, true, now_ms);
+                Outcome::Done
+            }
+            Replicated::Renew(app, id, dirty) => self.renew(&app, &id, Some(dirty), now_ms),
+            Replicated::Cancel(app, id) => self.cancel(&app, &id, now_ms),
+            Replicated::Override(app, id, status, dirty) => {
+                self.override_status(&app, &id, status, dirty, now_ms)
+            }
+            Replicated::ClearOverride(app, id, status, dirty) => {
+                self.clear_override(&app, &id, status, dirty, now_ms)
+            }
+        }
+    }
+
+    /// Whether too few heartbeats come for a lost lease to mean a lost instance.
+    pub fn preserving(&self) -> bool {
+        let expected: f64 =
+            self.leases.values().map(|l| 60.0 / l.instance.lease.renewal_s.max(1) as f64).sum();
+        self.set.preserves && (self.renewals.len() as f64) < self.set.preserve_share * expected
+    }
+
+    /// Drops leases that ran out, if it is time to look; no more than the part that self-preservation allows.
+    pub fn evict(&mut self, now_ms: u64) -> usize {
+        if now_ms < self.next_evict_ms {
+            return 0;
+        }
+        self.next_evict_ms = now_ms + self.set.evict_every_ms;
+        if self.preserving() {
+            return 0;
+        }
+        let late = |lease: &&Lease| now_ms > lease.renewed_ms + 1_000 * lease.instance.lease.duration_s;
+        let late: Vec<Key> =
+            self.leases.iter().filter(|(_, l)| late(l)).map(|(key, _)| key.clone()).collect();
+        let most = self.leases.len() - (self.leases.len() as f64 * self.set.preserve_share) as usize;
+        let most = if self.set.preserves { most } else { late.len() };
+        for key in late.iter().take(most) {
+            self.cancel(&key.0, &key.1, now_ms);
+        }
+        late.len().min(most)
+    }
+
+    /// Forgets one lease without a word, as a fault.
+    pub fn forget(&mut self, app: &str, id: &str) {
+        self.leases.remove(&key(app, id));
+        self.overrides.remove(&key(app, id));
+    }
+
+    /// One instance.
+    pub fn instance(&self, app: &str, id: &str) -> Option<&Instance> {
+        self.leases.get(&key(app, id)).map(|lease| &lease.instance)
+    }
+
+    /// All instances, as they are now.
+    pub fn instances(&self) -> impl Iterator<Item = &Instance> {
+        self.leases.values().map(|lease| &lease.instance)
+    }
+
+    fn applications(&self, instances: Vec<Instance>) -> Applications {
+        let hash_code = hash_code(self.instances().map(|i| i.status));
+        Applications { version: self.version.to_string(), hash_code, instances }
+    }
+
+    /// Everything, as the cache has it.
+    pub fn full(&mut self, now_ms: u64) -> &Applications {
+        if self.full.as_ref().is_none_or(|(at, _)| at + self.set.cache_ms <= now_ms) {
+            self.full = Some((now_ms, self.applications(self.instances().cloned().collect())));
+        }
+        &self.full.get_or_insert_with(Default::default).1
+    }
+
+    /// The latest change of each instance that changed of late, as the cache has it.
+    pub fn delta(&mut self, now_ms: u64) -> &Applications {
+        if self.delta.as_ref().is_none_or(|(at, _)| at + self.set.cache_ms <= now_ms) {
+            let mut last = BTreeMap::<(&str, &str), &Instance>::new();
+            for (at, change) in &self.changes {
+                if at + self.set.delta_ms >= now_ms {
+                    last.insert((&change.app, &change.id), change);
+                }
+            }
+            let changes = last.into_values().cloned().collect();
+            self.delta = Some((now_ms, self.applications(changes)));
+        }
+        &self.delta.get_or_insert_with(Default::default).1
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn one(id: &str, status: Status, dirty_ms: u64) -> Instance {
+        Instance { id: id.into(), app: "TILES".into(), status, dirty_ms, ..Instance::default() }
+    }
+
+    fn of(n: u64) -> Registry {
+        let set = RegistrySettings { cache_ms: 0, evict_every_ms: 1_000, ..RegistrySettings::default() };
+        let mut registry = Registry::new(set, 0);
+        for n in 0..n {
+            registry.register(one(&format!("n{n}"), Status::Up, 1), false, 0);
+        }
+        registry
+    }
+
+    fn shows(registry: &Registry, id: &str) -> Option<Status> {
+        registry.instance("tiles", id).map(|i| i.status)
+    }
+
+    #[test]
+    fn an_override_outlives_a_registration_and_its_removal_brings_the_state_told() {
+        let mut r = of(1);
+        assert_eq!(r.override_status("tiles", "n0", Status::OutOfService, 2, 2), Outcome::Done);
+        r.register(one("n0", Status::Up, 3), false, 3);
+        assert_eq!(shows(&r, "n0"), Some(Status::OutOfService));
+        r.register(one("n0", Status::Starting, 4), false, 4);
+        assert_eq!(shows(&r, "n0"), Some(Status::Starting), "what isn't up is shown as it says");
+        r.clear_override("tiles", "n0", Status::Up, 5, 5);
+        assert_eq!(shows(&r, "n0"), Some(Status::Up));
+        r.register(one("n0", Status::OutOfService, 6), false, 6);
+        assert_eq!(shows(&r, "n0"), Some(Status::Up), "a lease that is up is trusted more");
+    }
+
+    #[test]
+    fn an_older_record_doesnt_replace_a_newer_one_and_a_newer_one_must_register() {
+        let mut r = of(0);
+        r.register(one("n0", Status::Down, 9), false, 1);
+        r.register(one("n0", Status::Up, 8), false, 2);
+        assert_eq!(shows(&r, "n0"), Some(Status::Down));
+        assert_eq!(r.renew("tiles", "n0", Some(8), 3), Outcome::Done);
+        assert_eq!(r.renew("tiles", "n0", Some(10), 3), Outcome::NotFound);
+        assert_eq!(r.renew("tiles", "n1", None, 3), Outcome::NotFound);
+    }
+
+    #[test]
+    fn leases_run_out_unless_most_heartbeats_are_missing() {
+        let mut r = of(20);
+        let alive = |r: &mut Registry, ids: u64, until: u64| {
+            for ms in (0..until).step_by(30_000) {
+                for n in 0..ids {
+                    r.renew("tiles", &format!("n{n}"), None, ms);
+                }
+            }
+        };
+        alive(&mut r, 19, 120_000);
+        assert_eq!((r.evict(120_000), shows(&r, "n19")), (1, None));
+        assert!(r.instances().count() == 19 && !r.preserving());
+        // Half of the rest fall silent: that is taken for the network's fault.
+        let mut r = of(20);
+        alive(&mut r, 10, 120_000);
+        assert!(r.preserving());
+        assert_eq!((r.evict(120_000), r.instances().count()), (0, 20));
+    }
+
+    #[test]
+    fn a_delta_tells_each_changed_instance_once_with_the_code_of_all() {
+        let mut r = of(2);
+        r.override_status("tiles", "n0", Status::OutOfService, 2, 10);
+        r.cancel("tiles", "n1", 20);
+        let delta = r.delta(30).clone();
+        assert_eq!(delta.hash_code, "OUT_OF_SERVICE_1_");
+        let told: Vec<(&str, ActionType)> =
+            delta.instances.iter().map(|i| (i.id.as_str(), i.action)).collect();
+        assert_eq!(told, [("n0", ActionType::Modified), ("n1", ActionType::Deleted)]);
+        assert_eq!(r.full(30).instances.len(), 1);
+        assert!(r.delta(300_000).instances.is_empty(), "changes leave the queue");
+    }
+}
--- a/src/node/clients/mod.rs
+++ b/crates/node/src/clients/mod.rs
@@ -10,10 +10,10 @@
 mod reader;
 pub mod thrift;
 
-use super::messages::{Answer, ConnId, Input, SeqId};
-use super::pool::{Buffer, Pool};
-use crate::Settings;
 use crossbeam_channel::Sender;
+use gradepin_core::messages::{Answer, ConnId, Input, SeqId};
+use gradepin_core::pool::{Buffer, Pool};
+use gradepin_decisions::Settings;
 use pace::Worth;
 use reader::Reader;
 use rustix::io::Errno;
--- a/src/node/clients/pace.rs
+++ b/crates/node/src/clients/pace.rs
@@ -1,6 +1,6 @@
 //! How fast one connection may send.
 
-use super::super::messages::Answer;
+use gradepin_core::messages::Answer;
 use std::time::{Duration, Instant};
 
 /// Points that a connection may spend a second, and at once. A request that is served costs one for its reading
--- a/src/node/clients/reader.rs
+++ b/crates/node/src/clients/reader.rs
@@ -1,9 +1,9 @@
 //! Accepts connections and reads them all, each in its turn: bytes become frames, frames become inputs.
 
-use super::super::messages::{ConnId, Input};
-use super::super::pool::Buffer;
 use super::pace::{Pace, Worth};
 use super::{Conn, Shared, Standing, WRITE_PATIENCE, thrift};
+use gradepin_core::messages::{ConnId, Input};
+use gradepin_core::pool::Buffer;
 use rustix::event::{Timespec, epoll};
 use rustix::io::Errno;
 use rustix::net::{RecvFlags, recv};
--- a/src/node/clients/thrift.rs
+++ b/crates/node/src/clients/thrift.rs
@@ -1,8 +1,8 @@
 //! Thrift's framed transport and strict binary protocol: bytes to messages and answers to bytes.
 
-use super::super::messages::{Answer, Call, SeqId};
-use super::super::pool::{Buffer, Pool, SIZE};
-use crate::{Effect, RequestId, Settings};
+use gradepin_core::messages::{Answer, Call, SeqId};
+use gradepin_core::pool::{Buffer, Pool, SIZE};
+use gradepin_decisions::{Effect, RequestId, Settings};
 use std::sync::Arc;
 
 const VERSION: u32 = 0x8001_0000;
--- a/src/node/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,17 +1,9 @@
 //! The system's clocks, read in one place.
 
-use crate::Time;
+use gradepin_core::moment::Moment;
+use gradepin_decisions::Time;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// One reading of both clocks.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Moment {
-    /// The monotonic clock, which the module and all timers go by.
-    pub now: Time,
-    /// The Unix clock in milliseconds, which the stamps of requests go by.
-    pub unix_ms: u64,
-}
-
 /// A monotonic clock that starts at 1,000 s, so that earlier times can be told too.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock(Instant);
--- a/src/node/log.rs
+++ b/crates/node/src/log.rs
@@ -6,14 +6,34 @@
 
 /// Lines written in any one second; more are counted and left out.
 const A_SECOND: u32 = 40;
+/// Lines that may wait for standard error.
+const WAITING: usize = 256;
+
+/// The form of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line, with `ts`, `level`, `msg` and the values.
+    Json,
+}
 
 /// The root logger. Lines that come too fast, or that the reader of standard error can't keep up with, are dropped
 /// and counted.
-pub fn root(name: &str) -> Logger {
-    let decorator = slog_term::PlainSyncDecorator::new(std::io::stderr());
-    let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build().ignore_res();
-    let drain = slog_async::Async::new(drain).chan_size(256).build().ignore_res();
-    let drain = Capped { inner: drain, start: Instant::now(), cap: Mutex::default() };
+pub fn root(name: &str, format: LogFormat) -> Logger {
+    let drain = match format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainSyncDecorator::new(std::io::stderr());
+            let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build().ignore_res();
+            slog_async::Async::new(drain).chan_size(WAITING).build()
+        }
+        LogFormat::Json => {
+            let drain = Mutex::new(slog_json::Json::default(std::io::stderr())).ignore_res();
+            slog_async::Async::new(drain).chan_size(WAITING).build()
+        }
+    };
+    let drain = Capped { inner: drain.ignore_res(), start: Instant::now(), cap: Mutex::default() };
     Logger::root(drain.filter_level(Level::Info).ignore_res(), o!("server" => name.to_string()))
 }
 
--- a/src/node/processor.rs
+++ b/crates/node/src/processor.rs
@@ -1,9 +1,9 @@
 //! The processor: lines over one link that is made again whenever it falls.
 
-use super::messages::{Input, LEAST_RESTART, RunEnd};
-use super::pool::{Buffer, Pool};
-use crate::{RequestId, Span, span};
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use gradepin_core::messages::{Input, LEAST_RESTART, RunEnd};
+use gradepin_core::pool::{Buffer, Pool};
+use gradepin_decisions::{RequestId, Span, span};
 use slog::{Logger, info, warn};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
--- a/src/node/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,15 +1,20 @@
 //! Joins the parts: the one thread that owns the reducer, and carries out what it asks for.
 
-use super::clients::Clients;
-use super::clock::Clock;
-use super::config::Config;
-use super::control::Control;
-use super::messages::{Effect, Input};
-use super::pool::{Pool, SIZE};
-use super::processor::Processor;
-use super::reducer::Reducer;
+use crate::clients::Clients;
+use crate::clock::Clock;
+use crate::config;
+use crate::control::Control;
+use crate::processor::Processor;
+use crate::registry::Registry;
+use crate::settings::Own;
 use crossbeam_channel::{Sender, bounded, select};
-use signal_hook::consts::{SIGHUP, SIGTERM};
+use gradepin_core::config::{Config, ConfigError};
+use gradepin_core::messages::{Effect, Input};
+use gradepin_core::pool::{Pool, SIZE};
+use gradepin_core::reducer::Reducer;
+use gradepin_core::registration::Registration;
+use gradepin_registry::membership::Membership;
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use signal_hook::iterator::Signals;
 use slog::{Level, Logger, error, info, warn};
 use std::path::PathBuf;
@@ -28,11 +33,36 @@
 /// Of the thread that reads the configuration again, nested as it is.
 const SIGNAL_STACK: usize = 256 * 1024;
 
+/// Why a server can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The configuration can't be used.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The system denies something.
+    #[error("{what}: {why}")]
+    System {
+        /// For what.
+        what: String,
+        /// What the system says.
+        why: std::io::Error,
+    },
+}
+
 /// Serves until the process is told to leave and its time is up.
-pub fn serve(config: Config, file: PathBuf, log: &Logger) -> Result<(), String> {
-    let failed = |what: &'static str| move |e: std::io::Error| format!("{what}: {e}");
+pub fn serve(config: Config, own: Own, file: PathBuf, log: &Logger) -> Result<(), StartError> {
+    let failed = |what: &str| {
+        let what = what.to_string();
+        move |why| StartError::System { what, why }
+    };
     let settings = Arc::new(config.settings.clone());
-    let mut reducer = Reducer::new(&config, Arc::clone(&settings))?;
+    let clock = Clock::start();
+    let seed = config.seed()?;
+    let membership = own.registry.as_ref().map(|set| set.membership(&config));
+    let id = membership.as_ref().map(|set| set.instance.id.clone()).unwrap_or_default();
+    let membership = membership.map(|set| Membership::new(set, seed, clock.read().now));
+    let registration = Registration::new(membership, own.leave_hold);
+    let mut reducer = Reducer::new(&config, Arc::clone(&settings), registration)?;
     let pool = Pool::new(POOL.min(config.memory(POOL_PART) / SIZE));
     let (inputs, queue) = bounded(QUEUE);
     let (urgently, urgent) = bounded(URGENT);
@@ -46,12 +76,13 @@
         Arc::clone(&pool),
         log.clone(),
     );
-    let clients = clients.map_err(|e| format!("listening on {}: {e}", config.listen))?;
+    let clients = clients.map_err(failed(&format!("listening on {}", config.listen)))?;
+    let registry = own.registry.as_ref().map(|set| Registry::start(set, &id, &urgently, log));
+    let registry = registry.transpose().map_err(failed("registry"))?;
     let processor = Processor::connect(config.processor, urgently, pool, log.clone());
     let processor = processor.map_err(failed("processor"))?;
     info!(log, "serving"; "listen" => %clients.local_addr(), "version" => env!("CARGO_PKG_VERSION"));
 
-    let clock = Clock::start();
     let (mut arrived, mut effects): (Vec<Input>, Vec<Effect>) = (Vec::new(), Vec::new());
     loop {
         reducer.step(clock.read(), arrived.drain(..), &mut effects);
@@ -73,6 +104,11 @@
                         info!(log, "a report could not be sent"; "error" => %e);
                     }
                 }
+                Effect::Registry(ask) => {
+                    if let Some(registry) = &registry {
+                        registry.ask(ask);
+                    }
+                }
                 Effect::Log(Level::Info, text) => info!(log, "{}", text),
                 Effect::Log(Level::Warning, text) => warn!(log, "{}", text),
                 Effect::Log(_, text) => error!(log, "{}", text),
@@ -95,20 +131,23 @@
     }
 }
 
-/// SIGTERM becomes the notice to leave. SIGHUP becomes the configuration, read again; where that can't be used,
+/// SIGTERM becomes the notice to leave, SIGUSR1 an operator's order to go out of service and then leave, SIGUSR2 the
+/// order to come back from that. SIGHUP becomes the configuration, read again; where that can't be used,
 /// the one in force stays.
 fn watch_signals(file: PathBuf, inputs: Sender<Input>, log: Logger) -> std::io::Result<()> {
-    let mut signals = Signals::new([SIGTERM, SIGHUP])?;
+    let mut signals = Signals::new([SIGTERM, SIGHUP, SIGUSR1, SIGUSR2])?;
     let watch = move || {
         for signal in signals.forever() {
             let input = match signal {
-                SIGHUP => match Config::load(&file) {
+                SIGHUP => match config::load(&file) {
                     Ok(config) => Input::Reload(Box::new(config)),
                     Err(why) => {
-                        error!(log, "the configuration stays as it was"; "reason" => why);
+                        error!(log, "the configuration stays as it was"; "reason" => %why);
                         continue;
                     }
                 },
+                SIGUSR1 => Input::TakeOut,
+                SIGUSR2 => Input::TakeIn,
                 _ => Input::Terminate,
             };
             if inputs.send(input).is_err() {
--- /dev/null
+++ b/crates/node/src/settings/reader.rs
@@ -0,0 +1,281 @@
+//! Takes a KDL document apart, and keeps what is wrong with it.
+
+use super::Problem;
+use gradepin_decisions::Span;
+use kdl::{KdlDocument, KdlNode, KdlValue};
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+/// What is wrong, by the place in the text.
+pub struct Problems<'t> {
+    text: &'t str,
+    found: RefCell<Vec<(usize, String)>>,
+}
+
+impl<'t> Problems<'t> {
+    pub fn new(text: &'t str) -> Self {
+        Self { text, found: RefCell::default() }
+    }
+
+    fn add(&self, offset: usize, what: impl Into<String>) {
+        self.found.borrow_mut().push((offset, what.into()));
+    }
+
+    pub fn into_sorted(self) -> Vec<Problem> {
+        let mut found = self.found.into_inner();
+        found.sort();
+        found.dedup();
+        let place = |offset: usize| {
+            let before = self.text.get(..offset.min(self.text.len())).unwrap_or(self.text);
+            let line = before.matches('\n').count() + 1;
+            let column = before.rsplit('\n').next().unwrap_or("").chars().count() + 1;
+            (line, column)
+        };
+        let told = found.into_iter().map(|(offset, what)| {
+            let (line, column) = place(offset);
+            Problem { line, column, what }
+        });
+        told.collect()
+    }
+}
+
+/// The nodes of a document or between a node's braces. Each is taken by its name; what is left at the end is unknown.
+pub struct Block<'p> {
+    nodes: Vec<KdlNode>,
+    taken: BTreeSet<usize>,
+    at: usize,
+    problems: &'p Problems<'p>,
+}
+
+/// A node that may stand several times.
+pub struct Repeated<'p> {
+    node: KdlNode,
+    properties: BTreeSet<String>,
+    problems: &'p Problems<'p>,
+}
+
+fn offset(node: &KdlNode) -> usize {
+    // The span of a node takes in what stands before it on its line.
+    node.name().span().offset()
+}
+
+impl<'p> Block<'p> {
+    /// The whole document; none if it is no KDL.
+    pub fn document(text: &str, problems: &'p Problems<'p>) -> Option<Self> {
+        match KdlDocument::parse(text) {
+            Ok(document) => Some(Self::of(document.nodes().to_vec(), 0, problems)),
+            Err(error) => {
+                for one in &error.diagnostics {
+                    let what = one.message.clone().or(one.label.clone()).unwrap_or("expected KDL".into());
+                    problems.add(one.span.offset(), what);
+                }
+                if error.diagnostics.is_empty() {
+                    problems.add(0, "expected KDL");
+                }
+                None
+            }
+        }
+    }
+
+    fn of(nodes: Vec<KdlNode>, at: usize, problems: &'p Problems<'p>) -> Self {
+        Self { nodes, taken: BTreeSet::new(), at, problems }
+    }
+
+    /// Something is wrong with the block itself.
+    pub fn problem(&self, what: &str) {
+        self.problems.add(self.at, what);
+    }
+
+    /// Whether a node of the name stands here, right or wrong.
+    pub fn has(&self, name: &str) -> bool {
+        self.nodes.iter().any(|node| node.name().value() == name)
+    }
+
+    fn take(&mut self, name: &str) -> Option<KdlNode> {
+        let mut found = None;
+        for (n, node) in self.nodes.iter().enumerate().filter(|(_, node)| node.name().value() == name) {
+            self.taken.insert(n);
+            if found.is_some() {
+                self.problems.add(offset(node), format!("'{name}' stands twice"));
+            } else {
+                found = Some(node.clone());
+            }
+        }
+        found
+    }
+
+    /// The node's one argument.
+    fn value(&mut self, name: &str, what: &str) -> Option<(usize, KdlValue)> {
+        let node = self.take(name)?;
+        if node.children().is_some() {
+            self.problems.add(offset(&node), format!("expected no children of {name}"));
+        }
+        match node.entries() {
+            [one] if one.name().is_none() => Some((offset(&node), one.value().clone())),
+            _ => {
+                self.problems.add(offset(&node), format!("expected {name} to be {what}"));
+                None
+            }
+        }
+    }
+
+    fn wrong<T>(&self, at: usize, name: &str, what: &str, value: &KdlValue) -> Option<T> {
+        self.problems.add(at, format!("expected {name} to be {what}, got {}", shown(value)));
+        None
+    }
+
+    /// A text that is not empty.
+    pub fn word(&mut self, name: &str) -> Option<String> {
+        let (at, value) = self.value(name, "one word")?;
+        match value.as_string().filter(|text| !text.is_empty()) {
+            Some(text) => Some(text.to_string()),
+            None => self.wrong(at, name, "a word", &value),
+        }
+    }
+
+    /// One of some words, by its place among them.
+    pub fn choice(&mut self, name: &str, words: &[&str]) -> Option<usize> {
+        let (at, value) = self.value(name, "one word")?;
+        let place = value.as_string().and_then(|text| words.iter().position(|word| *word == text));
+        if place.is_none() {
+            let words: Vec<String> = words.iter().map(|word| format!("{word:?}")).collect();
+            let what = format!("expected {name} {}, got {}", words.join(" or "), shown(&value));
+            self.problems.add(at, what);
+        }
+        place
+    }
+
+    /// Milliseconds.
+    pub fn span_ms(&mut self, name: &str, range: RangeInclusive<u64>) -> Option<Span> {
+        let (at, value) = self.value(name, "one whole number")?;
+        let Some(number) = value.as_integer() else { return self.wrong(at, name, "a whole number", &value) };
+        match u64::try_from(number).ok().filter(|ms| range.contains(ms)) {
+            Some(ms) => Some(Span(ms * 1_000_000)),
+            None => {
+                let (least, most) = (range.start(), range.end());
+                self.problems.add(at, format!("expected {name} from {least} to {most}, got {number}"));
+                None
+            }
+        }
+    }
+
+    /// A part of a whole.
+    pub fn share(&mut self, name: &str) -> Option<f64> {
+        let (at, value) = self.value(name, "one number")?;
+        let number = value.as_float().or(value.as_integer().map(|whole| whole as f64));
+        match number {
+            Some(share) if (0.0..=1.0).contains(&share) => Some(share),
+            Some(_) => {
+                self.problems.add(at, format!("expected {name} from 0 to 1, got {}", shown(&value)));
+                None
+            }
+            None => self.wrong(at, name, "a number", &value),
+        }
+    }
+
+    pub fn truth(&mut self, name: &str) -> Option<bool> {
+        let (at, value) = self.value(name, "#true or #false")?;
+        match value.as_bool() {
+            Some(truth) => Some(truth),
+            None => self.wrong(at, name, "#true or #false", &value),
+        }
+    }
+
+    pub fn address(&mut self, name: &str) -> Option<SocketAddr> {
+        let (at, value) = self.value(name, "one address")?;
+        match value.as_string().and_then(|text| text.parse().ok()) {
+            Some(address) => Some(address),
+            None => self.wrong(at, name, "IP:PORT", &value),
+        }
+    }
+
+    /// A node with children.
+    pub fn block(&mut self, name: &str) -> Option<Block<'p>> {
+        let node = self.take(name)?;
+        if !node.entries().is_empty() {
+            self.problems.add(offset(&node), format!("expected {name} to have children only"));
+        }
+        let nodes = node.children().map_or_else(Vec::new, |children| children.nodes().to_vec());
+        Some(Self::of(nodes, offset(&node), self.problems))
+    }
+
+    /// All nodes of a name, each with its one argument, a text.
+    pub fn each(&mut self, name: &str) -> Vec<(String, Repeated<'p>)> {
+        let mut all = Vec::new();
+        for (n, node) in self.nodes.iter().enumerate().filter(|(_, node)| node.name().value() == name) {
+            self.taken.insert(n);
+            let arguments: Vec<&KdlValue> = node
+                .entries()
+                .iter()
+                .filter(|entry| entry.name().is_none())
+                .map(|entry| entry.value())
+                .collect();
+            match arguments[..] {
+                [KdlValue::String(text)] => {
+                    let properties = BTreeSet::new();
+                    all.push((
+                        text.clone(),
+                        Repeated { node: node.clone(), properties, problems: self.problems },
+                    ));
+                }
+                _ => self.problems.add(offset(node), format!("expected {name} to have one text")),
+            }
+        }
+        all
+    }
+
+    /// All nodes, names and their one text each.
+    pub fn rest_as_words(&mut self) -> Vec<(String, String)> {
+        let names: BTreeSet<String> = self.nodes.iter().map(|node| node.name().value().to_string()).collect();
+        names.into_iter().filter_map(|name| Some((name.clone(), self.word(&name)?))).collect()
+    }
+
+    /// Whatever was not taken is unknown.
+    pub fn end(self) {
+        for (n, node) in self.nodes.iter().enumerate() {
+            if !self.taken.contains(&n) {
+                self.problems.add(offset(node), format!("an unknown node '{}'", node.name().value()));
+            }
+        }
+    }
+}
+
+impl Repeated<'_> {
+    /// A property that is a text.
+    pub fn property(&mut self, name: &str) -> Option<String> {
+        self.properties.insert(name.to_string());
+        let value = self.node.get(name)?;
+        match value.as_string() {
+            Some(text) => Some(text.to_string()),
+            None => {
+                self.problem(&format!("expected {name} to be a text, got {}", shown(value)));
+                None
+            }
+        }
+    }
+
+    /// Something is wrong with the node.
+    pub fn problem(&self, what: &str) {
+        self.problems.add(offset(&self.node), what);
+    }
+
+    /// Whatever property was not asked for is unknown.
+    pub fn end_properties(self) {
+        for name in self.node.entries().iter().filter_map(|entry| entry.name()) {
+            if !self.properties.contains(name.value()) {
+                self.problem(&format!("an unknown property '{}'", name.value()));
+            }
+        }
+    }
+}
+
+/// A value as it would be written.
+fn shown(value: &KdlValue) -> String {
+    match value {
+        KdlValue::String(text) => format!("{text:?}"),
+        KdlValue::Float(number) => format!("{number:?}"),
+        other => other.to_string(),
+    }
+}
