--- /dev/null
+++ b/crates/kit/src/drill/registry.rs
@@ -0,0 +1,325 @@
+//! Drains under load while the registry fails: does the server still answer everything, run nothing late or twice, and
+//! do callers that follow the registry learn in time?
+
+use super::{Claims, quantile};
+use crate::fleet::{self, Fleet, FleetSpec};
+use crate::load::{Books, End, Fixed, Habit, Proxy, Servers, Try, classes};
+use crate::processor::{Begun, Spec};
+use crate::registry::faults::Fault;
+use crate::registry::server::{Server, ServerSettings, unix_ms};
+use crate::registry::state::RegistrySettings;
+use crate::watch::Watcher;
+use gradepin_decisions::Span;
+use gradepin_node::settings::ServiceUrl;
+use gradepin_registry::instance::Status;
+use gradepin_registry::view::ViewSettings;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The drain rule's limit, and the slack on sockets.
+const GRACE_MS: u64 = 1_800;
+const SLACK_MS: u64 = 50;
+/// What a caller of the rules on sockets grants beyond the due time.
+const ANSWER_SLACK_MS: u64 = 150;
+/// Written so shortly before the kill, a request may never have been read.
+const UNREAD_MS: u64 = 100;
+
+/// What is drilled.
+#[derive(Debug, Clone)]
+pub struct Drill {
+    /// The daemon's program.
+    pub daemon: PathBuf,
+    /// For everything that is drawn.
+    pub seed: u64,
+    /// Drains in all.
+    pub drains: usize,
+    /// Fleets beside one another.
+    pub fleets: usize,
+    /// Servers in each.
+    pub servers: usize,
+    /// First tries a second in each.
+    pub rate: f64,
+    /// Without the protection: servers register nowhere, callers go by a fixed list.
+    pub plain: bool,
+}
+
+/// One drain as it went; times in Unix milliseconds.
+#[derive(Debug, Clone)]
+struct Drain {
+    fault: Fault,
+    server: SocketAddr,
+    told: u64,
+    killed: u64,
+    back: u64,
+    out_after: Option<u64>,
+    up_after: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Run {
+    books: Vec<Books>,
+    drains: Vec<Drain>,
+    begun: BTreeMap<SocketAddr, Vec<Begun>>,
+    cpu_ms: u64,
+    calls: u64,
+    seconds: f64,
+}
+
+/// Plays it, prints the claims, and says whether all are kept.
+pub fn run(drill: &Drill) -> io::Result<bool> {
+    let folder = fleet::folder("drill-registry")?;
+    println!("seed {}, {} drains over {} fleets of {} servers", drill.seed, drill.drains, drill.fleets, drill.servers);
+    let each = drill.drains.div_ceil(drill.fleets.max(1));
+    let play = |n: usize, with: bool, drains: usize| {
+        let (drill, folder) = (drill.clone(), folder.join(format!("fleet{n}")));
+        thread::spawn(move || -> io::Result<Run> {
+            std::fs::create_dir_all(&folder)?;
+            play(&drill, drill.seed + 1000 * n as u64, with, drains, folder)
+        })
+    };
+    // The same drains without a registry, beside the others, for what callers of a fixed list meet.
+    let plain = play(drill.fleets, false, each.min(20));
+    let fleets: Vec<_> = (0..drill.fleets).map(|n| play(n, !drill.plain, each)).collect();
+    let join = |handle: thread::JoinHandle<io::Result<Run>>| {
+        handle.join().map_err(|_| io::Error::other("a fleet's thread has panicked"))?
+    };
+    let runs = fleets.into_iter().map(join).collect::<io::Result<Vec<Run>>>()?;
+    let plain = join(plain)?;
+    let kept = judge(drill, &runs, &plain);
+    if kept {
+        fleet::remove(&folder);
+    } else {
+        println!("logs are in {}", folder.display());
+    }
+    Ok(kept)
+}
+
+fn url(server: &Server) -> ServiceUrl {
+    ServiceUrl { url: server.url(), login: None }
+}
+
+fn play(drill: &Drill, seed: u64, with: bool, drains: usize, folder: PathBuf) -> io::Result<Run> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let rules = RegistrySettings { cache_ms: 50, evict_every_ms: 500, ..RegistrySettings::default() };
+    let set = ServerSettings { rules, peer_delay: Duration::from_millis(30), ..ServerSettings::default() };
+    let local = SocketAddr::from(([127, 0, 0, 1], 0));
+    let registries = [Server::start(local, set.clone())?, Server::start(local, set)?];
+    registries[0].follows(&registries[1]);
+    registries[1].follows(&registries[0]);
+    let spec = FleetSpec {
+        daemon: drill.daemon.clone(),
+        servers: drill.servers,
+        processor: Spec {
+            classes: classes().iter().map(|class| (class.name.clone(), Duration::from_millis(40))).collect(),
+            warms_in: Duration::from_secs(2),
+            seed,
+            ..Spec::default()
+        },
+        stop: Duration::from_millis(2_500),
+        callers: 2,
+        registries: if with { registries.iter().map(Server::url).collect() } else { Vec::new() },
+        registry_more: "    heartbeat-ms 1000\n    lease-ms 3000\n    timeout-ms 500\n    steady-ms 100\n    tell-every-ms 200\n    prefer-every-ms 2000".into(),
+        folder,
+    };
+    let mut fleet = Fleet::start(&spec)?;
+    let urls: Vec<ServiceUrl> = registries.iter().map(url).collect();
+    let set = ViewSettings { refresh: Span(200_000_000), retry: Span(50_000_000), ..ViewSettings::default() };
+    let mut watchers = Vec::new();
+    let mut proxies = Vec::new();
+    let all: Vec<SocketAddr> = fleet.nodes.iter().map(|node| node.address).collect();
+    if with {
+        wait(Duration::from_secs(20), || {
+            fleet.nodes.iter().all(|node| shows(&registries, &node.name) == Some(Status::Up))
+        });
+    }
+    for n in 0..2 {
+        let servers: Box<dyn Servers> = if with {
+            let watcher = Watcher::start(&urls, set.clone(), Duration::from_millis(300), seed + n)?;
+            wait(Duration::from_secs(10), || watcher.view().len() == drill.servers);
+            let servers = watcher.servers("tiles");
+            watchers.push(watcher);
+            servers
+        } else {
+            Box::new(Fixed { all: all.clone(), turn: n as usize })
+        };
+        let habit = Habit { rate: drill.rate / 2.0, tries: 4, heeds: false };
+        proxies.push(Proxy::start(n + 1, seed + 7 * n, habit, servers)?);
+    }
+    let mut run = Run::default();
+    let start = Instant::now();
+    let kinds = Fault::kinds();
+    for k in 0..drains {
+        thread::sleep(Duration::from_millis(200 + rng.next_u64() % 200));
+        let which = k % fleet.nodes.len();
+        let fault = kinds[(seed as usize + k) % kinds.len()].clone();
+        // Before the notice or after it, by up to 300 ms.
+        let offset = rng.next_u64() % 600;
+        let faulty = &registries[0];
+        if offset < 300 {
+            faulty.fail(fault.clone());
+            thread::sleep(Duration::from_millis(300 - offset));
+        }
+        let node = &mut fleet.nodes[which];
+        let cpu = node.cpu();
+        node.terminate();
+        let (told, at) = (unix_ms(), Instant::now());
+        let mut late = (offset >= 300).then(|| Duration::from_millis(offset - 300));
+        let mut out_after = None;
+        while at.elapsed() < spec.stop {
+            if late.is_some_and(|late| at.elapsed() >= late) {
+                late = None;
+                faulty.fail(fault.clone());
+            }
+            if out_after.is_none() && shows(&registries, &node.name) == Some(Status::OutOfService) {
+                out_after = Some(at.elapsed().as_millis() as u64);
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        run.cpu_ms += node.cpu().zip(cpu).map_or(0, |(after, before)| (after - before).as_millis() as u64);
+        let killed = unix_ms();
+        node.kill();
+        faulty.fail(Fault::None);
+        node.processor.restart(0.21);
+        let again = Instant::now();
+        node.spawn()?;
+        let name = node.name.clone();
+        let up = || if with { shows(&registries, &name) == Some(Status::Up) } else { fleet.control.roster().ready(Instant::now(), Duration::ZERO).contains(&name) };
+        let is_up = wait(Duration::from_secs(15), up);
+        let up_after = is_up.then(|| again.elapsed().as_millis() as u64);
+        let back = unix_ms();
+        run.drains.push(Drain { fault, server: all[which], told, killed, back, out_after, up_after });
+    }
+    run.seconds = start.elapsed().as_secs_f64();
+    run.calls = registries.iter().map(Server::requests).sum();
+    run.books = proxies.into_iter().map(Proxy::stop).collect();
+    fleet.drain();
+    for node in &mut fleet.nodes {
+        run.begun.insert(node.address, std::mem::take(&mut node.begun));
+    }
+    Ok(run)
+}
+
+/// The state at the first registry that shows one; both are looked at, as callers may ask either.
+fn shows(registries: &[Server; 2], id: &str) -> Option<Status> {
+    let of = |registry: &Server| registry.instance("TILE-SERVER", id).map(|i| i.status);
+    let states = registries.iter().filter_map(of);
+    states.clone().find(|status| *status == Status::OutOfService).or_else(|| states.clone().next())
+}
+
+fn wait(patience: Duration, done: impl Fn() -> bool) -> bool {
+    let start = Instant::now();
+    while start.elapsed() < patience {
+        if done() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+    false
+}
+
+/// Tries at a server that is out or away which a notice in time would have spared their callers.
+fn in_vain(run: &Run, drain: &Drain) -> usize {
+    let vain = |t: &&Try| {
+        let at = (drain.told..drain.back).contains(&t.t0_ms) && t.server == drain.server;
+        at && matches!(t.end, End::Refused | End::NoConnection | End::Lost | End::Failed)
+    };
+    run.books.iter().flat_map(|books| &books.tries).filter(vain).count()
+}
+
+fn judge(drill: &Drill, runs: &[Run], plain: &Run) -> bool {
+    let mut claims = Claims::default();
+    let drains: Vec<&Drain> = runs.iter().flat_map(|run| &run.drains).collect();
+    let tries: Vec<&Try> = runs.iter().flat_map(|run| &run.books).flat_map(|books| &books.tries).collect();
+    let requests = || runs.iter().flat_map(|run| &run.books).flat_map(|books| &books.requests);
+    let served = requests().filter(|(_, _, took)| took.is_some()).count();
+    println!("{} requests, {served} served, {} tries", requests().count(), tries.len());
+
+    // What was written to a server that could still read it.
+    let read = |t: &&&Try| {
+        let killed = |d: &&&Drain| d.server == t.server && (d.killed - UNREAD_MS..d.back).contains(&t.t0_ms);
+        t.end != End::NoConnection && !drains.iter().any(|d| killed(&d))
+    };
+    let owed: Vec<&&Try> = tries.iter().filter(read).collect();
+    let unanswered = owed.iter().filter(|t| matches!(t.end, End::Lost | End::TimedOut));
+    let late = owed.iter().filter(|t| t.end_ms > t.t0_ms + t.budget_ms + ANSWER_SLACK_MS);
+    let (unanswered, late) = (unanswered.count(), late.count());
+    claims.claim(
+        unanswered + late == 0 && !owed.is_empty(),
+        "answered by the due time",
+        format!("{} of {}, {unanswered} never, {late} late", owed.len() - unanswered - late, owed.len()),
+    );
+    let false_answers = tries.iter().filter(|t| t.end == End::Served && !t.genuine).count();
+    claims.claim(false_answers == 0, "served with what no run made", false_answers);
+
+    let written: BTreeMap<&str, &Try> = tries.iter().map(|t| (t.rid.as_str(), *t)).collect();
+    let (mut past, mut twice, mut began, mut keyed) = (0, 0, 0, 0);
+    for run in runs {
+        for (server, begun) in &run.begun {
+            began += begun.len();
+            let drained: Vec<&Drain> = run.drains.iter().filter(|d| d.server == *server).collect();
+            for b in begun {
+                let Some(t) = written.get(b.id.as_str()) else { continue };
+                let after = |d: &&&Drain| t.t0_ms > d.told + GRACE_MS + SLACK_MS && t.t0_ms < d.killed && b.at_ms < d.killed;
+                past += usize::from(drained.iter().any(|d| after(&d)));
+            }
+            // A life ends with the kill: what ran before it is not known to the next.
+            let life = |b: &Begun| drained.iter().filter(|d| d.killed <= b.at_ms).count();
+            let saves = begun.iter().filter(|b| b.class == "label-save");
+            let mut counts = BTreeMap::<(usize, &[u8]), usize>::new();
+            for b in saves {
+                keyed += 1;
+                *counts.entry((life(b), &b.body)).or_default() += 1;
+            }
+            twice += counts.values().filter(|count| **count > 1).count();
+        }
+    }
+    claims.claim(past == 0 && began > 0, "runs past 1.8 s after the notice", format!("{past} of {began} runs"));
+    claims.claim(twice == 0 && keyed > 0, "label-save run twice", format!("{twice} of {keyed} runs"));
+
+    let vain: usize = runs.iter().map(|run| run.drains.iter().map(|d| in_vain(run, d)).sum::<usize>()).sum();
+    let plain_vain: usize = plain.drains.iter().map(|d| in_vain(plain, d)).sum();
+    let each = vain as f64 / drains.len().max(1) as f64;
+    let plain_each = plain_vain as f64 / plain.drains.len().max(1) as f64;
+    claims.claim(
+        plain_each > 0.0 && each < 0.01 * plain_each,
+        "tries in vain at a server that left, under 1% of those by a fixed list",
+        format!("{each:.2} a drain against {plain_each:.2}"),
+    );
+    if !drill.plain {
+        let unseen = drains.iter().filter(|d| d.out_after.is_none()).count();
+        claims.claim(unseen == 0, "out of service seen at a registry before the stop", format!("not in {unseen} of {} drains", drains.len()));
+        let not_up = drains.iter().filter(|d| d.up_after.is_none()).count();
+        claims.claim(not_up == 0, "up again within 15 s of a cold return", format!("not in {not_up}"));
+        let sorted = |of: fn(&Drain) -> Option<u64>| {
+            let mut all: Vec<u64> = drains.iter().filter_map(|d| of(d)).collect();
+            all.sort_unstable();
+            all
+        };
+        let (out, up) = (sorted(|d| d.out_after), sorted(|d| d.up_after));
+        println!("from SIGTERM to OUT_OF_SERVICE: p50 {} ms, p99 {} ms", quantile(&out, 0.5), quantile(&out, 0.99));
+        println!("from a cold return to UP: p50 {} ms, p99 {} ms", quantile(&up, 0.5), quantile(&up, 0.99));
+        let mut by_fault = BTreeMap::<String, (usize, usize, Vec<u64>)>::new();
+        for run in runs {
+            for d in &run.drains {
+                let entry = by_fault.entry(d.fault.to_string()).or_default();
+                entry.0 += 1;
+                entry.1 += in_vain(run, d);
+                entry.2.extend(d.out_after);
+            }
+        }
+        for (fault, (count, vain, mut out)) in by_fault {
+            out.sort_unstable();
+            println!("  {fault:<22} {count:>3} drains, {vain:>3} in vain, out after p50 {} ms, most {} ms", quantile(&out, 0.5), quantile(&out, 1.0));
+        }
+        let calls: u64 = runs.iter().map(|run| run.calls).sum();
+        let seconds: f64 = runs.iter().map(|run| run.seconds).sum();
+        println!("registry requests a second and fleet, callers' fetches among them: {:.1}", calls as f64 / seconds.max(1e-9));
+    }
+    claims.all_kept()
+}
--- /dev/null
+++ b/crates/kit/src/fleet.rs
@@ -0,0 +1,252 @@
+//! A fleet on loopback addresses: real daemons, each with a stand-in processor, and one control plane.
+
+use crate::control::Control;
+use crate::processor::{Begun, Processor, Spec};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::fs::File;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Port of every server; each has a loopback address of its own.
+const PORT: u16 = 18_443;
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+/// What a fleet is made of.
+#[derive(Debug, Clone)]
+pub struct FleetSpec {
+    /// The daemon's program.
+    pub daemon: PathBuf,
+    /// Servers.
+    pub servers: usize,
+    /// What their processors are like.
+    pub processor: Spec,
+    /// From SIGTERM to the kill.
+    pub stop: Duration,
+    /// Client proxies that there will be.
+    pub callers: usize,
+    /// Service URLs of registries; none for none.
+    pub registries: Vec<String>,
+    /// More lines for the registry's settings.
+    pub registry_more: String,
+    /// Where files and logs go.
+    pub folder: PathBuf,
+}
+
+/// The daemon beside the running program.
+pub fn daemon() -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let folders = own.ancestors().skip(1).take(2);
+    let found = folders.map(|folder| folder.join("gradepin")).find(|path| path.is_file());
+    found.ok_or_else(|| io::Error::new(io::ErrorKind::NotFound, "no program gradepin beside this one: build it first"))
+}
+
+/// A folder for a run's files, made new.
+pub fn folder(name: &str) -> io::Result<PathBuf> {
+    let folder = std::env::temp_dir().join(format!("gradepin-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
+
+/// The next loopback address that no other server of this process has.
+fn next_address() -> SocketAddr {
+    let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    SocketAddr::from(([127, 64 + ((pid >> 8) % 64) as u8, (pid % 256) as u8, n], PORT))
+}
+
+/// The settings of the brief's deployment, its times at a quarter as those of [`crate::load::classes`].
+pub fn settings(spec: &FleetSpec) -> Value {
+    const MS: u64 = 1_000_000;
+    let profile = |name: &str, aim: u64, deadline: u64, worth: f64, effect: &str, late: f64| {
+        json!({"name": name, "promise": aim * MS, "deadline": deadline * MS, "effect": effect, "late_value": late,
+               "window": 8_000 * MS, "worth": worth})
+    };
+    let tenant = |name: &str, portion: f64| json!({"name": name, "portion": portion, "quota_rps": 400.0 * portion});
+    json!({
+        "granularity": MS,
+        "servers": spec.servers,
+        "profiles": [
+            profile("sheet-view", 400, 1000, 1.0, "repeatable", 0.0),
+            profile("deep-zoom", 550, 1450, 1.0, "repeatable", 0.0),
+            profile("label-read", 400, 1000, 2.0, "repeatable", 0.0),
+            profile("label-save", 400, 1000, 4.0, "by_key", 0.2),
+        ],
+        "callers": {"marks_retry": true},
+        "customers": [tenant("etela-kasvio", 0.42), tenant("lansi-kasvio", 0.26), tenant("ita-kasvio", 0.18),
+                      tenant("pohjois-kasvio", 0.14)],
+        "goal": {"whole": 0.4, "worst_window": 0.3, "worst_class": 0.2, "worst_tenant": 0.1},
+        "limits": {"max_retry_after": 1000 * MS, "retry_after": true},
+        "over_share_worth": 0.05,
+        "rules": {"answer_slack": 100 * MS, "cold": spec.processor.warms_in.as_nanos() as u64, "cold_share": 0.21,
+                  "drain_grace": 1800 * MS, "fall": 1500 * MS, "tip_multiple": 8.0},
+        "specifics": {"advert": "threshold", "below": "off", "clients_total": spec.callers,
+                      "gauges": ["core_use", "on_cores", "heap_share", "links"], "heeded": 1000 * MS,
+                      "idle": 8000 * MS, "kb_per_key": 45.5, "linger": 200 * MS, "list_follows": true,
+                      "memory_kb": spec.processor.memory_kb, "n_cores": spec.processor.cores,
+                      "passes_deadline": true, "run_factor": 8.0, "share_span": 5000 * MS, "stop_mode": "off",
+                      "tells_gone": true}
+    })
+}
+
+/// One server with its processor.
+pub struct Node {
+    /// Its name.
+    pub name: String,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its processor.
+    pub processor: Processor,
+    /// Every run so far.
+    pub begun: Vec<Begun>,
+    /// Its process, while there is one.
+    child: Option<Child>,
+    config: PathBuf,
+    own: Option<PathBuf>,
+    log: PathBuf,
+    daemon: PathBuf,
+    stop: Duration,
+}
+
+impl Node {
+    /// Starts the daemon's process.
+    pub fn spawn(&mut self) -> io::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let mut command = Command::new(&self.daemon);
+        command.arg("serve").arg("--config").arg(&self.config).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        if let Some(own) = &self.own {
+            command.arg("--settings").arg(own);
+        }
+        self.child = Some(command.spawn()?);
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
+        // One that has ended is not there to be told.
+        let _ = pid.map(|pid| kill_process(pid, signal));
+    }
+
+    /// The notice to leave.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// The end, at once.
+    pub fn kill(&mut self) {
+        self.begun.extend(self.processor.begun());
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Whether its process has ended though nobody ended it.
+    pub fn crashed(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
+    /// The CPU that its process used so far.
+    pub fn cpu(&self) -> Option<Duration> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.as_ref()?.id())).ok()?;
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        Some(Duration::from_millis(ticks * 10))
+    }
+
+    /// From the notice to the kill.
+    pub fn stop(&self) -> Duration {
+        self.stop
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A running fleet; all of its processes end when this is dropped.
+pub struct Fleet {
+    /// The servers.
+    pub nodes: Vec<Node>,
+    /// Their control plane.
+    pub control: Control,
+}
+
+impl Fleet {
+    /// Starts all servers, and waits until each takes connections and is reported as ready.
+    pub fn start(spec: &FleetSpec) -> io::Result<Self> {
+        let control = Control::start(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let mut nodes = Vec::new();
+        for n in 0..spec.servers {
+            let name = format!("n{n}");
+            let address = next_address();
+            let local = SocketAddr::from(([127, 0, 0, 1], 0));
+            let processor = Processor::start(local, Spec { seed: spec.processor.seed + n as u64, ..spec.processor.clone() })?;
+            let config = spec.folder.join(format!("{name}.json"));
+            let text = json!({
+                "name": name, "listen": address, "processor": processor.address(), "control": control.address(),
+                "seed": format!("{:016x}", spec.processor.seed + n as u64), "stop_ms": spec.stop.as_millis() as u64,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings(spec)
+            });
+            std::fs::write(&config, text.to_string())?;
+            let own = (!spec.registries.is_empty()).then(|| spec.folder.join(format!("{name}.kdl")));
+            if let Some(own) = &own {
+                let urls: String = spec.registries.iter().map(|url| format!("    url \"{url}\"\n")).collect();
+                let more = &spec.registry_more;
+                let text = format!("registry {{\n{urls}    app \"TILE-SERVER\"\n    vip \"tiles\"\n{more}\n}}\n");
+                std::fs::write(own, text)?;
+            }
+            let (log, daemon) = (spec.folder.join(format!("{name}.log")), spec.daemon.clone());
+            let mut node =
+                Node { name, address, processor, begun: Vec::new(), child: None, config, own, log, daemon, stop: spec.stop };
+            node.spawn()?;
+            nodes.push(node);
+        }
+        let mut fleet = Self { nodes, control };
+        fleet.wait_ready(Duration::from_secs(20))?;
+        Ok(fleet)
+    }
+
+    fn wait_ready(&mut self, patience: Duration) -> io::Result<()> {
+        let start = Instant::now();
+        loop {
+            let ready = self.control.roster().ready(Instant::now(), Duration::ZERO).len();
+            if ready == self.nodes.len() {
+                return Ok(());
+            }
+            if let Some(node) = self.nodes.iter_mut().find_map(|node| node.crashed().then_some(&node.log)) {
+                return Err(io::Error::other(format!("a server ended at its start; see {}", node.display())));
+            }
+            if start.elapsed() > patience {
+                return Err(io::Error::new(io::ErrorKind::TimedOut, "the fleet did not become ready"));
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Takes in what the processors ran.
+    pub fn collect(&mut self) {
+        for node in &mut self.nodes {
+            node.begun.extend(node.processor.begun());
+        }
+    }
+
+    /// Tells all to leave, waits as long as they may take, and ends them.
+    pub fn drain(&mut self) {
+        self.nodes.iter().for_each(Node::terminate);
+        let stop = self.nodes.iter().map(Node::stop).max().unwrap_or_default();
+        thread::sleep(stop);
+        self.nodes.iter_mut().for_each(Node::kill);
+    }
+}
+
+/// Ends what a folder of a run holds, where it may go.
+pub fn remove(folder: &Path) {
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -1,3 +1,11 @@
-//! Stand-ins for everything that a tile server talks to, and tools that play with them.
+//! Stand-ins for everything that a tile server talks to, and tools that play with them: a registry, processors, a
+//! control plane, client proxies, fleets of real daemons, and drills.
 
+pub mod control;
+pub mod drill;
+pub mod fleet;
+pub mod load;
+pub mod processor;
 pub mod registry;
+pub mod thrift;
+pub mod watch;
--- /dev/null
+++ b/crates/kit/src/load.rs
@@ -0,0 +1,549 @@
+//! Client proxies: each draws its requests from a seed, finds servers by a list, speaks Thrift, tries again elsewhere,
+//! and keeps books of every try.
+
+use crate::registry::server::unix_ms;
+use crate::thrift::{self, Answer, Message};
+use crossbeam_channel::{Receiver, Sender, select, unbounded};
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{Rng, SeedableRng};
+use std::collections::{HashMap, HashSet};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// For a connection to a server on this machine.
+const CONNECT: Duration = Duration::from_millis(200);
+/// Requests open on one connection, as the protocol allows.
+const WINDOW: usize = 32;
+/// Past the time that its caller waits an answer is late, and past this again it is none.
+const LATE: Duration = Duration::from_millis(150);
+
+/// A class as callers know it.
+#[derive(Debug, Clone)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Its part of the requests.
+    pub share: f64,
+    /// How long callers wait.
+    pub deadline: Duration,
+    /// How long until the full worth is lost.
+    pub aim: Duration,
+    /// Whether its tries share a token and must run once.
+    pub keyed: bool,
+}
+
+/// The classes of the brief, at a quarter of its times.
+pub fn classes() -> Vec<Class> {
+    let class = |name: &str, share, aim, deadline, keyed| Class {
+        name: name.to_string(),
+        share,
+        aim: Duration::from_millis(aim),
+        deadline: Duration::from_millis(deadline),
+        keyed,
+    };
+    vec![
+        class("sheet-view", 0.36, 400, 1000, false),
+        class("deep-zoom", 0.29, 550, 1450, false),
+        class("label-read", 0.23, 400, 1000, false),
+        class("label-save", 0.12, 400, 1000, true),
+    ]
+}
+
+/// How a proxy finds servers. A name stands for a server in the books.
+pub trait Servers: Send {
+    /// A server to send to, none of the avoided ones if there is another.
+    fn pick(&mut self, avoided: &dyn Fn(SocketAddr) -> bool) -> Option<SocketAddr>;
+}
+
+/// A list that never changes, each in its turn.
+pub struct Fixed {
+    /// The servers.
+    pub all: Vec<SocketAddr>,
+    /// Whose turn it is.
+    pub turn: usize,
+}
+
+impl Servers for Fixed {
+    fn pick(&mut self, avoided: &dyn Fn(SocketAddr) -> bool) -> Option<SocketAddr> {
+        self.turn += 1;
+        let turns = (0..self.all.len()).map(|n| self.all[(self.turn + n) % self.all.len()]);
+        turns.clone().find(|&server| !avoided(server)).or_else(|| turns.clone().next())
+    }
+}
+
+/// A list that somebody else keeps up.
+impl Servers for Arc<Mutex<Fixed>> {
+    fn pick(&mut self, avoided: &dyn Fn(SocketAddr) -> bool) -> Option<SocketAddr> {
+        self.lock().unwrap_or_else(PoisonError::into_inner).pick(avoided)
+    }
+}
+
+/// What became of one try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// Served.
+    Served,
+    /// Turned away.
+    Refused,
+    /// Answered with a failure.
+    Failed,
+    /// No connection could be had.
+    NoConnection,
+    /// The connection ended without an answer.
+    Lost,
+    /// No answer by its time.
+    TimedOut,
+}
+
+/// One try in the books.
+#[derive(Debug, Clone)]
+pub struct Try {
+    /// Its id on the wire.
+    pub rid: String,
+    /// What all tries of its request share; also its body.
+    pub request: u64,
+    /// Index of its class.
+    pub class: usize,
+    /// Where it went.
+    pub server: SocketAddr,
+    /// When it was written, in Unix milliseconds.
+    pub t0_ms: u64,
+    /// How long its caller waits.
+    pub budget_ms: u64,
+    /// When its end was known.
+    pub end_ms: u64,
+    /// Its end.
+    pub end: End,
+    /// Whether what was served is what a run makes of its body.
+    pub genuine: bool,
+}
+
+/// How a proxy behaves.
+#[derive(Debug, Clone)]
+pub struct Habit {
+    /// First tries a second, Poisson.
+    pub rate: f64,
+    /// Tries of one request at the most.
+    pub tries: usize,
+    /// Whether it stays away from a server as long as a refusal asks.
+    pub heeds: bool,
+}
+
+/// What one proxy counted: its tries, and per request the class, the time until it was served, if it was.
+#[derive(Debug, Default)]
+pub struct Books {
+    /// Every try that ended.
+    pub tries: Vec<Try>,
+    /// Class, arrival in Unix milliseconds, and milliseconds until it was served, if it was.
+    pub requests: Vec<(usize, u64, Option<u64>)>,
+}
+
+enum Event {
+    Frame(u64, Message),
+    Ended(u64),
+}
+
+struct Conn {
+    id: u64,
+    stream: TcpStream,
+    next_seq: i32,
+    open: HashMap<i32, Open>,
+    draining: bool,
+}
+
+#[derive(Clone)]
+struct Open {
+    rid: String,
+    request: u64,
+    t0_ms: u64,
+    due: Instant,
+}
+
+struct Pending {
+    class: usize,
+    arrived: Instant,
+    arrived_ms: u64,
+    tries: usize,
+    tried: HashSet<SocketAddr>,
+    token: String,
+}
+
+/// A proxy that runs in threads of its own until it is told to stop.
+pub struct Proxy {
+    stop: Arc<AtomicBool>,
+    done: Receiver<Books>,
+    live: Arc<Mutex<Live>>,
+}
+
+/// Counts since the last look.
+#[derive(Debug, Default, Clone)]
+pub struct Live {
+    /// Requests that came.
+    pub arrived: u64,
+    /// Served within their aim, and after it.
+    pub served: u64,
+    /// See `served`.
+    pub late: u64,
+    /// Given up: no try was served.
+    pub unserved: u64,
+    /// Tries turned away.
+    pub refused: u64,
+    /// Milliseconds until served.
+    pub times: Vec<u64>,
+}
+
+impl Proxy {
+    /// Starts one; `peer` is its number.
+    pub fn start(peer: u64, seed: u64, habit: Habit, servers: Box<dyn Servers>) -> std::io::Result<Self> {
+        let (stop, live) = (Arc::<AtomicBool>::default(), Arc::<Mutex<Live>>::default());
+        let (send, done) = unbounded();
+        let (stops, counts) = (Arc::clone(&stop), Arc::clone(&live));
+        let run = move || {
+            let mut state = State::new(peer, seed, habit, servers, counts);
+            state.run(&stops);
+            let _ = send.send(state.books);
+        };
+        thread::Builder::new().name("proxy".into()).spawn(run)?;
+        Ok(Self { stop, done, live })
+    }
+
+    /// Counts since the last call.
+    pub fn live(&self) -> Live {
+        std::mem::take(&mut *self.live.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Sends no more, waits for what is open, and gives the books.
+    pub fn stop(self) -> Books {
+        self.stop.store(true, Ordering::Relaxed);
+        self.done.recv().unwrap_or_default()
+    }
+}
+
+struct State {
+    peer: u64,
+    rng: Pcg64Mcg,
+    habit: Habit,
+    servers: Box<dyn Servers>,
+    classes: Vec<Class>,
+    conns: HashMap<SocketAddr, Vec<Conn>>,
+    pending: HashMap<u64, Pending>,
+    away: HashMap<SocketAddr, Instant>,
+    books: Books,
+    live: Arc<Mutex<Live>>,
+    events: Receiver<Event>,
+    sender: Sender<Event>,
+    next_conn: u64,
+    next_request: u64,
+}
+
+impl State {
+    fn new(peer: u64, seed: u64, habit: Habit, servers: Box<dyn Servers>, live: Arc<Mutex<Live>>) -> Self {
+        let (sender, events) = unbounded();
+        Self {
+            peer,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            habit,
+            servers,
+            classes: classes(),
+            conns: HashMap::new(),
+            pending: HashMap::new(),
+            away: HashMap::new(),
+            books: Books::default(),
+            live,
+            events,
+            sender,
+            next_conn: 0,
+            next_request: 0,
+        }
+    }
+
+    fn unit(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    fn count(&self, change: impl FnOnce(&mut Live)) {
+        change(&mut self.live.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
+    fn run(&mut self, stop: &AtomicBool) {
+        let mut next = Instant::now();
+        let events = self.events.clone();
+        loop {
+            let stopping = stop.load(Ordering::Relaxed);
+            if stopping && self.pending.is_empty() {
+                break;
+            }
+            let now = Instant::now();
+            while !stopping && next <= now {
+                self.arrive(now);
+                let gap = -(1.0 - self.unit()).ln() / self.habit.rate.max(1e-3);
+                next += Duration::from_secs_f64(gap.min(60.0));
+            }
+            self.time_out(now);
+            let tick = Duration::from_millis(20);
+            let wait = if stopping { tick } else { next.saturating_duration_since(Instant::now()).min(tick) };
+            select! {
+                recv(events) -> event => {
+                    self.event(event.ok());
+                    while let Ok(event) = events.try_recv() {
+                        self.event(Some(event));
+                    }
+                }
+                default(wait) => {}
+            }
+        }
+        for conn in self.conns.drain().flat_map(|(_, conns)| conns) {
+            let _ = conn.stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn arrive(&mut self, now: Instant) {
+        let mut draw = self.unit();
+        let class = self.classes.iter().position(|class| {
+            draw -= class.share;
+            draw < 0.0
+        });
+        let class = class.unwrap_or(0);
+        self.next_request += 1;
+        let request = (self.peer << 40) | self.next_request;
+        let token = format!("{:016x}{:016x}", self.rng.next_u64(), request);
+        let arrived_ms = unix_ms();
+        let pending = Pending { class, arrived: now, arrived_ms, tries: 0, tried: HashSet::new(), token };
+        self.pending.insert(request, pending);
+        self.count(|live| live.arrived += 1);
+        self.send(request);
+    }
+
+    /// Sends a request's next try, or gives the request up.
+    fn send(&mut self, request: u64) {
+        loop {
+            let Some(pending) = self.pending.get(&request) else { return };
+            let deadline = self.classes[pending.class].deadline;
+            let left = deadline.saturating_sub(pending.arrived.elapsed());
+            if pending.tries >= self.habit.tries || left < Duration::from_millis(20) {
+                return self.give_up(request);
+            }
+            let now = Instant::now();
+            let (away, tried) = (&self.away, &pending.tried);
+            let avoided = |server| tried.contains(&server) || away.get(&server).is_some_and(|until| *until > now);
+            let Some(server) = self.servers.pick(&avoided) else { return self.give_up(request) };
+            if tried.contains(&server) {
+                return self.give_up(request);
+            }
+            if self.write(request, server, left) {
+                return;
+            }
+        }
+    }
+
+    fn give_up(&mut self, request: u64) {
+        if let Some(pending) = self.pending.remove(&request) {
+            self.books.requests.push((pending.class, pending.arrived_ms, None));
+            self.count(|live| live.unserved += 1);
+        }
+    }
+
+    /// Writes a try; false if there is no connection to be had.
+    fn write(&mut self, request: u64, server: SocketAddr, left: Duration) -> bool {
+        let rid = format!("{:016x}", self.rng.next_u64());
+        let memory = 8.0 + 56.0 * self.unit();
+        let rank = self.unit();
+        let Some(pending) = self.pending.get_mut(&request) else { return true };
+        pending.tries += 1;
+        pending.tried.insert(server);
+        let (class, again, token) = (pending.class, pending.tries > 1, pending.token.clone());
+        let keyed = self.classes[class].keyed;
+        let (t0_ms, budget_ms) = (unix_ms(), left.as_millis() as u64);
+        let open = Open { rid: rid.clone(), request, t0_ms, due: Instant::now() + left + LATE };
+        let Some(conn) = self.connection(server) else {
+            self.end(server, &open, End::NoConnection, false);
+            return false;
+        };
+        conn.next_seq += 1;
+        let seq = conn.next_seq;
+        let tenants = ["etela-kasvio", "lansi-kasvio", "ita-kasvio", "pohjois-kasvio"];
+        let tenant = tenants[(request % 4) as usize];
+        let name = classes()[class].name.clone();
+        let (t0, budget) = (t0_ms.to_string(), budget_ms.to_string());
+        let (memory, rank) = (format!("{memory:.1}"), format!("{rank:.4}"));
+        let peer = (request >> 40).to_string();
+        let mut fields: Vec<(&str, &str)> = vec![
+            ("method", &name),
+            ("rid", &rid),
+            ("t0", &t0),
+            ("peer", &peer),
+            ("acct", tenant),
+            ("budget", &budget),
+            ("mem", &memory),
+            ("prio", &rank),
+        ];
+        if again {
+            fields.push(("again", "1"));
+        }
+        if keyed {
+            fields.push(("token", &token));
+        }
+        let bytes = thrift::call(seq, &fields, request.to_string().as_bytes());
+        if conn.stream.write_all(&bytes).is_err() {
+            let _ = conn.stream.shutdown(Shutdown::Both);
+        }
+        conn.open.insert(seq, open);
+        true
+    }
+
+    /// A connection to a server with room, an open one if there is.
+    fn connection(&mut self, server: SocketAddr) -> Option<&mut Conn> {
+        let conns = self.conns.entry(server).or_default();
+        let usable = |conn: &Conn| !conn.draining && conn.open.len() < WINDOW;
+        if !conns.iter().any(usable) {
+            let stream = TcpStream::connect_timeout(&server, CONNECT).ok()?;
+            stream.set_nodelay(true).ok()?;
+            stream.set_write_timeout(Some(Duration::from_secs(1))).ok()?;
+            let mut reads = stream.try_clone().ok()?;
+            self.next_conn += 1;
+            let (id, events) = (self.next_conn, self.sender.clone());
+            let read = move || {
+                let (mut bytes, mut chunk) = (Vec::new(), [0; 8192]);
+                'conn: while let Ok(len @ 1..) = reads.read(&mut chunk) {
+                    bytes.extend_from_slice(&chunk[..len]);
+                    loop {
+                        match thrift::frame(&bytes) {
+                            Ok(Some(len)) => {
+                                let Ok(message) = thrift::decode(&bytes[4..len]) else { break 'conn };
+                                bytes.drain(..len);
+                                let _ = events.send(Event::Frame(id, message));
+                            }
+                            Ok(None) => break,
+                            Err(_) => break 'conn,
+                        }
+                    }
+                }
+                let _ = events.send(Event::Ended(id));
+            };
+            thread::Builder::new().name("proxy-conn".into()).stack_size(128 * 1024).spawn(read).ok()?;
+            conns.push(Conn { id, stream, next_seq: 0, open: HashMap::new(), draining: false });
+        }
+        conns.iter_mut().find(|conn| !conn.draining && conn.open.len() < WINDOW)
+    }
+
+    fn end(&mut self, server: SocketAddr, open: &Open, end: End, genuine: bool) {
+        let class = self.pending.get(&open.request).map_or(0, |pending| pending.class);
+        self.books.tries.push(Try {
+            rid: open.rid.clone(),
+            request: open.request,
+            class,
+            server,
+            t0_ms: open.t0_ms,
+            budget_ms: (open.due - LATE).saturating_duration_since(Instant::now()).as_millis() as u64
+                + unix_ms().saturating_sub(open.t0_ms),
+            end_ms: unix_ms(),
+            end,
+            genuine,
+        });
+    }
+
+    fn event(&mut self, event: Option<Event>) {
+        match event {
+            Some(Event::Frame(id, Message::Draining)) => {
+                for conns in self.conns.values_mut() {
+                    for conn in conns.iter_mut().filter(|conn| conn.id == id) {
+                        conn.draining = true;
+                    }
+                    // Closed once everything on it is answered.
+                    conns.retain(|conn| {
+                        let over = conn.draining && conn.open.is_empty();
+                        if over {
+                            let _ = conn.stream.shutdown(Shutdown::Both);
+                        }
+                        !over
+                    });
+                }
+            }
+            Some(Event::Frame(id, Message::Answer(seq, answer))) => {
+                let mut found = None;
+                for (&server, conns) in &mut self.conns {
+                    if let Some(conn) = conns.iter_mut().find(|conn| conn.id == id) {
+                        found = conn.open.remove(&seq).map(|open| (server, open));
+                        if conn.draining && conn.open.is_empty() {
+                            let _ = conn.stream.shutdown(Shutdown::Both);
+                        }
+                    }
+                }
+                if let Some((server, open)) = found {
+                    self.answered(server, &open, answer);
+                }
+            }
+            Some(Event::Ended(id)) => {
+                let mut lost = Vec::new();
+                for (&server, conns) in &mut self.conns {
+                    if let Some(place) = conns.iter().position(|conn| conn.id == id) {
+                        let conn = conns.remove(place);
+                        lost.extend(conn.open.into_values().map(|open| (server, open)));
+                    }
+                }
+                for (server, open) in lost {
+                    self.end(server, &open, End::Lost, false);
+                    self.again(open.request, false);
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn answered(&mut self, server: SocketAddr, open: &Open, answer: Answer) {
+        match answer {
+            Answer::Served(result, _) => {
+                let genuine = result == [&b"result of "[..], open.request.to_string().as_bytes()].concat();
+                self.end(server, open, End::Served, genuine);
+                if let Some(pending) = self.pending.remove(&open.request) {
+                    let took = pending.arrived.elapsed();
+                    let aim = self.classes[pending.class].aim;
+                    self.books.requests.push((pending.class, pending.arrived_ms, Some(took.as_millis() as u64)));
+                    self.count(|live| {
+                        live.times.push(took.as_millis() as u64);
+                        if took <= aim { live.served += 1 } else { live.late += 1 }
+                    });
+                }
+            }
+            Answer::Refused { backoff_ms, last, .. } => {
+                self.end(server, open, End::Refused, true);
+                self.count(|live| live.refused += 1);
+                if self.habit.heeds && backoff_ms > 0 {
+                    self.away.insert(server, Instant::now() + Duration::from_millis(backoff_ms));
+                }
+                if self.habit.heeds && last { self.give_up(open.request) } else { self.again(open.request, true) }
+            }
+            Answer::Failed | Answer::Bad => {
+                self.end(server, open, End::Failed, true);
+                self.again(open.request, false);
+            }
+        }
+    }
+
+    /// Tries again elsewhere: what never ran always, what may have run only if it is safe to repeat.
+    fn again(&mut self, request: u64, never_ran: bool) {
+        let keyed = self.pending.get(&request).is_some_and(|pending| self.classes[pending.class].keyed);
+        if keyed && !never_ran { self.give_up(request) } else { self.send(request) }
+    }
+
+    fn time_out(&mut self, now: Instant) {
+        let mut late = Vec::new();
+        for (&server, conns) in &mut self.conns {
+            for conn in conns {
+                let due: Vec<i32> = conn.open.iter().filter(|(_, open)| open.due <= now).map(|(seq, _)| *seq).collect();
+                for seq in due {
+                    let _ = conn.stream.write_all(&thrift::cancel(seq, seq));
+                    late.extend(conn.open.remove(&seq).map(|open| (server, open)));
+                }
+            }
+        }
+        for (server, open) in late {
+            self.end(server, &open, End::TimedOut, false);
+            self.give_up(open.request);
+        }
+    }
+}
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -1,1 +1,286 @@
-fn main() {}
+//! The command line of the kit.
+
+use clap::{Parser, Subcommand};
+use gradepin_kit::control::Control;
+use gradepin_kit::drill;
+use gradepin_kit::fleet::{self, Fleet, FleetSpec};
+use gradepin_kit::load::{Fixed, Habit, Live, Proxy, classes};
+use gradepin_kit::processor::{Processor, Spec};
+use gradepin_kit::registry::faults::Script;
+use gradepin_kit::registry::server::{Server, ServerSettings};
+use gradepin_kit::registry::state::RegistrySettings;
+use hdrhistogram::Histogram;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+#[derive(Parser)]
+#[command(version, about = "Stand-ins, fleets and drills for gradepin, all on loopback addresses")]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// A fleet of real servers with all their stand-ins and client proxies; a line a second, Ctrl-C drains it
+    Fleet {
+        /// Servers
+        #[arg(long, default_value_t = 3)]
+        servers: usize,
+        /// First tries a second, of all proxies
+        #[arg(long, default_value_t = 120.0)]
+        rate: f64,
+        /// Client proxies
+        #[arg(long, default_value_t = 3)]
+        proxies: usize,
+        /// Seconds until it drains by itself; 0 for no end
+        #[arg(long, default_value_t = 0)]
+        seconds: u64,
+        /// Seed of everything that is drawn
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Servers start cold, at 21% of their speed
+        #[arg(long)]
+        cold: bool,
+        /// The daemon's program, if it is not beside this one
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
+    /// A stand-in processor
+    Processor {
+        /// Where to listen
+        #[arg(long, default_value = "127.0.0.1:9300")]
+        listen: SocketAddr,
+        /// Cores
+        #[arg(long, default_value_t = 6)]
+        cores: u32,
+        /// Speed of a core; 1 is the yardstick
+        #[arg(long, default_value_t = 1.0)]
+        speed: f64,
+        /// Share of the speed that it begins with
+        #[arg(long, default_value_t = 1.0)]
+        cold_share: f64,
+        /// Seconds until it is warm
+        #[arg(long, default_value_t = 18.0)]
+        warms_in_s: f64,
+        /// Mean work of a run, ms on a core of speed 1
+        #[arg(long, default_value_t = 60)]
+        work_ms: u64,
+        /// Seed of the work of each run
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+    },
+    /// A stand-in control plane; a line a second with who is ready
+    Control {
+        /// Where to listen
+        #[arg(long, default_value = "127.0.0.1:7946")]
+        listen: SocketAddr,
+    },
+    /// A stand-in registry with Eureka's API; a line a second with what it holds
+    Registry {
+        /// Where to listen
+        #[arg(long, default_value = "127.0.0.1:8761")]
+        listen: SocketAddr,
+        /// User and password to ask for, as USER:PASSWORD
+        #[arg(long)]
+        login: Option<String>,
+        /// How old an answer with all applications may be, ms
+        #[arg(long, default_value_t = 30_000)]
+        cache_ms: u64,
+        /// Between looks for leases that ran out, ms
+        #[arg(long, default_value_t = 60_000)]
+        evict_every_ms: u64,
+        /// Evict whatever ran out, however many heartbeats are missing
+        #[arg(long)]
+        no_self_preservation: bool,
+        /// Faults by time, as '500 hang; 2500 none'
+        #[arg(long, default_value = "")]
+        faults: Script,
+    },
+    /// Plays failures against real servers; a line a claim, and status 1 if any is not kept
+    Drill {
+        #[command(subcommand)]
+        which: Which,
+    },
+}
+
+#[derive(Subcommand)]
+enum Which {
+    /// Drains under load while the registry fails
+    Registry {
+        /// Seed of everything that is drawn
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Drains in all
+        #[arg(long, default_value_t = 100)]
+        drains: usize,
+        /// Fleets beside one another
+        #[arg(long, default_value_t = 5)]
+        fleets: usize,
+        /// Servers in each
+        #[arg(long, default_value_t = 4)]
+        servers: usize,
+        /// First tries a second in each
+        #[arg(long, default_value_t = 120.0)]
+        rate: f64,
+        /// Without the protection: servers register nowhere. Must fail
+        #[arg(long)]
+        plain: bool,
+        /// The daemon's program, if it is not beside this one
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
+}
+
+/// Set by Ctrl-C and SIGTERM.
+fn end() -> std::io::Result<Arc<AtomicBool>> {
+    let end = Arc::<AtomicBool>::default();
+    for signal in [SIGINT, SIGTERM] {
+        signal_hook::flag::register(signal, Arc::clone(&end))?;
+    }
+    Ok(end)
+}
+
+/// Calls once a second until the end.
+fn each_second(mut line: impl FnMut(u64) -> bool) -> std::io::Result<()> {
+    let (end, start) = (end()?, Instant::now());
+    for second in 1.. {
+        while start.elapsed() < Duration::from_secs(second) {
+            if end.load(Ordering::Relaxed) {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        if !line(second) {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+fn daemon(told: Option<PathBuf>) -> std::io::Result<PathBuf> {
+    told.map_or_else(fleet::daemon, Ok)
+}
+
+fn run(command: Command) -> Result<bool, Box<dyn Error>> {
+    match command {
+        Command::Fleet { servers, rate, proxies, seconds, seed, cold, daemon: told } => {
+            let folder = fleet::folder("fleet")?;
+            let work = classes().into_iter().map(|class| (class.name, Duration::from_millis(60))).collect();
+            let cold_share = if cold { 0.21 } else { 1.0 };
+            let spec = FleetSpec {
+                daemon: daemon(told)?,
+                servers,
+                processor: Spec { classes: work, seed, cold_share, ..Spec::default() },
+                stop: Duration::from_millis(2_500),
+                callers: proxies,
+                registries: Vec::new(),
+                registry_more: String::new(),
+                folder: folder.clone(),
+            };
+            let mut fleet = Fleet::start(&spec)?;
+            println!("{servers} servers, {proxies} proxies, {rate} requests a second; logs in {}", folder.display());
+            let all: Vec<SocketAddr> = fleet.nodes.iter().map(|node| node.address).collect();
+            let start = |n: usize| {
+                let list = Fixed { all: all.clone(), turn: n };
+                let habit = Habit { rate: rate / proxies.max(1) as f64, tries: 3, heeds: true };
+                Proxy::start(n as u64 + 1, seed + n as u64, habit, Box::new(list))
+            };
+            let running = (0..proxies).map(start).collect::<std::io::Result<Vec<Proxy>>>()?;
+            each_second(|second| {
+                let mut sum = Live::default();
+                for live in running.iter().map(Proxy::live) {
+                    sum.arrived += live.arrived;
+                    sum.served += live.served;
+                    sum.late += live.late;
+                    sum.unserved += live.unserved;
+                    sum.refused += live.refused;
+                    sum.times.extend(live.times);
+                }
+                let mut times = Histogram::<u64>::new(3).ok();
+                for &ms in &sum.times {
+                    times.iter_mut().for_each(|all| all.saturating_record(ms));
+                }
+                let at = |q| times.as_ref().map_or(0, |all| all.value_at_quantile(q));
+                let running: Vec<String> =
+                    fleet.nodes.iter().map(|node| node.processor.running().to_string()).collect();
+                println!(
+                    "{second:>4} s  asked {:>5}  in time {:>5}  late {:>3}  unserved {:>3}  refused {:>4}  p50 {:>4} ms  p99 {:>4} ms  running {}",
+                    sum.arrived, sum.served, sum.late, sum.unserved, sum.refused, at(0.5), at(0.99), running.join(" ")
+                );
+                seconds == 0 || second < seconds
+            })?;
+            println!("draining");
+            let books: Vec<_> = running.into_iter().map(Proxy::stop).collect();
+            fleet.drain();
+            let requests: usize = books.iter().map(|books| books.requests.len()).sum();
+            let served = books.iter().flat_map(|books| &books.requests).filter(|(_, _, took)| took.is_some()).count();
+            println!("{requests} requests, {served} served");
+            fleet::remove(&folder);
+            Ok(true)
+        }
+        Command::Processor { listen, cores, speed, cold_share, warms_in_s, work_ms, seed } => {
+            let classes = vec![("any".to_string(), Duration::from_millis(work_ms))];
+            let warms_in = Duration::from_secs_f64(warms_in_s.max(0.0));
+            let spec = Spec { cores, speed, cold_share, warms_in, classes, seed, ..Spec::default() };
+            let processor = Processor::start(listen, spec)?;
+            println!("a processor of {cores} cores at {}", processor.address());
+            each_second(|second| {
+                println!("{second:>4} s  running {:>3}  begun {:>4}", processor.running(), processor.begun().len());
+                true
+            })?;
+            Ok(true)
+        }
+        Command::Control { listen } => {
+            let control = Control::start(listen)?;
+            println!("a control plane at {}", control.address());
+            each_second(|second| {
+                println!("{second:>4} s  ready: {}", control.roster().ready(Instant::now(), Duration::ZERO).join(" "));
+                true
+            })?;
+            Ok(true)
+        }
+        Command::Registry { listen, login, cache_ms, evict_every_ms, no_self_preservation, faults } => {
+            let rules = RegistrySettings {
+                cache_ms,
+                evict_every_ms,
+                preserves: !no_self_preservation,
+                ..RegistrySettings::default()
+            };
+            let login = login.map(|login| {
+                let (user, password) = login.split_once(':').ok_or("expected USER:PASSWORD")?;
+                Ok::<_, &str>((user.to_string(), password.to_string()))
+            });
+            let set = ServerSettings { rules, login: login.transpose()?, script: faults, ..ServerSettings::default() };
+            let server = Server::start(listen, set)?;
+            println!("a registry at {}", server.url());
+            each_second(|second| {
+                println!("{second:>4} s  {}", server.summary());
+                true
+            })?;
+            Ok(true)
+        }
+        Command::Drill { which: Which::Registry { seed, drains, fleets, servers, rate, plain, daemon: told } } => {
+            let daemon = daemon(told)?;
+            Ok(drill::registry::run(&drill::registry::Drill { daemon, seed, drains, fleets, servers, rate, plain })?)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Cli::parse().command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(message) => {
+            eprintln!("gradepin-kit: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
