--- a/crates/gradepin/tests/node.rs
+++ b/crates/gradepin/tests/node.rs
@@ -1,6 +1,10 @@
 //! Scenarios of the whole server on a virtual clock; the language is described in `scenario/mod.rs`.
 
 mod scenario;
+use gradepin_core::registration::Registration;
+use gradepin_decisions::{Span, Time};
+use gradepin_registry::instance::Instance;
+use gradepin_registry::membership::{Membership, MembershipSettings};
 use scenario::play;
 use scenario::virtually::Virtually;
 
@@ -534,3 +538,87 @@
         send processor complete 1 1 OK out
         expect a 1 served out");
 }
+
+const MS: u64 = 1_000_000;
+
+#[test]
+fn a_planned_leave_is_told_at_once_and_drains_only_when_callers_know() {
+    // Guards against arrivals turned away while callers' lists can still hold the server.
+    play(
+        &mut Virtually::registered(Registration::new(None, Span(3_000 * MS))),
+        "send a call 1 rid=1
+         expect processor begin 1
+         send server OUT
+         expect control NotReady
+         wait 2000
+         send a call 2 rid=2
+         expect processor begin 2
+         send processor complete 1 2 OK out
+         expect a 2 served out
+         expect no a draining
+         wait 1100
+         expect a draining
+         send processor complete 2 1 OK late
+         expect a 1 served late",
+    );
+}
+
+#[test]
+fn an_order_to_come_back_ends_a_planned_leave_that_has_not_begun_to_drain() {
+    play(
+        &mut Virtually::registered(Registration::new(None, Span(3_000 * MS))),
+        "send a call 1 rid=9
+         send server OUT
+         expect control NotReady
+         wait 1000
+         send server IN
+         wait 2500
+         expect control Ready
+         expect no a draining
+         send server TERM
+         expect a draining
+         send server IN
+         send b call 1 rid=1
+         expect b draining",
+    );
+}
+
+#[test]
+fn a_drain_waits_for_no_registry() {
+    // Guards against a leave that a registry which never answers holds up: here none of its answers ever comes.
+    let set = MembershipSettings {
+        instance: Instance { id: "n1".into(), app: "TILES".into(), ..Instance::default() },
+        urls: 2,
+        heartbeat: Span(30_000 * MS),
+        timeout: Span(2_000 * MS),
+        tell_every: Span(1_000 * MS),
+        steady: Span(0),
+        ready_share: 0.6,
+        cold_share: 0.25,
+        cold: Span(10_000 * MS),
+        prefer_every: Span(60_000 * MS),
+        cancel: true,
+    };
+    let membership = Membership::new(set, 7, Time(0));
+    play(
+        &mut Virtually::registered(Registration::new(Some(membership), Span(0))),
+        "expect registry Register
+         send a call 1 rid=1
+         expect processor begin 1
+         send server TERM
+         expect registry Override
+         expect a draining
+         send b call 1 rid=2
+         expect processor begin 2
+         wait 1050
+         send b call 2 rid=3
+         expect b 2 refused
+         expect no processor begin 3
+         wait 850
+         expect a 1 failed
+         expect b 1 failed
+         expect control NotReady
+         wait 2200
+         expect exit",
+    );
+}
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -1,7 +1,8 @@
 //! The scenario language of the server's tests. A scenario is a text; each line is one of
 //!
 //! - `send CONN call SEQ [field=value ..]`, `send CONN cancel SEQ`, `send CONN health SEQ`, `send CONN hex BYTES`,
-//!   `send processor LINE`, `send server TERM` and `send server HUP [moved|broken]`: something reaches the server.
+//!   `send processor LINE`, `send server TERM|OUT|IN` and `send server HUP [moved|broken]`: something reaches the
+//!   server. `OUT` and `IN` are an operator's orders.
 //!   A move gives it another processor and another control plane, `processor2` and `control2` on sockets; a
 //!   broken configuration is no JSON. A connection opens when it is first named. Fields have defaults; `rid` is a plain number and `t0` counts from now. `+` before `call` holds
 //!   the message back until the next one, so that both arrive together.
@@ -31,6 +32,8 @@
     fn processor(&mut self, line: &str);
     /// The notice to leave.
     fn terminate(&mut self);
+    /// An operator's order: out of service, or back in.
+    fn order(&mut self, out: bool);
     /// The configuration is read again, with what became of it: moved or broken.
     fn reload(&mut self, how: &str);
     fn open(&mut self, conn: &str);
@@ -87,6 +90,7 @@
             [] => {}
             ["send", "processor", ..] => stage.processor(&words[2..].join(" ")),
             ["send", "server", "TERM"] => stage.terminate(),
+            ["send", "server", order @ ("OUT" | "IN")] => stage.order(order == "OUT"),
             ["send", "server", "HUP", how] => stage.reload(how),
             ["send", conn, "call", ..] => stage.client(conn, &call(&words[3..], stage.unix_ms()), false),
             ["send", conn, "+", "call", ..] => stage.client(conn, &call(&words[4..], stage.unix_ms()), true),
--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -190,6 +190,10 @@
         self.signal("TERM");
     }
 
+    fn order(&mut self, out: bool) {
+        self.signal(if out { "USR1" } else { "USR2" });
+    }
+
     fn reload(&mut self, how: &str) {
         let text = match how {
             "moved" => parties("2", &self.address, &self.link, self.started, &self.sender),
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -38,14 +38,25 @@
         Self::with(|_| ())
     }
 
+    /// A server with a registry, or with a planned leave that holds for a while.
+    pub fn registered(registration: Registration) -> Self {
+        let mut stage = Self::built(|_| (), registration);
+        stage.processor("hi WARM 0");
+        stage
+    }
+
     /// A server whose configuration differs in something.
     pub fn with(change: impl FnOnce(&mut serde_json::Value)) -> Self {
+        Self::built(change, Registration::default())
+    }
+
+    fn built(change: impl FnOnce(&mut serde_json::Value), registration: Registration) -> Self {
         let mut config = config("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3");
         change(&mut config);
         let config = Config::parse(&config.to_string()).expect("a whole configuration");
         let settings = Arc::new(config.settings.clone());
         Self {
-            reducer: Reducer::new(&config, Arc::clone(&settings), Registration::default())
+            reducer: Reducer::new(&config, Arc::clone(&settings), registration)
                 .expect("a whole configuration"),
             settings,
             pool: Pool::new(8),
@@ -111,7 +122,10 @@
             Effect::Renew(_) => "renew".to_string(),
             Effect::Processor(address) => format!("link to {address}"),
             Effect::Control(address) => format!("reports to {address}"),
-            Effect::Registry(ask) => format!("registry {:?}", ask.op),
+            Effect::Registry(ask) => {
+                let text = format!("{:?}", ask.op);
+                format!("registry {}", text.split(['(', ' ']).next().unwrap_or_default())
+            }
             Effect::Exit => "exit".to_string(),
             Effect::Log(..) => return,
         };
@@ -170,6 +184,11 @@
         self.settle();
     }
 
+    fn order(&mut self, out: bool) {
+        self.waiting.push(if out { Input::TakeOut } else { Input::TakeIn });
+        self.settle();
+    }
+
     fn reload(&mut self, how: &str) {
         assert_eq!(how, "moved", "a broken file never reaches the reducer");
         let text = config("127.0.0.1:1", "127.0.0.1:8", "127.0.0.1:9").to_string();
--- /dev/null
+++ b/crates/kit/src/bench.rs
@@ -0,0 +1,319 @@
+//! Measurements that compare two ways in one run, and a client that measures a server's door.
+
+use crate::fleet::{self, Fleet, FleetSpec};
+use crate::load::{Fixed, Habit, Proxy, classes};
+use crate::processor::Spec;
+use crate::registry::server::{Server, ServerSettings, unix_ms};
+use crate::registry::state::{Outcome, Registry, RegistrySettings};
+use crate::thrift::{self, Answer, Message};
+use flate2::Compression;
+use flate2::write::GzEncoder;
+use gradepin_decisions::{Span, Time};
+use gradepin_registry::instance::{Applications, Instance, Port, Status, hash_code};
+use gradepin_registry::membership::{Membership, MembershipSettings, Op, Reply};
+use gradepin_registry::view::{Fetch, View, ViewSettings};
+use gradepin_registry::wire::{self, Format};
+use hdrhistogram::Histogram;
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const MS: u64 = 1_000_000;
+
+fn instance(n: usize) -> Instance {
+    let zones = ["tampere-1", "jyvaskyla-1", "lahti-1"];
+    Instance {
+        id: format!("tile-server-{n:05}.{}", zones[n % 3]),
+        app: "TILE-SERVER".into(),
+        host: format!("10.{}.{}.{}", n >> 16, (n >> 8) & 255, n & 255),
+        ip: Some([10, (n >> 16) as u8, (n >> 8) as u8, n as u8].into()),
+        status: Status::Up,
+        port: Port { number: 8443, enabled: true },
+        vip: "tiles".into(),
+        metadata: [("zone".to_string(), zones[n % 3].to_string())].into(),
+        dirty_ms: 1,
+        updated_ms: 1,
+        ..Instance::default()
+    }
+}
+
+fn all(count: usize) -> Applications {
+    let instances: Vec<Instance> = (0..count).map(instance).collect();
+    let hash_code = hash_code(instances.iter().map(|i| i.status));
+    Applications { version: "1".into(), hash_code, instances }
+}
+
+/// Calls at a registry by so many servers in virtual time: in the first 30 s, and a second later on.
+fn calls(servers: usize) -> (u64, f64) {
+    let rules = RegistrySettings { preserves: false, ..RegistrySettings::default() };
+    let mut registry = Registry::new(rules, 0);
+    let mut members: Vec<Membership> = (0..servers)
+        .map(|n| {
+            let set = MembershipSettings {
+                instance: instance(n),
+                urls: 1,
+                heartbeat: Span(30_000 * MS),
+                timeout: Span(2_000 * MS),
+                tell_every: Span(1_000 * MS),
+                steady: Span(1_000 * MS),
+                ready_share: 0.6,
+                cold_share: 0.21,
+                cold: Span(18_000 * MS),
+                prefer_every: Span(60_000 * MS),
+                cancel: false,
+            };
+            let mut member = Membership::new(set, n as u64, Time(0));
+            member.processor(Some((Time(0), false)));
+            member.health(Time(0), true);
+            member
+        })
+        .collect();
+    let total = |members: &[Membership]| members.iter().map(Membership::calls).sum::<u64>();
+    let (mut early, until) = (0, 330_000);
+    for ms in (0..until).step_by(50) {
+        let now = Time(ms * MS);
+        for (n, member) in members.iter_mut().enumerate() {
+            while let Some(ask) = member.poll(now, ms) {
+                let (app, id) = ("TILE-SERVER", instance(n).id);
+                let done = |outcome| if outcome == Outcome::Done { Reply::Done } else { Reply::NotFound };
+                let reply = match &ask.op {
+                    Op::Register(instance) => {
+                        registry.register(Instance::clone(instance), false, ms);
+                        Reply::Done
+                    }
+                    Op::Heartbeat { dirty_ms, .. } => done(registry.renew(app, &id, Some(*dirty_ms), ms)),
+                    Op::Look => registry
+                        .instance(app, &id)
+                        .map_or(Reply::NotFound, |i| Reply::Record(Box::new(i.clone()))),
+                    _ => Reply::Done,
+                };
+                member.reply(now, ask.ticket, reply);
+            }
+        }
+        if ms == 30_000 {
+            early = total(&members);
+        }
+    }
+    (early, (total(&members) - early) as f64 / 300.0)
+}
+
+fn zipped(bytes: &[u8]) -> usize {
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::fast());
+    let written = encoder.write_all(bytes).and_then(|()| encoder.finish());
+    written.map_or(0, |bytes| bytes.len())
+}
+
+/// What a plain map of whole instances takes on the heap.
+fn map_bytes(map: &HashMap<String, Instance>) -> usize {
+    let text = |i: &Instance| {
+        let strings = [&i.id, &i.app, &i.host, &i.vip, &i.secure_vip, &i.health_url, &i.status_url];
+        let pairs: usize = i.metadata.iter().map(|(k, v)| k.capacity() + v.capacity()).sum();
+        // A node of the metadata's tree holds eleven pairs.
+        strings.iter().map(|s| s.capacity()).sum::<usize>() + pairs + 11 * 48 + 16
+    };
+    let slots = map.capacity() * 8 / 7 * (size_of::<(String, Instance)>() + 1);
+    slots + map.iter().map(|(key, i)| key.capacity() + text(i)).sum::<usize>()
+}
+
+fn nanos(times: u32, mut work: impl FnMut()) -> f64 {
+    let start = Instant::now();
+    for _ in 0..times {
+        work();
+    }
+    start.elapsed().as_nanos() as f64 / f64::from(times)
+}
+
+/// The registry's figures: calls, bytes, memory, and the daemon's CPU with and without.
+pub fn registry(daemon: PathBuf, seconds: u64) -> io::Result<()> {
+    let (early, later) = calls(1_000);
+    println!("1,000 servers: {early} calls in their first 30 s, then {later:.1} a second");
+
+    let everything = all(1_000);
+    let mut some = everything.clone();
+    some.instances.truncate(5);
+    for format in [Format::Json, Format::Xml] {
+        let (full, delta) =
+            (wire::write_applications(&everything, format), wire::write_applications(&some, format));
+        println!(
+            "{format:?}: full fetch of 1,000 {} B ({} B gzip), delta of 5 {} B ({} B gzip): 1 to {:.0}",
+            full.len(),
+            zipped(&full),
+            delta.len(),
+            zipped(&delta),
+            full.len() as f64 / delta.len() as f64
+        );
+    }
+
+    let many = all(10_000);
+    let map: HashMap<String, Instance> = many.instances.iter().map(|i| (i.id.clone(), i.clone())).collect();
+    let mut view =
+        View::new(ViewSettings { zone: Some("lahti-1".into()), ..ViewSettings::default() }, 7, Time(0));
+    view.poll(Time(0));
+    view.fetched(Time(0), Fetch::Full, Some(&many));
+    let (plain, compact) = (map_bytes(&map), view.heap_bytes());
+    println!(
+        "10,000 instances: view {} kB, plain map {} kB: 1 to {:.1}",
+        compact / 1000,
+        plain / 1000,
+        plain as f64 / compact as f64
+    );
+    let mut turn = 0;
+    let scan = nanos(200, || {
+        turn += 1;
+        let up = map.values().filter(|i| i.status == Status::Up && i.zone() == Some("lahti-1"));
+        black_box(up.clone().nth(turn % 3_000));
+    });
+    let pick = nanos(100_000, || {
+        black_box(view.pick("tiles", |_| false));
+    });
+    println!(
+        "a choice in the own zone: view {pick:.0} ns, scan of the map {scan:.0} ns: 1 to {:.0}",
+        scan / pick
+    );
+
+    let server = Server::start(SocketAddr::from(([127, 0, 0, 1], 0)), ServerSettings::default())?;
+    let fleets = [Vec::new(), vec![server.url()]].map(|registries| {
+        let daemon = daemon.clone();
+        thread::spawn(move || -> io::Result<(f64, usize)> {
+            let with = !registries.is_empty();
+            let folder = fleet::folder(if with { "bench-with" } else { "bench-without" })?;
+            let mut fleet = Fleet::start(&spec(daemon, registries, folder.clone(), 10))?;
+            let habit = Habit { rate: 200.0, tries: 1, heeds: true };
+            let list = Fixed { all: vec![fleet.nodes[0].address], turn: 0 };
+            let proxy = Proxy::start(1, 3, habit, Box::new(list))?;
+            let before = fleet.nodes[0].cpu().unwrap_or_default();
+            thread::sleep(Duration::from_secs(seconds));
+            let used = fleet.nodes[0].cpu().unwrap_or_default() - before;
+            let requests = proxy.stop().requests.len();
+            fleet.drain();
+            fleet::remove(&folder);
+            Ok((used.as_secs_f64() * 1e3, requests))
+        })
+    });
+    for (fleet, word) in fleets.into_iter().zip(["without", "with"]) {
+        let (cpu, requests) =
+            fleet.join().map_err(|_| io::Error::other("a fleet's thread has panicked"))??;
+        println!(
+            "daemon {word} a registry: {cpu:.0} ms of CPU in {seconds} s for {requests} requests, {:.1} us each",
+            1e3 * cpu / requests.max(1) as f64
+        );
+    }
+    Ok(())
+}
+
+fn spec(daemon: PathBuf, registries: Vec<String>, folder: PathBuf, work_ms: u64) -> FleetSpec {
+    let work = classes().into_iter().map(|class| (class.name, Duration::from_millis(work_ms))).collect();
+    FleetSpec {
+        daemon,
+        servers: 1,
+        processor: Spec { classes: work, ..Spec::default() },
+        scale: 1,
+        stop: Duration::from_millis(2_500),
+        callers: 1,
+        registries,
+        registry_more: String::new(),
+        folder,
+    }
+}
+
+/// What a closed loop met.
+#[derive(Debug, Default)]
+struct Met {
+    served: u64,
+    refused: u64,
+    other: u64,
+    times_us: Vec<u64>,
+}
+
+/// So many connections, each with so many requests open, that ask once and never again: how many are turned away, and
+/// how long the others take. Runs take about a millisecond, so that nothing need be refused.
+pub fn door(daemon: PathBuf, connections: usize, open: usize, requests: usize) -> io::Result<()> {
+    let folder = fleet::folder("bench-door")?;
+    // A processor that ends each run within a millisecond, and has cores to spare; the brief's own times.
+    let mut spec = spec(daemon, Vec::new(), folder.clone(), 1);
+    (spec.scale, spec.processor.speed) = (4, 16.0);
+    let fleet = Fleet::start(&spec)?;
+    let address = fleet.nodes[0].address;
+    let before = fleet.nodes[0].cpu().unwrap_or_default();
+    let start = Instant::now();
+    let each = requests.div_ceil(connections.max(1));
+    let loops: Vec<_> =
+        (0..connections).map(|n| thread::spawn(move || closed_loop(address, n as u64, open, each))).collect();
+    let mut sum = Met::default();
+    for one in loops {
+        let met = one.join().map_err(|_| io::Error::other("a client's thread has panicked"))??;
+        sum.served += met.served;
+        sum.refused += met.refused;
+        sum.other += met.other;
+        sum.times_us.extend(met.times_us);
+    }
+    let (took, cpu) = (start.elapsed().as_secs_f64(), fleet.nodes[0].cpu().unwrap_or_default() - before);
+    let mut times = Histogram::<u64>::new(3).map_err(io::Error::other)?;
+    for &us in &sum.times_us {
+        times.record(us).map_err(io::Error::other)?;
+    }
+    let total = (sum.served + sum.refused + sum.other).max(1);
+    println!(
+        "{connections} connections with {open} open: {total} asked in {took:.2} s, {:.2}% refused, {} else; p50 {} us, p99 {} us; {:.1} us of CPU each",
+        100.0 * sum.refused as f64 / total as f64,
+        sum.other,
+        times.value_at_quantile(0.5),
+        times.value_at_quantile(0.99),
+        cpu.as_secs_f64() * 1e6 / total as f64
+    );
+    drop(fleet);
+    fleet::remove(&folder);
+    Ok(())
+}
+
+fn closed_loop(address: SocketAddr, client: u64, open: usize, requests: usize) -> io::Result<Met> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+    let (mut met, mut sent, mut answered) = (Met::default(), 0, 0);
+    let mut started = HashMap::new();
+    let (mut bytes, mut chunk) = (Vec::new(), [0; 16 * 1024]);
+    while answered < requests {
+        while sent < requests && sent - answered < open {
+            sent += 1;
+            let (rid, t0) = (format!("{:016x}", (client << 32) | sent as u64), unix_ms().to_string());
+            let fields = [
+                ("method", "sheet-view"),
+                ("rid", &rid),
+                ("t0", &t0),
+                ("peer", "1"),
+                ("acct", "etela-kasvio"),
+                ("budget", "4000"),
+                ("mem", "8.0"),
+                ("prio", "0.5"),
+            ];
+            started.insert(sent as i32, Instant::now());
+            stream.write_all(&thrift::call(sent as i32, &fields, b"x"))?;
+        }
+        let len = stream.read(&mut chunk)?;
+        if len == 0 {
+            return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "the server closed the connection"));
+        }
+        bytes.extend_from_slice(&chunk[..len]);
+        while let Some(len) = thrift::frame(&bytes).map_err(io::Error::other)? {
+            let message = thrift::decode(&bytes[4..len]).map_err(io::Error::other)?;
+            bytes.drain(..len);
+            let Message::Answer(seq, answer) = message else { continue };
+            answered += 1;
+            let took = started.remove(&seq).map_or(0, |at| at.elapsed().as_micros() as u64);
+            match answer {
+                Answer::Served(..) => {
+                    met.served += 1;
+                    met.times_us.push(took);
+                }
+                Answer::Refused { .. } => met.refused += 1,
+                _ => met.other += 1,
+            }
+        }
+    }
+    Ok(met)
+}
--- a/crates/kit/src/control.rs
+++ b/crates/kit/src/control.rs
@@ -34,8 +34,12 @@
     /// Drops the silent ones.
     pub fn sweep(&mut self, now: Instant) {
         let silent = |at: &Instant| now.duration_since(*at) > SILENCE;
-        let gone: Vec<String> =
-            self.last.iter().filter(|(_, (at, ready))| *ready && silent(at)).map(|(name, _)| name.clone()).collect();
+        let gone: Vec<String> = self
+            .last
+            .iter()
+            .filter(|(_, (at, ready))| *ready && silent(at))
+            .map(|(name, _)| name.clone())
+            .collect();
         for name in gone {
             self.last.insert(name.clone(), (now, false));
             self.changes.push_back((now, name, false));
--- a/crates/kit/src/drill/registry.rs
+++ b/crates/kit/src/drill/registry.rs
@@ -74,7 +74,10 @@
 /// Plays it, prints the claims, and says whether all are kept.
 pub fn run(drill: &Drill) -> io::Result<bool> {
     let folder = fleet::folder("drill-registry")?;
-    println!("seed {}, {} drains over {} fleets of {} servers", drill.seed, drill.drains, drill.fleets, drill.servers);
+    println!(
+        "seed {}, {} drains over {} fleets of {} servers",
+        drill.seed, drill.drains, drill.fleets, drill.servers
+    );
     let each = drill.drains.div_ceil(drill.fleets.max(1));
     let play = |n: usize, with: bool, drains: usize| {
         let (drill, folder) = (drill.clone(), folder.join(format!("fleet{n}")));
@@ -121,6 +124,7 @@
             seed,
             ..Spec::default()
         },
+        scale: 1,
         stop: Duration::from_millis(2_500),
         callers: 2,
         registries: if with { registries.iter().map(Server::url).collect() } else { Vec::new() },
@@ -189,7 +193,13 @@
         let again = Instant::now();
         node.spawn()?;
         let name = node.name.clone();
-        let up = || if with { shows(&registries, &name) == Some(Status::Up) } else { fleet.control.roster().ready(Instant::now(), Duration::ZERO).contains(&name) };
+        let up = || {
+            if with {
+                shows(&registries, &name) == Some(Status::Up)
+            } else {
+                fleet.control.roster().ready(Instant::now(), Duration::ZERO).contains(&name)
+            }
+        };
         let is_up = wait(Duration::from_secs(15), up);
         let up_after = is_up.then(|| again.elapsed().as_millis() as u64);
         let back = unix_ms();
@@ -265,7 +275,9 @@
             let drained: Vec<&Drain> = run.drains.iter().filter(|d| d.server == *server).collect();
             for b in begun {
                 let Some(t) = written.get(b.id.as_str()) else { continue };
-                let after = |d: &&&Drain| t.t0_ms > d.told + GRACE_MS + SLACK_MS && t.t0_ms < d.killed && b.at_ms < d.killed;
+                let after = |d: &&&Drain| {
+                    t.t0_ms > d.told + GRACE_MS + SLACK_MS && t.t0_ms < d.killed && b.at_ms < d.killed
+                };
                 past += usize::from(drained.iter().any(|d| after(&d)));
             }
             // A life ends with the kill: what ran before it is not known to the next.
@@ -279,7 +291,11 @@
             twice += counts.values().filter(|count| **count > 1).count();
         }
     }
-    claims.claim(past == 0 && began > 0, "runs past 1.8 s after the notice", format!("{past} of {began} runs"));
+    claims.claim(
+        past == 0 && began > 0,
+        "runs past 1.8 s after the notice",
+        format!("{past} of {began} runs"),
+    );
     claims.claim(twice == 0 && keyed > 0, "label-save run twice", format!("{twice} of {keyed} runs"));
 
     let vain: usize = runs.iter().map(|run| run.drains.iter().map(|d| in_vain(run, d)).sum::<usize>()).sum();
@@ -293,7 +309,11 @@
     );
     if !drill.plain {
         let unseen = drains.iter().filter(|d| d.out_after.is_none()).count();
-        claims.claim(unseen == 0, "out of service seen at a registry before the stop", format!("not in {unseen} of {} drains", drains.len()));
+        claims.claim(
+            unseen == 0,
+            "out of service seen at a registry before the stop",
+            format!("not in {unseen} of {} drains", drains.len()),
+        );
         let not_up = drains.iter().filter(|d| d.up_after.is_none()).count();
         claims.claim(not_up == 0, "up again within 15 s of a cold return", format!("not in {not_up}"));
         let sorted = |of: fn(&Drain) -> Option<u64>| {
@@ -302,7 +322,11 @@
             all
         };
         let (out, up) = (sorted(|d| d.out_after), sorted(|d| d.up_after));
-        println!("from SIGTERM to OUT_OF_SERVICE: p50 {} ms, p99 {} ms", quantile(&out, 0.5), quantile(&out, 0.99));
+        println!(
+            "from SIGTERM to OUT_OF_SERVICE: p50 {} ms, p99 {} ms",
+            quantile(&out, 0.5),
+            quantile(&out, 0.99)
+        );
         println!("from a cold return to UP: p50 {} ms, p99 {} ms", quantile(&up, 0.5), quantile(&up, 0.99));
         let mut by_fault = BTreeMap::<String, (usize, usize, Vec<u64>)>::new();
         for run in runs {
@@ -315,11 +339,18 @@
         }
         for (fault, (count, vain, mut out)) in by_fault {
             out.sort_unstable();
-            println!("  {fault:<22} {count:>3} drains, {vain:>3} in vain, out after p50 {} ms, most {} ms", quantile(&out, 0.5), quantile(&out, 1.0));
+            println!(
+                "  {fault:<22} {count:>3} drains, {vain:>3} in vain, out after p50 {} ms, most {} ms",
+                quantile(&out, 0.5),
+                quantile(&out, 1.0)
+            );
         }
         let calls: u64 = runs.iter().map(|run| run.calls).sum();
         let seconds: f64 = runs.iter().map(|run| run.seconds).sum();
-        println!("registry requests a second and fleet, callers' fetches among them: {:.1}", calls as f64 / seconds.max(1e-9));
+        println!(
+            "registry requests a second and fleet, callers' fetches among them: {:.1}",
+            calls as f64 / seconds.max(1e-9)
+        );
     }
     claims.all_kept()
 }
--- a/crates/kit/src/fleet.rs
+++ b/crates/kit/src/fleet.rs
@@ -26,6 +26,8 @@
     pub servers: usize,
     /// What their processors are like.
     pub processor: Spec,
+    /// Times of the classes, in quarters of the brief's.
+    pub scale: u64,
     /// From SIGTERM to the kill.
     pub stop: Duration,
     /// Client proxies that there will be.
@@ -43,7 +45,9 @@
     let own = std::env::current_exe()?;
     let folders = own.ancestors().skip(1).take(2);
     let found = folders.map(|folder| folder.join("gradepin")).find(|path| path.is_file());
-    found.ok_or_else(|| io::Error::new(io::ErrorKind::NotFound, "no program gradepin beside this one: build it first"))
+    found.ok_or_else(|| {
+        io::Error::new(io::ErrorKind::NotFound, "no program gradepin beside this one: build it first")
+    })
 }
 
 /// A folder for a run's files, made new.
@@ -59,14 +63,15 @@
     SocketAddr::from(([127, 64 + ((pid >> 8) % 64) as u8, (pid % 256) as u8, n], PORT))
 }
 
-/// The settings of the brief's deployment, its times at a quarter as those of [`crate::load::classes`].
+/// The settings of the brief's deployment; at a scale of 1 its times are those of [`crate::load::classes`].
 pub fn settings(spec: &FleetSpec) -> Value {
     const MS: u64 = 1_000_000;
     let profile = |name: &str, aim: u64, deadline: u64, worth: f64, effect: &str, late: f64| {
-        json!({"name": name, "promise": aim * MS, "deadline": deadline * MS, "effect": effect, "late_value": late,
+        json!({"name": name, "promise": aim * spec.scale * MS, "deadline": deadline * spec.scale * MS, "effect": effect, "late_value": late,
                "window": 8_000 * MS, "worth": worth})
     };
-    let tenant = |name: &str, portion: f64| json!({"name": name, "portion": portion, "quota_rps": 400.0 * portion});
+    let tenant =
+        |name: &str, portion: f64| json!({"name": name, "portion": portion, "quota_rps": 400.0 * portion});
     json!({
         "granularity": MS,
         "servers": spec.servers,
@@ -117,7 +122,13 @@
     pub fn spawn(&mut self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(&self.daemon);
-        command.arg("serve").arg("--config").arg(&self.config).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        command
+            .arg("serve")
+            .arg("--config")
+            .arg(&self.config)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log);
         if let Some(own) = &self.own {
             command.arg("--settings").arg(own);
         }
@@ -187,7 +198,10 @@
             let name = format!("n{n}");
             let address = next_address();
             let local = SocketAddr::from(([127, 0, 0, 1], 0));
-            let processor = Processor::start(local, Spec { seed: spec.processor.seed + n as u64, ..spec.processor.clone() })?;
+            let processor = Processor::start(
+                local,
+                Spec { seed: spec.processor.seed + n as u64, ..spec.processor.clone() },
+            )?;
             let config = spec.folder.join(format!("{name}.json"));
             let text = json!({
                 "name": name, "listen": address, "processor": processor.address(), "control": control.address(),
@@ -199,12 +213,23 @@
             if let Some(own) = &own {
                 let urls: String = spec.registries.iter().map(|url| format!("    url \"{url}\"\n")).collect();
                 let more = &spec.registry_more;
-                let text = format!("registry {{\n{urls}    app \"TILE-SERVER\"\n    vip \"tiles\"\n{more}\n}}\n");
+                let text =
+                    format!("registry {{\n{urls}    app \"TILE-SERVER\"\n    vip \"tiles\"\n{more}\n}}\n");
                 std::fs::write(own, text)?;
             }
             let (log, daemon) = (spec.folder.join(format!("{name}.log")), spec.daemon.clone());
-            let mut node =
-                Node { name, address, processor, begun: Vec::new(), child: None, config, own, log, daemon, stop: spec.stop };
+            let mut node = Node {
+                name,
+                address,
+                processor,
+                begun: Vec::new(),
+                child: None,
+                config,
+                own,
+                log,
+                daemon,
+                stop: spec.stop,
+            };
             node.spawn()?;
             nodes.push(node);
         }
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for everything that a tile server talks to, and tools that play with them: a registry, processors, a
 //! control plane, client proxies, fleets of real daemons, and drills.
 
+pub mod bench;
 pub mod control;
 pub mod drill;
 pub mod fleet;
--- a/crates/kit/src/load.rs
+++ b/crates/kit/src/load.rs
@@ -329,7 +329,8 @@
             }
             let now = Instant::now();
             let (away, tried) = (&self.away, &pending.tried);
-            let avoided = |server| tried.contains(&server) || away.get(&server).is_some_and(|until| *until > now);
+            let avoided =
+                |server| tried.contains(&server) || away.get(&server).is_some_and(|until| *until > now);
             let Some(server) = self.servers.pick(&avoided) else { return self.give_up(request) };
             if tried.contains(&server) {
                 return self.give_up(request);
@@ -502,7 +503,11 @@
                 if let Some(pending) = self.pending.remove(&open.request) {
                     let took = pending.arrived.elapsed();
                     let aim = self.classes[pending.class].aim;
-                    self.books.requests.push((pending.class, pending.arrived_ms, Some(took.as_millis() as u64)));
+                    self.books.requests.push((
+                        pending.class,
+                        pending.arrived_ms,
+                        Some(took.as_millis() as u64),
+                    ));
                     self.count(|live| {
                         live.times.push(took.as_millis() as u64);
                         if took <= aim { live.served += 1 } else { live.late += 1 }
@@ -515,7 +520,11 @@
                 if self.habit.heeds && backoff_ms > 0 {
                     self.away.insert(server, Instant::now() + Duration::from_millis(backoff_ms));
                 }
-                if self.habit.heeds && last { self.give_up(open.request) } else { self.again(open.request, true) }
+                if self.habit.heeds && last {
+                    self.give_up(open.request)
+                } else {
+                    self.again(open.request, true)
+                }
             }
             Answer::Failed | Answer::Bad => {
                 self.end(server, open, End::Failed, true);
@@ -534,7 +543,8 @@
         let mut late = Vec::new();
         for (&server, conns) in &mut self.conns {
             for conn in conns {
-                let due: Vec<i32> = conn.open.iter().filter(|(_, open)| open.due <= now).map(|(seq, _)| *seq).collect();
+                let due: Vec<i32> =
+                    conn.open.iter().filter(|(_, open)| open.due <= now).map(|(seq, _)| *seq).collect();
                 for seq in due {
                     let _ = conn.stream.write_all(&thrift::cancel(seq, seq));
                     late.extend(conn.open.remove(&seq).map(|open| (server, open)));
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -2,13 +2,13 @@
 
 use clap::{Parser, Subcommand};
 use gradepin_kit::control::Control;
-use gradepin_kit::drill;
 use gradepin_kit::fleet::{self, Fleet, FleetSpec};
 use gradepin_kit::load::{Fixed, Habit, Live, Proxy, classes};
 use gradepin_kit::processor::{Processor, Spec};
 use gradepin_kit::registry::faults::Script;
 use gradepin_kit::registry::server::{Server, ServerSettings};
 use gradepin_kit::registry::state::RegistrySettings;
+use gradepin_kit::{bench, drill};
 use hdrhistogram::Histogram;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use std::error::Error;
@@ -104,6 +104,11 @@
         #[arg(long, default_value = "")]
         faults: Script,
     },
+    /// Measurements that compare two ways in one run
+    Bench {
+        #[command(subcommand)]
+        what: What,
+    },
     /// Plays failures against real servers; a line a claim, and status 1 if any is not kept
     Drill {
         #[command(subcommand)]
@@ -111,6 +116,34 @@
     },
 }
 
+#[derive(Subcommand)]
+enum What {
+    /// Calls at a registry, bytes, memory, and the daemon's CPU with and without
+    Registry {
+        /// Seconds of load for the CPU
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// The daemon's program, if it is not beside this one
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
+    /// Callers that ask once, with so many requests open: how many are turned away, and how long the others take
+    Door {
+        /// Connections
+        #[arg(long, default_value_t = 16)]
+        connections: usize,
+        /// Requests open on each
+        #[arg(long, default_value_t = 4)]
+        open: usize,
+        /// Requests in all
+        #[arg(long, default_value_t = 30_000)]
+        requests: usize,
+        /// The daemon's program, if it is not beside this one
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
+}
+
 #[derive(Subcommand)]
 enum Which {
     /// Drains under load while the registry fails
@@ -179,6 +212,7 @@
                 daemon: daemon(told)?,
                 servers,
                 processor: Spec { classes: work, seed, cold_share, ..Spec::default() },
+                scale: 1,
                 stop: Duration::from_millis(2_500),
                 callers: proxies,
                 registries: Vec::new(),
@@ -186,7 +220,10 @@
                 folder: folder.clone(),
             };
             let mut fleet = Fleet::start(&spec)?;
-            println!("{servers} servers, {proxies} proxies, {rate} requests a second; logs in {}", folder.display());
+            println!(
+                "{servers} servers, {proxies} proxies, {rate} requests a second; logs in {}",
+                folder.display()
+            );
             let all: Vec<SocketAddr> = fleet.nodes.iter().map(|node| node.address).collect();
             let start = |n: usize| {
                 let list = Fixed { all: all.clone(), turn: n };
@@ -206,14 +243,21 @@
                 }
                 let mut times = Histogram::<u64>::new(3).ok();
                 for &ms in &sum.times {
-                    times.iter_mut().for_each(|all| all.saturating_record(ms));
+                    times.iter_mut().for_each(|all| all.record(ms).unwrap_or_default());
                 }
                 let at = |q| times.as_ref().map_or(0, |all| all.value_at_quantile(q));
                 let running: Vec<String> =
                     fleet.nodes.iter().map(|node| node.processor.running().to_string()).collect();
                 println!(
                     "{second:>4} s  asked {:>5}  in time {:>5}  late {:>3}  unserved {:>3}  refused {:>4}  p50 {:>4} ms  p99 {:>4} ms  running {}",
-                    sum.arrived, sum.served, sum.late, sum.unserved, sum.refused, at(0.5), at(0.99), running.join(" ")
+                    sum.arrived,
+                    sum.served,
+                    sum.late,
+                    sum.unserved,
+                    sum.refused,
+                    at(0.5),
+                    at(0.99),
+                    running.join(" ")
                 );
                 seconds == 0 || second < seconds
             })?;
@@ -221,7 +265,8 @@
             let books: Vec<_> = running.into_iter().map(Proxy::stop).collect();
             fleet.drain();
             let requests: usize = books.iter().map(|books| books.requests.len()).sum();
-            let served = books.iter().flat_map(|books| &books.requests).filter(|(_, _, took)| took.is_some()).count();
+            let served =
+                books.iter().flat_map(|books| &books.requests).filter(|(_, _, took)| took.is_some()).count();
             println!("{requests} requests, {served} served");
             fleet::remove(&folder);
             Ok(true)
@@ -233,7 +278,11 @@
             let processor = Processor::start(listen, spec)?;
             println!("a processor of {cores} cores at {}", processor.address());
             each_second(|second| {
-                println!("{second:>4} s  running {:>3}  begun {:>4}", processor.running(), processor.begun().len());
+                println!(
+                    "{second:>4} s  running {:>3}  begun {:>4}",
+                    processor.running(),
+                    processor.begun().len()
+                );
                 true
             })?;
             Ok(true)
@@ -242,7 +291,10 @@
             let control = Control::start(listen)?;
             println!("a control plane at {}", control.address());
             each_second(|second| {
-                println!("{second:>4} s  ready: {}", control.roster().ready(Instant::now(), Duration::ZERO).join(" "));
+                println!(
+                    "{second:>4} s  ready: {}",
+                    control.roster().ready(Instant::now(), Duration::ZERO).join(" ")
+                );
                 true
             })?;
             Ok(true)
@@ -258,7 +310,12 @@
                 let (user, password) = login.split_once(':').ok_or("expected USER:PASSWORD")?;
                 Ok::<_, &str>((user.to_string(), password.to_string()))
             });
-            let set = ServerSettings { rules, login: login.transpose()?, script: faults, ..ServerSettings::default() };
+            let set = ServerSettings {
+                rules,
+                login: login.transpose()?,
+                script: faults,
+                ..ServerSettings::default()
+            };
             let server = Server::start(listen, set)?;
             println!("a registry at {}", server.url());
             each_second(|second| {
@@ -267,9 +324,27 @@
             })?;
             Ok(true)
         }
-        Command::Drill { which: Which::Registry { seed, drains, fleets, servers, rate, plain, daemon: told } } => {
+        Command::Bench { what: What::Registry { seconds, daemon: told } } => {
+            bench::registry(daemon(told)?, seconds)?;
+            Ok(true)
+        }
+        Command::Bench { what: What::Door { connections, open, requests, daemon: told } } => {
+            bench::door(daemon(told)?, connections, open, requests)?;
+            Ok(true)
+        }
+        Command::Drill {
+            which: Which::Registry { seed, drains, fleets, servers, rate, plain, daemon: told },
+        } => {
             let daemon = daemon(told)?;
-            Ok(drill::registry::run(&drill::registry::Drill { daemon, seed, drains, fleets, servers, rate, plain })?)
+            Ok(drill::registry::run(&drill::registry::Drill {
+                daemon,
+                seed,
+                drains,
+                fleets,
+                servers,
+                rate,
+                plain,
+            })?)
         }
     }
 }
--- a/crates/kit/src/processor.rs
+++ b/crates/kit/src/processor.rs
@@ -15,7 +15,7 @@
 /// Notices kept for a server that comes back.
 const KEPT: usize = 4_000;
 /// Between steps of the cores.
-const TICK: Duration = Duration::from_millis(2);
+const TICK: Duration = Duration::from_millis(1);
 /// The largest body that is read.
 const MOST_BODY: usize = 64 * 1024;
 /// The most that one run takes of the mean: lognormal tails are cut there.
@@ -140,13 +140,16 @@
             core_use: 0.0,
             stepped: now,
         };
-        let shared = Arc::new(Shared { state: Mutex::new(state), begun: sender, ended: AtomicBool::new(false) });
+        let shared =
+            Arc::new(Shared { state: Mutex::new(state), begun: sender, ended: AtomicBool::new(false) });
         let mine = Arc::clone(&shared);
         let run = move || {
             while !mine.ended.load(Ordering::Relaxed) {
                 while let Ok((stream, _)) = listener.accept() {
                     let mine = Arc::clone(&mine);
-                    let _ = thread::Builder::new().name("processor-link".into()).spawn(move || link(stream, &mine));
+                    let _ = thread::Builder::new()
+                        .name("processor-link".into())
+                        .spawn(move || link(stream, &mine));
                 }
                 mine.state().step();
                 thread::sleep(TICK);
@@ -214,16 +217,20 @@
         self.stepped = now;
         let (cores, on) = (f64::from(self.spec.cores), self.runs.len() as f64);
         let thrash = if on > self.spec.thrash_at * cores { self.spec.thrash } else { 1.0 };
-        let each = passed * self.spec.speed * self.warmth(now) / self.slow * thrash * (cores / on.max(1.0)).min(1.0);
-        let used = (on / cores).min(1.0);
-        self.core_use += (passed / 0.5).min(1.0) * (used - self.core_use);
+        let each =
+            passed * self.spec.speed * self.warmth(now) / self.slow * thrash * (cores / on.max(1.0)).min(1.0);
+        let can = passed * cores * self.spec.speed * self.warmth(now) / self.slow * thrash;
+        let mut done = 0.0;
         let mut over = Vec::new();
         for (id, run) in &mut self.runs {
+            done += run.work_s.min(each);
             run.work_s -= each;
             if run.work_s <= 0.0 {
                 over.push(id.clone());
             }
         }
+        let used = if can > 0.0 { (done / can).min(1.0) } else { 0.0 };
+        self.core_use += (passed / 0.5).min(1.0) * (used - self.core_use);
         for id in over {
             let Some(run) = self.runs.remove(&id) else { continue };
             let took = (now - run.since).as_secs_f64() * 1e3;
@@ -345,7 +352,10 @@
 }
 
 /// Counts of runs by what their tries share.
-pub fn runs_by<K: std::hash::Hash + Eq>(begun: &[Begun], key: impl Fn(&Begun) -> Option<K>) -> HashMap<K, usize> {
+pub fn runs_by<K: std::hash::Hash + Eq>(
+    begun: &[Begun],
+    key: impl Fn(&Begun) -> Option<K>,
+) -> HashMap<K, usize> {
     let mut counts = HashMap::new();
     for key in begun.iter().filter_map(key) {
         *counts.entry(key).or_default() += 1;
--- a/crates/kit/src/registry/server.rs
+++ b/crates/kit/src/registry/server.rs
@@ -220,7 +220,7 @@
                 }
                 shared.connections.fetch_add(1, Ordering::Relaxed);
                 let (mine, theirs) = (Arc::clone(shared), Arc::clone(shared));
-                let small = thread::Builder::new().name("registry-conn".into()).stack_size(256 * 1024);
+                let small = thread::Builder::new().name("registry-conn".into());
                 let serves = small.spawn(move || {
                     let _ = serve(stream, &mine);
                     mine.connections.fetch_sub(1, Ordering::Relaxed);
--- a/crates/kit/src/watch.rs
+++ b/crates/kit/src/watch.rs
@@ -23,7 +23,12 @@
 
 impl Watcher {
     /// Follows registries in the order of preference; one that fails hands over to the next.
-    pub fn start(urls: &[ServiceUrl], set: ViewSettings, timeout: Duration, seed: u64) -> std::io::Result<Self> {
+    pub fn start(
+        urls: &[ServiceUrl],
+        set: ViewSettings,
+        timeout: Duration,
+        seed: u64,
+    ) -> std::io::Result<Self> {
         let start = Instant::now();
         let now = move || Time(start.elapsed().as_nanos() as u64);
         let view = Arc::new(Mutex::new(View::new(set, seed, now())));
--- /dev/null
+++ b/crates/kit/tests/sockets.rs
@@ -0,0 +1,107 @@
+//! The real daemon beside a stand-in registry, on loopback sockets. Waits are upper bounds; nothing passes or fails by
+//! how long anything takes.
+
+use gradepin_kit::fleet::{self, Fleet, FleetSpec};
+use gradepin_kit::load::{End, Fixed, Habit, Proxy, classes};
+use gradepin_kit::processor::Spec;
+use gradepin_kit::registry::faults::Fault;
+use gradepin_kit::registry::server::{Server, ServerSettings};
+use gradepin_registry::instance::Status;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn local() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn registry(login: Option<(&str, &str)>) -> Server {
+    let login = login.map(|(user, password)| (user.to_string(), password.to_string()));
+    Server::start(local(), ServerSettings { login, ..ServerSettings::default() }).expect("a registry")
+}
+
+fn spec(name: &str, url: String, more: &str) -> FleetSpec {
+    let work = classes().into_iter().map(|class| (class.name, Duration::from_millis(5))).collect();
+    FleetSpec {
+        daemon: fleet::daemon().expect("the daemon is built with the workspace's tests"),
+        servers: 1,
+        processor: Spec { classes: work, ..Spec::default() },
+        scale: 1,
+        stop: Duration::from_millis(2_500),
+        callers: 1,
+        registries: vec![url],
+        registry_more: format!("heartbeat-ms 300\nlease-ms 1000\nsteady-ms 0\ntell-every-ms 100\n{more}"),
+        folder: fleet::folder(name).expect("a folder"),
+    }
+}
+
+fn shows(registry: &Server, expected: Option<Status>) -> bool {
+    let start = Instant::now();
+    while start.elapsed() < PATIENCE {
+        if registry.instance("TILE-SERVER", "n0").map(|i| i.status) == expected {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    false
+}
+
+/// Hard case 1, and the API's other half: guards against a server that waits for its registry before it serves, or that
+/// can't speak XML or give a password.
+#[test]
+fn a_server_serves_without_its_registry_and_registers_when_it_is_there() {
+    let login = ("tiles", "secret");
+    let registry = registry(Some(login));
+    registry.fail(Fault::Refuse);
+    // Until the listener is really closed.
+    thread::sleep(Duration::from_millis(100));
+    let url = format!("http://{}:{}@{}/eureka", login.0, login.1, registry.address());
+    let spec = spec("away", url, "format \"xml\"\nzone \"lahti-1\"\nmetadata { rack \"b7\"; }");
+    let fleet = Fleet::start(&spec).expect("it is ready without a registry");
+    let habit = Habit { rate: 50.0, tries: 1, heeds: false };
+    let proxy = Proxy::start(1, 5, habit, Box::new(Fixed { all: vec![fleet.nodes[0].address], turn: 0 }));
+    thread::sleep(Duration::from_millis(500));
+    let books = proxy.expect("a proxy").stop();
+    assert!(books.tries.iter().any(|t| t.end == End::Served && t.genuine), "{:?}", books.tries);
+    assert_eq!(registry.instance("TILE-SERVER", "n0"), None);
+    registry.fail(Fault::None);
+    assert!(shows(&registry, Some(Status::Up)), "{}", registry.summary());
+    let told = registry.instance("tile-server", "n0").expect("it is registered");
+    assert_eq!(
+        (told.zone(), told.metadata["rack"].as_str(), told.vip.as_str()),
+        (Some("lahti-1"), "b7", "tiles")
+    );
+    assert_eq!(SocketAddr::new(told.ip.expect("an address"), told.port.number), fleet.nodes[0].address);
+    // Hard case 4 on the wire.
+    registry.fail(Fault::RestartEmpty);
+    assert!(shows(&registry, Some(Status::Up)));
+    drop(fleet);
+    fleet::remove(&spec.folder);
+}
+
+/// Hard case 2: whatever the registry does, what was read is answered, and a leave gets through where it can.
+#[test]
+fn a_drain_answers_everything_whatever_the_registry_does() {
+    for fault in [Fault::Hang, Fault::Garbage, Fault::Cut, Fault::Status(500)] {
+        let registry = registry(None);
+        let spec = spec(&format!("drain-{}", fault.to_string().replace(' ', "-")), registry.url(), "");
+        let mut fleet = Fleet::start(&spec).expect("a fleet");
+        assert!(shows(&registry, Some(Status::Up)));
+        let habit = Habit { rate: 100.0, tries: 1, heeds: false };
+        let proxy = Proxy::start(1, 5, habit, Box::new(Fixed { all: vec![fleet.nodes[0].address], turn: 0 }));
+        thread::sleep(Duration::from_millis(300));
+        registry.fail(fault.clone());
+        fleet.nodes[0].terminate();
+        thread::sleep(Duration::from_millis(300));
+        let books = proxy.expect("a proxy").stop();
+        let unanswered: Vec<_> =
+            books.tries.iter().filter(|t| matches!(t.end, End::Lost | End::TimedOut)).collect();
+        assert!(books.tries.len() > 10 && unanswered.is_empty(), "{fault}: {unanswered:?}");
+        registry.fail(Fault::None);
+        assert!(shows(&registry, Some(Status::OutOfService)), "{fault}: {}", registry.summary());
+        fleet.nodes[0].kill();
+        fleet::remove(&spec.folder);
+    }
+}
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -18,7 +18,7 @@
 use ureq::{Agent, Body, RequestBuilder};
 
 /// The library keeps its buffers on the heap, but nests its calls.
-const STACK: usize = 512 * 1024;
+const STACK: usize = 1024 * 1024;
 /// Questions that wait for a thread; the state machine puts one at a time to each.
 const QUEUE: usize = 4;
 /// The largest answer about one instance that is read.
--- a/crates/registry/src/membership.rs
+++ b/crates/registry/src/membership.rs
@@ -163,6 +163,8 @@
     url: usize,
     op: Op,
     since: Time,
+    /// Told to another registry than the one in use, for callers that ask there: what becomes of it changes nothing.
+    beside: bool,
 }
 
 /// The registration of one server. See the module's own page.
@@ -177,6 +179,8 @@
     health: bool,
     health_since: Time,
     leaving: Leaving,
+    /// Service URLs beside the one in use that are still to be told of a leave.
+    beside: Vec<usize>,
     // What is believed of the registry.
     registered: bool,
     /// The state there, as last seen or told.
@@ -223,6 +227,7 @@
             health: false,
             health_since: now,
             leaving: Leaving::No,
+            beside: Vec::new(),
             registered: false,
             told: None,
             overridden: false,
@@ -271,12 +276,15 @@
             self.leaving = Leaving::Tell;
             self.next_urgent = now;
             self.leave_backoff.reset();
+            // Registries tell one another, but not while they are cut apart.
+            self.beside = (0..self.set.urls).rev().collect();
         }
     }
 
     /// An operator takes the server back in.
     pub fn come_back(&mut self) {
         self.leaving = Leaving::No;
+        self.beside.clear();
     }
 
     /// Everything is answered, and nothing more will come.
@@ -343,12 +351,12 @@
         }
         self.give_up_overdue(now);
         self.urgent_op(now, unix_ms)
-            .map(|op| (Lane::Urgent, self.url, op))
-            .or_else(|| self.routine_op(now, unix_ms).map(|(url, op)| (Lane::Routine, url, op)))
-            .map(|(lane, url, op)| {
+            .map(|(url, beside, op)| (Lane::Urgent, url, beside, op))
+            .or_else(|| self.routine_op(now, unix_ms).map(|(url, op)| (Lane::Routine, url, false, op)))
+            .map(|(lane, url, beside, op)| {
                 self.tickets += 1;
                 self.calls += 1;
-                let open = Open { ticket: self.tickets, url, op: op.clone(), since: now };
+                let open = Open { ticket: self.tickets, url, op: op.clone(), since: now, beside };
                 *self.lane(lane) = Some(open);
                 Ask { ticket: self.tickets, url, lane, timeout: self.timeout(lane), op }
             })
@@ -363,7 +371,8 @@
         let overdue = |open: &Open, lane| after(open.since, Span(self.timeout(lane).0 + OVERDUE.0));
         let urgent = match (&self.urgent, self.leaving) {
             (Some(open), _) => overdue(open, Lane::Urgent),
-            (None, Leaving::No | Leaving::Seen) => never,
+            (None, Leaving::No) => never,
+            (None, Leaving::Seen) if self.beside.is_empty() => never,
             (None, _) => self.next_urgent,
         };
         let routine = match &self.routine {
@@ -426,18 +435,27 @@
         Op::Register(Box::new(instance))
     }
 
-    fn urgent_op(&mut self, now: Time, unix_ms: u64) -> Option<Op> {
+    /// The service URL, whether it is only beside the one in use, and the question.
+    fn urgent_op(&mut self, now: Time, unix_ms: u64) -> Option<(usize, bool, Op)> {
         if self.urgent.is_some() || now < self.next_urgent {
             return None;
         }
+        let own = |op| Some((self.url, false, op));
         match self.leaving {
-            Leaving::No | Leaving::Seen => None,
+            Leaving::No => None,
             Leaving::Tell => {
                 self.dirty_ms = unix_ms.max(self.dirty_ms + 1);
-                Some(Op::Override { status: Status::OutOfService, dirty_ms: self.dirty_ms })
+                own(Op::Override { status: Status::OutOfService, dirty_ms: self.dirty_ms })
+            }
+            Leaving::Register => {
+                let op = self.record(Status::OutOfService, unix_ms);
+                Some((self.url, false, op))
+            }
+            Leaving::Look => own(Op::Look),
+            Leaving::Seen => {
+                let url = std::iter::from_fn(|| self.beside.pop()).find(|url| *url != self.url)?;
+                Some((url, true, Op::Override { status: Status::OutOfService, dirty_ms: self.dirty_ms }))
             }
-            Leaving::Register => Some(self.record(Status::OutOfService, unix_ms)),
-            Leaving::Look => Some(Op::Look),
         }
     }
 
@@ -491,6 +509,10 @@
         };
         let Some(lane) = lanes.into_iter().find(is_open) else { return };
         let Some(open) = self.lane(lane).take() else { return };
+        if open.beside {
+            self.next_urgent = now;
+            return;
+        }
         match (&reply, &open.op) {
             (Reply::Failed(why), _) => return self.failed(now, lane, &open, why),
             (Reply::Rejected(status), _) => {
@@ -511,6 +533,8 @@
         }
         match reply {
             Reply::NotFound => self.forgotten(now, lane),
+            // Another registry is in use by now: what this one shows says nothing of that.
+            Reply::Record(_) if open.url != self.url => self.leaving = Leaving::Tell,
             Reply::Record(record) => self.seen(now, lane, &record),
             Reply::Done => self.done(now, lane, open.op),
             Reply::Rejected(_) | Reply::Failed(_) => {}
@@ -615,7 +639,7 @@
             Op::Look => self.failed(
                 now,
                 lane,
-                &Open { ticket: 0, url: self.url, op: Op::Look, since: now },
+                &Open { ticket: 0, url: self.url, op: Op::Look, since: now, beside: false },
                 "answered without the record",
             ),
             Op::Cancel => {
@@ -639,6 +663,7 @@
     /// The own record as the registry has it.
     fn seen(&mut self, now: Time, lane: Lane, record: &Instance) {
         self.told = Some(record.status);
+        self.registered = true;
         if record.dirty_ms > self.dirty_ms {
             // Another life's record, later than this one's by its clock: this one's must be the latest.
             self.dirty_ms = record.dirty_ms;
