Ask registries by hand, slow processors by script, and the rest of the registry API

Need: metadata, one application and VIP look-ups were missing from the client; people need to try a registry out.

--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -9,6 +9,12 @@
 use gradepin_kit::registry::server::{Server, ServerSettings};
 use gradepin_kit::registry::state::RegistrySettings;
 use gradepin_kit::{bench, drill};
+use gradepin_node::registry::Client;
+use gradepin_node::settings::ServiceUrl;
+use gradepin_registry::instance::{Applications, Instance, Status};
+use gradepin_registry::membership::{Op, Reply};
+use gradepin_registry::view::Fetch;
+use gradepin_registry::wire::Format;
 use hdrhistogram::Histogram;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use std::error::Error;
@@ -76,6 +82,9 @@
         /// Seed of the work of each run
         #[arg(long, default_value_t = 7)]
         seed: u64,
+        /// Slowdowns by time, as '5000 8.4; 20000 1': from 5 s on 8.4 times slower, from 20 s on as usual
+        #[arg(long, default_value = "", value_parser = slowdowns)]
+        slow: Arc<[(u64, f64)]>,
     },
     /// A stand-in control plane; a line a second with who is ready
     Control {
@@ -104,6 +113,17 @@
         #[arg(long, default_value = "")]
         faults: Script,
     },
+    /// Asks a registry, or takes an instance out there: for people, and for trying a registry out
+    Ask {
+        /// Its service URL
+        #[arg(long, default_value = "http://127.0.0.1:8761/eureka/v2")]
+        url: String,
+        /// Speak XML
+        #[arg(long)]
+        xml: bool,
+        #[command(subcommand)]
+        what: Question,
+    },
     /// Measurements that compare two ways in one run
     Bench {
         #[command(subcommand)]
@@ -116,6 +136,28 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Question {
+    /// All instances
+    Apps,
+    /// What changed of late
+    Delta,
+    /// The instances of one application
+    App { app: String },
+    /// The instances under one VIP address
+    Vip { vip: String },
+    /// One instance
+    Instance { app: String, id: String },
+    /// Set an override: out of service
+    Out { app: String, id: String },
+    /// Remove the override: up
+    In { app: String, id: String },
+    /// Set one key of an instance's metadata
+    Metadata { app: String, id: String, key: String, value: String },
+    /// Remove a registration
+    Cancel { app: String, id: String },
+}
+
 #[derive(Subcommand)]
 enum What {
     /// Calls at a registry, bytes, memory, and the daemon's CPU with and without
@@ -172,6 +214,17 @@
     },
 }
 
+/// Steps of so many milliseconds since the start, and how many times slower from then on.
+fn slowdowns(text: &str) -> Result<Arc<[(u64, f64)]>, String> {
+    let steps = text.split(';').map(str::trim).filter(|step| !step.is_empty()).map(|step| {
+        let (ms, times) = step.split_once(' ').ok_or("expected MS TIMES")?;
+        let ms = ms.parse().map_err(|_| format!("expected milliseconds, got '{ms}'"))?;
+        let times: f64 = times.trim().parse().map_err(|_| format!("expected a number, got '{times}'"))?;
+        if times >= 1.0 { Ok((ms, times)) } else { Err(format!("expected 1 or more, got {times}")) }
+    });
+    steps.collect()
+}
+
 /// Set by Ctrl-C and SIGTERM.
 fn end() -> std::io::Result<Arc<AtomicBool>> {
     let end = Arc::<AtomicBool>::default();
@@ -271,13 +324,15 @@
             fleet::remove(&folder);
             Ok(true)
         }
-        Command::Processor { listen, cores, speed, cold_share, warms_in_s, work_ms, seed } => {
+        Command::Processor { listen, cores, speed, cold_share, warms_in_s, work_ms, seed, slow } => {
             let classes = vec![("any".to_string(), Duration::from_millis(work_ms))];
             let warms_in = Duration::from_secs_f64(warms_in_s.max(0.0));
             let spec = Spec { cores, speed, cold_share, warms_in, classes, seed, ..Spec::default() };
             let processor = Processor::start(listen, spec)?;
             println!("a processor of {cores} cores at {}", processor.address());
             each_second(|second| {
+                let steps = slow.iter().filter(|(ms, _)| *ms <= second * 1000);
+                processor.slow_down(steps.max_by_key(|(ms, _)| *ms).map_or(1.0, |(_, times)| *times));
                 println!(
                     "{second:>4} s  running {:>3}  begun {:>4}",
                     processor.running(),
@@ -324,6 +379,7 @@
             })?;
             Ok(true)
         }
+        Command::Ask { url, xml, what } => ask(&url, if xml { Format::Xml } else { Format::Json }, what),
         Command::Bench { what: What::Registry { seconds, daemon: told } } => {
             bench::registry(daemon(told)?, seconds)?;
             Ok(true)
@@ -349,6 +405,44 @@
     }
 }
 
+/// Puts one question; false if the registry doesn't know the instance, or won't.
+fn ask(url: &str, format: Format, what: Question) -> Result<bool, Box<dyn Error>> {
+    const TIMEOUT: Duration = Duration::from_secs(5);
+    let client = Client::new(&ServiceUrl::parse(url)?, format);
+    let line = |i: &Instance| {
+        let (zone, address) = (i.zone().unwrap_or("-"), i.ip.map_or(i.host.clone(), |ip| ip.to_string()));
+        println!("{} {} {} {address}:{} zone {zone} vip {}", i.app, i.id, i.status, i.port.number, i.vip);
+    };
+    let all = |came: Applications| {
+        came.instances.iter().for_each(line);
+        println!("{} instances, code {}", came.instances.len(), came.hash_code);
+        Ok(true)
+    };
+    let (app, id, op) = match what {
+        Question::Apps => return all(client.fetch(Fetch::Full, TIMEOUT)?),
+        Question::Delta => return all(client.fetch(Fetch::Delta, TIMEOUT)?),
+        Question::App { app } => return all(client.application(&app, TIMEOUT)?),
+        Question::Vip { vip } => return all(client.vip(&vip, TIMEOUT)?),
+        Question::Metadata { app, id, key, value } => {
+            client.metadata(&app, &id, &key, &value, TIMEOUT)?;
+            return Ok(true);
+        }
+        Question::Instance { app, id } => (app, id, Op::Look),
+        Question::Out { app, id } => (app, id, Op::Override { status: Status::OutOfService, dirty_ms: 0 }),
+        Question::In { app, id } => (app, id, Op::ClearOverride { status: Status::Up, dirty_ms: 0 }),
+        Question::Cancel { app, id } => (app, id, Op::Cancel),
+    };
+    let reply = client.ask(&app, &id, &op, TIMEOUT);
+    match &reply {
+        Reply::Done => println!("done"),
+        Reply::Record(instance) => line(instance),
+        Reply::NotFound => println!("no {id} in {app}"),
+        Reply::Rejected(status) => println!("answered with status {status}"),
+        Reply::Failed(why) => println!("failed: {why}"),
+    }
+    Ok(matches!(reply, Reply::Done | Reply::Record(_)))
+}
+
 fn main() -> ExitCode {
     match run(Cli::parse().command) {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/kit/tests/sockets.rs
+++ b/crates/kit/tests/sockets.rs
@@ -6,7 +6,12 @@
 use gradepin_kit::processor::Spec;
 use gradepin_kit::registry::faults::Fault;
 use gradepin_kit::registry::server::{Server, ServerSettings};
-use gradepin_registry::instance::Status;
+use gradepin_node::registry::Client;
+use gradepin_node::settings::ServiceUrl;
+use gradepin_registry::instance::{Instance, Status};
+use gradepin_registry::membership::{Op, Reply};
+use gradepin_registry::view::Fetch;
+use gradepin_registry::wire::Format;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -105,3 +110,45 @@
         fleet::remove(&spec.folder);
     }
 }
+
+/// The whole API through the client and the stand-in, in both formats, with an id that needs escaping.
+#[test]
+fn every_call_of_the_api_crosses_the_wire() {
+    for format in [Format::Json, Format::Xml] {
+        let registry = registry(None);
+        let client = Client::new(&ServiceUrl { url: registry.url(), login: None }, format);
+        let (app, id) = ("TILES", "n 1/ä:8443");
+        let ask = |op: Op| client.ask(app, id, &op, PATIENCE);
+        let (up, out) = (Status::Up, Status::OutOfService);
+        assert_eq!(ask(Op::Look), Reply::NotFound);
+        assert_eq!(ask(Op::Heartbeat { status: up, dirty_ms: 1 }), Reply::NotFound);
+        let known = Instance {
+            id: id.into(),
+            app: app.into(),
+            vip: "tiles".into(),
+            status: up,
+            ..Instance::default()
+        };
+        assert_eq!(ask(Op::Register(Box::new(Instance { dirty_ms: 5, ..known }))), Reply::Done);
+        assert_eq!(ask(Op::Heartbeat { status: up, dirty_ms: 5 }), Reply::Done);
+        assert_eq!(ask(Op::Override { status: out, dirty_ms: 6 }), Reply::Done);
+        let Reply::Record(record) = ask(Op::Look) else { panic!("no record") };
+        assert_eq!((record.id.as_str(), record.status, record.overridden), (id, out, out));
+        assert_eq!(ask(Op::ClearOverride { status: up, dirty_ms: 7 }), Reply::Done);
+        client.metadata(app, id, "zone", "lahti 1", PATIENCE).expect("metadata");
+        let fetches = [
+            client.fetch(Fetch::Full, PATIENCE),
+            client.fetch(Fetch::Delta, PATIENCE),
+            client.application(app, PATIENCE),
+            client.vip("tiles", PATIENCE),
+        ];
+        for came in fetches {
+            let came = came.expect("applications");
+            assert_eq!((came.instances.len(), came.instances[0].status), (1, up), "{format:?}");
+            assert_eq!(came.instances[0].zone(), Some("lahti 1"));
+        }
+        assert!(client.application("NOTHING", PATIENCE).is_err());
+        assert_eq!(ask(Op::Cancel), Reply::Done);
+        assert_eq!(ask(Op::Cancel), Reply::NotFound);
+    }
+}
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -103,12 +103,39 @@
 
     /// Everything, or what changed of late.
     pub fn fetch(&self, fetch: Fetch, timeout: Duration) -> Result<Applications, ExchangeError> {
-        let path = if fetch == Fetch::Full { "apps" } else { "apps/delta" };
+        self.applications(if fetch == Fetch::Full { "apps" } else { "apps/delta" }, timeout)
+    }
+
+    /// The instances of one application.
+    pub fn application(&self, app: &str, timeout: Duration) -> Result<Applications, ExchangeError> {
+        self.applications(&format!("apps/{}", escape(app)), timeout)
+    }
+
+    /// The instances under one VIP address.
+    pub fn vip(&self, vip: &str, timeout: Duration) -> Result<Applications, ExchangeError> {
+        self.applications(&format!("vips/{}", escape(vip)), timeout)
+    }
+
+    fn applications(&self, path: &str, timeout: Duration) -> Result<Applications, ExchangeError> {
         let response = self.prepared(self.agent.get(format!("{}/{path}", self.url)), timeout).call()?;
         let bytes = self.read(response, MOST_APPLICATIONS)?;
         Ok(wire::read_applications(&bytes, self.format)?)
     }
 
+    /// Sets one key of an instance's metadata.
+    pub fn metadata(
+        &self,
+        app: &str,
+        id: &str,
+        key: &str,
+        value: &str,
+        timeout: Duration,
+    ) -> Result<(), ExchangeError> {
+        let (app, id) = (escape(app), escape(id));
+        let url = format!("{}/apps/{app}/{id}/metadata?{}={}", self.url, escape(key), escape(value));
+        self.read(self.prepared(self.agent.put(url), timeout).send_empty()?, MOST_RECORD).map(drop)
+    }
+
     /// Puts one question of a server's own registration.
     pub fn ask(&self, app: &str, id: &str, op: &Op, timeout: Duration) -> Reply {
         self.exchange(app, id, op, timeout).unwrap_or_else(|error| match error {
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -308,6 +308,13 @@
         assert_eq!(registry.metadata, [("rack".to_string(), "b7".to_string())]);
     }
 
+    /// Guards against an example that the program it is shipped with doesn't take.
+    #[test]
+    fn the_example_is_read() {
+        let own = Own::parse(include_str!("../../../../deploy/registry.kdl")).unwrap();
+        assert_eq!(own.registry.map(|set| set.urls.len()), Some(2));
+    }
+
     /// Guards against a file that is half used, and against a typing error that silently keeps a default.
     #[test]
     fn every_problem_is_told_with_its_place() {
