--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -42,6 +42,25 @@
     pub body: Buffer,
 }
 
+/// How a message is wrong; each front has its own words for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Misuse {
+    /// It makes no sense.
+    Request,
+    /// It asks for something that there isn't.
+    NotFound,
+    /// There is, but not in this way.
+    NotAllowed,
+    /// Another request has its token or its id.
+    Conflict,
+    /// Its length is not told.
+    NoLength,
+    /// Its body is too long.
+    TooLarge,
+    /// What stands before its body is too long.
+    HeadTooLarge,
+}
+
 /// How the processor says that a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunEnd {
@@ -64,8 +83,8 @@
     Closed(ConnId),
     /// A request.
     Call(ConnId, SeqId, Box<Call>),
-    /// A message that asks for an answer but makes no sense, and why.
-    Invalid(ConnId, SeqId, String),
+    /// A message that asks for an answer but can't be taken: how it is wrong, and a text for its sender.
+    Invalid(ConnId, SeqId, Misuse, String),
     /// Nobody waits for a request any more.
     Cancel(ConnId, SeqId),
     /// A health check.
@@ -122,10 +141,13 @@
         /// Whether to ask that no other server be tried.
         last: bool,
     },
-    /// Failed.
-    Failed,
-    /// The message made no sense.
-    Invalid(String),
+    /// Failed; and whether because nothing came of it by its due time.
+    Failed {
+        /// Whether its time was up.
+        late: bool,
+    },
+    /// The message can't be taken: how it is wrong, and a text for its sender.
+    Invalid(Misuse, String),
     /// To a health check: whether all is well.
     Health(bool),
 }
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -5,7 +5,7 @@
 
 use crate::config::{Config, ConfigError};
 use crate::keys::{End, Keys, Print};
-use crate::messages::{Answer, Call, ConnId, Effect, Input, LEAST_RESTART, RunEnd, SeqId, sooner};
+use crate::messages::{Answer, Call, ConnId, Effect, Input, LEAST_RESTART, Misuse, RunEnd, SeqId, sooner};
 use crate::moment::Moment;
 use crate::pool::Buffer;
 use crate::registration::Registration;
@@ -70,6 +70,8 @@
     seq: SeqId,
     class: usize,
     t0: u64,
+    /// When its caller stops waiting, in Unix milliseconds.
+    due_ms: u64,
     token: Option<Arc<str>>,
     /// Of its body and class, if it has a token.
     print: Print,
@@ -264,7 +266,7 @@
             }
             Input::Closed(conn) => self.closed(conn),
             Input::Call(conn, seq, call) => self.call(conn, seq, *call),
-            Input::Invalid(conn, seq, why) => self.invalid(conn, seq, why),
+            Input::Invalid(conn, seq, misuse, why) => self.invalid(conn, seq, misuse, why),
             Input::Cancel(conn, seq) => self.cancel(conn, seq),
             Input::Health(conn, seq) => {
                 self.touch(conn);
@@ -324,10 +326,11 @@
         }
         let deadline = self.settings.profiles[call.class].deadline;
         if call.budget > BUDGET_MULTIPLE * deadline.0.div_ceil(MS) {
-            return self.invalid(conn, seq, "budget out of range".into());
+            return self.invalid(conn, seq, Misuse::Request, "budget out of range".into());
         }
         if self.requests.contains_key(&call.id) {
-            return self.invalid(conn, seq, format!("the rid {} is open already", call.id.0));
+            let why = format!("the rid {} is open already", call.id.0);
+            return self.invalid(conn, seq, Misuse::Conflict, why);
         }
         if self.controller.is_none() {
             // No processor yet, so nobody to ask; nothing has run.
@@ -347,7 +350,8 @@
         let earlier = call.token.as_ref().and_then(|token| self.earlier(token, t0));
         if earlier.as_ref().is_some_and(|(_, first)| *first != print) {
             // Guards against a stranger who learnt a token: its request would be served another's result.
-            return self.invalid(conn, seq, "the token came before with another body or class".into());
+            let why = "the token came before with another body or class".into();
+            return self.invalid(conn, seq, Misuse::Conflict, why);
         }
         let earlier = earlier.map(|(id, _)| id);
         let Some(connection) = self.connections.get_mut(&conn) else { return };
@@ -375,6 +379,7 @@
             seq,
             class: call.class,
             t0,
+            due_ms: due,
             token: call.token,
             print,
             state: State::Held,
@@ -401,10 +406,10 @@
         batch.or_else(|| self.keys.earlier(token, t0, self.moment.now, held))
     }
 
-    fn invalid(&mut self, conn: ConnId, seq: SeqId, why: String) {
+    fn invalid(&mut self, conn: ConnId, seq: SeqId, misuse: Misuse, why: String) {
         self.touch(conn);
         self.log(Level::Warning, format!("a request on connection {conn} made no sense: {why}"));
-        self.effects.push(Effect::Answer(conn, seq, Answer::Invalid(why), self.hint));
+        self.effects.push(Effect::Answer(conn, seq, Answer::Invalid(misuse, why), self.hint));
     }
 
     fn cancel(&mut self, conn: ConnId, seq: SeqId) {
@@ -544,7 +549,16 @@
     }
 
     fn answer_end(&mut self, id: &RequestId, end: End) {
-        self.answer(id, if let End::Served(result) = end { Answer::Served(result) } else { Answer::Failed });
+        let answer = match end {
+            End::Served(result) => Answer::Served(result),
+            End::Failed => Answer::Failed { late: self.is_late(id) },
+        };
+        self.answer(id, answer);
+    }
+
+    /// Whether the time that a request's caller waits is up.
+    fn is_late(&self, id: &RequestId) -> bool {
+        self.requests.get(id).is_some_and(|open| self.moment.unix_ms >= open.due_ms)
     }
 
     /// A repeat is answered from the run of another try.
@@ -630,7 +644,10 @@
             Action::Refuse { id, come_back, last } => {
                 self.finish(&id, Answer::Refused { backoff: come_back, last })
             }
-            Action::Error(id) => self.finish(&id, Answer::Failed),
+            Action::Error(id) => {
+                let late = self.is_late(&id);
+                self.finish(&id, Answer::Failed { late });
+            }
             Action::Remember { id, hold_for } => {
                 let until = after(self.moment.now, hold_for);
                 if let Some((token, print)) = self.requests.get(&id).and_then(Open::key) {
--- a/crates/gradepin/src/main.rs
+++ b/crates/gradepin/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use gradepin_core::config::Config;
+use gradepin_node::fronts::scgi::routes::Routes;
 use gradepin_node::log::{self, LogFormat};
 use gradepin_node::settings::Own;
 use gradepin_node::{config, serve};
@@ -9,6 +10,7 @@
 use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 #[derive(Parser)]
 #[command(version, about = "A tile server that decides what it takes, runs and turns away")]
@@ -62,24 +64,29 @@
 }
 
 impl Files {
-    fn load(self) -> Result<(Config, Own, PathBuf), Box<dyn Error>> {
+    fn load(self) -> Result<(Config, Own, serve::Files), Box<dyn Error>> {
         let path = self.config.or_else(|| std::env::var_os("GW_CONFIG").map(PathBuf::from));
         let path = path.ok_or("no configuration: give --config FILE or set GW_CONFIG")?;
         let own = self.settings.as_deref().map(Own::load).transpose()?.unwrap_or_default();
-        Ok((config::load(&path)?, own, path))
+        let config = config::load(&path)?;
+        if let Some(scgi) = &own.scgi {
+            // As `serve` would: a route to a class that isn't there ends the start.
+            Routes::new(scgi, Arc::new(config.settings.clone()))?;
+        }
+        Ok((config, own, serve::Files { config: path, own: self.settings }))
     }
 }
 
 fn run(command: Command) -> Result<(), Box<dyn Error>> {
     match command {
         Command::Serve { files, log_format } => {
-            let (config, own, file) = files.load()?;
+            let (config, own, files) = files.load()?;
             let format = match log_format {
                 Format::Text => LogFormat::Text,
                 Format::Json => LogFormat::Json,
             };
             let log = log::root(&config.name, format);
-            Ok(serve::serve(config, own, file, &log)?)
+            Ok(serve::serve(config, own, files, &log)?)
         }
         Command::Check { files } => {
             let (config, own, _) = files.load()?;
@@ -92,6 +99,13 @@
                     println!("registry: {} as {id}, {} service URLs", registry.app, registry.urls.len());
                 }
             }
+            match own.scgi {
+                None => println!("scgi: off"),
+                Some(scgi) => {
+                    let listeners = scgi.listen.len() + scgi.unix.len();
+                    println!("scgi: {listeners} listeners, {} routes", scgi.routes.len());
+                }
+            }
             Ok(())
         }
         Command::Leave { pid, cancel } => {
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -8,7 +8,7 @@
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
 use gradepin_decisions::{RequestId, Settings, Span, Time};
-use gradepin_node::clients::thrift as codec;
+use gradepin_node::fronts::thrift::codec;
 use std::sync::Arc;
 
 const MS: u64 = 1_000_000;
@@ -140,7 +140,7 @@
             codec::Message::Call(seq, call) => Input::Call(conn, seq, call),
             codec::Message::Health(seq) => Input::Health(conn, seq),
             codec::Message::Cancel(seq) => Input::Cancel(conn, seq),
-            codec::Message::Invalid(seq, why) => Input::Invalid(conn, seq, why),
+            codec::Message::Invalid(seq, misuse, why) => Input::Invalid(conn, seq, misuse, why),
             codec::Message::Unknown => return,
         };
         self.waiting.push(input);
--- a/crates/kit/src/bench.rs
+++ b/crates/kit/src/bench.rs
@@ -182,7 +182,7 @@
             let with = !registries.is_empty();
             let folder = fleet::folder(if with { "bench-with" } else { "bench-without" })?;
             let mut fleet = Fleet::start(&spec(daemon, registries, folder.clone(), 10))?;
-            let habit = Habit { rate: 200.0, tries: 1, heeds: true };
+            let habit = Habit { rate: 200.0, tries: 1, heeds: true, scgi_share: 0.0 };
             let list = Fixed { all: vec![fleet.nodes[0].address], turn: 0 };
             let proxy = Proxy::start(1, 3, habit, Box::new(list))?;
             let before = fleet.nodes[0].cpu().unwrap_or_default();
@@ -215,6 +215,7 @@
         stop: Duration::from_millis(2_500),
         callers: 1,
         registries,
+        scgi: false,
         registry_more: String::new(),
         folder,
     }
--- a/crates/kit/src/drill/mod.rs
+++ b/crates/kit/src/drill/mod.rs
@@ -1,6 +1,7 @@
 //! Drills: real processes on loopback, with faults, and claims that are kept or not.
 
 pub mod registry;
+pub mod scgi;
 
 use std::fmt::Display;
 
--- a/crates/kit/src/drill/registry.rs
+++ b/crates/kit/src/drill/registry.rs
@@ -128,6 +128,7 @@
         stop: Duration::from_millis(2_500),
         callers: 2,
         registries: if with { registries.iter().map(Server::url).collect() } else { Vec::new() },
+        scgi: false,
         registry_more: "    heartbeat-ms 1000\n    lease-ms 3000\n    timeout-ms 500\n    steady-ms 100\n    tell-every-ms 200\n    prefer-every-ms 2000".into(),
         folder,
     };
@@ -152,7 +153,7 @@
         } else {
             Box::new(Fixed { all: all.clone(), turn: n as usize })
         };
-        let habit = Habit { rate: drill.rate / 2.0, tries: 4, heeds: false };
+        let habit = Habit { rate: drill.rate / 2.0, tries: 4, heeds: false, scgi_share: 0.0 };
         proxies.push(Proxy::start(n + 1, seed + 7 * n, habit, servers)?);
     }
     let mut run = Run::default();
@@ -247,7 +248,7 @@
     let drains: Vec<&Drain> = runs.iter().flat_map(|run| &run.drains).collect();
     let tries: Vec<&Try> = runs.iter().flat_map(|run| &run.books).flat_map(|books| &books.tries).collect();
     let requests = || runs.iter().flat_map(|run| &run.books).flat_map(|books| &books.requests);
-    let served = requests().filter(|(_, _, took)| took.is_some()).count();
+    let served = requests().filter(|asked| asked.took_ms.is_some()).count();
     println!("{} requests, {served} served, {} tries", requests().count(), tries.len());
 
     // What was written to a server that could still read it.
--- a/crates/kit/src/fleet.rs
+++ b/crates/kit/src/fleet.rs
@@ -17,6 +17,11 @@
 const PORT: u16 = 18_443;
 static NEXT: AtomicU8 = AtomicU8::new(1);
 
+/// The SCGI address of a server.
+pub fn scgi_of(server: SocketAddr) -> SocketAddr {
+    SocketAddr::new(server.ip(), PORT + 1)
+}
+
 /// What a fleet is made of.
 #[derive(Debug, Clone)]
 pub struct FleetSpec {
@@ -34,6 +39,8 @@
     pub callers: usize,
     /// Service URLs of registries; none for none.
     pub registries: Vec<String>,
+    /// Whether the servers take SCGI too, on [`scgi_of`] their addresses and a UNIX socket in the folder.
+    pub scgi: bool,
     /// More lines for the registry's settings.
     pub registry_more: String,
     /// Where files and logs go.
@@ -98,6 +105,20 @@
     })
 }
 
+/// A route for each class, as `/sheet-view/7`.
+fn scgi_settings(listen: SocketAddr, socket: &Path) -> String {
+    let mut text = format!(
+        "scgi {{\n    listen \"{listen}\"\n    unix {:?}\n    health \"/health\"\n",
+        socket.display().to_string()
+    );
+    for (class, method) in
+        [("sheet-view", "GET"), ("deep-zoom", "GET"), ("label-read", "GET"), ("label-save", "PUT")]
+    {
+        text.push_str(&format!("    route \"/{class}/{{id}}\" method=\"{method}\" class=\"{class}\"\n"));
+    }
+    text + "}\n"
+}
+
 /// One server with its processor.
 pub struct Node {
     /// Its name.
@@ -111,7 +132,8 @@
     /// Its process, while there is one.
     child: Option<Child>,
     config: PathBuf,
-    own: Option<PathBuf>,
+    /// Its settings file, if it has one.
+    pub own: Option<PathBuf>,
     log: PathBuf,
     daemon: PathBuf,
     stop: Duration,
@@ -147,6 +169,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Reads its files again.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// The end, at once.
     pub fn kill(&mut self) {
         self.begun.extend(self.processor.begun());
@@ -209,13 +236,17 @@
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings(spec)
             });
             std::fs::write(&config, text.to_string())?;
-            let own = (!spec.registries.is_empty()).then(|| spec.folder.join(format!("{name}.kdl")));
+            let on = spec.scgi || !spec.registries.is_empty();
+            let own = on.then(|| spec.folder.join(format!("{name}.kdl")));
             if let Some(own) = &own {
                 let urls: String = spec.registries.iter().map(|url| format!("    url \"{url}\"\n")).collect();
                 let more = &spec.registry_more;
-                let text =
+                let registry =
                     format!("registry {{\n{urls}    app \"TILE-SERVER\"\n    vip \"tiles\"\n{more}\n}}\n");
-                std::fs::write(own, text)?;
+                let registry = if spec.registries.is_empty() { String::new() } else { registry };
+                let socket = spec.folder.join(format!("{name}.sock"));
+                let scgi = if spec.scgi { scgi_settings(scgi_of(address), &socket) } else { String::new() };
+                std::fs::write(own, registry + &scgi)?;
             }
             let (log, daemon) = (spec.folder.join(format!("{name}.log")), spec.daemon.clone());
             let mut node = Node {
--- a/crates/kit/src/load.rs
+++ b/crates/kit/src/load.rs
@@ -1,9 +1,11 @@
 //! Client proxies: each draws its requests from a seed, finds servers by a list, speaks Thrift, tries again elsewhere,
 //! and keeps books of every try.
 
+use crate::fleet::scgi_of;
 use crate::registry::server::unix_ms;
 use crate::thrift::{self, Answer, Message};
 use crossbeam_channel::{Receiver, Sender, select, unbounded};
+use gradepin_node::fronts::scgi::codec::{self as scgi, Response};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::{HashMap, HashSet};
@@ -110,6 +112,8 @@
     pub class: usize,
     /// Where it went.
     pub server: SocketAddr,
+    /// Whether over SCGI.
+    pub scgi: bool,
     /// When it was written, in Unix milliseconds.
     pub t0_ms: u64,
     /// How long its caller waits.
@@ -131,15 +135,30 @@
     pub tries: usize,
     /// Whether it stays away from a server as long as a refusal asks.
     pub heeds: bool,
+    /// The part of its requests that it sends over SCGI.
+    pub scgi_share: f64,
 }
 
-/// What one proxy counted: its tries, and per request the class, the time until it was served, if it was.
+/// A request in the books, its tries folded into one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Asked {
+    /// Index of its class.
+    pub class: usize,
+    /// Whether over SCGI.
+    pub scgi: bool,
+    /// When it came, in Unix milliseconds.
+    pub arrived_ms: u64,
+    /// Milliseconds until it was served, if it was.
+    pub took_ms: Option<u64>,
+}
+
+/// What one proxy counted.
 #[derive(Debug, Default)]
 pub struct Books {
     /// Every try that ended.
     pub tries: Vec<Try>,
-    /// Class, arrival in Unix milliseconds, and milliseconds until it was served, if it was.
-    pub requests: Vec<(usize, u64, Option<u64>)>,
+    /// Every request that ended.
+    pub requests: Vec<Asked>,
 }
 
 enum Event {
@@ -148,6 +167,8 @@
 }
 
 struct Conn {
+    /// Whether it carries one request.
+    once: bool,
     id: u64,
     stream: TcpStream,
     next_seq: i32,
@@ -161,6 +182,7 @@
     request: u64,
     t0_ms: u64,
     due: Instant,
+    scgi: bool,
 }
 
 struct Pending {
@@ -170,6 +192,13 @@
     tries: usize,
     tried: HashSet<SocketAddr>,
     token: String,
+    scgi: bool,
+}
+
+impl Pending {
+    fn asked(&self, took_ms: Option<u64>) -> Asked {
+        Asked { class: self.class, scgi: self.scgi, arrived_ms: self.arrived_ms, took_ms }
+    }
 }
 
 /// A proxy that runs in threads of its own until it is told to stop.
@@ -312,7 +341,9 @@
         let request = (self.peer << 40) | self.next_request;
         let token = format!("{:016x}{:016x}", self.rng.next_u64(), request);
         let arrived_ms = unix_ms();
-        let pending = Pending { class, arrived: now, arrived_ms, tries: 0, tried: HashSet::new(), token };
+        let scgi = self.unit() < self.habit.scgi_share;
+        let pending =
+            Pending { class, arrived: now, arrived_ms, tries: 0, tried: HashSet::new(), token, scgi };
         self.pending.insert(request, pending);
         self.count(|live| live.arrived += 1);
         self.send(request);
@@ -343,7 +374,7 @@
 
     fn give_up(&mut self, request: u64) {
         if let Some(pending) = self.pending.remove(&request) {
-            self.books.requests.push((pending.class, pending.arrived_ms, None));
+            self.books.requests.push(pending.asked(None));
             self.count(|live| live.unserved += 1);
         }
     }
@@ -356,11 +387,13 @@
         let Some(pending) = self.pending.get_mut(&request) else { return true };
         pending.tries += 1;
         pending.tried.insert(server);
-        let (class, again, token) = (pending.class, pending.tries > 1, pending.token.clone());
+        let (class, again, token, over) =
+            (pending.class, pending.tries > 1, pending.token.clone(), pending.scgi);
         let keyed = self.classes[class].keyed;
         let (t0_ms, budget_ms) = (unix_ms(), left.as_millis() as u64);
-        let open = Open { rid: rid.clone(), request, t0_ms, due: Instant::now() + left + LATE };
-        let Some(conn) = self.connection(server) else {
+        let open = Open { rid: rid.clone(), request, t0_ms, due: Instant::now() + left + LATE, scgi: over };
+        let conn = if over { self.scgi_connection(server) } else { self.connection(server) };
+        let Some(conn) = conn else {
             self.end(server, &open, End::NoConnection, false);
             return false;
         };
@@ -388,7 +421,29 @@
         if keyed {
             fields.push(("token", &token));
         }
-        let bytes = thrift::call(seq, &fields, request.to_string().as_bytes());
+        let bytes = if over {
+            let path = format!("/{name}/{request}");
+            let quoted = format!("\"{token}\"");
+            let mut headers: Vec<(&str, &str)> = vec![
+                ("REQUEST_METHOD", if keyed { "PUT" } else { "GET" }),
+                ("DOCUMENT_URI", &path),
+                ("HTTP_X_REQUEST_ID", &rid),
+                ("HTTP_X_CALLER", &peer),
+                ("HTTP_X_TENANT", tenant),
+                ("HTTP_X_WAIT_MS", &budget),
+                ("HTTP_X_MEMORY_KB", &memory),
+                ("HTTP_X_RANK", &rank),
+            ];
+            if again {
+                headers.push(("HTTP_X_RETRY", "1"));
+            }
+            if keyed {
+                headers.push(("HTTP_IDEMPOTENCY_KEY", &quoted));
+            }
+            scgi::encode(&headers, request.to_string().as_bytes())
+        } else {
+            thrift::call(seq, &fields, request.to_string().as_bytes())
+        };
         if conn.stream.write_all(&bytes).is_err() {
             let _ = conn.stream.shutdown(Shutdown::Both);
         }
@@ -399,7 +454,7 @@
     /// A connection to a server with room, an open one if there is.
     fn connection(&mut self, server: SocketAddr) -> Option<&mut Conn> {
         let conns = self.conns.entry(server).or_default();
-        let usable = |conn: &Conn| !conn.draining && conn.open.len() < WINDOW;
+        let usable = |conn: &Conn| !conn.once && !conn.draining && conn.open.len() < WINDOW;
         if !conns.iter().any(usable) {
             let stream = TcpStream::connect_timeout(&server, CONNECT).ok()?;
             stream.set_nodelay(true).ok()?;
@@ -426,9 +481,30 @@
                 let _ = events.send(Event::Ended(id));
             };
             thread::Builder::new().name("proxy-conn".into()).stack_size(128 * 1024).spawn(read).ok()?;
-            conns.push(Conn { id, stream, next_seq: 0, open: HashMap::new(), draining: false });
+            conns.push(Conn { once: false, id, stream, next_seq: 0, open: HashMap::new(), draining: false });
         }
-        conns.iter_mut().find(|conn| !conn.draining && conn.open.len() < WINDOW)
+        conns.iter_mut().find(|conn| usable(conn))
+    }
+
+    /// A connection for one request over SCGI.
+    fn scgi_connection(&mut self, server: SocketAddr) -> Option<&mut Conn> {
+        let stream = TcpStream::connect_timeout(&scgi_of(server), CONNECT).ok()?;
+        stream.set_write_timeout(Some(Duration::from_secs(1))).ok()?;
+        let mut reads = stream.try_clone().ok()?;
+        self.next_conn += 1;
+        let (id, events) = (self.next_conn, self.sender.clone());
+        let read = move || {
+            let mut bytes = Vec::new();
+            let _ = reads.read_to_end(&mut bytes);
+            if let Some(answer) = Response::read(&bytes).map(answer_of) {
+                let _ = events.send(Event::Frame(id, Message::Answer(1, answer)));
+            }
+            let _ = events.send(Event::Ended(id));
+        };
+        thread::Builder::new().name("proxy-scgi".into()).stack_size(128 * 1024).spawn(read).ok()?;
+        let conns = self.conns.entry(server).or_default();
+        conns.push(Conn { once: true, id, stream, next_seq: 0, open: HashMap::new(), draining: false });
+        conns.last_mut()
     }
 
     fn end(&mut self, server: SocketAddr, open: &Open, end: End, genuine: bool) {
@@ -438,6 +514,7 @@
             request: open.request,
             class,
             server,
+            scgi: open.scgi,
             t0_ms: open.t0_ms,
             budget_ms: (open.due - LATE).saturating_duration_since(Instant::now()).as_millis() as u64
                 + unix_ms().saturating_sub(open.t0_ms),
@@ -503,11 +580,7 @@
                 if let Some(pending) = self.pending.remove(&open.request) {
                     let took = pending.arrived.elapsed();
                     let aim = self.classes[pending.class].aim;
-                    self.books.requests.push((
-                        pending.class,
-                        pending.arrived_ms,
-                        Some(took.as_millis() as u64),
-                    ));
+                    self.books.requests.push(pending.asked(Some(took.as_millis() as u64)));
                     self.count(|live| {
                         live.times.push(took.as_millis() as u64);
                         if took <= aim { live.served += 1 } else { live.late += 1 }
@@ -546,7 +619,12 @@
                 let due: Vec<i32> =
                     conn.open.iter().filter(|(_, open)| open.due <= now).map(|(seq, _)| *seq).collect();
                 for seq in due {
-                    let _ = conn.stream.write_all(&thrift::cancel(seq, seq));
+                    // Over SCGI a caller that gives up closes.
+                    let _ = if conn.once {
+                        conn.stream.shutdown(Shutdown::Both)
+                    } else {
+                        conn.stream.write_all(&thrift::cancel(seq, seq))
+                    };
                     late.extend(conn.open.remove(&seq).map(|open| (server, open)));
                 }
             }
@@ -557,3 +635,17 @@
         }
     }
 }
+
+/// An answer over SCGI in the words of the other front.
+fn answer_of(response: Response) -> Answer {
+    let number = |name: &str| response.header(name).and_then(|text| text.parse::<f64>().ok());
+    match response.status {
+        200 => Answer::Served(response.body, HashMap::new()),
+        503 => Answer::Refused {
+            backoff_ms: number("x-gradepin-retry-after-ms").unwrap_or(0.0) as u64,
+            last: response.header("x-gradepin-final") == Some("1"),
+            hint: number("x-gradepin-hint"),
+        },
+        _ => Answer::Failed,
+    }
+}
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -188,6 +188,24 @@
 
 #[derive(Subcommand)]
 enum Which {
+    /// Mixed traffic over both fronts, past capacity
+    Scgi {
+        /// The first seed
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Runs, each with the next seed
+        #[arg(long, default_value_t = 5)]
+        runs: usize,
+        /// Seconds of each
+        #[arg(long, default_value_t = 30)]
+        seconds: u64,
+        /// Load as a part of what the cores can do
+        #[arg(long, default_value_t = 1.1)]
+        load: f64,
+        /// The daemon's program, if it is not beside this one
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
     /// Drains under load while the registry fails
     Registry {
         /// Seed of everything that is drawn
@@ -269,6 +287,7 @@
                 stop: Duration::from_millis(2_500),
                 callers: proxies,
                 registries: Vec::new(),
+                scgi: false,
                 registry_more: String::new(),
                 folder: folder.clone(),
             };
@@ -280,7 +299,8 @@
             let all: Vec<SocketAddr> = fleet.nodes.iter().map(|node| node.address).collect();
             let start = |n: usize| {
                 let list = Fixed { all: all.clone(), turn: n };
-                let habit = Habit { rate: rate / proxies.max(1) as f64, tries: 3, heeds: true };
+                let habit =
+                    Habit { rate: rate / proxies.max(1) as f64, tries: 3, heeds: true, scgi_share: 0.0 };
                 Proxy::start(n as u64 + 1, seed + n as u64, habit, Box::new(list))
             };
             let running = (0..proxies).map(start).collect::<std::io::Result<Vec<Proxy>>>()?;
@@ -318,8 +338,11 @@
             let books: Vec<_> = running.into_iter().map(Proxy::stop).collect();
             fleet.drain();
             let requests: usize = books.iter().map(|books| books.requests.len()).sum();
-            let served =
-                books.iter().flat_map(|books| &books.requests).filter(|(_, _, took)| took.is_some()).count();
+            let served = books
+                .iter()
+                .flat_map(|books| &books.requests)
+                .filter(|asked| asked.took_ms.is_some())
+                .count();
             println!("{requests} requests, {served} served");
             fleet::remove(&folder);
             Ok(true)
@@ -388,6 +411,10 @@
             bench::door(daemon(told)?, connections, open, requests)?;
             Ok(true)
         }
+        Command::Drill { which: Which::Scgi { seed, runs, seconds, load, daemon: told } } => {
+            let daemon = daemon(told)?;
+            Ok(drill::scgi::run(&drill::scgi::Drill { daemon, seed, runs, seconds, load })?)
+        }
         Command::Drill {
             which: Which::Registry { seed, drains, fleets, servers, rate, plain, daemon: told },
         } => {
--- a/crates/kit/tests/sockets.rs
+++ b/crates/kit/tests/sockets.rs
@@ -37,6 +37,7 @@
         stop: Duration::from_millis(2_500),
         callers: 1,
         registries: vec![url],
+        scgi: false,
         registry_more: format!("heartbeat-ms 300\nlease-ms 1000\nsteady-ms 0\ntell-every-ms 100\n{more}"),
         folder: fleet::folder(name).expect("a folder"),
     }
@@ -65,7 +66,7 @@
     let url = format!("http://{}:{}@{}/eureka", login.0, login.1, registry.address());
     let spec = spec("away", url, "format \"xml\"\nzone \"lahti-1\"\nmetadata { rack \"b7\"; }");
     let fleet = Fleet::start(&spec).expect("it is ready without a registry");
-    let habit = Habit { rate: 50.0, tries: 1, heeds: false };
+    let habit = Habit { rate: 50.0, tries: 1, heeds: false, scgi_share: 0.0 };
     let proxy = Proxy::start(1, 5, habit, Box::new(Fixed { all: vec![fleet.nodes[0].address], turn: 0 }));
     thread::sleep(Duration::from_millis(500));
     let books = proxy.expect("a proxy").stop();
@@ -94,7 +95,7 @@
         let spec = spec(&format!("drain-{}", fault.to_string().replace(' ', "-")), registry.url(), "");
         let mut fleet = Fleet::start(&spec).expect("a fleet");
         assert!(shows(&registry, Some(Status::Up)));
-        let habit = Habit { rate: 100.0, tries: 1, heeds: false };
+        let habit = Habit { rate: 100.0, tries: 1, heeds: false, scgi_share: 0.0 };
         let proxy = Proxy::start(1, 5, habit, Box::new(Fixed { all: vec![fleet.nodes[0].address], turn: 0 }));
         thread::sleep(Duration::from_millis(300));
         registry.fail(fault.clone());
--- a/crates/node/src/clients/mod.rs
+++ b/crates/node/src/fronts/mod.rs
@@ -1,4 +1,8 @@
-//! The client proxies: one thread accepts and reads all of their connections; the main thread writes.
+//! The fronts: whatever protocol clients speak, one thread accepts and reads all connections, and the main thread writes.
+//!
+//! What a protocol is stands in a folder of its own: a [`Front`] makes messages of bytes and bytes of answers. All else is
+//! here, once: descriptors, buffers, pace, turns, closing for room, drains. A connection of any front has its turn like
+//! all others, and each front but the first has at most half of the places.
 //!
 //! A connection is one shared socket, so it takes one descriptor and, while its peer reads, no thread. A thread for
 //! each was tried: 480 of them cost a process that is stopped and continued for its share of the core more than all
@@ -8,20 +12,23 @@
 
 mod pace;
 mod reader;
+pub mod scgi;
 pub mod thrift;
 
 use crossbeam_channel::Sender;
-use gradepin_core::messages::{Answer, ConnId, Input, SeqId};
+use gradepin_core::messages::{Answer, Call, ConnId, Input, Misuse, SeqId};
 use gradepin_core::pool::{Buffer, Pool};
-use gradepin_decisions::Settings;
 use pace::Worth;
 use reader::Reader;
 use rustix::io::Errno;
-use rustix::net::{RecvFlags, SendFlags, recv, send};
+use rustix::net::{RecvFlags, SendFlags, Shutdown, recv, send, shutdown};
 use slog::Logger;
 use std::collections::{HashMap, VecDeque};
-use std::io::{self, ErrorKind, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixListener;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -33,10 +40,140 @@
 const MOST_UNREAD: usize = 64;
 /// A peer that takes nothing for so long is dead.
 const WRITE_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Why a connection can't go on: its bytes are no messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+/// What a front cut out of what came on a connection.
+#[derive(Debug)]
+pub enum Cut {
+    /// A request.
+    Call(SeqId, Box<Call>),
+    /// A health check.
+    Health(SeqId),
+    /// Nobody waits for the answer to this one any more.
+    Cancel(SeqId),
+    /// A message that can't be taken; it is owed an answer that says so.
+    Invalid(SeqId, Misuse, String),
+    /// A message of no meaning here.
+    Nonsense,
+    /// Bytes of a message that is not whole yet.
+    Nothing,
+}
+
+/// Cuts the messages of one connection.
+pub trait Cutter: Send {
+    /// The first message in these bytes, and how many of them it used; none if more must come first.
+    fn cut(&mut self, bytes: &[u8], pool: &Arc<Pool>) -> Result<Option<(usize, Cut)>, Malformed>;
+
+    /// Whether bytes were used of a message that is not whole.
+    fn begun(&self) -> bool;
+}
+
+/// How long a connection may take to say something.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    /// From the accept to the first whole message.
+    pub first: Duration,
+    /// Or only to its first byte; then the same as any other.
+    pub first_byte_only: bool,
+    /// From the first byte of a message to its last.
+    pub whole: Duration,
+}
+
+/// What a protocol is: bytes to messages and answers to bytes. It reads and writes nothing itself.
+pub trait Front: Send + Sync {
+    /// For a new connection.
+    fn cutter(&self) -> Box<dyn Cutter>;
+
+    /// How long its connections may take.
+    fn patience(&self) -> Patience;
+
+    /// An answer with the free value, and whether the server is leaving; none if it doesn't fit into a buffer.
+    fn encode(
+        &self,
+        seq: SeqId,
+        answer: &Answer,
+        hint: Option<f64>,
+        leaving: bool,
+        pool: &Arc<Pool>,
+    ) -> Option<Buffer>;
+
+    /// The message that asks for no more requests, if the protocol has one; else idle connections are closed.
+    fn draining(&self, pool: &Arc<Pool>) -> Option<Buffer>;
+
+    /// Whether a connection carries one request and ends with its answer.
+    fn once(&self) -> bool;
+}
+
+/// Where a front listens.
+pub enum Listener {
+    /// On an address.
+    Tcp(TcpListener),
+    /// On a path, which is removed at the end.
+    Unix(UnixListener, PathBuf),
+}
+
+impl Listener {
+    /// On an address.
+    pub fn tcp(address: SocketAddr) -> io::Result<Self> {
+        Ok(Self::Tcp(TcpListener::bind(address)?))
+    }
+
+    /// On a path. A socket that a server left there is removed; anything else there is an error.
+    pub fn unix(path: &Path) -> io::Result<Self> {
+        use std::os::unix::fs::FileTypeExt;
+        if std::fs::symlink_metadata(path).is_ok_and(|file| file.file_type().is_socket()) {
+            if std::os::unix::net::UnixStream::connect(path).is_ok() {
+                return Err(io::Error::new(ErrorKind::AddrInUse, "another process listens there"));
+            }
+            std::fs::remove_file(path)?;
+        }
+        Ok(Self::Unix(UnixListener::bind(path)?, path.into()))
+    }
+
+    fn set_nonblocking(&self) -> io::Result<()> {
+        match self {
+            Self::Tcp(listener) => listener.set_nonblocking(true),
+            Self::Unix(listener, _) => listener.set_nonblocking(true),
+        }
+    }
+
+    fn accept(&self) -> io::Result<OwnedFd> {
+        match self {
+            Self::Tcp(listener) => {
+                let (stream, _) = listener.accept()?;
+                stream.set_nodelay(true)?;
+                Ok(stream.into())
+            }
+            Self::Unix(listener, _) => Ok(listener.accept()?.0.into()),
+        }
+    }
+}
+
+impl std::os::fd::AsFd for Listener {
+    fn as_fd(&self) -> std::os::fd::BorrowedFd<'_> {
+        match self {
+            Self::Tcp(listener) => listener.as_fd(),
+            Self::Unix(listener, _) => listener.as_fd(),
+        }
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        if let Self::Unix(_, path) = self {
+            let _ = std::fs::remove_file(path);
+        }
+    }
+}
+
 /// A connection, as its reader, the main thread and, while its peer is slow, its writer have it. The socket
 /// counts while any of them still does.
 struct Conn {
-    stream: TcpStream,
+    stream: OwnedFd,
+    front: Arc<dyn Front>,
     sending: Mutex<Sending>,
     /// Messages passed on, counted before they are, and whether the reader has nothing and waits for more.
     passed: AtomicU64,
@@ -64,10 +201,11 @@
 }
 
 impl Conn {
-    fn new(stream: TcpStream, count: &Arc<AtomicUsize>) -> Self {
+    fn new(stream: OwnedFd, front: Arc<dyn Front>, count: &Arc<AtomicUsize>) -> Self {
         count.fetch_add(1, Ordering::Relaxed);
         Self {
             stream,
+            front,
             sending: Mutex::default(),
             passed: AtomicU64::new(0),
             waits: AtomicBool::new(false),
@@ -83,7 +221,7 @@
     fn shut(&self, sending: &mut Sending) {
         sending.dead = true;
         sending.waiting.clear();
-        let _ = self.stream.shutdown(Shutdown::Both);
+        let _ = shutdown(&self.stream, Shutdown::Both);
     }
 
     /// Writes a frame, or what the socket takes of it at once; a thread writes the rest.
@@ -123,8 +261,14 @@
                 };
                 frame
             };
-            if (&self.stream).write_all(&frame).is_err() {
-                return self.shut(&mut self.sending());
+            // Blocks for as long as its patience at the most.
+            let mut left = &frame[..];
+            while !left.is_empty() {
+                match send(&self.stream, left, SendFlags::NOSIGNAL) {
+                    Ok(taken) => left = &left[taken..],
+                    Err(Errno::INTR) => {}
+                    Err(_) => return self.shut(&mut self.sending()),
+                }
             }
         }
     }
@@ -173,7 +317,6 @@
 struct Shared {
     handles: Handles,
     inputs: Sender<Input>,
-    settings: Arc<Settings>,
     pool: Arc<Pool>,
     log: Logger,
 }
@@ -184,65 +327,62 @@
     }
 }
 
-/// The client connections, as the reducer's effects see them.
-pub struct Clients {
+/// The connections of all fronts, as the reducer's effects see them.
+pub struct Fronts {
     handles: Handles,
     pool: Arc<Pool>,
-    local: SocketAddr,
+    leaving: AtomicBool,
 }
 
-impl Clients {
-    /// Listens, and from now on sends what comes in as inputs.
+impl Fronts {
+    /// From now on sends what comes in on these listeners as inputs; at most so many connections stand at a time.
     pub fn listen(
-        address: SocketAddr,
+        fronts: Vec<(Arc<dyn Front>, Listener)>,
         most: usize,
-        settings: Arc<Settings>,
         inputs: Sender<Input>,
         pool: Arc<Pool>,
         log: Logger,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
-        let local = listener.local_addr()?;
         let handles = Handles::default();
-        let shared = Shared { handles: Arc::clone(&handles), inputs, settings, pool: Arc::clone(&pool), log };
-        let mut reader = Reader::new(listener, most, shared)?;
+        let shared = Shared { handles: Arc::clone(&handles), inputs, pool: Arc::clone(&pool), log };
+        let mut reader = Reader::new(fronts, most, shared)?;
         thread::Builder::new().name("read".into()).stack_size(STACK).spawn(move || reader.run())?;
-        Ok(Self { handles, pool, local })
-    }
-
-    /// The address listened on.
-    pub fn local_addr(&self) -> SocketAddr {
-        self.local
+        Ok(Self { handles, pool, leaving: AtomicBool::new(false) })
     }
 
-    /// Sends a frame, or ends a connection that is owed one that can't be made.
-    fn send(&self, conn: ConnId, frame: Option<Buffer>, worth: Worth) {
-        let handles = self.handles.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(conn) = handles.get(&conn) else { return };
-        conn.spent.fetch_add(worth.cost(), Ordering::Relaxed);
-        match frame {
-            Some(frame) => conn.send(frame),
-            None => conn.close(),
-        }
+    fn handle(&self, conn: ConnId) -> Option<Arc<Conn>> {
+        self.handles.lock().unwrap_or_else(PoisonError::into_inner).get(&conn).cloned()
     }
 
-    /// Sends an answer.
+    /// Sends an answer; a connection that is owed one which can't be made ends.
     pub fn answer(&self, conn: ConnId, seq: SeqId, answer: &Answer, hint: Option<f64>) {
-        let frame = thrift::encode(seq, answer, hint, &self.pool)
-            .or_else(|| thrift::encode(seq, &Answer::Failed, hint, &self.pool));
-        self.send(conn, frame, Worth::of(answer));
+        let Some(conn) = self.handle(conn) else { return };
+        let leaving = self.leaving.load(Ordering::Relaxed);
+        let encode = |answer| conn.front.encode(seq, answer, hint, leaving, &self.pool);
+        let frame = encode(answer).or_else(|| encode(&Answer::Failed { late: false }));
+        conn.spent.fetch_add(Worth::of(answer).cost(), Ordering::Relaxed);
+        let once = frame.is_none() || conn.front.once();
+        frame.into_iter().for_each(|frame| conn.send(frame));
+        if once {
+            conn.close();
+        }
     }
 
-    /// Sends the request to send no more.
+    /// Asks for no more requests. Where the protocol has no word for it, a connection that said nothing is closed.
     pub fn draining(&self, conn: ConnId) {
-        self.send(conn, thrift::draining(&self.pool), Worth::Nothing);
+        self.leaving.store(true, Ordering::Relaxed);
+        let Some(conn) = self.handle(conn) else { return };
+        match conn.front.draining(&self.pool) {
+            Some(frame) => conn.send(frame),
+            None if conn.rests(0) => conn.close(),
+            None => {}
+        }
     }
 
     /// Ends a connection on which nothing is under way; its reader then reports the end. Guards against a request
     /// that is in the socket or in the queue while the reducer knows nothing open: its answer would be lost.
     pub fn close_resting(&self, conn: ConnId, taken: u64) {
-        let handles = self.handles.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(conn) = handles.get(&conn).filter(|conn| conn.rests(taken)) {
+        if let Some(conn) = self.handle(conn).filter(|conn| conn.rests(taken)) {
             conn.close();
         }
     }
@@ -258,6 +398,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::io::Write;
+    use std::net::TcpStream;
 
     /// Guards against a connection closed for room with a request in the socket, with its reader or in the queue,
     /// which the reducer doesn't know of: a server that was told to leave closed 20 so, unanswered.
@@ -265,14 +407,18 @@
     fn a_connection_rests_only_while_nothing_is_under_way() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        let conn = Conn::new(listener.accept().unwrap().0, &Arc::default());
+        let front = Arc::new(scgi::Scgi::new(
+            scgi::routes::Routes::new(&Default::default(), Arc::default()).unwrap(),
+            1,
+        ));
+        let conn = Conn::new(listener.accept().unwrap().0.into(), front, &Arc::default());
         assert!(!conn.rests(0), "the reader has not begun to wait");
         conn.waits.store(true, Ordering::SeqCst);
         assert!(conn.rests(0));
         conn.passed.store(1, Ordering::SeqCst);
         assert!(!conn.rests(0) && conn.rests(1), "a message is in the queue");
         peer.write_all(&[0]).unwrap();
-        conn.stream.peek(&mut [0]).unwrap();
+        recv(&conn.stream, &mut [0_u8; 1][..], RecvFlags::PEEK).unwrap();
         assert!(!conn.rests(1), "a byte is unread");
     }
 }
--- a/crates/node/src/clients/pace.rs
+++ b/crates/node/src/fronts/pace.rs
@@ -11,8 +11,6 @@
 /// What a message was worth.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Worth {
-    /// It asked for nothing, or was answered for free.
-    Nothing,
     /// It was served.
     Served,
     /// It was turned away, or failed.
@@ -26,15 +24,14 @@
     pub fn of(answer: &Answer) -> Self {
         match answer {
             Answer::Served(_) | Answer::Health(_) => Self::Served,
-            Answer::Refused { .. } | Answer::Failed => Self::Lost,
-            Answer::Invalid(_) => Self::Nonsense,
+            Answer::Refused { .. } | Answer::Failed { .. } => Self::Lost,
+            Answer::Invalid(..) => Self::Nonsense,
         }
     }
 
     /// In points.
     pub fn cost(self) -> usize {
         match self {
-            Self::Nothing => 0,
             Self::Served => 1,
             Self::Lost => 10,
             Self::Nonsense => 50,
--- a/crates/node/src/clients/reader.rs
+++ b/crates/node/src/fronts/reader.rs
@@ -1,39 +1,44 @@
 //! Accepts connections and reads them all, each in its turn: bytes become frames, frames become inputs.
 
 use super::pace::{Pace, Worth};
-use super::{Conn, Shared, Standing, WRITE_PATIENCE, thrift};
+use super::{Conn, Cut, Cutter, Front, Listener, Patience, Shared, Standing, WRITE_PATIENCE};
 use gradepin_core::messages::{ConnId, Input};
 use gradepin_core::pool::Buffer;
 use rustix::event::{Timespec, epoll};
 use rustix::io::Errno;
+use rustix::net::sockopt::{Timeout, set_socket_timeout};
 use rustix::net::{RecvFlags, recv};
 use slog::{info, warn};
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, ErrorKind};
-use std::net::{TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-/// From the accept to the first whole frame. Guards against connections that hold their places and say nothing.
-const FIRST_PATIENCE: Duration = Duration::from_secs(2);
-/// From the first byte of any later frame to its last.
-const FRAME_PATIENCE: Duration = Duration::from_secs(5);
 /// Between looks at what is late, and the longest wait for sockets.
 const TICK: Duration = Duration::from_millis(100);
 /// Before accepting is tried again where there was no room, and reading where much is left unread.
 const PAUSE: Duration = Duration::from_millis(5);
 /// Sockets told of at a time.
 const EVENTS: usize = 128;
-/// The number of the listener among them; connections have others.
-const LISTENER: ConnId = 0;
+/// Connections accepted from one listener before the next has its turn.
+const AT_ONCE: usize = 16;
+/// A front beside the first has this part of the places: one connection for each request uses many.
+const BESIDE_PART: usize = 2;
 
 /// A connection being read.
 struct Reading {
     socket: Arc<Conn>,
     /// What came of frames that are not whole, or not passed on.
     buffer: Option<Buffer>,
+    cutter: Box<dyn Cutter>,
+    patience: Patience,
+    /// Whether anything came, and whether nothing more will: its peer shut its half.
+    begun: bool,
+    shut: bool,
+    /// Both halves are shut, as the system tells.
+    gone: bool,
     /// When the frame begun, or the first one, must be whole; none between later frames.
     until: Option<Instant>,
     pace: Pace,
@@ -51,13 +56,21 @@
     End(Option<io::Error>),
 }
 
-pub struct Reader {
-    epoll: OwnedFd,
-    listener: TcpListener,
+/// A listener and what its connections are; its number among the sockets is its place.
+struct Door {
+    listener: Listener,
+    front: Arc<dyn Front>,
+    /// Connections that it may have, and has.
     most: usize,
     count: Arc<AtomicUsize>,
     /// Whether connections may wait to be accepted.
     accepts: bool,
+}
+
+pub struct Reader {
+    epoll: OwnedFd,
+    doors: Vec<Door>,
+    most: usize,
     next: ConnId,
     shared: Shared,
     readings: HashMap<ConnId, Reading>,
@@ -67,23 +80,18 @@
 }
 
 impl Reader {
-    pub fn new(listener: TcpListener, most: usize, shared: Shared) -> io::Result<Self> {
-        listener.set_nonblocking(true)?;
+    pub fn new(fronts: Vec<(Arc<dyn Front>, Listener)>, most: usize, shared: Shared) -> io::Result<Self> {
         let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
-        watch(&epoll, &listener, LISTENER)?;
-        let (count, readings, turns) = (Arc::default(), HashMap::new(), VecDeque::new());
-        Ok(Self {
-            epoll,
-            listener,
-            most,
-            count,
-            accepts: true,
-            next: LISTENER + 1,
-            shared,
-            readings,
-            turns,
-            paused: HashMap::new(),
-        })
+        let mut doors = Vec::new();
+        for (front, listener) in fronts {
+            listener.set_nonblocking()?;
+            watch(&epoll, &listener, doors.len() as ConnId)?;
+            let part = if doors.is_empty() { 1 } else { BESIDE_PART };
+            doors.push(Door { listener, front, most: most / part, count: Arc::default(), accepts: true });
+        }
+        let next = doors.len() as ConnId;
+        let (readings, turns) = (HashMap::new(), VecDeque::new());
+        Ok(Self { epoll, doors, most, next, shared, readings, turns, paused: HashMap::new() })
     }
 
     /// Reads until the server ends.
@@ -92,7 +100,7 @@
         let mut next_tick = Instant::now();
         loop {
             let wait = if self.turns.is_empty() { TICK } else { Duration::ZERO };
-            let wait = if self.accepts { wait.min(PAUSE) } else { wait };
+            let wait = if self.doors.iter().any(|door| door.accepts) { wait.min(PAUSE) } else { wait };
             let paused = self.paused.values().min();
             let wait = paused.map_or(wait, |at| wait.min(at.saturating_duration_since(Instant::now())));
             events.clear();
@@ -106,14 +114,15 @@
                 }
             }
             for event in &events {
-                match event.data.u64() {
-                    LISTENER => self.accepts = true,
-                    conn => self.wake(conn),
+                let (number, flags) = (event.data.u64(), event.flags);
+                match self.doors.get_mut(number as usize) {
+                    Some(door) => door.accepts = true,
+                    None => {
+                        self.wake(number, flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR))
+                    }
                 }
             }
-            if self.accepts {
-                self.accept();
-            }
+            self.accept();
             let now = Instant::now();
             let turns = &mut self.turns;
             self.paused.retain(|&conn, until| {
@@ -139,48 +148,72 @@
     }
 
     /// There is something to read on a connection, or it has ended.
-    fn wake(&mut self, conn: ConnId) {
-        if let Some(reading) = self.readings.get_mut(&conn).filter(|reading| !reading.ready) {
+    fn wake(&mut self, conn: ConnId, gone: bool) {
+        let Some(reading) = self.readings.get_mut(&conn) else { return };
+        reading.gone |= gone;
+        if !reading.ready {
             reading.ready = true;
             self.turns.push_back(conn);
         }
     }
 
-    /// Accepts what waits, as far as there is room.
+    /// Accepts what waits, as far as there is room, some of each listener in its turn.
     fn accept(&mut self) {
-        while self.count.load(Ordering::Relaxed) < self.most {
-            match self.listener.accept() {
-                Ok((stream, _)) => {
+        loop {
+            let mut more = false;
+            for place in 0..self.doors.len() {
+                more |= self.accept_some(place);
+            }
+            if !more {
+                return;
+            }
+        }
+    }
+
+    /// Whether there may be more.
+    fn accept_some(&mut self, place: usize) -> bool {
+        for _ in 0..AT_ONCE {
+            let all: usize = self.doors.iter().map(|door| door.count.load(Ordering::Relaxed)).sum();
+            let door = &mut self.doors[place];
+            if !door.accepts || all >= self.most || door.count.load(Ordering::Relaxed) >= door.most {
+                return false;
+            }
+            match door.listener.accept() {
+                Ok(stream) => {
                     let conn = self.next;
                     self.next += 1;
-                    if let Err(e) = self.open(conn, stream) {
+                    if let Err(e) = self.open(conn, place, stream) {
                         warn!(self.shared.log, "a connection could not be served"; "error" => %e);
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.accepts = false;
-                    return;
+                    door.accepts = false;
+                    return false;
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => {
                     warn!(self.shared.log, "accepting failed"; "error" => %e);
-                    return;
+                    return false;
                 }
             }
         }
+        true
     }
 
-    fn open(&mut self, conn: ConnId, stream: TcpStream) -> io::Result<()> {
-        stream.set_nodelay(true)?;
-        stream.set_write_timeout(Some(WRITE_PATIENCE))?;
+    fn open(&mut self, conn: ConnId, place: usize, stream: OwnedFd) -> io::Result<()> {
+        set_socket_timeout(&stream, Timeout::Send, Some(WRITE_PATIENCE))?;
         watch(&self.epoll, &stream, conn)?;
-        let socket = Arc::new(Conn::new(stream, &self.count));
+        let door = &self.doors[place];
+        let (cutter, patience) = (door.front.cutter(), door.front.patience());
+        let socket = Arc::new(Conn::new(stream, Arc::clone(&door.front), &door.count));
         socket.waits.store(true, Ordering::SeqCst);
         self.shared.handles().insert(conn, Arc::clone(&socket));
         let _ = self.shared.inputs.send(Input::Opened(conn));
         let now = Instant::now();
-        let (until, pace) = (Some(now + FIRST_PATIENCE), Pace::new(now));
-        let reading = Reading { socket, buffer: None, until, pace, ready: true };
+        let (until, pace) = (Some(now + patience.first), Pace::new(now));
+        let (begun, shut, gone) = (false, false, false);
+        let reading =
+            Reading { socket, buffer: None, cutter, patience, begun, shut, gone, until, pace, ready: true };
         self.readings.insert(conn, reading);
         self.turns.push_back(conn);
         Ok(())
@@ -238,9 +271,18 @@
             self.buffer = Some(buffer);
             return Ok(turn);
         }
+        if self.shut {
+            // Its one request is answered yet, unless nobody is there to read it.
+            let over = self.gone || matches!(self.socket.standing(), Standing::Ended);
+            return Ok(if over { Turn::End(None) } else { Turn::Rest });
+        }
         match recv(&self.socket.stream, buffer.space(), RecvFlags::DONTWAIT) {
-            Ok((0, _)) if buffer.is_empty() => Ok(Turn::End(None)),
-            Ok((0, _)) => Err(ErrorKind::UnexpectedEof.into()),
+            Ok((0, _)) if !buffer.is_empty() || self.cutter.begun() => Err(ErrorKind::UnexpectedEof.into()),
+            Ok((0, _)) if self.awaits_answer() => {
+                self.shut = true;
+                Ok(if self.gone { Turn::End(None) } else { Turn::Rest })
+            }
+            Ok((0, _)) => Ok(Turn::End(None)),
             Ok((len, _)) => {
                 buffer.filled(len);
                 self.buffer = Some(buffer);
@@ -249,38 +291,45 @@
             Err(Errno::INTR) => Ok(Turn::More),
             Err(Errno::WOULDBLOCK) => {
                 self.buffer = (!buffer.is_empty()).then_some(buffer);
-                self.socket.waits.store(self.buffer.is_none(), Ordering::SeqCst);
+                self.socket.waits.store(self.buffer.is_none() && !self.cutter.begun(), Ordering::SeqCst);
                 Ok(Turn::Rest)
             }
             Err(e) => Err(e.into()),
         }
     }
 
-    /// Passes on the whole frames of a buffer; a turn that ends with them, if one does.
+    /// Whether its one request was passed on, and nothing more is to come but the answer.
+    fn awaits_answer(&self) -> bool {
+        self.socket.front.once() && self.socket.passed.load(Ordering::SeqCst) > 0
+    }
+
+    /// Passes on the whole messages of a buffer; a turn that ends with them, if one does.
     fn pass_on(&mut self, conn: ConnId, buffer: &mut Buffer, shared: &Shared) -> io::Result<Option<Turn>> {
-        let bad = |e: thrift::Malformed| io::Error::new(ErrorKind::InvalidData, e.0);
-        let (mut used, mut ends) = (0, None);
-        while ends.is_none()
-            && let Some(end) = thrift::frame(&buffer[used..]).map_err(bad)?.map(|len| used + len)
-            && let Some(bytes) = buffer.get(used + 4..end)
-        {
+        let bad = |e: super::Malformed| io::Error::new(ErrorKind::InvalidData, e.0);
+        let (mut used, mut whole, mut ends) = (0, false, None);
+        while ends.is_none() && used < buffer.len() {
             match self.socket.standing() {
                 Standing::Good => {}
-                Standing::Unread => return Ok(self.passed(buffer, used, Some(Turn::Pause(PAUSE)))),
+                Standing::Unread => return Ok(self.passed(buffer, used, whole, Some(Turn::Pause(PAUSE)))),
                 Standing::Ended => return Ok(Some(Turn::End(None))),
             }
-            used = end;
+            let Some((len, cut)) = self.cutter.cut(&buffer[used..], &shared.pool).map_err(bad)? else {
+                break;
+            };
+            used += len;
             let mut spent = 1;
-            let input = match thrift::decode(bytes, &shared.settings, &shared.pool).map_err(bad)? {
-                thrift::Message::Call(seq, call) => Some(Input::Call(conn, seq, call)),
-                thrift::Message::Health(seq) => Some(Input::Health(conn, seq)),
-                thrift::Message::Invalid(seq, why) => Some(Input::Invalid(conn, seq, why)),
-                thrift::Message::Cancel(seq) => Some(Input::Cancel(conn, seq)),
-                thrift::Message::Unknown => {
+            let input = match cut {
+                Cut::Call(seq, call) => Some(Input::Call(conn, seq, call)),
+                Cut::Health(seq) => Some(Input::Health(conn, seq)),
+                Cut::Invalid(seq, misuse, why) => Some(Input::Invalid(conn, seq, misuse, why)),
+                Cut::Cancel(seq) => Some(Input::Cancel(conn, seq)),
+                Cut::Nothing => continue,
+                Cut::Nonsense => {
                     spent += Worth::Nonsense.cost();
                     None
                 }
             };
+            whole = true;
             if let Some(input) = input {
                 self.socket.passed.fetch_add(1, Ordering::SeqCst);
                 if shared.inputs.send(input).is_err() {
@@ -290,16 +339,24 @@
             spent += self.socket.spent.swap(0, Ordering::Relaxed);
             ends = self.pace.spend(spent, Instant::now()).map(Turn::Pause);
         }
-        Ok(self.passed(buffer, used, ends))
+        Ok(self.passed(buffer, used, whole, ends))
     }
 
-    /// So many bytes of the buffer were passed on.
-    fn passed(&mut self, buffer: &mut Buffer, used: usize, turn: Option<Turn>) -> Option<Turn> {
+    /// So many bytes of the buffer were used, and whether a message ended among them.
+    fn passed(&mut self, buffer: &mut Buffer, used: usize, whole: bool, turn: Option<Turn>) -> Option<Turn> {
+        let came = !buffer.is_empty();
         buffer.consume(used);
-        if buffer.is_empty() {
-            self.until = self.until.filter(|_| used == 0);
-        } else if used > 0 || self.until.is_none() {
-            self.until = Some(Instant::now() + FRAME_PATIENCE);
+        let (now, rest) = (Instant::now(), !buffer.is_empty() || self.cutter.begun());
+        if came && !self.begun {
+            self.begun = true;
+            if self.patience.first_byte_only {
+                self.until = Some(now + self.patience.whole);
+            }
+        }
+        if whole {
+            self.until = rest.then(|| now + self.patience.whole);
+        } else if rest && self.until.is_none() {
+            self.until = Some(now + self.patience.whole);
         }
         turn
     }
--- a/crates/node/src/clients/thrift.rs
+++ b/crates/node/src/fronts/thrift/codec.rs
@@ -1,6 +1,6 @@
 //! Thrift's framed transport and strict binary protocol: bytes to messages and answers to bytes.
 
-use gradepin_core::messages::{Answer, Call, SeqId};
+use gradepin_core::messages::{Answer, Call, Misuse, SeqId};
 use gradepin_core::pool::{Buffer, Pool, SIZE};
 use gradepin_decisions::{Effect, RequestId, Settings};
 use std::sync::Arc;
@@ -35,14 +35,12 @@
     /// Nobody waits for the answer to this one any more.
     Cancel(SeqId),
     /// A well-formed message that makes no sense here, and why; it is owed an exception.
-    Invalid(SeqId, String),
+    Invalid(SeqId, Misuse, String),
     /// A oneway message of no meaning here.
     Unknown,
 }
 
-/// Why a connection can't go on: its bytes are no messages.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Malformed(pub &'static str);
+pub use crate::fronts::Malformed;
 
 /// The length of the first frame with its prefix, or none while the prefix isn't whole.
 pub fn frame(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
@@ -71,7 +69,7 @@
             })?;
             match fields.call(body, settings, pool) {
                 Ok(call) => Message::Call(seq, Box::new(call)),
-                Err(why) => Message::Invalid(seq, why),
+                Err((misuse, why)) => Message::Invalid(seq, misuse, why),
             }
         }
         (b"cancel", CALL | ONEWAY) => {
@@ -88,7 +86,7 @@
         }
         (name, CALL) => {
             r.each_field(|_, _, _| Ok(false))?;
-            Message::Invalid(seq, format!("{UNKNOWN}{}", quoted(&String::from_utf8_lossy(name))))
+            Message::Invalid(seq, Misuse::NotFound, unknown(&String::from_utf8_lossy(name)))
         }
         (_, ONEWAY) => {
             r.each_field(|_, _, _| Ok(false))?;
@@ -99,7 +97,9 @@
     if r.0.is_empty() { Ok(message) } else { Err(Malformed("bytes behind a message")) }
 }
 
-const UNKNOWN: &str = "unknown method ";
+fn unknown(method: &str) -> String {
+    format!("unknown method {}", quoted(method))
+}
 
 /// A peer's word in a message: short, and on one line whatever it holds, since it goes into the log too.
 fn quoted(word: &str) -> String {
@@ -150,12 +150,14 @@
         Ok(())
     }
 
-    fn call(&self, body: &[u8], settings: &Settings, pool: &Arc<Pool>) -> Result<Call, String> {
-        let method = self.method.ok_or("no method")?;
-        let class = settings.class(method).ok_or_else(|| format!("{UNKNOWN}{}", quoted(method)))?;
+    fn call(&self, body: &[u8], settings: &Settings, pool: &Arc<Pool>) -> Result<Call, (Misuse, String)> {
+        let bad = |why: &str| (Misuse::Request, why.to_string());
+        let method = self.method.ok_or(bad("no method"))?;
+        let class = settings.class(method).ok_or_else(|| (Misuse::NotFound, unknown(method)))?;
         let tenant = match self.acct {
             Some(name) => {
-                Some(settings.tenant(name).ok_or_else(|| format!("unknown tenant {}", quoted(name)))?)
+                let tenant = settings.tenant(name);
+                Some(tenant.ok_or_else(|| bad(&format!("unknown tenant {}", quoted(name))))?)
             }
             None => None,
         };
@@ -165,20 +167,20 @@
         let precedence = self.prio.map_or(Ok(0.0), |text| number::<f64>("prio", Some(text)))?;
         let token = self.token.filter(|token| !token.is_empty() && token.len() <= MOST_TOKEN);
         if !(size_kb > 0.0 && size_kb < 2000.0) {
-            return Err("mem out of range".into());
+            return Err(bad("mem out of range"));
         }
         if !(0.0..1.0).contains(&precedence) {
-            return Err("prio out of range".into());
+            return Err(bad("prio out of range"));
         }
         let keyed = settings.profiles[class].effect == Effect::ByKey;
         if keyed && token.is_none() {
-            return Err("no token of 1 to 64 bytes in a keyed class".into());
+            return Err(bad("no token of 1 to 64 bytes in a keyed class"));
         }
         if body.len() > MOST_BODY {
-            return Err("a body over 2 KiB".into());
+            return Err((Misuse::TooLarge, "a body over 2 KiB".into()));
         }
         Ok(Call {
-            id: RequestId::new(id.ok_or("no rid of 16 hex digits")?),
+            id: RequestId::new(id.ok_or(bad("no rid of 16 hex digits"))?),
             class,
             tenant,
             caller: self.peer.map_or(Ok(0), |text| number("peer", Some(text)))?,
@@ -189,13 +191,14 @@
             precedence,
             token: token.filter(|_| keyed).map(Arc::from),
             has_key: self.obj.is_some(),
-            body: pool.exact(body).ok_or("a body over the size limit")?,
+            body: pool.exact(body).ok_or(bad("a body over the size limit"))?,
         })
     }
 }
 
-fn number<T: std::str::FromStr>(name: &str, text: Option<&str>) -> Result<T, String> {
-    text.and_then(|text| text.parse().ok()).ok_or_else(|| format!("no number as {name}"))
+fn number<T: std::str::FromStr>(name: &str, text: Option<&str>) -> Result<T, (Misuse, String)> {
+    let number = text.and_then(|text| text.parse().ok());
+    number.ok_or_else(|| (Misuse::Request, format!("no number as {name}")))
 }
 
 /// Takes values off the front of a frame.
@@ -350,13 +353,13 @@
             }
             thrown(reply("call"), 1, &fields)
         }
-        Answer::Failed => thrown(reply("call"), 2, &fields),
-        Answer::Invalid(why) => {
+        Answer::Failed { .. } => thrown(reply("call"), 2, &fields),
+        Answer::Invalid(misuse, why) => {
             let mut w = Writer::message(pool, EXCEPTION, "call", seq);
             w.field(STRING, 1);
             w.string(why.as_bytes());
             w.field(I32, 2);
-            let kind = if why.starts_with(UNKNOWN) { UNKNOWN_METHOD } else { PROTOCOL_ERROR };
+            let kind = if *misuse == Misuse::NotFound { UNKNOWN_METHOD } else { PROTOCOL_ERROR };
             w.put(&kind.to_be_bytes());
             w.end()
         }
--- /dev/null
+++ b/crates/node/src/fronts/thrift/mod.rs
@@ -0,0 +1,79 @@
+//! The client proxies' front: Thrift with framed transport, many requests open on a connection.
+
+pub mod codec;
+
+use super::{Cut, Cutter, Front, Malformed, Patience};
+use codec::Message;
+use gradepin_core::messages::{Answer, SeqId};
+use gradepin_core::pool::{Buffer, Pool};
+use gradepin_decisions::Settings;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// From the accept to the first whole frame. Guards against connections that hold their places and say nothing.
+const FIRST_PATIENCE: Duration = Duration::from_secs(2);
+/// From the first byte of any later frame to its last.
+const FRAME_PATIENCE: Duration = Duration::from_secs(5);
+
+/// The front.
+pub struct Thrift {
+    settings: Arc<Settings>,
+}
+
+impl Thrift {
+    /// For classes and tenants of these settings.
+    pub fn new(settings: Arc<Settings>) -> Self {
+        Self { settings }
+    }
+}
+
+impl Front for Thrift {
+    fn cutter(&self) -> Box<dyn Cutter> {
+        Box::new(Frames(Arc::clone(&self.settings)))
+    }
+
+    fn patience(&self) -> Patience {
+        Patience { first: FIRST_PATIENCE, first_byte_only: false, whole: FRAME_PATIENCE }
+    }
+
+    fn encode(
+        &self,
+        seq: SeqId,
+        answer: &Answer,
+        hint: Option<f64>,
+        _: bool,
+        pool: &Arc<Pool>,
+    ) -> Option<Buffer> {
+        codec::encode(seq, answer, hint, pool)
+    }
+
+    fn draining(&self, pool: &Arc<Pool>) -> Option<Buffer> {
+        codec::draining(pool)
+    }
+
+    fn once(&self) -> bool {
+        false
+    }
+}
+
+/// Whole frames; what is not whole stays in the reader's buffer.
+struct Frames(Arc<Settings>);
+
+impl Cutter for Frames {
+    fn cut(&mut self, bytes: &[u8], pool: &Arc<Pool>) -> Result<Option<(usize, Cut)>, Malformed> {
+        let Some(len) = codec::frame(bytes)? else { return Ok(None) };
+        let Some(frame) = bytes.get(4..len) else { return Ok(None) };
+        let cut = match codec::decode(frame, &self.0, pool)? {
+            Message::Call(seq, call) => Cut::Call(seq, call),
+            Message::Health(seq) => Cut::Health(seq),
+            Message::Invalid(seq, misuse, why) => Cut::Invalid(seq, misuse, why),
+            Message::Cancel(seq) => Cut::Cancel(seq),
+            Message::Unknown => Cut::Nonsense,
+        };
+        Ok(Some((len, cut)))
+    }
+
+    fn begun(&self) -> bool {
+        false
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,12 +1,12 @@
 //! The shell of one tile server: its sockets, files, threads and clocks round `gradepin-core`, which decides.
 //!
-//! [`clients`], [`processor`], [`control`] and [`registry`] each speak with one kind of peer and know nothing of the
+//! [`fronts`], [`processor`], [`control`] and [`registry`] each speak with one kind of peer and know nothing of the
 //! others; [`settings`] and [`config`] read what the server is told; [`serve`] joins them.
 
-pub mod clients;
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod fronts;
 pub mod log;
 pub mod processor;
 pub mod registry;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,9 +1,12 @@
 //! Joins the parts: the one thread that owns the reducer, and carries out what it asks for.
 
-use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::config;
 use crate::control::Control;
+use crate::fronts::scgi::Scgi;
+use crate::fronts::scgi::routes::{BadRoute, Routes};
+use crate::fronts::thrift::Thrift;
+use crate::fronts::{Front, Fronts, Listener};
 use crate::processor::Processor;
 use crate::registry::Registry;
 use crate::settings::Own;
@@ -13,10 +16,12 @@
 use gradepin_core::pool::{Pool, SIZE};
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
+use gradepin_decisions::Settings;
 use gradepin_registry::membership::Membership;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use signal_hook::iterator::Signals;
 use slog::{Level, Logger, error, info, warn};
+use std::error::Error;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread;
@@ -39,6 +44,9 @@
     /// The configuration can't be used.
     #[error(transparent)]
     Config(#[from] ConfigError),
+    /// A route of the settings can't be used.
+    #[error(transparent)]
+    Route(#[from] BadRoute),
     /// The system denies something.
     #[error("{what}: {why}")]
     System {
@@ -49,8 +57,17 @@
     },
 }
 
+/// Where the process reads again what it was told.
+#[derive(Debug, Clone)]
+pub struct Files {
+    /// The configuration.
+    pub config: PathBuf,
+    /// Our own settings, where there are any.
+    pub own: Option<PathBuf>,
+}
+
 /// Serves until the process is told to leave and its time is up.
-pub fn serve(config: Config, own: Own, file: PathBuf, log: &Logger) -> Result<(), StartError> {
+pub fn serve(config: Config, own: Own, files: Files, log: &Logger) -> Result<(), StartError> {
     let failed = |what: &str| {
         let what = what.to_string();
         move |why| StartError::System { what, why }
@@ -66,32 +83,43 @@
     let pool = Pool::new(POOL.min(config.memory(POOL_PART) / SIZE));
     let (inputs, queue) = bounded(QUEUE);
     let (urgently, urgent) = bounded(URGENT);
-    watch_signals(file, urgently.clone(), log.clone()).map_err(failed("signals"))?;
     let mut control = Control::new(&config.name, config.listen, config.control).map_err(failed("control"))?;
-    let clients = Clients::listen(
-        config.listen,
-        config.connections(),
-        Arc::clone(&settings),
-        inputs,
-        Arc::clone(&pool),
-        log.clone(),
-    );
-    let clients = clients.map_err(failed(&format!("listening on {}", config.listen)))?;
+    let thrift: Arc<dyn Front> = Arc::new(Thrift::new(Arc::clone(&settings)));
+    let listener =
+        Listener::tcp(config.listen).map_err(failed(&format!("listening on {}", config.listen)))?;
+    let mut listeners = vec![(thrift, listener)];
+    let scgi = own.scgi.as_ref().map(|set| Routes::new(set, Arc::clone(&settings))).transpose()?;
+    let scgi = scgi.map(|routes| Arc::new(Scgi::new(routes, seed)));
+    if let (Some(front), Some(set)) = (&scgi, &own.scgi) {
+        for &address in &set.listen {
+            let listener = Listener::tcp(address).map_err(failed(&format!("listening on {address}")))?;
+            listeners.push((Arc::clone(front) as Arc<dyn Front>, listener));
+        }
+        for path in &set.unix {
+            let listener =
+                Listener::unix(path).map_err(failed(&format!("listening on {}", path.display())))?;
+            listeners.push((Arc::clone(front) as Arc<dyn Front>, listener));
+        }
+    }
+    watch_signals(files, scgi, Arc::clone(&settings), urgently.clone(), log.clone())
+        .map_err(failed("signals"))?;
+    let fronts = Fronts::listen(listeners, config.connections(), inputs, Arc::clone(&pool), log.clone());
+    let fronts = fronts.map_err(failed("reading"))?;
     let registry = own.registry.as_ref().map(|set| Registry::start(set, &id, &urgently, log));
     let registry = registry.transpose().map_err(failed("registry"))?;
     let processor = Processor::connect(config.processor, urgently, pool, log.clone());
     let processor = processor.map_err(failed("processor"))?;
-    info!(log, "serving"; "listen" => %clients.local_addr(), "version" => env!("CARGO_PKG_VERSION"));
+    info!(log, "serving"; "listen" => %config.listen, "version" => env!("CARGO_PKG_VERSION"));
 
     let (mut arrived, mut effects): (Vec<Input>, Vec<Effect>) = (Vec::new(), Vec::new());
     loop {
         reducer.step(clock.read(), arrived.drain(..), &mut effects);
         for effect in effects.drain(..) {
             match effect {
-                Effect::Answer(conn, seq, answer, hint) => clients.answer(conn, seq, &answer, hint),
-                Effect::Draining(conn) => clients.draining(conn),
-                Effect::Close(conn) => clients.close(conn),
-                Effect::CloseResting(conn, taken) => clients.close_resting(conn, taken),
+                Effect::Answer(conn, seq, answer, hint) => fronts.answer(conn, seq, &answer, hint),
+                Effect::Draining(conn) => fronts.draining(conn),
+                Effect::Close(conn) => fronts.close(conn),
+                Effect::CloseResting(conn, taken) => fronts.close_resting(conn, taken),
                 Effect::Begin(link, id, class, body) => {
                     processor.begin(link, id, &settings.profiles[class].name, body);
                 }
@@ -134,15 +162,21 @@
 /// SIGTERM becomes the notice to leave, SIGUSR1 an operator's order to go out of service and then leave, SIGUSR2 the
 /// order to come back from that. SIGHUP becomes the configuration, read again; where that can't be used,
 /// the one in force stays.
-fn watch_signals(file: PathBuf, inputs: Sender<Input>, log: Logger) -> std::io::Result<()> {
+fn watch_signals(
+    files: Files,
+    scgi: Option<Arc<Scgi>>,
+    settings: Arc<Settings>,
+    inputs: Sender<Input>,
+    log: Logger,
+) -> std::io::Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGHUP, SIGUSR1, SIGUSR2])?;
     let watch = move || {
         for signal in signals.forever() {
             let input = match signal {
-                SIGHUP => match config::load(&file) {
+                SIGHUP => match reload(&files, scgi.as_deref(), &settings) {
                     Ok(config) => Input::Reload(Box::new(config)),
                     Err(why) => {
-                        error!(log, "the configuration stays as it was"; "reason" => %why);
+                        error!(log, "all stays as it was"; "reason" => %why);
                         continue;
                     }
                 },
@@ -157,3 +191,16 @@
     };
     thread::Builder::new().name("signals".into()).stack_size(SIGNAL_STACK).spawn(watch).map(drop)
 }
+
+/// Reads both files again. Both are checked before either is used: a bad one changes nothing.
+fn reload(files: &Files, scgi: Option<&Scgi>, settings: &Arc<Settings>) -> Result<Config, Box<dyn Error>> {
+    let config = config::load(&files.config)?;
+    let own = files.own.as_deref().map(Own::load).transpose()?.unwrap_or_default();
+    if let Some(front) = scgi {
+        // Listeners take a restart; without the block the routes stay.
+        if let Some(set) = &own.scgi {
+            front.reload(Routes::new(set, Arc::clone(settings))?);
+        }
+    }
+    Ok(config)
+}
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -4,6 +4,9 @@
 //! column, and a file with any of them is not used.
 
 mod reader;
+mod scgi;
+
+pub use scgi::{Headers, Route, ScgiSettings};
 
 use gradepin_core::config::Config;
 use gradepin_decisions::Span;
@@ -56,6 +59,8 @@
     pub leave_hold: Span,
     /// The registry, where there is one.
     pub registry: Option<RegistrySettings>,
+    /// The SCGI front, where there is one.
+    pub scgi: Option<ScgiSettings>,
 }
 
 /// Where a registry is, and what this server tells it.
@@ -149,6 +154,7 @@
                 leave.end();
             }
             own.registry = root.block("registry").and_then(registry);
+            own.scgi = root.block("scgi").map(scgi::read);
             root.end();
         }
         let problems = problems.into_sorted();
@@ -313,6 +319,8 @@
     fn the_example_is_read() {
         let own = Own::parse(include_str!("../../../../deploy/registry.kdl")).unwrap();
         assert_eq!(own.registry.map(|set| set.urls.len()), Some(2));
+        let own = Own::parse(include_str!("../../../../deploy/scgi.kdl")).unwrap();
+        assert_eq!(own.scgi.map(|set| set.routes.len()), Some(4));
     }
 
     /// Guards against a file that is half used, and against a typing error that silently keeps a default.
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -163,12 +163,19 @@
 
     /// A part of a whole.
     pub fn share(&mut self, name: &str) -> Option<f64> {
+        self.number(name, 0.0..=1.0)
+    }
+
+    /// A number.
+    pub fn number(&mut self, name: &str, range: RangeInclusive<f64>) -> Option<f64> {
         let (at, value) = self.value(name, "one number")?;
         let number = value.as_float().or(value.as_integer().map(|whole| whole as f64));
         match number {
-            Some(share) if (0.0..=1.0).contains(&share) => Some(share),
+            Some(number) if range.contains(&number) => Some(number),
             Some(_) => {
-                self.problems.add(at, format!("expected {name} from 0 to 1, got {}", shown(&value)));
+                let (least, most) = (range.start(), range.end());
+                self.problems
+                    .add(at, format!("expected {name} from {least} to {most}, got {}", shown(&value)));
                 None
             }
             None => self.wrong(at, name, "a number", &value),
