Make a stand-in processor's first state in one place

Cause: the twelve fields of a fresh processor stood twice, at its start and in its test. Change: State::new serves both.

--- a/crates/kit/src/processor.rs
+++ b/crates/kit/src/processor.rs
@@ -125,21 +125,7 @@
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let (sender, begun) = unbounded();
-        let now = Instant::now();
-        let state = State {
-            rng: Pcg64Mcg::seed_from_u64(spec.seed),
-            spec,
-            started: now,
-            slow: 1.0,
-            runs: BTreeMap::new(),
-            known: HashSet::new(),
-            notices: VecDeque::new(),
-            last_notice: 0,
-            link: None,
-            links: 0,
-            core_use: 0.0,
-            stepped: now,
-        };
+        let state = State::new(spec, Instant::now());
         let shared =
             Arc::new(Shared { state: Mutex::new(state), begun: sender, ended: AtomicBool::new(false) });
         let mine = Arc::clone(&shared);
@@ -204,6 +190,24 @@
 }
 
 impl State {
+    /// A processor that starts now.
+    fn new(spec: Spec, now: Instant) -> Self {
+        Self {
+            rng: Pcg64Mcg::seed_from_u64(spec.seed),
+            spec,
+            started: now,
+            slow: 1.0,
+            runs: BTreeMap::new(),
+            known: HashSet::new(),
+            notices: VecDeque::new(),
+            last_notice: 0,
+            link: None,
+            links: 0,
+            core_use: 0.0,
+            stepped: now,
+        }
+    }
+
     /// Its share of full speed now.
     fn warmth(&self, now: Instant) -> f64 {
         let part = (now - self.started).as_secs_f64() / self.spec.warms_in.as_secs_f64().max(1e-9);
@@ -408,21 +412,7 @@
     fn a_cold_start_warms_and_a_crowd_gets_less_done() {
         let cold = Spec { cold_share: 0.21, warms_in: Duration::from_secs(10), ..Spec::default() };
         let now = Instant::now();
-        let state = |spec: Spec| State {
-            rng: Pcg64Mcg::seed_from_u64(1),
-            spec,
-            started: now,
-            slow: 1.0,
-            runs: BTreeMap::new(),
-            known: HashSet::new(),
-            notices: VecDeque::new(),
-            last_notice: 0,
-            link: None,
-            links: 0,
-            core_use: 0.0,
-            stepped: now,
-        };
-        let state = state(cold);
+        let state = State::new(cold, now);
         assert!((state.warmth(now) - 0.21).abs() < 1e-9);
         assert!((state.warmth(now + Duration::from_secs(5)) - 0.605).abs() < 1e-9);
         assert!((state.warmth(now + Duration::from_secs(60)) - 1.0).abs() < 1e-9);
