--- /dev/null
+++ b/crates/core/src/ledger.rs
@@ -0,0 +1,490 @@
+//! What of the keyed requests must be durable, and when: the order of intent, run, end and answer, and what is done when a
+//! disk doesn't keep up or fails. No I/O: records leave as effects, and what became of them is told.
+//!
+//! A keyed request's intent is written before its run is begun, and its end after it. An intent that is not durable in
+//! time is refused as never run, and a record behind it says so. While the store can't be trusted, keyed requests that
+//! no earlier run answers are refused with a time to come back; all others are served. The way back is always the same: all that
+//! is known is written anew, and counts once that is durable.
+
+use crate::keys::{End, Known};
+use crate::moment::Moment;
+use crate::pool::Buffer;
+use gradepin_decisions::{RequestId, Span, Time, after};
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+const MS: u64 = 1_000_000;
+/// Batches that may be on their way before intents are refused: what waits for a disk is bounded.
+const MOST_BATCHES: usize = 1024;
+/// Intents that may wait.
+const MOST_WAITING: usize = 4096;
+/// Between tries to write all anew, doubled with each that fails, up to a bound.
+const AGAIN: Span = Span(1_000 * MS);
+const MOST_AGAIN: Span = Span(8_000 * MS);
+/// A store that has been good for so long has come back for good.
+const STEADY: Span = Span(10_000 * MS);
+/// Advice while the store is only late, or is still read.
+const SOON: Span = Span(100 * MS);
+
+/// A record for the store.
+#[derive(Debug, Clone)]
+pub enum Record {
+    /// A try will be begun.
+    Intent {
+        /// What all tries share.
+        token: Arc<str>,
+        /// Of body and class.
+        print: u64,
+        /// The try.
+        id: RequestId,
+        /// What is left of its window.
+        left: Span,
+    },
+    /// What is known of a run at its end, or when all is written anew.
+    Known {
+        /// What all tries share.
+        token: Arc<str>,
+        /// Of body and class.
+        print: u64,
+        /// The try.
+        id: RequestId,
+        /// What is left of its window.
+        left: Span,
+        /// The result, or none if it failed.
+        result: Option<Arc<Buffer>>,
+    },
+    /// The intent before this one came to nothing: the try never ran.
+    Void {
+        /// What all tries share.
+        token: Arc<str>,
+        /// The try.
+        id: RequestId,
+    },
+}
+
+/// A keyed run of an earlier life.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Past {
+    /// What all tries share.
+    pub token: String,
+    /// Of body and class.
+    pub print: u64,
+    /// The try.
+    pub id: String,
+    /// What is left of its window.
+    pub left: Span,
+    /// Its end.
+    pub end: PastEnd,
+}
+
+/// How a run of an earlier life ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PastEnd {
+    /// With this result.
+    Served(Vec<u8>),
+    /// Without one, or it is not kept.
+    Failed,
+    /// Nothing tells: it may never have begun, may run still, or has ended.
+    None,
+}
+
+/// What a store held.
+#[derive(Debug, Clone, Default)]
+pub struct Recovered {
+    /// The runs whose windows may be open, in the order of their tokens.
+    pub past: Vec<Past>,
+    /// The key of all prints in this store.
+    pub salt: u64,
+    /// If something that was durable can't be read: any token may have run, for so long.
+    pub doubt: Option<Span>,
+    /// What was found, for the log.
+    pub notes: Vec<String>,
+}
+
+/// Whether the store can be relied on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// There is none: nothing survives this process.
+    Off,
+    /// It is still read.
+    Opening,
+    /// It is.
+    Good,
+    /// Something in it can't be read: until its time is over, any token may have run.
+    Doubtful,
+    /// It can't.
+    Down,
+}
+
+impl Standing {
+    /// In a word, for health checks and a registry.
+    pub fn word(self) -> Option<&'static str> {
+        match self {
+            Self::Off => None,
+            Self::Opening => Some("opening"),
+            Self::Good => Some("good"),
+            Self::Doubtful => Some("doubtful"),
+            Self::Down => Some("down"),
+        }
+    }
+}
+
+#[derive(Debug)]
+enum State {
+    Off,
+    Opening,
+    Good,
+    /// Until when the next try to write all anew waits, how long the one after it would, and the number of the one that
+    /// is under way.
+    Down {
+        next: Time,
+        pause: Span,
+        under_way: Option<u64>,
+    },
+}
+
+/// A batch of records that leaves with a step.
+#[derive(Debug)]
+pub enum Batch {
+    /// To be added.
+    Add(Vec<Record>),
+    /// All that is known, to be written anew; what was before counts no more once this is durable.
+    Anew(Vec<Record>),
+}
+
+/// The ledger of one server.
+#[derive(Debug)]
+pub struct Ledger {
+    state: State,
+    /// How long an intent may take to become durable.
+    patience: Span,
+    doubtful_until: Option<Time>,
+    /// When it last came back, and the pause that came before.
+    back: Option<(Time, Span)>,
+    /// The last batch that left, and those under way with their times.
+    last: u64,
+    under_way: VecDeque<(u64, Time)>,
+    batch: Vec<Record>,
+    /// Tries whose intent waits, with the batch that holds it.
+    waiting: VecDeque<(u64, RequestId, Time)>,
+    notes: Vec<(bool, String)>,
+}
+
+impl Ledger {
+    /// For a server without a store.
+    pub fn off() -> Self {
+        Self::new(State::Off, Span(0))
+    }
+
+    /// For a server with a store that is being opened.
+    pub fn opening(patience: Span) -> Self {
+        Self::new(State::Opening, patience)
+    }
+
+    fn new(state: State, patience: Span) -> Self {
+        Self {
+            state,
+            patience,
+            doubtful_until: None,
+            back: None,
+            last: 0,
+            under_way: VecDeque::new(),
+            batch: Vec::new(),
+            waiting: VecDeque::new(),
+            notes: Vec::new(),
+        }
+    }
+
+    /// Whether there is a store.
+    pub fn is_on(&self) -> bool {
+        !matches!(self.state, State::Off)
+    }
+
+    /// Whether it can be relied on.
+    pub fn standing(&self, now: Time) -> Standing {
+        match &self.state {
+            State::Off => Standing::Off,
+            State::Opening => Standing::Opening,
+            State::Good if self.doubtful_until.is_some_and(|until| until > now) => Standing::Doubtful,
+            State::Good => Standing::Good,
+            State::Down { .. } => Standing::Down,
+        }
+    }
+
+    /// If a keyed request that no earlier run answers must be turned away now: when to come back.
+    pub fn refuses(&self, now: Time) -> Option<Span> {
+        match &self.state {
+            State::Off => None,
+            State::Opening => Some(SOON),
+            State::Good => {
+                let doubt = self.doubtful_until.filter(|until| *until > now);
+                let full = self.under_way.len() >= MOST_BATCHES || self.waiting.len() >= MOST_WAITING;
+                doubt.map(|until| Span(until.0 - now.0)).or(full.then_some(SOON))
+            }
+            State::Down { next, pause, .. } => Some(Span(next.0.saturating_sub(now.0).max(pause.0 / 2))),
+        }
+    }
+
+    /// A try is to run once its intent is durable; false if it can't be written, and then it must be turned away.
+    pub fn intent(&mut self, now: Time, known: Known) -> bool {
+        if self.refuses(now).is_some() {
+            return false;
+        }
+        let Known { token, print, id, left, .. } = known;
+        self.waiting.push_back((self.last + 1, id.clone(), now));
+        self.batch.push(Record::Intent { token, print, id, left });
+        true
+    }
+
+    /// A run has ended.
+    pub fn end(&mut self, known: Known) {
+        // Where the store is down, this goes out when all is written anew.
+        if matches!(self.state, State::Good)
+            && let Some(record) = known_record(known)
+        {
+            self.batch.push(record);
+        }
+    }
+
+    /// A try whose intent was given here never ran.
+    pub fn void(&mut self, token: &Arc<str>, id: &RequestId) {
+        if matches!(self.state, State::Good) {
+            self.batch.push(Record::Void { token: Arc::clone(token), id: id.clone() });
+        }
+    }
+
+    /// The store was opened and read.
+    pub fn recovered(&mut self, now: Time, recovered: &Recovered) {
+        self.state = State::Good;
+        self.doubtful_until = recovered.doubt.map(|doubt| after(now, doubt));
+        self.notes.extend(recovered.notes.iter().map(|note| (recovered.doubt.is_some(), note.clone())));
+        let count = recovered.past.len();
+        self.notes.push((false, format!("the store is open, with {count} runs of an earlier life")));
+    }
+
+    /// Tries whose intent is not durable yet.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// All batches up to this one are durable; returns the tries that may begin, in their order.
+    pub fn persisted(&mut self, now: Time, upto: u64) -> Vec<RequestId> {
+        self.under_way.retain(|(number, _)| *number > upto);
+        match &mut self.state {
+            State::Good => {
+                let free = self.waiting.partition_point(|(batch, ..)| *batch <= upto);
+                self.waiting.drain(..free).map(|(_, id, _)| id).collect()
+            }
+            State::Down { under_way: Some(anew), pause, .. } if *anew <= upto => {
+                self.back = Some((now, *pause));
+                self.state = State::Good;
+                self.notes.push((false, "the store is back: all that is known was written anew".into()));
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// What was written up to this batch can't be relied on, and nothing after it was; returns the tries to be turned away.
+    pub fn failed(&mut self, now: Time, upto: u64, why: &str) -> Vec<RequestId> {
+        self.under_way.retain(|(number, _)| *number > upto);
+        match &mut self.state {
+            State::Off => Vec::new(),
+            // It could not be opened, or is not open yet: the shell goes on trying.
+            State::Opening => {
+                self.notes.push((true, format!("the store can't be opened: {why}")));
+                Vec::new()
+            }
+            State::Good => {
+                self.notes.push((true, format!("the store has failed, keyed requests are refused: {why}")));
+                self.down(now)
+            }
+            State::Down { next, pause, under_way } => {
+                if under_way.take_if(|number| *number <= upto).is_some() {
+                    *pause = Span((pause.0 * 2).min(MOST_AGAIN.0));
+                    *next = after(now, *pause);
+                    self.notes.push((true, format!("the store is still down: {why}")));
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    fn down(&mut self, now: Time) -> Vec<RequestId> {
+        // A disk that falls again soon is given longer each time: it would else go to and fro at every save.
+        let again = self.back.filter(|(at, _)| after(*at, STEADY) > now);
+        let pause = again.map_or(AGAIN, |(_, before)| Span((before.0 * 2).min(MOST_AGAIN.0)));
+        self.state = State::Down { next: after(now, pause), pause, under_way: None };
+        self.batch.clear();
+        self.waiting.drain(..).map(|(_, id, _)| id).collect()
+    }
+
+    /// Looks at what has taken too long; returns the tries to be turned away.
+    pub fn overdue(&mut self, now: Time) -> Vec<RequestId> {
+        let late = |since: Time| after(since, self.patience) <= now;
+        if matches!(self.state, State::Good) && self.under_way.front().is_some_and(|(_, since)| late(*since))
+        {
+            let text =
+                format!("the store takes over {} ms, keyed requests are refused", self.patience.0 / MS);
+            self.notes.push((true, text));
+            return self.down(now);
+        }
+        Vec::new()
+    }
+
+    /// What leaves with this step, with its number. `all` is asked for when all must be written anew.
+    pub fn take(&mut self, moment: Moment, all: impl FnOnce() -> Vec<Known>) -> Option<(u64, Batch)> {
+        let batch = match &mut self.state {
+            State::Good if !self.batch.is_empty() => Batch::Add(std::mem::take(&mut self.batch)),
+            // One at a time: behind a sync that never returns a second one would only wait too.
+            State::Down { next, under_way: under_way @ None, .. } if *next <= moment.now => {
+                *under_way = Some(self.last + 1);
+                Batch::Anew(all().into_iter().filter_map(anew).collect())
+            }
+            _ => return None,
+        };
+        self.last += 1;
+        self.under_way.push_back((self.last, moment.now));
+        Some((self.last, batch))
+    }
+
+    /// When something is due though nothing comes in.
+    pub fn wake_at(&self) -> Option<Time> {
+        match &self.state {
+            State::Good => self.under_way.front().map(|(_, since)| after(*since, self.patience)),
+            State::Down { next, under_way: None, .. } => Some(*next),
+            _ => None,
+        }
+    }
+
+    /// What is to be told, and whether it is bad.
+    pub fn notes(&mut self) -> Vec<(bool, String)> {
+        std::mem::take(&mut self.notes)
+    }
+}
+
+/// The record of a run that has ended.
+fn known_record(known: Known) -> Option<Record> {
+    let Known { token, print, id, left, end } = known;
+    let result = match end {
+        Some(End::Served(result)) => Some(result),
+        Some(End::Failed) => None,
+        // Nothing is known that the intent doesn't say.
+        Some(End::Unknown) | None => return None,
+    };
+    Some(Record::Known { token, print, id, left, result })
+}
+
+/// The record of a run when all is written anew: one without an end may have run, and stays an intent.
+fn anew(known: Known) -> Option<Record> {
+    let Known { token, print, id, left, end } = &known;
+    match end {
+        Some(End::Unknown) | None => {
+            Some(Record::Intent { token: Arc::clone(token), print: *print, id: id.clone(), left: *left })
+        }
+        _ => known_record(known),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(ms: u64) -> Moment {
+        Moment { now: Time(ms * MS), unix_ms: ms }
+    }
+
+    fn known(n: u64) -> Known {
+        let (token, id) = (Arc::from(format!("t{n}")), RequestId::new(&format!("{n:016x}")));
+        Known { token, print: 0, id, left: Span(8_000 * MS), end: None }
+    }
+
+    fn good() -> Ledger {
+        let mut ledger = Ledger::opening(Span(250 * MS));
+        ledger.recovered(Time(0), &Recovered::default());
+        ledger
+    }
+
+    fn take(ledger: &mut Ledger, ms: u64) -> Option<(u64, Batch)> {
+        ledger.take(at(ms), Vec::new)
+    }
+
+    #[test]
+    fn a_try_begins_when_its_own_batch_is_durable() {
+        let mut ledger = good();
+        assert!(ledger.intent(Time(1), known(1)));
+        assert!(matches!(take(&mut ledger, 1), Some((1, Batch::Add(records))) if records.len() == 1));
+        assert!(ledger.intent(Time(2), known(2)) && ledger.intent(Time(2), known(3)));
+        assert!(matches!(take(&mut ledger, 2), Some((2, Batch::Add(records))) if records.len() == 2));
+        assert!(take(&mut ledger, 3).is_none());
+        assert_eq!(ledger.persisted(Time(0), 1), [known(1).id]);
+        assert_eq!(ledger.persisted(Time(0), 2), [known(2).id, known(3).id]);
+        assert!(ledger.persisted(Time(0), 2).is_empty());
+    }
+
+    /// Guards against a store that is trusted after it failed: nothing begins by a later word of the disk, keyed requests
+    /// are turned away, and only a whole new copy that is durable brings it back.
+    #[test]
+    fn after_a_failure_only_a_new_copy_counts() {
+        let mut ledger = good();
+        assert!(ledger.intent(Time(0), known(1)));
+        take(&mut ledger, 0);
+        assert!(ledger.intent(Time(0), known(2)));
+        assert_eq!(ledger.failed(Time(10 * MS), 1, "EIO"), [known(1).id, known(2).id]);
+        assert_eq!(ledger.standing(Time(10 * MS)), Standing::Down);
+        assert!(ledger.persisted(Time(0), 1).is_empty() && ledger.persisted(Time(0), 9).is_empty());
+        assert!(
+            !ledger.intent(Time(20 * MS), known(3)) && ledger.refuses(Time(20 * MS)) >= Some(Span(500 * MS))
+        );
+        assert!(take(&mut ledger, 900).is_none(), "not at once");
+        let anew = |ledger: &mut Ledger, ms| match ledger.take(at(ms), || vec![known(7)]) {
+            Some((number, Batch::Anew(records))) => (number, records.len()),
+            other => panic!("{other:?}"),
+        };
+        let (number, count) = anew(&mut ledger, 1_010);
+        assert_eq!(count, 1);
+        assert!(take(&mut ledger, 1_500).is_none(), "one at a time");
+        assert!(ledger.failed(Time(1_600 * MS), number, "ENOSPC").is_empty());
+        assert_eq!(ledger.wake_at(), Some(Time(3_600 * MS)), "twice as long until the next");
+        let (number, _) = anew(&mut ledger, 3_600);
+        ledger.persisted(Time(0), number);
+        assert_eq!(
+            (ledger.standing(Time(4_000 * MS)), ledger.refuses(Time(4_000 * MS))),
+            (Standing::Good, None)
+        );
+        assert!(ledger.intent(Time(4_000 * MS), known(4)));
+    }
+
+    /// Guards against requests that wait for a sync that never returns, and against a queue that grows behind it.
+    #[test]
+    fn a_sync_that_never_returns_holds_nothing_up() {
+        let mut ledger = good();
+        assert!(ledger.intent(Time(0), known(1)));
+        take(&mut ledger, 0);
+        assert!(ledger.overdue(Time(249 * MS)).is_empty());
+        assert_eq!(ledger.wake_at(), Some(Time(250 * MS)));
+        assert_eq!(ledger.overdue(Time(250 * MS)), [known(1).id]);
+        for ms in (300..60_000).step_by(100) {
+            assert!(!ledger.intent(Time(ms * MS), known(ms)));
+            ledger.end(Known { end: Some(End::Failed), ..known(1) });
+            take(&mut ledger, ms);
+        }
+        assert!(ledger.last <= 2 && ledger.batch.is_empty() && ledger.waiting.is_empty());
+        // It returns after all: the copy behind it brings the store back.
+        assert!(ledger.persisted(Time(0), 1).is_empty());
+        assert_eq!(ledger.standing(Time(60_000 * MS)), Standing::Down);
+        ledger.persisted(Time(0), 2);
+        assert_eq!(ledger.standing(Time(60_000 * MS)), Standing::Good);
+    }
+
+    /// Guards against a second run where a record was lost to damage: any token may have run.
+    #[test]
+    fn while_in_doubt_nothing_new_of_a_key_runs() {
+        let mut ledger = Ledger::opening(Span(250 * MS));
+        assert_eq!(ledger.refuses(Time(0)), Some(SOON));
+        ledger.recovered(Time(0), &Recovered { doubt: Some(Span(8_000 * MS)), ..Recovered::default() });
+        assert_eq!(ledger.refuses(Time(1_000 * MS)), Some(Span(7_000 * MS)));
+        assert!(!ledger.intent(Time(1_000 * MS), known(1)));
+        assert!(ledger.intent(Time(8_000 * MS), known(1)));
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,12 +1,16 @@
 //! All state of one tile server and all changes to it, without I/O and without a clock: `(now, inputs) -> effects`.
 //!
 //! [`reducer`] hosts the decision module and owns the requests, connections, keys, timers and the server's registration;
-//! [`messages`] is what crosses its border, in terms of no protocol. Shells of threads and sockets carry that out.
+//! [`messages`] is what crosses its border, in terms of no protocol; [`ledger`] says what of the keyed requests must be
+//! durable, and when. Shells of threads and sockets carry that out.
 
 pub mod config;
-mod keys;
+pub mod keys;
+pub mod ledger;
 pub mod messages;
 pub mod moment;
 pub mod pool;
 pub mod reducer;
 pub mod registration;
+mod resting;
+pub mod wheel;
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -1,6 +1,7 @@
 //! What the reducer is told and what it asks for, in terms of no protocol.
 
 use crate::config::Config;
+use crate::ledger::{Batch, Recovered};
 use crate::pool::Buffer;
 use gradepin_decisions::{RequestId, Span, Time};
 use gradepin_registry::membership::{Ask, Reply};
@@ -127,6 +128,12 @@
     Registry(u64, Reply),
     /// The configuration was read again.
     Reload(Box<Config>),
+    /// The store was opened, and this is what it held.
+    Recovered(Box<Recovered>),
+    /// All batches for the store up to this one are durable.
+    Persisted(u64),
+    /// What was written up to this batch can't be relied on, and why. With no batch: the store can't be opened.
+    Unpersisted(u64, String),
 }
 
 /// A final answer.
@@ -146,12 +153,18 @@
         /// Whether its time was up.
         late: bool,
     },
+    /// It was begun before a crash, and what became of it can't be learned: it must not run again.
+    Unknown,
     /// The message can't be taken: how it is wrong, and a text for its sender.
     Invalid(Misuse, String),
-    /// To a health check: whether all is well.
-    Health(bool),
+    /// To a health check: whether all is well, and how it is with the store, if there is one.
+    Health(bool, Option<&'static str>),
 }
 
+/// What is said of a run whose outcome is unknown.
+pub const UNKNOWN: &str =
+    "outcome unknown: it was begun before a crash of this server and must not run again";
+
 /// What is to be done.
 #[derive(Debug)]
 pub enum Effect {
@@ -178,6 +191,10 @@
     Report(bool),
     /// Put a question to a registry.
     Registry(Ask),
+    /// Write records to the store, under this number.
+    Persist(u64, Batch),
+    /// Have the processor tell all the notices again that it keeps.
+    Retell,
     /// Write a line to the log.
     Log(slog::Level, String),
     /// End the process.
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -5,18 +5,20 @@
 
 use crate::config::{Config, ConfigError};
 use crate::keys::{End, Keys, Print};
+use crate::ledger::{Ledger, Recovered, Standing};
 use crate::messages::{Answer, Call, ConnId, Effect, Input, LEAST_RESTART, Misuse, RunEnd, SeqId, sooner};
 use crate::moment::Moment;
-use crate::pool::Buffer;
+use crate::pool::{Buffer, Pool};
 use crate::registration::Registration;
+use crate::resting::Resting;
+use crate::wheel::{Due, Wheel};
 use gradepin_decisions::{
     Action, Controller, Event, Gauges, Outcome, Request, RequestId, Settings, Span, Time, after, before,
 };
+use siphasher::sip::SipHasher13;
 use slog::Level;
-use std::cmp::Reverse;
-use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::hash::{Hash, Hasher};
+use std::hash::Hasher;
 use std::sync::Arc;
 
 const MS: u64 = 1_000_000;
@@ -45,6 +47,12 @@
 const REPORT_AGAIN: Span = Span(60 * MS);
 /// Between sweeps through connections and keys.
 const SWEEP_EVERY: Span = Span(250 * MS);
+/// Connections looked at in one sweep, and how long one of them is not looked at again at the most: the module may
+/// shorten the time that they may be idle.
+const LOOKS: usize = 64;
+const LOOK_AGAIN: Span = Span(1_000 * MS);
+/// A run of an earlier life is waited for, with a processor that outlived that, so many times the longest deadline.
+const HOPE_MULTIPLE: u64 = 2;
 /// How long a peer that was asked to drain an idle connection has before it is closed from here.
 const DRAIN_PATIENCE: Span = Span(1_000 * MS);
 
@@ -147,7 +155,22 @@
     connections: BTreeMap<ConnId, Connection>,
     /// Connections from which on newcomers take the places of resting ones.
     room: usize,
+    /// Those with nothing open, and when to look at which whether it is idle.
+    resting: Resting,
+    looks: Wheel<ConnId>,
     keys: Keys,
+    ledger: Ledger,
+    /// Buffers for what the store held.
+    pool: Arc<Pool>,
+    /// Of the prints: of this life, or of the store that outlives it.
+    salt: u64,
+    /// When the first step was, and until when the ends of runs of an earlier life may still be told.
+    began: Option<Time>,
+    hope: Option<Time>,
+    /// Whether the processor is no older than this process.
+    young: bool,
+    /// How it was with the store when that was last told.
+    standing: Standing,
     timers: BTreeSet<Time>,
     link: Link,
     active: bool,
@@ -188,7 +211,16 @@
             batch: HashMap::new(),
             connections: BTreeMap::new(),
             room: config.connections() * 7 / 8,
+            resting: Resting::default(),
+            looks: Wheel::default(),
             keys: Keys::new(config.memory(RESULTS_PART)),
+            ledger: Ledger::off(),
+            pool: Pool::new(0),
+            salt: config.seed()?,
+            began: None,
+            hope: None,
+            young: false,
+            standing: Standing::Off,
             timers: BTreeSet::new(),
             link: Link::default(),
             active: false,
@@ -206,6 +238,12 @@
         })
     }
 
+    /// With a store that is being opened, whose records go by this ledger.
+    pub fn with_store(mut self, ledger: Ledger, pool: Arc<Pool>) -> Self {
+        (self.ledger, self.pool) = (ledger, pool);
+        self
+    }
+
     /// Takes in all inputs, lets the module decide once, and appends what is to be done.
     pub fn step(
         &mut self,
@@ -214,6 +252,7 @@
         effects: &mut Vec<Effect>,
     ) {
         self.moment = moment;
+        self.began.get_or_insert(moment.now);
         for input in inputs {
             self.input(input);
         }
@@ -232,7 +271,7 @@
             Some(since) if due <= self.moment.now => after(since, GAUGES_WAIT),
             _ => due,
         });
-        let own = sooner(timer, self.exit_at);
+        let own = sooner(sooner(timer, self.exit_at), sooner(self.ledger.wake_at(), self.hope));
         sooner(
             sooner(own, self.registration.wake_at(self.moment.now)),
             Some(self.next_sweep.min(self.next_report)),
@@ -260,6 +299,8 @@
                 let now = self.moment.now;
                 let connection = Connection { opened: now, last: now, ..Connection::default() };
                 self.connections.insert(conn, connection);
+                self.resting.rests(conn, now, false);
+                self.looks.insert(after(now, LOOK_AGAIN), conn);
                 if self.leaving {
                     self.ask_to_drain(conn);
                 }
@@ -269,8 +310,9 @@
             Input::Invalid(conn, seq, misuse, why) => self.invalid(conn, seq, misuse, why),
             Input::Cancel(conn, seq) => self.cancel(conn, seq),
             Input::Health(conn, seq) => {
-                self.touch(conn);
-                self.effects.push(Effect::Answer(conn, seq, Answer::Health(self.active), self.hint));
+                self.rest(conn);
+                let health = Answer::Health(self.active, self.ledger.standing(self.moment.now).word());
+                self.effects.push(Effect::Answer(conn, seq, health, self.hint));
             }
             Input::LinkUp { link, cold, age } => self.link_up(link, cold, age),
             Input::LinkDown => {
@@ -285,6 +327,8 @@
                 if notice > self.link.last_notice {
                     self.link.last_notice = notice;
                     self.complete(&id, end, took, result);
+                } else if self.keys.hopes() {
+                    self.learned(&id, end, &Arc::new(result));
                 }
             }
             Input::Used(tag, values) => {
@@ -300,6 +344,19 @@
             Input::TakeIn => self.take_in(),
             Input::Registry(ticket, reply) => self.registration.reply(self.moment.now, ticket, reply),
             Input::Reload(config) => self.reload(*config),
+            Input::Recovered(recovered) => self.recovered(*recovered),
+            Input::Persisted(upto) => {
+                for id in self.ledger.persisted(self.moment.now, upto) {
+                    if self.requests.get(&id).is_some_and(|open| open.state == State::Running) {
+                        self.begin(&id);
+                    }
+                }
+            }
+            Input::Unpersisted(upto, why) => {
+                for id in self.ledger.failed(self.moment.now, upto, &why) {
+                    self.never_ran(&id);
+                }
+            }
         }
     }
 
@@ -310,6 +367,13 @@
         Some(connection)
     }
 
+    /// A connection has said something, or was answered, and may rest from now on.
+    fn rest(&mut self, conn: ConnId) {
+        if self.touch(conn).is_some_and(|connection| connection.open.is_empty()) {
+            self.resting.rests(conn, self.moment.now, true);
+        }
+    }
+
     fn call(&mut self, conn: ConnId, seq: SeqId, call: Call) {
         let Some(connection) = self.touch(conn) else { return };
         if connection.open.contains_key(&seq) {
@@ -321,8 +385,7 @@
         if connection.open.len() >= WINDOW || self.body_bytes > self.most_bodies {
             // Guards against hundreds of requests at once: left unread, they would hide cancels and the close. And
             // against more bodies than the memory holds, on many connections.
-            let answer = Answer::Refused { backoff: Span(0), last: false };
-            return self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
+            return self.turn_away(conn, seq, Span(0));
         }
         let deadline = self.settings.profiles[call.class].deadline;
         if call.budget > BUDGET_MULTIPLE * deadline.0.div_ceil(MS) {
@@ -334,8 +397,7 @@
         }
         if self.controller.is_none() {
             // No processor yet, so nobody to ask; nothing has run.
-            let answer = Answer::Refused { backoff: Span(0), last: false };
-            return self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
+            return self.turn_away(conn, seq, Span(0));
         }
         let unix = self.moment.unix_ms;
         // Nothing came later than it is read. Guards against a stamp that keeps a key's run for ever.
@@ -346,6 +408,13 @@
         let queued = Span(unix.saturating_sub(t0).saturating_mul(MS));
         let since = Span(self.moment.now.0.saturating_sub(opened.0));
         let queued = queued.min(Span(since.0.saturating_add(UNREAD_FIRST.0)));
+        if let Some(token) = &call.token
+            && !self.keys.ran(token, t0)
+            && self.ledger.refuses(self.moment.now).is_some()
+        {
+            // It can't be made sure that this never runs twice. Whatever ran before is answered all the same.
+            return self.turn_away(conn, seq, self.store_advice());
+        }
         let print = if call.token.is_some() { self.print(&call) } else { 0 };
         let earlier = call.token.as_ref().and_then(|token| self.earlier(token, t0));
         if earlier.as_ref().is_some_and(|(_, first)| *first != print) {
@@ -390,10 +459,19 @@
         self.requests.insert(call.id, open);
     }
 
-    /// Keyed with the seed, so that nobody can choose two bodies with one print.
+    /// Turns away what the module never hears of.
+    fn turn_away(&mut self, conn: ConnId, seq: SeqId, backoff: Span) {
+        self.rest(conn);
+        self.effects.push(Effect::Answer(conn, seq, Answer::Refused { backoff, last: false }, self.hint));
+    }
+
+    /// Keyed, so that nobody can choose two bodies with one print; and by name, which a store outlives.
     fn print(&self, call: &Call) -> Print {
-        let mut hasher = DefaultHasher::new();
-        (self.seed, call.class, &call.body[..]).hash(&mut hasher);
+        let mut hasher = SipHasher13::new_with_keys(self.salt, !self.salt);
+        let name = self.settings.profiles[call.class].name.as_bytes();
+        hasher.write_usize(name.len());
+        hasher.write(name);
+        hasher.write(&call.body);
         hasher.finish()
     }
 
@@ -407,14 +485,17 @@
     }
 
     fn invalid(&mut self, conn: ConnId, seq: SeqId, misuse: Misuse, why: String) {
-        self.touch(conn);
+        self.rest(conn);
         self.log(Level::Warning, format!("a request on connection {conn} made no sense: {why}"));
         self.effects.push(Effect::Answer(conn, seq, Answer::Invalid(misuse, why), self.hint));
     }
 
     fn cancel(&mut self, conn: ConnId, seq: SeqId) {
         // Otherwise the cancel has crossed the answer.
-        if let Some(id) = self.touch(conn).and_then(|connection| connection.open.remove(&seq)) {
+        let open = self.touch(conn).and_then(|connection| connection.open.remove(&seq));
+        // Also one that only ever cancels what isn't open: it must not hold its place unseen.
+        self.rest(conn);
+        if let Some(id) = open {
             self.gone(&id);
         }
     }
@@ -444,7 +525,8 @@
     fn link_up(&mut self, number: u64, cold: bool, age: Span) {
         let now = self.moment.now;
         self.registration.processor_up(before(now, age), cold);
-        if self.controller.is_none() {
+        let first = self.controller.is_none();
+        if first {
             // Warmth counts from the start of the processor, which may be long after this process's.
             let mut settings = Settings::clone(&self.settings);
             settings.specifics.just_started = cold;
@@ -456,17 +538,24 @@
                 self.tell_leaving();
             }
             self.log(Level::Info, format!("the processor is up, {}", if cold { "cold" } else { "warm" }));
-        } else if before(now, age) > after(self.link.heard, LEAST_RESTART) {
+        }
+        // It started with this process or after it: nothing of an earlier life runs there.
+        self.young = self.began.is_some_and(|began| after(before(now, age), LEAST_RESTART) >= began);
+        if self.young {
+            self.hope = self.hope.map(|_| now);
+        }
+        if !first && before(now, age) > after(self.link.heard, LEAST_RESTART) {
             // It has started since it was last heard. A mere pause of the machine makes the greeting old, not young.
             self.restarted();
         }
         self.link.heard = now;
         self.link.number = Some(number);
         self.link.open_since = None;
-        if !self.link.unproven.is_empty() {
+        let unproven = !self.link.unproven.is_empty();
+        if unproven || self.hope.is_some() {
             // The answer comes behind all notices of runs that ended meanwhile.
             self.ask(number);
-            self.link.settles = Some(self.link.asked);
+            self.link.settles = unproven.then_some(self.link.asked);
         }
     }
 
@@ -504,6 +593,19 @@
             }
         }
         self.link.unproven.retain(|(_, asked)| *asked >= tag);
+        self.count_runs(gauges.on_cores);
+    }
+
+    /// Where no more runs than were begun here are on the cores, none of an earlier life is, and its end was told before or
+    /// never will be. Guards against repeats that wait in life after life for a run that never reached the processor.
+    fn count_runs(&mut self, on_cores: Option<f64>) {
+        let (Some(_), Some(on)) = (self.hope, on_cores) else { return };
+        let running = self.requests.values().filter(|open| open.state == State::Running).count();
+        // Those still without an intent, and those begun after the question, aren't among them.
+        let own = running.saturating_sub(self.ledger.waiting() + self.link.unproven.len());
+        if on < own as f64 + 0.5 {
+            self.hope = Some(self.moment.now);
+        }
     }
 
     /// Sends a request to its run, now or once the link stands and is settled.
@@ -516,7 +618,80 @@
     }
 
     fn complete(&mut self, id: &RequestId, end: RunEnd, took: Span, result: Buffer) {
-        self.ended(id, end, took, Some(Arc::new(result)));
+        let result = Arc::new(result);
+        if !self.requests.contains_key(id) {
+            return self.learned(id, end, &result);
+        }
+        self.ended(id, end, took, Some(result));
+    }
+
+    /// A processor that outlived an earlier life tells the end of a run of that.
+    fn learned(&mut self, id: &RequestId, end: RunEnd, result: &Buffer) {
+        let Some(token) = self.keys.learned(id) else { return };
+        let end = match end {
+            RunEnd::Ok => Some(End::Served(Arc::new(result.exact()))),
+            RunEnd::Error | RunEnd::Stopped => Some(End::Failed),
+            RunEnd::Moot => None,
+        };
+        self.settle(&token, id, end);
+    }
+
+    /// A keyed run has its end, or with none never was: it is kept and written, and its repeats are answered.
+    fn settle(&mut self, token: &Arc<str>, id: &RequestId, end: Option<End>) {
+        let waiters = self.keys.ended(token, id, end.clone());
+        if end.is_none() {
+            self.ledger.void(token, id);
+        } else if self.ledger.is_on()
+            && let Some(known) = self.keys.known(token, self.moment.now)
+        {
+            self.ledger.end(known);
+        }
+        for waiter in waiters {
+            self.joined(&waiter, end.clone().unwrap_or(End::Failed));
+        }
+    }
+
+    // ---- the store
+
+    /// Takes over what an earlier life knew.
+    fn recovered(&mut self, recovered: Recovered) {
+        let now = self.moment.now;
+        self.salt = recovered.salt;
+        self.ledger.recovered(now, &recovered);
+        for past in recovered.past {
+            self.keys.restore(past, self.moment, &self.pool);
+        }
+        if self.keys.hopes() {
+            let longest = if self.young {
+                None
+            } else {
+                self.settings.profiles.iter().map(|profile| profile.deadline.0).max()
+            };
+            self.hope = Some(after(now, Span(longest.unwrap_or(0).saturating_mul(HOPE_MULTIPLE))));
+            if self.link.heard != Time::default() {
+                // What it told so far was about runs that weren't known yet.
+                self.effects.push(Effect::Retell);
+            }
+        }
+    }
+
+    /// When a keyed request that the store can't keep now should come back.
+    fn store_advice(&self) -> Span {
+        let limits = &self.settings.limits;
+        let advice = self.ledger.refuses(self.moment.now).unwrap_or_default();
+        if limits.retry_after { advice.min(limits.max_retry_after) } else { Span(0) }
+    }
+
+    /// A run that the module began will not be: its intent is not durable. It and its repeats are turned away at once.
+    fn never_ran(&mut self, id: &RequestId) {
+        let Some(open) = self.requests.get(id).filter(|open| open.state == State::Running) else { return };
+        let token = open.token.clone();
+        let waiters = token.map(|token| self.keys.ended(&token, id, None)).unwrap_or_default();
+        for id in std::iter::once(id.clone()).chain(waiters) {
+            self.answer(&id, Answer::Refused { backoff: self.store_advice(), last: false });
+            self.forget(&id);
+            self.events.push(Event::Completed { id, outcome: Outcome::Unused, took: Span(0) });
+        }
     }
 
     /// A run is over, or was never begun.
@@ -542,9 +717,8 @@
         if outcome != Outcome::Revoked || !self.requests.get(id).is_some_and(|open| open.owed) {
             self.forget(id);
         }
-        let waiters = token.map(|token| self.keys.ended(&token, id, kept)).unwrap_or_default();
-        for waiter in waiters {
-            self.joined(&waiter, answer.clone());
+        if let Some(token) = token {
+            self.settle(&token, id, kept);
         }
     }
 
@@ -552,6 +726,7 @@
         let answer = match end {
             End::Served(result) => Answer::Served(result),
             End::Failed => Answer::Failed { late: self.is_late(id) },
+            End::Unknown => Answer::Unknown,
         };
         self.answer(id, answer);
     }
@@ -578,9 +753,10 @@
         let Some(open) = self.requests.get_mut(id).filter(|open| open.owed) else { return };
         open.owed = false;
         let (conn, seq) = (open.conn, open.seq);
-        if let Some(connection) = self.touch(conn) {
+        if let Some(connection) = self.connections.get_mut(&conn) {
             connection.open.remove(&seq);
         }
+        self.rest(conn);
         self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
     }
 
@@ -694,7 +870,16 @@
         open.state = State::Running;
         if let Some(token) = &open.token {
             let window_ms = self.settings.profiles[open.class].window.0.div_ceil(MS);
-            self.keys.began(token, open.print, id, open.t0.saturating_add(window_ms));
+            let closes_ms = open.t0.saturating_add(window_ms);
+            self.keys.began(token, open.print, id, closes_ms, self.moment);
+            if self.ledger.is_on() {
+                // It begins once its intent is durable.
+                let known = self.keys.known(token, self.moment.now);
+                if !known.is_some_and(|known| self.ledger.intent(self.moment.now, known)) {
+                    self.never_ran(id);
+                }
+                return;
+            }
         }
         self.begin(id);
     }
@@ -795,10 +980,13 @@
             }
         }
         if now >= self.next_sweep {
-            self.next_sweep = after(now, SWEEP_EVERY);
-            self.keys.sweep(now, self.moment.unix_ms);
-            self.close_idle();
+            // What is left of a sweep has its turn with the next step, which comes at once.
+            let more = self.keys.sweep(now) | self.close_idle();
+            self.next_sweep = if more { now } else { after(now, SWEEP_EVERY) };
+            let connections = &self.connections;
+            self.resting.tidy(connections.len(), |conn, since, spoke| rests(connections, conn, since, spoke));
         }
+        self.keep();
         if self.registration.drain_is_due(now) {
             self.terminate();
         }
@@ -810,6 +998,35 @@
         }
     }
 
+    /// Has the store keep what must be kept, and says how it is with it.
+    fn keep(&mut self) {
+        if !self.ledger.is_on() {
+            return;
+        }
+        let now = self.moment.now;
+        for id in self.ledger.overdue(now) {
+            self.never_ran(&id);
+        }
+        if self.hope.take_if(|until| *until <= now).is_some() {
+            for waiter in self.keys.give_up() {
+                self.joined(&waiter, End::Unknown);
+            }
+        }
+        let keys = &self.keys;
+        if let Some((number, batch)) = self.ledger.take(self.moment, || keys.all_known(now)) {
+            self.effects.push(Effect::Persist(number, batch));
+        }
+        for (bad, note) in self.ledger.notes() {
+            self.log(if bad { Level::Error } else { Level::Info }, note);
+        }
+        let standing = self.ledger.standing(now);
+        if standing != std::mem::replace(&mut self.standing, standing)
+            && let Some(word) = standing.word()
+        {
+            self.registration.store(word);
+        }
+    }
+
     /// Near the limit, a newcomer takes the place of a connection with nothing open: of the one that rested longest,
     /// and one that never said anything counts as if for twice as long. It may have sent what was not read yet, so
     /// it is closed only where that is not so, and one that has only just come or spoken stays. Guards against silent connections that keep all others,
@@ -819,10 +1036,15 @@
         if self.connections.len() < self.room {
             return;
         }
-        let rested = |c: &Connection| (now.0 - c.last.0) * if c.spoke { 1 } else { 2 };
-        let resting = self.connections.iter().filter(|(_, c)| c.open.is_empty() && !c.closes(now));
-        let oldest = resting.map(|(&conn, c)| (rested(c), Reverse(conn))).max();
-        let (longest, Reverse(conn)) = oldest.unwrap_or_default();
+        let connections = &self.connections;
+        let [spoke, silent] = self.resting.longest(
+            |conn, since, spoke| rests(connections, conn, since, spoke),
+            |conn| connections.get(&conn).is_some_and(|c| c.closes(now)),
+        );
+        let rested = |found: Option<(Time, ConnId)>, times| {
+            found.map_or((0, 0), |(since, conn)| ((now.0 - since.0) * times, conn))
+        };
+        let (longest, conn) = rested(spoke, 1).max(rested(silent, 2));
         if longest >= REST.0 {
             self.close_resting(conn);
         }
@@ -836,21 +1058,34 @@
     }
 
     /// Idle connections are asked to drain, which no request can cross unanswered, and closed only if their
-    /// peers don't.
-    fn close_idle(&mut self) {
-        let (now, Some(idle)) = (self.moment.now, self.idle) else { return };
-        let idle = if idle.0 == 0 { self.settings.specifics.idle } else { idle };
-        let rested = |c: &Connection, idle| c.open.is_empty() && after(c.last, idle) <= now;
-        let quiet = self.connections.iter().filter(|(_, c)| rested(c, idle));
-        let quiet: Vec<(ConnId, Option<Time>)> = quiet.map(|(&conn, c)| (conn, c.draining)).collect();
-        for (conn, draining) in quiet {
-            match draining {
-                None => self.ask_to_drain(conn),
-                Some(since) if after(since, DRAIN_PATIENCE) <= now && !self.leaving => {
+    /// peers don't. Looks at some of those whose time may have come; whether there may be more.
+    fn close_idle(&mut self) -> bool {
+        let (now, mut budget) = (self.moment.now, LOOKS);
+        let idle = self.idle.map(|idle| if idle.0 == 0 { self.settings.specifics.idle } else { idle });
+        loop {
+            let conn = match self.looks.next_due(now, &mut budget) {
+                Due::Entry(conn) => conn,
+                Due::None => return false,
+                Due::Later => return true,
+            };
+            let Some(connection) = self.connections.get(&conn) else { continue };
+            let rested = idle.map(|idle| after(connection.last, idle));
+            let again = connection.draining.map(|since| after(since, DRAIN_PATIENCE)).or(rested);
+            let again = again.filter(|at| *at > now).unwrap_or(after(now, LOOK_AGAIN));
+            self.looks.insert(again.min(after(now, LOOK_AGAIN)), conn);
+            let quiet = connection.open.is_empty() && rested.is_some_and(|at| at <= now);
+            match connection.draining {
+                None if quiet => self.ask_to_drain(conn),
+                Some(since) if quiet && after(since, DRAIN_PATIENCE) <= now && !self.leaving => {
                     self.close_resting(conn)
                 }
-                Some(_) => {}
+                _ => {}
             }
         }
     }
 }
+
+/// Whether a connection has nothing open, and said its last word then.
+fn rests(connections: &BTreeMap<ConnId, Connection>, conn: ConnId, since: Time, spoke: bool) -> bool {
+    connections.get(&conn).is_some_and(|c| c.open.is_empty() && c.last == since && c.spoke == spoke)
+}
--- a/crates/core/src/registration.rs
+++ b/crates/core/src/registration.rs
@@ -49,6 +49,13 @@
         }
     }
 
+    /// How it is with the server's store, in a word; a registry is told of a change.
+    pub fn store(&mut self, word: &str) {
+        if let Some(membership) = &mut self.membership {
+            membership.metadata("store", word);
+        }
+    }
+
     /// The server leaves.
     pub fn leave(&mut self, now: Time) {
         self.drains = None;
--- /dev/null
+++ b/crates/core/src/wheel.rs
@@ -0,0 +1,159 @@
+//! A hashed timing wheel with one level (Varghese and Lauck, "Hashed and Hierarchical Timing Wheels", 1987, scheme 6):
+//! what is due is found without looking at what isn't.
+//!
+//! Slots are ticks of [`TICK`]; what is due later than one turn stays in its slot for as many turns as it takes. Nothing
+//! is moved from a coarser level to a finer one, which would be a pause that grows with the number of entries. Nothing
+//! is removed before its time either: whoever put an entry in looks, when it is due, whether that still holds.
+
+use gradepin_decisions::{Span, Time};
+
+/// The width of a slot. Whatever is kept here may come so much late.
+pub const TICK: Span = Span(1 << 27);
+/// Slots; a power of two. One turn takes 137 s, longer than anything is kept by default.
+const SLOTS: usize = 1024;
+
+/// Entries by the time at which they are due.
+#[derive(Debug)]
+pub struct Wheel<T> {
+    slots: Vec<Vec<(u64, T)>>,
+    /// The tick up to which all that was due is out; entries of its own slot may remain.
+    tick: u64,
+    /// How far the slot of `tick` was looked through.
+    place: usize,
+    count: usize,
+}
+
+impl<T> Default for Wheel<T> {
+    fn default() -> Self {
+        Self { slots: (0..SLOTS).map(|_| Vec::new()).collect(), tick: 0, place: 0, count: 0 }
+    }
+}
+
+/// What a look for due entries came to.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Due<T> {
+    /// This one is due.
+    Entry(T),
+    /// Nothing more is due now.
+    None,
+    /// So much was looked at that others should have their turn; there may be more.
+    Later,
+}
+
+impl<T> Wheel<T> {
+    /// Entries in it.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Puts an entry in; one that is due already comes out with the next look.
+    pub fn insert(&mut self, due: Time, entry: T) {
+        let tick = due.0.div_ceil(TICK.0).max(self.tick);
+        self.slots[(tick % SLOTS as u64) as usize].push((tick, entry));
+        self.count += 1;
+    }
+
+    /// The next due entry. Each look at an entry or a slot takes one from `budget`, which bounds the pause; with
+    /// [`Due::Later`] the next look goes on where this one stopped.
+    pub fn next_due(&mut self, now: Time, budget: &mut usize) -> Due<T> {
+        let last = now.0 / TICK.0;
+        if self.count == 0 {
+            // Nothing to look through: a server that was idle for long must not walk through all its ticks.
+            (self.tick, self.place) = (self.tick.max(last), 0);
+            return Due::None;
+        }
+        loop {
+            if self.tick > last {
+                return Due::None;
+            }
+            if *budget == 0 {
+                return Due::Later;
+            }
+            *budget -= 1;
+            let slot = &mut self.slots[(self.tick % SLOTS as u64) as usize];
+            match slot.get(self.place) {
+                Some((tick, _)) if *tick <= self.tick => {
+                    self.count -= 1;
+                    return Due::Entry(slot.swap_remove(self.place).1);
+                }
+                // Due in a later turn.
+                Some(_) => self.place += 1,
+                None => {
+                    // A slot that once held many gives its memory back.
+                    if slot.is_empty() && slot.capacity() > 64 {
+                        *slot = Vec::new();
+                    }
+                    (self.tick, self.place) = (self.tick + 1, 0);
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand_pcg::Pcg64Mcg;
+    use rand_pcg::rand_core::{Rng, SeedableRng};
+    use std::collections::BTreeSet;
+
+    fn all(wheel: &mut Wheel<u64>, now: Time) -> Vec<u64> {
+        let mut out = Vec::new();
+        loop {
+            match wheel.next_due(now, &mut 7) {
+                Due::Entry(entry) => out.push(entry),
+                Due::Later => {}
+                Due::None => return out,
+            }
+        }
+    }
+
+    /// Guards against an entry that is lost, comes early, or comes later than a tick: beside an ordered set, whatever
+    /// the steps of time, more than one turn ahead included.
+    #[test]
+    fn what_is_due_comes_out_and_nothing_else() {
+        let seed = std::env::var("SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(5);
+        println!("SEED={seed}");
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let (mut wheel, mut plain) = (Wheel::default(), BTreeSet::new());
+        let mut now = 0_u64;
+        for n in 0..20_000_u64 {
+            for _ in 0..rng.next_u64() % 4 {
+                let due = now + rng.next_u64() % (TICK.0 * SLOTS as u64 * 3);
+                wheel.insert(Time(due), n << 3 | plain.len() as u64 & 7);
+                plain.insert((due, n << 3 | plain.len() as u64 & 7));
+            }
+            let step = if n % 500 == 0 { TICK.0 * SLOTS as u64 * 2 } else { TICK.0 };
+            now += rng.next_u64() % step;
+            let mut came = all(&mut wheel, Time(now));
+            came.sort_unstable();
+            let due: Vec<u64> = plain.iter().filter(|(due, _)| *due <= now).map(|(_, n)| *n).collect();
+            for entry in &came {
+                assert!(due.contains(entry), "{entry} came early");
+            }
+            let overdue = plain.iter().filter(|(due, _)| due + TICK.0 <= now).map(|(_, n)| *n);
+            for entry in overdue {
+                assert!(came.binary_search(&entry).is_ok(), "{entry} didn't come");
+            }
+            plain.retain(|(_, n)| came.binary_search(n).is_err());
+            assert_eq!(wheel.len(), plain.len());
+        }
+    }
+
+    /// Guards against a pause that grows with what is due at once.
+    #[test]
+    fn a_look_is_bounded_by_its_budget() {
+        let mut wheel = Wheel::default();
+        (0..100_000_u64).for_each(|n| wheel.insert(Time(1), n));
+        let (mut budget, mut came) = (256, 0);
+        while let Due::Entry(_) = wheel.next_due(Time(u64::MAX / 2), &mut budget) {
+            came += 1;
+        }
+        assert!(budget == 0 && came <= 256 && wheel.len() == 100_000 - came);
+    }
+}
--- a/crates/gradepin/src/main.rs
+++ b/crates/gradepin/src/main.rs
@@ -1,5 +1,7 @@
 //! The command line of the tile server.
 
+mod store;
+
 use clap::{Parser, Subcommand, ValueEnum};
 use gradepin_core::config::Config;
 use gradepin_node::fronts::scgi::routes::Routes;
@@ -11,6 +13,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use store::StoreCommand;
 
 #[derive(Parser)]
 #[command(version, about = "A tile server that decides what it takes, runs and turns away")]
@@ -59,6 +62,11 @@
         #[arg(long)]
         cancel: bool,
     },
+    /// Look into the store of keyed runs, without a server
+    Store {
+        #[command(subcommand)]
+        command: StoreCommand,
+    },
     /// Print the version
     Version,
 }
@@ -77,7 +85,7 @@
     }
 }
 
-fn run(command: Command) -> Result<(), Box<dyn Error>> {
+fn run(command: Command) -> Result<bool, Box<dyn Error>> {
     match command {
         Command::Serve { files, log_format } => {
             let (config, own, files) = files.load()?;
@@ -86,7 +94,8 @@
                 Format::Json => LogFormat::Json,
             };
             let log = log::root(&config.name, format);
-            Ok(serve::serve(config, own, files, &log)?)
+            serve::serve(config, own, files, &log)?;
+            Ok(true)
         }
         Command::Check { files } => {
             let (config, own, _) = files.load()?;
@@ -106,24 +115,30 @@
                     println!("scgi: {listeners} listeners, {} routes", scgi.routes.len());
                 }
             }
-            Ok(())
+            match own.store {
+                None => println!("store: off"),
+                Some(store) => println!("store: {}", store.path.display()),
+            }
+            Ok(true)
         }
         Command::Leave { pid, cancel } => {
             let process = Pid::from_raw(pid).filter(|_| pid > 1).ok_or("expected a process id")?;
             let signal = if cancel { Signal::USR2 } else { Signal::USR1 };
             kill_process(process, signal).map_err(|e| format!("process {pid}: {e}"))?;
-            Ok(())
+            Ok(true)
         }
+        Command::Store { command } => store::run(command),
         Command::Version => {
             println!("gradepin {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
+            Ok(true)
         }
     }
 }
 
 fn main() -> ExitCode {
     match run(Cli::parse().command) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
         Err(message) => {
             for line in message.to_string().lines() {
                 eprintln!("gradepin: {line}");
--- /dev/null
+++ b/crates/gradepin/src/store.rs
@@ -0,0 +1,165 @@
+//! `gradepin store`: looks into a folder without a server, says what it holds and what is damaged.
+
+use gradepin_core::keys::READ_LATE;
+use gradepin_core::ledger::{Past, PastEnd, Record};
+use gradepin_core::pool::Pool;
+use gradepin_decisions::{RequestId, Span};
+use gradepin_store::disk::{Disk, Folder};
+use gradepin_store::frame::{self, Frames, Stored};
+use gradepin_store::log::{self, Limits, Log, Stamp};
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// A reading by hand brings everything back.
+const LIMITS: Limits =
+    Limits { segment_bytes: 4 << 20, most_bytes: u64::MAX, most_results: usize::MAX, window: Span(0) };
+
+#[derive(clap::Subcommand)]
+pub enum StoreCommand {
+    /// Read every segment, and say what it holds and what is damaged; status 1 if anything is
+    Check {
+        /// The folder
+        folder: PathBuf,
+    },
+    /// Print every record, in the order in which they were written
+    Dump {
+        /// The folder
+        folder: PathBuf,
+    },
+    /// Write what is still known anew into one segment and drop the others; no server may use the folder
+    Compact {
+        /// The folder
+        folder: PathBuf,
+    },
+}
+
+/// Carries one out; false if something is damaged.
+pub fn run(command: StoreCommand) -> Result<bool, Box<dyn Error>> {
+    match command {
+        StoreCommand::Check { folder } => check(&folder),
+        StoreCommand::Dump { folder } => dump(&folder),
+        StoreCommand::Compact { folder } => compact(&folder),
+    }
+}
+
+fn check(folder: &Path) -> Result<bool, Box<dyn Error>> {
+    let reading = log::read(&mut Folder::look(folder)?, &LIMITS)?;
+    let salt = reading.salt();
+    let found = reading.found(Span(0), salt.unwrap_or(0));
+    let mut whole = true;
+    for seen in &found.segments {
+        let state = match (&seen.damage, seen.torn) {
+            (Some(why), _) => format!("DAMAGED: {why}"),
+            (None, Some(at)) => format!("ends with a write cut short at byte {at}, which is harmless"),
+            (None, None) => "whole".to_string(),
+        };
+        whole &= seen.damage.is_none();
+        let life = seen.life.map_or("-".to_string(), |life| life.to_string());
+        println!(
+            "{}  life {life}  {} bytes  {} frames  {} records  {state}",
+            log::name_of(seen.number),
+            seen.bytes,
+            seen.frames,
+            seen.records
+        );
+    }
+    let of = |test: fn(&PastEnd) -> bool| found.recovered.past.iter().filter(|past| test(&past.end)).count();
+    println!(
+        "{} runs may still be asked for: {} with a result, {} failed, {} with an unknown outcome",
+        found.recovered.past.len(),
+        of(|end| matches!(end, PastEnd::Served(_))),
+        of(|end| *end == PastEnd::Failed),
+        of(|end| *end == PastEnd::None)
+    );
+    Ok(whole)
+}
+
+fn dump(folder: &Path) -> Result<bool, Box<dyn Error>> {
+    let mut disk = Folder::look(folder)?;
+    let mut numbers: Vec<u64> = disk.list()?.iter().filter_map(|name| log::number_of(name)).collect();
+    numbers.sort_unstable();
+    let mut whole = true;
+    for number in numbers {
+        let bytes = disk.read(&log::name_of(number))?;
+        let head = match frame::decode_head(&bytes) {
+            Ok(head) => head,
+            Err(why) => {
+                println!("{number:016x}  {why}");
+                whole = false;
+                continue;
+            }
+        };
+        let mut frames = Frames::new(&bytes, head.number);
+        for batch in frames.by_ref() {
+            for record in &batch.records {
+                println!(
+                    "{number:016x}  life {}  at {} ms ({} unix)  {}",
+                    head.life,
+                    batch.mono_ms,
+                    batch.unix_ms,
+                    line(record)
+                );
+            }
+        }
+        match frames.tail() {
+            frame::Tail::Clean => {}
+            frame::Tail::Torn(at) => println!("{number:016x}  cut short at byte {at}"),
+            frame::Tail::Damaged(at) => {
+                println!("{number:016x}  DAMAGED from byte {at} on");
+                whole = false;
+            }
+        }
+    }
+    Ok(whole)
+}
+
+fn line(record: &Stored<'_>) -> String {
+    match record {
+        Stored::Intent { token, print, id, left_ms } => {
+            format!("intent  {token:?} {id} print {print:016x} for {left_ms} ms")
+        }
+        Stored::Served { token, print, id, left_ms, result } => {
+            format!("served  {token:?} {id} print {print:016x} for {left_ms} ms, {} bytes", result.len())
+        }
+        Stored::Failed { token, print, id, left_ms } => {
+            format!("failed  {token:?} {id} print {print:016x} for {left_ms} ms")
+        }
+        Stored::Void { token, id } => format!("void    {token:?} {id}"),
+        Stored::Anew => "all that was known is written anew up to here".to_string(),
+    }
+}
+
+fn compact(folder: &Path) -> Result<bool, Box<dyn Error>> {
+    let disk = Box::new(Folder::open(folder)?);
+    let (mut log, found) = Log::open(disk, LIMITS, 0)?;
+    let before = log.bytes();
+    if found.segments.is_empty() {
+        println!("nothing to compact");
+        return Ok(true);
+    }
+    let count = found.recovered.past.len();
+    let records: Vec<Record> = found.recovered.past.into_iter().map(record).collect();
+    log.write_anew(Stamp::default(), &records)?;
+    let damaged = found.segments.iter().any(|seen| seen.damage.is_some());
+    println!("{count} runs written anew: {before} bytes before, {} after", log.bytes());
+    if damaged {
+        let late = READ_LATE.0 / 1_000_000_000;
+        println!("damaged segments stay until a server has run for their windows and {late} s");
+    }
+    Ok(!damaged)
+}
+
+fn record(past: Past) -> Record {
+    let Past { token, print, id, left, end } = past;
+    let (token, id) = (Arc::from(token), RequestId::new(&id));
+    match end {
+        PastEnd::None => Record::Intent { token, print, id, left },
+        PastEnd::Failed => Record::Known { token, print, id, left, result: None },
+        PastEnd::Served(result) => {
+            // What a store holds was once in a buffer.
+            let result = Pool::new(0).exact(&result).map(Arc::new);
+            Record::Known { token, print, id, left, result }
+        }
+    }
+}
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -126,6 +126,8 @@
                 let text = format!("{:?}", ask.op);
                 format!("registry {}", text.split(['(', ' ']).next().unwrap_or_default())
             }
+            Effect::Persist(number, _) => format!("store {number}"),
+            Effect::Retell => "retell".to_string(),
             Effect::Exit => "exit".to_string(),
             Effect::Log(..) => return,
         };
--- /dev/null
+++ b/crates/kit/src/bench/keys.rs
@@ -0,0 +1,170 @@
+//! The table of keyed requests: the wheel beside a sweep over everything (as it was), and beside an ordered set.
+
+use gradepin_core::keys::{End, Keys, READ_LATE};
+use gradepin_core::moment::Moment;
+use gradepin_decisions::{RequestId, Time};
+use std::collections::{BTreeSet, HashMap};
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const MS: u64 = 1_000_000;
+/// The brief's window, and the time between sweeps.
+const WINDOW_MS: u64 = 12_075;
+const SWEEP_MS: u64 = 250;
+
+/// A table that keys come into and run out of.
+trait Table {
+    fn put(&mut self, token: &Arc<str>, id: &RequestId, now_ms: u64);
+    /// One step's share of forgetting; whether more is to do.
+    fn sweep(&mut self, now_ms: u64) -> bool;
+    fn len(&self) -> usize;
+}
+
+fn life_ms() -> u64 {
+    WINDOW_MS + READ_LATE.0 / MS
+}
+
+/// The table as it is.
+struct Wheel(Keys);
+
+impl Table for Wheel {
+    fn put(&mut self, token: &Arc<str>, id: &RequestId, now_ms: u64) {
+        let moment = Moment { now: Time(now_ms * MS), unix_ms: now_ms };
+        self.0.remember(token, 7, id, Time((now_ms + WINDOW_MS) * MS));
+        self.0.began(token, 7, id, now_ms + WINDOW_MS, moment);
+        self.0.ended(token, id, Some(End::Failed));
+    }
+
+    fn sweep(&mut self, now_ms: u64) -> bool {
+        self.0.sweep(Time(now_ms * MS))
+    }
+
+    fn len(&self) -> usize {
+        self.0.len()
+    }
+}
+
+/// What the plain ones keep of a key.
+type Kept = (RequestId, u64, u64);
+
+/// As it was: everything is looked at in every sweep.
+#[derive(Default)]
+struct Retain(HashMap<Arc<str>, Kept>);
+
+impl Table for Retain {
+    fn put(&mut self, token: &Arc<str>, id: &RequestId, now_ms: u64) {
+        self.0.insert(Arc::clone(token), (id.clone(), 7, now_ms + life_ms()));
+    }
+
+    fn sweep(&mut self, now_ms: u64) -> bool {
+        self.0.retain(|_, (_, _, over)| *over > now_ms);
+        false
+    }
+
+    fn len(&self) -> usize {
+        self.0.len()
+    }
+}
+
+/// A map, and an ordered set of the times at which its keys are over.
+#[derive(Default)]
+struct Ordered(HashMap<Arc<str>, Kept>, BTreeSet<(u64, Arc<str>)>);
+
+impl Table for Ordered {
+    fn put(&mut self, token: &Arc<str>, id: &RequestId, now_ms: u64) {
+        let over = now_ms + life_ms();
+        self.0.insert(Arc::clone(token), (id.clone(), 7, over));
+        self.1.insert((over, Arc::clone(token)));
+    }
+
+    fn sweep(&mut self, now_ms: u64) -> bool {
+        while self.1.first().is_some_and(|(over, _)| *over <= now_ms) {
+            if let Some((_, token)) = self.1.pop_first() {
+                self.0.remove(&token);
+            }
+        }
+        false
+    }
+
+    fn len(&self) -> usize {
+        self.0.len()
+    }
+}
+
+/// What a table came to.
+struct Took {
+    put_ns: f64,
+    put_most: Duration,
+    sweep_ns: f64,
+    pause: Duration,
+}
+
+/// Fills a table at a steady rate until it holds so many keys, and then goes on for as long again.
+fn play(table: &mut dyn Table, keys: usize) -> Took {
+    let (rounds, mut n) = (life_ms() / SWEEP_MS, 0_u64);
+    let each = (keys as u64).div_ceil(rounds).max(1);
+    let (mut puts, mut sweeps) = (Duration::ZERO, Duration::ZERO);
+    let (mut put_most, mut pause, mut counted) = (Duration::ZERO, Duration::ZERO, 0_u64);
+    for round in 0..2 * rounds {
+        let now = 1_000_000 + round * SWEEP_MS;
+        for _ in 0..each {
+            n += 1;
+            // Spread, as tokens are.
+            let text =
+                format!("{:032x}", u128::from(n.wrapping_mul(0x9e37_79b9_7f4a_7c15)) << 64 | u128::from(n));
+            let (token, id) = (Arc::from(text.as_str()), RequestId::new(&text[16..]));
+            let start = Instant::now();
+            table.put(&token, &id, now);
+            let took = start.elapsed();
+            puts += took;
+            put_most = put_most.max(took);
+        }
+        loop {
+            let start = Instant::now();
+            let more = table.sweep(now);
+            let took = start.elapsed();
+            if round >= rounds {
+                pause = pause.max(took);
+                sweeps += took;
+            }
+            if !more {
+                break;
+            }
+        }
+        counted += if round >= rounds { each } else { 0 };
+    }
+    black_box(table.len());
+    Took {
+        put_ns: puts.as_nanos() as f64 / n as f64,
+        put_most,
+        sweep_ns: sweeps.as_nanos() as f64 / counted.max(1) as f64,
+        pause,
+    }
+}
+
+/// Prints a line for each table and size.
+pub fn run(sizes: &[usize]) {
+    println!(
+        "{:<10} {:>9} {:>9} {:>13} {:>16} {:>15}",
+        "table", "keys", "put, ns", "most, us", "forget one, ns", "longest, us"
+    );
+    for &keys in sizes {
+        let tables: [(&str, Box<dyn Table>); 3] = [
+            ("wheel", Box::new(Wheel(Keys::new(0)))),
+            ("sweep", Box::<Retain>::default()),
+            ("BTreeSet", Box::<Ordered>::default()),
+        ];
+        for (name, mut table) in tables {
+            let took = play(&mut *table, keys);
+            println!(
+                "{name:<10} {:>9} {:>9.0} {:>13.0} {:>16.0} {:>15.0}",
+                table.len(),
+                took.put_ns,
+                took.put_most.as_nanos() as f64 / 1e3,
+                took.sweep_ns,
+                took.pause.as_nanos() as f64 / 1e3
+            );
+        }
+    }
+}
--- a/crates/kit/src/bench/mod.rs
+++ b/crates/kit/src/bench/mod.rs
@@ -23,6 +23,9 @@
 use std::time::{Duration, Instant};
 
 pub mod fronts;
+pub mod keys;
+pub mod restart;
+pub mod store;
 
 const MS: u64 = 1_000_000;
 
@@ -213,13 +216,9 @@
         daemon,
         servers: 1,
         processor: Spec { classes: work, ..Spec::default() },
-        scale: 1,
-        stop: Duration::from_millis(2_500),
-        callers: 1,
         registries,
-        scgi: false,
-        registry_more: String::new(),
         folder,
+        ..FleetSpec::default()
     }
 }
 
--- a/crates/kit/src/drill/registry.rs
+++ b/crates/kit/src/drill/registry.rs
@@ -124,13 +124,11 @@
             seed,
             ..Spec::default()
         },
-        scale: 1,
-        stop: Duration::from_millis(2_500),
         callers: 2,
         registries: if with { registries.iter().map(Server::url).collect() } else { Vec::new() },
-        scgi: false,
         registry_more: "    heartbeat-ms 1000\n    lease-ms 3000\n    timeout-ms 500\n    steady-ms 100\n    tell-every-ms 200\n    prefer-every-ms 2000".into(),
         folder,
+        ..FleetSpec::default()
     };
     let mut fleet = Fleet::start(&spec)?;
     let urls: Vec<ServiceUrl> = registries.iter().map(url).collect();
--- a/crates/kit/src/drill/scgi.rs
+++ b/crates/kit/src/drill/scgi.rs
@@ -125,13 +125,10 @@
         daemon: drill.daemon.clone(),
         servers: SERVERS,
         processor: Spec { classes: work, seed, ..Spec::default() },
-        scale: 1,
-        stop: Duration::from_millis(2_500),
         callers: PROXIES,
-        registries: Vec::new(),
         scgi: true,
-        registry_more: String::new(),
         folder,
+        ..FleetSpec::default()
     };
     let mut fleet = Fleet::start(&spec)?;
     let all: Vec<SocketAddr> = fleet.nodes.iter().map(|node| node.address).collect();
--- a/crates/kit/src/fleet.rs
+++ b/crates/kit/src/fleet.rs
@@ -41,12 +41,33 @@
     pub registries: Vec<String>,
     /// Whether the servers take SCGI too, on [`scgi_of`] their addresses and a UNIX socket in the folder.
     pub scgi: bool,
+    /// Whether the servers keep keyed runs in folders beside their logs.
+    pub store: bool,
     /// More lines for the registry's settings.
     pub registry_more: String,
     /// Where files and logs go.
     pub folder: PathBuf,
 }
 
+impl Default for FleetSpec {
+    /// One server with the brief's processor and nothing that has to be switched on; daemon and folder are to be named.
+    fn default() -> Self {
+        Self {
+            daemon: PathBuf::new(),
+            servers: 1,
+            processor: Spec::default(),
+            scale: 1,
+            stop: Duration::from_millis(2_500),
+            callers: 1,
+            registries: Vec::new(),
+            scgi: false,
+            store: false,
+            registry_more: String::new(),
+            folder: PathBuf::new(),
+        }
+    }
+}
+
 /// The daemon beside the running program.
 pub fn daemon() -> io::Result<PathBuf> {
     let own = std::env::current_exe()?;
@@ -172,6 +193,18 @@
         let _ = pid.map(|pid| kill_process(pid, signal));
     }
 
+    /// What it has written to its log.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// How long its last start took to read the store, in ms.
+    pub fn opened(&self) -> Option<u64> {
+        let log = self.log();
+        let (_, last) = log.rsplit_once("the store was read in ")?;
+        last.split_once(" ms")?.0.parse().ok()
+    }
+
     /// The notice to leave.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
@@ -258,7 +291,7 @@
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings(spec)
             });
             std::fs::write(&config, text.to_string())?;
-            let on = spec.scgi || !spec.registries.is_empty();
+            let on = spec.scgi || spec.store || !spec.registries.is_empty();
             let own = on.then(|| spec.folder.join(format!("{name}.kdl")));
             if let Some(own) = &own {
                 let urls: String = spec.registries.iter().map(|url| format!("    url \"{url}\"\n")).collect();
@@ -268,7 +301,10 @@
                 let registry = if spec.registries.is_empty() { String::new() } else { registry };
                 let socket = spec.folder.join(format!("{name}.sock"));
                 let scgi = if spec.scgi { scgi_settings(scgi_of(address), &socket) } else { String::new() };
-                std::fs::write(own, registry + &scgi)?;
+                let path = spec.folder.join(format!("{name}.store")).display().to_string();
+                let store =
+                    if spec.store { format!("store {{\n    path {path:?}\n}}\n") } else { String::new() };
+                std::fs::write(own, registry + &scgi + &store)?;
             }
             let (log, daemon) = (spec.folder.join(format!("{name}.log")), spec.daemon.clone());
             let mut node = Node {
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod measure;
 pub mod processor;
 pub mod registry;
+pub mod saver;
 pub mod thrift;
 pub mod watch;
--- a/crates/kit/src/load.rs
+++ b/crates/kit/src/load.rs
@@ -744,7 +744,7 @@
                     self.again(open, Some(Duration::from_millis(backoff_ms)))
                 }
             }
-            Answer::Failed | Answer::Bad => {
+            Answer::Failed(_) | Answer::Bad => {
                 self.over(server, open, End::Failed, true);
                 self.again(open, None);
             }
@@ -817,6 +817,6 @@
             last: response.header("x-gradepin-final") == Some("1"),
             hint: number("x-gradepin-hint"),
         },
-        _ => Answer::Failed,
+        _ => Answer::Failed(None),
     }
 }
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -236,6 +236,48 @@
         #[arg(long)]
         daemon: Option<PathBuf>,
     },
+    /// The table of keyed requests: the wheel, a sweep over everything, an ordered set
+    Keys {
+        /// Keys
+        #[arg(long, value_delimiter = ',', default_values_t = [1_000, 10_000, 100_000, 1_000_000])]
+        sizes: Vec<usize>,
+    },
+    /// Ways to keep keyed runs: the segmented log, redb and fjall, on the same load
+    Store {
+        /// Keyed requests a second
+        #[arg(long, value_delimiter = ',', default_values_t = [100, 1_000, 10_000])]
+        rates: Vec<u64>,
+        /// Seconds of each
+        #[arg(long, default_value_t = 5)]
+        seconds: u64,
+        /// Where the files go; a folder that doesn't survive is made there
+        #[arg(long)]
+        folder: Option<PathBuf>,
+    },
+    /// What a server loses by what its module learns again after a restart
+    Restart {
+        /// Seeds
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+        /// Loads, as parts of what the cores can do
+        #[arg(long, value_delimiter = ',', default_values_t = [0.9, 1.1])]
+        loads: Vec<f64>,
+        /// Seconds from the start
+        #[arg(long, default_value_t = 18)]
+        seconds: u64,
+        /// The daemon's program, if it is not beside this one
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
+    /// How long a start takes with so many records in the store, and what memory
+    Starts {
+        /// Records
+        #[arg(long, value_delimiter = ',', default_values_t = [1_000, 100_000, 1_000_000])]
+        sizes: Vec<usize>,
+        /// The daemon's program, if it is not beside this one
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
     /// CPU a request and bytes a connection: Thrift, SCGI, another build, and a bare forwarder of the same bytes
     Fronts {
         /// Connections at work
@@ -279,6 +321,21 @@
 
 #[derive(Subcommand)]
 enum Which {
+    /// Kills under load: saves run once, and stations that insist get their answers
+    Recovery {
+        /// Seed of everything that is drawn
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Kills with the store; half as many without
+        #[arg(long, default_value_t = 50)]
+        kills: usize,
+        /// Without the protection: servers have no store. Must fail
+        #[arg(long)]
+        plain: bool,
+        /// The daemon's program, if it is not beside this one
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
     /// Mixed traffic over both fronts, past capacity
     Scgi {
         /// The first seed
@@ -377,13 +434,10 @@
                 daemon: daemon(told)?,
                 servers,
                 processor: Spec { classes: work, seed, cold_share, ..Spec::default() },
-                scale: 1,
-                stop: Duration::from_millis(2_500),
                 callers: proxies,
-                registries: Vec::new(),
                 scgi,
-                registry_more: String::new(),
                 folder: folder.clone(),
+                ..FleetSpec::default()
             };
             let mut fleet = Fleet::start(&spec)?;
             println!(
@@ -548,6 +602,33 @@
             bench::door(daemon(told)?, connections, open, requests)?;
             Ok(true)
         }
+        Command::Bench { what: What::Keys { sizes } } => {
+            bench::keys::run(&sizes);
+            Ok(true)
+        }
+        Command::Bench { what: What::Store { rates, seconds, folder } } => {
+            let folder = match folder {
+                Some(folder) => folder.join(format!("gradepin-bench-{}", std::process::id())),
+                None => fleet::folder("bench-store")?,
+            };
+            std::fs::create_dir_all(&folder)?;
+            let done = bench::store::ways(&folder, &rates, seconds);
+            fleet::remove(&folder);
+            done?;
+            Ok(true)
+        }
+        Command::Bench { what: What::Restart { seeds, loads, seconds, daemon: told } } => {
+            bench::restart::run(daemon(told)?, seeds, &loads, seconds)?;
+            Ok(true)
+        }
+        Command::Bench { what: What::Starts { sizes, daemon: told } } => {
+            bench::store::starts(daemon(told)?, &sizes)?;
+            Ok(true)
+        }
+        Command::Drill { which: Which::Recovery { seed, kills, plain, daemon: told } } => {
+            let daemon = daemon(told)?;
+            Ok(drill::recovery::run(&drill::recovery::Drill { daemon, seed, kills, plain })?)
+        }
         Command::Drill { which: Which::Scgi { seed, runs, seconds, load, plain, daemon: told } } => {
             let daemon = daemon(told)?;
             Ok(drill::scgi::run(&drill::scgi::Drill { daemon, seed, runs, seconds, load, plain })?)
--- a/crates/kit/src/thrift.rs
+++ b/crates/kit/src/thrift.rs
@@ -135,8 +135,8 @@
         /// The free value.
         hint: Option<f64>,
     },
-    /// Failed, or made no sense.
-    Failed,
+    /// Failed, or made no sense; with a text that says why, if one came.
+    Failed(Option<String>),
 }
 
 /// A frame of a server.
@@ -207,7 +207,7 @@
     let seq = r.i32()?;
     match (kind, name.as_str()) {
         (ONEWAY, "draining") => Ok(Message::Draining),
-        (EXCEPTION, _) => Ok(Message::Answer(seq, Answer::Failed)),
+        (EXCEPTION, _) => Ok(Message::Answer(seq, Answer::Failed(None))),
         (REPLY, _) => {
             let (kind, field) = (r.u8()?, r.take(2)?[1]);
             if kind != STRUCT {
@@ -241,7 +241,7 @@
                     last: fields.get("final").is_some_and(|text| text == "1"),
                     hint: number("hint"),
                 },
-                _ => Answer::Failed,
+                _ => Answer::Failed(fields.remove("why")),
             };
             Ok(Message::Answer(seq, answer))
         }
--- a/crates/kit/tests/scgi.rs
+++ b/crates/kit/tests/scgi.rs
@@ -31,12 +31,9 @@
             processor: Spec { classes: work, ..Spec::default() },
             // What a slow machine takes must not be what ends requests.
             scale: 10,
-            stop: Duration::from_millis(2_500),
-            callers: 1,
-            registries: Vec::new(),
             scgi: true,
-            registry_more: String::new(),
             folder: folder.clone(),
+            ..FleetSpec::default()
         };
         Self { fleet: Fleet::start(&spec).expect("a fleet"), folder }
     }
@@ -176,7 +173,7 @@
     assert!(matches!(stage.thrift_save(1, "t1", "mine"), Answer::Served(..)));
     assert_eq!(stage.raw(&stage.save("t1", "theirs")).expect("an answer").status, 409);
     assert_eq!(stage.raw(&stage.save("t2", "mine2")).expect("an answer").status, 200);
-    assert_eq!(stage.thrift_save(2, "t2", "theirs"), Answer::Failed);
+    assert_eq!(stage.thrift_save(2, "t2", "theirs"), Answer::Failed(None));
     assert_eq!(stage.raw(&stage.save("t1", "mine")).expect("an answer").status, 200);
     assert_eq!((stage.runs_of("mine"), stage.runs_of("mine2"), stage.runs_of("theirs")), (1, 1, 0));
 }
--- a/crates/kit/tests/sockets.rs
+++ b/crates/kit/tests/sockets.rs
@@ -31,15 +31,11 @@
     let work = classes().into_iter().map(|class| (class.name, Duration::from_millis(5))).collect();
     FleetSpec {
         daemon: fleet::daemon().expect("the daemon is built with the workspace's tests"),
-        servers: 1,
         processor: Spec { classes: work, ..Spec::default() },
-        scale: 1,
-        stop: Duration::from_millis(2_500),
-        callers: 1,
         registries: vec![url],
-        scgi: false,
         registry_more: format!("heartbeat-ms 300\nlease-ms 1000\nsteady-ms 0\ntell-every-ms 100\n{more}"),
         folder: fleet::folder(name).expect("a folder"),
+        ..FleetSpec::default()
     }
 }
 
--- a/crates/node/src/fronts/pace.rs
+++ b/crates/node/src/fronts/pace.rs
@@ -23,8 +23,8 @@
     /// What an answer says of its request.
     pub fn of(answer: &Answer) -> Self {
         match answer {
-            Answer::Served(_) | Answer::Health(_) => Self::Served,
-            Answer::Refused { .. } | Answer::Failed { .. } => Self::Lost,
+            Answer::Served(_) | Answer::Health(..) => Self::Served,
+            Answer::Refused { .. } | Answer::Failed { .. } | Answer::Unknown => Self::Lost,
             Answer::Invalid(..) => Self::Nonsense,
         }
     }
--- a/crates/node/src/fronts/scgi/mod.rs
+++ b/crates/node/src/fronts/scgi/mod.rs
@@ -5,7 +5,7 @@
 
 use super::{Cut, Cutter, Front, Malformed, Patience};
 use codec::{Bad, Decoder};
-use gradepin_core::messages::{Answer, Misuse, SeqId};
+use gradepin_core::messages::{Answer, Misuse, SeqId, UNKNOWN};
 use gradepin_core::pool::{Buffer, Pool};
 use routes::{Routed, Routes};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -137,8 +137,10 @@
     let mut more = Vec::new();
     let (status, reason, body): (u16, &str, &[u8]) = match answer {
         Answer::Served(result) => (200, "OK", result),
-        Answer::Health(true) => (200, "OK", b"good\n"),
-        Answer::Health(false) => (503, "Service Unavailable", b"bad\n"),
+        Answer::Health(good, store) => {
+            more.extend(store.map(|word| format!("X-Gradepin-Store: {word}")));
+            if *good { (200, "OK", b"good\n") } else { (503, "Service Unavailable", b"bad\n") }
+        }
         Answer::Refused { backoff, last } => {
             if backoff.0 > 0 {
                 // Whole seconds for those that know the standard header, and what was meant.
@@ -150,6 +152,7 @@
             }
             (503, "Service Unavailable", b"refused: it never ran\n")
         }
+        Answer::Unknown => (502, "Bad Gateway", UNKNOWN.as_bytes()),
         Answer::Failed { late: false } => (502, "Bad Gateway", b"failed\n"),
         Answer::Failed { late: true } => (504, "Gateway Timeout", b"too late\n"),
         Answer::Invalid(misuse, why) => {
@@ -217,7 +220,8 @@
         assert_eq!((served.status, served.body), (200, result));
         let status = |answer| told(&answer, false).status;
         assert_eq!([false, true].map(|late| status(Answer::Failed { late })), [502, 504]);
-        assert_eq!([true, false].map(|good| status(Answer::Health(good))), [200, 503]);
+        assert_eq!([true, false].map(|good| status(Answer::Health(good, None))), [200, 503]);
+        assert_eq!(status(Answer::Unknown), 502);
     }
 
     #[test]
--- a/crates/node/src/fronts/thrift/codec.rs
+++ b/crates/node/src/fronts/thrift/codec.rs
@@ -1,6 +1,6 @@
 //! Thrift's framed transport and strict binary protocol: bytes to messages and answers to bytes.
 
-use gradepin_core::messages::{Answer, Call, Misuse, SeqId};
+use gradepin_core::messages::{Answer, Call, Misuse, SeqId, UNKNOWN};
 use gradepin_core::pool::{Buffer, Pool, SIZE};
 use gradepin_decisions::{Effect, RequestId, Settings};
 use std::sync::Arc;
@@ -339,7 +339,8 @@
             w.answer(result, &fields, true);
             w.end()
         }
-        Answer::Health(good) => {
+        Answer::Health(good, store) => {
+            fields.extend(store.map(|word| ("store", word.to_string())));
             let mut w = reply("health");
             w.answer(b"", &fields, *good);
             w.end()
@@ -354,6 +355,10 @@
             thrown(reply("call"), 1, &fields)
         }
         Answer::Failed { .. } => thrown(reply("call"), 2, &fields),
+        Answer::Unknown => {
+            fields.push(("why", UNKNOWN.to_string()));
+            thrown(reply("call"), 2, &fields)
+        }
         Answer::Invalid(misuse, why) => {
             let mut w = Writer::message(pool, EXCEPTION, "call", seq);
             w.field(STRING, 1);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod registry;
 pub mod serve;
 pub mod settings;
+pub mod store;
--- a/crates/node/src/processor.rs
+++ b/crates/node/src/processor.rs
@@ -9,6 +9,7 @@
 use slog::{Logger, info, warn};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -82,6 +83,8 @@
     pool: Arc<Pool>,
     /// Ends a pause before the next try to connect.
     hurry: Sender<()>,
+    /// Set where the next link is to begin with the first notice that is kept.
+    retell: Arc<AtomicBool>,
 }
 
 impl Processor {
@@ -95,9 +98,11 @@
         let target = Arc::new(Mutex::new(Target { address, link: None }));
         let (hurry, hurries) = bounded(1);
         let (shared, buffers) = (Arc::clone(&target), Arc::clone(&pool));
-        let keeps = move || keep(&shared, &hurries, &inputs, &buffers, &log);
+        let retell = Arc::<AtomicBool>::default();
+        let again = Arc::clone(&retell);
+        let keeps = move || keep(&shared, &again, &hurries, &inputs, &buffers, &log);
         thread::Builder::new().name("processor".into()).stack_size(STACK).spawn(keeps)?;
-        Ok(Self { target, pool, hurry })
+        Ok(Self { target, pool, hurry, retell })
     }
 
     /// Keeps the link to another address from now on. The old one ends at once: what was under way on it is
@@ -140,6 +145,15 @@
         }
     }
 
+    /// Has all notices that the processor keeps told again, on a new link.
+    pub fn retell(&self) {
+        self.retell.store(true, Ordering::SeqCst);
+        let target = self.target.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(link) = &target.link {
+            link.out.shut();
+        }
+    }
+
     /// Ends a link; a new one follows.
     pub fn renew(&self, link: u64) {
         self.on(link, |link| link.out.shut());
@@ -149,6 +163,7 @@
 /// Connects, reads until the link falls, and again.
 fn keep(
     target: &Mutex<Target>,
+    retell: &AtomicBool,
     hurries: &Receiver<()>,
     inputs: &Sender<Input>,
     pool: &Arc<Pool>,
@@ -165,6 +180,10 @@
                 Err(_) => drop(hurries.recv_timeout(RETRY)),
             }
         };
+        let known = progress.last_notice;
+        if retell.swap(false, Ordering::SeqCst) {
+            progress.last_notice = 0;
+        }
         let (before, since) = (progress.last_notice, Instant::now());
         let ended = start(socket, before, pool).and_then(|out| {
             let mut target = locked();
@@ -189,6 +208,9 @@
         if inputs.send(Input::LinkDown).is_err() {
             return;
         }
+        // Where the retelling was cut short, what was read before it has been read all the same.
+        progress.last_notice =
+            if before < known { progress.last_notice.max(known) } else { progress.last_notice };
         pause = next_pause(pause, progress.last_notice != before, since.elapsed());
         if !moved {
             let _ = hurries.recv_timeout(pause);
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -10,8 +10,10 @@
 use crate::processor::Processor;
 use crate::registry::Registry;
 use crate::settings::Own;
+use crate::store::{self, Store};
 use crossbeam_channel::{Sender, bounded, select};
 use gradepin_core::config::{Config, ConfigError};
+use gradepin_core::ledger::Ledger;
 use gradepin_core::messages::{Effect, Input};
 use gradepin_core::pool::{Pool, SIZE};
 use gradepin_core::reducer::Reducer;
@@ -35,6 +37,8 @@
 /// Free buffers kept at the most, some 9 MB, and the part of the memory that they may take where that is less.
 const POOL: usize = 2048;
 const POOL_PART: usize = 16;
+/// How long a start waits for the store to be read before it serves all else; requests wait in the sockets meanwhile.
+const STORE_PATIENCE: Duration = Duration::from_millis(500);
 /// Of the thread that reads the configuration again, nested as it is.
 const SIGNAL_STACK: usize = 256 * 1024;
 
@@ -81,6 +85,9 @@
     let registration = Registration::new(membership, own.leave_hold);
     let mut reducer = Reducer::new(&config, Arc::clone(&settings), registration)?;
     let pool = Pool::new(POOL.min(config.memory(POOL_PART) / SIZE));
+    if let Some(set) = &own.store {
+        reducer = reducer.with_store(Ledger::opening(set.patience), Arc::clone(&pool));
+    }
     let (inputs, queue) = bounded(QUEUE);
     let (urgently, urgent) = bounded(URGENT);
     let mut control = Control::new(&config.name, config.listen, config.control).map_err(failed("control"))?;
@@ -103,6 +110,16 @@
     }
     watch_signals(files, scgi, Arc::clone(&settings), urgently.clone(), log.clone())
         .map_err(failed("signals"))?;
+    let (mut arrived, mut effects): (Vec<Input>, Vec<Effect>) = (Vec::new(), Vec::new());
+    let store = own.store.as_ref().map(|set| {
+        let (open, limits) = (store::folder(set.path.clone()), set.limits(&config));
+        Store::start(open, limits, seed, clock, urgently.clone(), log.clone())
+    });
+    let store = store.transpose().map_err(failed("store"))?;
+    if store.is_some() {
+        // Mostly it takes some milliseconds, and then no keyed request has to be refused for it.
+        arrived.extend(urgent.recv_timeout(STORE_PATIENCE).ok());
+    }
     let fronts = Fronts::listen(listeners, config.connections(), inputs, Arc::clone(&pool), log.clone());
     let fronts = fronts.map_err(failed("reading"))?;
     let registry = own.registry.as_ref().map(|set| Registry::start(set, &id, &urgently, log));
@@ -111,7 +128,6 @@
     let processor = processor.map_err(failed("processor"))?;
     info!(log, "serving"; "listen" => %config.listen, "version" => env!("CARGO_PKG_VERSION"));
 
-    let (mut arrived, mut effects): (Vec<Input>, Vec<Effect>) = (Vec::new(), Vec::new());
     loop {
         reducer.step(clock.read(), arrived.drain(..), &mut effects);
         for effect in effects.drain(..) {
@@ -137,6 +153,12 @@
                         registry.ask(ask);
                     }
                 }
+                Effect::Persist(number, batch) => {
+                    if let Some(store) = &store {
+                        store.persist(number, batch);
+                    }
+                }
+                Effect::Retell => processor.retell(),
                 Effect::Log(Level::Info, text) => info!(log, "{}", text),
                 Effect::Log(Level::Warning, text) => warn!(log, "{}", text),
                 Effect::Log(_, text) => error!(log, "{}", text),
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -5,8 +5,10 @@
 
 mod reader;
 mod scgi;
+mod store;
 
 pub use scgi::{Headers, Route, ScgiSettings};
+pub use store::StoreSettings;
 
 use gradepin_core::config::Config;
 use gradepin_decisions::Span;
@@ -61,6 +63,8 @@
     pub registry: Option<RegistrySettings>,
     /// The SCGI front, where there is one.
     pub scgi: Option<ScgiSettings>,
+    /// The store of keyed runs, where there is one.
+    pub store: Option<StoreSettings>,
 }
 
 /// Where a registry is, and what this server tells it.
@@ -155,6 +159,7 @@
             }
             own.registry = root.block("registry").and_then(registry);
             own.scgi = root.block("scgi").map(scgi::read);
+            own.store = root.block("store").and_then(store::read);
             root.end();
         }
         let problems = problems.into_sorted();
@@ -321,6 +326,8 @@
         assert_eq!(own.registry.map(|set| set.urls.len()), Some(2));
         let own = Own::parse(include_str!("../../../../deploy/scgi.kdl")).unwrap();
         assert_eq!(own.scgi.map(|set| set.routes.len()), Some(4));
+        let own = Own::parse(include_str!("../../../../deploy/store.kdl")).unwrap();
+        assert_eq!(own.store.map(|set| set.patience), Some(Span(250 * MS)));
     }
 
     /// Guards against a file that is half used, and against a typing error that silently keeps a default.
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -126,6 +126,20 @@
         None
     }
 
+    /// A whole number in a range.
+    pub fn whole(&mut self, name: &str, range: RangeInclusive<u64>) -> Option<u64> {
+        let (at, value) = self.value(name, "one whole number")?;
+        let Some(number) = value.as_integer() else {
+            return self.wrong(at, name, "a whole number", &value);
+        };
+        let found = u64::try_from(number).ok().filter(|number| range.contains(number));
+        if found.is_none() {
+            let (least, most) = (range.start(), range.end());
+            self.problems.add(at, format!("expected {name} from {least} to {most}, got {number}"));
+        }
+        found
+    }
+
     /// A text that is not empty.
     pub fn word(&mut self, name: &str) -> Option<String> {
         let (at, value) = self.value(name, "one word")?;
@@ -149,16 +163,7 @@
 
     /// Milliseconds.
     pub fn span_ms(&mut self, name: &str, range: RangeInclusive<u64>) -> Option<Span> {
-        let (at, value) = self.value(name, "one whole number")?;
-        let Some(number) = value.as_integer() else { return self.wrong(at, name, "a whole number", &value) };
-        match u64::try_from(number).ok().filter(|ms| range.contains(ms)) {
-            Some(ms) => Some(Span(ms * 1_000_000)),
-            None => {
-                let (least, most) = (range.start(), range.end());
-                self.problems.add(at, format!("expected {name} from {least} to {most}, got {number}"));
-                None
-            }
-        }
+        self.whole(name, range).map(|ms| Span(ms * 1_000_000))
     }
 
     /// A part of a whole.
--- a/crates/registry/src/membership.rs
+++ b/crates/registry/src/membership.rs
@@ -270,6 +270,14 @@
         }
     }
 
+    /// What is told beside the state; a change is told with a registration of its own, the state unchanged.
+    pub fn metadata(&mut self, key: &str, value: &str) {
+        let known = self.set.instance.metadata.insert(key.to_string(), value.to_string());
+        if known.as_deref() != Some(value) && self.registered && self.leaving == Leaving::No {
+            self.registered = false;
+        }
+    }
+
     /// The server leaves, or an operator takes it out: told at once, and held against everything.
     pub fn leave(&mut self, now: Time) {
         if self.leaving == Leaving::No {
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,12 @@
+//! Durable records of keyed requests: a segmented log behind a small trait for the disk, real or simulated.
+//!
+//! [`frame`] is the form of the files, without I/O; [`log`] writes them and reads them back, deciding nothing about
+//! requests; [`recovery`] makes of what was read what a new life needs to know. [`disk`] is the border to files, and
+//! [`sim`] a disk in memory that loses, tears and reorders what was not synced, for tests. What must be durable, and when,
+//! is decided in `gradepin_core::ledger`. The form of the files and what holds after a crash: `docs/design/recovery.md`.
+
+pub mod disk;
+pub mod frame;
+pub mod log;
+pub mod recovery;
+pub mod sim;
