--- a/crates/kit/src/bench/mod.rs
+++ b/crates/kit/src/bench/mod.rs
@@ -24,6 +24,7 @@
 
 pub mod fronts;
 pub mod keys;
+pub mod queue;
 pub mod restart;
 pub mod store;
 
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -242,6 +242,12 @@
         #[arg(long, value_delimiter = ',', default_values_t = [1_000, 10_000, 100_000, 1_000_000])]
         sizes: Vec<usize>,
     },
+    /// The model's queue of events: calendar, heap, ordered map
+    Queue {
+        /// Pending events
+        #[arg(long, value_delimiter = ',', default_values_t = [10_000, 100_000, 1_000_000, 10_000_000])]
+        sizes: Vec<usize>,
+    },
     /// Ways to keep keyed runs: the segmented log, redb and fjall, on the same load
     Store {
         /// Keyed requests a second
@@ -606,6 +612,10 @@
             bench::keys::run(&sizes);
             Ok(true)
         }
+        Command::Bench { what: What::Queue { sizes } } => {
+            bench::queue::run(&sizes);
+            Ok(true)
+        }
         Command::Bench { what: What::Store { rates, seconds, folder } } => {
             let folder = match folder {
                 Some(folder) => folder.join(format!("gradepin-bench-{}", std::process::id())),
--- /dev/null
+++ b/crates/model/src/account/rules.rs
@@ -0,0 +1,403 @@
+//! The four rules of the brief, checked at every event: no request lost or answered twice, no second run within a window,
+//! a safe drain, no fall-over. A broken one is told with its time, its server and its request.
+
+use super::Ms;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// The figures of the rules.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Figures {
+    /// An answer may be so late.
+    pub slack_ms: Ms,
+    /// Arrivals later than this after the notice to leave are not run.
+    pub grace_ms: Ms,
+    /// Running requests a core, in the mean of a span, past which a warm server falls over; and the span.
+    pub tip: f64,
+    /// See `tip`.
+    pub span_ms: Ms,
+}
+
+impl Default for Figures {
+    /// Those of the brief, 8.1 to 8.3.
+    fn default() -> Self {
+        Self { slack_ms: 100, grace_ms: 1_800, tip: 8.0, span_ms: 1_500 }
+    }
+}
+
+/// A try of a request, as whoever tells of it names it; never used again.
+pub type Try = u64;
+/// A server; one that is replaced is another.
+pub type Server = u32;
+
+/// Which rule, and how it was broken.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Breach {
+    /// A try that was read got no final answer in its time.
+    #[error("lost: no final answer by {due_ms} ms")]
+    Lost {
+        /// When it was due, with the slack.
+        due_ms: Ms,
+    },
+    /// It got two.
+    #[error("duplicate: a second final answer")]
+    Answered,
+    /// A keyed request ran twice within its window.
+    #[error("duplicate: ran at {before_ms} ms already")]
+    Ran {
+        /// When the first run began.
+        before_ms: Ms,
+    },
+    /// A keyed request was turned away though it had run.
+    #[error("duplicate: turned away though it ran at {before_ms} ms")]
+    TurnedAway {
+        /// When the run began.
+        before_ms: Ms,
+    },
+    /// A try that came too late after the notice to leave was run.
+    #[error("drain: ran though it came {after_ms} ms after the notice")]
+    Drain {
+        /// How long after.
+        after_ms: Ms,
+    },
+    /// Too much ran for too long, or the memory was full.
+    #[error("fall-over: {0}")]
+    Fell(String),
+}
+
+/// A breach with its place in the day.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Broken {
+    /// When.
+    pub at: Ms,
+    /// Where.
+    pub server: Server,
+    /// Which try, if one.
+    pub request: Option<Try>,
+    /// How.
+    pub breach: Breach,
+}
+
+#[derive(Debug)]
+struct Read {
+    server: Server,
+    came: Ms,
+    due: Ms,
+    key: Option<(u64, Ms)>,
+}
+
+#[derive(Debug, Default)]
+struct Machine {
+    cores: f64,
+    memory_kb: f64,
+    notice: Option<Ms>,
+    running: u32,
+    /// Since when so many ran, oldest first, over a span.
+    course: VecDeque<(Ms, u32)>,
+}
+
+/// What was told so far.
+#[derive(Debug)]
+pub struct Rules {
+    figures: Figures,
+    machines: HashMap<Server, Machine>,
+    /// Tries that were read and are owed an answer, and those that may still get a second one.
+    owed: HashMap<Try, Read>,
+    over: HashMap<Try, Server>,
+    dues: BTreeMap<(Ms, Try), ()>,
+    /// When a key ran last at a server, and its window.
+    ran: HashMap<(Server, u64), (Ms, Ms)>,
+    broken: Vec<Broken>,
+}
+
+impl Rules {
+    /// With these figures.
+    pub fn new(figures: Figures) -> Self {
+        Self {
+            figures,
+            machines: HashMap::new(),
+            owed: HashMap::new(),
+            over: HashMap::new(),
+            dues: BTreeMap::new(),
+            ran: HashMap::new(),
+            broken: Vec::new(),
+        }
+    }
+
+    /// All breaches so far, in their order.
+    pub fn broken(&self) -> &[Broken] {
+        &self.broken
+    }
+
+    fn breach(&mut self, at: Ms, server: Server, request: Option<Try>, breach: Breach) {
+        self.broken.push(Broken { at, server, request, breach });
+    }
+
+    /// A server has started.
+    pub fn started(&mut self, server: Server, cores: f64, memory_kb: f64) {
+        self.machines.insert(server, Machine { cores, memory_kb, ..Machine::default() });
+    }
+
+    /// It was told to leave.
+    pub fn told_to_leave(&mut self, server: Server, at: Ms) {
+        if let Some(machine) = self.machines.get_mut(&server) {
+            machine.notice.get_or_insert(at);
+        }
+    }
+
+    /// It has read a try that came then, whose caller waits until `due`; with its key and its window, if it has one.
+    pub fn read(&mut self, server: Server, request: Try, came: Ms, due: Ms, key: Option<(u64, Ms)>) {
+        self.dues.insert((due.saturating_add(self.figures.slack_ms), request), ());
+        self.owed.insert(request, Read { server, came, due, key });
+    }
+
+    /// The server was told that nobody waits any more.
+    pub fn gone(&mut self, request: Try) {
+        self.settle(request);
+    }
+
+    fn settle(&mut self, request: Try) -> Option<Read> {
+        let read = self.owed.remove(&request)?;
+        self.dues.remove(&(read.due.saturating_add(self.figures.slack_ms), request));
+        self.over.insert(request, read.server);
+        Some(read)
+    }
+
+    /// It gave a final answer; `ran` says whether that is the word that it was never run.
+    pub fn answered(&mut self, request: Try, at: Ms, turned_away: bool) {
+        self.pass(at);
+        let Some(read) = self.settle(request) else {
+            if let Some(&server) = self.over.get(&request) {
+                self.breach(at, server, Some(request), Breach::Answered);
+            }
+            return;
+        };
+        let run = read.key.and_then(|(key, _)| self.ran.get(&(read.server, key)).copied());
+        if let Some((before_ms, _)) = run.filter(|(ran, window)| turned_away && read.came < ran + window) {
+            self.breach(at, read.server, Some(request), Breach::TurnedAway { before_ms });
+        }
+    }
+
+    /// A run began.
+    pub fn began(&mut self, request: Try, at: Ms) {
+        self.pass(at);
+        let Some(read) = self.owed.get(&request) else { return };
+        let (server, came, key) = (read.server, read.came, read.key);
+        let notice = self.machines.get(&server).and_then(|machine| machine.notice);
+        let after_ms = notice.and_then(|notice| came.checked_sub(notice)).unwrap_or(0);
+        if after_ms > self.figures.grace_ms {
+            self.breach(at, server, Some(request), Breach::Drain { after_ms });
+        }
+        if let Some((key, window)) = key {
+            // The window counts from when the try that ran came.
+            let before = self.ran.insert((server, key), (came, window));
+            if let Some((before_ms, _)) = before.filter(|(ran, window)| came < ran + window) {
+                self.breach(at, server, Some(request), Breach::Ran { before_ms });
+            }
+        }
+        self.count(server, at, 1);
+    }
+
+    /// A run ended.
+    pub fn ended(&mut self, server: Server, at: Ms) {
+        self.pass(at);
+        self.count(server, at, -1);
+    }
+
+    fn count(&mut self, server: Server, at: Ms, change: i32) {
+        let (span, tip) = (self.figures.span_ms, self.figures.tip);
+        let Some(machine) = self.machines.get_mut(&server) else { return };
+        machine.running = machine.running.saturating_add_signed(change);
+        machine.course.push_back((at, machine.running));
+        while machine.course.get(1).is_some_and(|(since, _)| *since + span <= at) {
+            machine.course.pop_front();
+        }
+        // The mean over the span that ends now, once a whole one has passed.
+        let from = at.saturating_sub(span);
+        let whole = machine.course.front().is_some_and(|(since, _)| *since <= from) && span > 0;
+        let until = machine.course.iter().skip(1).map(|(since, _)| *since).chain([at]);
+        let sum: f64 = machine
+            .course
+            .iter()
+            .zip(until)
+            .map(|((since, running), until)| {
+                f64::from(*running) * (until - (*since).max(from).min(until)) as f64
+            })
+            .sum();
+        let mean = sum / span.max(1) as f64 / machine.cores.max(1e-9);
+        if whole && mean > tip {
+            machine.course.clear();
+            self.breach(
+                at,
+                server,
+                None,
+                Breach::Fell(format!("{mean:.1} running a core in the mean of {span} ms")),
+            );
+        }
+    }
+
+    /// What it holds, runs and remembers takes so much memory now.
+    pub fn memory(&mut self, server: Server, at: Ms, used_kb: f64) {
+        let most = self.machines.get(&server).map_or(f64::INFINITY, |machine| machine.memory_kb);
+        if used_kb > most {
+            self.breach(
+                at,
+                server,
+                None,
+                Breach::Fell(format!("{used_kb:.0} kB of memory, there are {most:.0}")),
+            );
+        }
+    }
+
+    /// It is gone: whatever it owed by itself is lost with it, unless it died (a machine that dies answers nothing, and
+    /// that breaks no rule).
+    pub fn stopped(&mut self, server: Server, at: Ms, died: bool) {
+        self.pass(at);
+        let mut open: Vec<Try> = Vec::new();
+        open.extend(self.owed.iter().filter(|(_, read)| read.server == server).map(|(request, _)| *request));
+        open.sort_unstable();
+        for request in open {
+            let due_ms = self.settle(request).map_or(at, |read| read.due);
+            if !died {
+                self.breach(at, server, Some(request), Breach::Lost { due_ms });
+            }
+        }
+        self.machines.remove(&server);
+        self.ran.retain(|(at, _), _| *at != server);
+    }
+
+    /// Time has passed: what was due before and is still owed is lost.
+    pub fn pass(&mut self, now: Ms) {
+        while let Some((&(due_ms, request), ())) = self.dues.first_key_value() {
+            if due_ms >= now {
+                return;
+            }
+            let server = self.settle(request).map_or(0, |read| read.server);
+            self.dues.remove(&(due_ms, request));
+            self.breach(due_ms, server, Some(request), Breach::Lost { due_ms });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const WINDOW: Ms = 12_075;
+
+    fn rules() -> Rules {
+        let mut rules = Rules::new(Figures::default());
+        rules.started(1, 6.0, 1_000.0);
+        rules
+    }
+
+    fn breaches(rules: &Rules) -> Vec<(Ms, Option<Try>, Breach)> {
+        rules.broken().iter().map(|broken| (broken.at, broken.request, broken.breach.clone())).collect()
+    }
+
+    /// Guards against a checker that sees breaches where there are none.
+    #[test]
+    fn what_keeps_the_rules_breaks_none() {
+        let mut rules = rules();
+        rules.read(1, 1, 0, 4_000, Some((7, WINDOW)));
+        rules.began(1, 10);
+        rules.ended(1, 200);
+        rules.answered(1, 200, false);
+        // A repeat is answered from the run; one past the window runs; a caller that left is owed nothing.
+        rules.read(1, 2, 5_000, 9_000, Some((7, WINDOW)));
+        rules.answered(2, 5_001, false);
+        rules.read(1, 3, WINDOW, WINDOW + 4_000, Some((7, WINDOW)));
+        rules.began(3, WINDOW + 1);
+        rules.gone(3);
+        rules.ended(1, WINDOW + 9_000);
+        // The drain: what came within the grace may run, later ones are turned away.
+        rules.told_to_leave(1, 30_000);
+        rules.read(1, 4, 31_800, 35_000, None);
+        rules.began(4, 31_900);
+        rules.ended(1, 32_000);
+        rules.answered(4, 32_000, false);
+        rules.read(1, 5, 31_801, 35_000, None);
+        rules.answered(5, 31_802, true);
+        rules.stopped(1, 33_000, false);
+        rules.pass(90_000);
+        assert_eq!(breaches(&rules), []);
+    }
+
+    /// Guards against a rule that nobody checks: each is broken on purpose, and told with its time and its try.
+    #[test]
+    fn each_rule_broken_on_purpose_is_caught() {
+        let mut lost = rules();
+        lost.read(1, 1, 0, 4_000, None);
+        lost.pass(4_100);
+        assert_eq!(breaches(&lost), []);
+        lost.pass(4_101);
+        assert_eq!(breaches(&lost), [(4_100, Some(1), Breach::Lost { due_ms: 4_100 })]);
+
+        let mut twice = rules();
+        twice.read(1, 1, 0, 4_000, None);
+        twice.answered(1, 5, false);
+        twice.answered(1, 6, false);
+        assert_eq!(breaches(&twice), [(6, Some(1), Breach::Answered)]);
+
+        let mut ran = rules();
+        for request in [1, 2] {
+            ran.read(1, request, request * 1_000, 9_000, Some((7, WINDOW)));
+            ran.began(request, request * 1_000);
+        }
+        ran.read(1, 3, 3_000, 9_000, Some((7, WINDOW)));
+        ran.answered(3, 3_001, true);
+        assert_eq!(
+            breaches(&ran),
+            [
+                (2_000, Some(2), Breach::Ran { before_ms: 1_000 }),
+                (3_001, Some(3), Breach::TurnedAway { before_ms: 2_000 })
+            ]
+        );
+
+        let mut drain = rules();
+        drain.told_to_leave(1, 1_000);
+        drain.read(1, 1, 2_801, 6_000, None);
+        drain.began(1, 2_802);
+        drain.stopped(1, 3_000, false);
+        assert_eq!(
+            breaches(&drain),
+            [
+                (2_802, Some(1), Breach::Drain { after_ms: 1_801 }),
+                (3_000, Some(1), Breach::Lost { due_ms: 6_000 })
+            ]
+        );
+
+        let mut full = rules();
+        full.memory(1, 5, 1_000.0);
+        full.memory(1, 6, 1_000.5);
+        assert!(matches!(breaches(&full)[..], [(6, None, Breach::Fell(_))]));
+    }
+
+    /// Guards against a mean that a short burst tips, and against one that a long crowd doesn't.
+    #[test]
+    fn a_crowd_falls_over_after_its_span_and_a_burst_does_not() {
+        let crowd = |runs: u64, ms: Ms| {
+            let mut rules = rules();
+            for request in 0..runs {
+                rules.read(1, request, 0, 90_000, None);
+                rules.began(request, 0);
+            }
+            for request in 0..runs {
+                rules.ended(1, ms);
+                rules.answered(request, ms, false);
+            }
+            rules.broken().len()
+        };
+        // Six cores: 48 running at once are the limit.
+        assert_eq!([crowd(48, 5_000), crowd(60, 1_000), crowd(60, 1_500)], [0, 0, 1]);
+    }
+
+    /// A machine that dies answers nothing, and what it had read breaks no rule.
+    #[test]
+    fn a_death_is_no_breach() {
+        let mut rules = rules();
+        rules.read(1, 1, 0, 4_000, None);
+        rules.stopped(1, 100, true);
+        rules.pass(9_000);
+        assert_eq!(breaches(&rules), []);
+    }
+}
