--- a/crates/core/tests/room.rs
+++ b/crates/core/tests/room.rs
@@ -23,8 +23,7 @@
 }
 
 /// Guards against a connection that holds its place unseen: one whose last word was a cancel of what isn't open, nonsense
-/// or a health check must be found when it rested longest. On a day of rude clients, who withdraw hundreds of requests,
-/// their connections were never closed for room, and usual callers found none.
+/// or a health check must be found when it rested longest, or a table full of such ones has no room for usual callers.
 #[test]
 fn whatever_it_said_last_the_longest_rested_gives_way() {
     let last_words: [fn(u64) -> Input; 3] = [
