Take out what nobody reads, fold a tally and a reading, and keep every token when all is written anew

A record that is read made a copy of its segment's line and wrote it back; the log counted bytes and syncs that nobody asked for; segments kept Unix times that nobody printed; two tools printed the same tally of ends; a notice read again was wrapped for nothing.

Change: the segment's line is made once and put in whole, the mark of a new copy is a record like the others, the counters are gone, one tally serves load and drill scgi. One behaviour was wrong and is mended: writing all anew passed over a run whose token is empty, so after a crash it could have run again; a test in keys.rs guards it.

--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -298,7 +298,7 @@
 
     /// All that a later life would need, in an order that depends on nothing but what is known.
     pub fn all_known(&self, now: Time) -> Vec<Known> {
-        let tokens = self.parts.iter().flat_map(HashMap::keys).filter(|token| !token.is_empty());
+        let tokens = self.parts.iter().flat_map(HashMap::keys);
         let mut all: Vec<Known> = tokens.filter_map(|token| self.known(token, now)).collect();
         all.sort_by(|a, b| a.token.cmp(&b.token));
         all
@@ -414,6 +414,16 @@
         }
     }
 
+    /// Guards against a run that is left out when all is written anew, whatever its token: it would run again after a crash.
+    #[test]
+    fn all_that_is_known_is_told() {
+        let mut keys = Keys::new(10_000);
+        run(&mut keys, 1, Some(End::Failed));
+        keys.began(&Arc::from(""), 0, &RequestId::new("r"), 1_009_000, at(0));
+        let told: Vec<_> = keys.all_known(Time(0)).into_iter().map(|known| known.token).collect();
+        assert_eq!(told, [Arc::from(""), Arc::from("t1")]);
+    }
+
     /// Guards against a sweep that looks at everything: a million keys, of which few are due, cost it no more looks.
     #[test]
     fn a_sweep_is_bounded() {
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -328,7 +328,7 @@
                     self.link.last_notice = notice;
                     self.complete(&id, end, took, result);
                 } else if self.keys.hopes() {
-                    self.learned(&id, end, &Arc::new(result));
+                    self.learned(&id, end, &result);
                 }
             }
             Input::Used(tag, values) => {
--- a/crates/kit/src/drill/scgi.rs
+++ b/crates/kit/src/drill/scgi.rs
@@ -2,9 +2,9 @@
 
 use super::Claims;
 use crate::fleet::{self, Fleet, FleetSpec};
-use crate::load::{Books, End, Fixed, Habit, Proxy, Repeats, Try, classes};
+use crate::load::{Books, End, Fixed, Habit, Proxy, Repeats, Try, classes, tally};
 use crate::processor::Spec;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -101,13 +101,7 @@
     let false_answers = tries.iter().filter(|t| t.end == End::Served && !t.genuine).count();
     claims.claim(silent == 0, "without a final answer in its time", format!("{silent} of {}", tries.len()));
     claims.claim(false_answers == 0, "served with what no run made", false_answers);
-    let mut ends = BTreeMap::<(bool, String), usize>::new();
-    for t in &tries {
-        *ends.entry((t.scgi, format!("{:?}", t.end))).or_default() += 1;
-    }
-    for ((scgi, end), count) in ends {
-        println!("  {} {end:<12} {count:>6}", if scgi { "SCGI  " } else { "Thrift" });
-    }
+    tally(tries.iter().copied());
     let began: usize = mixed.iter().map(|run| run.began).sum();
     println!("{began} runs in all");
     if claims.all_kept() {
--- a/crates/kit/src/load.rs
+++ b/crates/kit/src/load.rs
@@ -91,7 +91,7 @@
 }
 
 /// What became of one try.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum End {
     /// Served.
     Served,
@@ -132,6 +132,18 @@
     pub genuine: bool,
 }
 
+/// Counts tries by whether they went over SCGI and by their ends, and prints a line for each.
+pub fn tally<'a>(tries: impl Iterator<Item = &'a Try>) -> BTreeMap<(bool, End), usize> {
+    let mut ends = BTreeMap::new();
+    for one in tries {
+        *ends.entry((one.scgi, one.end)).or_default() += 1;
+    }
+    for ((scgi, end), count) in &ends {
+        println!("  {} {:<12} {count:>7} tries", if *scgi { "SCGI  " } else { "Thrift" }, format!("{end:?}"));
+    }
+    ends
+}
+
 /// How a proxy behaves.
 #[derive(Debug, Clone)]
 pub struct Habit {
--- a/crates/kit/src/measure.rs
+++ b/crates/kit/src/measure.rs
@@ -4,9 +4,8 @@
 //! has its request come. So a server that stalls is charged for all that would have come meanwhile, which a client
 //! that waits for answers omits (coordinated omission).
 
-use crate::load::{Books, End, Fixed, Habit, Live, Proxy};
+use crate::load::{Books, End, Fixed, Habit, Live, Proxy, tally};
 use hdrhistogram::Histogram;
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::thread;
@@ -87,15 +86,8 @@
             times.max() as f64 / 1e3
         );
     }
-    let mut ends = BTreeMap::<(bool, String), usize>::new();
-    for one in books.iter().flat_map(|books| &books.tries) {
-        *ends.entry((one.scgi, format!("{:?}", one.end))).or_default() += 1;
-    }
-    for ((scgi, end), count) in &ends {
-        println!("  {} {end:<12} {count:>7} tries", if *scgi { "SCGI  " } else { "Thrift" });
-    }
-    let silent = [End::Lost, End::TimedOut].map(|end| format!("{end:?}"));
-    Ok(!ends.keys().any(|(_, end)| silent.contains(end)))
+    let ends = tally(books.iter().flat_map(|books| &books.tries));
+    Ok(!ends.keys().any(|(_, end)| matches!(end, End::Lost | End::TimedOut)))
 }
 
 /// Of microseconds up to a minute, to three digits.
--- a/crates/node/src/fronts/mod.rs
+++ b/crates/node/src/fronts/mod.rs
@@ -170,7 +170,7 @@
     }
 }
 
-/// A connection, as its reader, the main thread have it. While its peer is slow, a writer has the socket too; it
+/// A connection, as its reader and the main thread have it. While its peer is slow, a writer has the socket too; it
 /// counts as long as any of them does.
 struct Conn {
     out: Arc<Outgoing>,
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -117,8 +117,6 @@
     active: Option<Active>,
     broken: bool,
     scratch: Vec<u8>,
-    written: u64,
-    syncs: u64,
 }
 
 /// The name of a segment.
@@ -176,19 +174,8 @@
             sealed.push_back(Sealed { number: segment.number, bytes: segment.bytes, over_ms, damaged });
         }
         let found = reading.found(limits.window, salt);
-        let mut log = Self {
-            disk,
-            limits,
-            life,
-            salt,
-            next,
-            sealed,
-            active: None,
-            broken: false,
-            scratch: Vec::new(),
-            written: 0,
-            syncs: 0,
-        };
+        let mut log =
+            Self { disk, limits, life, salt, next, sealed, active: None, broken: false, scratch: Vec::new() };
         // Superseded ones and such as never held anything: no reading needs them.
         for number in over {
             log.disk
@@ -204,11 +191,6 @@
             + self.active.as_ref().map_or(0, |a| a.bytes)
     }
 
-    /// Bytes appended and syncs made in this life.
-    pub fn spent(&self) -> (u64, u64) {
-        (self.written, self.syncs)
-    }
-
     /// Adds records, and returns when they are durable. However many, they take one sync.
     pub fn add(&mut self, stamp: Stamp, records: &[Record]) -> Result<(), WriteError> {
         if self.broken {
@@ -268,7 +250,6 @@
         self.next += 1;
         let mut segment = self.disk.create(&name_of(number))?;
         segment.append(&frame::encode_head(Head { number, life: self.life, salt: self.salt }))?;
-        self.written += HEAD as u64;
         self.active = Some(Active { number, segment, bytes: HEAD as u64, place: 0, over_ms: 0 });
         Ok(())
     }
@@ -301,7 +282,6 @@
         }
         active.segment.append(&self.scratch)?;
         active.bytes += self.scratch.len() as u64;
-        self.written += self.scratch.len() as u64;
         // A burst must not hold its memory for good.
         if self.scratch.capacity() > 2 * MOST_PAYLOAD {
             self.scratch = Vec::new();
@@ -311,7 +291,6 @@
 
     fn sync(&mut self) -> Result<(), WriteError> {
         if let Some(active) = &mut self.active {
-            self.syncs += 1;
             active.segment.sync()?;
         }
         Ok(())
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -31,8 +31,6 @@
     pub damage: Option<String>,
     /// What is left of the longest window that it tells of; none if a reading doesn't need it.
     pub left: Option<Span>,
-    /// Between first and last frame, Unix milliseconds.
-    pub from_to_unix_ms: Option<(u64, u64)>,
     /// The last reading of its life's clock.
     last_mono_ms: u64,
     longest_end_ms: u64,
@@ -40,6 +38,25 @@
     anew: bool,
 }
 
+impl Seen {
+    /// One of which nothing was read yet.
+    fn new(number: u64, life: Option<u64>, bytes: u64) -> Self {
+        Self {
+            number,
+            life,
+            bytes,
+            frames: 0,
+            records: 0,
+            torn: None,
+            damage: None,
+            left: None,
+            last_mono_ms: 0,
+            longest_end_ms: 0,
+            anew: false,
+        }
+    }
+}
+
 /// What a folder holds for a new life.
 #[derive(Debug, Clone)]
 pub struct Found {
@@ -99,54 +116,29 @@
         }
     }
 
-    fn seen(&mut self, number: u64, life: Option<u64>, bytes: u64) -> &mut Seen {
-        let place = self.segments.len();
-        self.segments.push(Seen {
-            number,
-            life,
-            bytes,
-            frames: 0,
-            records: 0,
-            torn: None,
-            damage: None,
-            left: None,
-            from_to_unix_ms: None,
-            last_mono_ms: 0,
-            longest_end_ms: 0,
-            anew: false,
-        });
-        &mut self.segments[place]
-    }
-
     /// One that can't be read at all.
     pub fn lost(&mut self, number: u64, bytes: u64, why: &str) {
-        self.seen(number, None, bytes).damage = Some(why.to_string());
+        self.segments.push(Seen { damage: Some(why.to_string()), ..Seen::new(number, None, bytes) });
     }
 
     /// One whose head was never written whole.
     pub fn unborn(&mut self, number: u64, bytes: u64) {
-        self.seen(number, None, bytes).torn = Some(0);
+        self.segments.push(Seen { torn: Some(0), ..Seen::new(number, None, bytes) });
     }
 
     /// Reads a segment; they come in the order of their numbers.
     pub fn segment(&mut self, head: Head, bytes: &[u8]) {
         self.salt.get_or_insert(head.salt);
-        let mut seen = self.seen(head.number, Some(head.life), bytes.len() as u64).clone();
+        let mut seen = Seen::new(head.number, Some(head.life), bytes.len() as u64);
         let mut frames = Frames::new(bytes, head.number);
         for batch in frames.by_ref() {
             seen.frames += 1;
             seen.records += batch.records.len() as u64;
             seen.last_mono_ms = seen.last_mono_ms.max(batch.mono_ms);
-            let (from, _) = seen.from_to_unix_ms.unwrap_or((batch.unix_ms, batch.unix_ms));
-            seen.from_to_unix_ms = Some((from, batch.unix_ms));
             for record in &batch.records {
                 seen.longest_end_ms = seen.longest_end_ms.max(batch.mono_ms + record.left_ms().unwrap_or(0));
-                if *record == Stored::Anew {
-                    seen.anew = true;
-                    self.written_anew(head.number);
-                } else {
-                    self.record(head, batch.mono_ms, record);
-                }
+                seen.anew |= *record == Stored::Anew;
+                self.record(head, batch.mono_ms, record);
             }
         }
         match frames.tail() {
@@ -156,9 +148,7 @@
         }
         let clock = self.clocks.entry(head.life).or_default();
         *clock = (*clock).max(seen.last_mono_ms);
-        if let Some(last) = self.segments.last_mut() {
-            *last = seen;
-        }
+        self.segments.push(seen);
     }
 
     /// The segment of this number has all that was known: what stood before it counts no more. Damage before it still
@@ -202,7 +192,7 @@
                     self.take(token);
                 }
             }
-            Stored::Anew => {}
+            Stored::Anew => self.written_anew(segment),
         }
     }
 
