--- a/crates/kit/src/bench/fronts.rs
+++ b/crates/kit/src/bench/fronts.rs
@@ -100,10 +100,16 @@
     for (name, cpu) in &middles[..middles.len() - 1] {
         println!("{name:<15} {:>6.2} times the bare forwarder", cpu / bare);
     }
+    let builds = [("", Some(&measure.daemon)), (", before", measure.before.as_ref())];
     for (scgi, half) in [(false, false), (true, false), (false, true), (true, true)] {
-        let bytes = standing(measure, scgi, half)?;
-        let what = if half { "with half a request" } else { "that says nothing" };
-        println!("a connection over {} {what}: {bytes:.0} bytes", if scgi { "SCGI" } else { "Thrift" });
+        for (build, daemon) in builds.iter().filter_map(|(name, daemon)| Some((name, (*daemon)?))) {
+            let bytes = standing(daemon, scgi, half)?;
+            let what = if half { "with half a request" } else { "that says nothing" };
+            println!(
+                "a connection over {}{build} {what}: {bytes:.0} bytes",
+                if scgi { "SCGI" } else { "Thrift" }
+            );
+        }
     }
     Ok(())
 }
@@ -200,9 +206,9 @@
 }
 
 /// What each of many connections adds to the daemon's memory, in bytes.
-fn standing(measure: &Measure, scgi: bool, half: bool) -> io::Result<f64> {
+fn standing(daemon: &Path, scgi: bool, half: bool) -> io::Result<f64> {
     let folder = fleet::folder("bench-standing")?;
-    let mut spec = spec(measure.daemon.clone(), Vec::new(), folder.clone(), 1);
+    let mut spec = spec(daemon.into(), Vec::new(), folder.clone(), 1);
     (spec.scale, spec.scgi) = (4, true);
     let fleet = Fleet::start(&spec)?;
     let address = if scgi { scgi_of(fleet.nodes[0].address) } else { fleet.nodes[0].address };
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod forward;
 pub mod load;
 pub mod measure;
+pub mod model;
 pub mod processor;
 pub mod registry;
 pub mod saver;
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -4,6 +4,7 @@
 use gradepin_kit::control::Control;
 use gradepin_kit::fleet::{self, Fleet, FleetSpec};
 use gradepin_kit::load::{Fixed, Habit, Live, Proxy, Repeats, Retry, classes};
+use gradepin_kit::model::cli::{self as model, ModelCommand};
 use gradepin_kit::processor::{Processor, Spec};
 use gradepin_kit::registry::faults::Script;
 use gradepin_kit::registry::server::{Server, ServerSettings};
@@ -180,6 +181,11 @@
         #[arg(long, required = true)]
         processor: Vec<SocketAddr>,
     },
+    /// The fleet in virtual time: days, sweeps of them, plots
+    Model {
+        #[command(subcommand)]
+        command: ModelCommand,
+    },
     /// Plays failures against real servers; a line a claim, and status 1 if any is not kept
     Drill {
         #[command(subcommand)]
@@ -635,6 +641,7 @@
             bench::store::starts(daemon(told)?, &sizes)?;
             Ok(true)
         }
+        Command::Model { command } => model::run(command, &*end()?),
         Command::Drill { which: Which::Recovery { seed, kills, plain, daemon: told } } => {
             let daemon = daemon(told)?;
             Ok(drill::recovery::run(&drill::recovery::Drill { daemon, seed, kills, plain })?)
--- /dev/null
+++ b/crates/kit/src/model/cli.rs
@@ -0,0 +1,354 @@
+//! `gradepin-kit model`: days of the fleet model, sweeps of them, and what is made of their results.
+
+use super::experiment::Experiment;
+use super::results::{self, FIGURES, Line};
+use super::{Plan, plots, report, trace};
+use clap::{Args, Subcommand};
+use gradepin_model::day::Day;
+use gradepin_model::world::{Outcome, World};
+use std::error::Error;
+use std::fs;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicBool;
+use std::time::Instant;
+
+/// Settings on the command line.
+#[derive(Debug, Args)]
+pub struct DayArgs {
+    /// Seed of the day and all that happens in it
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// gradepin, pool, fixed, codel, gradient or dagor
+    #[arg(long, default_value = "gradepin")]
+    policy: String,
+    /// A setting, as 'load=0.9..1.1'; several are possible
+    #[arg(long, value_parser = setting)]
+    set: Vec<(String, String)>,
+    /// A whole day as JSON, in place of one that is drawn
+    #[arg(long, conflicts_with = "set")]
+    day: Option<PathBuf>,
+}
+
+fn setting(text: &str) -> Result<(String, String), String> {
+    let pair = text.split_once('=').map(|(name, value)| (name.trim().to_string(), value.trim().to_string()));
+    pair.ok_or_else(|| format!("expected NAME=VALUE, got '{text}'"))
+}
+
+impl DayArgs {
+    fn plan(&self) -> Result<Plan, Box<dyn Error>> {
+        let mut plan = Plan::default();
+        plan.set("policy", &self.policy)?;
+        for (name, value) in &self.set {
+            plan.set(name, value)?;
+        }
+        Ok(plan)
+    }
+
+    fn drawn(&self, plan: &Plan) -> Result<Day, Box<dyn Error>> {
+        match &self.day {
+            Some(path) => Ok(serde_json::from_str(&fs::read_to_string(path)?)?),
+            None => Ok(plan.ranges.draw(self.seed)),
+        }
+    }
+}
+
+/// What to do with the model.
+#[derive(Debug, Subcommand)]
+pub enum ModelCommand {
+    /// One day: its figures, and a page of HTML if asked for
+    Run {
+        #[command(flatten)]
+        day: DayArgs,
+        /// Write a report there
+        #[arg(long)]
+        html: Option<PathBuf>,
+        /// Write the outcome as JSON there
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// Write the plots as SVG into this folder
+        #[arg(long)]
+        svg: Option<PathBuf>,
+        /// Write the day itself as JSON there, to be changed and played by --day
+        #[arg(long)]
+        save: Option<PathBuf>,
+    },
+    /// All runs of an experiment that are not in the results yet; Ctrl-C ends it, and it goes on from there
+    Sweep {
+        /// The experiment, as KDL
+        file: PathBuf,
+        /// Where results go, a line of JSON each; beside it a CSV file
+        #[arg(long)]
+        out: PathBuf,
+        /// Threads; all cores if not told
+        #[arg(long)]
+        threads: Option<usize>,
+        /// No progress
+        #[arg(long)]
+        quiet: bool,
+    },
+    /// Differences between one value of a setting and the others, paired by seed
+    Compare {
+        /// Results of a sweep
+        results: PathBuf,
+        /// The setting
+        #[arg(long, default_value = "policy")]
+        by: String,
+        /// Its value that the others are compared with
+        #[arg(long, default_value = "gradepin")]
+        base: String,
+        /// The figure
+        #[arg(long, default_value = "g")]
+        figure: String,
+    },
+    /// Results of a sweep as a page of HTML with plots
+    Plot {
+        /// Results of a sweep
+        results: PathBuf,
+        /// The setting on the axis
+        #[arg(long, default_value = "load")]
+        x: String,
+        /// The setting that has a curve for each value
+        #[arg(long, default_value = "policy")]
+        curves: String,
+        /// The figure
+        #[arg(long, default_value = "g")]
+        figure: String,
+        /// What differences are from
+        #[arg(long, default_value = "gradepin")]
+        base: String,
+        /// Runs with these values only, as 'servers=12'
+        #[arg(long, value_parser = setting)]
+        only: Vec<(String, String)>,
+        /// Where the page goes; a name that ends in .svg for the plot alone
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// A request's life, or a server's, as a Chrome trace
+    Trace {
+        #[command(flatten)]
+        day: DayArgs,
+        /// Which request, by its number in the day
+        #[arg(long, conflicts_with = "machine")]
+        request: Option<u32>,
+        /// Which machine, by its number
+        #[arg(long)]
+        machine: Option<u32>,
+        /// Where the trace goes
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// How quickly days are played, by the number of servers
+    Speed {
+        /// Servers
+        #[arg(long, value_delimiter = ',', default_values_t = [12, 50, 200, 1_000])]
+        servers: Vec<usize>,
+        /// First tries a second of each server
+        #[arg(long, default_value_t = 10.0)]
+        rate: f64,
+        /// Seconds of each day
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+        /// Write a plot there
+        #[arg(long)]
+        svg: Option<PathBuf>,
+    },
+}
+
+/// Carries a command out; `end` is set by Ctrl-C.
+pub fn run(command: ModelCommand, end: &AtomicBool) -> Result<bool, Box<dyn Error>> {
+    match command {
+        ModelCommand::Run { day, html, json, svg, save } => {
+            let plan = day.plan()?;
+            let drawn = day.drawn(&plan)?;
+            if let Some(path) = save {
+                fs::write(path, serde_json::to_string_pretty(&drawn)?)?;
+            }
+            let outcome = World::new(drawn.clone(), plan.policy)?.play()?;
+            print(&outcome);
+            let title = format!("{}, day {}", plan.policy.name(), day.seed);
+            if let Some(path) = html {
+                fs::write(path, report::day(&title, &drawn, &outcome)?)?;
+            }
+            if let Some(path) = json {
+                fs::write(path, serde_json::to_string(&outcome)?)?;
+            }
+            if let Some(folder) = svg {
+                fs::create_dir_all(&folder)?;
+                let names = |of: Vec<&String>| of.into_iter().cloned().collect::<Vec<String>>();
+                let classes = names(drawn.classes.iter().map(|class| &class.class.name).collect());
+                let offices = names(drawn.offices.iter().map(|office| &office.office.name).collect());
+                for (name, plot) in plots::course(&outcome, &classes, &offices)? {
+                    fs::write(folder.join(format!("{name}.svg")), plot)?;
+                }
+            }
+            Ok(outcome.broken.is_empty())
+        }
+        ModelCommand::Sweep { file, out, threads, quiet } => {
+            let experiment = Experiment::parse(&fs::read_to_string(&file)?)?;
+            let mut pool = rayon::ThreadPoolBuilder::new();
+            if let Some(threads) = threads {
+                pool = pool.num_threads(threads.max(1));
+            }
+            let start = Instant::now();
+            let swept = pool.build()?.install(|| results::sweep(&experiment, &out, quiet, end))?;
+            println!(
+                "{}: {} runs found, {} played in {:.1} s{}",
+                experiment.name,
+                swept.found,
+                swept.played,
+                start.elapsed().as_secs_f64(),
+                if swept.cut { "; cut short, the same command goes on" } else { "" }
+            );
+            Ok(!swept.cut)
+        }
+        ModelCommand::Compare { results, by, base, figure } => {
+            let lines = checked(results::read(&results)?, &[&by], &figure)?;
+            for d in results::compare(&lines, &by, &base, &figure) {
+                let rest: Vec<String> =
+                    d.rest.iter().map(|(name, value)| format!("{name} {value}")).collect();
+                let e = d.estimate;
+                println!(
+                    "{:<48} {base} less {:<10} {:+.4} ({:+.4} to {:+.4}, {} pairs){}",
+                    rest.join(", "),
+                    d.value,
+                    e.mean,
+                    e.low,
+                    e.high,
+                    d.pairs,
+                    if e.differs() { "" } else { " within noise" }
+                );
+            }
+            Ok(true)
+        }
+        ModelCommand::Plot { results, x, curves, figure, base, only, out } => {
+            let mut lines = checked(results::read(&results)?, &[&x, &curves], &figure)?;
+            for (name, value) in &only {
+                lines.retain(|line| line.value(name) == Some(value));
+            }
+            if lines.is_empty() {
+                return Err("expected some results, got none".into());
+            }
+            let text = if out.extension().is_some_and(|extension| extension == "svg") {
+                let told: Vec<String> = only.iter().map(|(name, value)| format!("{name} {value}")).collect();
+                plots::sweep(&lines, &x, &curves, &figure, &format!("{figure} {}", told.join(", ")))?
+            } else {
+                let differences = results::compare(&lines, &curves, &base, &figure);
+                let name = results.file_stem().map(|name| name.to_string_lossy().into_owned());
+                report::sweep(&name.unwrap_or_default(), &lines, (&x, &curves), &figure, &differences)?
+            };
+            fs::write(out, text)?;
+            Ok(true)
+        }
+        ModelCommand::Trace { day, request, machine, out } => {
+            let which = match (request, machine) {
+                (Some(request), None) => trace::Which::Request(request),
+                (None, Some(machine)) => trace::Which::Machine(machine),
+                _ => return Err("expected --request or --machine".into()),
+            };
+            let plan = day.plan()?;
+            let mut world = World::new(day.drawn(&plan)?, plan.policy)?;
+            world.record();
+            let outcome = world.play()?;
+            let (bytes, count) = trace::chrome(&outcome.stories, which);
+            if count == 0 {
+                return Err("expected a request or a machine of that day, got one without a try".into());
+            }
+            fs::write(&out, bytes)?;
+            println!("{count} tries");
+            Ok(true)
+        }
+        ModelCommand::Speed { servers, rate, seconds, svg } => speed(&servers, rate, seconds, svg),
+    }
+}
+
+fn checked(lines: Vec<Line>, settings: &[&str], figure: &str) -> Result<Vec<Line>, Box<dyn Error>> {
+    if !FIGURES.contains(&figure) {
+        return Err(format!("expected one of {} as figure, got '{figure}'", FIGURES.join(", ")).into());
+    }
+    for setting in settings {
+        if lines.iter().any(|line| line.value(setting).is_none()) {
+            return Err(format!("expected results of an experiment that varies '{setting}'").into());
+        }
+    }
+    Ok(lines)
+}
+
+fn print(outcome: &Outcome) {
+    let report = &outcome.report;
+    let parts = report.parts();
+    println!(
+        "G {:.4}: whole {:.4}, worst 10 s {:.4} from {} s, worst class {:.4}, worst office {:.4}",
+        report.g,
+        parts[0],
+        parts[1],
+        report.worst.0 / 1_000,
+        parts[2],
+        parts[3]
+    );
+    let t = &outcome.total;
+    println!(
+        "{} asked in {} tries: {} served, {} given up; tries: {} refused, {} failed, {} timed out",
+        t.asked, t.tries, t.served, t.given_up, t.refused, t.failed, t.timed_out
+    );
+    println!(
+        "not sent: {} told to stay away, {} below the level, {} no server left; late {:.4}, wasted {:.4}; {} events",
+        t.away, t.below_level, t.exhausted, report.prices[0], report.prices[1], outcome.events
+    );
+    for broken in outcome.broken.iter().take(10) {
+        println!(
+            "NOT KEPT at {} ms, server {}, try {:?}: {}",
+            broken.at, broken.server, broken.request, broken.breach
+        );
+    }
+    for (ms, machine) in &outcome.restless {
+        println!("machine {machine} came to no rest at {ms} ms");
+    }
+}
+
+/// Days of more and more servers, on this thread.
+fn speed(servers: &[usize], rate: f64, seconds: f64, svg: Option<PathBuf>) -> Result<bool, Box<dyn Error>> {
+    let mut curve = Vec::new();
+    for &count in servers {
+        let mut plan = Plan::default();
+        for (name, value) in [
+            ("servers", count.to_string()),
+            ("proxies", count.div_ceil(20).max(4).to_string()),
+            ("seconds", seconds.to_string()),
+            ("load", "0.7".to_string()),
+        ] {
+            plan.set(name, &value)?;
+        }
+        let mut day = plan.ranges.draw(1);
+        day.load = rate * count as f64 / day.capacity();
+        let start = Instant::now();
+        let outcome = World::new(day, plan.policy)?.play()?;
+        let took = start.elapsed().as_secs_f64();
+        let each = outcome.events as f64 / took;
+        println!(
+            "{count} servers, {:.0} s: {} first tries, {} events in {took:.2} s, {:.0} events a second, {} MB",
+            seconds,
+            outcome.total.asked,
+            outcome.events,
+            each,
+            peak_kb().unwrap_or(0) / 1_000
+        );
+        curve.push((count as f64, each));
+    }
+    if let Some(path) = svg {
+        let labels = plots::Labels {
+            title: "Events played a second on one core",
+            x: "servers",
+            y: "events a second",
+            log: true,
+        };
+        fs::write(path, plots::draw(&labels, &[plots::Curve::plain("gradepin", curve)])?)?;
+    }
+    Ok(true)
+}
+
+/// The most memory that this process ever took, in kB.
+fn peak_kb() -> Option<u64> {
+    let status = fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
--- a/crates/kit/src/registry/mod.rs
+++ b/crates/kit/src/registry/mod.rs
@@ -1,5 +1,6 @@
-//! A stand-in for Eureka's server: the rules in [`state`], HTTP in [`server`], faults by script in [`faults`].
+//! A stand-in for Eureka's server: the rules are the model's ([`state`]), HTTP in [`server`], faults by script in
+//! [`faults`].
 
 pub mod faults;
 pub mod server;
-pub mod state;
+pub use gradepin_model::roster::registry as state;
--- a/crates/model/src/account/mod.rs
+++ b/crates/model/src/account/mod.rs
@@ -7,11 +7,13 @@
 pub mod rules;
 pub mod service;
 
+use serde::{Deserialize, Serialize};
+
 /// A moment, in milliseconds of the world that is played.
 pub type Ms = u64;
 
 /// A class of requests.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// As `label-save`.
     pub name: String,
@@ -28,7 +30,7 @@
 }
 
 /// An office and its share of the fleet.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Office {
     /// As `etela-kasvio`.
     pub name: String,
@@ -37,7 +39,7 @@
 }
 
 /// What counts, and for how much.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Terms {
     /// The classes; events name them by their place.
     pub classes: Vec<Class>,
--- /dev/null
+++ b/crates/model/src/day/ranges.rs
@@ -0,0 +1,528 @@
+//! From which days are drawn: the brief's ranges, each of which an experiment may set otherwise.
+
+use super::{
+    ClassSpec, Day, Habit, Machine, NetSpec, OfficeSpec, Pick, ProxySpec, RosterSpec, Trouble, What,
+};
+use crate::account::{Class, Terms};
+use crate::streams::{Streams, chance, one_of, shuffle, unit, within};
+use rand_pcg::Pcg64Mcg;
+
+/// A kind of machines: cores, speed, and what it starts with when cold, for how long.
+#[derive(Debug, Clone, PartialEq)]
+struct Kind {
+    speed: [f64; 2],
+    cv: [f64; 2],
+    cold_from: [f64; 2],
+    cold_s: [f64; 2],
+    weight: f64,
+}
+
+/// From which days are drawn.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ranges {
+    seconds: [f64; 2],
+    load: [f64; 2],
+    servers: [f64; 2],
+    proxies: [f64; 2],
+    subset: usize,
+    obeys: [f64; 2],
+    habits: Vec<String>,
+    picks: Vec<Pick>,
+    swing: [f64; 2],
+    troubles: Vec<String>,
+    trouble_count: [f64; 2],
+    slow_factor: [f64; 2],
+    deploy_part: [f64; 2],
+    burst_size: [f64; 2],
+    loss: [f64; 2],
+    notice_s: [f64; 2],
+    registry: bool,
+    refresh_s: f64,
+    read_share: [f64; 2],
+    kinds: [Kind; 2],
+    office_load: Option<(usize, f64)>,
+}
+
+/// A setting that there isn't, or that can't be so.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum BadSetting {
+    /// No such setting.
+    #[error("expected one of {expected}, got setting '{name}'", expected = NAMES.join(", "))]
+    Name {
+        /// What was told.
+        name: String,
+    },
+    /// A value that it can't have.
+    #[error("expected {expected} as '{name}', got '{value}'")]
+    Value {
+        /// Which setting.
+        name: String,
+        /// What it takes.
+        expected: String,
+        /// What was told.
+        value: String,
+    },
+}
+
+/// All settings by name.
+const NAMES: [&str; 20] = [
+    "seconds",
+    "load",
+    "servers",
+    "proxies",
+    "subset",
+    "obeys",
+    "retry",
+    "pick",
+    "swing",
+    "troubles",
+    "trouble_count",
+    "slow_factor",
+    "deploy_part",
+    "burst_size",
+    "loss",
+    "notice_s",
+    "roster",
+    "refresh_s",
+    "read_share",
+    "flood",
+];
+
+/// The troubles that can be asked for by name.
+const TROUBLES: [&str; 8] =
+    ["burst", "crash", "slow", "deploy", "hang", "pause", "registry_away", "zone_cut"];
+
+/// All picks by name.
+const PICKS: [(&str, Pick); 6] = [
+    ("round", Pick::Round),
+    ("least", Pick::Least),
+    ("two", Pick::Two),
+    ("weighted", Pick::Weighted),
+    ("hash", Pick::Hash),
+    ("fastest", Pick::Fastest),
+];
+
+impl Default for Ranges {
+    fn default() -> Self {
+        Self::brief()
+    }
+}
+
+impl Ranges {
+    /// Those of the brief, with the troubles that were seen in service.
+    pub fn brief() -> Self {
+        let small = Kind {
+            speed: [0.5, 0.7],
+            cv: [0.051, 0.23],
+            cold_from: [0.21, 0.39],
+            cold_s: [6.0, 18.0],
+            weight: 3.0,
+        };
+        let large = Kind {
+            speed: [1.0, 1.3],
+            cv: [0.11, 0.21],
+            cold_from: [0.33, 0.48],
+            cold_s: [5.3, 18.0],
+            weight: 7.0,
+        };
+        Self {
+            seconds: [45.0, 55.0],
+            load: [0.52, 0.66],
+            servers: [10.0, 12.0],
+            proxies: [3.0, 5.0],
+            subset: 0,
+            obeys: [0.8, 1.0],
+            habits: vec!["unlimited".into()],
+            // The list tells nominal weights, and callers go by them.
+            picks: vec![Pick::Weighted],
+            swing: [0.11, 0.29],
+            troubles: TROUBLES[..4].iter().map(ToString::to_string).collect(),
+            trouble_count: [1.0, 2.99],
+            slow_factor: [2.6, 8.4],
+            deploy_part: [0.56, 1.0],
+            burst_size: [1.3, 1.6],
+            loss: [0.0, 0.0],
+            notice_s: [1.0, 5.0],
+            registry: false,
+            refresh_s: 5.0,
+            read_share: [0.22, 0.28],
+            kinds: [small, large],
+            office_load: None,
+        }
+    }
+
+    /// Sets one of them: a number, `FROM..TO`, or words with commas between.
+    pub fn set(&mut self, name: &str, value: &str) -> Result<(), BadSetting> {
+        let bad = |expected: &str| BadSetting::Value {
+            name: name.to_string(),
+            expected: expected.to_string(),
+            value: value.to_string(),
+        };
+        let range = |least: f64, most: f64| {
+            let (from, to) = value.split_once("..").unwrap_or((value, value));
+            let read = |text: &str| text.trim().parse::<f64>().ok().filter(|v| (least..=most).contains(v));
+            match (read(from), read(to)) {
+                (Some(from), Some(to)) if from <= to => Ok([from, to]),
+                _ => Err(bad(&format!("a number, or FROM..TO, from {least} to {most}"))),
+            }
+        };
+        let words =
+            || value.split(',').map(str::trim).filter(|word| !word.is_empty()).map(str::to_string).collect();
+        match name {
+            "seconds" => self.seconds = range(1.0, 86_400.0)?,
+            "load" => self.load = range(0.01, 100.0)?,
+            "servers" => self.servers = range(1.0, 100_000.0)?,
+            "proxies" => self.proxies = range(1.0, 10_000.0)?,
+            "subset" => self.subset = range(0.0, 100_000.0)?[1] as usize,
+            "obeys" => self.obeys = range(0.0, 1.0)?,
+            "swing" => self.swing = range(0.0, 0.9)?,
+            "trouble_count" => self.trouble_count = range(0.0, 20.99)?,
+            "slow_factor" => self.slow_factor = range(1.0, 1_000.0)?,
+            "deploy_part" => self.deploy_part = range(0.0, 1.0)?,
+            "burst_size" => self.burst_size = range(1.0, 100.0)?,
+            "loss" => self.loss = range(0.0, 0.5)?,
+            "notice_s" => self.notice_s = range(0.0, 600.0)?,
+            "refresh_s" => self.refresh_s = range(0.5, 600.0)?[1],
+            "read_share" => self.read_share = range(0.0, 2.0)?,
+            "retry" => {
+                let names: Vec<String> = words();
+                if names.is_empty() || names.iter().any(|name| Habit::named(name).is_none()) {
+                    return Err(bad(&format!("some of {}", Habit::NAMES.join(", "))));
+                }
+                self.habits = names;
+            }
+            "pick" => {
+                let named =
+                    |word: &String| PICKS.iter().find(|(name, _)| name == word).map(|(_, pick)| *pick);
+                let picks: Option<Vec<Pick>> = words().iter().map(named).collect();
+                let some = picks.filter(|picks| !picks.is_empty());
+                self.picks = some.ok_or_else(|| bad("some of round, least, two, weighted, hash, fastest"))?;
+            }
+            "troubles" => {
+                let names: Vec<String> = if value == "none" { Vec::new() } else { words() };
+                if names.iter().any(|name| !TROUBLES.contains(&name.as_str())) {
+                    return Err(bad(&format!("none, or some of {}", TROUBLES.join(", "))));
+                }
+                self.troubles = names;
+            }
+            "roster" => {
+                self.registry = match value {
+                    "list" => false,
+                    "registry" => true,
+                    _ => return Err(bad("list or registry")),
+                }
+            }
+            "flood" => {
+                // As `1:5`: the second office at five times its share.
+                let parsed = value.split_once(':').and_then(|(office, times)| {
+                    Some((office.trim().parse::<usize>().ok()?, times.trim().parse::<f64>().ok()?))
+                });
+                let offices = Terms::brief(1.0).offices.len();
+                let ok =
+                    parsed.filter(|(office, times)| *office < offices && *times > 0.0 && *times <= 100.0);
+                self.office_load = Some(ok.ok_or_else(|| bad("OFFICE:TIMES, as 1:5"))?);
+            }
+            _ => return Err(BadSetting::Name { name: name.to_string() }),
+        }
+        Ok(())
+    }
+
+    /// The day of a seed. What of it was set to one value does not change what else is drawn.
+    pub fn draw(&self, seed: u64) -> Day {
+        let streams = Streams::new(seed);
+        let mut rng = streams.of("day", 0);
+        let seconds = within(&mut rng, self.seconds);
+        let load = within(&mut rng, self.load);
+        let count = |rng: &mut Pcg64Mcg, range: [f64; 2]| {
+            (within(rng, [range[0], range[1] + 0.999]) as usize).clamp(range[0] as usize, range[1] as usize)
+        };
+        let servers = count(&mut rng, self.servers).max(1);
+        let proxies = count(&mut rng, self.proxies).max(1);
+        let zones = 3;
+        let classes = classes(&mut streams.of("classes", 0));
+        let mean_ms: f64 = classes.iter().map(|class| class.share * class.work_ms).sum();
+        let hold_kb = within(&mut rng, [8.0, 64.0]);
+        let run_factor = 8.0;
+        let memory_runs = within(&mut rng, [8.7, 23.0]);
+        let key_room = within(&mut rng, [0.11, 0.34]);
+        let machines: Vec<Machine> = machines(&self.kinds, servers, zones, &streams)
+            .into_iter()
+            .map(|machine| Machine {
+                memory_kb: memory_runs * f64::from(machine.cores) * run_factor * 1.8 * hold_kb,
+                ..machine
+            })
+            .collect();
+        let memory: f64 = machines.iter().map(|machine| machine.memory_kb).sum();
+        let cores: f64 = machines.iter().map(|machine| f64::from(machine.cores) * machine.speed).sum();
+        let keys = cores * 1e3 / mean_ms * classes[3].share * 12.075;
+        let mut day = Day {
+            seed,
+            seconds,
+            load,
+            shape: shape(seconds, within(&mut rng, self.swing), &mut streams.of("shape", 0)),
+            classes,
+            offices: Vec::new(),
+            quota_of_capacity: within(&mut rng, [0.62, 1.0]),
+            machines,
+            proxies: Vec::new(),
+            net: NetSpec {
+                zones,
+                same_ms: within(&mut rng, [0.15, 0.3]),
+                cross_ms: within(&mut rng, [1.4, 2.6]),
+                jitter: within(&mut rng, [0.1, 0.4]),
+                loss: within(&mut rng, self.loss),
+                resend_ms: 200.0,
+                deaf: within(&mut rng, [0.0, 0.05]),
+            },
+            roster: if self.registry {
+                let refresh_s = self.refresh_s;
+                RosterSpec::Registry { heartbeat_s: 5.0, refresh_s, cache_s: refresh_s / 2.0, lease_s: 15.0 }
+            } else {
+                RosterSpec::List { notice_s: self.notice_s, silent_s: 3.0 }
+            },
+            troubles: Vec::new(),
+            read_share: within(&mut rng, self.read_share),
+            backlog_per_core: 128,
+            hold_kb,
+            size_cv: within(&mut rng, [0.2, 0.7]),
+            run_factor,
+            key_kb: memory * key_room / keys.max(1.0),
+            restart_s: within(&mut rng, [4.0, 8.0]),
+        };
+        day.offices = self.offices(&mut streams.of("offices", 0));
+        day.proxies = self.proxies(proxies, zones, within(&mut rng, self.obeys), &streams);
+        day.troubles = self.troubles(&day, &mut streams.of("troubles", 0));
+        day
+    }
+
+    fn offices(&self, rng: &mut Pcg64Mcg) -> Vec<OfficeSpec> {
+        let mut offices: Vec<OfficeSpec> = Terms::brief(1.0)
+            .offices
+            .into_iter()
+            .map(|office| OfficeSpec { traffic: office.share * within(rng, [0.75, 1.3]), office })
+            .collect();
+        if let Some((flooded, times)) = self.office_load {
+            offices[flooded].traffic = offices[flooded].office.share * times;
+        }
+        let sum: f64 = offices.iter().map(|office| office.traffic).sum();
+        offices.iter_mut().for_each(|office| office.traffic /= sum);
+        offices
+    }
+
+    fn proxies(&self, count: usize, zones: usize, obeys: f64, streams: &Streams) -> Vec<ProxySpec> {
+        let mut heed: Vec<bool> =
+            (0..count).map(|n| n < (obeys * count as f64).round().max(0.0) as usize).collect();
+        shuffle(&mut streams.of("heed", 0), &mut heed);
+        (0..count)
+            .map(|number| {
+                let mut rng = streams.of("proxy-kind", number as u64);
+                let name = &self.habits[one_of(&mut rng, self.habits.len())];
+                let pick = self.picks[one_of(&mut rng, self.picks.len())];
+                let backoff = within(&mut rng, [0.7, 1.4]);
+                let habit = Habit::named(name).unwrap_or(Habit {
+                    pick,
+                    retries: 0,
+                    walks: false,
+                    budget: None,
+                    try_share: 1.0,
+                    backoff_ms: 35.0,
+                    copy_after: None,
+                });
+                let habit = Habit { pick, backoff_ms: habit.backoff_ms * backoff, ..habit };
+                ProxySpec { zone: number % zones, habit, heeds: heed[number], subset: self.subset }
+            })
+            .collect()
+    }
+
+    fn troubles(&self, day: &Day, rng: &mut Pcg64Mcg) -> Vec<Trouble> {
+        if self.troubles.is_empty() {
+            return Vec::new();
+        }
+        let some = |rng: &mut Pcg64Mcg, part: f64| {
+            let mut all: Vec<usize> = (0..day.machines.len()).collect();
+            shuffle(rng, &mut all);
+            all.truncate(((part * all.len() as f64).round() as usize).max(1));
+            all
+        };
+        let count = within(rng, self.trouble_count) as usize;
+        let mut troubles: Vec<Trouble> = (0..count)
+            .map(|_| {
+                let name = &self.troubles[one_of(rng, self.troubles.len())];
+                // Drawn for whichever it is: a range set otherwise moves nothing else.
+                let (part, len, more) = (unit(rng), unit(rng), unit(rng));
+                let at = |range: [f64; 2], t: f64| range[0] + (range[1] - range[0]) * t;
+                let (len_s, share, what) = match name.as_str() {
+                    "burst" => (
+                        at([2.1, 9.9], len),
+                        0.0,
+                        What::Burst { size: at(self.burst_size, part), edge_s: at([0.59, 1.8], more) },
+                    ),
+                    "crash" => (at([6.2, 24.0], len), at([0.08, 0.2], part), What::Crash),
+                    "slow" => (
+                        at([14.0, 30.0], len),
+                        at([0.1, 0.25], part),
+                        What::Slow { factor: at(self.slow_factor, more) },
+                    ),
+                    "deploy" => {
+                        let batch = (at([0.053, 0.19], part) * day.machines.len() as f64) as usize;
+                        let what = What::Deploy { batch: batch.max(1), drain_s: at([3.2, 5.3], more) };
+                        (at([37.0, 22.0], len), at(self.deploy_part, part), what)
+                    }
+                    "hang" => (at([2.0, 8.0], len), at([0.05, 0.2], part), What::Hang),
+                    "pause" => (at([0.5, 3.0], len), at([0.05, 0.2], part), What::Pause),
+                    "registry_away" => (at([8.0, 25.0], len), 0.0, What::RegistryAway),
+                    _ => (at([3.0, 12.0], len), 0.0, What::ZoneCut { zone: (part * 3.0) as usize % 3 }),
+                };
+                let on = if share > 0.0 { some(rng, share) } else { Vec::new() };
+                let at_s = within(rng, [0.1, 0.6]) * day.seconds;
+                Trouble { at_s, len_s, what, on }
+            })
+            .collect();
+        troubles.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+        troubles
+    }
+}
+
+fn classes(rng: &mut Pcg64Mcg) -> Vec<ClassSpec> {
+    let work = [[199.0, 335.0], [268.0, 492.0], [199.0, 335.0], [199.0, 335.0]];
+    let cvs = [[0.5, 1.2], [0.58, 1.2], [0.42, 1.2], [0.41, 1.1]];
+    let shares = [0.36, 0.29, 0.23, 0.12];
+    let memory = [2.0, 1.0, 2.0, 2.0];
+    let all: Vec<Class> = Terms::brief(1.0).classes;
+    all.into_iter()
+        .enumerate()
+        .map(|(n, class)| ClassSpec {
+            class,
+            share: shares[n],
+            work_ms: within(rng, work[n]),
+            cv: within(rng, cvs[n]),
+            memory: memory[n],
+        })
+        .collect()
+}
+
+fn machines(kinds: &[Kind; 2], count: usize, zones: usize, streams: &Streams) -> Vec<Machine> {
+    let mut rng = streams.of("kinds", 0);
+    // What all machines of a kind share is drawn once for the kind.
+    let drawn: Vec<(f64, f64, f64, f64, f64)> = kinds
+        .iter()
+        .map(|kind| {
+            let thrash = within(&mut rng, [0.6, 0.8]);
+            let knee = within(&mut rng, [1.2, 1.5]);
+            (
+                within(&mut rng, kind.cv),
+                within(&mut rng, kind.cold_from),
+                within(&mut rng, kind.cold_s),
+                thrash,
+                knee,
+            )
+        })
+        .collect();
+    // Half and half, in random places.
+    let mut places: Vec<usize> = (0..count).map(|n| n % 2).collect();
+    shuffle(&mut rng, &mut places);
+    let cores = 6;
+    (0..count)
+        .map(|number| {
+            let (kind, (cv, cold_from, cold_s, thrash, knee)) =
+                (&kinds[places[number]], drawn[places[number]]);
+            let mut rng = streams.of("machine", number as u64);
+            let mean = within(&mut rng, kind.speed);
+            let off = 1.0 + cv * (unit(&mut rng) + unit(&mut rng) + unit(&mut rng) - 1.5) * 2.0;
+            let zone = if chance(&mut rng, 0.9) { number % zones } else { one_of(&mut rng, zones) };
+            Machine {
+                cores,
+                speed: (mean * off).clamp(kind.speed[0] * 0.6, kind.speed[1] * 1.5),
+                zone,
+                knee: knee * f64::from(cores),
+                thrash,
+                cold_from,
+                cold_s,
+                memory_kb: 0.0,
+                weight: kind.weight,
+            }
+        })
+        .collect()
+}
+
+/// Steady or a wave, and never quite even.
+fn shape(seconds: f64, swing: f64, rng: &mut Pcg64Mcg) -> Vec<(f64, f64)> {
+    let (wave, phase, length) = (chance(rng, 0.5), unit(rng), within(rng, [15.0, 45.0]));
+    (0..=seconds.ceil() as usize)
+        .map(|second| {
+            let s = second as f64;
+            let angle = std::f64::consts::TAU * (s / length + phase);
+            let course = if wave { swing * angle.sin() } else { 0.0 };
+            (s, 1.0 + course + 0.1 * (unit(rng) - 0.5))
+        })
+        .collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a range set in one place that reshuffles the rest of the day.
+    #[test]
+    fn what_is_set_changes_nothing_else() {
+        let base = Ranges::brief();
+        let mut other = base.clone();
+        other.set("load", "3").unwrap();
+        other.set("slow_factor", "4").unwrap();
+        other.set("retry", "none").unwrap();
+        let (a, b) = (base.draw(5), other.draw(5));
+        assert_eq!(
+            (&a.machines, &a.classes, &a.offices, &a.net),
+            (&b.machines, &b.classes, &b.offices, &b.net)
+        );
+        assert_eq!(a.troubles.len(), b.troubles.len());
+        assert_eq!(b.load, 3.0);
+        assert_eq!(a.draw_again(&base), a);
+    }
+
+    impl Day {
+        fn draw_again(&self, ranges: &Ranges) -> Day {
+            ranges.draw(self.seed)
+        }
+    }
+
+    /// Guards against settings that are taken though they mean nothing.
+    #[test]
+    fn settings_that_make_no_sense_are_told() {
+        let mut ranges = Ranges::brief();
+        for (name, value) in [
+            ("load", "much"),
+            ("load", "2..1"),
+            ("servers", "0"),
+            ("retry", "sometimes"),
+            ("pick", ""),
+            ("troubles", "burst,flu"),
+            ("roster", "paper"),
+            ("flood", "9:2"),
+        ] {
+            let error = ranges.set(name, value).unwrap_err();
+            assert!(error.to_string().contains(name), "{error}");
+        }
+        assert!(matches!(ranges.set("colour", "1"), Err(BadSetting::Name { .. })));
+        assert_eq!(ranges, Ranges::brief());
+        for name in NAMES {
+            assert!(!matches!(ranges.set(name, "?"), Err(BadSetting::Name { .. })), "{name}");
+        }
+    }
+
+    /// The brief's figures: some 110 requests a second on a usual day, within the ranges.
+    #[test]
+    fn a_drawn_day_is_of_the_brief() {
+        let rates: Vec<f64> = (0..40)
+            .map(|seed| {
+                let day = Ranges::brief().draw(seed);
+                assert!((10..=12).contains(&day.machines.len()) && (3..=5).contains(&day.proxies.len()));
+                assert!(day.troubles.len() <= 2 && !day.troubles.is_empty());
+                assert!(day.rate(10.0) <= day.top_rate() + 1e-9);
+                day.load * day.capacity()
+            })
+            .collect();
+        let mean = rates.iter().sum::<f64>() / rates.len() as f64;
+        assert!((90.0..130.0).contains(&mean), "{mean}");
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,5 +1,17 @@
-//! What is needed to try designs at sizes that sockets don't reach. So far the [`account`], how service is counted and
-//! whether the four rules are kept, and the engine's [`queue`] of events. No I/O, no clock.
+//! The fleet in virtual time, for designs at sizes that sockets don't reach: every server is the real reducer with the real
+//! decision module, or one of the policies that a user would pick instead.
+//!
+//! [`day`] draws what a day is like; [`world`] plays it, an event after another of its [`queue`]; around the servers are
+//! [`processor`], [`net`], [`proxy`] and [`roster`]; [`account`] counts service and checks the rules. No I/O and no clock:
+//! one seed, one result.
 
 pub mod account;
+pub mod day;
+pub mod net;
+pub mod policies;
+pub mod processor;
+pub mod proxy;
 pub mod queue;
+pub mod roster;
+pub mod streams;
+pub mod world;
--- /dev/null
+++ b/crates/model/src/policies/mod.rs
@@ -0,0 +1,228 @@
+//! Servers to try a day with: the real one, which is the reducer with its module, and what a user would pick instead.
+//!
+//! All fill [`Node`]. The others share [`shell::Shell`], which keeps what any server has to keep (one final answer, keys, the
+//! drain), and differ in a [`shell::Policy`] that says what is let in and run.
+
+mod codel;
+mod dagor;
+mod fixed;
+mod gradient;
+pub mod shell;
+
+use crate::day::{Day, What};
+use gradepin_core::config::{Config, Limits};
+use gradepin_core::messages::{Effect, Input};
+use gradepin_core::moment::Moment;
+use gradepin_core::reducer::Reducer;
+use gradepin_core::registration::Registration;
+use gradepin_decisions::{
+    Advert, Below, Callers, Customer, Effect as Repeat, Goal, Limits as Site, Prices, Profile, Rules,
+    Settings, Span, Specifics, StopMode, Time, WorthBy,
+};
+use shell::{Shell, ShellSpec};
+use std::sync::Arc;
+
+/// A server, as a world drives it.
+pub trait Node: Send {
+    /// Takes in all inputs and appends what is to be done.
+    fn step(&mut self, moment: Moment, inputs: &mut Vec<Input>, effects: &mut Vec<Effect>);
+
+    /// When it must be stepped again though nothing came in.
+    fn wake_at(&self) -> Option<Time>;
+}
+
+impl Node for Reducer {
+    fn step(&mut self, moment: Moment, inputs: &mut Vec<Input>, effects: &mut Vec<Effect>) {
+        Reducer::step(self, moment, inputs.drain(..), effects);
+    }
+
+    fn wake_at(&self) -> Option<Time> {
+        Reducer::wake_at(self)
+    }
+}
+
+/// Which server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// The product's own: the real reducer with the real module.
+    Gradepin,
+    /// A pool: two runs and four waiting requests a core, first come first served.
+    Pool,
+    /// A fixed limit of runs with a short line that drops what comes too late.
+    Fixed,
+    /// Controlled delay: short waits once a line stands, newest first.
+    Codel,
+    /// A limit that follows the time of runs (Netflix concurrency-limits, Gradient2).
+    Gradient,
+    /// By rank, with a level that follows the wait (DAGOR).
+    Dagor,
+}
+
+impl Kind {
+    /// All, the own first.
+    pub const ALL: [Self; 6] =
+        [Self::Gradepin, Self::Pool, Self::Fixed, Self::Codel, Self::Gradient, Self::Dagor];
+
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Gradepin => "gradepin",
+            Self::Pool => "pool",
+            Self::Fixed => "fixed",
+            Self::Codel => "codel",
+            Self::Gradient => "gradient",
+            Self::Dagor => "dagor",
+        }
+    }
+
+    /// By its name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.name() == name)
+    }
+}
+
+/// What makes a server's node at each of its starts.
+#[derive(Debug, Clone)]
+pub struct Starts {
+    settings: Vec<Arc<Settings>>,
+    stop_ms: u64,
+}
+
+/// A start: which machine, and a seed for what the server draws itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Start {
+    /// The machine.
+    pub machine: usize,
+    /// For random numbers.
+    pub seed: u64,
+}
+
+impl Starts {
+    /// What the servers of a day are told; the same for all policies.
+    pub fn new(day: &Day) -> Self {
+        let shared = settings(day);
+        let settings = day
+            .machines
+            .iter()
+            .map(|machine| {
+                let mut own = shared.clone();
+                own.specifics.memory_kb = machine.memory_kb;
+                own.specifics.n_cores = machine.cores;
+                Arc::new(own)
+            })
+            .collect();
+        // Servers are told one time from the notice to the stop: the shortest of the day's deploys.
+        let drains = day.troubles.iter().filter_map(|trouble| match trouble.what {
+            What::Deploy { drain_s, .. } => Some((drain_s * 1e3) as u64),
+            _ => None,
+        });
+        Self { settings, stop_ms: drains.min().unwrap_or(4_000) }
+    }
+
+    /// The node of a machine that starts.
+    pub fn node(&self, kind: Kind, start: Start, registration: Registration) -> Box<dyn Node> {
+        let settings = &self.settings[start.machine];
+        let cores = settings.specifics.n_cores;
+        let spec = ShellSpec::new(settings, self.stop_ms);
+        match kind {
+            Kind::Gradepin => {
+                let config = config(settings, start, self.stop_ms);
+                let made = Reducer::new(&config, Arc::clone(settings), registration);
+                Box::new(made.expect("a seed that was written as hex digits is one"))
+            }
+            Kind::Pool => Box::new(Shell::new(spec, fixed::Fixed::pool(cores), registration)),
+            Kind::Fixed => Box::new(Shell::new(spec, fixed::Fixed::line(cores), registration)),
+            Kind::Codel => Box::new(Shell::new(spec, codel::Codel::new(settings), registration)),
+            Kind::Gradient => Box::new(Shell::new(spec, gradient::Gradient::new(settings), registration)),
+            Kind::Dagor => Box::new(Shell::new(spec, dagor::Dagor::new(settings), registration)),
+        }
+    }
+}
+
+fn config(settings: &Settings, start: Start, stop_ms: u64) -> Config {
+    let nowhere = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    Config {
+        name: format!("n{}", start.machine),
+        listen: nowhere,
+        processor: nowhere,
+        control: nowhere,
+        seed: format!("{:016x}", start.seed),
+        stop_ms,
+        limits: Limits { sockets: 4_096, memory_mb: 192 },
+        settings: settings.clone(),
+    }
+}
+
+const MS: u64 = 1_000_000;
+
+fn ms(ms: u64) -> Span {
+    Span(ms * MS)
+}
+
+/// What the operators tell a server of a day, as the platform does: not the speed of its cores, nor what callers are like.
+fn settings(day: &Day) -> Settings {
+    let terms = day.terms();
+    Settings {
+        granularity: ms(2),
+        servers: day.machines.len() as u32,
+        tier: 0,
+        profiles: terms
+            .classes
+            .iter()
+            .map(|class| Profile {
+                name: class.name.clone(),
+                promise: ms(class.aim_ms),
+                deadline: ms(class.deadline_ms),
+                effect: if class.window_ms.is_some() { Repeat::ByKey } else { Repeat::Repeatable },
+                late_value: class.late,
+                window: ms(class.window_ms.unwrap_or(0)),
+                worth: class.worth,
+                aim_stretch: 0.0,
+            })
+            .collect(),
+        customers: terms
+            .offices
+            .iter()
+            .map(|office| Customer {
+                name: office.name.clone(),
+                quota_rps: office.share * terms.capacity,
+                portion: office.share,
+            })
+            .collect(),
+        callers: Callers { marks_retry: true },
+        goal: Goal { whole: 0.4, worst_class: 0.2, worst_tenant: 0.1, worst_window: 0.3 },
+        limits: Site { max_retry_after: ms(1_000), retry_after: true },
+        prices: Prices { late_fail: 0.083, waste: 0.08, ..Prices::default() },
+        worth_by: WorthBy::Request,
+        over_share_worth: terms.beyond,
+        rules: Rules {
+            answer_slack: ms(100),
+            cold: ms(18_000),
+            cold_share: 0.21,
+            drain_grace: ms(1_800),
+            fall: ms(1_500),
+            tip_multiple: 8.0,
+        },
+        specifics: Specifics {
+            advert: Advert::Threshold,
+            below: Below::Off,
+            calls_by_class: vec![false; terms.classes.len()],
+            class_skip_worth: vec![0.0; terms.classes.len()],
+            clients_total: day.proxies.len() as u32,
+            gauges: ["core_use", "on_cores", "heap_share", "links"].map(str::to_string).to_vec(),
+            heeded: ms(1_000),
+            idle: ms(15_000),
+            kb_per_key: day.key_kb,
+            list_follows: true,
+            memory_kb: 1.0,
+            n_cores: 1,
+            passes_deadline: true,
+            run_factor: day.run_factor,
+            share_span: ms(5_000),
+            stop_mode: StopMode::Off,
+            tells_gone: true,
+            ..Specifics::default()
+        },
+    }
+}
--- /dev/null
+++ b/crates/model/src/policies/shell.rs
@@ -0,0 +1,406 @@
+//! What any server keeps, whatever it decides: one final answer by the due time, a keyed request run once, a drain that answers
+//! all. What is let in, how many run and in what order is its [`Policy`]'s.
+
+use super::Node;
+use gradepin_core::messages::{Answer, Call, ConnId, Effect, Input, RunEnd, SeqId, sooner};
+use gradepin_core::moment::Moment;
+use gradepin_core::pool::Buffer;
+use gradepin_core::registration::Registration;
+use gradepin_decisions::{RequestId, Settings, Span, Time, after, before};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+
+const MS: u64 = 1_000_000;
+/// Between reports to the control plane.
+const REPORT_EVERY: Span = Span(400 * MS);
+/// How much sooner than the stop all that is owed is answered.
+const STOP_MARGIN: Span = Span(150 * MS);
+/// A window counts from the arrival; a run is remembered that much longer.
+const KEEP: Span = Span(1_000 * MS);
+
+/// What a policy is told of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask {
+    /// Its rank.
+    pub rank: f64,
+    /// When it came to the machine, and when it was read.
+    pub came: Time,
+    /// See `came`.
+    pub read: Time,
+    /// When its caller stops waiting.
+    pub due: Time,
+}
+
+/// What goes on at the server.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Runs.
+    pub running: usize,
+    /// Requests that wait to run.
+    pub waiting: usize,
+}
+
+/// What is let in and run.
+pub trait Policy: Send {
+    /// Whether a request that was read is taken.
+    fn takes(&mut self, now: Time, ask: &Ask, load: Load) -> bool;
+
+    /// Whether another may run.
+    fn may_run(&self, load: Load) -> bool;
+
+    /// Whether the newest of the waiting is the next.
+    fn newest_first(&self) -> bool {
+        false
+    }
+
+    /// Whether one whose turn it is has become pointless.
+    fn drops(&mut self, now: Time, ask: &Ask) -> bool;
+
+    /// No request waits any more.
+    fn idle(&mut self, _now: Time) {}
+
+    /// A request begins.
+    fn began(&mut self, _now: Time, _ask: &Ask) {}
+
+    /// A run is over, so long after it began, with so many at once.
+    fn ended(&mut self, _now: Time, _took: Span, _load: Load) {}
+
+    /// The level for those who heed it.
+    fn level(&self) -> Option<f64> {
+        None
+    }
+}
+
+/// What a shell is told of its site.
+#[derive(Debug, Clone)]
+pub struct ShellSpec {
+    windows: Vec<Option<Span>>,
+    advice: Span,
+    stop: Span,
+    grace: Span,
+}
+
+impl ShellSpec {
+    /// From what the real server is told.
+    pub fn new(settings: &Settings, stop_ms: u64) -> Self {
+        let windows = settings.profiles.iter().map(|p| Some(p.window).filter(|window| window.0 > 0));
+        Self {
+            windows: windows.collect(),
+            // Half a second, within the site's most: what plain servers tell.
+            advice: Span(settings.limits.max_retry_after.0 / 2),
+            stop: Span(stop_ms * MS),
+            grace: settings.rules.drain_grace,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Open {
+    conn: ConnId,
+    seq: SeqId,
+    class: usize,
+    ask: Ask,
+    token: Option<Arc<str>>,
+    body: Arc<Buffer>,
+    owed: bool,
+    began: Option<Time>,
+}
+
+#[derive(Debug)]
+enum Key {
+    /// Waits or runs, with others that wait for it.
+    Under(RequestId, Vec<RequestId>),
+    /// Ran, with its result unless it failed, until then.
+    Ran(Option<Arc<Buffer>>, Time),
+}
+
+/// A server with some policy.
+pub struct Shell<P> {
+    spec: ShellSpec,
+    policy: P,
+    open: HashMap<RequestId, Open>,
+    names: HashMap<(ConnId, SeqId), RequestId>,
+    conns: BTreeMap<ConnId, BTreeSet<SeqId>>,
+    line: VecDeque<RequestId>,
+    dues: BTreeSet<(Time, RequestId)>,
+    keys: HashMap<Arc<str>, Key>,
+    forget: VecDeque<(Time, Arc<str>)>,
+    running: usize,
+    link: Option<u64>,
+    notice: Option<Time>,
+    last_call: Option<Time>,
+    next_report: Time,
+    now: Time,
+    registration: Registration,
+}
+
+impl<P: Policy> Shell<P> {
+    /// One that has just started.
+    pub fn new(spec: ShellSpec, policy: P, registration: Registration) -> Self {
+        Self {
+            spec,
+            policy,
+            open: HashMap::new(),
+            names: HashMap::new(),
+            conns: BTreeMap::new(),
+            line: VecDeque::new(),
+            dues: BTreeSet::new(),
+            keys: HashMap::new(),
+            forget: VecDeque::new(),
+            running: 0,
+            link: None,
+            notice: None,
+            last_call: None,
+            next_report: Time(0),
+            now: Time(0),
+            registration,
+        }
+    }
+
+    fn load(&self) -> Load {
+        Load { running: self.running, waiting: self.line.len() }
+    }
+
+    fn refusal(&self) -> Answer {
+        Answer::Refused { backoff: self.spec.advice, last: false }
+    }
+
+    fn answer(&mut self, id: &RequestId, answer: Answer, effects: &mut Vec<Effect>) {
+        let level = self.policy.level();
+        let Some(open) = self.open.get_mut(id).filter(|open| open.owed) else { return };
+        open.owed = false;
+        let (conn, seq, due, began) = (open.conn, open.seq, open.ask.due, open.began);
+        self.dues.remove(&(due, id.clone()));
+        self.names.remove(&(conn, seq));
+        if let Some(seqs) = self.conns.get_mut(&conn) {
+            seqs.remove(&seq);
+        }
+        effects.push(Effect::Answer(conn, seq, answer, level));
+        if began.is_none() {
+            self.open.remove(id);
+        }
+    }
+
+    fn call(&mut self, moment: Moment, conn: ConnId, seq: SeqId, call: Call, effects: &mut Vec<Effect>) {
+        let now = moment.now;
+        let waited = Span(moment.unix_ms.saturating_sub(call.t0).saturating_mul(MS));
+        let came = before(now, waited);
+        let ask = Ask { rank: call.precedence, came, read: now, due: after(came, Span(call.budget * MS)) };
+        let id = call.id.clone();
+        let open = Open {
+            conn,
+            seq,
+            class: call.class,
+            ask,
+            token: call.token.clone(),
+            body: Arc::new(call.body),
+            owed: true,
+            began: None,
+        };
+        self.names.insert((conn, seq), id.clone());
+        self.conns.entry(conn).or_default().insert(seq);
+        self.dues.insert((ask.due, id.clone()));
+        self.open.insert(id.clone(), open);
+        match call.token.as_ref().and_then(|token| self.keys.get_mut(token)) {
+            Some(Key::Under(_, waiters)) => return waiters.push(id),
+            Some(Key::Ran(result, until)) if came < *until => {
+                let answer = result.clone().map_or(Answer::Failed { late: false }, Answer::Served);
+                return self.answer(&id, answer, effects);
+            }
+            _ => {}
+        }
+        let late = self.notice.is_some_and(|notice| came > after(notice, self.spec.grace));
+        if self.link.is_none() || late || !self.policy.takes(now, &ask, self.load()) {
+            return self.answer(&id, self.refusal(), effects);
+        }
+        if let Some(token) = call.token {
+            self.keys.insert(token, Key::Under(id.clone(), Vec::new()));
+        }
+        self.line.push_back(id);
+    }
+
+    /// A request that never ran, and all that waited for it, get this answer.
+    fn never_ran(&mut self, id: &RequestId, answer: Answer, effects: &mut Vec<Effect>) {
+        let token = self.open.get(id).and_then(|open| open.token.clone());
+        self.answer(id, answer.clone(), effects);
+        self.open.remove(id);
+        let Some(token) = token else { return };
+        if matches!(self.keys.get(&token), Some(Key::Under(first, _)) if first == id)
+            && let Some(Key::Under(_, waiters)) = self.keys.remove(&token)
+        {
+            for waiter in waiters {
+                self.answer(&waiter, answer.clone(), effects);
+                self.open.remove(&waiter);
+            }
+        }
+    }
+
+    fn gone(&mut self, conn: ConnId, seq: SeqId, effects: &mut Vec<Effect>) {
+        let Some(id) = self.names.remove(&(conn, seq)) else { return };
+        if let Some(seqs) = self.conns.get_mut(&conn) {
+            seqs.remove(&seq);
+        }
+        let Some(open) = self.open.get_mut(&id) else { return };
+        open.owed = false;
+        let (due, began, token) = (open.ask.due, open.began, open.token.clone());
+        self.dues.remove(&(due, id.clone()));
+        let Some(place) = self.line.iter().position(|other| *other == id) else {
+            if began.is_none() {
+                // One that waits for another's run.
+                self.open.remove(&id);
+                if let Some(Key::Under(_, waiters)) = token.and_then(|token| self.keys.get_mut(&token)) {
+                    waiters.retain(|waiter| *waiter != id);
+                }
+            }
+            return;
+        };
+        // Where others wait for it, it keeps its place and runs for them.
+        let waited_for = token.as_ref().and_then(|token| self.keys.get(token)).is_some_and(
+            |key| matches!(key, Key::Under(first, waiters) if *first == id && !waiters.is_empty()),
+        );
+        if !waited_for {
+            self.line.remove(place);
+            self.never_ran(&id, self.refusal(), effects);
+        }
+    }
+
+    fn complete(
+        &mut self,
+        id: &RequestId,
+        end: RunEnd,
+        took: Span,
+        result: Buffer,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(open) = self.open.get(id).filter(|open| open.began.is_some()) else { return };
+        self.running = self.running.saturating_sub(1);
+        let (class, came, token) = (open.class, open.ask.came, open.token.clone());
+        let result = (end == RunEnd::Ok).then(|| Arc::new(result));
+        let answer = result.clone().map_or(Answer::Failed { late: false }, Answer::Served);
+        self.answer(id, answer.clone(), effects);
+        self.open.remove(id);
+        self.policy.ended(self.now, took, self.load());
+        let Some(token) = token else { return };
+        let window = self.spec.windows.get(class).copied().flatten().unwrap_or_default();
+        let until = after(after(came, window), KEEP);
+        let kept = self.keys.insert(Arc::clone(&token), Key::Ran(result, until));
+        self.forget.push_back((until, token));
+        if let Some(Key::Under(_, waiters)) = kept {
+            for waiter in waiters {
+                self.answer(&waiter, answer.clone(), effects);
+                self.open.remove(&waiter);
+            }
+        }
+    }
+
+    /// Begins what may run.
+    fn begin(&mut self, effects: &mut Vec<Effect>) {
+        let Some(link) = self.link else { return };
+        while !self.line.is_empty() && self.policy.may_run(self.load()) {
+            let newest = self.policy.newest_first();
+            let Some(id) = (if newest { self.line.pop_back() } else { self.line.pop_front() }) else {
+                return;
+            };
+            let Some(open) = self.open.get_mut(&id) else { continue };
+            if self.policy.drops(self.now, &open.ask) {
+                self.never_ran(&id, self.refusal(), effects);
+                continue;
+            }
+            open.began = Some(self.now);
+            let (ask, class, body) = (open.ask, open.class, Arc::clone(&open.body));
+            self.running += 1;
+            self.policy.began(self.now, &ask);
+            effects.push(Effect::Begin(link, id, class, body));
+        }
+        if self.line.is_empty() {
+            self.policy.idle(self.now);
+        }
+    }
+
+    /// What is due by then and hasn't its answer gets one: a failure.
+    fn fail_due(&mut self, by: Time, effects: &mut Vec<Effect>) {
+        while let Some((due, id)) = self.dues.first().cloned()
+            && due <= by
+        {
+            self.line.retain(|other| *other != id);
+            let began = self.open.get(&id).is_some_and(|open| open.began.is_some());
+            if began {
+                self.answer(&id, Answer::Failed { late: true }, effects);
+            } else {
+                self.never_ran(&id, Answer::Failed { late: true }, effects);
+            }
+            self.dues.remove(&(due, id));
+        }
+    }
+}
+
+impl<P: Policy> Node for Shell<P> {
+    fn step(&mut self, moment: Moment, inputs: &mut Vec<Input>, effects: &mut Vec<Effect>) {
+        self.now = moment.now;
+        for input in inputs.drain(..) {
+            match input {
+                Input::Opened(conn) => {
+                    self.conns.entry(conn).or_default();
+                    if self.notice.is_some() {
+                        effects.push(Effect::Draining(conn));
+                    }
+                }
+                Input::Closed(conn) => {
+                    for seq in self.conns.remove(&conn).unwrap_or_default() {
+                        self.gone(conn, seq, effects);
+                    }
+                }
+                Input::Call(conn, seq, call) => self.call(moment, conn, seq, *call, effects),
+                Input::Cancel(conn, seq) => self.gone(conn, seq, effects),
+                Input::Health(conn, seq) => {
+                    let good = Answer::Health(self.link.is_some() && self.notice.is_none(), None);
+                    effects.push(Effect::Answer(conn, seq, good, self.policy.level()));
+                }
+                Input::Registry(ticket, reply) => self.registration.reply(self.now, ticket, reply),
+                Input::LinkUp { link, cold, age } => {
+                    self.registration.processor_up(before(self.now, age), cold);
+                    self.registration.health(self.now, true);
+                    self.link = Some(link);
+                    self.next_report = self.now;
+                }
+                Input::LinkDown => self.link = None,
+                Input::Complete { id, end, took, result, .. } => {
+                    self.complete(&id, end, took, result, effects)
+                }
+                Input::Rejected(id) => {
+                    self.running = self.running.saturating_sub(1);
+                    self.never_ran(&id, Answer::Failed { late: false }, effects);
+                }
+                Input::Terminate if self.notice.is_none() => {
+                    self.notice = Some(self.now);
+                    self.last_call = Some(before(after(self.now, self.spec.stop), STOP_MARGIN));
+                    self.next_report = self.now;
+                    self.registration.leave(self.now);
+                    effects.extend(self.conns.keys().map(|conn| Effect::Draining(*conn)));
+                }
+                _ => {}
+            }
+        }
+        let last = self.last_call.is_some_and(|at| at <= self.now);
+        self.fail_due(if last { Time(u64::MAX) } else { self.now }, effects);
+        while let Some((until, token)) = self.forget.pop_front_if(|(until, _)| *until <= moment.now) {
+            if matches!(self.keys.get(&token), Some(Key::Ran(_, at)) if *at <= until) {
+                self.keys.remove(&token);
+            }
+        }
+        self.begin(effects);
+        if self.link.is_some() && self.now >= self.next_report {
+            self.next_report = after(self.now, REPORT_EVERY);
+            effects.push(Effect::Report(self.notice.is_none()));
+        }
+        let answered = self.last_call.is_some() && self.open.is_empty();
+        self.registration.step(moment, answered, effects);
+    }
+
+    fn wake_at(&self) -> Option<Time> {
+        let due = self.dues.first().map(|(due, _)| *due);
+        let last = self.last_call.filter(|_| !self.dues.is_empty());
+        let told = sooner(self.link.map(|_| self.next_report), self.registration.wake_at(self.now));
+        sooner(sooner(due, last), told)
+    }
+}
--- /dev/null
+++ b/crates/model/src/world/roster.rs
@@ -0,0 +1,230 @@
+//! The list's keeper or the registry, and what client proxies hear of it.
+
+use super::{EPOCH_MS, Event, MS, S, World};
+use crate::day::RosterSpec;
+use crate::queue::{At, Queue};
+use crate::roster::registry::Outcome;
+use crate::roster::{self, APP, VIP};
+use crate::streams::within;
+use gradepin_decisions::Span;
+use gradepin_registry::instance::{Applications, Status};
+use gradepin_registry::membership::{Ask, Op, Reply};
+use gradepin_registry::view::{Fetch, View, ViewSettings};
+use rand_pcg::rand_core::Rng;
+
+/// The registry stands in this machine room.
+const REGISTRY_ZONE: usize = 0;
+
+impl World {
+    /// As the day begins, all servers are listed and known.
+    pub(super) fn open_roster(&mut self) {
+        for proxy in &mut self.proxies {
+            (0..self.machines.len() as u32).for_each(|machine| proxy.list(machine, true));
+        }
+        let RosterSpec::Registry { heartbeat_s, refresh_s, lease_s, .. } = self.day.roster else {
+            for machine in 0..self.machines.len() {
+                self.watch_silence(machine);
+            }
+            return;
+        };
+        for (machine, spec) in self.day.machines.iter().enumerate() {
+            let mut instance = roster::instance(machine, spec.zone, heartbeat_s, lease_s);
+            instance.status = Status::Up;
+            self.registry.register(instance, false, EPOCH_MS);
+        }
+        let set = ViewSettings { refresh: Span((refresh_s * 1e9) as u64), ..ViewSettings::default() };
+        for proxy in 0..self.proxies.len() {
+            let seed = self.proxy_rngs[proxy].next_u64();
+            let mut view = View::new(set.clone(), seed, roster::time(0));
+            if let Some(fetch) = view.poll(roster::time(0)) {
+                view.fetched(roster::time(0), fetch, Some(self.registry.full(EPOCH_MS)));
+            }
+            self.views.push(view);
+            self.plan_fetch(proxy);
+        }
+    }
+
+    // ---- the platform's list
+
+    fn silent_after(&self) -> At {
+        match self.day.roster {
+            RosterSpec::List { silent_s, .. } => (silent_s * 1e9) as At,
+            RosterSpec::Registry { .. } => 0,
+        }
+    }
+
+    fn watch_silence(&mut self, machine: usize) {
+        let at = self.entries[machine].reported.max(self.away_until).max(self.now) + self.silent_after();
+        self.queue.push(at, Event::Silent(machine));
+    }
+
+    /// A server reports whether it takes work.
+    pub(super) fn reported(&mut self, machine: usize, ready: bool) {
+        if matches!(self.day.roster, RosterSpec::Registry { .. }) || self.now < self.away_until {
+            return;
+        }
+        // The keeper knows of a notice to leave, whatever the server says of its health.
+        let ready = ready && !self.machines[machine].leaving;
+        let entry = &mut self.entries[machine];
+        entry.reported = self.now;
+        if entry.is(ready) {
+            if ready {
+                self.watch_silence(machine);
+            }
+            self.spread(machine);
+        }
+    }
+
+    /// No entry lapses while the keeper is away.
+    pub(super) fn silent(&mut self, machine: usize) {
+        let entry = &mut self.entries[machine];
+        if !entry.listed {
+            return;
+        }
+        let since = entry.reported.max(self.away_until);
+        if self.now < since + self.silent_after() {
+            return self.watch_silence(machine);
+        }
+        self.entries[machine].is(false);
+        self.spread(machine);
+    }
+
+    /// Each client proxy hears of a change in its own time.
+    fn spread(&mut self, machine: usize) {
+        let RosterSpec::List { notice_s, .. } = self.day.roster else { return };
+        let entry = self.entries[machine];
+        for proxy in 0..self.proxies.len() {
+            let late = (within(&mut self.proxy_rngs[proxy], notice_s) * 1e9) as At;
+            let (listed, version) = (entry.listed, entry.version);
+            self.queue.push(self.now + late, Event::Listed { proxy, machine, listed, version });
+        }
+    }
+
+    pub(super) fn hears(&mut self, proxy: usize, machine: usize, listed: bool, version: u32) {
+        // One that is overtaken tells nothing new.
+        if version > self.seen[proxy][machine] {
+            self.seen[proxy][machine] = version;
+            self.proxies[proxy].list(machine as u32, listed);
+        }
+    }
+
+    // ---- the registry
+
+    fn unix(&self) -> u64 {
+        EPOCH_MS + self.now / MS
+    }
+
+    /// How long a question and its answer take, or none while the registry can't be reached.
+    fn exchange(&mut self, zone: usize, by_machine: Option<usize>, by_proxy: usize) -> Option<At> {
+        if self.now < self.away_until || self.now < self.net.cut_until(zone, REGISTRY_ZONE) {
+            return None;
+        }
+        let rng = match by_machine {
+            Some(machine) => &mut self.machine_rngs[machine],
+            None => &mut self.proxy_rngs[by_proxy],
+        };
+        let there = self.net.arrives(self.now, zone, REGISTRY_ZONE, rng);
+        Some(self.net.arrives(there, REGISTRY_ZONE, zone, rng) - self.now)
+    }
+
+    pub(super) fn asks_registry(&mut self, machine: usize, ask: Ask) {
+        let zone = self.day.machines[machine].zone;
+        let life = self.machines[machine].life;
+        match self.exchange(zone, Some(machine), 0) {
+            Some(took) => {
+                let ask = Box::new(ask);
+                self.queue.push(self.now + took / 2, Event::RegistryAsked { machine, life, ask });
+            }
+            None => {
+                let (ticket, reply) = (ask.ticket, Box::new(Reply::Failed("no answer".into())));
+                let at = self.now + ask.timeout.0;
+                self.queue.push(at, Event::RegistryReplied { machine, life, ticket, reply });
+            }
+        }
+    }
+
+    /// The registry does what it is asked, whatever became of who asked.
+    pub(super) fn registry_asked(&mut self, machine: usize, life: u32, ask: Ask) {
+        let (now_ms, id) = (self.unix(), format!("n{machine}"));
+        self.registry.evict(now_ms);
+        let done = |outcome| match outcome {
+            Outcome::Done => Reply::Done,
+            Outcome::NotFound => Reply::NotFound,
+        };
+        let reply = match ask.op {
+            Op::Register(instance) => {
+                self.registry.register(*instance, false, now_ms);
+                Reply::Done
+            }
+            Op::Heartbeat { dirty_ms, .. } => done(self.registry.renew(APP, &id, Some(dirty_ms), now_ms)),
+            Op::Override { status, dirty_ms } => {
+                done(self.registry.override_status(APP, &id, status, dirty_ms, now_ms))
+            }
+            Op::ClearOverride { status, dirty_ms } => {
+                done(self.registry.clear_override(APP, &id, status, dirty_ms, now_ms))
+            }
+            Op::Look => {
+                let found = self.registry.instance(APP, &id);
+                found.map_or(Reply::NotFound, |instance| Reply::Record(Box::new(instance.clone())))
+            }
+            Op::Cancel => done(self.registry.cancel(APP, &id, now_ms)),
+        };
+        let zone = self.day.machines[machine].zone;
+        let at = self.net.arrives(self.now, REGISTRY_ZONE, zone, &mut self.machine_rngs[machine]);
+        let (ticket, reply) = (ask.ticket, Box::new(reply));
+        self.queue.push(at, Event::RegistryReplied { machine, life, ticket, reply });
+    }
+
+    pub(super) fn registry_replied(&mut self, machine: usize, life: u32, ticket: u64, reply: Reply) {
+        let here = &mut self.machines[machine];
+        if here.up && here.life == life {
+            here.inputs.push(gradepin_core::messages::Input::Registry(ticket, reply));
+            self.settle(machine);
+        }
+    }
+
+    fn plan_fetch(&mut self, proxy: usize) {
+        if let Some(at) = self.views[proxy].wake_at() {
+            let wait = at.0.saturating_sub(roster::time(self.now).0);
+            self.queue.push(self.now + wait.max(1), Event::Fetches(proxy));
+        }
+    }
+
+    pub(super) fn fetches(&mut self, proxy: usize) {
+        let Some(fetch) = self.views[proxy].poll(roster::time(self.now)) else {
+            return self.plan_fetch(proxy);
+        };
+        let (zone, now_ms) = (self.day.proxies[proxy].zone, self.unix());
+        let (at, apps) = match self.exchange(zone, None, proxy) {
+            None => (self.now + S, None),
+            Some(took) => {
+                self.registry.evict(now_ms);
+                let apps = match fetch {
+                    Fetch::Full => self.registry.full(now_ms),
+                    Fetch::Delta => self.registry.delta(now_ms),
+                };
+                (self.now + took, Some(Box::new(apps.clone())))
+            }
+        };
+        self.queue.push(at, Event::Fetched { proxy, fetch, apps });
+    }
+
+    pub(super) fn fetched(&mut self, proxy: usize, fetch: Fetch, apps: Option<&Applications>) {
+        let view = &mut self.views[proxy];
+        view.fetched(roster::time(self.now), fetch, apps);
+        if apps.is_some() {
+            let mut up = vec![false; self.machines.len()];
+            for machine in view.all_up(VIP).into_iter().filter_map(roster::machine) {
+                if let Some(up) = up.get_mut(machine) {
+                    *up = true;
+                }
+            }
+            for (machine, up) in up.into_iter().enumerate() {
+                if self.proxies[proxy].lists(machine as u32) != up {
+                    self.proxies[proxy].list(machine as u32, up);
+                }
+            }
+        }
+        self.plan_fetch(proxy);
+    }
+}
--- /dev/null
+++ b/crates/model/tests/common/mod.rs
@@ -0,0 +1,153 @@
+//! Shared by the model's tests: days made for one thing, and nodes that break rules on purpose.
+#![allow(dead_code)]
+
+use gradepin_core::messages::{Answer, Effect, Input};
+use gradepin_core::moment::Moment;
+use gradepin_decisions::{RequestId, Span, Time};
+use gradepin_model::day::{Day, Ranges, Trouble, What};
+use gradepin_model::policies::{Kind, Node, Start, Starts};
+use gradepin_model::world::{Maker, Order, Outcome, World};
+use std::collections::HashMap;
+
+/// The seed of a random test: told, and taken from the environment.
+pub fn seed(default: u64) -> u64 {
+    let seed = std::env::var("SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(default);
+    println!("SEED={seed}");
+    seed
+}
+
+/// A day of the brief's ranges with some of them set.
+pub fn day(seed: u64, settings: &[(&str, &str)]) -> Day {
+    let mut ranges = Ranges::brief();
+    for (name, value) in settings {
+        ranges.set(name, value).expect("settings of the test make sense");
+    }
+    ranges.draw(seed)
+}
+
+/// A short, small day without troubles.
+pub fn small(seed: u64, more: &[(&str, &str)]) -> Day {
+    let base = [("seconds", "12"), ("servers", "4"), ("proxies", "3"), ("troubles", "none")];
+    day(seed, &[&base, more].concat())
+}
+
+pub fn trouble(at_s: f64, len_s: f64, what: What, on: &[usize]) -> Trouble {
+    Trouble { at_s, len_s, what, on: on.to_vec() }
+}
+
+pub fn play(day: Day, kind: Kind) -> Outcome {
+    World::new(day, kind).expect("a whole day").play().expect("an end")
+}
+
+/// Plays with the books checked every so many events.
+pub fn audited(day: Day, kind: Kind, every: u64) -> (Outcome, u64) {
+    let mut world = World::new(day, kind).expect("a whole day");
+    let (mut events, mut audits) = (0, 0);
+    let end = world.end();
+    while world.step(end) {
+        events += 1;
+        if events % every == 0 {
+            world.audit().expect("books that fit");
+            audits += 1;
+        }
+    }
+    world.audit().expect("books that fit");
+    (world.play().expect("an end"), audits)
+}
+
+/// Rules that a [`Careless`] node breaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Every so many answers are never sent.
+    Forgets,
+    /// Every so many answers are sent twice.
+    Repeats,
+    /// No table of keys: each try of a keyed request runs.
+    RunsAgain,
+    /// What ran is turned away when it comes again.
+    TurnsAway,
+    /// Whatever comes is run, drain or not.
+    RunsInDrain,
+    /// Everything at once.
+    Crowds,
+}
+
+/// A node that runs whatever comes and keeps nothing but what it must to answer; with one fault.
+pub struct Careless {
+    fault: Fault,
+    open: HashMap<RequestId, (u64, i32)>,
+    ran: HashMap<String, RequestId>,
+    count: u64,
+    next_report: Time,
+}
+
+impl Careless {
+    pub fn maker(fault: Fault) -> Maker {
+        Box::new(move |_: &Starts, _: Start, _| {
+            Box::new(Self {
+                fault,
+                open: HashMap::new(),
+                ran: HashMap::new(),
+                count: 0,
+                next_report: Time(0),
+            })
+        })
+    }
+
+    fn refuse(conn: u64, seq: i32) -> Effect {
+        Effect::Answer(conn, seq, Answer::Refused { backoff: Span(0), last: false }, None)
+    }
+}
+
+impl Node for Careless {
+    fn step(&mut self, moment: Moment, inputs: &mut Vec<Input>, effects: &mut Vec<Effect>) {
+        for input in inputs.drain(..) {
+            match input {
+                Input::Call(conn, seq, call) => {
+                    let token = call.token.as_deref().unwrap_or("").to_string();
+                    let again = !token.is_empty() && self.ran.contains_key(&token);
+                    if again && self.fault == Fault::TurnsAway {
+                        effects.push(Self::refuse(conn, seq));
+                        continue;
+                    }
+                    // A sound one waits for no crowd; this one only where that is its fault.
+                    if self.open.len() >= 9 && self.fault != Fault::Crowds {
+                        effects.push(Self::refuse(conn, seq));
+                        continue;
+                    }
+                    self.ran.insert(token, call.id.clone());
+                    self.open.insert(call.id.clone(), (conn, seq));
+                    effects.push(Effect::Begin(1, call.id, call.class, std::sync::Arc::new(call.body)));
+                }
+                Input::Complete { id, result, .. } => {
+                    let Some((conn, seq)) = self.open.remove(&id) else { continue };
+                    self.count += 1;
+                    let odd = self.count.is_multiple_of(50);
+                    if odd && self.fault == Fault::Forgets {
+                        continue;
+                    }
+                    let answer = Answer::Served(std::sync::Arc::new(result));
+                    if odd && self.fault == Fault::Repeats {
+                        effects.push(Effect::Answer(conn, seq, answer.clone(), None));
+                    }
+                    effects.push(Effect::Answer(conn, seq, answer, None));
+                }
+                Input::Cancel(conn, seq) => self.open.retain(|_, open| *open != (conn, seq)),
+                _ => {}
+            }
+        }
+        if moment.now >= self.next_report {
+            self.next_report = Time(moment.now.0 + 400_000_000);
+            effects.push(Effect::Report(true));
+        }
+    }
+
+    fn wake_at(&self) -> Option<Time> {
+        Some(self.next_report)
+    }
+}
+
+/// A day with careless nodes.
+pub fn careless(day: Day, fault: Fault) -> Outcome {
+    World::with(day, Careless::maker(fault), Order::Forward).expect("a whole day").play().expect("an end")
+}
