Fold the model's counts and habits, and test that a crash is heard at once

Need: duplicates showed nine counters of one shape and a habit written out twice; of ten guards taken out of the model two were not missed.

Change: the counts of a second are a struct that the world adds to; Habit::plain. A test that what was open on a crashed machine goes on elsewhere within 100 ms; it fails where resets are not told.

--- a/crates/model/src/day/mod.rs
+++ b/crates/model/src/day/mod.rs
@@ -96,17 +96,22 @@
 }
 
 impl Habit {
-    /// By its name.
-    pub fn named(name: &str) -> Option<Self> {
-        let plain = Self {
-            pick: Pick::Round,
+    /// One that asks once.
+    pub fn plain(pick: Pick) -> Self {
+        Self {
+            pick,
             retries: 0,
             walks: false,
             budget: None,
             try_share: 1.0,
             backoff_ms: 35.0,
             copy_after: None,
-        };
+        }
+    }
+
+    /// By its name.
+    pub fn named(name: &str) -> Option<Self> {
+        let plain = Self::plain(Pick::Round);
         Some(match name {
             "none" => plain,
             "unlimited" => Self { retries: 1, walks: true, try_share: 0.57, ..plain },
--- a/crates/model/src/day/ranges.rs
+++ b/crates/model/src/day/ranges.rs
@@ -320,15 +320,7 @@
                 let name = &self.habits[one_of(&mut rng, self.habits.len())];
                 let pick = self.picks[one_of(&mut rng, self.picks.len())];
                 let backoff = within(&mut rng, [0.7, 1.4]);
-                let habit = Habit::named(name).unwrap_or(Habit {
-                    pick,
-                    retries: 0,
-                    walks: false,
-                    budget: None,
-                    try_share: 1.0,
-                    backoff_ms: 35.0,
-                    copy_after: None,
-                });
+                let habit = Habit::named(name).unwrap_or_else(|| Habit::plain(pick));
                 let habit = Habit { pick, backoff_ms: habit.backoff_ms * backoff, ..habit };
                 ProxySpec { zone: number % zones, habit, heeds: heed[number], subset: self.subset }
             })
--- a/crates/model/src/world/callers.rs
+++ b/crates/model/src/world/callers.rs
@@ -143,7 +143,7 @@
             tries: 0,
             done: false,
         });
-        self.watch.asked();
+        self.watch.now.asked += 1;
         self.proxies[proxy as usize].first_try();
         self.plan_ask(office);
         self.attempt(number);
@@ -177,14 +177,14 @@
             Choice::Server(server) => self.send(number, server),
             // Those that go on through their list come back when the first of it lets them.
             Choice::Away(until) if proxy.habit().walks && until < request.until => {
-                self.watch.away();
+                self.watch.now.away += 1;
                 self.plan_again(number, until);
             }
             choice => {
                 match choice {
-                    Choice::Away(_) => self.watch.away(),
-                    Choice::Level => self.watch.below_level(),
-                    _ => self.watch.exhausted(),
+                    Choice::Away(_) => self.watch.now.away += 1,
+                    Choice::Level => self.watch.now.below_level += 1,
+                    _ => self.watch.now.exhausted += 1,
                 }
                 if self.requests[number as usize].live.is_empty() {
                     self.give_up(number);
@@ -307,7 +307,7 @@
         if self.tries[id as usize].left {
             return;
         }
-        self.watch.timed_out();
+        self.watch.now.timed_out += 1;
         self.cancel(id);
         let number = self.tries[id as usize].request;
         self.lost(number, Loss::Failed);
@@ -363,7 +363,7 @@
         request.done = true;
         let copies = request.live.clone();
         self.service.served(number as usize, at);
-        self.watch.served();
+        self.watch.now.served += 1;
         for copy in copies {
             self.cancel(copy);
         }
@@ -374,7 +374,7 @@
         if !request.done {
             request.done = true;
             self.service.given_up(number as usize);
-            self.watch.given_up();
+            self.watch.now.given_up += 1;
         }
     }
 
--- a/crates/model/src/world/machines.rs
+++ b/crates/model/src/world/machines.rs
@@ -476,11 +476,11 @@
         let got = match answer {
             Answer::Served(_) => Got::Served(level),
             Answer::Refused { backoff, last } => {
-                self.watch.refused();
+                self.watch.now.refused += 1;
                 Got::Refused { away: backoff.0, last, level }
             }
             Answer::Failed { .. } | Answer::Unknown | Answer::Invalid(..) => {
-                self.watch.failed();
+                self.watch.now.failed += 1;
                 Got::Failed(level)
             }
             Answer::Health(..) => return,
--- a/crates/model/src/world/watch.rs
+++ b/crates/model/src/world/watch.rs
@@ -130,7 +130,8 @@
 /// What is counted while a day is played.
 #[derive(Debug)]
 pub(super) struct Watch {
-    now: Second,
+    /// Counts of the second that goes on.
+    pub now: Second,
     total: Second,
     retries: u64,
     restless: Vec<(u64, usize)>,
@@ -143,47 +144,11 @@
         Self { now: Second::default(), total: Second::default(), retries: 0, restless: Vec::new(), seconds }
     }
 
-    pub fn asked(&mut self) {
-        self.now.asked += 1;
-    }
-
     pub fn tried(&mut self, again: bool) {
         self.now.tries += 1;
         self.retries += u64::from(again);
     }
 
-    pub fn served(&mut self) {
-        self.now.served += 1;
-    }
-
-    pub fn refused(&mut self) {
-        self.now.refused += 1;
-    }
-
-    pub fn failed(&mut self) {
-        self.now.failed += 1;
-    }
-
-    pub fn timed_out(&mut self) {
-        self.now.timed_out += 1;
-    }
-
-    pub fn away(&mut self) {
-        self.now.away += 1;
-    }
-
-    pub fn below_level(&mut self) {
-        self.now.below_level += 1;
-    }
-
-    pub fn exhausted(&mut self) {
-        self.now.exhausted += 1;
-    }
-
-    pub fn given_up(&mut self) {
-        self.now.given_up += 1;
-    }
-
     pub fn restless(&mut self, ms: u64, machine: usize) {
         self.restless.push((ms, machine));
     }
--- a/crates/model/tests/days.rs
+++ b/crates/model/tests/days.rs
@@ -289,3 +289,27 @@
         assert_eq!(struck.broken, [], "{what:?}");
     }
 }
+
+/// Guards against callers that hear nothing of a crash and wait for their timeouts: what was open there goes on elsewhere at once.
+#[test]
+fn a_crash_is_heard_at_once() {
+    let mut day = small(seed(12), &[("load", "0.8"), ("retry", "unlimited")]);
+    day.troubles = vec![trouble(6.0, 30.0, What::Crash, &[0])];
+    let mut world = World::new(day, Kind::Gradepin).unwrap();
+    world.record();
+    let outcome = world.play().unwrap();
+    let crash = 6_000_000_000;
+    let open = outcome.stories.iter().filter(|s| {
+        s.machine == 0
+            && s.came.is_some_and(|came| came < crash)
+            && s.answered.is_none()
+            && crash < s.sent + 500_000_000
+    });
+    let open: Vec<u32> = open.map(|story| story.request).collect();
+    let goes_on = |request: &&u32| {
+        let again = |s: &&gradepin_model::world::Story| s.request == **request && s.sent > crash;
+        outcome.stories.iter().find(again).is_some_and(|s| s.sent < crash + 100_000_000)
+    };
+    assert!(open.len() > 2, "{}", open.len());
+    assert_eq!(open.iter().filter(goes_on).count(), open.len());
+}
