--- /dev/null
+++ b/crates/kit/src/bench/doors.rs
@@ -0,0 +1,89 @@
+//! What a door goes by, measured against plain ones: the sketch of heavy clients beside a map of all, and two ways to take
+//! turns.
+
+use gradepin_doors::heavy::Heavy;
+use gradepin_doors::turns::{Drr, Sfq, Turns};
+use gradepin_model::streams::{Streams, one_of, unit};
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::time::Instant;
+
+/// Places of the sketch.
+const PLACES: usize = 1_024;
+const ARRIVALS: usize = 1_000_000;
+/// Arrivals of the steady heavy clients among all.
+const HEAVY_PART: f64 = 0.2;
+const HEAVY: u64 = 8;
+
+fn nanos(start: Instant, times: usize) -> f64 {
+    start.elapsed().as_nanos() as f64 / times as f64
+}
+
+/// Nanoseconds an arrival, bytes and error, at each number of clients.
+pub fn run(sizes: &[usize]) {
+    for &clients in sizes {
+        let mut rng = Streams::new(1).of("clients", clients as u64);
+        let arrivals: Vec<(u64, f64)> = (0..ARRIVALS)
+            .map(|_| {
+                let heavy = unit(&mut rng) < HEAVY_PART;
+                let client = if heavy {
+                    one_of(&mut rng, HEAVY as usize) as u64
+                } else {
+                    HEAVY + one_of(&mut rng, clients) as u64
+                };
+                (client, 0.05 + 0.5 * unit(&mut rng))
+            })
+            .collect();
+        let mut heavy = Heavy::new(PLACES, 1e9, 7);
+        let start = Instant::now();
+        for (client, work) in &arrivals {
+            let client = heavy.client(0, *client);
+            black_box(heavy.add(0.0, client, *work));
+        }
+        let sketch_ns = nanos(start, ARRIVALS);
+        let mut map = HashMap::<(usize, u64), f64>::new();
+        let start = Instant::now();
+        for (client, work) in &arrivals {
+            *black_box(map.entry((0, *client)).or_default()) += work;
+        }
+        let map_ns = nanos(start, ARRIVALS);
+        let map_kb = map.capacity() * 8 / 7 * (size_of::<((usize, u64), f64)>() + 1) / 1_000;
+        let found = heavy.above(HEAVY_PART / HEAVY as f64 / 2.0).len();
+        let error = (0..HEAVY)
+            .filter_map(|client| {
+                let told = heavy.get(heavy.client(0, client))?.work;
+                Some((told / map.get(&(0, client))? - 1.0).abs())
+            })
+            .fold(0.0, f64::max);
+        println!(
+            "{clients} clients: sketch {sketch_ns:.0} ns an arrival, {} of {PLACES} places, {found} of {HEAVY} heavy ones found, \
+             worst error {:.2}%; map {map_ns:.0} ns, {map_kb} kB",
+            heavy.len(),
+            100.0 * error
+        );
+    }
+    for waiting in [100, 10_000] {
+        let weights = vec![0.42, 0.26, 0.18, 0.14];
+        let drr = turns(&mut Drr::new(weights.clone(), 4.0), waiting);
+        let sfq = turns(&mut Sfq::new(weights), waiting);
+        println!(
+            "{waiting} waiting: deficit round robin {drr:.0} ns an item, start-time fair queueing {sfq:.0} ns"
+        );
+    }
+}
+
+/// Nanoseconds of an item in and one out.
+fn turns(turns: &mut dyn Turns<u32>, waiting: usize) -> f64 {
+    let mut rng = Streams::new(2).of("turns", waiting as u64);
+    let mut push = |turns: &mut dyn Turns<u32>| {
+        let (flow, cost) = (one_of(&mut rng, 4), 0.05 + unit(&mut rng));
+        turns.push(flow, cost, 0);
+    };
+    (0..waiting).for_each(|_| push(turns));
+    let start = Instant::now();
+    for _ in 0..ARRIVALS {
+        push(turns);
+        black_box(turns.pop());
+    }
+    nanos(start, ARRIVALS)
+}
--- a/crates/kit/src/bench/mod.rs
+++ b/crates/kit/src/bench/mod.rs
@@ -22,6 +22,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+pub mod doors;
 pub mod fronts;
 pub mod keys;
 pub mod queue;
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -254,6 +254,12 @@
         #[arg(long, value_delimiter = ',', default_values_t = [10_000, 100_000, 1_000_000, 10_000_000])]
         sizes: Vec<usize>,
     },
+    /// The sketch of heavy clients beside a map of all, and two ways to take turns
+    Doors {
+        /// Clients
+        #[arg(long, value_delimiter = ',', default_values_t = [100, 10_000, 1_000_000])]
+        sizes: Vec<usize>,
+    },
     /// Ways to keep keyed runs: the segmented log, redb and fjall, on the same load
     Store {
         /// Keyed requests a second
@@ -618,6 +624,10 @@
             bench::keys::run(&sizes);
             Ok(true)
         }
+        Command::Bench { what: What::Doors { sizes } } => {
+            bench::doors::run(&sizes);
+            Ok(true)
+        }
         Command::Bench { what: What::Queue { sizes } } => {
             bench::queue::run(&sizes);
             Ok(true)
