--- a/crates/kit/src/bench/mod.rs
+++ b/crates/kit/src/bench/mod.rs
@@ -3,14 +3,15 @@
 use crate::fleet::{self, Fleet, FleetSpec};
 use crate::load::{Fixed, Habit, Proxy, classes};
 use crate::processor::Spec;
+use crate::registry::member as settings_of;
 use crate::registry::server::{Server, ServerSettings, unix_ms};
 use crate::registry::state::{Outcome, Registry, RegistrySettings};
 use crate::thrift::{self, Answer, Message};
 use flate2::Compression;
 use flate2::write::GzEncoder;
-use gradepin_decisions::{Span, Time};
+use gradepin_decisions::Time;
 use gradepin_registry::instance::{Applications, Instance, Port, Status, hash_code};
-use gradepin_registry::membership::{Membership, MembershipSettings, Op, Reply};
+use gradepin_registry::membership::{Membership, Op, Reply};
 use gradepin_registry::view::{Fetch, View, ViewSettings};
 use gradepin_registry::wire::{self, Format};
 use hdrhistogram::Histogram;
@@ -60,20 +61,7 @@
     let mut registry = Registry::new(rules, 0);
     let mut members: Vec<Membership> = (0..servers)
         .map(|n| {
-            let set = MembershipSettings {
-                instance: instance(n),
-                urls: 1,
-                heartbeat: Span(30_000 * MS),
-                timeout: Span(2_000 * MS),
-                tell_every: Span(1_000 * MS),
-                steady: Span(1_000 * MS),
-                ready_share: 0.6,
-                cold_share: 0.21,
-                cold: Span(18_000 * MS),
-                prefer_every: Span(60_000 * MS),
-                cancel: false,
-            };
-            let mut member = Membership::new(set, n as u64, Time(0));
+            let mut member = Membership::new(settings_of(instance(n)), n as u64, Time(0));
             member.processor(Some((Time(0), false)));
             member.health(Time(0), true);
             member
--- a/crates/kit/src/fleet.rs
+++ b/crates/kit/src/fleet.rs
@@ -86,6 +86,13 @@
     Some(Duration::from_millis(ticks * 10))
 }
 
+/// A figure of a process's memory in bytes, by its name in the system's table: `VmRSS` now, `VmHWM` at the most.
+pub fn memory_of(pid: u32, figure: &str) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix(figure)?.strip_prefix(':'))?;
+    Some(line.split_whitespace().next()?.parse::<u64>().ok()? * 1024)
+}
+
 /// A folder for a run's files, made new.
 pub fn folder(name: &str) -> io::Result<PathBuf> {
     let folder = std::env::temp_dir().join(format!("gradepin-{name}-{}", std::process::id()));
@@ -246,9 +253,7 @@
 
     /// The memory that its process holds now, in bytes.
     pub fn memory(&self) -> Option<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.as_ref()?.id())).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-        Some(line.split_whitespace().next()?.parse::<u64>().ok()? * 1024)
+        memory_of(self.child.as_ref()?.id(), "VmRSS")
     }
 
     /// From the notice to the kill.
--- a/crates/kit/src/model/cli.rs
+++ b/crates/kit/src/model/cli.rs
@@ -3,6 +3,7 @@
 use super::experiment::Experiment;
 use super::results::{self, FIGURES, Line};
 use super::{Plan, plots, report, trace};
+use crate::fleet::memory_of;
 use clap::{Args, Subcommand};
 use gradepin_model::day::Day;
 use gradepin_model::world::{Outcome, World};
@@ -330,7 +331,7 @@
             outcome.total.asked,
             outcome.events,
             each,
-            peak_kb().unwrap_or(0) / 1_000
+            memory_of(std::process::id(), "VmHWM").unwrap_or(0) / 1_000_000
         );
         curve.push((count as f64, each));
     }
@@ -345,10 +346,3 @@
     }
     Ok(true)
 }
-
-/// The most memory that this process ever took, in kB.
-fn peak_kb() -> Option<u64> {
-    let status = fs::read_to_string("/proc/self/status").ok()?;
-    let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
-    line.split_whitespace().nth(1)?.parse().ok()
-}
--- a/crates/kit/src/model/mod.rs
+++ b/crates/kit/src/model/mod.rs
@@ -29,7 +29,7 @@
     #[error(transparent)]
     Setting(#[from] BadSetting),
     /// No such policy.
-    #[error("expected one of gradepin, pool, fixed, codel, gradient, dagor as policy, got '{0}'")]
+    #[error("expected one of {known} as policy, got '{0}'", known = Kind::ALL.map(Kind::name).join(", "))]
     Policy(String),
 }
 
--- a/crates/kit/src/model/report.rs
+++ b/crates/kit/src/model/report.rs
@@ -25,7 +25,7 @@
     let offices: Vec<String> = day.offices.iter().map(|office| office.office.name.clone()).collect();
     let report = &outcome.report;
     let parts = report.parts();
-    let mut figures = vec![
+    let figures = vec![
         ("service, deductions taken off", percent(report.g)),
         ("the whole", percent(parts[0])),
         ("the worst 10 s", format!("{}, from {} s", percent(parts[1]), report.worst.0 / 1_000)),
@@ -36,8 +36,8 @@
         ("requests", outcome.total.asked.to_string()),
         ("tries", outcome.total.tries.to_string()),
         ("tries turned away", outcome.total.refused.to_string()),
+        ("rules broken", outcome.broken.len().to_string()),
     ];
-    figures.push(("rules broken", outcome.broken.len().to_string()));
     let collapsed = report.whole.share() < 0.5;
     let verdict = if collapsed {
         "Collapse: less than half of the worth asked for was served."
--- a/crates/kit/src/registry/mod.rs
+++ b/crates/kit/src/registry/mod.rs
@@ -4,3 +4,25 @@
 pub mod faults;
 pub mod server;
 pub use gradepin_model::roster::registry as state;
+
+use gradepin_decisions::Span;
+use gradepin_registry::instance::Instance;
+use gradepin_registry::membership::MembershipSettings;
+
+/// How a member behaves that benches and tests play with, with one service URL and an operator's usual times.
+pub fn member(instance: Instance) -> MembershipSettings {
+    let ms = |ms: u64| Span(ms * 1_000_000);
+    MembershipSettings {
+        instance,
+        urls: 1,
+        heartbeat: ms(30_000),
+        timeout: ms(2_000),
+        tell_every: ms(1_000),
+        steady: ms(1_000),
+        ready_share: 0.6,
+        cold_share: 0.21,
+        cold: ms(18_000),
+        prefer_every: ms(60_000),
+        cancel: false,
+    }
+}
--- a/crates/kit/tests/membership.rs
+++ b/crates/kit/tests/membership.rs
@@ -2,6 +2,7 @@
 //! doubles and reorders. What is compared is what the registry shows in the end with what is true at the server.
 
 use gradepin_decisions::{Span, Time};
+use gradepin_kit::registry::member;
 use gradepin_kit::registry::state::{Outcome, Registry, RegistrySettings};
 use gradepin_registry::instance::{Instance, Status};
 use gradepin_registry::membership::{Ask, Lane, Membership, MembershipSettings, Op, Reply};
@@ -13,19 +14,9 @@
 const ID: &str = "n1";
 
 fn settings(urls: usize) -> MembershipSettings {
-    MembershipSettings {
-        instance: Instance { id: ID.into(), app: APP.into(), ..Instance::default() },
-        urls,
-        heartbeat: Span(10_000 * MS),
-        timeout: Span(2_000 * MS),
-        tell_every: Span(1_000 * MS),
-        steady: Span(1_000 * MS),
-        ready_share: 0.6,
-        cold_share: 0.21,
-        cold: Span(18_000 * MS),
-        prefer_every: Span(20_000 * MS),
-        cancel: false,
-    }
+    let instance = Instance { id: ID.into(), app: APP.into(), ..Instance::default() };
+    let (heartbeat, prefer_every) = (Span(10_000 * MS), Span(20_000 * MS));
+    MembershipSettings { urls, heartbeat, prefer_every, ..member(instance) }
 }
 
 /// How a registry answers.
--- a/crates/model/src/day/mod.rs
+++ b/crates/model/src/day/mod.rs
@@ -304,8 +304,13 @@
         Terms { classes, offices, ..Terms::brief(capacity) }
     }
 
-    /// First tries a second at a time.
-    pub fn rate(&self, at_s: f64) -> f64 {
+    /// First tries a second before the day's course: its load of what the cores can do.
+    pub fn pace(&self) -> f64 {
+        self.load * self.capacity()
+    }
+
+    /// First tries a second at a time, of a day with this pace.
+    pub fn rate(&self, pace: f64, at_s: f64) -> f64 {
         let course = match self.shape.iter().position(|(s, _)| *s > at_s) {
             None => self.shape.last().map_or(1.0, |(_, factor)| *factor),
             Some(0) => self.shape[0].1,
@@ -315,15 +320,15 @@
             }
         };
         let bursts: f64 = self.troubles.iter().map(|trouble| trouble.burst(at_s)).product();
-        self.load * self.capacity() * course * bursts
+        pace * course * bursts
     }
 
     /// The most that [`Day::rate`] ever is.
-    pub fn top_rate(&self) -> f64 {
+    pub fn top_rate(&self, pace: f64) -> f64 {
         let course = self.shape.iter().map(|(_, factor)| *factor).fold(0.0, f64::max);
         let course = if self.shape.is_empty() { 1.0 } else { course };
         let bursts: f64 = self.troubles.iter().map(|trouble| trouble.top_burst()).product();
-        self.load * self.capacity() * course * bursts
+        pace * course * bursts
     }
 
     /// The longest that any caller waits.
--- a/crates/model/src/day/ranges.rs
+++ b/crates/model/src/day/ranges.rs
@@ -532,8 +532,8 @@
                 let used = day.machines.iter().filter(|machine| !machine.spare).count();
                 assert!((10..=12).contains(&used) && (3..=5).contains(&day.proxies.len()));
                 assert!(day.troubles.len() <= 2 && !day.troubles.is_empty());
-                assert!(day.rate(10.0) <= day.top_rate() + 1e-9);
-                day.load * day.capacity()
+                assert!(day.rate(day.pace(), 10.0) <= day.top_rate(day.pace()) + 1e-9);
+                day.pace()
             })
             .collect();
         let mean = rates.iter().sum::<f64>() / rates.len() as f64;
--- a/crates/model/src/policies/codel.rs
+++ b/crates/model/src/policies/codel.rs
@@ -2,6 +2,7 @@
 //! empty for an interval, nothing waits longer than a short target, and the newest goes first.
 
 use super::shell::{Ask, Load, Policy};
+use super::shortest_aim;
 use gradepin_decisions::{Settings, Span, Time, after};
 
 /// The target as a part of the shortest aim, and the interval.
@@ -22,7 +23,7 @@
 impl Codel {
     /// One and a half runs a core; the target is a twentieth of the shortest aim, the interval a quarter.
     pub fn new(settings: &Settings) -> Self {
-        let aim = settings.profiles.iter().map(|profile| profile.promise.0).min().unwrap_or(0) as f64;
+        let aim = shortest_aim(settings);
         let cores = settings.specifics.n_cores as usize;
         Self {
             runs: cores * 3 / 2,
--- a/crates/model/src/policies/dagor.rs
+++ b/crates/model/src/policies/dagor.rs
@@ -3,6 +3,7 @@
 //! was let in, else it falls by a smaller part, found in a histogram of the ranks that came.
 
 use super::shell::{Ask, Load, Policy};
+use super::shortest_aim;
 use gradepin_decisions::{Settings, Span, Time, after};
 
 /// As in the paper: the window, the parts by which what is let in shrinks and grows.
@@ -32,7 +33,7 @@
 impl Dagor {
     /// One and a half runs a core; overloaded where requests wait for longer than a twenty-fifth of the shortest aim.
     pub fn new(settings: &Settings) -> Self {
-        let aim = settings.profiles.iter().map(|profile| profile.promise.0).min().unwrap_or(0) as f64;
+        let aim = shortest_aim(settings);
         let cores = settings.specifics.n_cores as usize;
         Self {
             runs: cores * 3 / 2,
--- a/crates/model/src/policies/mod.rs
+++ b/crates/model/src/policies/mod.rs
@@ -140,6 +140,11 @@
     }
 }
 
+/// The shortest aim of all classes, in nanoseconds: what plain policies take their waits from.
+fn shortest_aim(settings: &Settings) -> f64 {
+    settings.profiles.iter().map(|profile| profile.promise.0).min().unwrap_or(0) as f64
+}
+
 fn config(settings: &Settings, start: Start, stop_ms: u64) -> Config {
     let nowhere = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
     Config {
--- a/crates/model/src/policies/shell.rs
+++ b/crates/model/src/policies/shell.rs
@@ -173,11 +173,6 @@
         Load { running: self.running, waiting: self.line.len() }
     }
 
-    /// Whether so much more memory leaves it filled to a part at the most.
-    fn fits(&self, more: f64, part: f64) -> bool {
-        self.kb + more <= part * self.spec.memory_kb
-    }
-
     /// Takes a request out of the books.
     fn forget(&mut self, id: &RequestId) {
         if let Some(open) = self.open.remove(id) {
@@ -236,7 +231,7 @@
             _ => {}
         }
         let late = self.notice.is_some_and(|notice| came > after(notice, self.spec.grace));
-        let full = !self.fits(0.0, FILL[0]);
+        let full = self.kb > FILL[0] * self.spec.memory_kb;
         if self.link.is_none() || late || full || !self.policy.takes(now, &ask, self.load()) {
             return self.answer(&id, self.refusal(), effects);
         }
--- a/crates/model/src/processor.rs
+++ b/crates/model/src/processor.rs
@@ -110,8 +110,6 @@
     /// Busy nanoseconds of cores until then, for the gauge.
     busy: f64,
     course: VecDeque<(At, f64)>,
-    /// Seconds of work done on runs and on reading.
-    pub worked: f64,
 }
 
 impl Cores {
@@ -129,7 +127,6 @@
             hangs: false,
             paused: false,
             busy: 0.0,
-            worked: 0.0,
         }
     }
 
@@ -183,7 +180,6 @@
             if !self.hangs {
                 self.runs.got += rate * passed;
             }
-            self.worked += rate * passed * on;
             if !self.paused {
                 self.busy += on.min(f64::from(self.spec.cores)) * passed;
             }
--- a/crates/model/src/queue.rs
+++ b/crates/model/src/queue.rs
@@ -4,12 +4,18 @@
 //! Whatever the queue, events come out by time, and those of one time in the order in which they went in: a day must not
 //! depend on which of them is used.
 
+use gradepin_decisions::span;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BinaryHeap};
 
 /// A moment, in nanoseconds.
 pub type At = u64;
 
+/// Nanoseconds of so many seconds.
+pub fn nanos(seconds: f64) -> At {
+    span(seconds).0
+}
+
 /// A queue of events.
 pub trait Queue<T> {
     /// Puts an event in; not earlier than the last one that came out.
--- a/crates/model/src/roster/mod.rs
+++ b/crates/model/src/roster/mod.rs
@@ -4,7 +4,7 @@
 pub mod registry;
 
 use crate::queue::At;
-use gradepin_decisions::{Span, Time};
+use gradepin_decisions::{Time, span};
 use gradepin_registry::instance::{Instance, Lease, Port, Status};
 use gradepin_registry::membership::MembershipSettings;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -73,7 +73,6 @@
 
 /// How a server's registration behaves.
 pub fn membership(instance: Instance, heartbeat_s: f64) -> MembershipSettings {
-    let span = |s: f64| Span((s * 1e9) as u64);
     MembershipSettings {
         instance,
         urls: 1,
--- a/crates/model/src/world/callers.rs
+++ b/crates/model/src/world/callers.rs
@@ -1,8 +1,8 @@
 //! Requests and their tries, as client proxies see them; and the connections on which they go.
 
-use super::{Event, Got, MS, RequestNo, S, TryId, World};
+use super::{Event, Got, MS, RequestNo, TryId, World};
 use crate::proxy::{Choice, Loss, Next, Wanted};
-use crate::queue::{At, Queue};
+use crate::queue::{At, Queue, nanos};
 use crate::streams::unit;
 use rand_distr::{Distribution, Exp1, LogNormal};
 use rand_pcg::Pcg64Mcg;
@@ -36,7 +36,7 @@
 
 /// Where a try is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Place {
+pub(super) enum Place {
     /// On its way to the machine.
     Up,
     /// There, and not read yet.
@@ -96,7 +96,7 @@
     /// The next first try of an office: a Poisson stream, thinned by the day's course.
     pub(super) fn plan_ask(&mut self, office: usize) {
         let part = self.day.offices[office].traffic;
-        let top = self.day.top_rate() * part;
+        let top = self.top_rate * part;
         if top <= 0.0 {
             return;
         }
@@ -108,11 +108,11 @@
             if at_s >= end {
                 return;
             }
-            if unit(rng) * top < self.day.rate(at_s) * part {
+            if unit(rng) * top < self.day.rate(self.pace, at_s) * part {
                 break;
             }
         }
-        self.queue.push(((at_s * 1e9) as At).max(self.now), Event::Ask(office));
+        self.queue.push((nanos(at_s)).max(self.now), Event::Ask(office));
     }
 
     /// A first try comes.
@@ -415,7 +415,8 @@
         }
     }
 
-    fn no_more(&mut self, conn: u64) {
+    /// A connection may be used no more: it is drained, closed, or its server's life has ended.
+    pub(super) fn no_more(&mut self, conn: u64) {
         let way = &mut self.conns[conn as usize];
         way.usable = false;
         if let Some(ways) = self.ways[way.proxy as usize].get_mut(&way.machine) {
@@ -423,16 +424,10 @@
         }
     }
 
-    /// The server has closed a connection on which nothing was open there, or its life has ended.
-    pub(super) fn closed_down(&mut self, conn: u64) {
-        self.no_more(conn);
-    }
-
     /// Where each try of each request is, for those who check that none is lost.
     ///
     /// Each request that is not done must have a live try or one that is planned, and each live try must be somewhere.
-    pub fn audit(&self) -> Result<[u64; 5], String> {
-        let mut places = [0; 5];
+    pub fn audit(&self) -> Result<(), String> {
         let (mut open, mut ended) = (0_u64, 0_u64);
         for (number, request) in self.requests.iter().enumerate() {
             let held = request.live.len() + usize::from(request.pending);
@@ -454,7 +449,6 @@
             }
         }
         for (id, one) in self.tries.iter().enumerate() {
-            places[one.place as usize] += 1;
             let listed = self.requests[one.request as usize].live.contains(&(id as TryId));
             if listed == one.left {
                 return Err(format!("try {id} is live for its request: {listed}, left: {}", one.left));
@@ -466,12 +460,7 @@
         if open + ended != self.service.len() as u64 {
             return Err(format!("{open} open and {ended} ended of {} asked", self.service.len()));
         }
-        Ok(places)
-    }
-
-    /// When the day's last second of arrivals ends.
-    pub(super) fn last_ask(&self) -> At {
-        (self.day.seconds * S as f64) as At
+        Ok(())
     }
 }
 
--- a/crates/model/src/world/machines.rs
+++ b/crates/model/src/world/machines.rs
@@ -6,7 +6,7 @@
 use crate::day::{Day, RosterSpec};
 use crate::policies::{Node, Start};
 use crate::processor::{Cores, CoresSpec, Done};
-use crate::queue::{At, Queue};
+use crate::queue::{At, Queue, nanos};
 use crate::roster;
 use gradepin_core::messages::{Answer, Call, Effect, Input, RunEnd};
 use gradepin_core::moment::Moment;
@@ -29,8 +29,6 @@
     pub life: u32,
     pub ident: Server,
     pub up: bool,
-    /// It was told to leave.
-    pub leaving: bool,
     node: Option<Box<dyn Node>>,
     pub cores: Cores,
     pub inputs: Vec<Input>,
@@ -67,7 +65,7 @@
         knee: machine.knee,
         thrash: machine.thrash,
         cold_from: machine.cold_from,
-        cold: (machine.cold_s * 1e9) as At,
+        cold: nanos(machine.cold_s),
         started: now,
         is_cold,
     })
@@ -80,7 +78,6 @@
             life: 0,
             ident: 0,
             up: false,
-            leaving: false,
             node: None,
             cores: cores(day, number, 0, false),
             inputs: Vec::new(),
@@ -171,7 +168,7 @@
         }
         self.stop(number, true);
         if !std::mem::replace(&mut self.machines[number].fell, true) {
-            let at = self.now + (self.day.restart_s * 1e9) as At;
+            let at = self.now + nanos(self.day.restart_s);
             self.queue.push(at, Event::Starts(number));
         }
     }
@@ -403,7 +400,7 @@
                 return self.plan_cores(number);
             }
         }
-        self.watch.restless(self.now / MS, number);
+        self.watch.restless.push((self.now / MS, number));
     }
 
     /// Has the cores looked at when something is done there next.
--- a/crates/model/src/world/mod.rs
+++ b/crates/model/src/world/mod.rs
@@ -9,7 +9,6 @@
 mod troubles;
 mod watch;
 
-pub use callers::Place as TryPlace;
 pub use watch::{Course, Outcome, Second, Story, StoryOf};
 
 use crate::account::rules::{Figures, Rules};
@@ -19,7 +18,7 @@
 use crate::net::Net;
 use crate::policies::{Kind, Node, Start, Starts};
 use crate::proxy::Proxy;
-use crate::queue::{At, Calendar, Queue};
+use crate::queue::{At, Calendar, Queue, nanos};
 use crate::roster::Entry;
 use crate::roster::registry::{Registry, RegistrySettings};
 use crate::streams::Streams;
@@ -151,6 +150,9 @@
 /// A day that is played.
 pub struct World {
     day: Arc<Day>,
+    /// First tries a second before the day's course, and at the most.
+    pace: f64,
+    top_rate: f64,
     now: At,
     queue: Calendar<Event>,
     events: u64,
@@ -221,7 +223,10 @@
             RosterSpec::List { .. } => 0,
         };
         let registry = RegistrySettings { cache_ms, evict_every_ms: 5_000, ..RegistrySettings::default() };
+        let pace = day.pace();
         let mut world = Self {
+            pace,
+            top_rate: day.top_rate(pace),
             now: 0,
             queue: Calendar::default(),
             events: 0,
@@ -290,14 +295,14 @@
     /// When the day ends: once all that was asked for has its end, and a little later for what is still under way. Servers would
     /// go on for ever.
     pub fn end(&self) -> At {
-        (self.day.seconds * 1e9) as At + (self.day.longest_ms() + 1_000) * MS
+        nanos(self.day.seconds) + (self.day.longest_ms() + 1_000) * MS
     }
 
     /// Plays the day to its end.
     pub fn play(mut self) -> Result<Outcome, BadDay> {
         let end = self.end();
         let seconds = (end / S + 1) * self.machines.len() as u64;
-        let most = MOST_EVENTS * (seconds + (self.day.top_rate() * self.day.seconds) as u64 + 1);
+        let most = MOST_EVENTS * (seconds + (self.top_rate * self.day.seconds) as u64 + 1);
         while self.step(end) {
             if self.events > most {
                 return Err(BadDay::Endless(most));
@@ -323,7 +328,7 @@
             Event::ClosedUp(conn) => self.closed_up(conn),
             Event::Answered(id, got) => self.answered(id, got),
             Event::Draining(conn) => self.draining(conn),
-            Event::ClosedDown(conn) => self.closed_down(conn),
+            Event::ClosedDown(conn) => self.no_more(conn),
             Event::TimedOut(id) => self.timed_out(id),
             Event::Again(request) => {
                 self.requests[request as usize].pending = false;
--- a/crates/model/src/world/roster.rs
+++ b/crates/model/src/world/roster.rs
@@ -2,11 +2,11 @@
 
 use super::{EPOCH_MS, Event, MS, S, World};
 use crate::day::RosterSpec;
-use crate::queue::{At, Queue};
+use crate::queue::{At, Queue, nanos};
 use crate::roster::registry::Outcome;
 use crate::roster::{self, APP, VIP};
 use crate::streams::within;
-use gradepin_decisions::Span;
+use gradepin_decisions::span;
 use gradepin_registry::instance::{Applications, Status};
 use gradepin_registry::membership::{Ask, Op, Reply};
 use gradepin_registry::view::{Fetch, View, ViewSettings};
@@ -36,7 +36,7 @@
             instance.status = Status::Up;
             self.registry.register(instance, false, EPOCH_MS);
         }
-        let set = ViewSettings { refresh: Span((refresh_s * 1e9) as u64), ..ViewSettings::default() };
+        let set = ViewSettings { refresh: span(refresh_s), ..ViewSettings::default() };
         for proxy in 0..self.proxies.len() {
             let seed = self.proxy_rngs[proxy].next_u64();
             let mut view = View::new(set.clone(), seed, roster::time(0));
@@ -52,7 +52,7 @@
 
     fn silent_after(&self) -> At {
         match self.day.roster {
-            RosterSpec::List { silent_s, .. } => (silent_s * 1e9) as At,
+            RosterSpec::List { silent_s, .. } => nanos(silent_s),
             RosterSpec::Registry { .. } => 0,
         }
     }
@@ -67,8 +67,6 @@
         if matches!(self.day.roster, RosterSpec::Registry { .. }) || self.now < self.away_until {
             return;
         }
-        // The keeper knows of a notice to leave, whatever the server says of its health.
-        let ready = ready && !self.machines[machine].leaving;
         let entry = &mut self.entries[machine];
         entry.reported = self.now;
         if entry.is(ready) {
@@ -98,7 +96,7 @@
         let RosterSpec::List { notice_s, .. } = self.day.roster else { return };
         let entry = self.entries[machine];
         for proxy in 0..self.proxies.len() {
-            let late = (within(&mut self.proxy_rngs[proxy], notice_s) * 1e9) as At;
+            let late = nanos(within(&mut self.proxy_rngs[proxy], notice_s));
             let (listed, version) = (entry.listed, entry.version);
             self.queue.push(self.now + late, Event::Listed { proxy, machine, listed, version });
         }
--- a/crates/model/src/world/troubles.rs
+++ b/crates/model/src/world/troubles.rs
@@ -2,7 +2,7 @@
 
 use super::{Event, MS, World};
 use crate::day::What;
-use crate::queue::{At, Queue};
+use crate::queue::{At, Queue, nanos};
 use gradepin_core::messages::Input;
 
 impl World {
@@ -10,7 +10,7 @@
     pub(super) fn trouble(&mut self, number: usize, step: u32) {
         let day = std::sync::Arc::clone(&self.day);
         let trouble = &day.troubles[number];
-        let len = (trouble.len_s * 1e9) as At;
+        let len = nanos(trouble.len_s);
         let end = self.now + len;
         match &trouble.what {
             What::Burst { .. } => {}
@@ -30,10 +30,10 @@
                         self.machines[machine].succeeded = true;
                         self.start(successor, true);
                     }
-                    self.told_to_leave(machine, (drain_s * 1e9) as At);
+                    self.told_to_leave(machine, nanos(*drain_s));
                 }
                 if (step as usize) + 1 < batches {
-                    let next = (trouble.at_s * 1e9) as At + len * u64::from(step + 1) / batches as u64;
+                    let next = nanos(trouble.at_s) + len * u64::from(step + 1) / batches as u64;
                     self.queue.push(next.max(self.now), Event::Trouble(number, step + 1));
                 }
             }
@@ -51,12 +51,10 @@
         if !here.up {
             return;
         }
-        here.leaving = true;
         here.inputs.push(Input::Terminate);
         let (ident, life) = (here.ident, here.life);
         self.rules.told_to_leave(ident, self.now / MS);
         self.queue.push(self.now + drain, Event::Stops(machine, life));
-        self.reported(machine, false);
         self.settle(machine);
     }
 
@@ -69,8 +67,8 @@
     pub(super) fn strike(&mut self, number: usize) {
         let (mut slow, mut hangs, mut paused) = (1.0, false, None);
         for trouble in self.day.troubles.iter().filter(|trouble| trouble.on.contains(&number)) {
-            let from = (trouble.at_s * 1e9) as At;
-            let end = from + (trouble.len_s * 1e9) as At;
+            let from = nanos(trouble.at_s);
+            let end = from + nanos(trouble.len_s);
             if self.now < from || self.now >= end {
                 continue;
             }
--- a/crates/model/src/world/watch.rs
+++ b/crates/model/src/world/watch.rs
@@ -134,7 +134,7 @@
     pub now: Second,
     total: Second,
     retries: u64,
-    restless: Vec<(u64, usize)>,
+    pub restless: Vec<(u64, usize)>,
     seconds: Vec<Second>,
 }
 
@@ -149,10 +149,6 @@
         self.retries += u64::from(again);
     }
 
-    pub fn restless(&mut self, ms: u64, machine: usize) {
-        self.restless.push((ms, machine));
-    }
-
     fn close(&mut self, running: u64, waiting: u64, up: u64) {
         let second = Second { running, waiting, up, ..std::mem::take(&mut self.now) };
         let total = &mut self.total;
@@ -178,8 +174,7 @@
     pub(super) fn second(&mut self, number: u32) {
         self.close_second();
         self.rules.pass(self.now / MS);
-        let last = self.last_ask() + self.day.longest_ms() * MS + S;
-        if self.now < last {
+        if self.now < self.end() {
             self.queue.push(self.now + S, Event::Second(number + 1));
         }
     }
