Serve on the listening socket inherited as GW_ACCEPT_FD during an upgrade

Design: a module of the shell, node/src/handed.rs, takes the descriptor by number and checks it is a listening TCP socket of IPv4 or IPv6 (SO_DOMAIN, SO_TYPE, SO_ACCEPTCONN), else the start ends with a message naming the variable. The descriptor is duplicated through the process's own pidfd (pidfd_getfd), which rustix offers as a safe call. Not taken: adopting the raw number with from_raw_fd, which needs unsafe code the workspace forbids, and listenfd, which reads LISTEN_FDS and LISTEN_PID that the platform does not set.

--- a/crates/gradepin/src/main.rs
+++ b/crates/gradepin/src/main.rs
@@ -5,6 +5,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use gradepin_core::config::Config;
 use gradepin_node::fronts::scgi::routes::Routes;
+use gradepin_node::handed::Handed;
 use gradepin_node::log::{self, LogFormat};
 use gradepin_node::settings::Own;
 use gradepin_node::{config, serve};
@@ -93,8 +94,9 @@
                 Format::Text => LogFormat::Text,
                 Format::Json => LogFormat::Json,
             };
+            let handed = Handed::from_env()?;
             let log = log::root(&config.name, format);
-            serve::serve(config, own, files, &log)?;
+            serve::serve(config, own, files, handed, &log)?;
             Ok(true)
         }
         Command::Check { files } => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod control;
 pub mod fronts;
+pub mod handed;
 pub mod log;
 mod outgoing;
 pub mod processor;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -7,6 +7,7 @@
 use crate::fronts::scgi::routes::{BadRoute, Routes};
 use crate::fronts::thrift::Thrift;
 use crate::fronts::{Front, Fronts, Listener};
+use crate::handed::{self, Handed, HandedError};
 use crate::processor::Processor;
 use crate::registry::Registry;
 use crate::settings::Own;
@@ -51,6 +52,9 @@
     /// A route of the settings can't be used.
     #[error(transparent)]
     Route(#[from] BadRoute),
+    /// What was handed over can't be used.
+    #[error(transparent)]
+    Handed(#[from] HandedError),
     /// The system denies something.
     #[error("{what}: {why}")]
     System {
@@ -71,7 +75,7 @@
 }
 
 /// Serves until the process is told to leave and its time is up.
-pub fn serve(config: Config, own: Own, files: Files, log: &Logger) -> Result<(), StartError> {
+pub fn serve(config: Config, own: Own, files: Files, handed: Handed, log: &Logger) -> Result<(), StartError> {
     let failed = |what: &str| {
         let what = what.to_string();
         move |why| StartError::System { what, why }
@@ -92,8 +96,11 @@
     let (urgently, urgent) = bounded(URGENT);
     let mut control = Control::new(&config.name, config.listen, config.control).map_err(failed("control"))?;
     let thrift: Arc<dyn Front> = Arc::new(Thrift::new(Arc::clone(&settings)));
-    let listener =
-        Listener::tcp(config.listen).map_err(failed(&format!("listening on {}", config.listen)))?;
+    let listener = match handed.accept_fd {
+        // The platform holds it, and the process before this one may still accept on it.
+        Some(fd) => Listener::Tcp(handed::listener(fd)?),
+        None => Listener::tcp(config.listen).map_err(failed(&format!("listening on {}", config.listen)))?,
+    };
     let mut listeners = vec![(thrift, listener)];
     let scgi = own.scgi.as_ref().map(|set| Routes::new(set, Arc::clone(&settings))).transpose()?;
     let scgi = scgi.map(|routes| Arc::new(Scgi::new(routes, seed)));
