--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod registry;
 pub mod serve;
 pub mod settings;
+mod signals;
 pub mod store;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -11,6 +11,7 @@
 use crate::processor::Processor;
 use crate::registry::Registry;
 use crate::settings::Own;
+use crate::signals::Signals;
 use crate::store::{self, Store};
 use crossbeam_channel::{Sender, bounded, select};
 use gradepin_core::config::{Config, ConfigError};
@@ -22,7 +23,6 @@
 use gradepin_decisions::Settings;
 use gradepin_registry::membership::Membership;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
-use signal_hook::iterator::Signals;
 use slog::{Level, Logger, error, info, warn};
 use std::error::Error;
 use std::path::PathBuf;
@@ -199,23 +199,25 @@
     inputs: Sender<Input>,
     log: Logger,
 ) -> std::io::Result<()> {
-    let mut signals = Signals::new([SIGTERM, SIGHUP, SIGUSR1, SIGUSR2])?;
+    let mut signals = Signals::new(&[SIGTERM, SIGHUP, SIGUSR1, SIGUSR2])?;
     let watch = move || {
-        for signal in signals.forever() {
-            let input = match signal {
-                SIGHUP => match reload(&files, scgi.as_deref(), &settings) {
-                    Ok(config) => Input::Reload(Box::new(config)),
-                    Err(why) => {
-                        error!(log, "all stays as it was"; "reason" => %why);
-                        continue;
-                    }
-                },
-                SIGUSR1 => Input::TakeOut,
-                SIGUSR2 => Input::TakeIn,
-                _ => Input::Terminate,
-            };
-            if inputs.send(input).is_err() {
-                return;
+        while let Ok(came) = signals.wait() {
+            for signal in came {
+                let input = match signal {
+                    SIGHUP => match reload(&files, scgi.as_deref(), &settings) {
+                        Ok(config) => Input::Reload(Box::new(config)),
+                        Err(why) => {
+                            error!(log, "all stays as it was"; "reason" => %why);
+                            continue;
+                        }
+                    },
+                    SIGUSR1 => Input::TakeOut,
+                    SIGUSR2 => Input::TakeIn,
+                    _ => Input::Terminate,
+                };
+                if inputs.send(input).is_err() {
+                    return;
+                }
             }
         }
     };
