Open the operators' door: health, figures, and a drain by hand with its end

Deciding: core/src/admin.rs keeps the drain that operators order and says whether the process is ready (processor greeted, module well, no notice to leave, no drain); core/src/tally.rs counts final answers by class name and kind, runs handed to the processor and reloads taken or refused. The reducer answers each call in the step it comes (Input::Admin -> Effect::Admin), in reducer/operators.rs. Shell: node/src/admin has a listener of its own and a thread of 64 KiB for each connection, 32 at most; a newcomer past that cuts off the oldest caller with no whole request. A call goes on the urgent queue, which no client fills; the door answers 503 itself if the reducer is not back in 600 ms. httparse cuts the head; prometheus-client writes the figures. Not taken: answering from a copy the reducer publishes each step, which would split the state between two owners and let a drain and the health answer after it disagree; and one epoll thread for the door, which would need the reducer to write its sockets.

The address is admin_addr in the configuration or $GW_ADMIN_ADDR; 33 descriptors are kept back for the door where it is open. A drain also says NotReady to the control plane and false to Thrift health checks, and serves what still comes. A file turned down at SIGHUP now reaches the reducer as ReloadRefused, so that it is counted and logged there.

Tests: the drain and its end in virtual time, readiness before the processor, the figures against a scripted run, the same calls on sockets, and answers within 1 s beside 50 half requests and a flood of clients.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -19,6 +19,9 @@
     pub seed: String,
     /// Milliseconds from the notice to leave to the stop.
     pub stop_ms: u64,
+    /// Where operators call: health, figures and drains, over HTTP. None: there is no such door.
+    #[serde(default)]
+    pub admin_addr: Option<SocketAddr>,
     /// What the process may use.
     pub limits: Limits,
     /// What the module is told.
@@ -44,6 +47,8 @@
 
 /// Descriptors kept back for the listener, the link, signals, standard streams and health checks.
 const RESERVED_SOCKETS: usize = 32;
+/// Kept back beside those where there is a door for operators: its listener and its callers.
+pub const ADMIN_SOCKETS: usize = 33;
 
 /// Why a configuration can't be used.
 #[derive(Debug, thiserror::Error)]
@@ -110,6 +115,7 @@
 
     /// Most client connections at a time.
     pub fn connections(&self) -> usize {
-        self.limits.sockets - RESERVED_SOCKETS
+        let admin = if self.admin_addr.is_some() { ADMIN_SOCKETS } else { 0 };
+        self.limits.sockets - RESERVED_SOCKETS - admin
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`messages`] is what crosses its border, in terms of no protocol; [`ledger`] says what of the keyed requests must be
 //! durable, and when. Shells of threads and sockets carry that out.
 
+pub mod admin;
 pub mod config;
 pub mod keys;
 pub mod ledger;
@@ -13,4 +14,5 @@
 pub mod reducer;
 pub mod registration;
 mod resting;
+pub mod tally;
 pub mod wheel;
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -1,5 +1,6 @@
 //! What the reducer is told and what it asks for, in terms of no protocol.
 
+use crate::admin::{AdminAnswer, AdminCall, CallId};
 use crate::config::Config;
 use crate::ledger::{Batch, Recovered};
 use crate::pool::Buffer;
@@ -128,6 +129,10 @@
     Registry(u64, Reply),
     /// The configuration was read again.
     Reload(Box<Config>),
+    /// The configuration was read again and can't be used, for this reason; what is in force stays.
+    ReloadRefused(String),
+    /// An operator's call at the door, owed an answer under its id.
+    Admin(CallId, AdminCall),
     /// The store was opened, and this is what it held.
     Recovered(Box<Recovered>),
     /// All batches for the store up to this one are durable.
@@ -195,6 +200,8 @@
     Persist(u64, Batch),
     /// Have the processor tell all the notices again that it keeps.
     Retell,
+    /// Answer an operator's call.
+    Admin(CallId, AdminAnswer),
     /// Write a line to the log.
     Log(slog::Level, String),
     /// End the process.
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -3,6 +3,9 @@
 //! The reducer hosts one [`Controller`] and decides nothing itself. It does no I/O and reads no clock, so a
 //! test can drive it through any course of events.
 
+mod operators;
+
+use crate::admin::Door;
 use crate::config::{Config, ConfigError};
 use crate::keys::{End, Keys, Print};
 use crate::ledger::{Ledger, Recovered, Standing};
@@ -11,6 +14,7 @@
 use crate::pool::{Buffer, Pool};
 use crate::registration::Registration;
 use crate::resting::Resting;
+use crate::tally::Tally;
 use crate::wheel::{Due, Wheel};
 use gradepin_decisions::{
     Action, Controller, Event, Gauges, Outcome, Request, RequestId, Settings, Span, Time, after, before,
@@ -184,6 +188,9 @@
     changes: u32,
     next_sweep: Time,
     registration: Registration,
+    /// The drain that operators order at their door, and the figures they scrape.
+    door: Door,
+    tally: Tally,
     /// For the module's next turn.
     events: Vec<Event>,
     actions: Vec<Action>,
@@ -232,6 +239,8 @@
             changes: 0,
             next_sweep: Time(0),
             registration,
+            door: Door::default(),
+            tally: Tally::default(),
             events: Vec::new(),
             actions: Vec::new(),
             effects: Vec::new(),
@@ -307,11 +316,12 @@
             }
             Input::Closed(conn) => self.closed(conn),
             Input::Call(conn, seq, call) => self.call(conn, seq, *call),
-            Input::Invalid(conn, seq, misuse, why) => self.invalid(conn, seq, misuse, why),
+            Input::Invalid(conn, seq, misuse, why) => self.invalid(conn, seq, None, misuse, why),
             Input::Cancel(conn, seq) => self.cancel(conn, seq),
             Input::Health(conn, seq) => {
                 self.rest(conn);
-                let health = Answer::Health(self.active, self.ledger.standing(self.moment.now).word());
+                let good = self.active && self.door.failed_since().is_none();
+                let health = Answer::Health(good, self.ledger.standing(self.moment.now).word());
                 self.effects.push(Effect::Answer(conn, seq, health, self.hint));
             }
             Input::LinkUp { link, cold, age } => self.link_up(link, cold, age),
@@ -344,6 +354,8 @@
             Input::TakeIn => self.take_in(),
             Input::Registry(ticket, reply) => self.registration.reply(self.moment.now, ticket, reply),
             Input::Reload(config) => self.reload(*config),
+            Input::ReloadRefused(why) => self.reload_refused(why),
+            Input::Admin(id, call) => self.admin(id, call),
             Input::Recovered(recovered) => self.recovered(*recovered),
             Input::Persisted(upto) => {
                 for id in self.ledger.persisted(self.moment.now, upto) {
@@ -385,19 +397,19 @@
         if connection.open.len() >= WINDOW || self.body_bytes > self.most_bodies {
             // Guards against hundreds of requests at once: left unread, they would hide cancels and the close. And
             // against more bodies than the memory holds, on many connections.
-            return self.turn_away(conn, seq, Span(0));
+            return self.turn_away(conn, seq, call.class, Span(0));
         }
         let deadline = self.settings.profiles[call.class].deadline;
         if call.budget > BUDGET_MULTIPLE * deadline.0.div_ceil(MS) {
-            return self.invalid(conn, seq, Misuse::Request, "budget out of range".into());
+            return self.invalid(conn, seq, Some(call.class), Misuse::Request, "budget out of range".into());
         }
         if self.requests.contains_key(&call.id) {
             let why = format!("the rid {} is open already", call.id.0);
-            return self.invalid(conn, seq, Misuse::Conflict, why);
+            return self.invalid(conn, seq, Some(call.class), Misuse::Conflict, why);
         }
         if self.controller.is_none() {
             // No processor yet, so nobody to ask; nothing has run.
-            return self.turn_away(conn, seq, Span(0));
+            return self.turn_away(conn, seq, call.class, Span(0));
         }
         let unix = self.moment.unix_ms;
         // Nothing came later than it is read. Guards against a stamp that keeps a key's run for ever.
@@ -413,14 +425,14 @@
             && self.ledger.refuses(self.moment.now).is_some()
         {
             // It can't be made sure that this never runs twice. Whatever ran before is answered all the same.
-            return self.turn_away(conn, seq, self.store_advice());
+            return self.turn_away(conn, seq, call.class, self.store_advice());
         }
         let print = if call.token.is_some() { self.print(&call) } else { 0 };
         let earlier = call.token.as_ref().and_then(|token| self.earlier(token, t0));
         if earlier.as_ref().is_some_and(|(_, first)| *first != print) {
             // Guards against a stranger who learnt a token: its request would be served another's result.
             let why = "the token came before with another body or class".into();
-            return self.invalid(conn, seq, Misuse::Conflict, why);
+            return self.invalid(conn, seq, Some(call.class), Misuse::Conflict, why);
         }
         let earlier = earlier.map(|(id, _)| id);
         let Some(connection) = self.connections.get_mut(&conn) else { return };
@@ -460,9 +472,11 @@
     }
 
     /// Turns away what the module never hears of.
-    fn turn_away(&mut self, conn: ConnId, seq: SeqId, backoff: Span) {
+    fn turn_away(&mut self, conn: ConnId, seq: SeqId, class: usize, backoff: Span) {
         self.rest(conn);
-        self.effects.push(Effect::Answer(conn, seq, Answer::Refused { backoff, last: false }, self.hint));
+        let answer = Answer::Refused { backoff, last: false };
+        self.tally.answered(&self.settings.profiles[class].name, &answer);
+        self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
     }
 
     /// Keyed, so that nobody can choose two bodies with one print; and by name, which a store outlives.
@@ -484,10 +498,15 @@
         batch.or_else(|| self.keys.earlier(token, t0, self.moment.now, held))
     }
 
-    fn invalid(&mut self, conn: ConnId, seq: SeqId, misuse: Misuse, why: String) {
+    /// Answers what can't be taken; counted where its class is known, since peers count it under that.
+    fn invalid(&mut self, conn: ConnId, seq: SeqId, class: Option<usize>, misuse: Misuse, why: String) {
         self.rest(conn);
         self.log(Level::Warning, format!("a request on connection {conn} made no sense: {why}"));
-        self.effects.push(Effect::Answer(conn, seq, Answer::Invalid(misuse, why), self.hint));
+        let answer = Answer::Invalid(misuse, why);
+        if let Some(class) = class {
+            self.tally.answered(&self.settings.profiles[class].name, &answer);
+        }
+        self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
     }
 
     fn cancel(&mut self, conn: ConnId, seq: SeqId) {
@@ -613,6 +632,7 @@
         let Some(open) = self.requests.get(id) else { return };
         self.link.unproven.push((id.clone(), self.link.asked));
         if let Some(link) = self.link.number.filter(|_| self.link.settles.is_none()) {
+            self.tally.relayed();
             self.effects.push(Effect::Begin(link, id.clone(), open.class, Arc::clone(&open.body)));
         }
     }
@@ -753,6 +773,7 @@
         let Some(open) = self.requests.get_mut(id).filter(|open| open.owed) else { return };
         open.owed = false;
         let (conn, seq) = (open.conn, open.seq);
+        self.tally.answered(&self.settings.profiles[open.class].name, &answer);
         if let Some(connection) = self.connections.get_mut(&conn) {
             connection.open.remove(&seq);
         }
@@ -896,6 +917,7 @@
 
     /// Takes over what may change while serving: where the other parties are, and the time to stop.
     fn reload(&mut self, config: Config) {
+        self.tally.reloaded(true);
         if (&config.name, config.listen) != (&self.config.name, self.config.listen) {
             self.log(Level::Warning, "a new name or address to listen on takes a restart".into());
         }
@@ -975,7 +997,7 @@
             self.changes = self.changes.saturating_sub(1);
             self.next_report = after(now, if self.changes > 0 { REPORT_AGAIN } else { REPORT_EVERY });
             if self.controller.is_some() {
-                let ready = self.active && !self.registration.is_out();
+                let ready = self.active && !self.registration.is_out() && self.door.failed_since().is_none();
                 self.effects.push(Effect::Report(ready));
             }
         }
--- /dev/null
+++ b/crates/core/src/tally.rs
@@ -0,0 +1,140 @@
+//! The figures that operators scrape: final answers by class and kind, runs handed to the processor, and files
+//! taken or turned down at a reload. All count from the start of the process and never go down.
+//!
+//! Counts are kept by the class's name, so that a class dropped at a reload keeps what it had and one that comes back
+//! goes on from there. Not here: how the figures are written out, which is the shell's.
+
+use crate::messages::Answer;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Class names counted at the most; a reload that brings more counts the rest under [`OTHER`]. Guards against
+/// figures that grow without bound over many reloads.
+pub const MOST_CLASSES: usize = 64;
+/// The name under which classes beyond [`MOST_CLASSES`] are counted.
+pub const OTHER: &str = "other";
+
+/// Final answers of one class.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Served with the result of a run.
+    pub fulfilled: u64,
+    /// Turned away: the try never ran.
+    pub throttled: u64,
+    /// Failed, or of an outcome that can't be learned, or not taken.
+    pub faulted: u64,
+}
+
+/// What a scrape shows.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Stats {
+    /// By class name, in the order of names.
+    pub classes: Vec<(Arc<str>, Counts)>,
+    /// Runs handed to the processor, repeats of a begin on a new link too.
+    pub relayed: u64,
+    /// Requests taken and owed an answer.
+    pub open: u64,
+    /// Configuration files taken at a reload.
+    pub cfg_accepted: u64,
+    /// Configuration files turned down at a reload.
+    pub cfg_invalid: u64,
+}
+
+/// The counts as they run.
+#[derive(Debug, Default)]
+pub struct Tally {
+    classes: BTreeMap<Arc<str>, Counts>,
+    relayed: u64,
+    cfg_accepted: u64,
+    cfg_invalid: u64,
+}
+
+impl Tally {
+    /// A final answer to a request of this class. Answers that are no requests' are not counted.
+    pub fn answered(&mut self, class: &str, answer: &Answer) {
+        let counts = self.counts(class);
+        match answer {
+            Answer::Served(_) => counts.fulfilled += 1,
+            Answer::Refused { .. } => counts.throttled += 1,
+            Answer::Failed { .. } | Answer::Unknown | Answer::Invalid(..) => counts.faulted += 1,
+            Answer::Health(..) => {}
+        }
+    }
+
+    /// A run was handed to the processor.
+    pub fn relayed(&mut self) {
+        self.relayed += 1;
+    }
+
+    /// A file was read at a reload, and taken or not.
+    pub fn reloaded(&mut self, taken: bool) {
+        if taken {
+            self.cfg_accepted += 1;
+        } else {
+            self.cfg_invalid += 1;
+        }
+    }
+
+    /// The figures, with the requests open now.
+    pub fn stats(&self, open: u64) -> Stats {
+        Stats {
+            classes: self.classes.iter().map(|(name, counts)| (Arc::clone(name), *counts)).collect(),
+            relayed: self.relayed,
+            open,
+            cfg_accepted: self.cfg_accepted,
+            cfg_invalid: self.cfg_invalid,
+        }
+    }
+
+    fn counts(&mut self, class: &str) -> &mut Counts {
+        let name =
+            if self.classes.contains_key(class) || self.classes.len() < MOST_CLASSES { class } else { OTHER };
+        self.classes.entry(Arc::from(name)).or_default()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::pool::Pool;
+    use gradepin_decisions::Span;
+
+    fn served() -> Answer {
+        Answer::Served(Arc::new(Pool::new(1).copy(b"tile").unwrap()))
+    }
+
+    /// Guards the figures against a kind of answer counted under another, and a class lost at a reload.
+    #[test]
+    fn answers_count_by_class_and_kind() {
+        let mut tally = Tally::default();
+        let refused = Answer::Refused { backoff: Span(0), last: false };
+        tally.answered("read", &served());
+        tally.answered("read", &refused);
+        tally.answered("write", &Answer::Failed { late: true });
+        tally.answered("write", &Answer::Unknown);
+        tally.answered("write", &Answer::Health(true, None));
+        tally.relayed();
+        tally.reloaded(true);
+        tally.reloaded(false);
+        tally.reloaded(false);
+        let stats = tally.stats(3);
+        let read = Counts { fulfilled: 1, throttled: 1, faulted: 0 };
+        let write = Counts { fulfilled: 0, throttled: 0, faulted: 2 };
+        assert_eq!(stats.classes, vec![(Arc::from("read"), read), (Arc::from("write"), write)]);
+        assert_eq!((stats.relayed, stats.open, stats.cfg_accepted, stats.cfg_invalid), (1, 3, 1, 2));
+    }
+
+    /// Guards memory over many reloads: names past the bound share one count.
+    #[test]
+    fn names_are_bounded() {
+        let mut tally = Tally::default();
+        for n in 0..MOST_CLASSES + 10 {
+            tally.answered(&format!("class-{n}"), &served());
+        }
+        let stats = tally.stats(0);
+        assert_eq!(stats.classes.len(), MOST_CLASSES + 1);
+        let other =
+            stats.classes.iter().find(|(name, _)| &**name == OTHER).map(|(_, counts)| counts.fulfilled);
+        assert_eq!(other, Some(10));
+    }
+}
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -6,6 +6,9 @@
 //!   A move gives it another processor and another control plane, `processor2` and `control2` on sockets; a
 //!   broken configuration is no JSON. A connection opens when it is first named. Fields have defaults; `rid` is a plain number and `t0` counts from now. `+` before `call` holds
 //!   the message back until the next one, so that both arrive together.
+//! - `send admin health|stats|fail|ok`: a call at the operators' door. Its response is an event for each line of the
+//!   body that is no comment: `admin STATUS LINE`, such as `admin 503 not ready: drained` or
+//!   `admin 200 server_relayed_total 1`.
 //! - `expect EVENT`: an event that begins with these words has come or comes now; `expect no EVENT`: none has.
 //!   Events are `CONN SEQ served BODY`, `CONN SEQ refused|failed|invalid|good|bad [fields]`, `CONN draining`,
 //!   `CONN closed`, `processor hello|begin ..`, `control Ready|NotReady` and `exit`.
@@ -22,6 +25,7 @@
 pub mod thrift;
 pub mod virtually;
 
+use gradepin_core::admin::AdminCall;
 use serde_json::{Value, json};
 
 /// Where a scenario is played.
@@ -36,6 +40,8 @@
     fn order(&mut self, out: bool);
     /// The configuration is read again, with what became of it: moved or broken.
     fn reload(&mut self, how: &str);
+    /// A call at the operators' door.
+    fn admin(&mut self, call: AdminCall);
     fn open(&mut self, conn: &str);
     fn close(&mut self, peer: &str);
     fn wait(&mut self, ms: u64);
@@ -92,6 +98,13 @@
             ["send", "server", "TERM"] => stage.terminate(),
             ["send", "server", order @ ("OUT" | "IN")] => stage.order(order == "OUT"),
             ["send", "server", "HUP", how] => stage.reload(how),
+            ["send", "admin", call] => stage.admin(match call {
+                "health" => AdminCall::Health,
+                "stats" => AdminCall::Stats,
+                "fail" => AdminCall::Fail,
+                "ok" => AdminCall::Ok,
+                _ => panic!("{at}: no call at the door"),
+            }),
             ["send", conn, "call", ..] => stage.client(conn, &call(&words[3..], stage.unix_ms()), false),
             ["send", conn, "+", "call", ..] => stage.client(conn, &call(&words[4..], stage.unix_ms()), true),
             ["send", conn, "cancel", _] => stage.client(conn, &thrift::cancel(seq(3)), false),
--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -2,6 +2,7 @@
 //! plane. Waits here are upper bounds; nothing passes or fails by how long anything takes.
 
 use super::{Stage, begins, config, thrift};
+use gradepin_core::admin::AdminCall;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
@@ -111,6 +112,7 @@
     let (processor, control) = (processor.expect("a port"), control.expect("a port"));
     let of = |address: std::io::Result<std::net::SocketAddr>| address.expect("an address").to_string();
     let mut config = config(address, &of(processor.local_addr()), &of(control.local_addr()));
+    config["admin_addr"] = serde_json::json!(admin_address(address));
     // The module's idle limit must not be what ends connections here.
     config["settings"]["specifics"]["idle"] = serde_json::json!(600_000_000_000_u64);
     let (sender, slot, name) = (events.clone(), Arc::clone(link), format!("processor{mark}"));
@@ -133,6 +135,12 @@
     config.to_string()
 }
 
+/// The operators' door beside the clients' address: the same host, the next port.
+fn admin_address(address: &str) -> String {
+    let address: std::net::SocketAddr = address.parse().expect("an address");
+    std::net::SocketAddr::new(address.ip(), address.port() + 1).to_string()
+}
+
 /// Reads the server's commands on one link, and answers those that scenarios need not name.
 fn serve_link(socket: TcpStream, started: Instant, name: &str, events: &Sender<String>) {
     let mut writes = socket.try_clone().expect("a clone");
@@ -203,6 +211,31 @@
         self.signal("HUP");
     }
 
+    fn admin(&mut self, call: AdminCall) {
+        let request = match call {
+            AdminCall::Health => "GET /healthcheck",
+            AdminCall::Stats => "GET /stats",
+            AdminCall::Fail => "POST /healthcheck/fail",
+            AdminCall::Ok => "POST /healthcheck/ok",
+        };
+        let start = Instant::now();
+        let mut socket = loop {
+            match TcpStream::connect(admin_address(&self.address)) {
+                Ok(socket) => break socket,
+                Err(e) => assert!(start.elapsed() < PATIENCE, "the door doesn't listen: {e}"),
+            }
+            thread::sleep(Duration::from_millis(5));
+        };
+        let text = format!("{request} HTTP/1.1\r\nHost: test\r\nContent-Length: 0\r\n\r\n");
+        socket.write_all(text.as_bytes()).expect("the door reads");
+        let mut response = String::new();
+        socket.read_to_string(&mut response).expect("a response");
+        let (head, body) = response.split_once("\r\n\r\n").expect("a head and a body");
+        let status = head.split(' ').nth(1).expect("a status");
+        let lines = body.lines().filter(|line| !line.starts_with('#'));
+        self.events.extend(lines.map(|line| format!("admin {status} {line}")));
+    }
+
     fn open(&mut self, conn: &str) {
         drop(self.conn(conn));
     }
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -1,6 +1,7 @@
 //! A stage with no sockets and no real time: the reducer alone, with the clients' codec before it.
 
 use super::{Stage, begins, config, thrift};
+use gradepin_core::admin::AdminCall;
 use gradepin_core::config::Config;
 use gradepin_core::messages::{ConnId, Effect, Input, RunEnd};
 use gradepin_core::moment::Moment;
@@ -8,6 +9,7 @@
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
 use gradepin_decisions::{RequestId, Settings, Span, Time};
+use gradepin_node::admin;
 use gradepin_node::fronts::thrift::codec;
 use std::sync::Arc;
 
@@ -24,6 +26,7 @@
     events: Vec<String>,
     muted: bool,
     link: u64,
+    calls: u64,
 }
 
 impl Virtually {
@@ -66,6 +69,7 @@
             events: Vec::new(),
             muted: false,
             link: 0,
+            calls: 0,
         }
     }
 
@@ -129,6 +133,13 @@
             Effect::Persist(number, _) => format!("store {number}"),
             Effect::Retell => "retell".to_string(),
             Effect::Exit => "exit".to_string(),
+            Effect::Admin(_, answer) => {
+                let response = admin::response(answer);
+                let lines = response.body.lines().filter(|line| !line.starts_with('#'));
+                let status = response.status;
+                self.events.extend(lines.map(|line| format!("admin {status} {line}")));
+                return;
+            }
             Effect::Log(..) => return,
         };
         self.events.push(event);
@@ -199,6 +210,12 @@
         self.settle();
     }
 
+    fn admin(&mut self, call: AdminCall) {
+        self.calls += 1;
+        self.waiting.push(Input::Admin(self.calls, call));
+        self.settle();
+    }
+
     fn open(&mut self, conn: &str) {
         self.conn(conn);
         self.settle();
--- a/crates/model/src/policies/mod.rs
+++ b/crates/model/src/policies/mod.rs
@@ -154,6 +154,7 @@
         control: nowhere,
         seed: format!("{:016x}", start.seed),
         stop_ms,
+        admin_addr: None,
         limits: Limits { sockets: 4_096, memory_mb: 192 },
         settings: settings.clone(),
     }
--- /dev/null
+++ b/crates/node/src/admin/http.rs
@@ -0,0 +1,175 @@
+//! The door's HTTP/1.1, one call a connection: a request head cut with `httparse`, the call it names, and the
+//! bytes of a response. Reads and writes nothing itself.
+
+use gradepin_core::admin::AdminCall;
+
+/// Bytes of a request head at the most; more is a malformed request.
+pub const HEAD_MOST: usize = 8 * 1024;
+/// Bytes of a body at the most; none of the calls has any use for one.
+pub const BODY_MOST: usize = 64 * 1024;
+/// Headers of a request at the most.
+const HEADERS: usize = 32;
+
+/// A response: status, its reason phrase, the methods allowed where the method was wrong, the type and the body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Response {
+    pub status: u16,
+    pub allow: Option<&'static str>,
+    pub content_type: &'static str,
+    pub body: String,
+}
+
+impl Response {
+    /// Plain text.
+    pub fn text(status: u16, body: impl Into<String>) -> Self {
+        Self { status, allow: None, content_type: "text/plain; charset=utf-8", body: body.into() }
+    }
+
+    /// The bytes on the wire; a response to HEAD has no body. The connection ends with it.
+    pub fn bytes(&self, head_only: bool) -> Vec<u8> {
+        let mut head = format!("HTTP/1.1 {} {}\r\n", self.status, reason(self.status));
+        if let Some(allow) = self.allow {
+            head.push_str(&format!("Allow: {allow}\r\n"));
+        }
+        head.push_str(&format!(
+            "Content-Type: {}\r\nContent-Length: {}\r\nCache-Control: no-store\r\nConnection: close\r\n\r\n",
+            self.content_type,
+            self.body.len()
+        ));
+        let mut bytes = head.into_bytes();
+        if !head_only {
+            bytes.extend_from_slice(self.body.as_bytes());
+        }
+        bytes
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        503 => "Service Unavailable",
+        _ => "Error",
+    }
+}
+
+/// What a whole request head says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Head {
+    /// Its length in bytes, with the empty line.
+    pub len: usize,
+    /// Bytes of the body that follow.
+    pub body: usize,
+    /// Whether it asks for the head of the response alone.
+    pub head_only: bool,
+    /// The call, or the response that says why there is none.
+    pub call: Result<AdminCall, Response>,
+}
+
+/// The head at the start of these bytes; none while it is not whole, and a response where the bytes are no HTTP
+/// request or too long.
+pub fn head(bytes: &[u8]) -> Result<Option<Head>, Response> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let len = match request.parse(bytes) {
+        Ok(httparse::Status::Complete(len)) => len,
+        Ok(httparse::Status::Partial) if bytes.len() >= HEAD_MOST => {
+            return Err(Response::text(
+                400,
+                format!("expected a request head of at most {HEAD_MOST} bytes\n"),
+            ));
+        }
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(e) => return Err(Response::text(400, format!("expected an HTTP/1.1 request: {e}\n"))),
+    };
+    let header =
+        |name: &str| request.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value);
+    if header("transfer-encoding").is_some() {
+        return Err(Response::text(400, "expected a body with Content-Length, not Transfer-Encoding\n"));
+    }
+    let body = match header("content-length") {
+        None => 0,
+        Some(value) => {
+            let value = std::str::from_utf8(value).ok().and_then(|text| text.trim().parse::<usize>().ok());
+            value.ok_or_else(|| Response::text(400, "expected Content-Length to be a number\n"))?
+        }
+    };
+    if body > BODY_MOST {
+        return Err(Response::text(413, format!("expected a body of at most {BODY_MOST} bytes\n")));
+    }
+    let method = request.method.unwrap_or_default();
+    let path = request.path.unwrap_or_default();
+    let path = path.split_once('?').map_or(path, |(path, _)| path);
+    Ok(Some(Head { len, body, head_only: method == "HEAD", call: route(method, path) }))
+}
+
+/// The call that a method and a path name.
+pub fn route(method: &str, path: &str) -> Result<AdminCall, Response> {
+    let (call, allow) = match path {
+        "/healthcheck" => (AdminCall::Health, "GET, HEAD"),
+        "/stats" => (AdminCall::Stats, "GET, HEAD"),
+        "/healthcheck/fail" => (AdminCall::Fail, "POST"),
+        "/healthcheck/ok" => (AdminCall::Ok, "POST"),
+        _ => {
+            let known = "/healthcheck, /stats, /healthcheck/fail or /healthcheck/ok";
+            return Err(Response::text(404, format!("expected {known}, got {path}\n")));
+        }
+    };
+    if allow.split(", ").any(|allowed| allowed == method) {
+        Ok(call)
+    } else {
+        let mut response = Response::text(405, format!("expected {allow} for {path}, got {method}\n"));
+        response.allow = Some(allow);
+        Err(response)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn status(bytes: &[u8]) -> u16 {
+        match head(bytes) {
+            Ok(Some(Head { call: Ok(_), .. })) => 200,
+            Ok(Some(Head { call: Err(response), .. })) | Err(response) => response.status,
+            Ok(None) => 0,
+        }
+    }
+
+    /// Guards each call's path and method, and the answers of what is none.
+    #[test]
+    fn requests_name_calls_or_say_what_is_wrong() {
+        let whole =
+            head(b"POST /healthcheck/fail HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok").unwrap();
+        let whole = whole.unwrap();
+        assert_eq!((whole.call, whole.body, whole.len), (Ok(AdminCall::Fail), 2, 63));
+        assert_eq!(head(b"GET /stats?x=1 HTTP/1.1\r\n\r\n").unwrap().unwrap().call, Ok(AdminCall::Stats));
+        assert_eq!(status(b"GET /healthcheck HTTP/1.0\r\n\r\n"), 200);
+        assert_eq!(status(b"GET /healthcheck HTTP/1.1\r\nHost: a\r\n"), 0, "not whole yet");
+        assert_eq!(status(b"GET /nothing HTTP/1.1\r\n\r\n"), 404);
+        assert_eq!(status(b"GET /healthcheck/fail HTTP/1.1\r\n\r\n"), 405);
+        assert_eq!(status(b"DELETE /stats HTTP/1.1\r\n\r\n"), 405);
+        assert_eq!(status(b"\x00\x01 garbage\r\n\r\n"), 400);
+        assert_eq!(status(b"POST /healthcheck/ok HTTP/1.1\r\nContent-Length: x\r\n\r\n"), 400);
+        assert_eq!(status(b"POST /healthcheck/ok HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"), 400);
+        assert_eq!(status(b"POST /healthcheck/ok HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n"), 413);
+        let long = [b"GET /stats HTTP/1.1\r\nX: ".as_slice(), &[b'a'; HEAD_MOST]].concat();
+        assert_eq!(status(&long), 400);
+    }
+
+    /// Guards the wire: a status line, a length that is the body's, and the end of the connection announced.
+    #[test]
+    fn a_response_is_whole_and_closes() {
+        let mut response = Response::text(405, "no\n");
+        response.allow = Some("POST");
+        let text = String::from_utf8(response.bytes(false)).unwrap();
+        assert!(text.starts_with("HTTP/1.1 405 Method Not Allowed\r\nAllow: POST\r\n"), "{text}");
+        assert!(text.contains("Content-Length: 3\r\n") && text.contains("Connection: close\r\n"), "{text}");
+        assert!(text.ends_with("\r\n\r\nno\n"), "{text}");
+        assert!(String::from_utf8(response.bytes(true)).unwrap().ends_with("\r\n\r\n"));
+    }
+}
--- a/crates/node/src/handed.rs
+++ b/crates/node/src/handed.rs
@@ -7,10 +7,12 @@
 use rustix::net::sockopt::{socket_acceptconn, socket_domain, socket_type};
 use rustix::net::{AddressFamily, SocketType};
 use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 
 /// The variable that names the inherited descriptor.
 pub const ACCEPT_FD: &str = "GW_ACCEPT_FD";
+/// The variable that names the operators' address, in place of `admin_addr` of the configuration.
+pub const ADMIN_ADDR: &str = "GW_ADMIN_ADDR";
 
 /// Why an inherited descriptor can't serve as the clients' listener.
 #[derive(Debug, thiserror::Error)]
@@ -26,6 +28,9 @@
         /// What the system says.
         why: std::io::Error,
     },
+    /// The operators' address is none.
+    #[error("expected ${ADMIN_ADDR} to be an address and port such as 127.0.0.1:9000, got '{0}'")]
+    Address(String),
     /// It is something else than a listening TCP socket.
     #[error("expected descriptor {fd} of ${ACCEPT_FD} to be a listening TCP socket, but it is {what}")]
     Kind {
@@ -41,16 +46,25 @@
 pub struct Handed {
     /// The clients' listening socket, where it is inherited.
     pub accept_fd: Option<i32>,
+    /// Where operators call, if the environment says.
+    pub admin_addr: Option<SocketAddr>,
 }
 
 impl Handed {
     /// As the environment tells.
     pub fn from_env() -> Result<Self, HandedError> {
         let value = std::env::var(ACCEPT_FD).ok();
-        Ok(Self { accept_fd: accept_fd(value.as_deref())? })
+        let admin = std::env::var(ADMIN_ADDR).ok();
+        Ok(Self { accept_fd: accept_fd(value.as_deref())?, admin_addr: admin_addr(admin.as_deref())? })
     }
 }
 
+/// The address in the variable, if it is set and not empty.
+pub fn admin_addr(value: Option<&str>) -> Result<Option<SocketAddr>, HandedError> {
+    let Some(value) = value.filter(|value| !value.trim().is_empty()) else { return Ok(None) };
+    value.trim().parse().map(Some).map_err(|_| HandedError::Address(value.into()))
+}
+
 /// The number in the variable, if it is set.
 pub fn accept_fd(value: Option<&str>) -> Result<Option<i32>, HandedError> {
     let Some(value) = value else { return Ok(None) };
@@ -100,6 +114,10 @@
             let error = accept_fd(Some(bad)).unwrap_err().to_string();
             assert!(error.contains(ACCEPT_FD), "{error}");
         }
+        assert_eq!(admin_addr(Some("127.0.0.1:9000")).unwrap(), Some("127.0.0.1:9000".parse().unwrap()));
+        assert_eq!(admin_addr(Some("")).unwrap(), None);
+        let error = admin_addr(Some("localhost")).unwrap_err().to_string();
+        assert!(error.contains(ADMIN_ADDR), "{error}");
     }
 
     /// Guards against serving on what is no listening TCP socket, and against losing the one that is.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`fronts`], [`processor`], [`control`] and [`registry`] each speak with one kind of peer and know nothing of the
 //! others; [`settings`] and [`config`] read what the server is told; [`serve`] joins them.
 
+pub mod admin;
 pub mod clock;
 pub mod config;
 pub mod control;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,5 +1,6 @@
 //! Joins the parts: the one thread that owns the reducer, and carries out what it asks for.
 
+use crate::admin::Admin;
 use crate::clock::Clock;
 use crate::config;
 use crate::control::Control;
@@ -75,11 +76,18 @@
 }
 
 /// Serves until the process is told to leave and its time is up.
-pub fn serve(config: Config, own: Own, files: Files, handed: Handed, log: &Logger) -> Result<(), StartError> {
+pub fn serve(
+    mut config: Config,
+    own: Own,
+    files: Files,
+    handed: Handed,
+    log: &Logger,
+) -> Result<(), StartError> {
     let failed = |what: &str| {
         let what = what.to_string();
         move |why| StartError::System { what, why }
     };
+    config.admin_addr = handed.admin_addr.or(config.admin_addr);
     let settings = Arc::new(config.settings.clone());
     let clock = Clock::start();
     let seed = config.seed()?;
@@ -115,8 +123,7 @@
             listeners.push((Arc::clone(front) as Arc<dyn Front>, listener));
         }
     }
-    watch_signals(files, scgi, Arc::clone(&settings), urgently.clone(), log.clone())
-        .map_err(failed("signals"))?;
+    watch_signals(files, scgi, Arc::clone(&settings), urgently.clone()).map_err(failed("signals"))?;
     let (mut arrived, mut effects): (Vec<Input>, Vec<Effect>) = (Vec::new(), Vec::new());
     let store = own.store.as_ref().map(|set| {
         let (open, limits) = (store::folder(set.path.clone()), set.limits(&config));
@@ -127,6 +134,11 @@
         // Mostly it takes some milliseconds, and then no keyed request has to be refused for it.
         arrived.extend(urgent.recv_timeout(STORE_PATIENCE).ok());
     }
+    let admin = config.admin_addr.map(|address| {
+        let door = Admin::start(address, urgently.clone(), log.clone());
+        door.map_err(failed(&format!("the operators' door on {address}")))
+    });
+    let admin = admin.transpose()?;
     let fronts = Fronts::listen(listeners, config.connections(), inputs, Arc::clone(&pool), log.clone());
     let fronts = fronts.map_err(failed("reading"))?;
     let registry = own.registry.as_ref().map(|set| Registry::start(set, &id, &urgently, log));
@@ -166,6 +178,11 @@
                     }
                 }
                 Effect::Retell => processor.retell(),
+                Effect::Admin(id, answer) => {
+                    if let Some(admin) = &admin {
+                        admin.answer(id, answer);
+                    }
+                }
                 Effect::Log(Level::Info, text) => info!(log, "{}", text),
                 Effect::Log(Level::Warning, text) => warn!(log, "{}", text),
                 Effect::Log(_, text) => error!(log, "{}", text),
@@ -197,7 +214,6 @@
     scgi: Option<Arc<Scgi>>,
     settings: Arc<Settings>,
     inputs: Sender<Input>,
-    log: Logger,
 ) -> std::io::Result<()> {
     let mut signals = Signals::new(&[SIGTERM, SIGHUP, SIGUSR1, SIGUSR2])?;
     let watch = move || {
@@ -206,10 +222,7 @@
                 let input = match signal {
                     SIGHUP => match reload(&files, scgi.as_deref(), &settings) {
                         Ok(config) => Input::Reload(Box::new(config)),
-                        Err(why) => {
-                            error!(log, "all stays as it was"; "reason" => %why);
-                            continue;
-                        }
+                        Err(why) => Input::ReloadRefused(why.to_string()),
                     },
                     SIGUSR1 => Input::TakeOut,
                     SIGUSR2 => Input::TakeIn,
