Take new settings at SIGHUP: classes keep their places, new ones come after

A reload applied processor, control and stop_ms alone; the fronts, the reducer and the module kept the classes of the start.

Design: core/src/classes.rs merges new settings by name. A class keeps its place (index) for the life of the process, with new figures; a new one comes after all; one left out is dropped, still taken for 2.5 s (proxies move 1.2 s after a reload) and unknown after that. Open requests keep their place, so nothing open, keyed or counted changes meaning. The table is bounded at 64 classes and 256 tenants; a file past that, or naming a class twice, is turned down whole. Not taken: a new Controller at each reload, which would forget what is held and open in the old one; and renumbering classes, which would need every open request, key and count translated at once.

Files that can't be read (empty, cut short, a key missing, a deadline of 0, below 0 or no number) were turned down already by the parse; they are now counted as cfg_invalid_total and logged by the reducer. Tests: a keyed request open across a reload that drops its class, the grace and after, the new class begun; each broken kind changes nothing and is counted; the same on sockets.

--- /dev/null
+++ b/crates/core/src/classes.rs
@@ -0,0 +1,212 @@
+//! The classes and tenants in force across reloads of the settings. A class keeps its place for the life of the
+//! process, so that an open request, a key or a count that names it by its place means the same after a reload.
+//!
+//! At a reload a class of a known name takes its new figures in its old place, a new one is added after all others,
+//! and one that the file leaves out is dropped: its requests are still taken for [`DROP_GRACE`], since client proxies
+//! hear of new settings late, and turned away as unknown after that; those open keep their class. Tenants go the same
+//! way but are never dropped: a request of a tenant that is gone is simply of no tenant's share.
+//! Not here: reading the file, which is the shell's, and what the module makes of the figures.
+
+use gradepin_decisions::{Settings, Span, Time, after};
+use std::sync::Arc;
+
+/// How long requests of a dropped class are still taken: client proxies use new settings 1.2 s after a reload,
+/// and some that were on their way come later.
+pub const DROP_GRACE: Span = Span(2_500_000_000);
+/// Places for classes over the life of the process; a reload that would need more is turned down, since a table that
+/// only grows must be bounded.
+pub const MOST_CLASSES: usize = 64;
+/// Places for tenants, for the same reason.
+pub const MOST_TENANTS: usize = 256;
+
+/// Why settings can't be taken at a reload.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum RetuneError {
+    /// Two classes or two tenants share a name.
+    #[error("expected each name once in settings.{what}, got '{name}' twice")]
+    Twice {
+        /// Of classes or tenants.
+        what: &'static str,
+        /// The name.
+        name: String,
+    },
+    /// More places would be needed than are kept.
+    #[error(
+        "expected at most {most} {what} over the life of the process, with those dropped; a restart clears them"
+    )]
+    TooMany {
+        /// Of classes or tenants.
+        what: &'static str,
+        /// The bound.
+        most: usize,
+    },
+}
+
+/// What a reload changed, by name.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Retuned {
+    pub added: Vec<String>,
+    pub dropped: Vec<String>,
+    /// Classes dropped before that are back.
+    pub back: Vec<String>,
+}
+
+/// The classes and tenants in force, and since when each dropped class is dropped.
+#[derive(Debug, Clone)]
+pub struct Classes {
+    settings: Arc<Settings>,
+    dropped: Vec<Option<Time>>,
+}
+
+impl Classes {
+    /// The settings that the process started with.
+    pub fn new(settings: Arc<Settings>) -> Self {
+        let dropped = vec![None; settings.profiles.len()];
+        Self { settings, dropped }
+    }
+
+    /// The settings in force: the classes in their places, dropped ones too.
+    pub fn settings(&self) -> &Arc<Settings> {
+        &self.settings
+    }
+
+    /// Takes new settings; on an error nothing changes.
+    pub fn retune(&mut self, now: Time, new: &Settings) -> Result<Retuned, RetuneError> {
+        once("profiles", new.profiles.iter().map(|profile| &profile.name))?;
+        once("customers", new.customers.iter().map(|customer| &customer.name))?;
+        let mut merged = new.clone();
+        let mut dropped = self.dropped.clone();
+        let mut retuned = Retuned::default();
+        // Old places first, with new figures where the name is still there.
+        let mut profiles = Vec::with_capacity(self.settings.profiles.len() + new.profiles.len());
+        for (place, old) in self.settings.profiles.iter().enumerate() {
+            match new.profiles.iter().find(|profile| profile.name == old.name) {
+                Some(profile) => {
+                    if dropped[place].take().is_some() {
+                        retuned.back.push(old.name.clone());
+                    }
+                    profiles.push(profile.clone());
+                }
+                None => {
+                    if dropped[place].is_none() {
+                        dropped[place] = Some(now);
+                        retuned.dropped.push(old.name.clone());
+                    }
+                    profiles.push(old.clone());
+                }
+            }
+        }
+        for profile in &new.profiles {
+            if !profiles.iter().any(|known| known.name == profile.name) {
+                retuned.added.push(profile.name.clone());
+                profiles.push(profile.clone());
+                dropped.push(None);
+            }
+        }
+        if profiles.len() > MOST_CLASSES {
+            return Err(RetuneError::TooMany { what: "classes", most: MOST_CLASSES });
+        }
+        let mut customers = Vec::with_capacity(self.settings.customers.len() + new.customers.len());
+        for old in &self.settings.customers {
+            let customer = new.customers.iter().find(|customer| customer.name == old.name).unwrap_or(old);
+            customers.push(customer.clone());
+        }
+        for customer in &new.customers {
+            if !customers.iter().any(|known| known.name == customer.name) {
+                customers.push(customer.clone());
+            }
+        }
+        if customers.len() > MOST_TENANTS {
+            return Err(RetuneError::TooMany { what: "tenants", most: MOST_TENANTS });
+        }
+        (merged.profiles, merged.customers) = (profiles, customers);
+        (self.settings, self.dropped) = (Arc::new(merged), dropped);
+        Ok(retuned)
+    }
+
+    /// Whether a request of the class in this place is taken now.
+    pub fn takes(&self, class: usize, now: Time) -> bool {
+        match self.dropped.get(class) {
+            Some(None) => true,
+            Some(Some(since)) => now < after(*since, DROP_GRACE),
+            None => false,
+        }
+    }
+}
+
+fn once<'a>(what: &'static str, names: impl Iterator<Item = &'a String>) -> Result<(), RetuneError> {
+    let mut seen = std::collections::BTreeSet::new();
+    for name in names {
+        if !seen.insert(name) {
+            return Err(RetuneError::Twice { what, name: name.clone() });
+        }
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn settings(classes: &[(&str, u64)], tenants: &[&str]) -> Settings {
+        let profiles: Vec<_> = classes
+            .iter()
+            .map(|(name, deadline)| {
+                json!({"name": name, "promise": 1, "deadline": deadline, "effect": "repeatable", "worth": 1.0})
+            })
+            .collect();
+        let customers: Vec<_> = tenants.iter().map(|name| json!({"name": name, "portion": 0.5})).collect();
+        serde_json::from_value(json!({"granularity": 1, "profiles": profiles, "customers": customers,
+            "rules": {"fall": 1, "tip_multiple": 1.0, "drain_grace": 1},
+            "specifics": {"n_cores": 1, "memory_kb": 1.0, "run_factor": 1.0}}))
+        .unwrap()
+    }
+
+    fn names(classes: &Classes) -> Vec<(&str, u64)> {
+        classes
+            .settings()
+            .profiles
+            .iter()
+            .map(|profile| (profile.name.as_str(), profile.deadline.0))
+            .collect()
+    }
+
+    /// Guards open requests and counts across a reload: places stay, new classes come after, dropped ones stay
+    /// taken for the grace and not after, and one that comes back is taken again.
+    #[test]
+    fn classes_keep_their_places_and_dropped_ones_lapse() {
+        let mut classes = Classes::new(Arc::new(settings(&[("view", 4), ("save", 4)], &["a"])));
+        let retuned = classes.retune(Time(100), &settings(&[("save-v2", 5), ("view", 9)], &["b"])).unwrap();
+        assert_eq!(retuned.added, vec!["save-v2"]);
+        assert_eq!(retuned.dropped, vec!["save"]);
+        assert_eq!(names(&classes), vec![("view", 9), ("save", 4), ("save-v2", 5)]);
+        let tenants: Vec<&str> = classes.settings().customers.iter().map(|c| c.name.as_str()).collect();
+        assert_eq!(tenants, vec!["a", "b"]);
+        assert!(classes.takes(0, Time(100)) && classes.takes(2, Time(100)));
+        assert!(classes.takes(1, after(Time(100), Span(DROP_GRACE.0 - 1))));
+        assert!(!classes.takes(1, after(Time(100), DROP_GRACE)));
+        assert!(!classes.takes(3, Time(100)), "no class has that place");
+        let retuned = classes.retune(Time(200), &settings(&[("save", 7)], &["a"])).unwrap();
+        assert_eq!(
+            (retuned.back, retuned.dropped),
+            (vec!["save".to_string()], vec!["view".into(), "save-v2".into()])
+        );
+        assert_eq!(names(&classes), vec![("view", 9), ("save", 7), ("save-v2", 5)]);
+        assert!(classes.takes(1, Time(u64::MAX)));
+    }
+
+    /// Guards against a file that names a class twice, and a table that grows without bound: both change nothing.
+    #[test]
+    fn a_bad_retune_changes_nothing() {
+        let mut classes = Classes::new(Arc::new(settings(&[("view", 4)], &[])));
+        let twice = classes.retune(Time(1), &settings(&[("a", 1), ("a", 2)], &[])).unwrap_err();
+        assert_eq!(twice, RetuneError::Twice { what: "profiles", name: "a".into() });
+        for n in 1..MOST_CLASSES {
+            classes.retune(Time(n as u64), &settings(&[(&format!("c{n}"), 1)], &[])).unwrap();
+        }
+        let full = classes.retune(Time(99), &settings(&[("one-too-many", 1)], &[])).unwrap_err();
+        assert_eq!(full, RetuneError::TooMany { what: "classes", most: MOST_CLASSES });
+        assert_eq!(classes.settings().profiles.len(), MOST_CLASSES);
+    }
+}
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -200,6 +200,8 @@
     Persist(u64, Batch),
     /// Have the processor tell all the notices again that it keeps.
     Retell,
+    /// These settings are in force from now on: classes and tenants in the same places as before, new ones after.
+    Settings(Arc<gradepin_decisions::Settings>),
     /// Answer an operator's call.
     Admin(CallId, AdminAnswer),
     /// Write a line to the log.
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -6,6 +6,7 @@
 mod operators;
 
 use crate::admin::Door;
+use crate::classes::Classes;
 use crate::config::{Config, ConfigError};
 use crate::keys::{End, Keys, Print};
 use crate::ledger::{Ledger, Recovered, Standing};
@@ -188,6 +189,8 @@
     changes: u32,
     next_sweep: Time,
     registration: Registration,
+    /// The classes and tenants in force across reloads; `settings` are theirs.
+    classes: Classes,
     /// The drain that operators order at their door, and the figures they scrape.
     door: Door,
     tally: Tally,
@@ -204,6 +207,7 @@
         settings: Arc<Settings>,
         registration: Registration,
     ) -> Result<Self, ConfigError> {
+        let classes = Classes::new(Arc::clone(&settings));
         Ok(Self {
             seed: config.seed()?,
             config: config.clone(),
@@ -239,6 +243,7 @@
             changes: 0,
             next_sweep: Time(0),
             registration,
+            classes,
             door: Door::default(),
             tally: Tally::default(),
             events: Vec::new(),
@@ -393,8 +398,15 @@
             self.log(Level::Warning, format!("closing connection {conn}: request {seq} came twice"));
             return self.closed(conn);
         }
-        let opened = connection.opened;
-        if connection.open.len() >= WINDOW || self.body_bytes > self.most_bodies {
+        let (opened, open) = (connection.opened, connection.open.len());
+        if !self.classes.takes(call.class, self.moment.now) {
+            let why = format!(
+                "unknown method \"{}\": the class was dropped",
+                self.settings.profiles[call.class].name
+            );
+            return self.invalid(conn, seq, Some(call.class), Misuse::NotFound, why);
+        }
+        if open >= WINDOW || self.body_bytes > self.most_bodies {
             // Guards against hundreds of requests at once: left unread, they would hide cancels and the close. And
             // against more bodies than the memory holds, on many connections.
             return self.turn_away(conn, seq, call.class, Span(0));
@@ -917,7 +929,13 @@
 
     /// Takes over what may change while serving: where the other parties are, and the time to stop.
     fn reload(&mut self, config: Config) {
+        // The settings first: where they can't be taken, the file is turned down whole.
+        let retuned = match self.classes.retune(self.moment.now, &config.settings) {
+            Ok(retuned) => retuned,
+            Err(why) => return self.reload_refused(why.to_string()),
+        };
         self.tally.reloaded(true);
+        self.retuned(&retuned);
         if (&config.name, config.listen) != (&self.config.name, self.config.listen) {
             self.log(Level::Warning, "a new name or address to listen on takes a restart".into());
         }
--- a/crates/core/src/reducer/operators.rs
+++ b/crates/core/src/reducer/operators.rs
@@ -3,8 +3,11 @@
 
 use super::Reducer;
 use crate::admin::{AdminAnswer, AdminCall, CallId, NotReady, Standing};
+use crate::classes::Retuned;
 use crate::messages::Effect;
+use gradepin_decisions::Settings;
 use slog::Level;
+use std::sync::Arc;
 
 impl Reducer {
     /// An operator's call; each is answered in this step.
@@ -34,6 +37,18 @@
         self.door.ready(Standing { processor: self.controller.is_some(), well, leaving: self.leaving })
     }
 
+    /// New settings are in force: the module and the shell take them, and the log says what changed.
+    pub(super) fn retuned(&mut self, retuned: &Retuned) {
+        self.settings = Arc::clone(self.classes.settings());
+        if let Some(controller) = &mut self.controller {
+            controller.retune(Settings::clone(&self.settings));
+        }
+        self.effects.push(Effect::Settings(Arc::clone(&self.settings)));
+        let Retuned { added, dropped, back } = retuned;
+        let text = format!("settings in force: classes added {added:?}, dropped {dropped:?}, back {back:?}");
+        self.log(Level::Info, text);
+    }
+
     /// A file read at a reload could not be used; the configuration in force stays.
     pub(super) fn reload_refused(&mut self, why: String) {
         self.tally.reloaded(false);
--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -97,6 +97,13 @@
     idle: f64,
 }
 
+impl Class {
+    fn fresh(p: &Profile) -> Self {
+        let first = secs(p.promise) * FIRST_RUN;
+        Class { core_s: first, lat_s: first, first_s: first, per_work: 1.0, ..Class::default() }
+    }
+}
+
 /// The controller of one worker.
 #[derive(Debug, Default)]
 pub struct Controller {
@@ -168,10 +175,7 @@
     pub fn new(mut set: Settings, seed: u64, now: Time) -> Self {
         set.specifics.n_cores = set.specifics.n_cores.max(1);
         let cores = f64::from(set.specifics.n_cores);
-        let classes = set.profiles.iter().map(|p| {
-            let first = secs(p.promise) * FIRST_RUN;
-            Class { core_s: first, lat_s: first, first_s: first, per_work: 1.0, ..Class::default() }
-        });
+        let classes = set.profiles.iter().map(Class::fresh);
         Self {
             rng: Some(Pcg64Mcg::seed_from_u64(seed)),
             now,
@@ -196,6 +200,18 @@
         }
     }
 
+    /// New settings while it runs: classes and tenants keep their places and what was learnt of them, new ones come
+    /// after. The host keeps the places; what is open stays in its class.
+    pub fn retune(&mut self, mut set: Settings) {
+        set.specifics.n_cores = set.specifics.n_cores.max(1);
+        // Whether it began cold was learnt at its start, not told by the file.
+        set.specifics.just_started = self.set.specifics.just_started;
+        let new = set.profiles.iter().skip(self.classes.len()).map(Class::fresh).collect::<Vec<_>>();
+        self.classes.extend(new);
+        self.tenants.resize(set.customers.len().max(self.tenants.len()), 0.0);
+        self.set = set;
+    }
+
     /// Takes in all events of a batch, then decides once. Events of requests it doesn't know change nothing.
     pub fn handle(&mut self, now: Time, events: &[Event], out: &mut Vec<Action>) {
         self.now = self.now.max(now);
--- /dev/null
+++ b/crates/gradepin/tests/reload.rs
@@ -0,0 +1,86 @@
+//! New settings at SIGHUP: classes added and dropped while requests are open, and files that are turned down whole.
+
+mod scenario;
+use scenario::play;
+use scenario::sockets::Sockets;
+use scenario::virtually::Virtually;
+
+#[test]
+fn a_class_dropped_with_requests_open_in_it_answers_them_and_lapses() {
+    // Guards open requests across a reload: the keyed one keeps its class and is served, its class is taken for
+    // the grace in which proxies still use it and is unknown after, and the new class runs at once.
+    play(
+        &mut Virtually::up(),
+        "send a call 1 rid=1 method=claim token=t1 body=save
+         expect processor begin 1 claim save
+         send server HUP retuned
+         expect settings read claim view
+         send b call 1 rid=2 method=view body=tile
+         expect processor begin 2 view tile
+         send processor complete 1 1 OK saved
+         expect a 1 served saved
+         send a call 2 rid=3 method=claim token=t2 body=late
+         expect processor begin 3 claim late
+         wait 2600
+         send a call 3 rid=4 method=claim token=t3
+         expect a 3 invalid unknown method
+         expect no processor begin 4
+         send a call 4 rid=5 method=claim token=t1 body=save
+         expect a 4 invalid unknown method
+         send admin stats
+         expect admin 200 server_cfg_accepted_total 1
+         expect admin 200 server_operations_total{priority=\"claim\",status=\"fulfilled\"} 1
+         expect admin 200 server_operations_total{priority=\"claim\",status=\"faulted\"} 2",
+    );
+}
+
+#[test]
+fn each_kind_of_broken_settings_is_turned_down_whole() {
+    // Guards the settings in force: an empty file, one cut short, one that lacks a key, and deadlines of 0, below 0
+    // or no number change nothing, not even the part that could be read; each is counted.
+    let mut stage = Virtually::up();
+    let kinds = ["empty", "cut", "keyless", "zero-deadline", "negative-deadline", "word-deadline", "broken"];
+    for (n, kind) in kinds.iter().enumerate() {
+        play(
+            &mut stage,
+            &format!(
+                "send server HUP {kind}
+                 expect no settings
+                 send a call {seq} rid={seq} method=view
+                 expect a {seq} invalid unknown method
+                 send admin stats
+                 expect admin 200 server_cfg_invalid_total {count}
+                 expect admin 200 server_cfg_accepted_total 0",
+                seq = n + 1,
+                count = n + 1,
+            ),
+        );
+    }
+    play(
+        &mut stage,
+        "send server HUP retuned
+         expect settings read claim view
+         send admin stats
+         expect admin 200 server_cfg_accepted_total 1",
+    );
+}
+
+#[test]
+fn new_settings_cross_the_sockets_and_a_broken_file_is_counted() {
+    play(
+        &mut Sockets::up("retune"),
+        "expect processor hello 0
+         send server HUP empty
+         until admin stats 200 server_cfg_invalid_total 1
+         send a call 1 rid=1 method=view
+         expect a 1 invalid unknown method
+         send server HUP retuned
+         until admin stats 200 server_cfg_accepted_total 1
+         send a call 2 rid=2 method=view body=tile
+         expect processor begin 2 view tile
+         send processor complete 1 2 OK out
+         expect a 2 served out
+         send admin stats
+         expect admin 200 server_operations_total{priority=\"view\",status=\"fulfilled\"} 1",
+    );
+}
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -1,17 +1,19 @@
 //! The scenario language of the server's tests. A scenario is a text; each line is one of
 //!
 //! - `send CONN call SEQ [field=value ..]`, `send CONN cancel SEQ`, `send CONN health SEQ`, `send CONN hex BYTES`,
-//!   `send processor LINE`, `send server TERM|OUT|IN` and `send server HUP [moved|broken]`: something reaches the
-//!   server. `OUT` and `IN` are an operator's orders.
+//!   `send processor LINE`, `send server TERM|OUT|IN` and `send server HUP HOW`: something reaches the
+//!   server. `OUT` and `IN` are an operator's orders. `HOW` is `moved` or one of the kinds of [`changed`].
 //!   A move gives it another processor and another control plane, `processor2` and `control2` on sockets; a
 //!   broken configuration is no JSON. A connection opens when it is first named. Fields have defaults; `rid` is a plain number and `t0` counts from now. `+` before `call` holds
 //!   the message back until the next one, so that both arrive together.
 //! - `send admin health|stats|fail|ok`: a call at the operators' door. Its response is an event for each line of the
 //!   body that is no comment: `admin STATUS LINE`, such as `admin 503 not ready: drained` or
 //!   `admin 200 server_relayed_total 1`.
+//! - `until admin CALL STATUS LINE`: the call is made again and again until its response has that line.
 //! - `expect EVENT`: an event that begins with these words has come or comes now; `expect no EVENT`: none has.
 //!   Events are `CONN SEQ served BODY`, `CONN SEQ refused|failed|invalid|good|bad [fields]`, `CONN draining`,
-//!   `CONN closed`, `processor hello|begin ..`, `control Ready|NotReady` and `exit`.
+//!   `CONN closed`, `processor hello|begin ..`, `control Ready|NotReady`, `exit`, and on the virtual stage
+//!   `settings CLASS ..`, the classes in force in their places.
 //! - `open CONN`: a connection opens, and nothing is sent on it.
 //! - `close CONN` and `close processor`: a peer ends its connection.
 //! - `wait MS`: time passes; on the virtual stage no real time does.
@@ -68,6 +70,34 @@
            "stop_ms": 2000, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings})
 }
 
+/// The text of a configuration file after a change of some kind to the one in force. `retuned` keeps `read` with a
+/// longer deadline, drops `claim` and adds `view`; the others are broken in one way each and must be turned down.
+pub fn changed(config: &Value, how: &str) -> String {
+    let mut config = config.clone();
+    let deadline = &mut config["settings"]["profiles"][0]["deadline"];
+    match how {
+        "retuned" => {
+            *deadline = json!(5_000_000_000_u64);
+            let view = json!({"name": "view", "promise": 500_000_000, "deadline": 2_000_000_000_u64,
+                              "effect": "repeatable", "worth": 1.0});
+            let read = config["settings"]["profiles"][0].clone();
+            config["settings"]["profiles"] = json!([view, read]);
+        }
+        "empty" => return String::new(),
+        "cut" => {
+            let text = config.to_string();
+            return text[..text.len() / 2].to_string();
+        }
+        "keyless" => drop(config["settings"]["profiles"][0].as_object_mut().map(|p| p.remove("deadline"))),
+        "zero-deadline" => *deadline = json!(0),
+        "negative-deadline" => *deadline = json!(-1000),
+        "word-deadline" => *deadline = json!("soon"),
+        "broken" => return "{".to_string(),
+        _ => panic!("no change of the configuration: {how}"),
+    }
+    config.to_string()
+}
+
 fn call(words: &[&str], unix_ms: u64) -> Vec<u8> {
     let field = |name: &str| words.iter().find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
     let number = |name: &str| field(name).map(|text| text.parse::<i64>().expect("a number"));
@@ -86,6 +116,19 @@
     thrift::call(words[0].parse().expect("a number"), &fields, field("body").unwrap_or("in").as_bytes())
 }
 
+/// Calls made by `until` before it gives up: some seconds on sockets.
+const UNTIL_TRIES: usize = 500;
+
+fn admin_call(word: &str, at: &str) -> AdminCall {
+    match word {
+        "health" => AdminCall::Health,
+        "stats" => AdminCall::Stats,
+        "fail" => AdminCall::Fail,
+        "ok" => AdminCall::Ok,
+        _ => panic!("{at}: no call at the door"),
+    }
+}
+
 /// Plays a scenario.
 pub fn play(stage: &mut impl Stage, text: &str) {
     for (number, line) in text.lines().enumerate() {
@@ -98,18 +141,23 @@
             ["send", "server", "TERM"] => stage.terminate(),
             ["send", "server", order @ ("OUT" | "IN")] => stage.order(order == "OUT"),
             ["send", "server", "HUP", how] => stage.reload(how),
-            ["send", "admin", call] => stage.admin(match call {
-                "health" => AdminCall::Health,
-                "stats" => AdminCall::Stats,
-                "fail" => AdminCall::Fail,
-                "ok" => AdminCall::Ok,
-                _ => panic!("{at}: no call at the door"),
-            }),
+            ["send", "admin", call] => stage.admin(admin_call(call, &at)),
             ["send", conn, "call", ..] => stage.client(conn, &call(&words[3..], stage.unix_ms()), false),
             ["send", conn, "+", "call", ..] => stage.client(conn, &call(&words[4..], stage.unix_ms()), true),
             ["send", conn, "cancel", _] => stage.client(conn, &thrift::cancel(seq(3)), false),
             ["send", conn, "health", _] => stage.client(conn, &thrift::health(seq(3)), false),
             ["send", conn, "hex", bytes] => stage.client(conn, &thrift::unhex(bytes), false),
+            ["until", "admin", call, ..] => {
+                // Asks again until the line comes: a signal on sockets takes its time.
+                let line = format!("admin {}", words[3..].join(" "));
+                let found = (0..UNTIL_TRIES).any(|_| {
+                    stage.admin(admin_call(call, &at));
+                    let found = stage.take(&line).is_ok();
+                    stage.wait(if found { 0 } else { 20 });
+                    found
+                });
+                assert!(found, "{at}: never came, there is only {:?}", stage.rest());
+            }
             ["expect", "no", ..] => {
                 let (words, rest) = (words[2..].join(" "), stage.rest());
                 assert!(!rest.iter().any(|event| begins(event, &words)), "{at}: came, in {rest:?}");
--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -1,7 +1,7 @@
 //! A stage of loopback sockets: the real program, with the test as its client proxies, processor and control
 //! plane. Waits here are upper bounds; nothing passes or fails by how long anything takes.
 
-use super::{Stage, begins, config, thrift};
+use super::{Stage, begins, changed, config, thrift};
 use gradepin_core::admin::AdminCall;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -23,6 +23,8 @@
 pub struct Sockets {
     program: Child,
     file: PathBuf,
+    /// The last whole configuration written.
+    whole: String,
     address: String,
     conns: HashMap<String, TcpStream>,
     held_back: Vec<u8>,
@@ -44,12 +46,25 @@
         let started = Instant::now();
         let text = parties("", &address, &link, started, &sender);
         let file = std::env::temp_dir().join(format!("gradepin-{}-{name}.json", std::process::id()));
-        std::fs::write(&file, text).expect("a file for the configuration");
+        std::fs::write(&file, &text).expect("a file for the configuration");
         let mut program = Command::new(env!("CARGO_BIN_EXE_gradepin"));
         let program = program.arg("serve").env("GW_CONFIG", &file).stderr(Stdio::null());
         let program = program.spawn().expect("the program starts");
         let (conns, held_back) = (HashMap::new(), Vec::new());
-        Self { program, file, address, conns, held_back, link, started, sender, receiver, events: Vec::new() }
+        let events = Vec::new();
+        Self {
+            program,
+            file,
+            whole: text,
+            address,
+            conns,
+            held_back,
+            link,
+            started,
+            sender,
+            receiver,
+            events,
+        }
     }
 
     fn signal(&self, name: &str) {
@@ -205,8 +220,11 @@
     fn reload(&mut self, how: &str) {
         let text = match how {
             "moved" => parties("2", &self.address, &self.link, self.started, &self.sender),
-            _ => "{".to_string(),
+            _ => changed(&serde_json::from_str(&self.whole).expect("JSON in force"), how),
         };
+        if serde_json::from_str::<serde_json::Value>(&text).is_ok() {
+            self.whole.clone_from(&text);
+        }
         std::fs::write(&self.file, text).expect("a file for the configuration");
         self.signal("HUP");
     }
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -1,6 +1,6 @@
 //! A stage with no sockets and no real time: the reducer alone, with the clients' codec before it.
 
-use super::{Stage, begins, config, thrift};
+use super::{Stage, begins, changed, config, thrift};
 use gradepin_core::admin::AdminCall;
 use gradepin_core::config::Config;
 use gradepin_core::messages::{ConnId, Effect, Input, RunEnd};
@@ -133,6 +133,13 @@
             Effect::Persist(number, _) => format!("store {number}"),
             Effect::Retell => "retell".to_string(),
             Effect::Exit => "exit".to_string(),
+            Effect::Settings(settings) => {
+                let names: Vec<&str> =
+                    settings.profiles.iter().map(|profile| profile.name.as_str()).collect();
+                let event = format!("settings {}", names.join(" "));
+                self.settings = settings;
+                event
+            }
             Effect::Admin(_, answer) => {
                 let response = admin::response(answer);
                 let lines = response.body.lines().filter(|line| !line.starts_with('#'));
@@ -203,10 +210,15 @@
     }
 
     fn reload(&mut self, how: &str) {
-        assert_eq!(how, "moved", "a broken file never reaches the reducer");
-        let text = config("127.0.0.1:1", "127.0.0.1:8", "127.0.0.1:9").to_string();
-        let config = Config::parse(&text).expect("a whole configuration");
-        self.waiting.push(Input::Reload(Box::new(config)));
+        let text = match how {
+            "moved" => config("127.0.0.1:1", "127.0.0.1:8", "127.0.0.1:9").to_string(),
+            _ => changed(&config("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"), how),
+        };
+        // As the shell reads a file: what can't be parsed reaches the reducer as a refusal.
+        self.waiting.push(match Config::parse(&text) {
+            Ok(config) => Input::Reload(Box::new(config)),
+            Err(why) => Input::ReloadRefused(why.to_string()),
+        });
         self.settle();
     }
 
--- a/crates/node/src/fronts/thrift/mod.rs
+++ b/crates/node/src/fronts/thrift/mod.rs
@@ -3,10 +3,10 @@
 pub mod codec;
 
 use super::{Cut, Cutter, Front, Malformed, Patience};
+use crate::settings::Live;
 use codec::Message;
 use gradepin_core::messages::{Answer, SeqId};
 use gradepin_core::pool::{Buffer, Pool};
-use gradepin_decisions::Settings;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,19 +17,19 @@
 
 /// The front.
 pub struct Thrift {
-    settings: Arc<Settings>,
+    settings: Live,
 }
 
 impl Thrift {
-    /// For classes and tenants of these settings.
-    pub fn new(settings: Arc<Settings>) -> Self {
+    /// For classes and tenants of the settings in force.
+    pub fn new(settings: Live) -> Self {
         Self { settings }
     }
 }
 
 impl Front for Thrift {
     fn cutter(&self) -> Box<dyn Cutter> {
-        Box::new(Frames(Arc::clone(&self.settings)))
+        Box::new(Frames(self.settings.clone()))
     }
 
     fn patience(&self) -> Patience {
@@ -57,13 +57,13 @@
 }
 
 /// Whole frames; what is not whole stays in the reader's buffer.
-struct Frames(Arc<Settings>);
+struct Frames(Live);
 
 impl Cutter for Frames {
     fn cut(&mut self, bytes: &[u8], pool: &Arc<Pool>) -> Result<Option<(usize, Cut)>, Malformed> {
         let Some(len) = codec::frame(bytes)? else { return Ok(None) };
         let Some(frame) = bytes.get(4..len) else { return Ok(None) };
-        let cut = match codec::decode(frame, &self.0, pool)? {
+        let cut = match codec::decode(frame, &self.0.current(), pool)? {
             Message::Call(seq, call) => Cut::Call(seq, call),
             Message::Health(seq) => Cut::Health(seq),
             Message::Invalid(seq, misuse, why) => Cut::Invalid(seq, misuse, why),
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -11,7 +11,7 @@
 use crate::handed::{self, Handed, HandedError};
 use crate::processor::Processor;
 use crate::registry::Registry;
-use crate::settings::Own;
+use crate::settings::{Live, Own};
 use crate::signals::Signals;
 use crate::store::{self, Store};
 use crossbeam_channel::{Sender, bounded, select};
@@ -88,7 +88,7 @@
         move |why| StartError::System { what, why }
     };
     config.admin_addr = handed.admin_addr.or(config.admin_addr);
-    let settings = Arc::new(config.settings.clone());
+    let mut settings = Arc::new(config.settings.clone());
     let clock = Clock::start();
     let seed = config.seed()?;
     let membership = own.registry.as_ref().map(|set| set.membership(&config));
@@ -103,7 +103,8 @@
     let (inputs, queue) = bounded(QUEUE);
     let (urgently, urgent) = bounded(URGENT);
     let mut control = Control::new(&config.name, config.listen, config.control).map_err(failed("control"))?;
-    let thrift: Arc<dyn Front> = Arc::new(Thrift::new(Arc::clone(&settings)));
+    let live = Live::new(Arc::clone(&settings));
+    let thrift: Arc<dyn Front> = Arc::new(Thrift::new(live.clone()));
     let listener = match handed.accept_fd {
         // The platform holds it, and the process before this one may still accept on it.
         Some(fd) => Listener::Tcp(handed::listener(fd)?),
@@ -178,6 +179,10 @@
                     }
                 }
                 Effect::Retell => processor.retell(),
+                Effect::Settings(new) => {
+                    live.publish(Arc::clone(&new));
+                    settings = new;
+                }
                 Effect::Admin(id, answer) => {
                     if let Some(admin) = &admin {
                         admin.answer(id, answer);
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -3,10 +3,12 @@
 //! A file is checked as a whole: every unknown node, value out of range and contradiction is told with its line and
 //! column, and a file with any of them is not used.
 
+mod live;
 mod reader;
 mod scgi;
 mod store;
 
+pub use live::Live;
 pub use scgi::{Headers, Route, ScgiSettings};
 pub use store::StoreSettings;
 
