Hand over at SIGTERM on an inherited listener: accept nothing, say nothing, leave early

The logs: each old process was told SIGTERM 30 ms after its successor started, drained as for a leave and reported NotReady under the server's name while the new one reported Ready. Checked and ruled out: no crash, no rule broken, the new processes were ready at once (admin door), no request ended at the door.

Design: core/src/handover.rs. Where the listener is inherited, SIGTERM means hand-over: StopAccepting (the reader drops its listeners from epoll; what waits to be accepted stays in the shared queue for the successor), no report to the control plane from then on, connections asked to drain as before, and an end as soon as nothing is owed and every connection is closed or has rested 300 ms since it was asked to drain, or 150 ms before SIGKILL (stop_ms) at the latest; no longer stop_ms + 2 s, which SIGKILL would cut short. The module's drain is unchanged. Not taken: going on with Ready reports from the old process, which would keep a server listed after a successor that crashed; and closing the listener at once, which the platform's copy makes moot.

--- /dev/null
+++ b/crates/core/src/handover.rs
@@ -0,0 +1,103 @@
+//! The old process's part in an upgrade. Where the clients' listening socket is inherited, the platform holds it and
+//! a new process accepts on it beside this one; SIGTERM then means: hand over. It is no notice to drain the server,
+//! whose place in the list the new process keeps.
+//!
+//! So from SIGTERM on the old process accepts nothing more, tells the control plane nothing more (a `NotReady` of
+//! its own would take the server off the list while the new one says `Ready`), asks its connections to drain, and
+//! answers all it read. It leaves as soon as nothing is open and its client proxies have closed their connections,
+//! or those that are left have rested since they were asked to drain; at the latest a margin before SIGKILL, which
+//! resets whatever stands. Not here: the drain of the module, which goes on as at any SIGTERM.
+
+use gradepin_decisions::{Span, Time, after, before};
+
+/// How long a connection asked to drain may rest with nothing open before it no longer keeps the process: its
+/// proxy closes it once all is answered, and one that crossed the notice is sent again within 50 ms.
+pub const REST_AFTER_DRAIN: Span = Span(300_000_000);
+/// How long before SIGKILL the process leaves whatever stands.
+pub const KILL_MARGIN: Span = Span(150_000_000);
+
+/// What the reducer tells of its connections when it asks whether the old process may leave.
+#[derive(Debug, Clone, Copy)]
+pub struct Left {
+    /// Requests owed an answer or running.
+    pub open: usize,
+    /// Connections that still keep it: not closed, and not resting since long after they were asked to drain.
+    pub keeping: usize,
+}
+
+/// Whether the listener is shared with a successor, and the hand-over once SIGTERM came.
+#[derive(Debug, Default)]
+pub struct Handover {
+    shared: bool,
+    /// When SIGTERM came, and when SIGKILL follows.
+    since: Option<(Time, Time)>,
+}
+
+impl Handover {
+    /// For a process whose listener is inherited, and shared with the process after it.
+    pub fn shared() -> Self {
+        Self { shared: true, since: None }
+    }
+
+    /// Whether SIGTERM means a hand-over here.
+    pub fn is_shared(&self) -> bool {
+        self.shared
+    }
+
+    /// SIGTERM came; SIGKILL follows after `stop`. Whether a hand-over begins: then nothing more is accepted.
+    pub fn begin(&mut self, now: Time, stop: Span) -> bool {
+        if !self.shared || self.since.is_some() {
+            return false;
+        }
+        self.since = Some((now, after(now, stop)));
+        true
+    }
+
+    /// Whether the control plane is to hear from this process: not once it hands over.
+    pub fn reports(&self) -> bool {
+        self.since.is_none()
+    }
+
+    /// Whether the process may leave now; what is left is only looked at during a hand-over.
+    pub fn may_leave(&self, now: Time, left: impl FnOnce() -> Left) -> bool {
+        let Some((_, kill)) = self.since else { return false };
+        now >= before(kill, KILL_MARGIN) || {
+            let left = left();
+            left.open == 0 && left.keeping == 0
+        }
+    }
+
+    /// When to look again whether it may leave, though nothing comes in.
+    pub fn wake_at(&self) -> Option<Time> {
+        self.since.map(|(_, kill)| before(kill, KILL_MARGIN))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const S: u64 = 1_000_000_000;
+
+    /// Guards the upgrade: a process that owns its listener drains as ever; one that shares it hands over, falls
+    /// silent, leaves once all is answered and closed, and before SIGKILL whatever stands.
+    #[test]
+    fn a_shared_listener_is_handed_over_and_left_in_time() {
+        let mut own = Handover::default();
+        assert!(!own.begin(Time(S), Span(3 * S)) && own.reports());
+        assert!(!own.may_leave(Time(9 * S), || Left { open: 0, keeping: 0 }));
+
+        let mut shared = Handover::shared();
+        assert!(shared.reports() && shared.wake_at().is_none());
+        assert!(shared.begin(Time(S), Span(3 * S)));
+        assert!(!shared.begin(Time(2 * S), Span(3 * S)), "a second SIGTERM begins nothing");
+        assert!(!shared.reports());
+        assert!(!shared.may_leave(Time(S), || Left { open: 1, keeping: 0 }));
+        assert!(!shared.may_leave(Time(S), || Left { open: 0, keeping: 2 }));
+        assert!(shared.may_leave(Time(S), || Left { open: 0, keeping: 0 }));
+        let last = before(Time(4 * S), KILL_MARGIN);
+        assert_eq!(shared.wake_at(), Some(last));
+        assert!(!shared.may_leave(before(last, Span(1)), || Left { open: 3, keeping: 5 }));
+        assert!(shared.may_leave(last, || Left { open: 3, keeping: 5 }));
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admin;
 pub mod classes;
 pub mod config;
+pub mod handover;
 pub mod keys;
 pub mod ledger;
 pub mod messages;
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -202,6 +202,8 @@
     Retell,
     /// These settings are in force from now on: classes and tenants in the same places as before, new ones after.
     Settings(Arc<gradepin_decisions::Settings>),
+    /// Accept no more connections: the listener is the successor's now.
+    StopAccepting,
     /// Answer an operator's call.
     Admin(CallId, AdminAnswer),
     /// Write a line to the log.
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -8,6 +8,7 @@
 use crate::admin::Door;
 use crate::classes::Classes;
 use crate::config::{Config, ConfigError};
+use crate::handover::{Handover, Left, REST_AFTER_DRAIN};
 use crate::keys::{End, Keys, Print};
 use crate::ledger::{Ledger, Recovered, Standing};
 use crate::messages::{Answer, Call, ConnId, Effect, Input, LEAST_RESTART, Misuse, RunEnd, SeqId, sooner};
@@ -194,6 +195,8 @@
     /// The drain that operators order at their door, and the figures they scrape.
     door: Door,
     tally: Tally,
+    /// Where the listener is shared with a successor: what SIGTERM means then.
+    handover: Handover,
     /// For the module's next turn.
     events: Vec<Event>,
     actions: Vec<Action>,
@@ -246,12 +249,19 @@
             classes,
             door: Door::default(),
             tally: Tally::default(),
+            handover: Handover::default(),
             events: Vec::new(),
             actions: Vec::new(),
             effects: Vec::new(),
         })
     }
 
+    /// For a process whose listener is inherited and shared with the one that comes after it in an upgrade.
+    pub fn sharing_listener(mut self) -> Self {
+        self.handover = Handover::shared();
+        self
+    }
+
     /// With a store that is being opened, whose records go by this ledger.
     pub fn with_store(mut self, ledger: Ledger, pool: Arc<Pool>) -> Self {
         (self.ledger, self.pool) = (ledger, pool);
@@ -285,7 +295,9 @@
             Some(since) if due <= self.moment.now => after(since, GAUGES_WAIT),
             _ => due,
         });
-        let own = sooner(sooner(timer, self.exit_at), sooner(self.ledger.wake_at(), self.hope));
+        // Until the end is told; a hand-over's last moment is past after it.
+        let exit = sooner(self.exit_at, self.exit_at.and(self.handover.wake_at()));
+        let own = sooner(sooner(timer, exit), sooner(self.ledger.wake_at(), self.hope));
         sooner(
             sooner(own, self.registration.wake_at(self.moment.now)),
             Some(self.next_sweep.min(self.next_report)),
@@ -958,6 +970,10 @@
             return;
         }
         self.exit_at = Some(after(after(self.moment.now, self.stop), STOP_OVERDUE));
+        if self.handover.begin(self.moment.now, self.stop) {
+            self.effects.push(Effect::StopAccepting);
+            self.log(Level::Info, "handing over: the process after this one accepts from now on".into());
+        }
         self.registration.leave(self.moment.now);
         if self.controller.is_some() {
             self.tell_leaving();
@@ -1014,7 +1030,7 @@
         if now >= self.next_report {
             self.changes = self.changes.saturating_sub(1);
             self.next_report = after(now, if self.changes > 0 { REPORT_AGAIN } else { REPORT_EVERY });
-            if self.controller.is_some() {
+            if self.controller.is_some() && self.handover.reports() {
                 let ready = self.active && !self.registration.is_out() && self.door.failed_since().is_none();
                 self.effects.push(Effect::Report(ready));
             }
@@ -1033,11 +1049,23 @@
         let grace = after(self.leaving_since(), self.settings.rules.drain_grace);
         let answered = self.leaving && self.requests.is_empty() && now > grace;
         self.registration.step(self.moment, answered, &mut self.effects);
-        if self.exit_at.take_if(|at| now >= *at).is_some() {
+        let handed = self.handover.may_leave(now, || self.left());
+        if self.exit_at.take_if(|at| now >= *at || handed).is_some() {
             self.effects.push(Effect::Exit);
         }
     }
 
+    /// What keeps an old process that hands over: requests owed an answer, and connections that may still carry one.
+    fn left(&self) -> Left {
+        let now = self.moment.now;
+        let open = self.requests.values().filter(|open| open.owed).count();
+        let rested = |c: &Connection| {
+            let drained = c.draining.is_some_and(|since| after(since, REST_AFTER_DRAIN) <= now);
+            drained && c.open.is_empty() && after(c.last, REST_AFTER_DRAIN) <= now
+        };
+        Left { open, keeping: self.connections.values().filter(|c| !rested(c)).count() }
+    }
+
     /// Has the store keep what must be kept, and says how it is with it.
     fn keep(&mut self) {
         if !self.ledger.is_on() {
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -13,6 +13,7 @@
 //! - `expect EVENT`: an event that begins with these words has come or comes now; `expect no EVENT`: none has.
 //!   Events are `CONN SEQ served BODY`, `CONN SEQ refused|failed|invalid|good|bad [fields]`, `CONN draining`,
 //!   `CONN closed`, `processor hello|begin ..`, `control Ready|NotReady`, `exit`, and on the virtual stage
+//!   `stop accepting` and
 //!   `settings CLASS ..`, the classes in force in their places.
 //! - `open CONN`: a connection opens, and nothing is sent on it.
 //! - `close CONN` and `close processor`: a peer ends its connection.
@@ -98,7 +99,7 @@
     config.to_string()
 }
 
-fn call(words: &[&str], unix_ms: u64) -> Vec<u8> {
+pub fn call(words: &[&str], unix_ms: u64) -> Vec<u8> {
     let field = |name: &str| words.iter().find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
     let number = |name: &str| field(name).map(|text| text.parse::<i64>().expect("a number"));
     let t0 = i64::try_from(unix_ms).expect("a time") + number("t0").unwrap_or(0);
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -48,6 +48,14 @@
         stage
     }
 
+    /// A server whose listener is inherited and shared with the process after it, whose processor has greeted.
+    pub fn handed() -> Self {
+        let mut stage = Self::new();
+        stage.reducer = std::mem::replace(&mut stage.reducer, Self::new().reducer).sharing_listener();
+        stage.processor("hi WARM 0");
+        stage
+    }
+
     /// A server whose configuration differs in something.
     pub fn with(change: impl FnOnce(&mut serde_json::Value)) -> Self {
         Self::built(change, Registration::default())
@@ -106,6 +114,7 @@
                 format!("{} {}", name(conn), thrift::event(&frame[4..]))
             }
             Effect::Draining(conn) => format!("{} draining", name(conn)),
+            Effect::StopAccepting => "stop accepting".to_string(),
             Effect::CloseResting(conn, _) => {
                 self.waiting.push(Input::Closed(conn));
                 return;
--- /dev/null
+++ b/crates/gradepin/tests/upgrade.rs
@@ -0,0 +1,273 @@
+//! Upgrades: the old process of two that share an inherited listener hands over at SIGTERM.
+
+mod scenario;
+use scenario::play;
+use scenario::virtually::Virtually;
+
+#[test]
+fn the_old_process_hands_over_falls_silent_and_leaves_once_all_is_answered() {
+    // Guards the list and the clients during an upgrade: no NotReady of the old process beside the new one's Ready,
+    // nothing accepted after SIGTERM, what was read answered, and an end as soon as the proxies closed.
+    play(
+        &mut Virtually::handed(),
+        "send a call 1 rid=1 body=tile
+         expect processor begin 1
+         expect control Ready
+         send server TERM
+         expect stop accepting
+         expect a draining
+         wait 1000
+         expect no control
+         send processor complete 1 1 OK out
+         expect a 1 served out
+         expect no exit
+         close a
+         expect exit",
+    );
+}
+
+#[test]
+fn connections_that_rest_after_the_drain_keep_the_old_process_only_for_a_moment() {
+    play(
+        &mut Virtually::handed(),
+        "open a
+         send b health 1
+         expect b 1 good
+         send server TERM
+         expect a draining
+         expect b draining
+         wait 200
+         expect no exit
+         wait 200
+         expect exit",
+    );
+}
+
+#[test]
+fn what_still_runs_is_left_a_margin_before_sigkill() {
+    // The stop is 2 s after SIGTERM in the test's configuration; the process must be gone before it.
+    play(
+        &mut Virtually::handed(),
+        "send a call 1 rid=1
+         expect processor begin 1
+         send server TERM
+         wait 1800
+         expect no exit
+         wait 60
+         expect exit",
+    );
+}
+
+mod sockets {
+    //! Two real processes on one inherited listener, with client proxies that keep calling throughout.
+
+    use super::scenario::{call, config, thrift};
+    use rustix::io::{FdFlags, fcntl_setfd};
+    use std::io::{BufRead, BufReader, Read, Write};
+    use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+    use std::os::fd::AsRawFd;
+    use std::process::{Child, Command, Stdio};
+    use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+    use std::sync::{Arc, Mutex};
+    use std::thread;
+    use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+    /// Every bound below is far above what the steps take; nothing passes or fails by speed.
+    const PATIENCE: Duration = Duration::from_secs(20);
+    /// How long a run takes at the stand-in processor: requests are in flight when SIGTERM comes.
+    const RUN: Duration = Duration::from_millis(150);
+
+    fn unix_ms() -> u64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
+    }
+
+    /// A processor that greets, tells gauges and ends every run after a while, with its body as the result.
+    fn processor() -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        thread::spawn(move || {
+            for link in listener.incoming().flatten() {
+                thread::spawn(move || serve_link(link));
+            }
+        });
+        address
+    }
+
+    fn serve_link(link: TcpStream) {
+        let writes = Arc::new(Mutex::new(link.try_clone().expect("a clone")));
+        let notices = Arc::new(AtomicU64::new(0));
+        let mut reads = BufReader::new(link);
+        let mut line = String::new();
+        while reads.read_line(&mut line).is_ok_and(|len| len > 0) {
+            let words: Vec<String> = line.split_whitespace().map(String::from).collect();
+            let write = |text: String| drop(writes.lock().expect("whole").write_all(text.as_bytes()));
+            match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+                ["hello", _] => write("hi WARM 0\r\n".into()),
+                ["usage", tag] => write(format!("used {tag} 0.5 2 0.1 9\r\n")),
+                ["begin", id, _, len] => {
+                    let mut body = vec![0; len.parse::<usize>().expect("a length") + 2];
+                    reads.read_exact(&mut body).expect("a body");
+                    body.truncate(body.len() - 2);
+                    let (writes, notices, id) = (Arc::clone(&writes), Arc::clone(&notices), id.to_string());
+                    thread::spawn(move || {
+                        thread::sleep(RUN);
+                        let n = notices.fetch_add(1, Ordering::SeqCst) + 1;
+                        let head = format!("complete {n} {id} OK 150 {}\r\n", body.len());
+                        let mut writes = writes.lock().expect("whole");
+                        let _ = writes.write_all(&[head.as_bytes(), &body, b"\r\n"].concat());
+                    });
+                }
+                _ => {}
+            }
+            line.clear();
+        }
+    }
+
+    /// A process on the inherited listener, with its own processor and door.
+    fn start(listener: &TcpListener, admin: SocketAddr, name: &str) -> (Child, std::path::PathBuf) {
+        let control = UdpSocket::bind("127.0.0.1:0").expect("a port");
+        let control_address = control.local_addr().expect("an address").to_string();
+        thread::spawn(move || while control.recv(&mut [0; 64]).is_ok() {});
+        let listen = listener.local_addr().expect("an address").to_string();
+        let mut config = config(&listen, &processor().to_string(), &control_address);
+        config["admin_addr"] = serde_json::json!(admin.to_string());
+        config["stop_ms"] = serde_json::json!(3000);
+        let file = std::env::temp_dir().join(format!("gradepin-{}-{name}.json", std::process::id()));
+        std::fs::write(&file, config.to_string()).expect("a file for the configuration");
+        // The platform names descriptor 3; here it is whichever the listener has, which the program inherits.
+        let fd = listener.as_raw_fd().to_string();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_gradepin"));
+        child.arg("serve").env("GW_CONFIG", &file).env("GW_ACCEPT_FD", fd).stderr(Stdio::null());
+        (child.spawn().expect("the program starts"), file)
+    }
+
+    fn ready(admin: SocketAddr) -> bool {
+        let Ok(mut socket) = TcpStream::connect(admin) else { return false };
+        let _ = socket.write_all(b"GET /healthcheck HTTP/1.1\r\n\r\n");
+        let mut response = String::new();
+        let _ = socket.read_to_string(&mut response);
+        response.starts_with("HTTP/1.1 200 ")
+    }
+
+    fn wait_ready(admin: SocketAddr) {
+        let start = Instant::now();
+        while !ready(admin) {
+            assert!(start.elapsed() < PATIENCE, "{admin} never said it was ready");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// What a client proxy saw: requests sent, answers, and answers owed when a connection ended.
+    #[derive(Default, Debug)]
+    struct Seen {
+        sent: u64,
+        answered: u64,
+        lost: u64,
+        connections: u64,
+    }
+
+    /// Calls on a connection until the server asks it to drain, then takes the answers and opens another.
+    fn proxy(address: SocketAddr, first_rid: u64, stop: &AtomicBool) -> Seen {
+        let mut seen = Seen::default();
+        let mut rid = first_rid;
+        while !stop.load(Ordering::SeqCst) {
+            let mut socket = TcpStream::connect(address).expect("the listener is held");
+            seen.connections += 1;
+            let (mut open, mut seq, mut draining) = (0_u64, 0, false);
+            socket.set_read_timeout(Some(Duration::from_millis(20))).expect("a timeout");
+            let mut frames = Vec::new();
+            loop {
+                if !draining && !stop.load(Ordering::SeqCst) && open < 4 {
+                    (seq, rid) = (seq + 1, rid + 1);
+                    let words = [seq.to_string(), format!("rid={rid}"), "body=tile".to_string()];
+                    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+                    if socket.write_all(&call(&words, unix_ms())).is_err() {
+                        seen.lost += open;
+                        break;
+                    }
+                    (open, seen.sent) = (open + 1, seen.sent + 1);
+                }
+                let mut chunk = [0; 4096];
+                match socket.read(&mut chunk) {
+                    Ok(0) => {
+                        seen.lost += open;
+                        break;
+                    }
+                    Ok(n) => frames.extend_from_slice(&chunk[..n]),
+                    Err(e)
+                        if matches!(
+                            e.kind(),
+                            std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+                        ) => {}
+                    Err(_) => {
+                        seen.lost += open;
+                        break;
+                    }
+                }
+                while frames.len() >= 4 {
+                    let len = u32::from_be_bytes(frames[..4].try_into().expect("four bytes")) as usize;
+                    let Some(frame) = frames.get(4..4 + len) else { break };
+                    let event = thrift::event(frame);
+                    frames.drain(..4 + len);
+                    if event == "draining" {
+                        draining = true;
+                    } else {
+                        (open, seen.answered) = (open - 1, seen.answered + 1);
+                    }
+                }
+                if (draining || stop.load(Ordering::SeqCst)) && open == 0 {
+                    break;
+                }
+            }
+        }
+        seen
+    }
+
+    #[test]
+    fn an_upgrade_on_an_inherited_listener_loses_no_request_in_flight() {
+        // Guards the hand-over: the new process says ready once it can serve, the old one stops accepting at
+        // SIGTERM, answers all it read and leaves before SIGKILL would come; no client's request goes unanswered.
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        fcntl_setfd(&listener, FdFlags::empty()).expect("inheritable");
+        let address = listener.local_addr().expect("an address");
+        let doors: Vec<SocketAddr> = (0..2)
+            .map(|_| TcpListener::bind("127.0.0.1:0").and_then(|door| door.local_addr()).expect("a port"))
+            .collect();
+        let (mut old, old_file) = start(&listener, doors[0], "upgrade-old");
+        wait_ready(doors[0]);
+        let stop = Arc::new(AtomicBool::new(false));
+        let proxies: Vec<_> = (0..4)
+            .map(|n| {
+                let stop = Arc::clone(&stop);
+                thread::spawn(move || proxy(address, n * 1_000_000, &stop))
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(500));
+        let (mut new, new_file) = start(&listener, doors[1], "upgrade-new");
+        wait_ready(doors[1]);
+        let term = Command::new("/bin/sh").arg("-c").arg(format!("kill -TERM {}", old.id())).status();
+        assert!(term.expect("a shell").success());
+        let termed = Instant::now();
+        let ended = loop {
+            if let Some(status) = old.try_wait().expect("a status") {
+                break (termed.elapsed(), status);
+            }
+            assert!(termed.elapsed() < PATIENCE, "the old process never left");
+            thread::sleep(Duration::from_millis(10));
+        };
+        thread::sleep(Duration::from_millis(500));
+        stop.store(true, Ordering::SeqCst);
+        let seen: Vec<Seen> = proxies.into_iter().map(|proxy| proxy.join().expect("a proxy")).collect();
+        let _ = new.kill();
+        let _ = new.wait();
+        let _ = std::fs::remove_file(old_file);
+        let _ = std::fs::remove_file(new_file);
+        assert!(ended.1.success(), "the old process ended with {:?}", ended.1);
+        // SIGKILL would come 3 s after SIGTERM in this configuration.
+        assert!(ended.0 < Duration::from_secs(3), "the old process took {:?}", ended.0);
+        let (sent, answered, lost) =
+            seen.iter().fold((0, 0, 0), |(s, a, l), p| (s + p.sent, a + p.answered, l + p.lost));
+        assert!(seen.iter().all(|proxy| proxy.connections >= 2), "each proxy moved over: {seen:?}");
+        assert_eq!((lost, answered), (0, sent), "{seen:?}");
+    }
+}
--- a/crates/node/src/fronts/mod.rs
+++ b/crates/node/src/fronts/mod.rs
@@ -207,6 +207,8 @@
 /// What the reader has from the rest of the server.
 struct Shared {
     handles: Handles,
+    /// Whether connections are still accepted; never again once not.
+    accepting: Arc<AtomicBool>,
     inputs: Sender<Input>,
     pool: Arc<Pool>,
     log: Logger,
@@ -223,6 +225,7 @@
     handles: Handles,
     pool: Arc<Pool>,
     leaving: AtomicBool,
+    accepting: Arc<AtomicBool>,
 }
 
 impl Fronts {
@@ -234,11 +237,23 @@
         pool: Arc<Pool>,
         log: Logger,
     ) -> io::Result<Self> {
-        let handles = Handles::default();
-        let shared = Shared { handles: Arc::clone(&handles), inputs, pool: Arc::clone(&pool), log };
+        let (handles, accepting) = (Handles::default(), Arc::new(AtomicBool::new(true)));
+        let shared = Shared {
+            handles: Arc::clone(&handles),
+            accepting: Arc::clone(&accepting),
+            inputs,
+            pool: Arc::clone(&pool),
+            log,
+        };
         let mut reader = Reader::new(fronts, most, shared)?;
         thread::Builder::new().name("read".into()).stack_size(STACK).spawn(move || reader.run())?;
-        Ok(Self { handles, pool, leaving: AtomicBool::new(false) })
+        Ok(Self { handles, pool, leaving: AtomicBool::new(false), accepting })
+    }
+
+    /// Accepts nothing more from now on; connections that were accepted are read and answered as ever. What waits to
+    /// be accepted stays with the listener, for a process that shares it.
+    pub fn stop_accepting(&self) {
+        self.accepting.store(false, Ordering::SeqCst);
     }
 
     fn handle(&self, conn: ConnId) -> Option<Arc<Conn>> {
--- a/crates/node/src/fronts/reader.rs
+++ b/crates/node/src/fronts/reader.rs
@@ -68,6 +68,8 @@
     count: Arc<AtomicUsize>,
     /// Whether connections may wait to be accepted.
     accepts: bool,
+    /// Whether it is still watched; not once accepting has stopped.
+    open: bool,
 }
 
 pub struct Reader {
@@ -90,7 +92,8 @@
             listener.set_nonblocking()?;
             watch(&epoll, &listener, doors.len() as ConnId)?;
             let part = if doors.is_empty() { 1 } else { BESIDE_PART };
-            doors.push(Door { listener, front, most: most / part, count: Arc::default(), accepts: true });
+            let (most, count) = (most / part, Arc::default());
+            doors.push(Door { listener, front, most, count, accepts: true, open: true });
         }
         let next = doors.len() as ConnId;
         let (readings, turns) = (HashMap::new(), VecDeque::new());
@@ -119,7 +122,7 @@
             for event in &events {
                 let (number, flags) = (event.data.u64(), event.flags);
                 match self.doors.get_mut(number as usize) {
-                    Some(door) => door.accepts = true,
+                    Some(door) => door.accepts = door.open,
                     None => self.wake(number, flags),
                 }
             }
@@ -161,6 +164,14 @@
 
     /// Accepts what waits, as far as there is room, some of each listener in its turn.
     fn accept(&mut self) {
+        if !self.shared.accepting.load(Ordering::SeqCst) {
+            for door in self.doors.iter_mut().filter(|door| door.accepts || door.open) {
+                // Guards against a wake for each connection that waits for another process from now on.
+                let _ = epoll::delete(&self.epoll, &door.listener);
+                (door.accepts, door.open) = (false, false);
+            }
+            return;
+        }
         loop {
             let mut more = false;
             for place in 0..self.doors.len() {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -96,6 +96,9 @@
     let membership = membership.map(|set| Membership::new(set, seed, clock.read().now));
     let registration = Registration::new(membership, own.leave_hold);
     let mut reducer = Reducer::new(&config, Arc::clone(&settings), registration)?;
+    if handed.accept_fd.is_some() {
+        reducer = reducer.sharing_listener();
+    }
     let pool = Pool::new(POOL.min(config.memory(POOL_PART) / SIZE));
     if let Some(set) = &own.store {
         reducer = reducer.with_store(Ledger::opening(set.patience), Arc::clone(&pool));
@@ -154,6 +157,7 @@
             match effect {
                 Effect::Answer(conn, seq, answer, hint) => fronts.answer(conn, seq, &answer, hint),
                 Effect::Draining(conn) => fronts.draining(conn),
+                Effect::StopAccepting => fronts.stop_accepting(),
                 Effect::Close(conn) => fronts.close(conn),
                 Effect::CloseResting(conn, taken) => fronts.close_resting(conn, taken),
                 Effect::Begin(link, id, class, body) => {
