Leave a hand-over only once accepting has stopped and rested connections are closed

Traced with the proxies' own log of what was open at the end of each connection and the old process's log: it left at the 150 ms margin before SIGKILL with one request open on each of two connections. The cause was the test's stand-in processor, which numbered notices outside its lock, so that a later notice could overtake an earlier one and the earlier was read as told already; fixed there.

Checked while at it, and mended: the old process counted a connection as done once it had rested 300 ms after the drain, by the reducer's books alone, and could leave with a request in the socket, with the reader or in the queue that the reducer had not seen, and reset it; and a connection accepted just before the stop could still be on its way as Input::Opened. Now such connections are closed by CloseResting, which the shell carries out only where nothing is unread, and the process leaves once none stands, nothing is owed and the reader has said Input::NotAccepting behind all it accepted. Handover::closes says which connections have rested.

--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -4,9 +4,10 @@
 //!
 //! So from SIGTERM on the old process accepts nothing more, tells the control plane nothing more (a `NotReady` of
 //! its own would take the server off the list while the new one says `Ready`), asks its connections to drain, and
-//! answers all it read. It leaves as soon as nothing is open and its client proxies have closed their connections,
-//! or those that are left have rested since they were asked to drain; at the latest a margin before SIGKILL, which
-//! resets whatever stands. Not here: the drain of the module, which goes on as at any SIGTERM.
+//! answers all it read. Connections that rest [`REST_AFTER_DRAIN`] after they were asked to drain are closed where
+//! the shell finds nothing unread on them. It leaves once the shell has said that it accepts no more (so that no
+//! accepted connection is still on its way), nothing is open and no connection stands; at the latest a margin
+//! before SIGKILL, which resets whatever stands. Not here: the drain of the module, which goes on as at any SIGTERM.
 
 use gradepin_decisions::{Span, Time, after, before};
 
@@ -19,10 +20,10 @@
 /// What the reducer tells of its connections when it asks whether the old process may leave.
 #[derive(Debug, Clone, Copy)]
 pub struct Left {
-    /// Requests owed an answer or running.
+    /// Requests owed an answer.
     pub open: usize,
-    /// Connections that still keep it: not closed, and not resting since long after they were asked to drain.
-    pub keeping: usize,
+    /// Client connections that stand.
+    pub connections: usize,
 }
 
 /// Whether the listener is shared with a successor, and the hand-over once SIGTERM came.
@@ -31,12 +32,14 @@
     shared: bool,
     /// When SIGTERM came, and when SIGKILL follows.
     since: Option<(Time, Time)>,
+    /// Whether the shell has stopped accepting: what it accepted before is known by then.
+    stopped: bool,
 }
 
 impl Handover {
     /// For a process whose listener is inherited, and shared with the process after it.
     pub fn shared() -> Self {
-        Self { shared: true, since: None }
+        Self { shared: true, ..Self::default() }
     }
 
     /// Whether SIGTERM means a hand-over here.
@@ -53,18 +56,32 @@
         true
     }
 
+    /// The shell accepts no more; every connection it accepted was told before this.
+    pub fn stopped(&mut self) {
+        self.stopped = true;
+    }
+
     /// Whether the control plane is to hear from this process: not once it hands over.
     pub fn reports(&self) -> bool {
         self.since.is_none()
     }
 
-    /// Whether the process may leave now; what is left is only looked at during a hand-over.
-    pub fn may_leave(&self, now: Time, left: impl FnOnce() -> Left) -> bool {
+    /// Whether a connection that was asked to drain then and last spoke then has rested long enough to be closed,
+    /// during a hand-over.
+    pub fn closes(&self, now: Time, draining: Option<Time>, last: Time) -> bool {
+        let rested = |since| after(since, REST_AFTER_DRAIN) <= now;
+        self.since.is_some() && draining.is_some_and(rested) && rested(last)
+    }
+
+    /// Whether the process may leave now.
+    pub fn may_leave(&self, now: Time, left: Left) -> bool {
         let Some((_, kill)) = self.since else { return false };
-        now >= before(kill, KILL_MARGIN) || {
-            let left = left();
-            left.open == 0 && left.keeping == 0
-        }
+        now >= before(kill, KILL_MARGIN) || (self.stopped && left.open == 0 && left.connections == 0)
+    }
+
+    /// Whether a hand-over is under way.
+    pub fn is_under_way(&self) -> bool {
+        self.since.is_some()
     }
 
     /// When to look again whether it may leave, though nothing comes in.
@@ -85,19 +102,30 @@
     fn a_shared_listener_is_handed_over_and_left_in_time() {
         let mut own = Handover::default();
         assert!(!own.begin(Time(S), Span(3 * S)) && own.reports());
-        assert!(!own.may_leave(Time(9 * S), || Left { open: 0, keeping: 0 }));
+        assert!(!own.may_leave(Time(9 * S), Left { open: 0, connections: 0 }));
 
         let mut shared = Handover::shared();
         assert!(shared.reports() && shared.wake_at().is_none());
         assert!(shared.begin(Time(S), Span(3 * S)));
         assert!(!shared.begin(Time(2 * S), Span(3 * S)), "a second SIGTERM begins nothing");
         assert!(!shared.reports());
-        assert!(!shared.may_leave(Time(S), || Left { open: 1, keeping: 0 }));
-        assert!(!shared.may_leave(Time(S), || Left { open: 0, keeping: 2 }));
-        assert!(shared.may_leave(Time(S), || Left { open: 0, keeping: 0 }));
+        assert!(
+            !shared.may_leave(Time(S), Left { open: 0, connections: 0 }),
+            "accepting may not have stopped"
+        );
+        shared.stopped();
+        assert!(!shared.may_leave(Time(S), Left { open: 1, connections: 0 }));
+        assert!(!shared.may_leave(Time(S), Left { open: 0, connections: 2 }));
+        assert!(shared.may_leave(Time(S), Left { open: 0, connections: 0 }));
         let last = before(Time(4 * S), KILL_MARGIN);
         assert_eq!(shared.wake_at(), Some(last));
-        assert!(!shared.may_leave(before(last, Span(1)), || Left { open: 3, keeping: 5 }));
-        assert!(shared.may_leave(last, || Left { open: 3, keeping: 5 }));
+        assert!(!shared.may_leave(before(last, Span(1)), Left { open: 3, connections: 5 }));
+        assert!(shared.may_leave(last, Left { open: 3, connections: 5 }));
+        // A connection closes once it has rested since both the drain and its last word.
+        let (asked, spoke) = (Time(S), Time(S + REST_AFTER_DRAIN.0));
+        assert!(!own.closes(Time(9 * S), Some(asked), asked));
+        assert!(!shared.closes(after(spoke, Span(REST_AFTER_DRAIN.0 - 1)), Some(asked), spoke));
+        assert!(shared.closes(after(spoke, REST_AFTER_DRAIN), Some(asked), spoke));
+        assert!(!shared.closes(Time(9 * S), None, spoke), "one not asked to drain stays");
     }
 }
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -121,6 +121,8 @@
     Rejected(RequestId),
     /// The notice to leave.
     Terminate,
+    /// The fronts accept no more connections; all they accepted before were told.
+    NotAccepting,
     /// An operator takes the server out: told to those who list it, and drained once that may be known.
     TakeOut,
     /// An operator takes it back in, if its drain has not begun.
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -8,7 +8,7 @@
 use crate::admin::Door;
 use crate::classes::Classes;
 use crate::config::{Config, ConfigError};
-use crate::handover::{Handover, Left, REST_AFTER_DRAIN};
+use crate::handover::{Handover, Left};
 use crate::keys::{End, Keys, Print};
 use crate::ledger::{Ledger, Recovered, Standing};
 use crate::messages::{Answer, Call, ConnId, Effect, Input, LEAST_RESTART, Misuse, RunEnd, SeqId, sooner};
@@ -367,6 +367,7 @@
                 self.ended(&id, RunEnd::Moot, Span(0), None);
             }
             Input::Terminate => self.terminate(),
+            Input::NotAccepting => self.handover.stopped(),
             Input::TakeOut => self.take_out(),
             Input::TakeIn => self.take_in(),
             Input::Registry(ticket, reply) => self.registration.reply(self.moment.now, ticket, reply),
@@ -1049,21 +1050,29 @@
         let grace = after(self.leaving_since(), self.settings.rules.drain_grace);
         let answered = self.leaving && self.requests.is_empty() && now > grace;
         self.registration.step(self.moment, answered, &mut self.effects);
-        let handed = self.handover.may_leave(now, || self.left());
+        let handed = self.handover.is_under_way() && {
+            let left = self.left();
+            self.handover.may_leave(now, left)
+        };
         if self.exit_at.take_if(|at| now >= *at || handed).is_some() {
             self.effects.push(Effect::Exit);
         }
     }
 
-    /// What keeps an old process that hands over: requests owed an answer, and connections that may still carry one.
-    fn left(&self) -> Left {
+    /// What keeps an old process that hands over: requests owed an answer, and connections. Those that rest after
+    /// they were asked to drain are closed where nothing of them is unread.
+    fn left(&mut self) -> Left {
         let now = self.moment.now;
+        let handover = &self.handover;
+        let rested = self
+            .connections
+            .iter()
+            .filter(|(_, c)| c.open.is_empty() && !c.closes(now) && handover.closes(now, c.draining, c.last));
+        for conn in rested.map(|(conn, _)| *conn).collect::<Vec<_>>() {
+            self.close_resting(conn);
+        }
         let open = self.requests.values().filter(|open| open.owed).count();
-        let rested = |c: &Connection| {
-            let drained = c.draining.is_some_and(|since| after(since, REST_AFTER_DRAIN) <= now);
-            drained && c.open.is_empty() && after(c.last, REST_AFTER_DRAIN) <= now
-        };
-        Left { open, keeping: self.connections.values().filter(|c| !rested(c)).count() }
+        Left { open, connections: self.connections.len() }
     }
 
     /// Has the store keep what must be kept, and says how it is with it.
--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -200,8 +200,8 @@
         }
     }
 
-    /// New settings while it runs: classes and tenants keep their places and what was learnt of them, new ones come
-    /// after. The host keeps the places; what is open stays in its class.
+    /// New settings while it runs: classes and tenants keep their places and what was learnt of them,
+    /// new ones come after. The host keeps the places; what is open stays in its class.
     pub fn retune(&mut self, mut set: Settings) {
         set.specifics.n_cores = set.specifics.n_cores.max(1);
         // Whether it began cold was learnt at its start, not told by the file.
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -114,7 +114,11 @@
                 format!("{} {}", name(conn), thrift::event(&frame[4..]))
             }
             Effect::Draining(conn) => format!("{} draining", name(conn)),
-            Effect::StopAccepting => "stop accepting".to_string(),
+            Effect::StopAccepting => {
+                // As the reader does, behind what it accepted.
+                self.waiting.push(Input::NotAccepting);
+                "stop accepting".to_string()
+            }
             Effect::CloseResting(conn, _) => {
                 self.waiting.push(Input::Closed(conn));
                 return;
--- a/crates/gradepin/tests/upgrade.rs
+++ b/crates/gradepin/tests/upgrade.rs
@@ -111,9 +111,10 @@
                     let (writes, notices, id) = (Arc::clone(&writes), Arc::clone(&notices), id.to_string());
                     thread::spawn(move || {
                         thread::sleep(RUN);
+                        // Numbered under the lock: a notice must not overtake one numbered before it.
+                        let mut writes = writes.lock().expect("whole");
                         let n = notices.fetch_add(1, Ordering::SeqCst) + 1;
                         let head = format!("complete {n} {id} OK 150 {}\r\n", body.len());
-                        let mut writes = writes.lock().expect("whole");
                         let _ = writes.write_all(&[head.as_bytes(), &body, b"\r\n"].concat());
                     });
                 }
--- a/crates/node/src/fronts/reader.rs
+++ b/crates/node/src/fronts/reader.rs
@@ -165,10 +165,14 @@
     /// Accepts what waits, as far as there is room, some of each listener in its turn.
     fn accept(&mut self) {
         if !self.shared.accepting.load(Ordering::SeqCst) {
-            for door in self.doors.iter_mut().filter(|door| door.accepts || door.open) {
-                // Guards against a wake for each connection that waits for another process from now on.
-                let _ = epoll::delete(&self.epoll, &door.listener);
-                (door.accepts, door.open) = (false, false);
+            if self.doors.iter().any(|door| door.open) {
+                for door in &mut self.doors {
+                    // Guards against a wake for each connection that waits for another process from now on.
+                    let _ = epoll::delete(&self.epoll, &door.listener);
+                    (door.accepts, door.open) = (false, false);
+                }
+                // Behind every connection accepted so far, in the same queue.
+                let _ = self.shared.inputs.send(Input::NotAccepting);
             }
             return;
         }
