Call the shared ledger for runs that ask, and serve where settings say below is shared

The module already decides calls (AskBelow, CallResult, Suspend); the reducer logged them as unknown.

Change: Config takes 'ledger'; 'shared' without it, or 'tier', is refused at start with the key named. The reducer (reducer/calls.rs) keeps the body a run asks with, tells the module ReadyToCall, turns AskBelow into Effect::Call with the module's timeout, and a delivered reply into Effect::Reply ('answer' on the link), the outcome into CallResult; Suspend becomes 'interrupt'. node/src/shared_ledger.rs carries calls with ureq on threads of 1 MiB stacks, twice the told share of calls (4 to 64), a queue of 256; 200 is Delivered with its body, 503 and 409 with X-Untouched Shed, a refused connection DialFailed, 504 or no reply in time Expired (the connection is closed, which gives the call up), a break Dropped, the rest AppError. Idle connections are not used after 4 s: the ledger closes them at 10 s, and a call on one it closed would count as one that may have run. Not taken: a pool of our own over httparse, where ureq is the workspace's client already; and one thread for all calls, which would put each call behind the one before.

Tests: each reply of a stand-in ledger on loopback and its outcome; a call and its reply in virtual time, a notice told twice applied once; a keyed call after a 500 never made again, after an untouched reply made again; start refused without a ledger or with a tier.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -15,6 +15,10 @@
     pub processor: SocketAddr,
     /// Where the control plane takes reports.
     pub control: SocketAddr,
+    /// Where the ledger, the dependency that all servers share, takes calls over HTTP; where the settings have
+    /// `specifics.below` "shared", it is needed.
+    #[serde(default)]
+    pub ledger: Option<SocketAddr>,
     /// Sixteen hex digits for random numbers, new with each start.
     pub seed: String,
     /// Milliseconds from the notice to leave to the stop.
@@ -71,9 +75,14 @@
     /// The module can't work with its settings.
     #[error(transparent)]
     Settings(#[from] BadSettings),
-    /// The module would make calls.
-    #[error("expected specifics.below 'off': the processor's protocol has no calls below")]
-    Below,
+    /// The module would make calls that nobody takes.
+    #[error(
+        "expected 'ledger' in the configuration: specifics.below is 'shared', and calls go to the ledger"
+    )]
+    NoLedger,
+    /// The module would call a tier of servers, which the protocol has no words for.
+    #[error("expected specifics.below 'off' or 'shared', got 'tier': the protocol has no calls to a tier")]
+    Tier,
 }
 
 impl Config {
@@ -97,8 +106,11 @@
         }
         self.seed()?;
         self.settings.check()?;
-        if self.settings.specifics.below != Below::Off {
-            return Err(ConfigError::Below);
+        match self.settings.specifics.below {
+            Below::Off => {}
+            Below::Shared if self.ledger.is_none() => return Err(ConfigError::NoLedger),
+            Below::Shared => {}
+            Below::Tier => return Err(ConfigError::Tier),
         }
         Ok(())
     }
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::ledger::{Batch, Recovered};
 use crate::pool::Buffer;
-use gradepin_decisions::{RequestId, Span, Time};
+use gradepin_decisions::{Outcome, RequestId, Span, Time};
 use gradepin_registry::membership::{Ask, Reply};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -115,6 +115,24 @@
         /// What it made.
         result: Buffer,
     },
+    /// A run waits for a call to the ledger, with this body: the number of the notice, the request and the body.
+    Ask {
+        /// Number of the notice.
+        notice: u64,
+        /// Which request.
+        id: RequestId,
+        /// What the call is to carry.
+        body: Buffer,
+    },
+    /// A call to the ledger ended: how, and with its reply where it went well.
+    Called {
+        /// For which request.
+        id: RequestId,
+        /// How it ended.
+        outcome: Outcome,
+        /// The reply's body, on `Delivered`.
+        reply: Option<Buffer>,
+    },
     /// The gauges in the order of the settings, asked for under this number.
     Used(u64, Vec<f64>),
     /// A run was not begun.
@@ -186,6 +204,12 @@
     CloseResting(ConnId, u64),
     /// Run a request: on which link, its id, its class and its body.
     Begin(u64, RequestId, usize, Arc<Buffer>),
+    /// Call the ledger for a request: its id, the body, and how long to wait for the reply.
+    Call(RequestId, Arc<Buffer>, Span),
+    /// Give a run on a link the reply to its call.
+    Reply(u64, RequestId, Arc<Buffer>),
+    /// Stop a run on a link.
+    Interrupt(u64, RequestId),
     /// Ask on a link for the gauges, under a number.
     Usage(u64, u64),
     /// Give a link up and make a new one.
--- /dev/null
+++ b/crates/core/src/reducer/calls.rs
@@ -0,0 +1,59 @@
+//! Calls to the ledger, the dependency that all servers share: a run asks for one through the processor, the module
+//! says when it is made and how long it may take, and its reply goes back to the run. The reducer keeps the call's
+//! body and the time it went out; how many are out at once is the module's to say.
+
+use super::Reducer;
+use crate::messages::Effect;
+use crate::pool::Buffer;
+use gradepin_decisions::{Event, Outcome, RequestId, Span};
+use std::sync::Arc;
+
+impl Reducer {
+    /// A run waits for a call with this body; the module hears of it, unless the request is no longer in the books.
+    pub(super) fn asks(&mut self, id: &RequestId, body: Buffer) {
+        let Some(open) = self.requests.get_mut(id) else { return };
+        open.call = Some(Arc::new(body));
+        open.call_since = None;
+        self.events.push(Event::ReadyToCall(id.clone()));
+    }
+
+    /// The module makes the call a run waits for.
+    pub(super) fn ask_below(&mut self, id: &RequestId, timeout: Span) {
+        let Some(open) = self.requests.get_mut(id) else { return };
+        let Some(body) = open.call.as_ref().filter(|_| open.call_since.is_none()) else { return };
+        let timeout = if timeout.0 == 0 { self.settings.profiles[open.class].deadline } else { timeout };
+        self.effects.push(Effect::Call(id.clone(), Arc::clone(body), timeout));
+        open.call_since = Some(self.moment.now);
+    }
+
+    /// A call ended. Its reply goes to the run on the link that stands; the module hears how it went.
+    pub(super) fn called(&mut self, id: &RequestId, outcome: Outcome, reply: Option<Buffer>) {
+        let now = self.moment.now;
+        let Some(open) = self.requests.get_mut(id) else { return };
+        let Some(since) = open.call_since.take() else { return };
+        let took = Span(now.0.saturating_sub(since.0));
+        match (outcome, reply, self.link.number) {
+            (Outcome::Delivered, Some(reply), Some(link)) => {
+                open.call = None;
+                self.effects.push(Effect::Reply(link, id.clone(), Arc::new(reply)));
+            }
+            // With no link the run can't have its reply; it is told that the call failed, and the module decides.
+            (Outcome::Delivered, _, _) => {
+                return self.events.push(Event::CallResult {
+                    id: id.clone(),
+                    outcome: Outcome::Dropped,
+                    took,
+                });
+            }
+            _ => {}
+        }
+        self.events.push(Event::CallResult { id: id.clone(), outcome, took });
+    }
+
+    /// Stops a run where there is a link; a run that ends so is told as stopped.
+    pub(super) fn interrupt(&mut self, id: &RequestId) {
+        if let (Some(_), Some(link)) = (self.requests.get(id), self.link.number) {
+            self.effects.push(Effect::Interrupt(link, id.clone()));
+        }
+    }
+}
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -3,6 +3,7 @@
 //! The reducer hosts one [`Controller`] and decides nothing itself. It does no I/O and reads no clock, so a
 //! test can drive it through any course of events.
 
+mod calls;
 mod operators;
 
 use crate::admin::Door;
@@ -93,6 +94,9 @@
     /// Whether its caller still waits for an answer.
     owed: bool,
     body: Arc<Buffer>,
+    /// The call its run waits for, and since when that call is out.
+    call: Option<Arc<Buffer>>,
+    call_since: Option<Time>,
 }
 
 impl Open {
@@ -358,6 +362,14 @@
                     self.learned(&id, end, &result);
                 }
             }
+            Input::Ask { notice, id, body } => {
+                self.link.heard = self.moment.now;
+                if notice > self.link.last_notice {
+                    self.link.last_notice = notice;
+                    self.asks(&id, body);
+                }
+            }
+            Input::Called { id, outcome, reply } => self.called(&id, outcome, reply),
             Input::Used(tag, values) => {
                 self.link.heard = self.moment.now;
                 self.used(tag, &values);
@@ -491,6 +503,8 @@
             state: State::Held,
             owed: true,
             body: Arc::new(call.body),
+            call: None,
+            call_since: None,
         };
         self.body_bytes += open.body.len() + BESIDE;
         self.requests.insert(call.id, open);
@@ -902,8 +916,13 @@
             Action::IdleLimit(span) => self.idle = Some(span),
             Action::Remind(time) => drop(self.timers.insert(time)),
             Action::Emit(text) => self.log(Level::Info, text),
-            Action::Suspend(_) | Action::AskBelow { .. } | Action::Degrade(_) => {
-                self.log(Level::Error, "the module asked for what this protocol can't do".into());
+            Action::AskBelow { id, timeout } => self.ask_below(&id, timeout),
+            Action::Suspend(id) => self.interrupt(&id),
+            Action::Degrade(_) => {
+                self.log(
+                    Level::Error,
+                    "the module asked to go on without a call, which the processor can't".into(),
+                );
             }
         }
     }
--- /dev/null
+++ b/crates/gradepin/tests/calls.rs
@@ -0,0 +1,80 @@
+//! Calls to the shared ledger: a run asks through the processor, the module calls, the reply goes back to the run.
+
+mod scenario;
+use gradepin_core::config::Config;
+use scenario::virtually::Virtually;
+use scenario::{config, play};
+use serde_json::{Value, json};
+
+/// A server whose runs may call the ledger: reads and claims both, four calls out at the most.
+fn calling(config: &mut Value) {
+    config["ledger"] = json!("127.0.0.1:4");
+    config["settings"]["specifics"]["below"] = json!("shared");
+    config["settings"]["specifics"]["calls_by_class"] = json!([true, true]);
+    config["settings"]["specifics"]["calls_out"] = json!(4.0);
+}
+
+fn stage() -> Virtually {
+    let mut stage = Virtually::with(calling);
+    play(&mut stage, "send processor hi WARM 0");
+    stage
+}
+
+#[test]
+fn a_run_that_asks_is_called_for_and_has_its_reply() {
+    // Guards the path of a call: the body the processor gave goes to the ledger unchanged, the reply goes back to
+    // the run unchanged, and the request is served when its run ends. A notice told twice is applied once.
+    play(
+        &mut stage(),
+        "send a call 1 rid=1 body=form
+         expect processor begin 1 read form
+         send processor ask 1 1 entry 7
+         expect ledger call 1 entry 7
+         send processor ask 1 1 entry 7
+         expect no ledger call 1
+         send ledger 1 200 recorded 7
+         expect processor answer 1 recorded 7
+         send processor complete 2 1 OK done
+         expect a 1 served done",
+    );
+}
+
+#[test]
+fn a_keyed_call_that_may_have_run_is_never_made_again() {
+    // Guards the rule on effects: after a reply that proves nothing, a claim's call is not repeated and the request
+    // fails; after one that proves the call never ran, it is made again.
+    play(
+        &mut stage(),
+        "send a call 1 rid=1 method=claim token=t1 body=save
+         expect processor begin 1 claim save
+         send processor ask 1 1 entry
+         expect ledger call 1 entry
+         send ledger 1 500
+         expect a 1 failed
+         wait 1000
+         expect no ledger call 1
+         send b call 1 rid=2 method=claim token=t2 body=save2
+         expect processor begin 2 claim save2
+         send processor ask 2 2 entry
+         expect ledger call 2 entry
+         send ledger 2 untouched
+         wait 500
+         expect ledger call 2 entry
+         send ledger 2 200 fine
+         expect processor answer 2 fine",
+    );
+}
+
+#[test]
+fn calls_below_need_a_ledger_and_no_tier() {
+    // Guards the start: a server whose module would call what nobody takes is refused with the key named.
+    let mut text = config("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3");
+    calling(&mut text);
+    assert!(Config::parse(&text.to_string()).is_ok());
+    text.as_object_mut().unwrap().remove("ledger");
+    let error = Config::parse(&text.to_string()).unwrap_err().to_string();
+    assert!(error.contains("'ledger'"), "{error}");
+    text["settings"]["specifics"]["below"] = json!("tier");
+    let error = Config::parse(&text.to_string()).unwrap_err().to_string();
+    assert!(error.contains("tier"), "{error}");
+}
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -6,6 +6,9 @@
 //!   A move gives it another processor and another control plane, `processor2` and `control2` on sockets; a
 //!   broken configuration is no JSON. A connection opens when it is first named. Fields have defaults; `rid` is a plain number and `t0` counts from now. `+` before `call` holds
 //!   the message back until the next one, so that both arrive together.
+//! - `send ledger RID 200 REPLY` and `send ledger RID untouched|500|504|refused|broken`: how a call to the ledger
+//!   ended, on the virtual stage; the call itself is the event `ledger call RID BODY LIMIT_MS`, and a reply that
+//!   reaches the run `processor answer RID REPLY`.
 //! - `send admin health|stats|fail|ok`: a call at the operators' door. Its response is an event for each line of the
 //!   body that is no comment: `admin STATUS LINE`, such as `admin 503 not ready: drained` or
 //!   `admin 200 server_relayed_total 1`.
@@ -45,6 +48,10 @@
     fn reload(&mut self, how: &str);
     /// A call at the operators' door.
     fn admin(&mut self, call: AdminCall);
+    /// How a call to the ledger ended: `RID 200 REPLY`, `RID untouched|500|504|refused|broken`.
+    fn ledger(&mut self, line: &str) {
+        panic!("this stage has no ledger: {line}");
+    }
     fn open(&mut self, conn: &str);
     fn close(&mut self, peer: &str);
     fn wait(&mut self, ms: u64);
@@ -139,6 +146,7 @@
         match words[..] {
             [] => {}
             ["send", "processor", ..] => stage.processor(&words[2..].join(" ")),
+            ["send", "ledger", ..] => stage.ledger(&words[2..].join(" ")),
             ["send", "server", "TERM"] => stage.terminate(),
             ["send", "server", order @ ("OUT" | "IN")] => stage.order(order == "OUT"),
             ["send", "server", "HUP", how] => stage.reload(how),
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -8,7 +8,7 @@
 use gradepin_core::pool::Pool;
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
-use gradepin_decisions::{RequestId, Settings, Span, Time};
+use gradepin_decisions::{Outcome, RequestId, Settings, Span, Time};
 use gradepin_node::admin;
 use gradepin_node::fronts::thrift::codec;
 use std::sync::Arc;
@@ -129,6 +129,17 @@
                 let class = &self.settings.profiles[class].name;
                 format!("processor begin {id} {class} {}", String::from_utf8_lossy(&body))
             }
+            Effect::Call(id, body, limit) => {
+                let id = u64::from_str_radix(&id.0, 16).expect("hex");
+                format!("ledger call {id} {} {}", String::from_utf8_lossy(&body), limit.0 / MS)
+            }
+            Effect::Reply(_, id, reply) => {
+                let id = u64::from_str_radix(&id.0, 16).expect("hex");
+                format!("processor answer {id} {}", String::from_utf8_lossy(&reply))
+            }
+            Effect::Interrupt(_, id) => {
+                format!("processor interrupt {}", u64::from_str_radix(&id.0, 16).expect("hex"))
+            }
             Effect::Usage(_, tag) => {
                 if !self.muted {
                     self.waiting.push(Input::Used(tag, vec![0.5, 2.0, 0.1, 9.0]));
@@ -204,6 +215,11 @@
                 result: self.pool.copy(result.join(" ").as_bytes()).expect("fits"),
             },
             ["reject", rid] => Input::Rejected(id(rid)),
+            ["ask", n, rid, ref body @ ..] => Input::Ask {
+                notice: n.parse().expect("a number"),
+                id: id(rid),
+                body: self.pool.copy(body.join(" ").as_bytes()).expect("fits"),
+            },
             ["mute"] => return self.muted = true,
             ["unmute"] => return self.muted = false,
             _ => panic!("no line of the processor: {line}"),
@@ -241,6 +257,25 @@
         self.settle();
     }
 
+    fn ledger(&mut self, line: &str) {
+        let words: Vec<&str> = line.split(' ').collect();
+        let [rid, how, ref reply @ ..] = words[..] else { panic!("no reply of the ledger: {line}") };
+        let outcome = match how {
+            "200" => Outcome::Delivered,
+            "untouched" => Outcome::Shed,
+            "500" => Outcome::AppError,
+            "504" => Outcome::Expired,
+            "refused" => Outcome::DialFailed,
+            "broken" => Outcome::Dropped,
+            _ => panic!("no reply of the ledger: {line}"),
+        };
+        let reply = (outcome == Outcome::Delivered)
+            .then(|| self.pool.copy(reply.join(" ").as_bytes()).expect("fits"));
+        let id = RequestId::new(&format!("{:016x}", rid.parse::<u64>().expect("a number")));
+        self.waiting.push(Input::Called { id, outcome, reply });
+        self.settle();
+    }
+
     fn open(&mut self, conn: &str) {
         self.conn(conn);
         self.settle();
--- a/crates/model/src/policies/mod.rs
+++ b/crates/model/src/policies/mod.rs
@@ -155,6 +155,7 @@
         seed: format!("{:016x}", start.seed),
         stop_ms,
         admin_addr: None,
+        ledger: Some(nowhere),
         limits: Limits { sockets: 4_096, memory_mb: 192 },
         settings: settings.clone(),
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod registry;
 pub mod serve;
 pub mod settings;
+pub mod shared_ledger;
 mod signals;
 pub mod store;
--- a/crates/node/src/processor.rs
+++ b/crates/node/src/processor.rs
@@ -131,6 +131,18 @@
         self.on(link, |link| link.command(&self.pool, &[line.as_bytes(), body, b"\r\n"]));
     }
 
+    /// The reply to the call that a run waits for; it leaves with the next [`Processor::flush`].
+    pub fn answer(&self, link: u64, id: &RequestId, reply: &[u8]) {
+        let line = format!("answer {} {}\r\n", id.0, reply.len());
+        self.on(link, |link| link.command(&self.pool, &[line.as_bytes(), reply, b"\r\n"]));
+    }
+
+    /// The command to stop a run; it leaves with the next [`Processor::flush`].
+    pub fn interrupt(&self, link: u64, id: &RequestId) {
+        let line = format!("interrupt {}\r\n", id.0);
+        self.on(link, |link| link.command(&self.pool, &[line.as_bytes()]));
+    }
+
     /// The question for the gauges; it leaves with the next [`Processor::flush`].
     pub fn usage(&self, link: u64, tag: u64) {
         let line = format!("usage {tag}\r\n");
@@ -262,6 +274,10 @@
                     progress.last_notice = notice.max(progress.last_notice);
                     Input::Complete { notice, id, end, took, result }
                 }
+                Line::Ask(notice, id, body) => {
+                    progress.last_notice = notice.max(progress.last_notice);
+                    Input::Ask { notice, id, body }
+                }
                 Line::Used(tag, values) => Input::Used(tag, values),
                 Line::Reject(id) => Input::Rejected(id),
                 Line::Remark(notice) => {
@@ -291,6 +307,7 @@
 enum Line {
     Hi(bool, Span),
     Complete(u64, RequestId, RunEnd, Span, Buffer),
+    Ask(u64, RequestId, Buffer),
     Used(u64, Vec<f64>),
     Reject(RequestId),
     Remark(u64),
@@ -321,15 +338,23 @@
         _ => Err(bad(line)),
     };
     let mut whole = end + 2;
+    // What follows a line that ends in a length, and the length of the whole.
+    let mut body = |len: &str| -> io::Result<Option<Buffer>> {
+        let len = usize::try_from(number(len)?).unwrap_or(usize::MAX);
+        if len > MOST_RESULT {
+            return Err(bad(line));
+        }
+        let Some(rest) = bytes.get(whole..whole + len + 2) else { return Ok(None) };
+        let (body, tail) = rest.split_at(len);
+        if tail != b"\r\n" {
+            return Err(bad(line));
+        }
+        whole += len + 2;
+        pool.copy(body).map(Some).ok_or_else(|| bad(line))
+    };
     let line = match words[..] {
         ["hi", state @ ("COLD" | "WARM"), ms] => Line::Hi(state == "COLD", millis(ms)?),
         ["complete", n, id, ended, ms, len] => {
-            let len = usize::try_from(number(len)?).unwrap_or(usize::MAX);
-            if len > MOST_RESULT {
-                return Err(bad(line));
-            }
-            let Some(rest) = bytes.get(whole..whole + len + 2) else { return Ok(None) };
-            let (body, tail) = rest.split_at(len);
             let ended = match ended {
                 "OK" => RunEnd::Ok,
                 "ERROR" => RunEnd::Error,
@@ -337,12 +362,14 @@
                 "MOOT" => RunEnd::Moot,
                 _ => return Err(bad(line)),
             };
-            if tail != b"\r\n" {
-                return Err(bad(line));
-            }
-            whole += len + 2;
-            let result = pool.copy(body).ok_or_else(|| bad(line))?;
-            Line::Complete(number(n)?, RequestId::new(id), ended, millis(ms)?, result)
+            let (n, took) = (number(n)?, millis(ms)?);
+            let Some(result) = body(len)? else { return Ok(None) };
+            Line::Complete(n, RequestId::new(id), ended, took, result)
+        }
+        ["ask", n, id, len] => {
+            let n = number(n)?;
+            let Some(call) = body(len)? else { return Ok(None) };
+            Line::Ask(n, RequestId::new(id), call)
         }
         ["used", tag, ref values @ ..] => {
             let values: Result<Vec<f64>, _> = values.iter().map(|value| value.parse()).collect();
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -12,6 +12,7 @@
 use crate::processor::Processor;
 use crate::registry::Registry;
 use crate::settings::{Live, Own};
+use crate::shared_ledger::SharedLedger;
 use crate::signals::Signals;
 use crate::store::{self, Store};
 use crossbeam_channel::{Sender, bounded, select};
@@ -21,7 +22,7 @@
 use gradepin_core::pool::{Pool, SIZE};
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
-use gradepin_decisions::Settings;
+use gradepin_decisions::{Below, Settings};
 use gradepin_registry::membership::Membership;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use slog::{Level, Logger, error, info, warn};
@@ -147,6 +148,12 @@
     let fronts = fronts.map_err(failed("reading"))?;
     let registry = own.registry.as_ref().map(|set| Registry::start(set, &id, &urgently, log));
     let registry = registry.transpose().map_err(failed("registry"))?;
+    let ledger = config.ledger.filter(|_| settings.specifics.below == Below::Shared).map(|address| {
+        let share = settings.specifics.calls_out;
+        let ledger = SharedLedger::start(address, share, urgently.clone(), Arc::clone(&pool), log.clone());
+        ledger.map_err(failed("ledger"))
+    });
+    let ledger = ledger.transpose()?;
     let processor = Processor::connect(config.processor, urgently, pool, log.clone());
     let processor = processor.map_err(failed("processor"))?;
     info!(log, "serving"; "listen" => %config.listen, "version" => env!("CARGO_PKG_VERSION"));
@@ -164,6 +171,13 @@
                     processor.begin(link, &id, &settings.profiles[class].name, &body);
                 }
                 Effect::Usage(link, tag) => processor.usage(link, tag),
+                Effect::Call(id, body, limit) => {
+                    if let Some(ledger) = &ledger {
+                        ledger.call(id, &body, limit);
+                    }
+                }
+                Effect::Reply(link, id, reply) => processor.answer(link, &id, &reply),
+                Effect::Interrupt(link, id) => processor.interrupt(link, &id),
                 Effect::Renew(link) => processor.renew(link),
                 Effect::Processor(address) => processor.retarget(address),
                 Effect::Control(address) => control.retarget(address),
--- /dev/null
+++ b/crates/node/src/shared_ledger.rs
@@ -0,0 +1,219 @@
+//! Calls to the ledger, the dependency that all servers share: `POST /post` over HTTP/1.1 by `ureq`, one call at a
+//! time on a connection, on threads of their own so that no step waits. When to call and how long a call may take is
+//! the module's; this carries the call and says how it ended, in the module's words.
+//!
+//! | reply | outcome |
+//! | --- | --- |
+//! | 200 with a body | `Delivered`, the body goes to the run |
+//! | 503 or 409 with `X-Untouched: 1`, a refused connection, a call that never left here | `Shed` or `DialFailed`: it never ran |
+//! | 500, or 503 and 409 without that header | `AppError`: it may have had its effect |
+//! | 504, or no reply in time (the connection is closed, which gives the call up) | `Expired` |
+//! | a connection that broke during the call | `Dropped` |
+
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use gradepin_core::messages::Input;
+use gradepin_core::pool::{Buffer, Pool, SIZE};
+use gradepin_decisions::{Outcome, RequestId, Span};
+use slog::{Logger, warn};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+use ureq::Agent;
+
+/// The library nests its calls, and keeps its buffers on the heap.
+const STACK: usize = 1024 * 1024;
+/// Threads, each with one call at a time, as many times the told share of calls; and their bounds.
+const THREADS_PER_SHARE: f64 = 2.0;
+const THREADS: [usize; 2] = [4, 64];
+/// Calls that wait for a thread at the most; more are turned away here, which proves that they never ran.
+const QUEUE: usize = 256;
+/// A connection idle for so long is not used again: the ledger closes those idle for 10 s, and a call on one that it
+/// closed would break without having been read, and count as one that may have run.
+const IDLE: Duration = Duration::from_secs(4);
+/// How long a connection may take to be made; a call that can't be made in it never ran.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// A call as the threads take it.
+struct Call {
+    id: RequestId,
+    body: Arc<Vec<u8>>,
+    limit: Duration,
+    until: Instant,
+}
+
+/// The calls to the ledger that all servers share.
+pub struct SharedLedger {
+    calls: Sender<Call>,
+    inputs: Sender<Input>,
+    log: Logger,
+}
+
+impl SharedLedger {
+    /// Calls this address from now on, with threads for so many calls at once, and tells how each ended.
+    pub fn start(
+        address: SocketAddr,
+        share: f64,
+        inputs: Sender<Input>,
+        pool: Arc<Pool>,
+        log: Logger,
+    ) -> io::Result<Self> {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .max_idle_age(IDLE)
+            .timeout_connect(Some(CONNECT))
+            .user_agent(concat!("gradepin/", env!("CARGO_PKG_VERSION")));
+        let agent: Agent = config.build().into();
+        let url = format!("http://{address}/post");
+        let (calls, queue) = bounded::<Call>(QUEUE);
+        let threads = (share * THREADS_PER_SHARE).ceil() as usize;
+        for n in 0..threads.clamp(THREADS[0], THREADS[1]) {
+            let (agent, url, queue, inputs, pool) =
+                (agent.clone(), url.clone(), queue.clone(), inputs.clone(), Arc::clone(&pool));
+            let carry = move || carry(&agent, &url, &queue, &inputs, &pool);
+            thread::Builder::new().name(format!("ledger-{n}")).stack_size(STACK).spawn(carry)?;
+        }
+        Ok(Self { calls, inputs, log })
+    }
+
+    /// Makes a call for a request; never blocks.
+    pub fn call(&self, id: RequestId, body: &[u8], limit: Span) {
+        let limit = Duration::from_nanos(limit.0);
+        let call = Call { id, body: Arc::new(body.to_vec()), limit, until: Instant::now() + limit };
+        if let Err(TrySendError::Full(call) | TrySendError::Disconnected(call)) = self.calls.try_send(call) {
+            warn!(self.log, "a call to the ledger found no room; it is turned away unmade");
+            let _ = self.inputs.send(Input::Called { id: call.id, outcome: Outcome::Shed, reply: None });
+        }
+    }
+}
+
+fn carry(agent: &Agent, url: &str, queue: &Receiver<Call>, inputs: &Sender<Input>, pool: &Arc<Pool>) {
+    for call in queue {
+        let (outcome, reply) = match call.until.checked_duration_since(Instant::now()) {
+            // Its time ran out while it waited here: it never left.
+            None => (Outcome::Shed, None),
+            Some(left) => exchange(agent, url, &call, left, pool),
+        };
+        if inputs.send(Input::Called { id: call.id, outcome, reply }).is_err() {
+            return;
+        }
+    }
+}
+
+fn exchange(
+    agent: &Agent,
+    url: &str,
+    call: &Call,
+    left: Duration,
+    pool: &Arc<Pool>,
+) -> (Outcome, Option<Buffer>) {
+    let request = agent.post(url).config().timeout_global(Some(left)).build();
+    let request = request
+        .header("X-Txn-Ref", call.id.0.as_ref())
+        .header("X-Limit-Ms", call.limit.as_millis().to_string());
+    let mut response = match request.send(call.body.as_slice()) {
+        Ok(response) => response,
+        Err(error) => return (failed(&error), None),
+    };
+    let untouched = response.headers().get("X-Untouched").is_some_and(|value| value.as_bytes() == b"1");
+    match response.status().as_u16() {
+        200 => match response.body_mut().with_config().limit(SIZE as u64).read_to_vec() {
+            Ok(body) => match pool.copy(&body) {
+                Some(body) => (Outcome::Delivered, Some(body)),
+                None => (Outcome::AppError, None),
+            },
+            Err(error) => (failed(&error), None),
+        },
+        503 | 409 if untouched => (Outcome::Shed, None),
+        504 => (Outcome::Expired, None),
+        _ => (Outcome::AppError, None),
+    }
+}
+
+/// What an error of the exchange says of the call.
+fn failed(error: &ureq::Error) -> Outcome {
+    match error {
+        ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => Outcome::DialFailed,
+        ureq::Error::Timeout(_) => Outcome::Expired,
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => Outcome::DialFailed,
+        ureq::Error::Io(io) if io.kind() == io::ErrorKind::ConnectionRefused => Outcome::DialFailed,
+        _ => Outcome::Dropped,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+    use std::net::TcpListener;
+
+    /// A stand-in ledger that answers each call with the next of these replies, or holds it without one.
+    fn ledger(replies: Vec<Option<&'static str>>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        thread::spawn(move || {
+            for (reply, socket) in replies.into_iter().zip(listener.incoming()) {
+                let mut socket = socket.unwrap();
+                let mut head = Vec::new();
+                let mut byte = [0];
+                while !head.ends_with(b"\r\n\r\n") && socket.read(&mut byte).unwrap_or(0) == 1 {
+                    head.push(byte[0]);
+                }
+                let text = String::from_utf8_lossy(&head).to_lowercase();
+                assert!(text.starts_with("post /post http/1.1\r\n"), "{text}");
+                assert!(
+                    text.contains("x-txn-ref: 00000000000000a1\r\n") && text.contains("x-limit-ms: "),
+                    "{text}"
+                );
+                let mut body = [0; 4];
+                socket.read_exact(&mut body).unwrap();
+                assert_eq!(&body, b"form");
+                match reply {
+                    Some(reply) => socket.write_all(reply.as_bytes()).unwrap(),
+                    None => thread::sleep(Duration::from_secs(2)),
+                }
+            }
+        });
+        address
+    }
+
+    fn outcome(address: SocketAddr, limit_ms: u64) -> (Outcome, Option<Vec<u8>>) {
+        let (inputs, came) = bounded(4);
+        let pool = Pool::new(4);
+        let log = Logger::root(slog::Discard, slog::o!());
+        let ledger = SharedLedger::start(address, 1.0, inputs, pool, log).unwrap();
+        ledger.call(RequestId::new("00000000000000a1"), b"form", Span(limit_ms * 1_000_000));
+        match came.recv_timeout(Duration::from_secs(10)).unwrap() {
+            Input::Called { outcome, reply, .. } => (outcome, reply.map(|reply| reply.to_vec())),
+            _ => panic!("another input"),
+        }
+    }
+
+    /// Guards each reply's meaning for the module: which prove that the call never ran, which may have had an
+    /// effect, and the body that goes to the run.
+    #[test]
+    fn replies_of_the_ledger_say_what_became_of_a_call() {
+        let replies = [
+            ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Outcome::Delivered),
+            ("HTTP/1.1 503 Busy\r\nX-Untouched: 1\r\nContent-Length: 0\r\n\r\n", Outcome::Shed),
+            ("HTTP/1.1 409 Conflict\r\nX-Untouched: 1\r\nContent-Length: 0\r\n\r\n", Outcome::Shed),
+            ("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", Outcome::AppError),
+            ("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n", Outcome::AppError),
+            ("HTTP/1.1 504 Late\r\nContent-Length: 0\r\n\r\n", Outcome::Expired),
+        ];
+        for (reply, expected) in replies {
+            let (outcome, body) = outcome(ledger(vec![Some(reply)]), 2_000);
+            assert_eq!(outcome, expected, "{reply}");
+            assert_eq!(body.is_some(), expected == Outcome::Delivered, "{reply}");
+        }
+        assert_eq!(outcome(ledger(vec![Some(replies[0].0)]), 2_000).1.as_deref(), Some(&b"ok"[..]));
+        // No reply within the limit: the call is given up, and may have had its effect.
+        assert_eq!(outcome(ledger(vec![None]), 200).0, Outcome::Expired);
+        // Nobody listens: it never ran.
+        let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        assert_eq!(outcome(gone, 2_000).0, Outcome::DialFailed);
+    }
+}
