Move calls to the shared ledger at a reload, and log each call that did not deliver

A reload moved the processor and the control plane but not the ledger: calls went on to the old address.

Change: a reload that names another ledger becomes Effect::Ledger, and the threads call the new address from the next call on; calls out already end where they are. Each call that is not delivered is logged with its outcome and time.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -218,6 +218,8 @@
     Processor(SocketAddr),
     /// Report to this address from now on.
     Control(SocketAddr),
+    /// Call the shared ledger at this address from now on.
+    Ledger(SocketAddr),
     /// Report to the control plane whether this server takes work.
     Report(bool),
     /// Put a question to a registry.
--- a/crates/core/src/reducer/calls.rs
+++ b/crates/core/src/reducer/calls.rs
@@ -6,6 +6,7 @@
 use crate::messages::Effect;
 use crate::pool::Buffer;
 use gradepin_decisions::{Event, Outcome, RequestId, Span};
+use slog::Level;
 use std::sync::Arc;
 
 impl Reducer {
@@ -32,6 +33,14 @@
         let Some(open) = self.requests.get_mut(id) else { return };
         let Some(since) = open.call_since.take() else { return };
         let took = Span(now.0.saturating_sub(since.0));
+        if outcome != Outcome::Delivered {
+            let text = format!(
+                "a call to the ledger for {} ended {outcome:?} after {} ms",
+                id.0,
+                took.0 / 1_000_000
+            );
+            self.effects.push(Effect::Log(Level::Warning, text));
+        }
         match (outcome, reply, self.link.number) {
             (Outcome::Delivered, Some(reply), Some(link)) => {
                 open.call = None;
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -977,6 +977,11 @@
         if config.control != self.config.control {
             self.effects.push(Effect::Control(config.control));
         }
+        if let Some(ledger) = config.ledger.filter(|ledger| Some(*ledger) != self.config.ledger) {
+            // Calls out to the old address end there; new ones go to the new.
+            self.effects.push(Effect::Ledger(ledger));
+            self.config.ledger = Some(ledger);
+        }
         // The new control plane is to hear of this server at once, whether or not it knows the old one's list.
         self.changed();
         self.stop = Span(config.stop_ms.saturating_mul(MS));
--- a/crates/gradepin/tests/calls.rs
+++ b/crates/gradepin/tests/calls.rs
@@ -78,3 +78,20 @@
     let error = Config::parse(&text.to_string()).unwrap_err().to_string();
     assert!(error.contains("tier"), "{error}");
 }
+
+#[test]
+fn a_reload_moves_the_calls_to_the_ledger() {
+    // Guards the days on which every party moves at a SIGHUP: calls to the old address would all fail.
+    let mut stage = stage();
+    play(
+        &mut stage,
+        "send server HUP moved
+         expect calls to 127.0.0.1:7
+         send a call 1 rid=1 body=form
+         expect processor begin 1
+         send processor ask 1 1 entry
+         expect ledger call 1 entry
+         send server HUP moved
+         expect no calls to",
+    );
+}
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -16,6 +16,8 @@
 const MS: u64 = 1_000_000;
 
 pub struct Virtually {
+    /// The configuration it started with, of which reloads are made.
+    config: serde_json::Value,
     reducer: Reducer,
     settings: Arc<Settings>,
     pool: Arc<Pool>,
@@ -62,11 +64,12 @@
     }
 
     fn built(change: impl FnOnce(&mut serde_json::Value), registration: Registration) -> Self {
-        let mut config = config("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3");
-        change(&mut config);
-        let config = Config::parse(&config.to_string()).expect("a whole configuration");
+        let mut text = config("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3");
+        change(&mut text);
+        let config = Config::parse(&text.to_string()).expect("a whole configuration");
         let settings = Arc::new(config.settings.clone());
         Self {
+            config: text,
             reducer: Reducer::new(&config, Arc::clone(&settings), registration)
                 .expect("a whole configuration"),
             settings,
@@ -150,6 +153,7 @@
             Effect::Renew(_) => "renew".to_string(),
             Effect::Processor(address) => format!("link to {address}"),
             Effect::Control(address) => format!("reports to {address}"),
+            Effect::Ledger(address) => format!("calls to {address}"),
             Effect::Registry(ask) => {
                 let text = format!("{:?}", ask.op);
                 format!("registry {}", text.split(['(', ' ']).next().unwrap_or_default())
@@ -240,8 +244,16 @@
 
     fn reload(&mut self, how: &str) {
         let text = match how {
-            "moved" => config("127.0.0.1:1", "127.0.0.1:8", "127.0.0.1:9").to_string(),
-            _ => changed(&config("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"), how),
+            "moved" => {
+                let mut moved = self.config.clone();
+                moved["processor"] = "127.0.0.1:8".into();
+                moved["control"] = "127.0.0.1:9".into();
+                if moved.get("ledger").is_some() {
+                    moved["ledger"] = "127.0.0.1:7".into();
+                }
+                moved.to_string()
+            }
+            _ => changed(&self.config, how),
         };
         // As the shell reads a file: what can't be parsed reaches the reducer as a refusal.
         self.waiting.push(match Config::parse(&text) {
--- a/crates/gradepin/tests/sockets.rs
+++ b/crates/gradepin/tests/sockets.rs
@@ -111,7 +111,8 @@
         (good.replace("127.0.0.1:1", "nowhere"), "expected a configuration"),
         (good.replace("8c1f30d27a5be964", "seed"), "hex digits as seed"),
         (good.replace("\"n_cores\":4", "\"n_cores\":0"), "n_cores above 0"),
-        (good.replace("\"below\":\"off\"", "\"below\":\"shared\""), "no calls below"),
+        (good.replace("\"below\":\"off\"", "\"below\":\"shared\""), "expected 'ledger'"),
+        (good.replace("\"below\":\"off\"", "\"below\":\"tier\""), "no calls to a tier"),
         (good.replace("\"sockets\":1024", "\"sockets\":64"), "limits.sockets"),
         (good.replace("\"name\":\"n1\"", "\"name\":\"n 1\""), "printable"),
     ];
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -181,6 +181,11 @@
                 Effect::Renew(link) => processor.renew(link),
                 Effect::Processor(address) => processor.retarget(address),
                 Effect::Control(address) => control.retarget(address),
+                Effect::Ledger(address) => {
+                    if let Some(ledger) = &ledger {
+                        ledger.retarget(address);
+                    }
+                }
                 Effect::Report(ready) => {
                     if let Err(e) = control.report(ready) {
                         info!(log, "a report could not be sent"; "error" => %e);
--- a/crates/node/src/shared_ledger.rs
+++ b/crates/node/src/shared_ledger.rs
@@ -17,7 +17,7 @@
 use slog::{Logger, warn};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError, RwLock};
 use std::thread;
 use std::time::{Duration, Instant};
 use ureq::Agent;
@@ -46,10 +46,15 @@
 /// The calls to the ledger that all servers share.
 pub struct SharedLedger {
     calls: Sender<Call>,
+    url: Arc<RwLock<Arc<str>>>,
     inputs: Sender<Input>,
     log: Logger,
 }
 
+fn url(address: SocketAddr) -> Arc<str> {
+    Arc::from(format!("http://{address}/post"))
+}
+
 impl SharedLedger {
     /// Calls this address from now on, with threads for so many calls at once, and tells how each ended.
     pub fn start(
@@ -67,16 +72,21 @@
             .timeout_connect(Some(CONNECT))
             .user_agent(concat!("gradepin/", env!("CARGO_PKG_VERSION")));
         let agent: Agent = config.build().into();
-        let url = format!("http://{address}/post");
+        let url = Arc::new(RwLock::new(url(address)));
         let (calls, queue) = bounded::<Call>(QUEUE);
         let threads = (share * THREADS_PER_SHARE).ceil() as usize;
         for n in 0..threads.clamp(THREADS[0], THREADS[1]) {
             let (agent, url, queue, inputs, pool) =
-                (agent.clone(), url.clone(), queue.clone(), inputs.clone(), Arc::clone(&pool));
+                (agent.clone(), Arc::clone(&url), queue.clone(), inputs.clone(), Arc::clone(&pool));
             let carry = move || carry(&agent, &url, &queue, &inputs, &pool);
             thread::Builder::new().name(format!("ledger-{n}")).stack_size(STACK).spawn(carry)?;
         }
-        Ok(Self { calls, inputs, log })
+        Ok(Self { calls, url, inputs, log })
+    }
+
+    /// Calls go to this address from now on; those out already end where they are.
+    pub fn retarget(&self, address: SocketAddr) {
+        *self.url.write().unwrap_or_else(PoisonError::into_inner) = url(address);
     }
 
     /// Makes a call for a request; never blocks.
@@ -90,12 +100,19 @@
     }
 }
 
-fn carry(agent: &Agent, url: &str, queue: &Receiver<Call>, inputs: &Sender<Input>, pool: &Arc<Pool>) {
+fn carry(
+    agent: &Agent,
+    url: &RwLock<Arc<str>>,
+    queue: &Receiver<Call>,
+    inputs: &Sender<Input>,
+    pool: &Arc<Pool>,
+) {
     for call in queue {
+        let url = Arc::clone(&url.read().unwrap_or_else(PoisonError::into_inner));
         let (outcome, reply) = match call.until.checked_duration_since(Instant::now()) {
             // Its time ran out while it waited here: it never left.
             None => (Outcome::Shed, None),
-            Some(left) => exchange(agent, url, &call, left, pool),
+            Some(left) => exchange(agent, &url, &call, left, pool),
         };
         if inputs.send(Input::Called { id: call.id, outcome, reply }).is_err() {
             return;
