Wait for the retelling before an earlier life's run counts as unknown

The cause: where the link stood before the folder was read, the recovery asks for a retelling on a new link, but an answer to a question for the gauges from before it, 'nothing runs', gave all runs of the earlier life up at once (Reducer::used called count_runs for any answer).

Change: only the answer to the question asked on a link that stood after the recovery counts, which comes behind all kept notices. The tests on sockets wait for a later save to be begun before they kill, so that what they say does not hang on whether the end of the first was written.

Test: a question open as the folder is read, in virtual time; without the change it is answered Unknown, with it served.

--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -135,6 +135,8 @@
     number: Option<u64>,
     /// The question after which begins left over from an earlier link are sent again.
     settles: Option<u64>,
+    /// The question behind all kept notices, told since runs of an earlier life were found; none before they are.
+    retold: Option<u64>,
     /// When the processor last told anything.
     heard: Time,
     last_notice: u64,
@@ -614,6 +616,7 @@
             // The answer comes behind all notices of runs that ended meanwhile.
             self.ask(number);
             self.link.settles = unproven.then_some(self.link.asked);
+            self.link.retold = self.hope.map(|_| self.link.asked);
         }
     }
 
@@ -651,7 +654,10 @@
             }
         }
         self.link.unproven.retain(|(_, asked)| *asked >= tag);
-        self.count_runs(gauges.on_cores);
+        // Guards against an answer from before the retelling: the end of an earlier life's run may still be told.
+        if self.link.retold.is_some_and(|retold| retold <= tag) {
+            self.count_runs(gauges.on_cores);
+        }
     }
 
     /// Where no more runs than were begun here are on the cores, none of an earlier life is, and its end was told before or
--- a/crates/kit/tests/store.rs
+++ b/crates/kit/tests/store.rs
@@ -49,6 +49,13 @@
         self.folder.join("n0.store")
     }
 
+    /// Waits until all ends told so far are durable. An answer waits for its run's intent alone, and its end follows: a
+    /// server killed between the two knows the run as unknown, as it should. A later save is begun behind them.
+    fn settled(&self, number: u64) {
+        let name = format!("settled{number}");
+        served(self.saver(number).insist(&name, &name, INSISTS, |_| {}), &name);
+    }
+
     fn runs_of(&mut self, body: &str) -> usize {
         self.fleet.collect();
         self.fleet.nodes[0].begun.iter().filter(|begun| begun.body == body.as_bytes()).count()
@@ -100,6 +107,7 @@
     let mut stage = Stage::up(&spec("store-kill", 150));
     let mut saver = stage.saver(1);
     served(saver.insist("t1", "one", INSISTS, |_| {}), "one");
+    stage.settled(2);
     for n in 0..6 {
         let body = format!("running{n}");
         let address = stage.fleet.nodes[0].address;
@@ -128,6 +136,7 @@
 fn a_token_with_another_body_is_a_conflict_across_lives_too() {
     let mut stage = Stage::up(&spec("store-conflict", 5));
     served(stage.saver(1).insist("t1", "mine", INSISTS, |_| {}), "mine");
+    stage.settled(9);
     stage.fleet.nodes[0].kill();
     stage.fleet.nodes[0].spawn().expect("it starts");
     let mut saver = stage.saver(2);
--- a/crates/store/tests/crash.rs
+++ b/crates/store/tests/crash.rs
@@ -177,6 +177,25 @@
     assert_eq!(third.got(seq), Some(&Got::Served(b"result of c".to_vec())));
 }
 
+/// Guards against an answer of the processor from before the retelling that counts as behind it: the end of a run that the
+/// processor keeps was given up as unknown where a question for the gauges was open as the folder was read.
+#[test]
+fn a_question_from_before_the_retelling_gives_no_run_up() {
+    let mut world = first(11);
+    world.save("s");
+    let (files, mut truth) = (world.disk.files().crash(1), world.truth.clone());
+    truth.ms += 2_000;
+    let (_, id, body) = truth.running.remove(0);
+    truth.notices.push((1, id, body));
+    let mut world = World::start(files, truth, 0, true, 12);
+    world.gauges_wait = true;
+    world.wait(150);
+    world.recover();
+    let seq = world.save("s");
+    world.wait(100);
+    assert_eq!(world.got(seq), Some(&Got::Served(b"result of s".to_vec())));
+}
+
 /// Hard case 4: the disk fills in the middle of a publication and is freed again. Guards against a server that stops serving
 /// all else, that begins what it can't keep, or that never comes back.
 #[test]
--- a/crates/store/tests/world/mod.rs
+++ b/crates/store/tests/world/mod.rs
@@ -101,6 +101,9 @@
     recording: bool,
     rng: Pcg64Mcg,
     recovered: Option<Input>,
+    /// Answers to questions for the gauges wait here, while that is set, until the recovery is told.
+    pub gauges_wait: bool,
+    gauges: Vec<Input>,
 }
 
 impl World {
@@ -140,6 +143,8 @@
             recording: false,
             rng: Pcg64Mcg::seed_from_u64(seed),
             recovered: None,
+            gauges_wait: false,
+            gauges: Vec::new(),
         };
         if !processor_lives {
             world.truth.running.clear();
@@ -207,6 +212,8 @@
     /// Tells it.
     pub fn tell(&mut self) {
         self.inputs.extend(self.recovered.take());
+        self.inputs.append(&mut self.gauges);
+        self.gauges_wait = false;
         self.settle();
     }
 
@@ -363,7 +370,8 @@
             }
             Effect::Usage(_, tag) => {
                 let on = self.truth.running.len() as f64;
-                self.inputs.push(Input::Used(tag, vec![0.5, on, 0.1, 9.0]));
+                let to = if self.gauges_wait { &mut self.gauges } else { &mut self.inputs };
+                to.push(Input::Used(tag, vec![0.5, on, 0.1, 9.0]));
             }
             Effect::Persist(number, batch) => match self.mode {
                 Disk::Prompt => self.persist(number, &batch),
