Give a run its ledger reply again after a link that may have lost it

The protocol says that commands of the last 50 ms before a break may be lost; a begin is proven by the next answered question for the gauges and sent again otherwise, an 'answer' to a run's call was not: the run waited until its caller gave up, held its memory and counted as on the cores. And a reply that came while no link stood was told the module as Dropped (calls.rs, called()): a repeatable call was made twice, a keyed request failed for nothing. Ruled out in the logs of the three servers: no AppError, 70 calls Dropped or Expired of 386 spoilt replies, no node near its limits.

Change: replies are kept like begins until a question asked after them is answered, and given again once a new link is settled, unless the run has asked for its next call or ended, which proves that it had them. Not taken: asking the ledger whether the run still waits (409), a second call for each.

Test: a reply lost with a link, one that came while none stood, and a run that went on; without the change the keyed request fails.

--- a/crates/core/src/reducer/calls.rs
+++ b/crates/core/src/reducer/calls.rs
@@ -12,6 +12,8 @@
 impl Reducer {
     /// A run waits for a call with this body; the module hears of it, unless the request is no longer in the books.
     pub(super) fn asks(&mut self, id: &RequestId, body: Buffer) {
+        // It goes on from the call before: that one's reply has arrived.
+        self.link.replies.retain(|(replied, ..)| replied != id);
         let Some(open) = self.requests.get_mut(id) else { return };
         open.call = Some(Arc::new(body));
         open.call_since = None;
@@ -27,7 +29,7 @@
         open.call_since = Some(self.moment.now);
     }
 
-    /// A call ended. Its reply goes to the run on the link that stands; the module hears how it went.
+    /// A call ended. Its reply goes to the run; the module hears how it went.
     pub(super) fn called(&mut self, id: &RequestId, outcome: Outcome, reply: Option<Buffer>) {
         let now = self.moment.now;
         let Some(open) = self.requests.get_mut(id) else { return };
@@ -41,24 +43,23 @@
             );
             self.effects.push(Effect::Log(Level::Warning, text));
         }
-        match (outcome, reply, self.link.number) {
-            (Outcome::Delivered, Some(reply), Some(link)) => {
-                open.call = None;
-                self.effects.push(Effect::Reply(link, id.clone(), Arc::new(reply)));
-            }
-            // With no link the run can't have its reply; it is told that the call failed, and the module decides.
-            (Outcome::Delivered, _, _) => {
-                return self.events.push(Event::CallResult {
-                    id: id.clone(),
-                    outcome: Outcome::Dropped,
-                    took,
-                });
-            }
-            _ => {}
+        if let (Outcome::Delivered, Some(reply)) = (outcome, reply) {
+            open.call = None;
+            self.reply(id.clone(), Arc::new(reply));
         }
         self.events.push(Event::CallResult { id: id.clone(), outcome, took });
     }
 
+    /// Gives a run the reply to its call, now or once the link stands and is settled; what a fallen link may have lost
+    /// is sent again then. Guards against runs that wait for a reply until their callers give up, and against calls
+    /// made twice, or keyed requests failed, because a link fell beside them.
+    pub(super) fn reply(&mut self, id: RequestId, reply: Arc<Buffer>) {
+        if let Some(link) = self.link.number.filter(|_| self.link.settles.is_none()) {
+            self.effects.push(Effect::Reply(link, id.clone(), Arc::clone(&reply)));
+        }
+        self.link.replies.push((id, reply, self.link.asked));
+    }
+
     /// Stops a run where there is a link; a run that ends so is told as stopped.
     pub(super) fn interrupt(&mut self, id: &RequestId) {
         if let (Some(_), Some(link)) = (self.requests.get(id), self.link.number) {
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -146,6 +146,8 @@
     gauges: Option<(Time, Gauges)>,
     /// Begins that may not have arrived, with the questions asked before each.
     unproven: Vec<(RequestId, u64)>,
+    /// Replies to calls that may not have arrived, one a run at the most, with the questions asked before each.
+    replies: Vec<(RequestId, Arc<Buffer>, u64)>,
 }
 
 /// The state of one tile server.
@@ -611,7 +613,7 @@
         self.link.heard = now;
         self.link.number = Some(number);
         self.link.open_since = None;
-        let unproven = !self.link.unproven.is_empty();
+        let unproven = !self.link.unproven.is_empty() || !self.link.replies.is_empty();
         if unproven || self.hope.is_some() {
             // The answer comes behind all notices of runs that ended meanwhile.
             self.ask(number);
@@ -652,8 +654,12 @@
             for (id, _) in std::mem::take(&mut self.link.unproven) {
                 self.begin(&id);
             }
+            for (id, reply, _) in std::mem::take(&mut self.link.replies) {
+                self.reply(id, reply);
+            }
         }
         self.link.unproven.retain(|(_, asked)| *asked >= tag);
+        self.link.replies.retain(|(.., asked)| *asked >= tag);
         // Guards against an answer from before the retelling: the end of an earlier life's run may still be told.
         if self.link.retold.is_some_and(|retold| retold <= tag) {
             self.count_runs(gauges.on_cores);
@@ -764,6 +770,7 @@
         let Some(open) = self.requests.get(id).filter(|open| open.state == State::Running) else { return };
         let token = open.token.clone();
         self.link.unproven.retain(|(unproven, _)| unproven != id);
+        self.link.replies.retain(|(replied, ..)| replied != id);
         let (outcome, kept) = match (end, result) {
             // Kept for repeats in no more room than it needs.
             (RunEnd::Ok, Some(result)) => {
--- a/crates/gradepin/tests/calls.rs
+++ b/crates/gradepin/tests/calls.rs
@@ -95,3 +95,52 @@
          expect no calls to",
     );
 }
+
+#[test]
+fn a_reply_that_a_fallen_link_may_have_lost_is_given_again() {
+    // Guards against runs that wait for their reply until their callers give up, and against keyed requests failed
+    // because the link was down as their call ended; and against a second reply to a run that went on.
+    play(
+        &mut stage(),
+        "send a call 1 rid=1 body=form
+         send a call 2 rid=2 method=claim token=t2 body=save
+         expect processor begin 1
+         expect processor begin 2
+         send processor ask 1 1 one
+         send processor ask 2 2 two
+         expect ledger call 1 one
+         expect ledger call 2 two
+         send processor mute
+         send ledger 1 200 first
+         expect processor answer 1 first
+         close processor
+         send ledger 2 200 second
+         expect no processor answer
+         expect no a 2
+         send processor unmute
+         send processor hi WARM 1000
+         expect processor answer 1 first
+         expect processor answer 2 second
+         wait 300
+         expect no processor answer
+         expect no ledger call
+         send processor complete 3 1 OK done
+         send processor complete 4 2 OK saved
+         expect a 1 served done
+         expect a 2 served saved
+         send a call 3 rid=3 body=more
+         expect processor begin 3
+         send processor ask 5 3 three
+         expect ledger call 3 three
+         send processor mute
+         send ledger 3 200 third
+         expect processor answer 3 third
+         close processor
+         send processor hi WARM 1200
+         send processor ask 6 3 four
+         send processor unmute
+         wait 300
+         expect ledger call 3 four
+         expect no processor answer 3 third",
+    );
+}
