Share keyed runs between the two processes of an upgrade, claimed before they begin

Cause: Reducer::process() began every keyed run that its own table of keys did not know; the table is a process's. Shown by a test with two real processes on one inherited listener: a save served by the old process, asked for again at the new one, ran a second time there.

Change: core/src/claims.rs and reducer/claims.rs (no I/O), node/src/claims.rs (the folder $TMPDIR/gradepin.NAME.keys and its thread), on only where $GW_ACCEPT_FD and $TMPDIR are set. The salt of the prints is shared too, so a token with another body is a conflict in either process.

Tests: claims, ends and refusals in virtual time; the folder with two processes, a dead one, its bounds; two real processes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! durable, and when. Shells of threads and sockets carry that out.
 
 pub mod admin;
+pub mod claims;
 pub mod classes;
 pub mod config;
 pub mod handover;
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -2,6 +2,7 @@
 
 use crate::admin::{AdminAnswer, AdminCall, CallId};
 use crate::config::Config;
+use crate::keys::{End, Print};
 use crate::ledger::{Batch, Recovered};
 use crate::pool::Buffer;
 use gradepin_decisions::{Outcome, RequestId, Span, Time};
@@ -135,6 +136,8 @@
     },
     /// The gauges in the order of the settings, asked for under this number.
     Used(u64, Vec<f64>),
+    /// Whose the run of a keyed request is, where two processes of an upgrade share them.
+    Claimed(RequestId, Claim),
     /// A run was not begun.
     Rejected(RequestId),
     /// The notice to leave.
@@ -161,6 +164,17 @@
     Unpersisted(u64, String),
 }
 
+/// Whose the run of a token is, of two processes that share them.
+#[derive(Debug, Clone)]
+pub enum Claim {
+    /// This process's: it may begin.
+    Ours,
+    /// The other one's, which ended so.
+    Ended(End),
+    /// It can't be told: it must not begin.
+    Unsure,
+}
+
 /// A final answer.
 #[derive(Debug, Clone)]
 pub enum Answer {
@@ -210,6 +224,10 @@
     Reply(u64, RequestId, Arc<Buffer>),
     /// Stop a run on a link.
     Interrupt(u64, RequestId),
+    /// Say whose the run of a keyed request is: its id, token and print, and how long to wait for another process's end.
+    Claim(RequestId, Arc<str>, Print, Span),
+    /// A claimed run has its end, or with none never began: its token and print.
+    ClaimEnded(Arc<str>, Print, Option<End>),
     /// Ask on a link for the gauges, under a number.
     Usage(u64, u64),
     /// Give a link up and make a new one.
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -4,9 +4,11 @@
 //! test can drive it through any course of events.
 
 mod calls;
+mod claims;
 mod operators;
 
 use crate::admin::Door;
+use crate::claims::Claims;
 use crate::classes::Classes;
 use crate::config::{Config, ConfigError};
 use crate::handover::{Handover, Left};
@@ -174,6 +176,8 @@
     looks: Wheel<ConnId>,
     keys: Keys,
     ledger: Ledger,
+    /// Where the process after this one in an upgrade shares what runs.
+    claims: Claims,
     /// Buffers for what the store held.
     pool: Arc<Pool>,
     /// Of the prints: of this life, or of the store that outlives it.
@@ -237,6 +241,7 @@
             looks: Wheel::default(),
             keys: Keys::new(config.memory(RESULTS_PART)),
             ledger: Ledger::off(),
+            claims: Claims::default(),
             pool: Pool::new(0),
             salt: config.seed()?,
             began: None,
@@ -270,6 +275,12 @@
         self
     }
 
+    /// For a process that shares its keyed runs with the other one of an upgrade; this salt keys the prints of both.
+    pub fn sharing_runs(mut self, salt: u64) -> Self {
+        (self.claims, self.salt) = (Claims::shared(), salt);
+        self
+    }
+
     /// With a store that is being opened, whose records go by this ledger.
     pub fn with_store(mut self, ledger: Ledger, pool: Arc<Pool>) -> Self {
         (self.ledger, self.pool) = (ledger, pool);
@@ -374,6 +385,7 @@
                 }
             }
             Input::Called { id, outcome, reply } => self.called(&id, outcome, reply),
+            Input::Claimed(id, claim) => self.claimed(&id, claim),
             Input::Used(tag, values) => {
                 self.link.heard = self.moment.now;
                 self.used(tag, &values);
@@ -672,7 +684,8 @@
         let (Some(_), Some(on)) = (self.hope, on_cores) else { return };
         let running = self.requests.values().filter(|open| open.state == State::Running).count();
         // Those still without an intent, and those begun after the question, aren't among them.
-        let own = running.saturating_sub(self.ledger.waiting() + self.link.unproven.len());
+        let unbegun = self.ledger.waiting() + self.claims.waiting() + self.link.unproven.len();
+        let own = running.saturating_sub(unbegun);
         if on < own as f64 + 0.5 {
             self.hope = Some(self.moment.now);
         }
@@ -710,6 +723,7 @@
     /// A keyed run has its end, or with none never was: it is kept and written, and its repeats are answered.
     fn settle(&mut self, token: &Arc<str>, id: &RequestId, end: Option<End>) {
         let waiters = self.keys.ended(token, id, end.clone());
+        self.claim_ended(token, end.clone());
         if end.is_none() {
             self.ledger.void(token, id);
         } else if self.ledger.is_on()
@@ -727,7 +741,9 @@
     /// Takes over what an earlier life knew.
     fn recovered(&mut self, recovered: Recovered) {
         let now = self.moment.now;
-        self.salt = recovered.salt;
+        if !self.claims.is_on() {
+            self.salt = recovered.salt;
+        }
         self.ledger.recovered(now, &recovered);
         for past in recovered.past {
             self.keys.restore(past, self.moment, &self.pool);
@@ -757,7 +773,10 @@
     fn never_ran(&mut self, id: &RequestId) {
         let Some(open) = self.requests.get(id).filter(|open| open.state == State::Running) else { return };
         let token = open.token.clone();
-        let waiters = token.map(|token| self.keys.ended(&token, id, None)).unwrap_or_default();
+        let waiters = token.as_ref().map(|token| self.keys.ended(token, id, None)).unwrap_or_default();
+        if let Some(token) = &token {
+            self.claim_ended(token, None);
+        }
         for id in std::iter::once(id.clone()).chain(waiters) {
             self.answer(&id, Answer::Refused { backoff: self.store_advice(), last: false });
             self.forget(&id);
@@ -950,16 +969,21 @@
             let window_ms = self.settings.profiles[open.class].window.0.div_ceil(MS);
             let closes_ms = open.t0.saturating_add(window_ms);
             self.keys.began(token, open.print, id, closes_ms, self.moment);
-            if self.ledger.is_on() {
-                // It begins once its intent is durable.
-                let known = self.keys.known(token, self.moment.now);
-                if !known.is_some_and(|known| self.ledger.intent(self.moment.now, known)) {
-                    self.never_ran(id);
-                }
-                return;
+            if self.claims.is_on() {
+                return self.claim(id);
             }
         }
-        self.begin(id);
+        self.keep_and_begin(id);
+    }
+
+    /// Begins a run, a keyed one once its intent is durable where there is a store.
+    fn keep_and_begin(&mut self, id: &RequestId) {
+        let token = self.requests.get(id).and_then(|open| open.token.as_ref());
+        let Some(token) = token.filter(|_| self.ledger.is_on()) else { return self.begin(id) };
+        let known = self.keys.known(token, self.moment.now);
+        if !known.is_some_and(|known| self.ledger.intent(self.moment.now, known)) {
+            self.never_ran(id);
+        }
     }
 
     /// A final answer of the module's own; a run goes on in the books until its notice.
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -18,6 +18,8 @@
 //!   `CONN closed`, `processor hello|begin ..`, `control Ready|NotReady`, `exit`, and on the virtual stage
 //!   `stop accepting` and
 //!   `settings CLASS ..`, the classes in force in their places.
+//! - `send claims RID ours|unsure|failed|served ..`: whose a keyed run is, where two processes of an upgrade share them;
+//!   asked for as `claim RID TOKEN`, its end told as `claim-ended TOKEN served|failed|void`.
 //! - `open CONN`: a connection opens, and nothing is sent on it.
 //! - `close CONN` and `close processor`: a peer ends its connection.
 //! - `wait MS`: time passes; on the virtual stage no real time does.
@@ -52,6 +54,10 @@
     fn ledger(&mut self, line: &str) {
         panic!("this stage has no ledger: {line}");
     }
+    /// Whose a keyed run is, where two processes share them: `RID ours|unsure|failed` or `RID served RESULT`.
+    fn claims(&mut self, line: &str) {
+        panic!("this stage shares no runs: {line}");
+    }
     fn open(&mut self, conn: &str);
     fn close(&mut self, peer: &str);
     fn wait(&mut self, ms: u64);
@@ -147,6 +153,7 @@
             [] => {}
             ["send", "processor", ..] => stage.processor(&words[2..].join(" ")),
             ["send", "ledger", ..] => stage.ledger(&words[2..].join(" ")),
+            ["send", "claims", ..] => stage.claims(&words[2..].join(" ")),
             ["send", "server", "TERM"] => stage.terminate(),
             ["send", "server", order @ ("OUT" | "IN")] => stage.order(order == "OUT"),
             ["send", "server", "HUP", how] => stage.reload(how),
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -3,7 +3,8 @@
 use super::{Stage, begins, changed, config, thrift};
 use gradepin_core::admin::AdminCall;
 use gradepin_core::config::Config;
-use gradepin_core::messages::{ConnId, Effect, Input, RunEnd};
+use gradepin_core::keys::End;
+use gradepin_core::messages::{Claim, ConnId, Effect, Input, RunEnd};
 use gradepin_core::moment::Moment;
 use gradepin_core::pool::Pool;
 use gradepin_core::reducer::Reducer;
@@ -58,6 +59,14 @@
         stage
     }
 
+    /// One that shares its keyed runs with the process after it too.
+    pub fn sharing() -> Self {
+        let mut stage = Self::new();
+        stage.reducer = std::mem::replace(&mut stage.reducer, Self::new().reducer).sharing_runs(7);
+        stage.processor("hi WARM 0");
+        stage
+    }
+
     /// A server whose configuration differs in something.
     pub fn with(change: impl FnOnce(&mut serde_json::Value)) -> Self {
         Self::built(change, Registration::default())
@@ -140,6 +149,17 @@
                 let id = u64::from_str_radix(&id.0, 16).expect("hex");
                 format!("processor answer {id} {}", String::from_utf8_lossy(&reply))
             }
+            Effect::Claim(id, token, ..) => {
+                format!("claim {} {token}", u64::from_str_radix(&id.0, 16).expect("hex"))
+            }
+            Effect::ClaimEnded(token, _, end) => {
+                let end = match end {
+                    Some(End::Served(_)) => "served",
+                    Some(End::Failed | End::Unknown) => "failed",
+                    None => "void",
+                };
+                format!("claim-ended {token} {end}")
+            }
             Effect::Interrupt(_, id) => {
                 format!("processor interrupt {}", u64::from_str_radix(&id.0, 16).expect("hex"))
             }
@@ -288,6 +308,22 @@
         self.settle();
     }
 
+    fn claims(&mut self, line: &str) {
+        let words: Vec<&str> = line.split(' ').collect();
+        let [rid, whose, ref result @ ..] = words[..] else { panic!("no claim: {line}") };
+        let result = || self.pool.copy(result.join(" ").as_bytes()).expect("fits");
+        let claim = match whose {
+            "ours" => Claim::Ours,
+            "unsure" => Claim::Unsure,
+            "failed" => Claim::Ended(End::Failed),
+            "served" => Claim::Ended(End::Served(Arc::new(result()))),
+            _ => panic!("no claim: {line}"),
+        };
+        let id = RequestId::new(&format!("{:016x}", rid.parse::<u64>().expect("a number")));
+        self.waiting.push(Input::Claimed(id, claim));
+        self.settle();
+    }
+
     fn open(&mut self, conn: &str) {
         self.conn(conn);
         self.settle();
--- a/crates/node/src/handed.rs
+++ b/crates/node/src/handed.rs
@@ -8,11 +8,14 @@
 use rustix::net::{AddressFamily, SocketType};
 use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 
 /// The variable that names the inherited descriptor.
 pub const ACCEPT_FD: &str = "GW_ACCEPT_FD";
 /// The variable that names the operators' address, in place of `admin_addr` of the configuration.
 pub const ADMIN_ADDR: &str = "GW_ADMIN_ADDR";
+/// The variable that names the folder common to both processes.
+pub const SHARED_FOLDER: &str = "TMPDIR";
 
 /// Why an inherited descriptor can't serve as the clients' listener.
 #[derive(Debug, thiserror::Error)]
@@ -42,12 +45,14 @@
 }
 
 /// What the platform handed this process.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Handed {
     /// The clients' listening socket, where it is inherited.
     pub accept_fd: Option<i32>,
     /// Where operators call, if the environment says.
     pub admin_addr: Option<SocketAddr>,
+    /// The folder that both processes of an upgrade have, where the listener is inherited.
+    pub shared_folder: Option<PathBuf>,
 }
 
 impl Handed {
@@ -55,7 +60,11 @@
     pub fn from_env() -> Result<Self, HandedError> {
         let value = std::env::var(ACCEPT_FD).ok();
         let admin = std::env::var(ADMIN_ADDR).ok();
-        Ok(Self { accept_fd: accept_fd(value.as_deref())?, admin_addr: admin_addr(admin.as_deref())? })
+        let accept_fd = accept_fd(value.as_deref())?;
+        let folder =
+            std::env::var_os(SHARED_FOLDER).filter(|folder| accept_fd.is_some() && !folder.is_empty());
+        let admin_addr = admin_addr(admin.as_deref())?;
+        Ok(Self { accept_fd, admin_addr, shared_folder: folder.map(PathBuf::from) })
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! others; [`settings`] and [`config`] read what the server is told; [`serve`] joins them.
 
 pub mod admin;
+pub mod claims;
 pub mod clock;
 pub mod config;
 pub mod control;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,6 +1,7 @@
 //! Joins the parts: the one thread that owns the reducer, and carries out what it asks for.
 
 use crate::admin::Admin;
+use crate::claims::Claims;
 use crate::clock::Clock;
 use crate::config;
 use crate::control::Control;
@@ -22,7 +23,7 @@
 use gradepin_core::pool::{Pool, SIZE};
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
-use gradepin_decisions::{Below, Settings};
+use gradepin_decisions::{Below, Settings, Span};
 use gradepin_registry::membership::Membership;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use slog::{Level, Logger, error, info, warn};
@@ -106,6 +107,17 @@
     }
     let (inputs, queue) = bounded(QUEUE);
     let (urgently, urgent) = bounded(URGENT);
+    let claims = handed.shared_folder.as_ref().map(|folder| {
+        let folder = folder.join(format!("gradepin.{}.keys", config.name));
+        let (memory, window) = (config.memory(1), longest_window(&settings));
+        Claims::start(folder, seed, memory, window, urgently.clone(), Arc::clone(&pool), log.clone())
+    });
+    let claims = claims.transpose().map_err(failed("the folder of keyed runs in $TMPDIR"))?;
+    if let Some(claims) = &claims {
+        reducer = reducer.sharing_runs(claims.salt());
+    } else if handed.accept_fd.is_some() {
+        warn!(log, "no $TMPDIR: keyed runs are not shared with the other process of an upgrade");
+    }
     let mut control = Control::new(&config.name, config.listen, config.control).map_err(failed("control"))?;
     let live = Live::new(Arc::clone(&settings));
     let thrift: Arc<dyn Front> = Arc::new(Thrift::new(live.clone()));
@@ -202,7 +214,20 @@
                     }
                 }
                 Effect::Retell => processor.retell(),
+                Effect::Claim(id, token, print, patience) => {
+                    if let Some(claims) = &claims {
+                        claims.claim(id, token, print, patience);
+                    }
+                }
+                Effect::ClaimEnded(token, print, end) => {
+                    if let Some(claims) = &claims {
+                        claims.ended(token, print, end);
+                    }
+                }
                 Effect::Settings(new) => {
+                    if let Some(claims) = &claims {
+                        claims.window(longest_window(&new));
+                    }
                     live.publish(Arc::clone(&new));
                     settings = new;
                 }
@@ -216,6 +241,9 @@
                 Effect::Log(_, text) => error!(log, "{}", text),
                 Effect::Exit => {
                     info!(log, "leaving");
+                    if let Some(claims) = claims {
+                        claims.close();
+                    }
                     return Ok(());
                 }
             }
@@ -234,6 +262,11 @@
     }
 }
 
+/// The longest in which a keyed request may come again.
+fn longest_window(settings: &Settings) -> Span {
+    settings.profiles.iter().map(|profile| profile.window).max().unwrap_or_default()
+}
+
 /// SIGTERM becomes the notice to leave, SIGUSR1 an operator's order to go out of service and then leave, SIGUSR2 the
 /// order to come back from that. SIGHUP becomes the configuration, read again; where that can't be used,
 /// the one in force stays.
