--- a/crates/gradepin/tests/forms.rs
+++ b/crates/gradepin/tests/forms.rs
@@ -90,7 +90,10 @@
     play(&mut stage, "send processor hi WARM 0");
     let (mut kept, mut refused, mut notice) = (Vec::new(), 0, 0);
     for n in 1..=60 {
-        play(&mut stage, &format!("send a call {n} rid={n} method=issue-contract token=t{n} mem=10\nwait 20"));
+        play(
+            &mut stage,
+            &format!("send a call {n} rid={n} method=issue-contract token=t{n} mem=10\nwait 20"),
+        );
         let begun = scenario::Stage::take(&mut stage, &format!("processor begin {n}")).is_ok();
         if begun {
             notice += 1;
@@ -106,21 +109,27 @@
         // One of them is asked for again and again.
         play(
             &mut stage,
-            &format!("send b call {n} rid={} method=issue-contract token=t1 mem=10\nexpect b {n} served out1", 1000 + n),
+            &format!(
+                "send b call {n} rid={} method=issue-contract token=t1 mem=10\nexpect b {n} served out1",
+                1000 + n
+            ),
         );
     }
     assert!(kept.len() >= 10 && refused >= 10, "{} kept, {refused} refused", kept.len());
     for n in &kept {
         play(
             &mut stage,
-            &format!("send c call {n} rid={} method=issue-contract token=t{n} mem=10\nexpect c {n} served out{n}", 2000 + n),
+            &format!(
+                "send c call {n} rid={} method=issue-contract token=t{n} mem=10\nexpect c {n} served out{n}",
+                2000 + n
+            ),
         );
     }
     play(
         &mut stage,
         "expect no processor begin
          wait 38000
-         send a call 99 rid=99 method=issue-contract token=new mem=10
+         send d call 1 rid=99 method=issue-contract token=new mem=10
          expect processor begin 99",
     );
 }
@@ -147,7 +156,10 @@
             most = most.max(out.len());
             if let Some(id) = out.pop() {
                 done += 1;
-                play(&mut stage, &format!("wait 20\nsend ledger {id} 200 recorded\nexpect processor answer {id} recorded"));
+                play(
+                    &mut stage,
+                    &format!("wait 20\nsend ledger {id} 200 recorded\nexpect processor answer {id} recorded"),
+                );
             } else {
                 play(&mut stage, "wait 20");
             }
@@ -173,7 +185,9 @@
     assert!((1..=6).contains(&begun), "{begun} runs on a cold server");
     play(&mut stage, "wait 5000");
     let ends = |stage: &mut Virtually, n: usize| {
-        ["served", "refused", "failed"].iter().any(|end| scenario::Stage::take(stage, &format!("a {n} {end}")).is_ok())
+        ["served", "refused", "failed"]
+            .iter()
+            .any(|end| scenario::Stage::take(stage, &format!("a {n} {end}")).is_ok())
     };
     for n in 1..=30 {
         assert!(ends(&mut stage, n), "{n} has no answer");
