Do not count what a paced connection wrote meanwhile as waiting unread

Probed: which requests said that they waited over 40 ms unread. 240, nearly all on a few connections, late by just as long as the connection was old (57 to 170 ms) or by 1,165 to 1,217 ms: floods of bad clients, which our own pace (fronts/pace.rs) had held back. Reducer::call() told the module that time as queued_for; a dozen such requests raise its unread wait past the part of the aim at which health goes bad and windows shrink.

Change: the reader tells when a connection is held back (Input::Paced), and what comes on it waited since that was over at the most.

Test: the same late requests on a paced and an unpaced connection; without the change both turn health bad.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -140,6 +140,8 @@
     Claimed(RequestId, Claim),
     /// A run was not begun.
     Rejected(RequestId),
+    /// Nothing more is read from a connection for so long, as it sends too much of what is turned away.
+    Paced(ConnId, Span),
     /// The notice to leave.
     Terminate,
     /// The fronts accept no more connections; all they accepted before were told.
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -119,6 +119,8 @@
     draining: Option<Time>,
     /// Messages taken in from it.
     taken: u64,
+    /// Until when nothing was read from it, the last time that its pace held it back.
+    paced: Option<Time>,
     /// When it was last to be closed if it rests.
     closing: Option<Time>,
 }
@@ -394,6 +396,12 @@
                 self.log(Level::Error, format!("the processor rejected the run of {}", id.0));
                 self.ended(&id, RunEnd::Moot, Span(0), None);
             }
+            Input::Paced(conn, pause) => {
+                let until = after(self.moment.now, pause);
+                if let Some(connection) = self.connections.get_mut(&conn) {
+                    connection.paced = Some(until);
+                }
+            }
             Input::Terminate => self.terminate(),
             Input::NotAccepting => self.handover.stopped(),
             Input::TakeOut => self.take_out(),
@@ -439,7 +447,7 @@
             self.log(Level::Warning, format!("closing connection {conn}: request {seq} came twice"));
             return self.closed(conn);
         }
-        let (opened, open) = (connection.opened, connection.open.len());
+        let (opened, paced, open) = (connection.opened, connection.paced, connection.open.len());
         if !self.classes.takes(call.class, self.moment.now) {
             let why = format!(
                 "unknown method \"{}\": the class was dropped",
@@ -473,6 +481,10 @@
         let queued = Span(unix.saturating_sub(t0).saturating_mul(MS));
         let since = Span(self.moment.now.0.saturating_sub(opened.0));
         let queued = queued.min(Span(since.0.saturating_add(UNREAD_FIRST.0)));
+        // Nor did it wait for this server while its own connection's pace held it back. Guards against a flood that
+        // makes a server with time to read count as one that doesn't get to it, and health that goes bad by it.
+        let queued =
+            paced.map_or(queued, |until| queued.min(Span(self.moment.now.0.saturating_sub(until.0))));
         if let Some(token) = &call.token
             && !self.keys.ran(token, t0)
             && self.ledger.refuses(self.moment.now).is_some()
--- a/crates/core/tests/room.rs
+++ b/crates/core/tests/room.rs
@@ -4,11 +4,12 @@
 mod common;
 
 use gradepin_core::config::Config;
-use gradepin_core::messages::{Effect, Input, Misuse};
+use gradepin_core::messages::{Call, Effect, Input, Misuse};
 use gradepin_core::moment::Moment;
+use gradepin_core::pool::Pool;
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
-use gradepin_decisions::Time;
+use gradepin_decisions::{RequestId, Span, Time};
 use serde_json::json;
 use std::sync::Arc;
 
@@ -54,3 +55,56 @@
         assert_eq!(closed, [(1, 1)]);
     }
 }
+
+/// Guards health and what callers are told against a flood: what a connection wrote while its own pace held it back did
+/// not wait for this server. Told as waiting unread, a dozen such requests a day turned health bad.
+#[test]
+fn what_a_paced_connection_wrote_meanwhile_did_not_wait_unread() {
+    // How often health goes bad while a connection's requests of a second ago are read, paced or not.
+    let bad = |paced: bool| {
+        let mut settings = common::base();
+        settings["specifics"]["below"] = json!("off");
+        let address = "127.0.0.1:1";
+        let config = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
+            "stop_ms": 2000, "limits": {"cores": 1.0, "sockets": 128}, "settings": settings});
+        let config = Config::parse(&config.to_string()).expect("a whole configuration");
+        let settings = Arc::new(config.settings.clone());
+        let mut reducer = Reducer::new(&config, settings, Registration::default()).expect("whole");
+        let pool = Pool::new(4);
+        step(
+            &mut reducer,
+            9_000,
+            vec![Input::LinkUp { link: 1, cold: false, age: Span(0) }, Input::Opened(1)],
+        );
+        if paced {
+            step(&mut reducer, 9_010, vec![Input::Paced(1, Span(1_190 * MS))]);
+        }
+        let mut effects = Vec::new();
+        for n in 0..12 {
+            let call = Call {
+                id: RequestId::new(&format!("{n:016x}")),
+                class: 0,
+                tenant: None,
+                caller: 1,
+                t0: 9_000,
+                budget: 4_000,
+                retry: false,
+                size_kb: 20.0,
+                precedence: 0.5,
+                token: None,
+                has_key: false,
+                body: pool.copy(b"in").expect("it fits"),
+            };
+            effects.extend(step(
+                &mut reducer,
+                10_200 + n,
+                vec![Input::Call(1, n as i32 + 1, Box::new(call))],
+            ));
+        }
+        for ms in (10_210..10_600).step_by(10) {
+            effects.extend(step(&mut reducer, ms, Vec::new()));
+        }
+        effects.iter().filter(|e| matches!(e, Effect::Log(_, text) if text == "health is bad")).count()
+    };
+    assert_eq!((bad(false), bad(true)), (1, 0));
+}
--- a/crates/node/src/fronts/reader.rs
+++ b/crates/node/src/fronts/reader.rs
@@ -5,6 +5,7 @@
 use crate::outgoing::Standing;
 use gradepin_core::messages::{ConnId, Input};
 use gradepin_core::pool::Buffer;
+use gradepin_decisions::Span;
 use rustix::event::{Timespec, epoll};
 use rustix::io::Errno;
 use rustix::net::sockopt::{Timeout, set_socket_timeout};
@@ -253,7 +254,11 @@
         match turn {
             Turn::Rest => reading.ready = false,
             Turn::More => self.turns.push_back(conn),
-            Turn::Pause(pause) => drop(self.paused.insert(conn, Instant::now() + pause)),
+            Turn::Pause(pause) => {
+                self.paused.insert(conn, Instant::now() + pause);
+                let pause = Span(u64::try_from(pause.as_nanos()).unwrap_or(u64::MAX));
+                return self.shared.inputs.send(Input::Paced(conn, pause)).is_ok();
+            }
             Turn::End(reason) => return self.end(conn, reason),
         }
         true
