Leave keyed runs to the store where one is set, not to claims beside it

Found on reading the change again: with a store and an inherited listener both on, the salt of the claims stood in place of the store's, so a repeat of a run that the store had kept was told a conflict; and three places of the reducer were there for that combination alone. A store has one owner: the second process refuses keyed requests until it has taken it over and knows all that ran, so claims beside it were never needed. Off now where a store is set; keep_and_begin, the count of waiting claims and the condition on the salt are out.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -26,11 +26,6 @@
         self.shared
     }
 
-    /// Requests that wait for their claims.
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
-    }
-
     /// A request of a class with this deadline waits from now on; how long it may.
     pub fn asked(&mut self, id: &RequestId, deadline: Span) -> Span {
         self.waiting.insert(id.clone());
--- a/crates/core/src/reducer/calls.rs
+++ b/crates/core/src/reducer/calls.rs
@@ -2,7 +2,7 @@
 //! says when it is made and how long it may take, and its reply goes back to the run. The reducer keeps the call's
 //! body and the time it went out; how many are out at once is the module's to say.
 
-use super::Reducer;
+use super::{MS, Reducer};
 use crate::messages::Effect;
 use crate::pool::Buffer;
 use gradepin_decisions::{Event, Outcome, RequestId, Span};
@@ -36,11 +36,8 @@
         let Some(since) = open.call_since.take() else { return };
         let took = Span(now.0.saturating_sub(since.0));
         if outcome != Outcome::Delivered {
-            let text = format!(
-                "a call to the ledger for {} ended {outcome:?} after {} ms",
-                id.0,
-                took.0 / 1_000_000
-            );
+            let text =
+                format!("a call to the ledger for {} ended {outcome:?} after {} ms", id.0, took.0 / MS);
             self.effects.push(Effect::Log(Level::Warning, text));
         }
         if let (Outcome::Delivered, Some(reply)) = (outcome, reply) {
--- a/crates/core/src/reducer/claims.rs
+++ b/crates/core/src/reducer/claims.rs
@@ -22,7 +22,7 @@
             return;
         }
         match claim {
-            Claim::Ours => self.keep_and_begin(id),
+            Claim::Ours => self.begin(id),
             Claim::Ended(end) => self.ran_elsewhere(id, end),
             Claim::Unsure => self.never_ran(id),
         }
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -277,7 +277,8 @@
         self
     }
 
-    /// For a process that shares its keyed runs with the other one of an upgrade; this salt keys the prints of both.
+    /// For a process that shares its keyed runs with the other one of an upgrade; this salt keys the prints of both. Not
+    /// beside a store, which has one owner and a salt of its own.
     pub fn sharing_runs(mut self, salt: u64) -> Self {
         (self.claims, self.salt) = (Claims::shared(), salt);
         self
@@ -696,8 +697,7 @@
         let (Some(_), Some(on)) = (self.hope, on_cores) else { return };
         let running = self.requests.values().filter(|open| open.state == State::Running).count();
         // Those still without an intent, and those begun after the question, aren't among them.
-        let unbegun = self.ledger.waiting() + self.claims.waiting() + self.link.unproven.len();
-        let own = running.saturating_sub(unbegun);
+        let own = running.saturating_sub(self.ledger.waiting() + self.link.unproven.len());
         if on < own as f64 + 0.5 {
             self.hope = Some(self.moment.now);
         }
@@ -753,9 +753,7 @@
     /// Takes over what an earlier life knew.
     fn recovered(&mut self, recovered: Recovered) {
         let now = self.moment.now;
-        if !self.claims.is_on() {
-            self.salt = recovered.salt;
-        }
+        self.salt = recovered.salt;
         self.ledger.recovered(now, &recovered);
         for past in recovered.past {
             self.keys.restore(past, self.moment, &self.pool);
@@ -984,18 +982,16 @@
             if self.claims.is_on() {
                 return self.claim(id);
             }
+            if self.ledger.is_on() {
+                // It begins once its intent is durable.
+                let known = self.keys.known(token, self.moment.now);
+                if !known.is_some_and(|known| self.ledger.intent(self.moment.now, known)) {
+                    self.never_ran(id);
+                }
+                return;
+            }
         }
-        self.keep_and_begin(id);
-    }
-
-    /// Begins a run, a keyed one once its intent is durable where there is a store.
-    fn keep_and_begin(&mut self, id: &RequestId) {
-        let token = self.requests.get(id).and_then(|open| open.token.as_ref());
-        let Some(token) = token.filter(|_| self.ledger.is_on()) else { return self.begin(id) };
-        let known = self.keys.known(token, self.moment.now);
-        if !known.is_some_and(|known| self.ledger.intent(self.moment.now, known)) {
-            self.never_ran(id);
-        }
+        self.begin(id);
     }
 
     /// A final answer of the module's own; a run goes on in the books until its notice.
--- a/crates/core/tests/room.rs
+++ b/crates/core/tests/room.rs
@@ -17,6 +17,17 @@
 /// Of 128 descriptors 96 may be connections; from seven eighths of those on one gives way.
 const ROOM: u64 = 84;
 
+fn reducer() -> Reducer {
+    let mut settings = common::base();
+    settings["specifics"]["below"] = json!("off");
+    let address = "127.0.0.1:1";
+    let config = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
+        "stop_ms": 2000, "limits": {"cores": 1.0, "sockets": 128}, "settings": settings});
+    let config = Config::parse(&config.to_string()).expect("a whole configuration");
+    let settings = Arc::new(config.settings.clone());
+    Reducer::new(&config, settings, Registration::default()).expect("whole")
+}
+
 fn step(reducer: &mut Reducer, ms: u64, inputs: Vec<Input>) -> Vec<Effect> {
     let mut effects = Vec::new();
     reducer.step(Moment { now: Time(ms * MS), unix_ms: ms }, inputs, &mut effects);
@@ -33,14 +44,7 @@
         |conn| Input::Health(conn, 7),
     ];
     for word in last_words {
-        let mut settings = common::base();
-        settings["specifics"]["below"] = json!("off");
-        let address = "127.0.0.1:1";
-        let config = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
-            "stop_ms": 2000, "limits": {"cores": 1.0, "sockets": 128}, "settings": settings});
-        let config = Config::parse(&config.to_string()).expect("a whole configuration");
-        let settings = Arc::new(config.settings.clone());
-        let mut reducer = Reducer::new(&config, settings, Registration::default()).expect("whole");
+        let mut reducer = reducer();
         step(&mut reducer, 1_000, vec![Input::Opened(1), word(1)]);
         for conn in 2..=ROOM {
             step(&mut reducer, 1_000 + conn, vec![Input::Opened(conn), Input::Health(conn, 1)]);
@@ -62,14 +66,7 @@
 fn what_a_paced_connection_wrote_meanwhile_did_not_wait_unread() {
     // How often health goes bad while a connection's requests of a second ago are read, paced or not.
     let bad = |paced: bool| {
-        let mut settings = common::base();
-        settings["specifics"]["below"] = json!("off");
-        let address = "127.0.0.1:1";
-        let config = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
-            "stop_ms": 2000, "limits": {"cores": 1.0, "sockets": 128}, "settings": settings});
-        let config = Config::parse(&config.to_string()).expect("a whole configuration");
-        let settings = Arc::new(config.settings.clone());
-        let mut reducer = Reducer::new(&config, settings, Registration::default()).expect("whole");
+        let mut reducer = reducer();
         let pool = Pool::new(4);
         step(
             &mut reducer,
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -107,7 +107,9 @@
     }
     let (inputs, queue) = bounded(QUEUE);
     let (urgently, urgent) = bounded(URGENT);
-    let claims = handed.shared_folder.as_ref().map(|folder| {
+    // A store does it alone: it has one owner, and a process refuses keyed requests until it has taken it over.
+    let shared_folder = handed.shared_folder.as_ref().filter(|_| own.store.is_none());
+    let claims = shared_folder.map(|folder| {
         let folder = folder.join(format!("gradepin.{}.keys", config.name));
         let (memory, window) = (config.memory(1), longest_window(&settings));
         Claims::start(folder, seed, memory, window, urgently.clone(), Arc::clone(&pool), log.clone())
@@ -115,7 +117,7 @@
     let claims = claims.transpose().map_err(failed("the folder of keyed runs in $TMPDIR"))?;
     if let Some(claims) = &claims {
         reducer = reducer.sharing_runs(claims.salt());
-    } else if handed.accept_fd.is_some() {
+    } else if handed.accept_fd.is_some() && own.store.is_none() {
         warn!(log, "no $TMPDIR: keyed runs are not shared with the other process of an upgrade");
     }
     let mut control = Control::new(&config.name, config.listen, config.control).map_err(failed("control"))?;
