Take the reducer apart by concern, and undo two circles among core's types

Two circles of modules stood beside it: admin/messages/tally and keys/ledger.

Change: connections, requests, runs, link, keeping (store and earlier lives), drain and housekeeping are files of 107 to 339 lines, each with its own state struct and private fields, reached by calls that say what happened (conns.answered, link.notice, requests.decided, duties.take_due); mod.rs steps and routes in 303 lines. Answers stand in answer.rs and what is known of keyed runs in records.rs, where both sides may look; the old paths are re-exported. Behaviour is meant to be the same to the byte.

Not taken: a trait for each concern with its own inputs. Each would have one implementation, and a step's order would be spread over seven files.

--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -3,9 +3,9 @@
 //! What no try can ask for any more is found by a [`Wheel`], a bounded part at a time, so that no pause grows with the
 //! number of keys. The table is split for the same reason: a map that grows moves all it holds.
 
-use crate::ledger::{Past, PastEnd};
 use crate::moment::Moment;
-use crate::pool::Buffer;
+pub use crate::records::{End, Known, Print};
+use crate::records::{Past, PastEnd};
 use crate::wheel::{Due, Wheel};
 use gradepin_decisions::{RequestId, Span, Time, after};
 use std::collections::hash_map::DefaultHasher;
@@ -52,9 +52,6 @@
     print: Print,
 }
 
-/// Tells requests under one token apart: all tries of one request have the same body and class.
-pub type Print = u64;
-
 #[derive(Debug)]
 struct Run {
     id: RequestId,
@@ -75,32 +72,6 @@
     }
 }
 
-/// How a run ended, for its repeats.
-#[derive(Debug, Clone)]
-pub enum End {
-    /// With this result.
-    Served(Arc<Buffer>),
-    /// Without one, or it is no longer kept.
-    Failed,
-    /// It was begun before a crash, and what became of it can't be learned any more.
-    Unknown,
-}
-
-/// What is known of a keyed run, as the store keeps it.
-#[derive(Debug, Clone)]
-pub struct Known {
-    /// Its token.
-    pub token: Arc<str>,
-    /// Of its body and class.
-    pub print: Print,
-    /// The try that ran.
-    pub id: RequestId,
-    /// What is left of its window; nothing where only late readers may still ask.
-    pub left: Span,
-    /// Its end, if it has one.
-    pub end: Option<End>,
-}
-
 impl Keys {
     /// An empty table whose results may take so many bytes.
     pub fn new(most: usize) -> Self {
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -6,9 +6,10 @@
 //! no earlier run answers are refused with a time to come back; all others are served. The way back is always the same: all that
 //! is known is written anew, and counts once that is durable.
 
-use crate::keys::{End, Known};
 use crate::moment::Moment;
 use crate::pool::Buffer;
+use crate::records::{End, Known};
+pub use crate::records::{Past, PastEnd};
 use gradepin_decisions::{RequestId, Span, Time, after};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -62,32 +63,6 @@
     },
 }
 
-/// A keyed run of an earlier life.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Past {
-    /// What all tries share.
-    pub token: String,
-    /// Of body and class.
-    pub print: u64,
-    /// The try.
-    pub id: String,
-    /// What is left of its window.
-    pub left: Span,
-    /// Its end.
-    pub end: PastEnd,
-}
-
-/// How a run of an earlier life ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PastEnd {
-    /// With this result.
-    Served(Vec<u8>),
-    /// Without one, or it is not kept.
-    Failed,
-    /// Nothing tells: it may never have begun, may run still, or has ended.
-    None,
-}
-
 /// What a store held.
 #[derive(Debug, Clone, Default)]
 pub struct Recovered {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! durable, and when. Shells of threads and sockets carry that out.
 
 pub mod admin;
+pub mod answer;
 pub mod claims;
 pub mod classes;
 pub mod config;
@@ -14,6 +15,7 @@
 pub mod messages;
 pub mod moment;
 pub mod pool;
+pub mod records;
 pub mod reducer;
 pub mod registration;
 mod resting;
--- a/crates/core/src/reducer/calls.rs
+++ b/crates/core/src/reducer/calls.rs
@@ -13,7 +13,7 @@
     /// A run waits for a call with this body; the module hears of it, unless the request is no longer in the books.
     pub(super) fn asks(&mut self, id: &RequestId, body: Buffer) {
         // It goes on from the call before: that one's reply has arrived.
-        self.link.replies.retain(|(replied, ..)| replied != id);
+        self.link.replied(id);
         let Some(open) = self.requests.get_mut(id) else { return };
         open.call = Some(Arc::new(body));
         open.call_since = None;
@@ -51,7 +51,7 @@
     /// is sent again then. Guards against runs that wait for a reply until their callers give up, and against calls
     /// made twice, or keyed requests failed, because a link fell beside them.
     pub(super) fn reply(&mut self, id: RequestId, reply: Arc<Buffer>) {
-        if let Some(link) = self.link.number.filter(|_| self.link.settles.is_none()) {
+        if let Some(link) = self.link.settled() {
             self.effects.push(Effect::Reply(link, id.clone(), Arc::clone(&reply)));
         }
         self.link.replies.push((id, reply, self.link.asked));
--- a/crates/core/src/reducer/claims.rs
+++ b/crates/core/src/reducer/claims.rs
@@ -1,7 +1,7 @@
 //! Keyed runs that the two processes of an upgrade share: a run is begun once it is claimed, and one of the other
 //! process answers the tries here too. To the module it runs meanwhile, as it does anywhere on this server.
 
-use super::{Reducer, State};
+use super::Reducer;
 use crate::keys::End;
 use crate::messages::{Claim, Effect};
 use gradepin_decisions::{Event, Outcome, RequestId, Span};
@@ -30,10 +30,10 @@
 
     /// The other process ran it: its end answers this try and all that wait for it.
     fn ran_elsewhere(&mut self, id: &RequestId, end: End) {
-        let Some(open) = self.requests.get(id).filter(|open| open.state == State::Running) else { return };
+        let Some(open) = self.requests.running(id) else { return };
         let token = open.token.clone();
         self.answer_end(id, end.clone());
-        self.forget(id);
+        self.requests.forget(id);
         // Nothing was started here, and nothing is to be learnt of how long it took.
         self.events.push(Event::Completed { id: id.clone(), outcome: Outcome::Unused, took: Span(0) });
         let waiters = token.map(|token| self.keys.ended(&token, id, Some(end.clone()))).unwrap_or_default();
--- /dev/null
+++ b/crates/core/src/reducer/drain.rs
@@ -0,0 +1,117 @@
+//! Leaving: the notice, a planned leave, a hand-over at an upgrade, and the end of the process.
+//! Not here: what a drain does to held requests, which is the module's.
+
+use super::{MS, Reducer};
+use crate::handover::{Handover, Left};
+use crate::messages::{Effect, sooner};
+use gradepin_decisions::{Event, Span, Time, after, before};
+use slog::Level;
+
+/// How much sooner than told the module is to be done when the process will be stopped: the notice and the
+/// last answers take their time to cross.
+const STOP_MARGIN: Span = Span(100 * MS);
+/// After the told stop: the end of a process that nobody stopped.
+const STOP_OVERDUE: Span = Span(2_000 * MS);
+
+/// Whether and how the process leaves.
+#[derive(Debug)]
+pub(super) struct Drain {
+    /// Whether the notice to leave has come, and when the process ends if nobody stops it.
+    told: bool,
+    exit_at: Option<Time>,
+    /// From the notice to the stop.
+    pub(super) stop: Span,
+    /// Where the listener is shared with a successor: what SIGTERM means then.
+    pub(super) handover: Handover,
+}
+
+impl Drain {
+    pub(super) fn new(stop: Span) -> Self {
+        Self { told: false, exit_at: None, stop, handover: Handover::default() }
+    }
+
+    /// Whether the notice to leave has come.
+    pub(super) fn is_told(&self) -> bool {
+        self.told
+    }
+
+    /// When it is due though nothing comes in.
+    pub(super) fn wake_at(&self) -> Option<Time> {
+        // Until the end is told; a hand-over's last moment is past after it.
+        sooner(self.exit_at, self.exit_at.and(self.handover.wake_at()))
+    }
+
+    /// When the notice came; now, if it didn't.
+    pub(super) fn since(&self, now: Time) -> Time {
+        let spent = Span(self.stop.0.saturating_add(STOP_OVERDUE.0));
+        self.exit_at.map_or(now, |exit| before(exit, spent))
+    }
+}
+
+impl Reducer {
+    pub(super) fn terminate(&mut self) {
+        if std::mem::replace(&mut self.drain.told, true) {
+            return;
+        }
+        self.drain.exit_at = Some(after(after(self.moment.now, self.drain.stop), STOP_OVERDUE));
+        if self.drain.handover.begin(self.moment.now, self.drain.stop) {
+            self.effects.push(Effect::StopAccepting);
+            self.log(Level::Info, "handing over: the process after this one accepts from now on".into());
+        }
+        self.registration.leave(self.moment.now);
+        if self.controller.is_some() {
+            self.tell_leaving();
+        }
+        for conn in self.conns.ids() {
+            self.ask_to_drain(conn);
+        }
+    }
+
+    /// Out of service for all who list this server, while callers may still think otherwise; then the drain.
+    pub(super) fn take_out(&mut self) {
+        if self.drain.told || !self.registration.take_out(self.moment.now) {
+            return;
+        }
+        self.changed();
+        self.log(Level::Info, "taken out of service, draining later".into());
+    }
+
+    pub(super) fn take_in(&mut self) {
+        if self.drain.told || !self.registration.take_in() {
+            return;
+        }
+        self.changed();
+        self.log(Level::Info, "taken back into service".into());
+    }
+
+    /// Tells the module how long it has, a margin less than is left until the stop.
+    pub(super) fn tell_leaving(&mut self) {
+        let spent = Span(STOP_OVERDUE.0 + STOP_MARGIN.0);
+        let end = self.drain.exit_at.map_or(self.moment.now, |exit| before(exit, spent));
+        self.events.push(Event::Sigterm(Span(end.0.saturating_sub(self.moment.now.0))));
+    }
+
+    /// What keeps an old process that hands over: requests owed an answer, and connections. Those that rest after
+    /// they were asked to drain are closed where nothing of them is unread.
+    pub(super) fn left(&mut self) -> Left {
+        let now = self.moment.now;
+        let handover = &self.drain.handover;
+        let rested = self.conns.rested(now, |draining, last| handover.closes(now, draining, last));
+        for conn in rested {
+            self.close_resting(conn);
+        }
+        Left { open: self.requests.owed(), connections: self.conns.len() }
+    }
+
+    /// Ends the process when its time is up, or all is handed over.
+    pub(super) fn end(&mut self) {
+        let now = self.moment.now;
+        let handed = self.drain.handover.is_under_way() && {
+            let left = self.left();
+            self.drain.handover.may_leave(now, left)
+        };
+        if self.drain.exit_at.take_if(|at| now >= *at || handed).is_some() {
+            self.effects.push(Effect::Exit);
+        }
+    }
+}
--- a/crates/core/src/reducer/operators.rs
+++ b/crates/core/src/reducer/operators.rs
@@ -1,11 +1,12 @@
 //! What operators ask of the reducer at their door, and the reloads they cause: answered from the state that the
 //! reducer owns, with the readiness and the drain of [`crate::admin`] and the figures of [`crate::tally`].
 
-use super::Reducer;
+use super::{MS, Reducer};
 use crate::admin::{AdminAnswer, AdminCall, CallId, NotReady, Standing};
 use crate::classes::Retuned;
+use crate::config::Config;
 use crate::messages::Effect;
-use gradepin_decisions::Settings;
+use gradepin_decisions::{Settings, Span};
 use slog::Level;
 use std::sync::Arc;
 
@@ -24,7 +25,7 @@
             }
             None if call == AdminCall::Health => AdminAnswer::Health(self.ready()),
             None => {
-                let open = self.requests.values().filter(|open| open.owed).count();
+                let open = self.requests.owed();
                 AdminAnswer::Stats(Box::new(self.tally.stats(open as u64)))
             }
         };
@@ -34,7 +35,11 @@
     /// Whether this process is ready to serve, and if not, why.
     pub(super) fn ready(&self) -> Result<(), NotReady> {
         let well = self.active && !self.registration.is_out();
-        self.door.ready(Standing { processor: self.controller.is_some(), well, leaving: self.leaving })
+        self.door.ready(Standing {
+            processor: self.controller.is_some(),
+            well,
+            leaving: self.drain.is_told(),
+        })
     }
 
     /// New settings are in force: the module and the shell take them, and the log says what changed.
@@ -54,4 +59,35 @@
         self.tally.reloaded(false);
         self.log(Level::Error, format!("the configuration was turned down, all stays as it was: {why}"));
     }
+
+    /// Takes over what may change while serving: where the other parties are, and the time to stop.
+    pub(super) fn reload(&mut self, config: Config) {
+        // The settings first: where they can't be taken, the file is turned down whole.
+        let retuned = match self.classes.retune(self.moment.now, &config.settings) {
+            Ok(retuned) => retuned,
+            Err(why) => return self.reload_refused(why.to_string()),
+        };
+        self.tally.reloaded(true);
+        self.retuned(&retuned);
+        if (&config.name, config.listen) != (&self.config.name, self.config.listen) {
+            self.log(Level::Warning, "a new name or address to listen on takes a restart".into());
+        }
+        if config.processor != self.config.processor {
+            self.effects.push(Effect::Processor(config.processor));
+        }
+        if config.control != self.config.control {
+            self.effects.push(Effect::Control(config.control));
+        }
+        if let Some(ledger) = config.ledger.filter(|ledger| Some(*ledger) != self.config.ledger) {
+            // Calls out to the old address end there; new ones go to the new.
+            self.effects.push(Effect::Ledger(ledger));
+            self.config.ledger = Some(ledger);
+        }
+        // The new control plane is to hear of this server at once, whether or not it knows the old one's list.
+        self.changed();
+        self.drain.stop = Span(config.stop_ms.saturating_mul(MS));
+        let (processor, control) = (config.processor, config.control);
+        self.log(Level::Info, format!("reloaded: the processor is at {processor}, control at {control}"));
+        (self.config.processor, self.config.control) = (processor, control);
+    }
 }
--- a/crates/core/src/tally.rs
+++ b/crates/core/src/tally.rs
@@ -4,7 +4,7 @@
 //! Counts are kept by the class's name, so that a class dropped at a reload keeps what it had and one that comes back
 //! goes on from there. Not here: how the figures are written out, which is the shell's.
 
-use crate::messages::Answer;
+use crate::answer::Answer;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
