--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -78,6 +78,12 @@
         let Head { life, to, number, sent_us, .. } = head;
         Ok(Self { name: head.name.to_string(), life, to, number, sent_us, body: body.to_vec() })
     }
+
+    /// What it says about leases, if that is what it is about; for those who look on.
+    pub fn word(&self) -> Option<Word> {
+        let (&kind, body) = self.body.split_first()?;
+        if kind == WORD { postcard::from_bytes(body).ok() } else { None }
+    }
 }
 
 /// What is to be done.
@@ -133,6 +139,34 @@
     pub withheld: u64,
 }
 
+/// Another server as this one knows it, for operators.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Its life.
+    pub life: Life,
+    /// Whether it is believed to be up, and since when in ms.
+    pub up: bool,
+    /// See `up`.
+    pub for_ms: u64,
+}
+
+/// The fleet as this server sees it, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct View {
+    /// This server.
+    pub name: Arc<str>,
+    /// Its life.
+    pub life: Life,
+    /// The others, by name.
+    pub members: Vec<Member>,
+    /// The figures.
+    pub status: Status,
+}
+
 /// What a datagram carries; the first byte of its content says which.
 const SWIM: u8 = 0;
 const ROWS: u8 = 1;
@@ -542,11 +576,14 @@
     /// Whether a call to the ledger may be made now.
     pub fn call(&mut self, now: Time) -> Gate {
         let dice = self.dice();
-        if self.judge.is_open() && self.escrow.limit(now) < (self.escrow.taken(now) + 1) * SLOT {
+        let lends = self.set.share.is_some();
+        if lends && self.judge.is_open() && self.escrow.limit(now) < (self.escrow.taken(now) + 1) * SLOT {
             return Gate::Wait;
         }
         match self.judge.call(now, dice) {
             Verdict::Closed => Gate::Closed,
+            // Where slots aren't lent, how many calls are out is the module's alone.
+            Verdict::Call | Verdict::Probe if !lends => Gate::Go(Slot::Own),
             Verdict::Call | Verdict::Probe => self.escrow.call(now).map_or(Gate::Wait, Gate::Go),
         }
     }
@@ -581,6 +618,20 @@
         self.judge.evidence(now)
     }
 
+    /// The fleet as it is seen from here.
+    pub fn view(&self, now: Time) -> View {
+        let own = self.members.own();
+        let members = self.members.seen().map(|seen| Member {
+            name: Arc::clone(&seen.peer.name),
+            zone: Arc::clone(&seen.peer.zone),
+            life: seen.peer.life,
+            up: seen.up,
+            for_ms: now.0.saturating_sub(seen.since.0) / MS,
+        });
+        let members = members.collect();
+        View { name: Arc::clone(&own.name), life: own.life, members, status: self.status(now) }
+    }
+
     /// The figures.
     pub fn status(&self, now: Time) -> Status {
         let reading = self.counts.read(now, |_| true);
--- a/crates/cluster/src/escrow.rs
+++ b/crates/cluster/src/escrow.rs
@@ -257,7 +257,8 @@
             return 0;
         }
         // All that is free now: what is missed is called back, and that takes little more than one call of the borrower's.
-        let free = self.kept(now).saturating_sub((self.taken(now) + self.waiting) * SLOT);
+        // Of the runs that wait one is counted: where there is room, the others wait for the module's own reasons.
+        let free = self.kept(now).saturating_sub((self.taken(now) + self.waiting.min(1)) * SLOT);
         free.min(self.lendable().saturating_sub(self.lent(now)))
     }
 
@@ -271,15 +272,16 @@
         !self.wishes.is_empty()
     }
 
-    /// Whether runs wait that its slots have no room for.
+    /// Whether runs wait because all slots are taken. Runs that wait while one is free do so for the module's reasons, as
+    /// where it takes the ledger to be crowded, and more slots would not help them.
     pub fn is_short(&self, now: Time) -> bool {
-        self.waiting > 0 && (self.taken(now) + self.waiting) * SLOT > self.limit(now)
+        self.waiting > 0 && (self.taken(now) + 1) * SLOT > self.limit(now)
     }
 
     /// So many runs wait for a call.
     pub fn waiting(&mut self, now: Time, waiting: u32) {
         self.waiting = waiting;
-        self.short = if waiting > 0 { self.short.or(Some(now)) } else { None };
+        self.short = if self.is_short(now) { self.short.or(Some(now)) } else { None };
         self.needed(now);
     }
 
@@ -287,12 +289,12 @@
         let passed = now.0.saturating_sub(self.need_since.0) as f64 / NEED_OVER.0 as f64;
         self.need += (1.0 - (-passed).exp()) * (f64::from(self.needs) - self.need);
         self.need_since = now;
-        self.needs = self.taken(now) + self.waiting;
+        self.needs = self.taken(now) + if self.is_short(now) { self.waiting } else { 0 };
     }
 
     /// Slots that are needed here, now or in the mean of late.
     fn need(&self, now: Time) -> u32 {
-        (self.taken(now) + self.waiting).max(self.need.round().max(0.0) as u32)
+        self.needs.max(self.taken(now)).max(self.need.round().max(0.0) as u32)
     }
 
     /// Takes a slot for a call, if one is free.
--- a/crates/cluster/src/seal.rs
+++ b/crates/cluster/src/seal.rs
@@ -9,7 +9,9 @@
 //!    1    |       1        | 1-48 |  8   | 8  |   8    |  8   |                 |  16     bytes, big-endian
 //! ```
 
+use crate::MS;
 use crate::peer::{Life, MOST_NAME};
+use gradepin_decisions::{Span, Time, after};
 use std::fmt;
 
 /// The longest datagram, in bytes: one that no path of 1,500 bytes cuts.
@@ -49,17 +51,42 @@
 }
 
 impl Dropped {
-    /// All kinds, in their order.
-    pub const ALL: [Self; 8] = [
-        Self::Form,
-        Self::Tag,
-        Self::Replay,
-        Self::Late,
-        Self::EarlierLife,
-        Self::OtherLife,
-        Self::Content,
-        Self::Flood,
-    ];
+    /// The reason in a word, for figures.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Form => "form",
+            Self::Tag => "tag",
+            Self::Replay => "replay",
+            Self::Late => "late",
+            Self::EarlierLife => "earlier-life",
+            Self::OtherLife => "other-life",
+            Self::Content => "content",
+            Self::Flood => "flood",
+        }
+    }
+}
+
+/// Holds datagrams to so many in a second before anything of them is looked at: a tag takes a microsecond, and a stranger
+/// may send any number.
+#[derive(Debug, Default)]
+pub struct Flood {
+    since: Time,
+    taken: u32,
+}
+
+/// Datagrams taken in a tenth of a second.
+const MOST_TAKEN: u32 = 400;
+const TENTH: Span = Span(100 * MS);
+
+impl Flood {
+    /// Whether one more is taken now.
+    pub fn takes(&mut self, now: Time) -> bool {
+        if now >= after(self.since, TENTH) {
+            (self.since, self.taken) = (now, 0);
+        }
+        self.taken += 1;
+        self.taken <= MOST_TAKEN
+    }
 }
 
 /// Why a text holds no keys.
@@ -190,6 +217,15 @@
         Head { name, life: Life(7), to: Life(9), number: 3, sent_us: 44 }
     }
 
+    /// Guards the CPU of a server from a stranger's flood, and the fleet from being shut out once it is over.
+    #[test]
+    fn a_flood_is_held_to_its_rate() {
+        let mut flood = Flood::default();
+        let taken = (0..100_000_u64).filter(|n| flood.takes(Time(1_000 * MS + n * 10_000))).count();
+        assert_eq!(taken, 10 * MOST_TAKEN as usize, "in a second");
+        assert!(flood.takes(Time(2_100 * MS)));
+    }
+
     #[test]
     fn what_is_sealed_is_opened_and_any_other_byte_is_not() {
         let keys = Keys::of([5; 32]);
--- /dev/null
+++ b/crates/cluster/tests/datagrams.rs
@@ -0,0 +1,166 @@
+//! What comes at a server's address: strangers' bytes, mutated and replayed datagrams, and those of earlier lives. Nothing
+//! panics, nothing is believed.
+
+use gradepin_cluster::cluster::{Cluster, ClusterSettings, Effect, Letter};
+use gradepin_cluster::escrow::LeaseSettings;
+use gradepin_cluster::members::Pace;
+use gradepin_cluster::peer::{Life, Peer};
+use gradepin_cluster::seal::{Dropped, Keys};
+use gradepin_decisions::{Span, Time, after};
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{Rng, SeedableRng};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const MS: u64 = 1_000_000;
+
+fn cluster(n: u16, life: u64, now: Time) -> Cluster {
+    let address = SocketAddr::from(([127, 0, 0, 1], n));
+    let own = Peer { name: Arc::from(format!("n{n}")), life: Life(life), address, zone: Arc::from("z") };
+    let settings = ClusterSettings {
+        own,
+        seeds: vec![SocketAddr::from(([127, 0, 0, 1], 1))],
+        keys: Keys::of([3; 32]),
+        pace: Pace::default(),
+        bytes_s: 32_000,
+        servers: 2,
+        share: Some(4.0),
+        leases: LeaseSettings::default(),
+        probes_s: 2.0,
+        repeats: None,
+        seed: u64::from(n),
+    };
+    Cluster::new(settings, now)
+}
+
+/// Two servers that talk; what passed between them.
+struct Two {
+    servers: [Cluster; 2],
+    now: Time,
+    passed: Vec<(usize, Vec<u8>)>,
+}
+
+impl Two {
+    fn new() -> Self {
+        let now = Time(1_000 * MS);
+        Self { servers: [cluster(1, 10, now), cluster(2, 20, now)], now, passed: Vec::new() }
+    }
+
+    fn run(&mut self, ms: u64) {
+        let keys = Keys::of([3; 32]);
+        for _ in 0..ms / 10 {
+            self.now = after(self.now, Span(10 * MS));
+            for n in 0..2 {
+                let mut effects = Vec::new();
+                self.servers[n].step(self.now, &mut effects);
+                for effect in effects {
+                    if let Effect::Send(_, datagram) = effect {
+                        let letter = Letter::open(&keys, &datagram).expect("what we send is tagged");
+                        self.servers[1 - n].letter(self.now, &letter);
+                        self.passed.push((1 - n, datagram));
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Guards the address against whatever comes: 100,000 datagrams of noise, and of real ones with bytes changed, cut or added.
+#[test]
+fn noise_and_mutated_datagrams_are_dropped_and_change_nothing() {
+    let mut two = Two::new();
+    two.run(5_000);
+    let keys = Keys::of([3; 32]);
+    let before = two.servers[0].view(two.now);
+    let seed = 20_261_201;
+    println!("seed {seed}");
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut mutated = 0;
+    for n in 0..100_000 {
+        let mut datagram = if n % 2 == 0 {
+            (0..rng.next_u64() % 1_500).map(|_| rng.next_u64() as u8).collect::<Vec<u8>>()
+        } else {
+            let place = rng.next_u64() as usize % two.passed.len();
+            two.passed[place].1.clone()
+        };
+        if n % 2 == 1 {
+            match rng.next_u64() % 3 {
+                0 => {
+                    let place = rng.next_u64() as usize % datagram.len();
+                    datagram[place] ^= 1 << (rng.next_u64() % 8);
+                }
+                1 => datagram.truncate(rng.next_u64() as usize % datagram.len()),
+                _ => datagram.push(rng.next_u64() as u8),
+            }
+            mutated += 1;
+        }
+        let opened = Letter::open(&keys, &datagram);
+        assert!(matches!(opened, Err(Dropped::Tag | Dropped::Form)), "{n}");
+    }
+    assert_eq!(mutated, 50_000);
+    assert_eq!(two.servers[0].view(two.now).members, before.members);
+}
+
+/// Guards against recorded datagrams that are sent again, all of them, in any order; and against content that has the tag
+/// and makes no sense.
+#[test]
+fn replays_are_dropped_one_by_one() {
+    let mut two = Two::new();
+    two.run(5_000);
+    let keys = Keys::of([3; 32]);
+    let to_first: Vec<Vec<u8>> =
+        two.passed.iter().filter(|(to, _)| *to == 0).map(|(_, d)| d.clone()).collect();
+    let before = two.servers[0].status(two.now);
+    for datagram in to_first.iter().rev().chain(&to_first) {
+        let letter = Letter::open(&keys, datagram).unwrap();
+        two.servers[0].letter(two.now, &letter);
+    }
+    let status = two.servers[0].status(two.now);
+    assert_eq!(status.taken, before.taken, "none was taken again");
+    let replays = status.dropped.get(&Dropped::Replay).copied().unwrap_or(0);
+    let late = status.dropped.get(&Dropped::Late).copied().unwrap_or(0);
+    let other = status.dropped.get(&Dropped::OtherLife).copied().unwrap_or(0);
+    assert_eq!(replays + late + other, 2 * to_first.len() as u64, "{:?}", status.dropped);
+}
+
+/// Guards a server that starts again against what was sent to its earlier life, and the others against what its earlier life
+/// had sent.
+#[test]
+fn datagrams_of_and_for_an_earlier_life_count_for_nobody() {
+    let mut two = Two::new();
+    two.run(5_000);
+    let keys = Keys::of([3; 32]);
+    let old = std::mem::take(&mut two.passed);
+    two.servers[0] = cluster(1, 30, two.now);
+    two.run(3_000);
+    assert_eq!(two.servers[1].members().find("n1").map(|seen| seen.peer.life), Some(Life(30)));
+    let rows = |two: &Two| two.servers[0].read(two.now, |_| true).heard;
+    let before = (rows(&two), two.servers[0].view(two.now).members, two.servers[1].view(two.now).members);
+    for (to, datagram) in &old {
+        let letter = Letter::open(&keys, datagram).unwrap();
+        two.servers[*to].letter(two.now, &letter);
+    }
+    let after = (rows(&two), two.servers[0].view(two.now).members, two.servers[1].view(two.now).members);
+    assert_eq!(before, after);
+    let dropped = two.servers[1].status(two.now).dropped;
+    assert!(dropped.get(&Dropped::EarlierLife).is_some_and(|times| *times > 0), "{dropped:?}");
+    let dropped = two.servers[0].status(two.now).dropped;
+    assert!(dropped.get(&Dropped::OtherLife).is_some_and(|times| *times > 0), "{dropped:?}");
+}
+
+/// Guards the net: whatever is said, a server sends no more than its bound over any second but for one second's worth.
+#[test]
+fn bytes_a_second_are_bounded() {
+    let mut two = Two::new();
+    let mut sent = Vec::new();
+    for _ in 0..200 {
+        two.run(100);
+        for n in 0..60 {
+            two.servers[0].arrived(two.now, gradepin_cluster::counts::CellId(n + 1), false, Span(MS));
+        }
+        sent.push(two.servers[0].status(two.now).bytes_sent);
+    }
+    let most = sent.windows(11).map(|w| w[10] - w[0]).max().unwrap();
+    assert!(most <= 64_000, "{most} bytes in a second");
+    assert!(sent[199] - sent[0] <= 32_000 * 21, "{} bytes in 20 s", sent[199] - sent[0]);
+}
--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -5,6 +5,7 @@
 //! its own where the reducer is late.
 
 use crate::tally::Stats;
+use gradepin_cluster::cluster::View;
 use gradepin_decisions::Time;
 
 /// Names a call of the door until it is answered; never used again.
@@ -17,6 +18,8 @@
     Health,
     /// The figures.
     Stats,
+    /// The fleet as this server sees it.
+    Fleet,
     /// Send clients away: health says no until the drain ends.
     Fail,
     /// The drain ends: back to work.
@@ -30,6 +33,8 @@
     Health(Result<(), NotReady>),
     /// The figures as of now.
     Stats(Box<Stats>),
+    /// The fleet as it is seen from here; none where servers don't talk to each other.
+    Fleet(Option<Box<View>>),
     /// The order is in force, and whether it changed anything.
     Done {
         /// Whether the process is drained by hand from now on.
@@ -87,7 +92,7 @@
         let changed = match call {
             AdminCall::Fail => self.failed_since.replace(self.failed_since.unwrap_or(now)).is_none(),
             AdminCall::Ok => self.failed_since.take().is_some(),
-            AdminCall::Health | AdminCall::Stats => return None,
+            AdminCall::Health | AdminCall::Stats | AdminCall::Fleet => return None,
         };
         Some(AdminAnswer::Done { failed: self.failed_since.is_some(), changed })
     }
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -6,6 +6,8 @@
 use crate::ledger::{Batch, Recovered};
 use crate::pool::Buffer;
 use crate::records::{End, Print};
+use gradepin_cluster::cluster::Letter;
+use gradepin_cluster::seal::{Dropped, Keys};
 use gradepin_decisions::{Outcome, RequestId, Span, Time};
 use gradepin_registry::membership::{Ask, Reply};
 use std::net::SocketAddr;
@@ -146,6 +148,12 @@
     Persisted(u64),
     /// What was written up to this batch can't be relied on, and why. With no batch: the store can't be opened.
     Unpersisted(u64, String),
+    /// A tagged datagram of another server.
+    Letter(Box<Letter>),
+    /// Datagrams at the fleet's address were dropped, so many for each reason.
+    LettersDropped(Vec<(Dropped, u64)>),
+    /// The fleet's keys, read again.
+    FleetKeys(Keys),
 }
 
 /// Whose the run of a token is, of two processes that share them.
@@ -173,8 +181,9 @@
     CloseResting(ConnId, u64),
     /// Run a request: on which link, its id, its class and its body.
     Begin(u64, RequestId, usize, Arc<Buffer>),
-    /// Call the ledger for a request: its id, the body, and how long to wait for the reply.
-    Call(RequestId, Arc<Buffer>, Span),
+    /// Call the ledger for a request: its id, the body, how long to wait for the reply, and the time after which it must
+    /// not leave here any more, if there is one.
+    Call(RequestId, Arc<Buffer>, Span, Option<Time>),
     /// Give a run on a link the reply to its call.
     Reply(u64, RequestId, Arc<Buffer>),
     /// Stop a run on a link.
@@ -207,6 +216,8 @@
     StopAccepting,
     /// Answer an operator's call.
     Admin(CallId, AdminAnswer),
+    /// Send a datagram to another server.
+    Peer(SocketAddr, Vec<u8>),
     /// Write a line to the log.
     Log(slog::Level, String),
     /// End the process.
--- a/crates/core/src/reducer/calls.rs
+++ b/crates/core/src/reducer/calls.rs
@@ -5,7 +5,7 @@
 use super::{MS, Reducer};
 use crate::messages::Effect;
 use crate::pool::Buffer;
-use gradepin_decisions::{Event, Outcome, RequestId, Span};
+use gradepin_decisions::{Event, Outcome, RequestId, Span, Time};
 use slog::Level;
 use std::sync::Arc;
 
@@ -17,24 +17,42 @@
         let Some(open) = self.requests.get_mut(id) else { return };
         open.call = Some(Arc::new(body));
         open.call_since = None;
+        self.fleet_asks(id, true);
         self.events.push(Event::ReadyToCall(id.clone()));
     }
 
     /// The module makes the call a run waits for.
     pub(super) fn ask_below(&mut self, id: &RequestId, timeout: Span) {
         let Some(open) = self.requests.get_mut(id) else { return };
-        let Some(body) = open.call.as_ref().filter(|_| open.call_since.is_none()) else { return };
-        let timeout = if timeout.0 == 0 { self.settings.profiles[open.class].deadline } else { timeout };
-        self.effects.push(Effect::Call(id.clone(), Arc::clone(body), timeout));
+        if open.call.is_none() || open.call_since.is_some() {
+            return;
+        }
         open.call_since = Some(self.moment.now);
+        let timeout = if timeout.0 == 0 { self.settings.profiles[open.class].deadline } else { timeout };
+        self.fleet_asks(id, false);
+        if self.fleet.is_on() {
+            self.call_waits(id, timeout);
+        } else {
+            self.make_call(id, timeout, None);
+        }
+    }
+
+    /// A call leaves, with so much time for its reply; past a time it must not leave any more.
+    pub(super) fn make_call(&mut self, id: &RequestId, timeout: Span, leaves: Option<Time>) {
+        let body = self.requests.get(id).and_then(|open| open.call.clone());
+        if let Some(body) = body {
+            self.effects.push(Effect::Call(id.clone(), body, timeout, leaves));
+        }
     }
 
     /// A call ended. Its reply goes to the run; the module hears how it went.
     pub(super) fn called(&mut self, id: &RequestId, outcome: Outcome, reply: Option<Buffer>) {
         let now = self.moment.now;
-        let Some(open) = self.requests.get_mut(id) else { return };
-        let Some(since) = open.call_since.take() else { return };
-        let took = Span(now.0.saturating_sub(since.0));
+        let since = self.requests.get_mut(id).and_then(|open| open.call_since.take());
+        let took = Span(now.0.saturating_sub(since.unwrap_or(now).0));
+        // Its slot is free, whatever became of the request meanwhile.
+        self.fleet_called(id, outcome, took);
+        let Some(open) = self.requests.get_mut(id).filter(|_| since.is_some()) else { return };
         if outcome != Outcome::Delivered {
             let text =
                 format!("a call to the ledger for {} ended {outcome:?} after {} ms", id.0, took.0 / MS);
--- a/crates/core/src/reducer/drain.rs
+++ b/crates/core/src/reducer/drain.rs
@@ -111,6 +111,7 @@
             self.drain.handover.may_leave(now, left)
         };
         if self.drain.exit_at.take_if(|at| now >= *at || handed).is_some() {
+            self.fleet_leaves();
             self.effects.push(Effect::Exit);
         }
     }
--- /dev/null
+++ b/crates/core/src/reducer/fleet.rs
@@ -0,0 +1,287 @@
+//! The server's part of the fleet, where servers talk to each other: what it counts for them, calls to the shared ledger
+//! that wait for a slot, and what the module is told of the slots and quotas that it may go by.
+//!
+//! Not here: what is lent, believed or judged, which is [`gradepin_cluster`]'s, and which calls are made in which order,
+//! which is the module's. Without a cluster nothing here does anything.
+
+use super::{MS, Reducer};
+use crate::messages::{Effect, sooner};
+use gradepin_cluster::cluster::{Cluster, Effect as Asked, Gate, Letter, Status, View};
+use gradepin_cluster::counts::CellId;
+use gradepin_cluster::escrow::Slot;
+use gradepin_cluster::seal::{Dropped, Keys};
+use gradepin_decisions::{Below, Outcome, RequestId, Settings, Span, Time, after};
+use slog::Level;
+use std::collections::{HashSet, VecDeque};
+
+/// Between looks at the quotas, which move over seconds.
+const QUOTAS: Span = Span(500 * MS);
+/// Between two tellings of a limit to the module at the least.
+const LIMITS: Span = Span(20 * MS);
+/// The part of its class's aim that a run is estimated to take before any was seen.
+const FIRST_ESTIMATE: u64 = 8;
+
+/// A call that the module made and that has no slot yet.
+#[derive(Debug)]
+struct Waiting {
+    id: RequestId,
+    timeout: Span,
+    until: Time,
+}
+
+/// What the reducer holds of it.
+#[derive(Default)]
+pub(super) struct Fleet {
+    cluster: Option<Box<Cluster>>,
+    waiting: VecDeque<Waiting>,
+    /// Requests whose calls hold a slot.
+    slots: HashSet<RequestId>,
+    /// Runs that asked for a call which the module has not made yet.
+    asking: HashSet<RequestId>,
+    /// What a run of each class takes, as seen here.
+    estimates: Vec<Span>,
+    /// The limit and quotas that the module goes by, and when the next may be told.
+    told: Option<(f64, Vec<f64>)>,
+    next_limit: Time,
+    next_quotas: Time,
+}
+
+impl Fleet {
+    pub(super) fn is_on(&self) -> bool {
+        self.cluster.is_some()
+    }
+
+    fn estimate(&self, settings: &Settings, class: usize) -> Span {
+        let seen = self.estimates.get(class).copied().filter(|span| span.0 > 0);
+        seen.unwrap_or(Span(settings.profiles[class].promise.0 / FIRST_ESTIMATE))
+    }
+
+    fn ended(&mut self, class: usize, took: Span) {
+        if self.estimates.len() <= class {
+            self.estimates.resize(class + 1, Span(0));
+        }
+        let estimate = &mut self.estimates[class];
+        *estimate = if estimate.0 == 0 { took } else { Span(estimate.0 - estimate.0 / 16 + took.0 / 16) };
+    }
+
+    /// When something is due though nothing comes in.
+    pub(super) fn wake_at(&self, now: Time) -> Option<Time> {
+        let cluster = self.cluster.as_ref()?;
+        let waits = self.waiting.iter().map(|waiting| waiting.until).min();
+        let slot = cluster.slot_at(now).filter(|_| !self.waiting.is_empty());
+        sooner(Some(cluster.wake_at(now)), sooner(waits, slot))
+    }
+
+    /// The fleet as it is seen from here, where there is a cluster.
+    pub(super) fn view(&self, now: Time) -> Option<Box<View>> {
+        self.cluster.as_ref().map(|cluster| Box::new(cluster.view(now)))
+    }
+
+    /// The figures, where there is a cluster.
+    pub(super) fn status(&self, now: Time) -> Option<Box<Status>> {
+        self.cluster.as_ref().map(|cluster| Box::new(cluster.status(now)))
+    }
+}
+
+fn cell(settings: &Settings, tenant: Option<usize>, class: usize) -> CellId {
+    let office = tenant.and_then(|tenant| settings.customers.get(tenant)).map_or("", |office| &office.name);
+    CellId::of(office, &settings.profiles[class].name)
+}
+
+impl Reducer {
+    /// With a part in a fleet whose servers talk to each other.
+    pub fn with_cluster(mut self, cluster: Cluster) -> Self {
+        self.fleet.cluster = Some(Box::new(cluster));
+        self
+    }
+
+    /// A datagram of another server came.
+    pub(super) fn letter(&mut self, letter: &Letter) {
+        if let Some(cluster) = &mut self.fleet.cluster {
+            cluster.letter(self.moment.now, letter);
+        }
+    }
+
+    /// Datagrams were dropped at the socket.
+    pub(super) fn letters_dropped(&mut self, dropped: &[(Dropped, u64)]) {
+        if let Some(cluster) = &mut self.fleet.cluster {
+            dropped.iter().for_each(|(why, times)| cluster.dropped(*why, *times));
+        }
+    }
+
+    /// The fleet's keys were read again.
+    pub(super) fn fleet_keys(&mut self, keys: Keys) {
+        if let Some(cluster) = &mut self.fleet.cluster {
+            cluster.keys(keys);
+            self.log(Level::Info, "the fleet's keys were read again".into());
+        }
+    }
+
+    /// A request came that can be taken; whether the fleet has room for it, where it repeats another try.
+    pub(super) fn fleet_takes(&mut self, tenant: Option<usize>, class: usize, repeat: bool) -> bool {
+        let estimate = self.fleet.estimate(&self.settings, class);
+        let Some(cluster) = &mut self.fleet.cluster else { return true };
+        cluster.arrived(self.moment.now, cell(&self.settings, tenant, class), repeat, estimate);
+        !repeat || cluster.takes_repeat(self.moment.now)
+    }
+
+    /// A run went well.
+    pub(super) fn fleet_served(&mut self, tenant: Option<usize>, class: usize, took: Span) {
+        if let Some(cluster) = &mut self.fleet.cluster {
+            cluster.served(self.moment.now, cell(&self.settings, tenant, class), took);
+            self.fleet.ended(class, took);
+        }
+    }
+
+    /// A run asked for a call, or no longer does.
+    pub(super) fn fleet_asks(&mut self, id: &RequestId, asks: bool) {
+        if self.fleet.is_on() {
+            if asks {
+                self.fleet.asking.insert(id.clone());
+            } else {
+                self.fleet.asking.remove(id);
+            }
+        }
+    }
+
+    /// The module makes a call: it goes once it has a slot.
+    pub(super) fn call_waits(&mut self, id: &RequestId, timeout: Span) {
+        let until = after(self.moment.now, timeout);
+        self.fleet.waiting.push_back(Waiting { id: id.clone(), timeout, until });
+        self.calls_out();
+    }
+
+    /// Makes the calls that have a slot now; those whose time is up, or that the ledger can't take, never leave.
+    pub(super) fn calls_out(&mut self) {
+        let now = self.moment.now;
+        while let Some(first) = self.fleet.waiting.front() {
+            let still = self.requests.get(&first.id).is_some_and(|open| open.call.is_some());
+            let over = first.until <= now;
+            let Some(cluster) = &mut self.fleet.cluster else { return };
+            let gate = if still && !over { cluster.call(now) } else { Gate::Closed };
+            if gate == Gate::Wait {
+                break;
+            }
+            let Some(Waiting { id, timeout, until }) = self.fleet.waiting.pop_front() else { return };
+            match gate {
+                Gate::Go(slot) => {
+                    self.fleet.slots.insert(id.clone());
+                    let left = Span(until.0 - now.0).min(timeout);
+                    let (left, leaves) = match slot {
+                        Slot::Own => (left, None),
+                        Slot::Borrowed { until, most } => (left.min(most), Some(until)),
+                    };
+                    self.make_call(&id, left, leaves);
+                }
+                Gate::Closed if still => self.called(&id, Outcome::Shed, None),
+                Gate::Closed | Gate::Wait => {}
+            }
+        }
+        self.tell_waiting();
+    }
+
+    fn tell_waiting(&mut self) {
+        let requests = &self.requests;
+        self.fleet.asking.retain(|id| requests.contains(id));
+        let waiting = self.fleet.waiting.len() + self.fleet.asking.len();
+        if let Some(cluster) = &mut self.fleet.cluster {
+            cluster.waiting(self.moment.now, waiting);
+        }
+    }
+
+    /// A call has ended; its slot, if it had one, is free.
+    pub(super) fn fleet_called(&mut self, id: &RequestId, outcome: Outcome, took: Span) {
+        if self.fleet.slots.remove(id)
+            && let Some(cluster) = &mut self.fleet.cluster
+        {
+            cluster.called(self.moment.now, outcome, took);
+        }
+    }
+
+    /// The fleet's turn in a step.
+    pub(super) fn fleet_step(&mut self) {
+        let now = self.moment.now;
+        if !self.fleet.is_on() {
+            return;
+        }
+        self.calls_out();
+        let mut asked = Vec::new();
+        if let Some(cluster) = &mut self.fleet.cluster {
+            cluster.step(now, &mut asked);
+        }
+        for effect in asked {
+            match effect {
+                Asked::Send(to, datagram) => self.effects.push(Effect::Peer(to, datagram)),
+                Asked::Note(bad, text) => {
+                    self.log(if bad { Level::Warning } else { Level::Info }, format!("fleet: {text}"));
+                }
+            }
+        }
+        self.tell_module();
+    }
+
+    /// The module goes by the slots that may be used now, and by each office's quota as the fleet's counts tell it.
+    fn tell_module(&mut self) {
+        let now = self.moment.now;
+        let Some(cluster) = &self.fleet.cluster else { return };
+        let limit = cluster.limit(now).unwrap_or(self.settings.specifics.calls_out);
+        let told = self.fleet.told.as_ref();
+        let moved = told.is_none_or(|(told, _)| *told != limit) && now >= self.fleet.next_limit;
+        if !moved && now < self.fleet.next_quotas {
+            return;
+        }
+        let settings = &self.settings;
+        let quotas: Vec<f64> = if now >= self.fleet.next_quotas {
+            self.fleet.next_quotas = after(now, QUOTAS);
+            let of = |tenant: usize| {
+                let cells: Vec<CellId> =
+                    (0..settings.profiles.len()).map(|class| cell(settings, Some(tenant), class)).collect();
+                cluster.quota(now, settings.customers[tenant].quota_rps, |id| cells.contains(&id))
+            };
+            (0..settings.customers.len()).map(of).collect()
+        } else {
+            told.map(|(_, quotas)| quotas.clone()).unwrap_or_default()
+        };
+        self.fleet.next_limit = after(now, LIMITS);
+        if told.is_some_and(|(known, old)| *known == limit && *old == quotas) {
+            return;
+        }
+        if let Some(controller) = &mut self.controller {
+            let mut settings = Settings::clone(&self.settings);
+            settings.specifics.calls_out = limit;
+            for (customer, quota) in settings.customers.iter_mut().zip(&quotas) {
+                customer.quota_rps = *quota;
+            }
+            controller.retune(settings);
+            self.fleet.told = Some((limit, quotas));
+        }
+    }
+
+    /// Settings changed at a reload: the fleet's part goes by them, and the module is told anew.
+    pub(super) fn fleet_retuned(&mut self) {
+        if let Some(cluster) = &mut self.fleet.cluster {
+            cluster.retune(self.settings.servers as usize, lent_share(&self.settings));
+            self.fleet.told = None;
+        }
+    }
+
+    /// The process ends: the others needn't suspect it first.
+    pub(super) fn fleet_leaves(&mut self) {
+        let Some(cluster) = &mut self.fleet.cluster else { return };
+        cluster.leave(self.moment.now);
+        let mut asked = Vec::new();
+        cluster.step(self.moment.now, &mut asked);
+        for effect in asked {
+            if let Asked::Send(to, datagram) = effect {
+                self.effects.push(Effect::Peer(to, datagram));
+            }
+        }
+    }
+}
+
+/// The share of the ledger's slots that takes part in lending: a share under one call is kept as a mean over a span by the
+/// module, which leases don't move.
+pub fn lent_share(settings: &Settings) -> Option<f64> {
+    let specifics = &settings.specifics;
+    (specifics.below == Below::Shared && specifics.calls_out >= 1.0).then_some(specifics.calls_out)
+}
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -8,6 +8,7 @@
 mod claims;
 mod connections;
 mod drain;
+mod fleet;
 mod housekeeping;
 mod keeping;
 mod link;
@@ -29,6 +30,8 @@
 use crate::tally::Tally;
 use connections::Connections;
 use drain::Drain;
+use fleet::Fleet;
+pub use fleet::lent_share;
 use gradepin_decisions::{Action, Controller, Event, Settings, Span, Time, after};
 use housekeeping::Duties;
 use keeping::Past;
@@ -58,6 +61,8 @@
     link: Link,
     drain: Drain,
     duties: Duties,
+    /// What it shares with other servers, where they may talk to each other.
+    fleet: Fleet,
     active: bool,
     hint: Option<f64>,
     registration: Registration,
@@ -95,6 +100,7 @@
             link: Link::default(),
             drain: Drain::new(Span(config.stop_ms.saturating_mul(MS))),
             duties: Duties::default(),
+            fleet: Fleet::default(),
             active: false,
             hint: None,
             registration,
@@ -140,6 +146,7 @@
         }
         self.fire();
         self.decide();
+        self.fleet_step();
         self.housekeeping();
         effects.append(&mut self.effects);
     }
@@ -152,6 +159,7 @@
         let timer = self.duties.timer_at(self.moment.now, self.link.open_since);
         let own =
             sooner(sooner(timer, self.drain.wake_at()), sooner(self.ledger.wake_at(), self.past.hope()));
+        let own = sooner(own, self.fleet.wake_at(self.moment.now));
         sooner(sooner(own, self.registration.wake_at(self.moment.now)), Some(self.duties.wake_at()))
     }
 
@@ -223,6 +231,9 @@
                     }
                 }
             }
+            Input::Letter(letter) => self.letter(&letter),
+            Input::LettersDropped(dropped) => self.letters_dropped(&dropped),
+            Input::FleetKeys(keys) => self.fleet_keys(keys),
             Input::Unpersisted(upto, why) => {
                 for id in self.ledger.failed(self.moment.now, upto, &why) {
                     self.never_ran(&id);
--- a/crates/core/src/reducer/operators.rs
+++ b/crates/core/src/reducer/operators.rs
@@ -6,6 +6,7 @@
 use crate::classes::Retuned;
 use crate::config::Config;
 use crate::messages::Effect;
+use crate::tally::Stats;
 use gradepin_decisions::{Settings, Span};
 use slog::Level;
 use std::sync::Arc;
@@ -24,9 +25,11 @@
                 done
             }
             None if call == AdminCall::Health => AdminAnswer::Health(self.ready()),
+            None if call == AdminCall::Fleet => AdminAnswer::Fleet(self.fleet.view(self.moment.now)),
             None => {
                 let open = self.requests.owed();
-                AdminAnswer::Stats(Box::new(self.tally.stats(open as u64)))
+                let fleet = self.fleet.status(self.moment.now);
+                AdminAnswer::Stats(Box::new(Stats { fleet, ..self.tally.stats(open as u64) }))
             }
         };
         self.effects.push(Effect::Admin(id, answer));
@@ -48,6 +51,7 @@
         if let Some(controller) = &mut self.controller {
             controller.retune(Settings::clone(&self.settings));
         }
+        self.fleet_retuned();
         self.effects.push(Effect::Settings(Arc::clone(&self.settings)));
         let Retuned { added, dropped, back } = retuned;
         let text = format!("settings in force: classes added {added:?}, dropped {dropped:?}, back {back:?}");
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -39,6 +39,7 @@
     pub(super) conn: ConnId,
     pub(super) seq: SeqId,
     pub(super) class: usize,
+    pub(super) tenant: Option<usize>,
     pub(super) t0: u64,
     /// When its caller stops waiting, in Unix milliseconds.
     pub(super) due_ms: u64,
@@ -187,6 +188,13 @@
             return self.invalid(conn, seq, Some(call.class), Misuse::Conflict, why);
         }
         let earlier = earlier.map(|(id, _)| id);
+        // A repeat of what is there is answered from it, and costs the fleet nothing.
+        let repeats = call.retry && earlier.is_none();
+        if !self.fleet_takes(call.tenant, call.class, repeats) {
+            let limits = &self.settings.limits;
+            let advice = if limits.retry_after { limits.max_retry_after } else { Span(0) };
+            return self.turn_away(conn, seq, call.class, advice);
+        }
         let Some(connection) = self.conns.get_mut(conn) else { return };
         connection.open.insert(seq, call.id.clone());
         if let Some(token) = &call.token {
@@ -211,6 +219,7 @@
             conn,
             seq,
             class: call.class,
+            tenant: call.tenant,
             t0,
             due_ms: due,
             token: call.token,
--- a/crates/core/src/reducer/runs.rs
+++ b/crates/core/src/reducer/runs.rs
@@ -100,6 +100,10 @@
     pub(super) fn ended(&mut self, id: &RequestId, end: RunEnd, took: Span, result: Option<Arc<Buffer>>) {
         let Some(open) = self.requests.running(id) else { return };
         let token = open.token.clone();
+        if end == RunEnd::Ok {
+            let (tenant, class) = (open.tenant, open.class);
+            self.fleet_served(tenant, class, took);
+        }
         self.link.ended(id);
         let (outcome, kept) = match (end, result) {
             // Kept for repeats in no more room than it needs.
--- a/crates/core/src/tally.rs
+++ b/crates/core/src/tally.rs
@@ -5,6 +5,7 @@
 //! goes on from there. Not here: how the figures are written out, which is the shell's.
 
 use crate::answer::Answer;
+use gradepin_cluster::cluster::Status;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -38,6 +39,8 @@
     pub cfg_accepted: u64,
     /// Configuration files turned down at a reload.
     pub cfg_invalid: u64,
+    /// What it knows of other servers and shares with them, where they talk to each other.
+    pub fleet: Option<Box<Status>>,
 }
 
 /// The counts as they run.
@@ -83,6 +86,7 @@
             open,
             cfg_accepted: self.cfg_accepted,
             cfg_invalid: self.cfg_invalid,
+            fleet: None,
         }
     }
 
--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -233,6 +233,7 @@
         let request = match call {
             AdminCall::Health => "GET /healthcheck",
             AdminCall::Stats => "GET /stats",
+            AdminCall::Fleet => "GET /fleet",
             AdminCall::Fail => "POST /healthcheck/fail",
             AdminCall::Ok => "POST /healthcheck/ok",
         };
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -141,7 +141,7 @@
                 let class = &self.settings.profiles[class].name;
                 format!("processor begin {id} {class} {}", String::from_utf8_lossy(&body))
             }
-            Effect::Call(id, body, limit) => {
+            Effect::Call(id, body, limit, _) => {
                 let id = u64::from_str_radix(&id.0, 16).expect("hex");
                 format!("ledger call {id} {} {}", String::from_utf8_lossy(&body), limit.0 / MS)
             }
@@ -195,7 +195,7 @@
                 self.events.extend(lines.map(|line| format!("admin {status} {line}")));
                 return;
             }
-            Effect::Log(..) => return,
+            Effect::Log(..) | Effect::Peer(..) => return,
         };
         self.events.push(event);
     }
--- a/crates/kit/src/drill/mod.rs
+++ b/crates/kit/src/drill/mod.rs
@@ -3,6 +3,7 @@
 pub mod recovery;
 pub mod registry;
 pub mod scgi;
+pub mod shared;
 
 use std::fmt::Display;
 
--- a/crates/kit/src/fleet.rs
+++ b/crates/kit/src/fleet.rs
@@ -22,6 +22,16 @@
     SocketAddr::new(server.ip(), PORT + 1)
 }
 
+/// Where a server's operators call.
+pub fn admin_of(server: SocketAddr) -> SocketAddr {
+    SocketAddr::new(server.ip(), PORT + 2)
+}
+
+/// An address for a server's datagrams that no other server of this process has.
+pub fn peer_address() -> SocketAddr {
+    SocketAddr::new(next_address().ip(), PORT + 3)
+}
+
 /// What a fleet is made of.
 #[derive(Debug, Clone)]
 pub struct FleetSpec {
@@ -45,10 +55,50 @@
     pub store: bool,
     /// More lines for the registry's settings.
     pub registry_more: String,
+    /// Servers that talk to each other, if they do.
+    pub peers: Option<PeersSpec>,
     /// Where files and logs go.
     pub folder: PathBuf,
 }
 
+/// How servers of a fleet reach each other and the ledger.
+#[derive(Debug, Clone)]
+pub struct PeersSpec {
+    /// Where each takes datagrams, and where the others reach that.
+    pub listen: Vec<SocketAddr>,
+    /// See `listen`.
+    pub advertise: Vec<SocketAddr>,
+    /// The zone of each.
+    pub zones: Vec<String>,
+    /// Where each reaches the ledger.
+    pub ledgers: Vec<SocketAddr>,
+    /// The ledger's slots of each.
+    pub share: f64,
+    /// Whether slots are lent, and whether without the rules of time.
+    pub lends: bool,
+    /// See `lends`.
+    pub plain: bool,
+}
+
+/// The fleet's key in a rig: no secret.
+pub const KEY: &str = "a1b2c3d4e5f60718293a4b5c6d7e8f90a1b2c3d4e5f60718293a4b5c6d7e8f90";
+
+impl PeersSpec {
+    /// The block of server `n` in its settings file, with the key in this folder.
+    fn settings(&self, n: usize, folder: &Path) -> String {
+        let seeds: String =
+            self.advertise.iter().take(3).map(|seed| format!("    seed \"{seed}\"\n")).collect();
+        let plain = if self.plain { "drill-ignores-ends #true" } else { "" };
+        let slots =
+            if self.lends { format!("    slots {{\n        {plain}\n    }}\n") } else { String::new() };
+        let key = folder.join("fleet.keys").display().to_string();
+        format!(
+            "cluster {{\n    listen \"{}\"\n    advertise \"{}\"\n    zone {:?}\n{seeds}    key-file {key:?}\n{slots}}}\n",
+            self.listen[n], self.advertise[n], self.zones[n]
+        )
+    }
+}
+
 impl Default for FleetSpec {
     /// One server with the brief's processor and nothing that has to be switched on; daemon and folder are to be named.
     fn default() -> Self {
@@ -63,6 +113,7 @@
             scgi: false,
             store: false,
             registry_more: String::new(),
+            peers: None,
             folder: PathBuf::new(),
         }
     }
@@ -217,11 +268,31 @@
         self.signal(Signal::TERM);
     }
 
+    /// It runs no more until it is told to go on.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// It goes on.
+    pub fn go_on(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Where its operators call.
+    pub fn admin(&self) -> SocketAddr {
+        admin_of(self.address)
+    }
+
     /// Reads its files again.
     pub fn reload(&self) {
         self.signal(Signal::HUP);
     }
 
+    /// Whether its process is there, as far as is known.
+    pub fn is_up(&self) -> bool {
+        self.child.is_some()
+    }
+
     /// The end, at once.
     pub fn kill(&mut self) {
         self.begun.extend(self.processor.begun());
@@ -281,6 +352,10 @@
     pub fn start(spec: &FleetSpec) -> io::Result<Self> {
         let control = Control::start(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let mut nodes = Vec::new();
+        if spec.peers.is_some() {
+            // Once, before any server reads it.
+            std::fs::write(spec.folder.join("fleet.keys"), KEY)?;
+        }
         for n in 0..spec.servers {
             let name = format!("n{n}");
             let address = next_address();
@@ -290,13 +365,22 @@
                 Spec { seed: spec.processor.seed + n as u64, ..spec.processor.clone() },
             )?;
             let config = spec.folder.join(format!("{name}.json"));
-            let text = json!({
+            let mut text = json!({
                 "name": name, "listen": address, "processor": processor.address(), "control": control.address(),
                 "seed": format!("{:016x}", spec.processor.seed + n as u64), "stop_ms": spec.stop.as_millis() as u64,
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings(spec)
             });
+            if let Some(peers) = &spec.peers {
+                text["ledger"] = json!(peers.ledgers[n]);
+                text["admin_addr"] = json!(admin_of(address));
+                let specifics = &mut text["settings"]["specifics"];
+                specifics["below"] = json!("shared");
+                specifics["calls_out"] = json!(peers.share);
+                specifics["calls_by_class"] = json!([true, true, true, true]);
+                specifics["class_skip_worth"] = json!([0.0, 0.0, 0.0, 0.0]);
+            }
             std::fs::write(&config, text.to_string())?;
-            let on = spec.scgi || spec.store || !spec.registries.is_empty();
+            let on = spec.scgi || spec.store || spec.peers.is_some() || !spec.registries.is_empty();
             let own = on.then(|| spec.folder.join(format!("{name}.kdl")));
             if let Some(own) = &own {
                 let urls: String = spec.registries.iter().map(|url| format!("    url \"{url}\"\n")).collect();
@@ -309,7 +393,8 @@
                 let path = spec.folder.join(format!("{name}.store")).display().to_string();
                 let store =
                     if spec.store { format!("store {{\n    path {path:?}\n}}\n") } else { String::new() };
-                std::fs::write(own, registry + &scgi + &store)?;
+                let peers = spec.peers.as_ref().map(|peers| peers.settings(n, &spec.folder));
+                std::fs::write(own, registry + &scgi + &store + &peers.unwrap_or_default())?;
             }
             let (log, daemon) = (spec.folder.join(format!("{name}.log")), spec.daemon.clone());
             let mut node = Node {
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod model;
 pub mod processor;
 pub mod registry;
+pub mod rig;
 pub mod saver;
 pub mod thrift;
 pub mod watch;
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -354,6 +354,27 @@
         #[arg(long)]
         daemon: Option<PathBuf>,
     },
+    /// Servers that share the ledger's slots, with faults between them: the bound, leases, and who is there
+    Shared {
+        /// Seed of everything that is drawn
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Servers
+        #[arg(long, default_value_t = 8)]
+        servers: usize,
+        /// Seconds; faults begin after 12 and end 9 before the end
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// Without the protection: leases have no rules of time. Must fail
+        #[arg(long)]
+        plain: bool,
+        /// Write what was seen there, an entry a line
+        #[arg(long)]
+        history: Option<PathBuf>,
+        /// The daemon's program, if it is not beside this one
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
     /// Mixed traffic over both fronts, past capacity
     Scgi {
         /// The first seed
@@ -656,6 +677,10 @@
             let daemon = daemon(told)?;
             Ok(drill::recovery::run(&drill::recovery::Drill { daemon, seed, kills, plain })?)
         }
+        Command::Drill { which: Which::Shared { seed, servers, seconds, plain, history, daemon: told } } => {
+            let daemon = daemon(told)?;
+            Ok(drill::shared::run(&drill::shared::Drill { daemon, seed, servers, seconds, plain, history })?)
+        }
         Command::Drill { which: Which::Scgi { seed, runs, seconds, load, plain, daemon: told } } => {
             let daemon = daemon(told)?;
             Ok(drill::scgi::run(&drill::scgi::Drill { daemon, seed, runs, seconds, load, plain })?)
--- a/crates/kit/src/model/cli.rs
+++ b/crates/kit/src/model/cli.rs
@@ -2,7 +2,7 @@
 
 use super::experiment::Experiment;
 use super::results::{self, FIGURES, Line};
-use super::{Plan, plots, report, trace};
+use super::{Plan, peers, plots, report, trace};
 use crate::fleet::memory_of;
 use clap::{Args, Subcommand};
 use gradepin_model::day::Day;
@@ -73,6 +73,8 @@
         #[arg(long)]
         save: Option<PathBuf>,
     },
+    /// What servers share, over modelled datagrams: seeds by the thousand, and whether the bound held on each
+    Peers(peers::PeersArgs),
     /// All runs of an experiment that are not in the results yet; Ctrl-C ends it, and it goes on from there
     Sweep {
         /// The experiment, as KDL
@@ -158,6 +160,7 @@
 /// Carries a command out; `end` is set by Ctrl-C.
 pub fn run(command: ModelCommand, end: &AtomicBool) -> Result<bool, Box<dyn Error>> {
     match command {
+        ModelCommand::Peers(args) => return Ok(peers::run(&args)),
         ModelCommand::Run { day, html, json, svg, save } => {
             let plan = day.plan()?;
             let drawn = day.drawn(&plan)?;
--- a/crates/kit/src/model/mod.rs
+++ b/crates/kit/src/model/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cli;
 pub mod experiment;
+pub mod peers;
 pub mod plots;
 pub mod report;
 pub mod results;
--- /dev/null
+++ b/crates/kit/src/model/peers.rs
@@ -0,0 +1,143 @@
+//! `gradepin-kit model peers`: seeds by the thousand of what servers share, over modelled datagrams.
+
+use clap::{Args, ValueEnum};
+use gradepin_model::peers::{Outcome, Sharing, Spec, Troubles, draw, play};
+use rayon::prelude::*;
+use std::time::Instant;
+
+/// How slots are shared, on the command line.
+#[derive(Debug, Clone, Copy, ValueEnum)]
+enum Ways {
+    Static,
+    Lending,
+    Plain,
+    AllKnowing,
+}
+
+/// Settings on the command line.
+#[derive(Debug, Args)]
+pub struct PeersArgs {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Seeds, each a day with troubles of its own
+    #[arg(long, default_value_t = 100)]
+    seeds: u64,
+    /// Servers, in three zones
+    #[arg(long, default_value_t = 12)]
+    servers: usize,
+    /// Seconds of a day
+    #[arg(long, default_value_t = 20.0)]
+    seconds: f64,
+    /// How slots of the ledger are shared
+    #[arg(long, value_enum, default_value = "lending")]
+    sharing: Ways,
+    /// The part of the ledger's capacity that is asked for
+    #[arg(long, default_value_t = 0.85)]
+    load: f64,
+    /// How much more each server of the first zone is asked than one of another
+    #[arg(long, default_value_t = 4.0)]
+    lean: f64,
+    /// The part of datagrams that is lost
+    #[arg(long, default_value_t = 0.01)]
+    loss: f64,
+    /// One of so many servers has a fifth of a core; none at 0
+    #[arg(long, default_value_t = 0)]
+    starved: usize,
+    /// The most by which clocks are off their rate
+    #[arg(long, default_value_t = 0.01)]
+    drift: f64,
+    /// Days without troubles
+    #[arg(long)]
+    calm: bool,
+    /// From when on service is counted, in seconds
+    #[arg(long, default_value_t = 0.0)]
+    count_from: f64,
+}
+
+impl PeersArgs {
+    fn spec(&self, seed: u64) -> Spec {
+        let troubles = if self.calm { Troubles::default() } else { draw(seed, self.servers, self.seconds) };
+        Spec {
+            seed,
+            servers: self.servers,
+            seconds: self.seconds,
+            sharing: match self.sharing {
+                Ways::Static => Sharing::Static,
+                Ways::Lending => Sharing::Lending,
+                Ways::Plain => Sharing::Plain,
+                Ways::AllKnowing => Sharing::AllKnowing,
+            },
+            load: self.load,
+            lean: self.lean,
+            loss: self.loss,
+            starved: self.starved,
+            drift: self.drift,
+            count_from_s: self.count_from,
+            troubles,
+            ..Spec::default()
+        }
+    }
+}
+
+/// Plays them all and prints what they came to; whether the bound held on each.
+pub fn run(args: &PeersArgs) -> bool {
+    let begin = Instant::now();
+    let seeds: Vec<u64> = (args.seed..args.seed + args.seeds).collect();
+    let outcomes: Vec<(u64, Outcome)> =
+        seeds.par_iter().map(|&seed| (seed, play(&args.spec(seed)))).collect();
+    let broken: Vec<&(u64, Outcome)> =
+        outcomes.iter().filter(|(_, outcome)| !outcome.breaks.is_empty()).collect();
+    let mean = |figure: &dyn Fn(&Outcome) -> f64| {
+        outcomes.iter().map(|(_, outcome)| figure(outcome)).sum::<f64>() / outcomes.len().max(1) as f64
+    };
+    let most = |figure: &dyn Fn(&Outcome) -> f64| outcomes.iter().map(|(_, o)| figure(o)).fold(0.0, f64::max);
+    let mut known: Vec<f64> = outcomes.iter().flat_map(|(_, outcome)| outcome.known_s.clone()).collect();
+    known.sort_by(f64::total_cmp);
+    let at = |part: f64| known.get(((known.len() as f64 * part) as usize).min(known.len().saturating_sub(1)));
+    println!(
+        "{} servers, {} seeds of {} s, {:?}: {:.0} s on {} threads",
+        args.servers,
+        args.seeds,
+        args.seconds,
+        args.sharing,
+        begin.elapsed().as_secs_f64(),
+        rayon::current_num_threads()
+    );
+    println!("  seeds with a bound broken: {} of {}", broken.len(), outcomes.len());
+    for (seed, outcome) in broken.iter().take(5) {
+        let first = &outcome.breaks[0];
+        println!(
+            "    seed {seed}: {} of {} under way at {:.3} s by n{}, {} times in all",
+            first.calls,
+            outcome.bound,
+            first.at_s,
+            first.server,
+            outcome.breaks.len()
+        );
+    }
+    println!("  served: {:.4} in the mean", mean(&Outcome::service));
+    if let (Some(middle), Some(late)) = (at(0.5), at(0.99)) {
+        println!(
+            "  a change was known to all after: p50 {middle:.2} s, p99 {late:.2} s, of {}; unknown at the end {}",
+            known.len(),
+            outcomes.iter().map(|(_, outcome)| outcome.unknown).sum::<usize>()
+        );
+    }
+    println!(
+        "  bytes a second a server: {:.0} in the mean, {:.0} at the most",
+        mean(&|outcome| outcome.bytes_s),
+        most(&|outcome| outcome.most_bytes_s)
+    );
+    println!(
+        "  wrongly held dead: {:.3} times a server and minute, {:.1} s at the longest",
+        mean(&|outcome| outcome.wrongly_dead),
+        most(&|outcome| outcome.longest_wrong_s)
+    );
+    println!(
+        "  counts: of {:.3} of the fleet in the mean; offices' weight misjudged {:.4}",
+        mean(&|outcome| outcome.heard),
+        mean(&|outcome| outcome.misjudged)
+    );
+    broken.is_empty()
+}
--- a/crates/kit/src/processor.rs
+++ b/crates/kit/src/processor.rs
@@ -42,6 +42,8 @@
     pub memory_kb: f64,
     /// See `memory_kb`.
     pub run_kb: f64,
+    /// The part of the runs that call the ledger, halfway through their work.
+    pub calls: f64,
     /// For the work of each run.
     pub seed: u64,
 }
@@ -58,6 +60,7 @@
             classes: vec![("sheet-view".into(), Duration::from_millis(60))],
             memory_kb: 160_000.0,
             run_kb: 200.0,
+            calls: 0.0,
             seed: 7,
         }
     }
@@ -82,6 +85,8 @@
     work_s: f64,
     since: Instant,
     body: Vec<u8>,
+    /// Work still to do after its call, if it has one to make.
+    call: Option<f64>,
 }
 
 struct State {
@@ -90,6 +95,8 @@
     started: Instant,
     slow: f64,
     runs: BTreeMap<String, Run>,
+    /// Runs that wait for the reply to their call.
+    calling: BTreeMap<String, Run>,
     known: HashSet<String>,
     notices: VecDeque<(u64, Vec<u8>)>,
     last_notice: u64,
@@ -169,6 +176,7 @@
         state.spec.cold_share = cold_share;
         state.started = Instant::now();
         state.runs.clear();
+        state.calling.clear();
         state.known.clear();
         state.notices.clear();
         state.last_notice = 0;
@@ -198,6 +206,7 @@
             started: now,
             slow: 1.0,
             runs: BTreeMap::new(),
+            calling: BTreeMap::new(),
             known: HashSet::new(),
             notices: VecDeque::new(),
             last_notice: 0,
@@ -236,7 +245,14 @@
         let used = if can > 0.0 { (done / can).min(1.0) } else { 0.0 };
         self.core_use += (passed / 0.5).min(1.0) * (used - self.core_use);
         for id in over {
-            let Some(run) = self.runs.remove(&id) else { continue };
+            let Some(mut run) = self.runs.remove(&id) else { continue };
+            if let Some(rest) = run.call.take() {
+                let body = run.body.clone();
+                run.work_s = rest;
+                self.calling.insert(id.clone(), run);
+                self.notify(|n| format!("ask {n} {id} {}", body.len()), &body);
+                continue;
+            }
             let took = (now - run.since).as_secs_f64() * 1e3;
             // The same for all who ask, and not the body itself, so that a test sees a run's own result.
             let result = [&b"result of "[..], &run.body].concat();
@@ -334,6 +350,26 @@
                 body.truncate(length);
                 begin(id, class, body, shared);
             }
+            ["answer", id, length] => {
+                let length = length.parse::<usize>().ok().filter(|&len| len <= MOST_BODY)?;
+                let mut body = vec![0; length + 2];
+                io::Read::read_exact(reads, &mut body).ok()?;
+                body.strip_suffix(b"\r\n")?;
+                let mut state = shared.state();
+                state.step();
+                // Given again after a link that may have lost it: the run goes on once.
+                if let Some(run) = state.calling.remove(id) {
+                    state.runs.insert(id.to_string(), run);
+                }
+            }
+            ["interrupt", id] => {
+                let mut state = shared.state();
+                state.step();
+                if let Some(run) = state.runs.remove(id).or_else(|| state.calling.remove(id)) {
+                    let took = run.since.elapsed().as_secs_f64() * 1e3;
+                    state.notify(|n| format!("complete {n} {id} STOPPED {took:.3} 0"), b"");
+                }
+            }
             _ => return None,
         }
     }
@@ -349,8 +385,13 @@
         return;
     }
     state.step();
-    let (work_s, since) = (state.work_s(class), Instant::now());
-    state.runs.insert(id.to_string(), Run { work_s, since, body: body.clone() });
+    let (mut work_s, since) = (state.work_s(class), Instant::now());
+    let calls = (state.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64 <= state.spec.calls;
+    let call = (state.spec.calls > 0.0 && calls).then_some(work_s / 2.0);
+    if call.is_some() {
+        work_s /= 2.0;
+    }
+    state.runs.insert(id.to_string(), Run { work_s, since, body: body.clone(), call });
     let at_ms = crate::registry::server::unix_ms();
     let _ = shared.begun.send(Begun { id: id.to_string(), class: class.to_string(), body, at_ms });
 }
--- a/crates/node/src/admin/exposition.rs
+++ b/crates/node/src/admin/exposition.rs
@@ -7,13 +7,28 @@
 //! | `server_open_requests` | gauge | | requests taken and not answered |
 //! | `server_cfg_accepted_total` | counter | | configuration files taken at SIGHUP |
 //! | `server_cfg_invalid_total` | counter | | configuration files turned down at SIGHUP |
+//!
+//! Where servers talk to each other, beside these:
+//!
+//! | name | type | labels | what |
+//! | --- | --- | --- | --- |
+//! | `server_fleet_members` | gauge | `state` (`up`, `down`) | other servers, as they are believed to be |
+//! | `server_fleet_heard` | gauge | | servers whose counts are young enough, this one among them |
+//! | `server_fleet_oldest_seconds` | gauge | | the age of the oldest of these counts |
+//! | `server_fleet_slots` | gauge | `kind` (`kept`, `lent`, `borrowed`, `taken`) | slots of the shared ledger |
+//! | `server_fleet_ledger_open` | gauge | | 1 while calls to the ledger are made as ever |
+//! | `server_fleet_datagrams_total` | counter | `kind` (`sent`, `taken`, `withheld`) | datagrams between servers |
+//! | `server_fleet_dropped_total` | counter | `why` | datagrams that were not taken |
+//! | `server_fleet_sent_bytes_total` | counter | | bytes sent to other servers |
 
+use gradepin_cluster::cluster::Status;
 use gradepin_core::tally::Stats;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
+use std::sync::atomic::AtomicU64;
 
 /// The type of the text, as OpenMetrics names it; Prometheus reads it too.
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -48,12 +63,61 @@
         "Configuration files turned down at a reload",
         counter(stats.cfg_invalid),
     );
+    if let Some(fleet) = &stats.fleet {
+        fleet_figures(&mut registry, fleet);
+    }
     let mut text = String::new();
     // Writing to a String does not fail.
     let _ = encode(&mut text, &registry);
     text
 }
 
+/// What this server knows of the others and shares with them.
+fn fleet_figures(registry: &mut Registry, fleet: &Status) {
+    let gauge = |value: f64| {
+        let gauge = Gauge::<f64, AtomicU64>::default();
+        gauge.set(value);
+        gauge
+    };
+    let members = Family::<Labels, Gauge>::default();
+    for (state, count) in [("up", fleet.up), ("down", fleet.down)] {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        members.get_or_create(&vec![("state", state.to_string())]).set(count);
+    }
+    registry.register("fleet_members", "Other servers, as they are believed to be", members);
+    registry.register(
+        "fleet_heard",
+        "Servers whose counts are young enough, this one among them",
+        gauge(fleet.heard as f64),
+    );
+    registry.register("fleet_oldest_seconds", "The age of the oldest of these counts", gauge(fleet.oldest_s));
+    let slots = Family::<Labels, Gauge<f64, AtomicU64>>::default();
+    let kinds = [("kept", fleet.kept), ("lent", fleet.lent), ("borrowed", fleet.borrowed)];
+    for (kind, value) in kinds.into_iter().chain([("taken", f64::from(fleet.calls))]) {
+        slots.get_or_create(&vec![("kind", kind.to_string())]).set(value);
+    }
+    registry.register("fleet_slots", "Slots of the shared ledger", slots);
+    registry.register(
+        "fleet_ledger_open",
+        "Whether calls to the ledger are made as ever",
+        gauge(f64::from(u8::from(fleet.open))),
+    );
+    let datagrams = Family::<Labels, Counter>::default();
+    let kinds = [("sent", fleet.sent), ("taken", fleet.taken), ("withheld", fleet.withheld)];
+    for (kind, count) in kinds {
+        datagrams.get_or_create(&vec![("kind", kind.to_string())]).inc_by(count);
+    }
+    registry.register("fleet_datagrams", "Datagrams between servers", datagrams);
+    let dropped = Family::<Labels, Counter>::default();
+    for (why, count) in &fleet.dropped {
+        dropped.get_or_create(&vec![("why", why.word().to_string())]).inc_by(*count);
+    }
+    registry.register("fleet_dropped", "Datagrams that were not taken, by reason", dropped);
+    let bytes = Counter::<u64>::default();
+    bytes.inc_by(fleet.bytes_sent);
+    registry.register("fleet_sent_bytes", "Bytes sent to other servers", bytes);
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -69,6 +133,7 @@
             open: 14,
             cfg_accepted: 2,
             cfg_invalid: 1,
+            fleet: None,
         };
         let text = text(&stats);
         let lines: Vec<&str> = text.lines().filter(|line| !line.starts_with('#')).collect();
--- a/crates/node/src/admin/http.rs
+++ b/crates/node/src/admin/http.rs
@@ -112,10 +112,11 @@
     let (call, allow) = match path {
         "/healthcheck" => (AdminCall::Health, "GET, HEAD"),
         "/stats" => (AdminCall::Stats, "GET, HEAD"),
+        "/fleet" => (AdminCall::Fleet, "GET, HEAD"),
         "/healthcheck/fail" => (AdminCall::Fail, "POST"),
         "/healthcheck/ok" => (AdminCall::Ok, "POST"),
         _ => {
-            let known = "/healthcheck, /stats, /healthcheck/fail or /healthcheck/ok";
+            let known = "/healthcheck, /stats, /fleet, /healthcheck/fail or /healthcheck/ok";
             return Err(Response::text(404, format!("expected {known}, got {path}\n")));
         }
     };
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -7,6 +7,7 @@
 //! place to a newcomer once [`MOST_CALLERS`] are in. What the calls mean is the reducer's ([`gradepin_core::admin`]).
 
 mod exposition;
+mod fleet;
 pub mod http;
 
 use crossbeam_channel::{Receiver, Sender, bounded};
@@ -219,6 +220,12 @@
             response.content_type = exposition::CONTENT_TYPE;
             response
         }
+        AdminAnswer::Fleet(Some(view)) => {
+            let mut response = Response::text(200, fleet::text(&view));
+            response.content_type = "application/json";
+            response
+        }
+        AdminAnswer::Fleet(None) => Response::text(404, "this server takes no part in a fleet\n"),
         AdminAnswer::Done { failed: true, .. } => Response::text(200, "draining\n"),
         AdminAnswer::Done { failed: false, .. } => Response::text(200, "serving\n"),
     }
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -2,7 +2,10 @@
 
 use gradepin_core::moment::Moment;
 use gradepin_decisions::Time;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// What the clock shows at its start.
+const ORIGIN: u64 = 1_000_000_000_000;
 
 /// A monotonic clock that starts at 1,000 s, so that earlier times can be told too.
 #[derive(Debug, Clone, Copy)]
@@ -14,12 +17,17 @@
         Self(Instant::now())
     }
 
+    /// A time of this clock, for threads that look at the system's.
+    pub fn instant(&self, time: Time) -> Instant {
+        self.0 + Duration::from_nanos(time.0.saturating_sub(ORIGIN))
+    }
+
     /// Reads both clocks.
     pub fn read(&self) -> Moment {
         let nanos = u64::try_from(self.0.elapsed().as_nanos()).unwrap_or(u64::MAX);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Moment {
-            now: Time(1_000_000_000_000_u64.saturating_add(nanos)),
+            now: Time(ORIGIN.saturating_add(nanos)),
             unix_ms: u64::try_from(unix.as_millis()).unwrap_or(u64::MAX),
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod handed;
 pub mod log;
 mod outgoing;
+pub mod peers;
 pub mod processor;
 pub mod registry;
 pub mod serve;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -10,26 +10,32 @@
 use crate::fronts::thrift::Thrift;
 use crate::fronts::{Front, Fronts, Listener};
 use crate::handed::{self, Handed, HandedError};
+use crate::peers::{Peers, SharedKeys};
 use crate::processor::Processor;
 use crate::registry::Registry;
-use crate::settings::{Live, Own};
+use crate::settings::cluster::{self, KeysError};
+use crate::settings::{FleetSettings, Live, Own};
 use crate::shared_ledger::SharedLedger;
 use crate::signals::Signals;
 use crate::store::{self, Store};
-use crossbeam_channel::{Sender, bounded, select};
+use crossbeam_channel::{Sender, bounded, never, select};
+use gradepin_cluster::cluster::{Cluster, ClusterSettings};
+use gradepin_cluster::peer::{Life, MOST_NAME, Peer};
+use gradepin_cluster::seal::Keys;
 use gradepin_core::config::{Config, ConfigError};
 use gradepin_core::ledger::Ledger;
 use gradepin_core::messages::{Effect, Input};
 use gradepin_core::pool::{Pool, SIZE};
-use gradepin_core::reducer::Reducer;
+use gradepin_core::reducer::{Reducer, lent_share};
 use gradepin_core::registration::Registration;
 use gradepin_decisions::{Below, Settings, Span};
 use gradepin_registry::membership::Membership;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use slog::{Level, Logger, error, info, warn};
 use std::error::Error;
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::path::PathBuf;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError, RwLock};
 use std::thread;
 use std::time::Duration;
 
@@ -38,6 +44,10 @@
 const QUEUE: usize = 128;
 /// Those from the processor and signals wait in a queue of their own, which no client fills.
 const URGENT: usize = 1024;
+/// Datagrams of other servers have one too; what finds no room there is dropped.
+const LETTERS: usize = 512;
+/// Threads for calls with borrowed slots, as a multiple of those for the own share.
+const BORROWED: f64 = 3.0;
 /// Free buffers kept at the most, some 9 MB, and the part of the memory that they may take where that is less.
 const POOL: usize = 2048;
 const POOL_PART: usize = 16;
@@ -55,6 +65,12 @@
     /// A route of the settings can't be used.
     #[error(transparent)]
     Route(#[from] BadRoute),
+    /// The fleet's keys can't be used.
+    #[error(transparent)]
+    Keys(#[from] KeysError),
+    /// The server's name can't stand in a datagram.
+    #[error("expected a name of {MOST_NAME} bytes at the most for a fleet, got '{0}'")]
+    Name(String),
     /// What was handed over can't be used.
     #[error(transparent)]
     Handed(#[from] HandedError),
@@ -142,7 +158,25 @@
             listeners.push((Arc::clone(front) as Arc<dyn Front>, listener));
         }
     }
-    watch_signals(files, scgi, Arc::clone(&settings), urgently.clone()).map_err(failed("signals"))?;
+    let (letters_in, letters) = bounded(LETTERS);
+    // The second process of an upgrade has the name and the address of the first one.
+    let fleet = own.cluster.as_ref().filter(|_| handed.accept_fd.is_none());
+    if fleet.is_none() && own.cluster.is_some() {
+        warn!(log, "on an inherited listener this server takes no part in the fleet");
+    }
+    let keys = fleet.map(|set| cluster::keys(&set.key_file)).transpose()?;
+    let keys = keys.map(|keys| Arc::new(RwLock::new(keys)));
+    let peers = match (fleet, &keys) {
+        (Some(set), Some(keys)) => {
+            let settings = fleet_settings(set, &config, read(keys), clock, seed)?;
+            reducer = reducer.with_cluster(Cluster::new(settings, clock.read().now));
+            let peers = Peers::start(set.listen, Arc::clone(keys), letters_in, clock, log.clone());
+            Some(peers.map_err(failed(&format!("the fleet's address {}", set.listen)))?)
+        }
+        _ => None,
+    };
+    let letters = if peers.is_some() { letters } else { never() };
+    watch_signals(files, scgi, keys, Arc::clone(&settings), urgently.clone()).map_err(failed("signals"))?;
     let (mut arrived, mut effects): (Vec<Input>, Vec<Effect>) = (Vec::new(), Vec::new());
     let store = own.store.as_ref().map(|set| {
         let (open, limits) = (store::folder(set.path.clone()), set.limits(&config));
@@ -163,7 +197,8 @@
     let registry = own.registry.as_ref().map(|set| Registry::start(set, &id, &urgently, log));
     let registry = registry.transpose().map_err(failed("registry"))?;
     let ledger = config.ledger.filter(|_| settings.specifics.below == Below::Shared).map(|address| {
-        let share = settings.specifics.calls_out;
+        let lends = own.cluster.as_ref().is_some_and(|set| set.slots.is_some());
+        let share = settings.specifics.calls_out * if lends { BORROWED } else { 1.0 };
         let ledger = SharedLedger::start(address, share, urgently.clone(), Arc::clone(&pool), log.clone());
         ledger.map_err(failed("ledger"))
     });
@@ -185,9 +220,14 @@
                     processor.begin(link, &id, &settings.profiles[class].name, &body);
                 }
                 Effect::Usage(link, tag) => processor.usage(link, tag),
-                Effect::Call(id, body, limit) => {
+                Effect::Call(id, body, limit, leaves) => {
                     if let Some(ledger) = &ledger {
-                        ledger.call(id, &body, limit);
+                        ledger.call(id, &body, limit, leaves.map(|at| clock.instant(at)));
+                    }
+                }
+                Effect::Peer(to, datagram) => {
+                    if let Some(peers) = &peers {
+                        peers.send(to, &datagram);
                     }
                 }
                 Effect::Reply(link, id, reply) => processor.answer(link, &id, &reply),
@@ -257,9 +297,11 @@
         select! {
             recv(urgent) -> input => arrived.extend(input),
             recv(queue) -> input => arrived.extend(input),
+            recv(letters) -> input => arrived.extend(input),
             default(wait) => {}
         }
         arrived.extend(urgent.try_iter().take(URGENT));
+        arrived.extend(letters.try_iter().take(LETTERS));
         arrived.extend(queue.try_iter().take(QUEUE));
     }
 }
@@ -275,6 +317,7 @@
 fn watch_signals(
     files: Files,
     scgi: Option<Arc<Scgi>>,
+    keys: Option<SharedKeys>,
     settings: Arc<Settings>,
     inputs: Sender<Input>,
 ) -> std::io::Result<()> {
@@ -283,8 +326,16 @@
         while let Ok(came) = signals.wait() {
             for signal in came {
                 let input = match signal {
-                    SIGHUP => match reload(&files, scgi.as_deref(), &settings) {
-                        Ok(config) => Input::Reload(Box::new(config)),
+                    SIGHUP => match reload(&files, scgi.as_deref(), keys.is_some(), &settings) {
+                        Ok((config, new)) => {
+                            if let (Some(keys), Some(new)) = (&keys, new) {
+                                new.clone_into(&mut keys.write().unwrap_or_else(PoisonError::into_inner));
+                                if inputs.send(Input::FleetKeys(new)).is_err() {
+                                    return;
+                                }
+                            }
+                            Input::Reload(Box::new(config))
+                        }
                         Err(why) => Input::ReloadRefused(why.to_string()),
                     },
                     SIGUSR1 => Input::TakeOut,
@@ -301,14 +352,58 @@
 }
 
 /// Reads both files again. Both are checked before either is used: a bad one changes nothing.
-fn reload(files: &Files, scgi: Option<&Scgi>, settings: &Arc<Settings>) -> Result<Config, Box<dyn Error>> {
+fn reload(
+    files: &Files,
+    scgi: Option<&Scgi>,
+    fleet: bool,
+    settings: &Arc<Settings>,
+) -> Result<(Config, Option<Keys>), Box<dyn Error>> {
     let config = config::load(&files.config)?;
     let own = files.own.as_deref().map(Own::load).transpose()?.unwrap_or_default();
+    let keys = own.cluster.as_ref().filter(|_| fleet).map(|set| cluster::keys(&set.key_file)).transpose()?;
     if let Some(front) = scgi {
         // Listeners take a restart; without the block the routes stay.
         if let Some(set) = &own.scgi {
             front.reload(Routes::new(set, Arc::clone(settings))?);
         }
     }
-    Ok(config)
+    Ok((config, keys))
+}
+
+fn read(keys: &SharedKeys) -> Keys {
+    keys.read().unwrap_or_else(PoisonError::into_inner).clone()
+}
+
+/// What this server is in the fleet, in the life that begins.
+fn fleet_settings(
+    set: &FleetSettings,
+    config: &Config,
+    keys: Keys,
+    clock: Clock,
+    seed: u64,
+) -> Result<ClusterSettings, StartError> {
+    if config.name.len() > MOST_NAME {
+        return Err(StartError::Name(config.name.clone()));
+    }
+    // The system's own randomness: a seed may stand in a file that outlives a life.
+    let random = RandomState::new().build_hasher().finish();
+    let own = Peer {
+        name: Arc::from(config.name.as_str()),
+        life: Life::starting(clock.read().unix_ms, random),
+        address: set.advertise,
+        zone: Arc::from(set.zone.as_str()),
+    };
+    Ok(ClusterSettings {
+        own,
+        seeds: set.seeds.clone(),
+        keys,
+        pace: set.pace.clone(),
+        bytes_s: set.bytes_s,
+        servers: config.settings.servers as usize,
+        share: set.slots.as_ref().and_then(|_| lent_share(&config.settings)),
+        leases: set.leases(config.settings.specifics.linger),
+        probes_s: set.probes_s,
+        repeats: set.repeats,
+        seed: seed ^ random,
+    })
 }
--- /dev/null
+++ b/crates/node/src/settings/cluster.rs
@@ -0,0 +1,156 @@
+//! Settings of the fleet: how servers reach each other, and what they share.
+
+use super::reader::Block;
+use gradepin_cluster::escrow::LeaseSettings;
+use gradepin_cluster::members::Pace;
+use gradepin_cluster::peer::MOST_NAME;
+use gradepin_cluster::seal::{BadKeys, Keys};
+use gradepin_decisions::Span;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+const MS: u64 = 1_000_000;
+/// A fleet's seeds; more are no better.
+const MOST_SEEDS: usize = 16;
+
+/// Servers that talk to each other.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetSettings {
+    /// Where datagrams are taken.
+    pub listen: SocketAddr,
+    /// Where others reach that.
+    pub advertise: SocketAddr,
+    /// The group of servers that may fail together.
+    pub zone: String,
+    /// Where others may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// The file with the fleet's keys.
+    pub key_file: PathBuf,
+    /// How quickly the fleet notices.
+    pub pace: Pace,
+    /// Bytes sent in a second at the most.
+    pub bytes_s: u32,
+    /// Repeated tries for each first one that the fleet takes.
+    pub repeats: Option<f64>,
+    /// Probes a second of the whole fleet to a ledger that looks dead.
+    pub probes_s: f64,
+    /// How slots of the shared ledger are lent, if they are; its linger is told by the configuration.
+    pub slots: Option<LeaseSettings>,
+}
+
+/// Why the fleet's keys can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum KeysError {
+    /// The file can't be read.
+    #[error("{}: {why}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        why: std::io::Error,
+    },
+    /// It holds no keys.
+    #[error("{}: {why}", path.display())]
+    Bad {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        why: BadKeys,
+    },
+}
+
+/// Reads the fleet's keys.
+pub fn keys(path: &Path) -> Result<Keys, KeysError> {
+    let text = std::fs::read_to_string(path).map_err(|why| KeysError::Read { path: path.into(), why })?;
+    Keys::parse(&text).map_err(|why| KeysError::Bad { path: path.into(), why })
+}
+
+/// Reads the block; none if something that has no default is missing, and then that is a problem.
+pub fn read(mut block: Block<'_>) -> Option<FleetSettings> {
+    let listen = block.address("listen");
+    if listen.is_none() && !block.has("listen") {
+        block.problem("expected a listen, as in listen \"127.0.0.1:7947\"");
+    }
+    let advertise = block.address("advertise").or(listen);
+    if let Some(address) = advertise.filter(|address| address.ip().is_unspecified() || address.port() == 0) {
+        block.problem(&format!("expected advertise to be an address that others reach, got {address}"));
+    }
+    let key_file = block.word("key-file");
+    if key_file.is_none() && !block.has("key-file") {
+        block.problem("expected a key-file, as in key-file \"/etc/gradepin/fleet.keys\"");
+    }
+    let zone = block.word("zone").unwrap_or_default();
+    if zone.len() > MOST_NAME {
+        block.problem(&format!("expected zone of {MOST_NAME} bytes at the most"));
+    }
+    let mut seeds = Vec::new();
+    for (text, node) in block.each("seed") {
+        match text.parse::<SocketAddr>() {
+            Ok(seed) if seeds.contains(&seed) => node.problem("the same seed twice"),
+            Ok(seed) => seeds.push(seed),
+            Err(_) => node.problem(&format!("expected seed to be IP:PORT, got {text:?}")),
+        }
+        node.end_properties();
+    }
+    if seeds.is_empty() && !block.has("seed") {
+        block.problem("expected a seed, as in seed \"127.0.0.1:7947\"; the first server names itself");
+    }
+    if seeds.len() > MOST_SEEDS {
+        block.problem(&format!("expected {MOST_SEEDS} seeds at the most"));
+    }
+    let usual = Pace::default();
+    let pace = Pace {
+        probe: block.span_ms("probe-ms", 100..=60_000).unwrap_or(usual.probe),
+        answer: block.span_ms("answer-ms", 10..=30_000).unwrap_or(usual.answer),
+        suspect: block.span_ms("suspect-ms", 200..=600_000).unwrap_or(usual.suspect),
+    };
+    if pace.answer.0 * 2 > pace.probe.0 {
+        block.problem(
+            "expected answer-ms of half of probe-ms at the most: others are asked to look meanwhile",
+        );
+    }
+    if pace.suspect < pace.probe {
+        block.problem("expected suspect-ms of probe-ms or more: a suspect must get to say that it lives");
+    }
+    let bytes_s = block.whole("bytes-a-second", 4_000..=10_000_000).unwrap_or(32_000) as u32;
+    let repeats = block.number("repeats", 0.0..=10.0);
+    let probes_s = block.number("probes-a-second", 0.01..=1_000.0).unwrap_or(2.0);
+    let slots = block.block("slots").map(slots);
+    block.end();
+    Some(FleetSettings {
+        listen: listen?,
+        advertise: advertise?,
+        zone,
+        seeds,
+        key_file: key_file?.into(),
+        pace,
+        bytes_s,
+        repeats,
+        probes_s,
+        slots,
+    })
+}
+
+fn slots(mut block: Block<'_>) -> LeaseSettings {
+    let usual = LeaseSettings::default();
+    let set = LeaseSettings {
+        length: block.span_ms("lease-ms", 200..=60_000).unwrap_or(usual.length),
+        call: block.span_ms("call-ms", 50..=60_000).unwrap_or(usual.call),
+        linger: usual.linger,
+        drift_ppm: block.share("drift").map_or(usual.drift_ppm, |share| (share * 1e6) as u64),
+        part: block.share("part").map_or(usual.part, |share| (share * 1e3) as u32),
+        plain: block.truth("drill-ignores-ends").unwrap_or(false),
+    };
+    if set.drift_ppm > 200_000 {
+        block.problem("expected drift from 0 to 0.2: a clock further off than that is broken");
+    }
+    block.end();
+    set
+}
+
+impl FleetSettings {
+    /// How slots are lent by a server whose configuration tells how long an abandoned call stays with the ledger.
+    pub fn leases(&self, linger: Span) -> LeaseSettings {
+        LeaseSettings { linger: linger.max(Span(MS)), ..self.slots.clone().unwrap_or_default() }
+    }
+}
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -3,11 +3,13 @@
 //! A file is checked as a whole: every unknown node, value out of range and contradiction is told with its line and
 //! column, and a file with any of them is not used.
 
+pub mod cluster;
 mod live;
 mod reader;
 mod scgi;
 mod store;
 
+pub use cluster::FleetSettings;
 pub use live::Live;
 pub use scgi::{Headers, Route, ScgiSettings};
 pub use store::StoreSettings;
@@ -67,6 +69,8 @@
     pub scgi: Option<ScgiSettings>,
     /// The store of keyed runs, where there is one.
     pub store: Option<StoreSettings>,
+    /// The fleet whose servers talk to each other, where they do.
+    pub cluster: Option<FleetSettings>,
 }
 
 /// Where a registry is, and what this server tells it.
@@ -162,6 +166,7 @@
             own.registry = root.block("registry").and_then(registry);
             own.scgi = root.block("scgi").map(scgi::read);
             own.store = root.block("store").and_then(store::read);
+            own.cluster = root.block("cluster").and_then(cluster::read);
             root.end();
         }
         let problems = problems.into_sorted();
@@ -330,6 +335,8 @@
         assert_eq!(own.scgi.map(|set| set.routes.len()), Some(4));
         let own = Own::parse(include_str!("../../../../deploy/store.kdl")).unwrap();
         assert_eq!(own.store.map(|set| set.patience), Some(Span(250 * MS)));
+        let own = Own::parse(include_str!("../../../../deploy/cluster.kdl")).unwrap();
+        assert_eq!(own.cluster.and_then(|set| set.slots).map(|set| set.length), Some(Span(2_000 * MS)));
     }
 
     /// Guards against a file that is half used, and against a typing error that silently keeps a default.
@@ -355,6 +362,31 @@
         assert_eq!(found.len(), expected.len(), "{found:#?}");
     }
 
+    /// Guards a fleet against settings by which servers can't find, tell or bound each other.
+    #[test]
+    fn what_a_cluster_cannot_work_with_is_told() {
+        let with = |more: &str| {
+            problems(&format!(
+                "cluster {{\nlisten \"127.0.0.1:7\"\nseed \"127.0.0.1:7\"\nkey-file \"k\"\n{more}\n}}"
+            ))
+        };
+        assert_eq!(with("zone \"a\"\nslots { lease-ms 500; }"), Vec::<String>::new());
+        for (more, expected) in [
+            ("seed \"127.0.0.1:7\"", "the same seed twice"),
+            ("seed \"here\"", "expected seed to be IP:PORT"),
+            ("advertise \"0.0.0.0:7\"", "an address that others reach"),
+            ("probe-ms 500", "half of probe-ms"),
+            ("suspect-ms 500", "suspect-ms of probe-ms or more"),
+            ("slots { drift 0.5; }", "a clock further off"),
+            ("slots { lease 5; }", "an unknown node 'lease'"),
+            ("repeats -1", "expected repeats from 0 to 10"),
+        ] {
+            let found = with(more);
+            assert!(found.len() == 1 && found[0].contains(expected), "{more}: {found:?}");
+        }
+        assert_eq!(problems("cluster {\n}").len(), 3, "no listen, no seed and no key-file");
+    }
+
     #[test]
     fn contradictions_and_broken_documents_are_told_too() {
         let with = |more: &str| {
--- a/crates/node/src/shared_ledger.rs
+++ b/crates/node/src/shared_ledger.rs
@@ -41,6 +41,8 @@
     body: Arc<Vec<u8>>,
     limit: Duration,
     until: Instant,
+    /// After which it must not leave here.
+    leaves: Option<Instant>,
 }
 
 /// The calls to the ledger that all servers share.
@@ -90,9 +92,11 @@
     }
 
     /// Makes a call for a request; never blocks.
-    pub fn call(&self, id: RequestId, body: &[u8], limit: Span) {
+    /// `leaves` is the time after which it must not leave here any more: a lease that it goes by is over then.
+    pub fn call(&self, id: RequestId, body: &[u8], limit: Span, leaves: Option<Instant>) {
         let limit = Duration::from_nanos(limit.0);
-        let call = Call { id, body: Arc::new(body.to_vec()), limit, until: Instant::now() + limit };
+        let until = Instant::now() + limit;
+        let call = Call { id, body: Arc::new(body.to_vec()), limit, until, leaves };
         if let Err(TrySendError::Full(call) | TrySendError::Disconnected(call)) = self.calls.try_send(call) {
             warn!(self.log, "a call to the ledger found no room; it is turned away unmade");
             let _ = self.inputs.send(Input::Called { id: call.id, outcome: Outcome::Shed, reply: None });
@@ -112,6 +116,8 @@
         let (outcome, reply) = match call.until.checked_duration_since(Instant::now()) {
             // Its time ran out while it waited here: it never left.
             None => (Outcome::Shed, None),
+            // The last look at the clock: this thread may have been stopped since the call was decided.
+            Some(_) if call.leaves.is_some_and(|leaves| Instant::now() >= leaves) => (Outcome::Shed, None),
             Some(left) => exchange(agent, &url, &call, left, pool),
         };
         if inputs.send(Input::Called { id: call.id, outcome, reply }).is_err() {
@@ -202,7 +208,7 @@
         let pool = Pool::new(4);
         let log = Logger::root(slog::Discard, slog::o!());
         let ledger = SharedLedger::start(address, 1.0, inputs, pool, log).unwrap();
-        ledger.call(RequestId::new("00000000000000a1"), b"form", Span(limit_ms * 1_000_000));
+        ledger.call(RequestId::new("00000000000000a1"), b"form", Span(limit_ms * 1_000_000), None);
         match came.recv_timeout(Duration::from_secs(10)).unwrap() {
             Input::Called { outcome, reply, .. } => (outcome, reply.map(|reply| reply.to_vec())),
             _ => panic!("another input"),
