--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -272,6 +272,9 @@
             return Err(Dropped::OtherLife);
         }
         if *to != own && !(*to == Life(0) && kind == SWIM) {
+            if kind == SWIM && self.may_notice(now, name) {
+                self.members.meet(now, body);
+            }
             return Err(Dropped::OtherLife);
         }
         match kind {
@@ -297,15 +300,23 @@
         let Some(seen) = self.members.find(name) else { return };
         let mut peer = seen.peer.clone();
         let known = self.fresh.life(name).unwrap_or_default().max(peer.life);
-        if self.noticed.get(name).is_some_and(|at| now < after(*at, NOTICE)) {
+        if !self.may_notice(now, name) {
             return;
         }
-        self.noticed.retain(|_, at| now < after(*at, NOTICE));
-        self.noticed.insert(Arc::clone(&peer.name), now);
         peer.life = known;
         self.send(now, &peer, KNOWN, &[]);
     }
 
+    /// Whether a server may be told now that it is mistaken about a life: not with each of its datagrams.
+    fn may_notice(&mut self, now: Time, name: &str) -> bool {
+        self.noticed.retain(|_, at| now < after(*at, NOTICE));
+        let may = !self.noticed.contains_key(name);
+        if may {
+            self.noticed.insert(Arc::from(name), now);
+        }
+        may
+    }
+
     fn rows(&mut self, now: Time, mut body: &[u8], late: Span) -> Result<(), Dropped> {
         while !body.is_empty() {
             let (told, rest) = postcard::take_from_bytes::<Told>(body).map_err(|_| Dropped::Content)?;
--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -7,7 +7,9 @@
 use crate::MS;
 use crate::peer::{Life, Peer};
 use crate::seal::{ENVELOPE, MOST};
-use foca::{Foca, Notification, OwnedNotification, PeriodicParams, PostcardCodec, Runtime, State, Timer};
+use foca::{
+    Codec, Foca, Notification, OwnedNotification, PeriodicParams, PostcardCodec, Runtime, State, Timer,
+};
 use gradepin_decisions::{Span, Time, after, before};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -174,6 +176,15 @@
         }
     }
 
+    /// Something came that was meant for an earlier life of this server: its sender is told of the one that began, rather
+    /// than left to find the earlier one dead.
+    pub fn meet(&mut self, now: Time, data: &[u8]) {
+        if let Ok(header) = PostcardCodec.decode_header(data) {
+            let _ = self.foca.announce(header.src, &mut self.asked);
+            self.settle(now);
+        }
+    }
+
     /// Somebody knows this server in a greater life: it comes back past that one.
     pub fn raise(&mut self, now: Time, known: Life) {
         let own = self.own();
--- a/crates/model/src/peers/world.rs
+++ b/crates/model/src/peers/world.rs
@@ -692,6 +692,10 @@
 
     /// Those that are there and well, and believed dead by one that is well.
     fn beliefs(&mut self, now: At) {
+        let apart = self.troubles().any(|t| matches!(t.what, What::Deaf(_) | What::Cut(_) | What::Slow(_)));
+        if apart {
+            return self.wrong.clear();
+        }
         let well = |server: &Server| server.runs() && now >= server.well_since + nanos(WELL_S);
         let step = self.servers.len().div_ceil(OBSERVERS);
         let mut still = HashSet::new();
