Take wishes of a restarted server for new ones in the drill's checker

The checker dated a wish by the first one of its number, and a restarted server numbers from one again, so its leases looked over by as long as its last life was ago (history.rs, What::Asked: or_insert).

Change: a start forgets the wishes and leases of the life before. Its test fails without it by construction of the same history.

--- a/crates/kit/src/rig/history.rs
+++ b/crates/kit/src/rig/history.rs
@@ -189,6 +189,11 @@
                     lease.until_us = lease.until_us.min(at);
                 }
             }
+            // Another life of it numbers its wishes from one again.
+            What::Started => {
+                asked.retain(|(borrower, ..), _| *borrower != server);
+                leases.retain(|(borrower, ..), _| *borrower != server);
+            }
             _ => {}
         }
         if number % 4_096 == 0 {
@@ -308,6 +313,23 @@
         assert_eq!(calls(&returned, 9, 1.0, 0.01).without_slot.len(), 1);
     }
 
+    /// Guards the checker against a server that started again: its first wishes have the numbers of its last life's.
+    #[test]
+    fn a_wish_of_another_life_is_another_wish() {
+        let asked = |at| entry(at, 0, What::Asked { lender: 1, number: 1, round: 0 });
+        let grant = What::Granted { borrower: 0, number: 1, round: 0, amount: 1_000, length_ms: 2_000 };
+        let history = [
+            asked(0),
+            entry(10, 0, What::Killed),
+            entry(5_000, 0, What::Started),
+            asked(9_000),
+            entry(9_010, 1, grant),
+            began(9_100, 0),
+            began(9_200, 0),
+        ];
+        assert_eq!(calls(&history, 9, 1.0, 0.01).without_slot, []);
+    }
+
     #[test]
     fn one_that_is_well_and_held_dead_is_found_and_one_that_was_cut_off_is_not() {
         let believes = |at, up| entry(at, 0, What::Believes { other: 1, up });
