--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -7,7 +7,7 @@
 use crate::counts::{CellId, Counts, Reading, Told, WINDOW, Work};
 use crate::escrow::{Escrow, LeaseSettings, SLOT, Slot, Word};
 use crate::fresh::Fresh;
-use crate::judge::{Evidence, Judge, Others, Verdict};
+use crate::judge::{Judge, Others, Verdict};
 use crate::members::{Change, Members, Pace};
 use crate::peer::{Life, Peer};
 use crate::seal::{Dropped, ENVELOPE, Head, Keys, MOST};
@@ -624,11 +624,6 @@
         &self.members
     }
 
-    /// What this server saw of the ledger.
-    pub fn evidence(&self, now: Time) -> Evidence {
-        self.judge.evidence(now)
-    }
-
     /// The fleet as it is seen from here.
     pub fn view(&self, now: Time) -> View {
         let own = self.members.own();
--- a/crates/core/src/reducer/fleet.rs
+++ b/crates/core/src/reducer/fleet.rs
@@ -119,6 +119,9 @@
 
     /// A request came that can be taken; whether the fleet has room for it, where it repeats another try.
     pub(super) fn fleet_takes(&mut self, tenant: Option<usize>, class: usize, repeat: bool) -> bool {
+        if !self.fleet.is_on() {
+            return true;
+        }
         let estimate = self.fleet.estimate(&self.settings, class);
         let Some(cluster) = &mut self.fleet.cluster else { return true };
         cluster.arrived(self.moment.now, cell(&self.settings, tenant, class), repeat, estimate);
--- a/crates/core/src/reducer/link.rs
+++ b/crates/core/src/reducer/link.rs
@@ -148,7 +148,7 @@
     /// never will be. Guards against repeats that wait in life after life for a run that never reached the processor.
     pub(super) fn count_runs(&mut self, on_cores: Option<f64>) {
         let (Some(_), Some(on)) = (self.past.hope(), on_cores) else { return };
-        let running = self.requests.all_running().len();
+        let running = self.requests.count_running();
         // Those still without an intent, and those begun after the question, aren't among them.
         let own = running.saturating_sub(self.ledger.waiting() + self.link.unproven.len());
         if on < own as f64 + 0.5 {
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -108,6 +108,11 @@
         running.map(|(id, _)| id.clone()).collect()
     }
 
+    /// How many run.
+    pub(super) fn count_running(&self) -> usize {
+        self.open.values().filter(|open| open.state == State::Running).count()
+    }
+
     /// How many are owed an answer.
     pub(super) fn owed(&self) -> usize {
         self.open.values().filter(|open| open.owed).count()
