--- a/crates/gradepin/tests/node.rs
+++ b/crates/gradepin/tests/node.rs
@@ -193,6 +193,21 @@
         expect b 1 failed");
 }
 
+/// Guards against a second run within an older run's window, and against two tries that both end without a result: the one
+/// stamped first may belong to that older run, so it fails, and the other runs.
+#[test]
+fn of_two_read_together_in_the_other_order_the_later_stamped_runs() {
+    up("open a
+        wait 500
+        send a + call 1 method=claim token=t rid=1
+        send a call 2 method=claim token=t rid=2 t0=-20
+        expect a 2 failed
+        expect processor begin 1
+        send processor complete 1 1 OK out
+        expect a 1 served out
+        expect no processor begin");
+}
+
 #[test]
 fn two_tries_that_arrive_together_run_once() {
     up("send a + call 1 method=claim token=t rid=1
