Count a call's time from its slot, and test what counts, clocks and judgements are for

Found on reading the cluster again, and by taking code out piece by piece:

- A call's time, told to the module and to other servers, counted from the module's order and not from its leaving: with slots lent, the wait for a slot looked like a slow ledger.
A run whose call failed and is to be made again was not counted as waiting, and one whose call was given up was.
Each has a test in tests/fleet.rs that fails without it; the wait is a figure now (server_fleet_waiting).
- The judge's look at who failed last could never be true, and doubting others' rows after a sleep changed nothing, as rows age by the own clock: both are out.
What remained untested (ever later tries where only the own way is broken) has a test.
- In the model a run that found the door closed asked again with each turn, which opened the door faster than in the server.
- Cells of the counts were hashed anew for each arrival, the sender's name allocated for each datagram.
- gradepin check reads the fleet's key file.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -125,6 +125,8 @@
     pub borrowed: f64,
     /// Slots taken by calls.
     pub calls: u32,
+    /// Runs that wait for a slot.
+    pub waiting: u32,
     /// Whether calls to the ledger are made as ever.
     pub open: bool,
     /// Bytes and datagrams sent.
@@ -354,9 +356,10 @@
             Change::Up(peer) => (false, format!("{} is up, in zone '{}'", peer.name, peer.zone)),
             Change::Down(peer) => (true, format!("{} is believed dead", peer.name)),
             Change::Back(life) => (true, format!("believed dead by others; back as life {:x}", life.0)),
-            Change::Slept(slept) => {
-                (true, format!("this process did not run for {:.1} s; it doubts what it knew", secs(slept)))
-            }
+            Change::Slept(slept) => (
+                true,
+                format!("this process did not run for {:.1} s; it doubts itself before others", secs(slept)),
+            ),
         };
         self.effects.push(Effect::Note(bad, text));
         // The own life may have changed, and what is told of it with it.
@@ -398,14 +401,12 @@
         }
     }
 
-    /// Evidence of others that are well and fresh. One that slept a moment ago goes by its own alone.
+    /// Evidence of others, by its age on the own clock: one that slept has none that counts until it hears some anew.
     fn others(&self, now: Time) -> Others {
         let mut others = Others::default();
-        if !self.members.doubts() {
-            let own = &self.members.own().name;
-            for kept in self.counts.rows().filter(|kept| kept.row.name != *own) {
-                others.add(&kept.row.evidence, kept.age(now));
-            }
+        let own = &self.members.own().name;
+        for kept in self.counts.rows().filter(|kept| kept.row.name != *own) {
+            others.add(&kept.row.evidence, kept.age(now));
         }
         others
     }
@@ -556,7 +557,7 @@
     pub fn quota(&self, now: Time, quota: f64, wanted: impl Fn(CellId) -> bool) -> f64 {
         let reading = self.counts.read(now, &wanted);
         let own = self.counts.own(&wanted);
-        if reading.heard < 2 || reading.sum.asked_ms == 0 || own.asked_ms == 0 {
+        if reading.sum.asked_ms == 0 || own.asked_ms == 0 {
             return quota;
         }
         let part = f64::from(own.asked_ms) / f64::from(reading.sum.asked_ms.max(own.asked_ms));
@@ -651,6 +652,7 @@
             lent: slots(self.escrow.lent(now)),
             borrowed: slots(self.escrow.borrowed(now)),
             calls: self.escrow.taken(now),
+            waiting: self.escrow.waits(),
             open: self.judge.is_open(),
             ..self.status.clone()
         }
--- a/crates/cluster/src/escrow.rs
+++ b/crates/cluster/src/escrow.rs
@@ -281,6 +281,11 @@
         self.waiting > 0 && (self.taken(now) + 1) * SLOT > self.limit(now)
     }
 
+    /// Runs that wait for a call.
+    pub fn waits(&self) -> u32 {
+        self.waiting
+    }
+
     /// So many runs wait for a call.
     pub fn waiting(&mut self, now: Time, waiting: u32) {
         self.waiting = waiting;
--- a/crates/cluster/src/fresh.rs
+++ b/crates/cluster/src/fresh.rs
@@ -49,9 +49,6 @@
     /// Whether a datagram is fresh, and how much later it came than a quick one would have.
     pub fn check(&mut self, now: Time, head: &Head<'_>) -> Result<Span, Dropped> {
         let differs = (now.0 / 1_000) as i64 - head.sent_us as i64;
-        if !self.senders.contains_key(head.name) {
-            self.make_room();
-        }
         let fresh = || Sender {
             life: head.life,
             highest: 0,
@@ -62,7 +59,11 @@
             since: now,
             late: None,
         };
-        let sender = self.senders.entry(Arc::from(head.name)).or_insert_with(fresh);
+        if !self.senders.contains_key(head.name) {
+            self.make_room();
+            self.senders.insert(Arc::from(head.name), fresh());
+        }
+        let Some(sender) = self.senders.get_mut(head.name) else { return Err(Dropped::EarlierLife) };
         if head.life < sender.life {
             return Err(Dropped::EarlierLife);
         }
--- a/crates/cluster/src/judge.rs
+++ b/crates/cluster/src/judge.rs
@@ -109,8 +109,6 @@
     /// Closed while it opened so many times in a row, and until when others' good evidence opens nothing.
     relapses: u32,
     deaf: Time,
-    /// Whether the last thing seen here, since the door closed, went wrong.
-    own_failed: bool,
     notes: Vec<String>,
 }
 
@@ -125,7 +123,6 @@
             others: Others::default(),
             relapses: 0,
             deaf: Time(0),
-            own_failed: false,
             notes: Vec::new(),
         }
     }
@@ -173,7 +170,6 @@
             }
             _ => self.steps.push_back((now, seen, ms)),
         }
-        self.own_failed = seen.good == 0;
         match &mut self.door {
             Door::Opening { good, .. } if seen.good > 0 => *good = good.saturating_add(1),
             Door::Opening { .. } => {
@@ -241,7 +237,6 @@
     fn open(&mut self, now: Time, why: &str) {
         self.notes.push(format!("calls to the ledger begin again, few at first: {why}"));
         self.steps.clear();
-        self.own_failed = false;
         self.door = Door::Opening { step: 0, since: now, good: 0, saved: 7 };
     }
 
@@ -266,9 +261,9 @@
                 }
             }
             Door::Closed { since, .. } => {
-                // Where it failed here while it answers others, the fault is this server's way to it: own probes decide.
-                let ill_here = self.own_failed && now < after(since, FRESH);
-                if self.others.good > 0 && !ill_here && now >= self.deaf && now >= after(since, FRESH) {
+                // Not at once: what others saw may be from before. Where only the way from here is broken, the door closes
+                // again with the first call, and what others see opens it ever later.
+                if self.others.good > 0 && now >= self.deaf && now >= after(since, FRESH) {
                     let why = format!("it answers {} other servers", self.others.good);
                     self.open(now, &why);
                 }
@@ -330,6 +325,32 @@
         assert!((5..30).contains(&calls), "{calls} calls in 40 s");
     }
 
+    /// Guards a large fleet's server whose own way is broken against a call in vain every few seconds: what others see opens its
+    /// door ever later. Own probes are rare there, as they are the fleet's.
+    #[test]
+    fn who_fails_where_others_dont_tries_ever_later() {
+        let mut ill = Judge::new(2.0, 300);
+        fail(&mut ill, 1_000, 6);
+        let mut calls = Vec::new();
+        for at in (1_500..201_500).step_by(100) {
+            ill.heard(ms(at), Others { good: 250, dead: 1 }, 0.5);
+            if ill.call(ms(at), 0.5) != Verdict::Closed {
+                calls.push(at);
+                ill.called(ms(at), Outcome::DialFailed, Span(MS), 0.5);
+            }
+        }
+        assert!((8..25).contains(&calls.len()), "{} calls in 200 s: {calls:?}", calls.len());
+        // Its way is mended: it is back within the longest wait.
+        let back = (201_500..230_000).step_by(100).find(|at| {
+            ill.heard(ms(*at), Others { good: 250, dead: 0 }, 0.5);
+            if ill.call(ms(*at), 0.5) == Verdict::Call {
+                ill.called(ms(*at), Outcome::Delivered, Span(50 * MS), 0.5);
+            }
+            ill.is_open()
+        });
+        assert!(back.is_some_and(|at| at < 201_500 + 16_000 + 4_000), "{back:?}");
+    }
+
     /// Guards a server for which the dependency works against a fleet that sees it dead.
     #[test]
     fn all_but_one_that_see_it_dead_dont_convince_the_one() {
--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -22,10 +22,8 @@
 /// Time beyond this between the wake that was asked for and the one that came was not this process's: it was stopped, or
 /// starved. Its timers don't count it, so that it never suspects others for what it slept through.
 const LATENESS: Span = Span(40 * MS);
-/// A sleep of this length makes the process doubt what it knows until it has heard from others again.
+/// A sleep of this length is told in the log.
 const SLEEP: Span = Span(1_000 * MS);
-/// For how long.
-const DOUBT: Span = Span(2_000 * MS);
 /// Between announcements to seeds while nobody is known, at the least, and to one seed that isn't a member otherwise: two
 /// parts that forgot each other find back by it.
 const ANNOUNCE: Span = Span(500 * MS);
@@ -120,7 +118,6 @@
     seen: BTreeMap<Arc<str>, Seen>,
     changes: Vec<Change>,
     clock: Awake,
-    doubts: Option<Time>,
     rng: Pcg64Mcg,
 }
 
@@ -155,7 +152,6 @@
             seen: BTreeMap::new(),
             changes: Vec::new(),
             clock: Awake::new(now),
-            doubts: None,
             rng: Pcg64Mcg::seed_from_u64(seed ^ 0x6d65_6d62),
         }
     }
@@ -202,10 +198,8 @@
     /// Does what is due. Datagrams that have come are to be told before.
     pub fn step(&mut self, now: Time) {
         if let Some(slept) = self.clock.step(now) {
-            self.doubts = Some(after(now, DOUBT));
             self.changes.push(Change::Slept(slept));
         }
-        self.doubts = self.doubts.filter(|until| now < *until);
         loop {
             let awake = self.clock.awake(now);
             let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= awake) else { break };
@@ -285,11 +279,6 @@
         self.seen.get(name)
     }
 
-    /// Whether this process has slept a moment ago, and should believe itself less than others.
-    pub fn doubts(&self) -> bool {
-        self.doubts.is_some()
-    }
-
     /// This server leaves for good: the others are told, and need not suspect it first.
     pub fn leave(&mut self, now: Time) {
         let _ = self.foca.leave_cluster(&mut self.asked);
@@ -455,10 +444,7 @@
         world.stopped[3] = true;
         world.run(20_000, |_, _| false);
         world.stopped[3] = false;
-        world.run(200, |_, _| false);
-        assert!(world.members[3].doubts());
-        world.run(8_000, |_, _| false);
-        assert!(!world.members[3].doubts());
+        world.run(8_200, |_, _| false);
         assert!(world.downs().iter().all(|(_, name)| *name == "n4"), "{:?}", world.downs());
         assert!(world.members.iter().all(|members| members.count() == 7));
         let slept = world
@@ -468,6 +454,29 @@
         assert!(slept);
     }
 
+    /// Guards against a suspicion that a stopped process took with it: the suspect has said long ago that it lives, but what
+    /// it said found no room in the stopped one's socket, and by the clock its time to say so is over. Nobody who lives is
+    /// held dead for it.
+    #[test]
+    fn a_suspicion_from_before_a_stop_is_no_death_after_it() {
+        for seed in 0..20 {
+            let mut world = World::new(8);
+            world.run(4_000 + seed * 130, |_, _| false);
+            // All suspect n6, which hears nothing and is not heard.
+            world.run(2_600, |from, to| from == 5 || to == 5);
+            world.stopped[3] = true;
+            world.run(20_000, |_, _| false);
+            world.stopped[3] = false;
+            world.waiting[3].clear();
+            world.changes.clear();
+            world.run(8_000, |_, _| false);
+            let wrong: Vec<_> =
+                world.downs().into_iter().filter(|(n, name)| *n == 3 || *name != "n4").collect();
+            assert!(wrong.is_empty(), "seed {seed}: {wrong:?}");
+            assert!(world.members.iter().all(|members| members.count() == 7), "seed {seed}");
+        }
+    }
+
     /// Guards against two halves that each hold the other dead for ever.
     #[test]
     fn two_halves_find_back_together() {
--- /dev/null
+++ b/crates/cluster/tests/common/mod.rs
@@ -0,0 +1,69 @@
+//! Two servers that talk, in virtual time.
+#![allow(dead_code)]
+
+use gradepin_cluster::cluster::{Cluster, ClusterSettings, Effect, Letter};
+use gradepin_cluster::escrow::LeaseSettings;
+use gradepin_cluster::members::Pace;
+use gradepin_cluster::peer::{Life, Peer};
+use gradepin_cluster::seal::Keys;
+use gradepin_decisions::{Span, Time, after};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+pub const MS: u64 = 1_000_000;
+
+/// A server of two, with a slot budget of its own and a budget of repeats.
+pub fn cluster(n: u16, life: u64, now: Time) -> Cluster {
+    let address = SocketAddr::from(([127, 0, 0, 1], n));
+    let own = Peer { name: Arc::from(format!("n{n}")), life: Life(life), address, zone: Arc::from("z") };
+    let settings = ClusterSettings {
+        own,
+        seeds: vec![SocketAddr::from(([127, 0, 0, 1], 1))],
+        keys: Keys::of([3; 32]),
+        pace: Pace::default(),
+        bytes_s: 32_000,
+        servers: 2,
+        share: Some(4.0),
+        leases: LeaseSettings::default(),
+        probes_s: 2.0,
+        repeats: Some(0.2),
+        seed: u64::from(n),
+    };
+    Cluster::new(settings, now)
+}
+
+/// Two servers that talk; what passed between them.
+pub struct Two {
+    pub servers: [Cluster; 2],
+    pub now: Time,
+    pub passed: Vec<(usize, Vec<u8>)>,
+    /// Whether nothing passes.
+    pub cut: bool,
+}
+
+impl Two {
+    pub fn new() -> Self {
+        let now = Time(1_000 * MS);
+        Self { servers: [cluster(1, 10, now), cluster(2, 20, now)], now, passed: Vec::new(), cut: false }
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        let keys = Keys::of([3; 32]);
+        for _ in 0..ms / 10 {
+            self.now = after(self.now, Span(10 * MS));
+            for n in 0..2 {
+                let mut effects = Vec::new();
+                self.servers[n].step(self.now, &mut effects);
+                for effect in effects {
+                    if let Effect::Send(_, datagram) = effect
+                        && !self.cut
+                    {
+                        let letter = Letter::open(&keys, &datagram).expect("what we send is tagged");
+                        self.servers[1 - n].letter(self.now, &letter);
+                        self.passed.push((1 - n, datagram));
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/cluster/tests/datagrams.rs
+++ b/crates/cluster/tests/datagrams.rs
@@ -1,69 +1,15 @@
 //! What comes at a server's address: strangers' bytes, mutated and replayed datagrams, and those of earlier lives. Nothing
 //! panics, nothing is believed.
 
-use gradepin_cluster::cluster::{Cluster, ClusterSettings, Effect, Letter};
-use gradepin_cluster::escrow::LeaseSettings;
-use gradepin_cluster::members::Pace;
-use gradepin_cluster::peer::{Life, Peer};
+mod common;
+
+use common::{MS, Two, cluster};
+use gradepin_cluster::cluster::Letter;
+use gradepin_cluster::peer::Life;
 use gradepin_cluster::seal::{Dropped, Keys};
-use gradepin_decisions::{Span, Time, after};
+use gradepin_decisions::Span;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
-use std::net::SocketAddr;
-use std::sync::Arc;
-
-const MS: u64 = 1_000_000;
-
-fn cluster(n: u16, life: u64, now: Time) -> Cluster {
-    let address = SocketAddr::from(([127, 0, 0, 1], n));
-    let own = Peer { name: Arc::from(format!("n{n}")), life: Life(life), address, zone: Arc::from("z") };
-    let settings = ClusterSettings {
-        own,
-        seeds: vec![SocketAddr::from(([127, 0, 0, 1], 1))],
-        keys: Keys::of([3; 32]),
-        pace: Pace::default(),
-        bytes_s: 32_000,
-        servers: 2,
-        share: Some(4.0),
-        leases: LeaseSettings::default(),
-        probes_s: 2.0,
-        repeats: None,
-        seed: u64::from(n),
-    };
-    Cluster::new(settings, now)
-}
-
-/// Two servers that talk; what passed between them.
-struct Two {
-    servers: [Cluster; 2],
-    now: Time,
-    passed: Vec<(usize, Vec<u8>)>,
-}
-
-impl Two {
-    fn new() -> Self {
-        let now = Time(1_000 * MS);
-        Self { servers: [cluster(1, 10, now), cluster(2, 20, now)], now, passed: Vec::new() }
-    }
-
-    fn run(&mut self, ms: u64) {
-        let keys = Keys::of([3; 32]);
-        for _ in 0..ms / 10 {
-            self.now = after(self.now, Span(10 * MS));
-            for n in 0..2 {
-                let mut effects = Vec::new();
-                self.servers[n].step(self.now, &mut effects);
-                for effect in effects {
-                    if let Effect::Send(_, datagram) = effect {
-                        let letter = Letter::open(&keys, &datagram).expect("what we send is tagged");
-                        self.servers[1 - n].letter(self.now, &letter);
-                        self.passed.push((1 - n, datagram));
-                    }
-                }
-            }
-        }
-    }
-}
 
 /// Guards the address against whatever comes: 100,000 datagrams of noise, and of real ones with bytes changed, cut or added.
 #[test]
--- a/crates/core/src/reducer/calls.rs
+++ b/crates/core/src/reducer/calls.rs
@@ -39,7 +39,12 @@
 
     /// A call leaves, with so much time for its reply; past a time it must not leave any more.
     pub(super) fn make_call(&mut self, id: &RequestId, timeout: Span, leaves: Option<Time>) {
-        let body = self.requests.get(id).and_then(|open| open.call.clone());
+        let now = self.moment.now;
+        let body = self.requests.get_mut(id).and_then(|open| {
+            // What it takes is the ledger's time, not the wait for a slot: the module goes by it.
+            open.call_since = Some(now);
+            open.call.clone()
+        });
         if let Some(body) = body {
             self.effects.push(Effect::Call(id.clone(), body, timeout, leaves));
         }
@@ -51,7 +56,7 @@
         let since = self.requests.get_mut(id).and_then(|open| open.call_since.take());
         let took = Span(now.0.saturating_sub(since.unwrap_or(now).0));
         // Its slot is free, whatever became of the request meanwhile.
-        self.fleet_called(id, outcome, took);
+        self.fleet_called(id, outcome);
         let Some(open) = self.requests.get_mut(id).filter(|_| since.is_some()) else { return };
         if outcome != Outcome::Delivered {
             let text =
@@ -61,6 +66,9 @@
         if let (Outcome::Delivered, Some(reply)) = (outcome, reply) {
             open.call = None;
             self.reply(id.clone(), Arc::new(reply));
+        } else {
+            // It waits for its call still, until the module makes it again or gives the request up.
+            self.fleet_asks(id, true);
         }
         self.events.push(Event::CallResult { id: id.clone(), outcome, took });
     }
--- a/crates/core/src/reducer/fleet.rs
+++ b/crates/core/src/reducer/fleet.rs
@@ -12,7 +12,7 @@
 use gradepin_cluster::seal::{Dropped, Keys};
 use gradepin_decisions::{Below, Outcome, RequestId, Settings, Span, Time, after};
 use slog::Level;
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Between looks at the quotas, which move over seconds.
 const QUOTAS: Span = Span(500 * MS);
@@ -34,12 +34,14 @@
 pub(super) struct Fleet {
     cluster: Option<Box<Cluster>>,
     waiting: VecDeque<Waiting>,
-    /// Requests whose calls hold a slot.
-    slots: HashSet<RequestId>,
+    /// Requests whose calls hold a slot, and since when.
+    slots: HashMap<RequestId, Time>,
     /// Runs that asked for a call which the module has not made yet.
     asking: HashSet<RequestId>,
     /// What a run of each class takes, as seen here.
     estimates: Vec<Span>,
+    /// The cells of the counts by place: a row of classes for no office, and one for each office.
+    cells: Vec<CellId>,
     /// The limit and quotas that the module goes by, and when the next may be told.
     told: Option<(f64, Vec<f64>)>,
     next_limit: Time,
@@ -51,6 +53,12 @@
         self.cluster.is_some()
     }
 
+    /// The cell of an office's part of a class; of a place that these settings don't know, the rest's.
+    fn cell(&self, settings: &Settings, tenant: Option<usize>, class: usize) -> CellId {
+        let row = tenant.filter(|tenant| *tenant < settings.customers.len()).map_or(0, |tenant| tenant + 1);
+        self.cells.get(row * settings.profiles.len() + class).copied().unwrap_or(CellId(0))
+    }
+
     fn estimate(&self, settings: &Settings, class: usize) -> Span {
         let seen = self.estimates.get(class).copied().filter(|span| span.0 > 0);
         seen.unwrap_or(Span(settings.profiles[class].promise.0 / FIRST_ESTIMATE))
@@ -83,15 +91,19 @@
     }
 }
 
-fn cell(settings: &Settings, tenant: Option<usize>, class: usize) -> CellId {
-    let office = tenant.and_then(|tenant| settings.customers.get(tenant)).map_or("", |office| &office.name);
-    CellId::of(office, &settings.profiles[class].name)
+/// The cells of these settings, by place. Made at the start and at a reload: each is a hash of two names.
+fn cells(settings: &Settings) -> Vec<CellId> {
+    let offices = std::iter::once("").chain(settings.customers.iter().map(|office| office.name.as_str()));
+    offices
+        .flat_map(|office| settings.profiles.iter().map(move |class| CellId::of(office, &class.name)))
+        .collect()
 }
 
 impl Reducer {
     /// With a part in a fleet whose servers talk to each other.
     pub fn with_cluster(mut self, cluster: Cluster) -> Self {
         self.fleet.cluster = Some(Box::new(cluster));
+        self.fleet.cells = cells(&self.settings);
         self
     }
 
@@ -123,15 +135,17 @@
             return true;
         }
         let estimate = self.fleet.estimate(&self.settings, class);
+        let cell = self.fleet.cell(&self.settings, tenant, class);
         let Some(cluster) = &mut self.fleet.cluster else { return true };
-        cluster.arrived(self.moment.now, cell(&self.settings, tenant, class), repeat, estimate);
+        cluster.arrived(self.moment.now, cell, repeat, estimate);
         !repeat || cluster.takes_repeat(self.moment.now)
     }
 
     /// A run went well.
     pub(super) fn fleet_served(&mut self, tenant: Option<usize>, class: usize, took: Span) {
+        let cell = self.fleet.cell(&self.settings, tenant, class);
         if let Some(cluster) = &mut self.fleet.cluster {
-            cluster.served(self.moment.now, cell(&self.settings, tenant, class), took);
+            cluster.served(self.moment.now, cell, took);
             self.fleet.ended(class, took);
         }
     }
@@ -168,7 +182,7 @@
             let Some(Waiting { id, timeout, until }) = self.fleet.waiting.pop_front() else { return };
             match gate {
                 Gate::Go(slot) => {
-                    self.fleet.slots.insert(id.clone());
+                    self.fleet.slots.insert(id.clone(), now);
                     let left = Span(until.0 - now.0).min(timeout);
                     let (left, leaves) = match slot {
                         Slot::Own => (left, None),
@@ -185,19 +199,23 @@
 
     fn tell_waiting(&mut self) {
         let requests = &self.requests;
-        self.fleet.asking.retain(|id| requests.contains(id));
+        // One whose call the module gave up waits for no slot, though its run may go on.
+        let waits = |id: &RequestId| requests.get(id).is_some_and(|open| open.call.is_some() && open.owed);
+        self.fleet.asking.retain(waits);
         let waiting = self.fleet.waiting.len() + self.fleet.asking.len();
         if let Some(cluster) = &mut self.fleet.cluster {
             cluster.waiting(self.moment.now, waiting);
         }
     }
 
-    /// A call has ended; its slot, if it had one, is free.
-    pub(super) fn fleet_called(&mut self, id: &RequestId, outcome: Outcome, took: Span) {
-        if self.fleet.slots.remove(id)
+    /// A call has ended; its slot, if it had one, is free. What it took counts from the slot: the ledger has no part in the
+    /// wait for one.
+    pub(super) fn fleet_called(&mut self, id: &RequestId, outcome: Outcome) {
+        if let Some(since) = self.fleet.slots.remove(id)
             && let Some(cluster) = &mut self.fleet.cluster
         {
-            cluster.called(self.moment.now, outcome, took);
+            let now = self.moment.now;
+            cluster.called(now, outcome, Span(now.0.saturating_sub(since.0)));
         }
     }
 
@@ -236,9 +254,9 @@
         let settings = &self.settings;
         let quotas: Vec<f64> = if now >= self.fleet.next_quotas {
             self.fleet.next_quotas = after(now, QUOTAS);
+            let classes = settings.profiles.len();
             let of = |tenant: usize| {
-                let cells: Vec<CellId> =
-                    (0..settings.profiles.len()).map(|class| cell(settings, Some(tenant), class)).collect();
+                let cells = self.fleet.cells.chunks(classes.max(1)).nth(tenant + 1).unwrap_or_default();
                 cluster.quota(now, settings.customers[tenant].quota_rps, |id| cells.contains(&id))
             };
             (0..settings.customers.len()).map(of).collect()
@@ -265,6 +283,7 @@
         if let Some(cluster) = &mut self.fleet.cluster {
             cluster.retune(self.settings.servers as usize, lent_share(&self.settings));
             self.fleet.told = None;
+            self.fleet.cells = cells(&self.settings);
         }
     }
 
--- a/crates/gradepin/src/main.rs
+++ b/crates/gradepin/src/main.rs
@@ -8,6 +8,7 @@
 use gradepin_node::handed::Handed;
 use gradepin_node::log::{self, LogFormat};
 use gradepin_node::settings::Own;
+use gradepin_node::settings::cluster::keys;
 use gradepin_node::{config, serve};
 use rustix::process::{Pid, Signal, kill_process};
 use std::error::Error;
@@ -121,6 +122,18 @@
                 None => println!("store: off"),
                 Some(store) => println!("store: {}", store.path.display()),
             }
+            match own.cluster {
+                None => println!("cluster: off"),
+                Some(cluster) => {
+                    let keys = keys(&cluster.key_file)?;
+                    let (zone, seeds) = (&cluster.zone, cluster.seeds.len());
+                    let lends = if cluster.slots.is_some() { "lends" } else { "doesn't lend" };
+                    println!(
+                        "cluster: {} in zone '{zone}', {seeds} seeds, {keys:?}, {lends} slots",
+                        cluster.advertise
+                    );
+                }
+            }
             Ok(true)
         }
         Command::Leave { pid, cancel } => {
--- a/crates/gradepin/tests/fleet.rs
+++ b/crates/gradepin/tests/fleet.rs
@@ -45,6 +45,82 @@
     );
 }
 
+/// Guards what is told of the ledger, to the module and to other servers, against time in which a call only waited for a
+/// slot: it would look slow while it is this server that holds calls back.
+#[test]
+fn a_wait_for_a_slot_is_not_the_ledgers_time() {
+    let mut stage = Virtually::lending(calling);
+    play(
+        &mut stage,
+        "wait 20
+         send a call 1 rid=1 body=one
+         send processor ask 1 1 one
+         wait 230
+         expect ledger call 1 one
+         wait 10
+         send ledger 1 500
+         expect log a call to the ledger for 0000000000000001 ended AppError after 60 ms",
+    );
+}
+
+/// Guards what is borrowed against runs that are forgotten while their call is to be made again, and against runs that
+/// count though nobody calls for them any more.
+#[test]
+fn a_run_waits_for_a_slot_until_its_call_is_made_or_given_up() {
+    let mut stage = Virtually::lending(calling);
+    play(
+        &mut stage,
+        "wait 20
+         send a call 1 rid=1 body=one
+         send processor ask 1 1 one
+         until admin stats 200 server_fleet_waiting 1.0
+         wait 230
+         expect ledger call 1 one
+         until admin stats 200 server_fleet_waiting 0.0
+         send ledger 1 refused
+         until admin stats 200 server_fleet_waiting 1.0
+         wait 1000
+         expect ledger call 1 one
+         send ledger 1 200 done
+         expect processor answer 1 done
+         until admin stats 200 server_fleet_waiting 0.0
+         send b call 2 rid=2 method=claim token=t body=two
+         send processor ask 2 2 two
+         expect ledger call 2 two
+         send ledger 2 500
+         expect b 2 failed
+         until admin stats 200 server_fleet_waiting 0.0",
+    );
+}
+
+/// Guards leases against the Unix clock: they go by time that passed, so a clock that jumps an hour either way, while calls are
+/// out, frees nothing and holds nothing back.
+#[test]
+fn a_unix_clock_that_jumps_an_hour_changes_no_slot() {
+    for hours in [-1, 1] {
+        let mut stage = stage();
+        play(
+            &mut stage,
+            "send a call 1 rid=1 body=one
+             send processor ask 1 1 one
+             expect ledger call 1 one
+             until admin stats 200 server_fleet_slots{kind=\"taken\"} 1.0",
+        );
+        stage.jump_ms(hours * 3_600_000);
+        play(
+            &mut stage,
+            "wait 500
+             until admin stats 200 server_fleet_slots{kind=\"taken\"} 1.0
+             until admin stats 200 server_fleet_slots{kind=\"kept\"} 4.0
+             send b call 2 rid=2 body=two
+             send processor ask 2 2 two
+             expect ledger call 2 two
+             send ledger 2 200 done
+             expect processor answer 2 done",
+        );
+    }
+}
+
 /// Guards the ledger against repeats beyond the fleet's budget, and callers against a refusal without advice.
 #[test]
 fn repeats_past_the_fleets_budget_are_turned_away() {
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -18,6 +18,7 @@
 //!   `CONN closed`, `processor hello|begin ..`, `control Ready|NotReady`, `exit`, and on the virtual stage
 //!   `stop accepting` and
 //!   `settings CLASS ..`, the classes in force in their places.
+//! - On the virtual stage a call to the ledger that did not deliver is told as `log a call to the ledger for ..`, as in the log.
 //! - `send claims RID ours|unsure|failed|served ..`: whose a keyed run is, where two processes of an upgrade share them;
 //!   asked for as `claim RID TOKEN`, its end told as `claim-ended TOKEN served|failed|void`.
 //! - `open CONN`: a connection opens, and nothing is sent on it.
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -28,6 +28,8 @@
     settings: Arc<Settings>,
     pool: Arc<Pool>,
     ms: u64,
+    /// How far the Unix clock was set since the start.
+    unix_off_ms: i64,
     /// Names of connections; the place is the id.
     conns: Vec<String>,
     waiting: Vec<Input>,
@@ -113,7 +115,8 @@
                 .expect("a whole configuration"),
             settings,
             pool: Pool::new(8),
-            ms: 1_000_000,
+            ms: 10_000_000,
+            unix_off_ms: 0,
             conns: Vec::new(),
             waiting: Vec::new(),
             events: Vec::new(),
@@ -123,6 +126,11 @@
         }
     }
 
+    /// The Unix clock is set forward, or back.
+    pub fn jump_ms(&mut self, ms: i64) {
+        self.unix_off_ms += ms;
+    }
+
     fn conn(&mut self, name: &str) -> ConnId {
         let place = self.conns.iter().position(|known| known == name).unwrap_or_else(|| {
             self.conns.push(name.to_string());
@@ -135,7 +143,8 @@
     /// Steps until nothing more happens at this moment.
     fn settle(&mut self) {
         for _ in 0..1000 {
-            let moment = Moment { now: Time(self.ms * MS), unix_ms: self.ms };
+            let moment =
+                Moment { now: Time(self.ms * MS), unix_ms: self.ms.saturating_add_signed(self.unix_off_ms) };
             let mut effects = Vec::new();
             self.reducer.step(moment, std::mem::take(&mut self.waiting), &mut effects);
             for effect in effects {
@@ -225,6 +234,7 @@
                 self.events.extend(lines.map(|line| format!("admin {status} {line}")));
                 return;
             }
+            Effect::Log(_, text) if text.starts_with("a call to the ledger ") => format!("log {text}"),
             Effect::Log(..) | Effect::Peer(..) => return,
         };
         self.events.push(event);
@@ -375,7 +385,7 @@
     }
 
     fn unix_ms(&self) -> u64 {
-        self.ms
+        self.ms.saturating_add_signed(self.unix_off_ms)
     }
 
     fn take(&mut self, words: &str) -> Result<String, Vec<String>> {
--- a/crates/model/src/peers/mod.rs
+++ b/crates/model/src/peers/mod.rs
@@ -107,6 +107,8 @@
     pub asked: usize,
     /// See `asked`.
     pub served: usize,
+    /// Calls that were refused by a ledger that is dead for their server.
+    pub refused: usize,
     /// For each change, the time in seconds until all that could know did.
     pub known_s: Vec<f64>,
     /// Changes that not all knew at the end.
--- a/crates/model/src/peers/world.rs
+++ b/crates/model/src/peers/world.rs
@@ -502,7 +502,9 @@
                     cluster.waiting(local, waiting);
                     self.decide(n, Some(slot));
                 }
-                Gate::Wait | Gate::Closed => return,
+                Gate::Wait => return,
+                // As in the server: what finds the door closed is given up at once, and asks no second time.
+                Gate::Closed => drop(server.waiting.pop_front()),
             }
         }
     }
@@ -561,6 +563,7 @@
         let closed = self.troubles().any(|t| matches!(&t.what, What::NoLedger(some) if some.contains(&n)));
         if closed {
             self.calls.remove(&id);
+            self.out.refused += 1;
             return self.told_of(n, id, Ended::DialFailed, Span(0));
         }
         let slower = self.troubles().map(|t| if let What::SlowLedger(times) = t.what { times } else { 1.0 });
--- a/crates/model/tests/peers.rs
+++ b/crates/model/tests/peers.rs
@@ -1,6 +1,6 @@
 //! Hard cases of servers that share: each with the very trouble that it is for, on clocks that run 1% fast and slow.
 
-use gradepin_model::peers::{Outcome, Sharing, Spec, Trouble, Troubles, What, play};
+use gradepin_model::peers::{Outcome, Sharing, Spec, Trouble, Troubles, What, draw, play};
 
 fn trouble(from_s: f64, to_s: f64, what: What) -> Trouble {
     Trouble { from_s, to_s, what }
@@ -84,6 +84,16 @@
         ]
     };
     bounded(6, |seed| Spec { load: 1.1, drift: 0.01, ..spec(seed, 30.0, troubles(seed)) });
+    // Seeds that found it: a clock that is thirty times further off than the settings say.
+    let far = |seed| Spec {
+        load: 1.1,
+        drift: 0.3,
+        seconds: 20.0,
+        troubles: draw(seed, 12, 20.0),
+        ..spec(seed, 20.0, Vec::new())
+    };
+    let breaks: usize = [17, 22].into_iter().map(|seed| play(&far(seed)).breaks.len()).sum();
+    assert!(breaks > 0, "or the allowance is for nothing");
 }
 
 /// Guards memory and counts against lives that come and go: the whole fleet in 3 s, then six in ten within 7 s.
@@ -101,16 +111,19 @@
 /// Guards the fleet against what one server sees of the ledger, and the others against all but one.
 #[test]
 fn a_ledger_that_is_dead_for_one_is_used_by_the_others() {
-    let service = |what: Option<What>| {
+    let played = |what: Option<What>| {
         let troubles = what.map(|what| vec![trouble(8.0, 18.0, what)]).unwrap_or_default();
         let load = 0.5;
-        mean(
-            &bounded(3, |seed| Spec { load, lean: 1.0, ..spec(seed, 30.0, troubles.clone()) }),
-            Outcome::service,
-        )
+        bounded(3, |seed| Spec { load, lean: 1.0, ..spec(seed, 30.0, troubles.clone()) })
     };
+    let service = |what: Option<What>| mean(&played(what), Outcome::service);
     let well = service(None);
-    let one = service(Some(What::NoLedger(vec![5])));
+    let one = played(Some(What::NoLedger(vec![5])));
+    // A twelfth of 180 calls a second: 150 in ten seconds for one that doesn't judge, and for one that does those of the
+    // window in which the last good one counts, which is half of that, and some more.
+    let vain = mean(&one, |outcome| outcome.refused as f64);
+    assert!((60.0..110.0).contains(&vain), "{vain} calls in vain");
+    let one = mean(&one, Outcome::service);
     // A twelfth of the calls for a third of the time, and some more until it tries again.
     assert!(one > well - 1.0 / 12.0 * 0.6, "{well:.3} while all is well, {one:.3} while one sees it dead");
     let all_but_one = service(Some(What::NoLedger((0..11).collect())));
--- a/crates/node/src/admin/exposition.rs
+++ b/crates/node/src/admin/exposition.rs
@@ -16,6 +16,7 @@
 //! | `server_fleet_heard` | gauge | | servers whose counts are young enough, this one among them |
 //! | `server_fleet_oldest_seconds` | gauge | | the age of the oldest of these counts |
 //! | `server_fleet_slots` | gauge | `kind` (`kept`, `lent`, `borrowed`, `taken`) | slots of the shared ledger |
+//! | `server_fleet_waiting` | gauge | | runs that wait for a slot |
 //! | `server_fleet_ledger_open` | gauge | | 1 while calls to the ledger are made as ever |
 //! | `server_fleet_datagrams_total` | counter | `kind` (`sent`, `taken`, `withheld`) | datagrams between servers |
 //! | `server_fleet_dropped_total` | counter | `why` | datagrams that were not taken |
@@ -97,6 +98,7 @@
         slots.get_or_create(&vec![("kind", kind.to_string())]).set(value);
     }
     registry.register("fleet_slots", "Slots of the shared ledger", slots);
+    registry.register("fleet_waiting", "Runs that wait for a slot", gauge(f64::from(fleet.waiting)));
     registry.register(
         "fleet_ledger_open",
         "Whether calls to the ledger are made as ever",
