Give the rig servers that find an old copy of their store, and bench what talk costs

The schedule drew disks that were kept or gone; a third kind is what was there before the first fault, copied while the server wrote to it, so its tail may be torn. bench peers: a merge of a row, the membership by itself at any size, and the daemon's CPU and memory with a cluster beside one without, in turn in one run.

--- a/crates/kit/src/bench/mod.rs
+++ b/crates/kit/src/bench/mod.rs
@@ -26,6 +26,7 @@
 pub mod doors;
 pub mod fronts;
 pub mod keys;
+pub mod peers;
 pub mod queue;
 pub mod restart;
 pub mod store;
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -254,6 +254,21 @@
         #[arg(long, value_delimiter = ',', default_values_t = [10_000, 100_000, 1_000_000, 10_000_000])]
         sizes: Vec<usize>,
     },
+    /// Servers that talk: a merge, the membership by itself, the daemon's CPU and memory with it and without
+    Peers {
+        /// Members of the membership by itself
+        #[arg(long, value_delimiter = ',', default_values_t = [12, 300, 2_000])]
+        sizes: Vec<usize>,
+        /// Requests a second of each of three servers
+        #[arg(long, value_delimiter = ',', default_values_t = [50.0, 400.0])]
+        rates: Vec<f64>,
+        /// Seconds of load for the CPU
+        #[arg(long, default_value_t = 6)]
+        seconds: u64,
+        /// The daemon's program, if it is not beside this one
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
     /// The sketch of heavy clients beside a map of all, and two ways to take turns
     Doors {
         /// Clients
@@ -645,6 +660,10 @@
             bench::keys::run(&sizes);
             Ok(true)
         }
+        Command::Bench { what: What::Peers { sizes, rates, seconds, daemon: told } } => {
+            bench::peers::run(&daemon(told)?, &sizes, &rates, seconds)?;
+            Ok(true)
+        }
         Command::Bench { what: What::Doors { sizes } } => {
             bench::doors::run(&sizes);
             Ok(true)
--- a/crates/kit/src/rig/play.rs
+++ b/crates/kit/src/rig/play.rs
@@ -3,7 +3,7 @@
 use super::history::{Entry, History, What};
 use super::ledger::Ledger;
 use super::relay::Net;
-use super::schedule::{Fault, Schedule};
+use super::schedule::{Disk, Fault, Schedule};
 use crate::fleet::{self, Fleet, FleetSpec, PeersSpec};
 use crate::load::{Books, End, Fixed, Habit, Proxy, classes};
 use crate::processor::Spec;
@@ -137,6 +137,7 @@
         standing: vec![Standing { up: true, stopped: false, well: true, lost_store: false }; plan.servers],
         cut: false,
         rough: false,
+        copied: false,
         crashed: Vec::new(),
         history,
     };
@@ -249,10 +250,28 @@
     standing: Vec<Standing>,
     cut: bool,
     rough: bool,
+    /// Whether the stores were copied, for a server that finds an old one.
+    copied: bool,
     crashed: Vec<String>,
     history: &'h History,
 }
 
+fn old_copy(store: &Path) -> PathBuf {
+    store.with_extension("old")
+}
+
+/// Copies the files of a folder. A server may write to them meanwhile: then the copy's tail is torn, as a disk's may be.
+fn copy(from: &Path, to: &Path) -> io::Result<()> {
+    std::fs::create_dir_all(to)?;
+    for entry in std::fs::read_dir(from)? {
+        let entry = entry?;
+        if entry.file_type()?.is_file() {
+            std::fs::copy(entry.path(), to.join(entry.file_name()))?;
+        }
+    }
+    Ok(())
+}
+
 impl Player<'_> {
     fn act(
         &mut self,
@@ -263,6 +282,12 @@
         folder: &Path,
     ) -> io::Result<()> {
         self.watch(fleet);
+        if !std::mem::replace(&mut self.copied, true) {
+            for node in &fleet.nodes {
+                let store = folder.join(format!("{}.store", node.name));
+                copy(&store, &old_copy(&store))?;
+            }
+        }
         match fault {
             Fault::Deafen(some) => {
                 net.cut(some, false);
@@ -295,12 +320,15 @@
                 self.standing[*n] = Standing { up: false, stopped: false, ..self.standing[*n] };
                 self.history.write(*n, What::Killed);
             }
-            Fault::Start { server, store } => {
-                if !store {
-                    let name = &fleet.nodes[*server].name;
-                    let _ = std::fs::remove_dir_all(folder.join(format!("{name}.store")));
+            Fault::Start { server, disk } => {
+                let store = folder.join(format!("{}.store", fleet.nodes[*server].name));
+                if *disk != Disk::Kept {
+                    let _ = std::fs::remove_dir_all(&store);
                     self.standing[*server].lost_store = true;
                 }
+                if *disk == Disk::OldCopy {
+                    copy(&old_copy(&store), &store)?;
+                }
                 if !fleet.nodes[*server].is_up() {
                     fleet.nodes[*server].spawn()?;
                 }
--- a/crates/kit/src/rig/schedule.rs
+++ b/crates/kit/src/rig/schedule.rs
@@ -4,6 +4,17 @@
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::fmt;
 
+/// What a process finds on its disk when it is started again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Disk {
+    /// What it left there.
+    Kept,
+    /// Nothing.
+    Gone,
+    /// What was there before the first fault.
+    OldCopy,
+}
+
 /// Something done to the fleet.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Fault {
@@ -21,8 +32,8 @@
     GoOn(usize),
     /// A process is killed.
     Kill(usize),
-    /// It is started again, with what its store held or without.
-    Start { server: usize, store: bool },
+    /// It is started again, with what its disk holds then.
+    Start { server: usize, disk: Disk },
     /// The ledger's port is closed to these, or open to all.
     CloseLedger(Vec<usize>),
     /// The ledger takes so many times longer.
@@ -41,8 +52,13 @@
             Self::Stop(n) => write!(f, "n{n} stopped"),
             Self::GoOn(n) => write!(f, "n{n} goes on"),
             Self::Kill(n) => write!(f, "n{n} killed"),
-            Self::Start { server, store } => {
-                write!(f, "n{server} started {} its store", if *store { "with" } else { "without" })
+            Self::Start { server, disk } => {
+                let disk = match disk {
+                    Disk::Kept => "with its store",
+                    Disk::Gone => "without its store",
+                    Disk::OldCopy => "with an old copy of its store",
+                };
+                write!(f, "n{server} started {disk}")
             }
             Self::CloseLedger(some) if some.is_empty() => write!(f, "the ledger takes all"),
             Self::CloseLedger(some) => write!(f, "the ledger takes none of {some:?}"),
@@ -96,14 +112,15 @@
                 }
                 4 => {
                     let back = at + 300 + draw(1_200);
+                    let disk = [Disk::Gone, Disk::OldCopy, Disk::Kept, Disk::Kept][draw(4) as usize];
                     faults.push((at, Fault::Kill(one)));
-                    faults.push((back.min(over), Fault::Start { server: one, store: draw(3) > 0 }));
+                    faults.push((back.min(over), Fault::Start { server: one, disk }));
                 }
                 5 => {
                     // A borrower that is stopped and a lender that is killed, at the same time.
                     faults.push((at, Fault::Stop(one)));
                     faults.push((at + 50, Fault::Kill(another)));
-                    faults.push((at + 400, Fault::Start { server: another, store: true }));
+                    faults.push((at + 400, Fault::Start { server: another, disk: Disk::Kept }));
                     faults.push((over, Fault::GoOn(one)));
                 }
                 6 => {
