--- a/crates/releases/tests/council.rs
+++ b/crates/releases/tests/council.rs
@@ -132,10 +132,10 @@
 }
 
 /// Hard case 4: an old copy of a disk has forgotten entries that it had acknowledged. It is found by what the leader knows of
-/// it, and is out; with `unsure` and that look taken out, two seeds lose an entry that was told as done.
+/// it, and is out; and until then its votes go to nobody who lacks what others have.
 #[test]
 fn an_old_copy_of_a_disk_is_found_and_is_out() {
-    for seed in 0..20 {
+    for seed in 0..40 {
         let mut world = World::new(3, seed);
         let leader = world.led(6_000).expect("a leader");
         agree(&mut world, &enrol(0));
@@ -147,17 +147,20 @@
             agree(&mut world, &enrol(n));
         }
         world.kill(copied);
+        // The leader is away for a moment: the two others could elect one without what was agreed on.
+        let (cut, kills) = (seed % 4 == 0, seed % 4 != 1);
+        if kills && !cut {
+            world.kill(leader);
+            world.run(100);
+        }
         world.start(copied, Disk::OldCopy);
         world.cut.clear();
-        let (cut, kills) = (seed % 2 == 0, seed % 3 == 0);
         if cut {
-            // The leader is away for a moment: the two others could elect one without what was agreed on.
             world.isolate(&[leader]);
             world.run(2_000);
             world.cut.clear();
         } else if kills {
-            world.kill(leader);
-            world.run(500);
+            world.run(100 + 60 * seed);
             world.start(leader, Disk::Kept);
         }
         world.run(8_000);
