Agree on drains and releases in the daemon: council's files, door, command line, and a drill

The part of each server sits in its reducer (agreed.rs): words over the fleet's datagrams, in pieces where they are longer; the council's folder has a thread and files of its own (store/council.rs), read anew where a write fails; settings are staged, checked as a whole and put in force by the path of SIGHUP with the old ones kept; a program is replaced by the operators' own command. Doors answer /fleet/status, /fleet/order, /fleet/found, /fleet/stage, /fleet/wanted; gradepin fleet and gradepin release speak with them. Without a council block all of it is off.

Found on the way: what is turned away before the module hears of it was not counted as come, and cells by office are too thin to tell of a class.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -10,6 +10,7 @@
 use crate::judge::{Judge, Others, Verdict};
 use crate::members::{Change, Members, Pace};
 use crate::peer::{Life, Peer};
+use crate::pieces::{self, Pieces};
 use crate::seal::{Dropped, ENVELOPE, Head, Keys, MOST};
 use gradepin_decisions::{Outcome, Span, Time, after, secs};
 use rand_pcg::Pcg64Mcg;
@@ -91,6 +92,8 @@
 pub enum Effect {
     /// Send a datagram.
     Send(SocketAddr, Vec<u8>),
+    /// Another server, in this life of its, said something for those who agree with each other.
+    Post(Arc<str>, Life, Vec<u8>),
     /// Tell it in the log; whether it is bad.
     Note(bool, String),
 }
@@ -174,6 +177,7 @@
 const ROWS: u8 = 1;
 const WORD: u8 = 2;
 const KNOWN: u8 = 3;
+const PIECE: u8 = 4;
 
 /// One server's part of the fleet.
 pub struct Cluster {
@@ -194,6 +198,8 @@
     bytes: f64,
     bytes_at: Time,
     noticed: BTreeMap<Arc<str>, Time>,
+    pieces: Pieces,
+    posts: u32,
     effects: Vec<Effect>,
     status: Status,
 }
@@ -218,6 +224,8 @@
             bytes: f64::from(set.bytes_s),
             bytes_at: now,
             noticed: BTreeMap::new(),
+            pieces: Pieces::default(),
+            posts: 0,
             effects: Vec::new(),
             status: Status::default(),
             set,
@@ -293,6 +301,12 @@
                 Ok(())
             }
             KNOWN => Ok(()),
+            PIECE => {
+                let whole = self.pieces.take(now, name, *life, body)?;
+                let post = |word| Effect::Post(Arc::from(name.as_str()), *life, word);
+                self.effects.extend(whole.map(post));
+                Ok(())
+            }
             _ => Err(Dropped::Content),
         }
     }
@@ -470,6 +484,15 @@
         self.send(now, &peer, ROWS, &body);
     }
 
+    /// Tells another server something, by name: in as many datagrams as it takes, each of which may be lost.
+    pub fn post(&mut self, now: Time, to: &str, word: &[u8]) {
+        let Some(peer) = self.members.find(to).map(|seen| seen.peer.clone()) else { return };
+        self.posts = self.posts.wrapping_add(1);
+        for piece in pieces::cut(self.posts, word) {
+            self.send(now, &peer, PIECE, &piece);
+        }
+    }
+
     fn say(&mut self, now: Time, to: &str, word: Word) {
         let Some(peer) = self.members.find(to).map(|seen| seen.peer.clone()) else { return };
         let mut buffer = [0_u8; 32];
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`counts`]: work asked and done by office and class, counted over the fleet, each figure with its age.
 //! - [`escrow`]: slots of the shared ledger that one server lends to another for a time.
 //! - [`judge`]: whether what lies below answers, by own evidence first and others' where it is fresh.
+//! - [`pieces`]: words that are longer than a datagram.
 //! - [`cluster`]: the parts together, as the reducer holds them.
 //!
 //! The promise that all of it keeps: a server that hears nothing is never more generous than its own share allows, and
@@ -18,6 +19,7 @@
 pub mod judge;
 pub mod members;
 pub mod peer;
+pub mod pieces;
 pub mod seal;
 
 /// Nanoseconds in a millisecond.
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -10,6 +10,8 @@
 use gradepin_cluster::seal::{Dropped, Keys};
 use gradepin_decisions::{Outcome, RequestId, Span, Time};
 use gradepin_registry::membership::{Ask, Reply};
+use gradepin_releases::chair::Turn;
+use gradepin_releases::council::{Durable, Found};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -154,6 +156,14 @@
     LettersDropped(Vec<(Dropped, u64)>),
     /// The fleet's keys, read again.
     FleetKeys(Keys),
+    /// What was written in the council's folder up to this number is durable.
+    CouncilWritten(u64),
+    /// It couldn't be, and why; the folder was read anew and holds this.
+    CouncilFailed(Box<Found>, String),
+    /// The digest of the settings in force, if they changed, and those that are staged.
+    SettingsAre(Option<String>, Vec<String>),
+    /// A step of this release could not be taken here, and why.
+    ChangeFailed(u64, String),
 }
 
 /// Whose the run of a token is, of two processes that share them.
@@ -218,6 +228,10 @@
     Admin(CallId, AdminAnswer),
     /// Send a datagram to another server.
     Peer(SocketAddr, Vec<u8>),
+    /// Write records into the council's folder: of which generation of it, under which number.
+    Council(u64, u64, Vec<Durable>),
+    /// Change to another program or other settings, if that is still before the time.
+    Change(Box<Turn>, Time),
     /// Write a line to the log.
     Log(slog::Level, String),
     /// End the process.
--- a/crates/core/src/reducer/fleet.rs
+++ b/crates/core/src/reducer/fleet.rs
@@ -42,6 +42,7 @@
     estimates: Vec<Span>,
     /// The cells of the counts by place: a row of classes for no office, and one for each office.
     cells: Vec<CellId>,
+    offices: Vec<CellId>,
     /// The limit and quotas that the module goes by, and when the next may be told.
     told: Option<(f64, Vec<f64>)>,
     next_limit: Time,
@@ -54,11 +55,18 @@
     }
 
     /// The cell of an office's part of a class; of a place that these settings don't know, the rest's.
-    fn cell(&self, settings: &Settings, tenant: Option<usize>, class: usize) -> CellId {
+    pub(super) fn cell(&self, settings: &Settings, tenant: Option<usize>, class: usize) -> CellId {
         let row = tenant.filter(|tenant| *tenant < settings.customers.len()).map_or(0, |tenant| tenant + 1);
         self.cells.get(row * settings.profiles.len() + class).copied().unwrap_or(CellId(0))
     }
 
+    /// The cell of a whole office.
+    pub(super) fn office(&self, settings: &Settings, tenant: Option<usize>) -> Option<CellId> {
+        tenant
+            .filter(|tenant| *tenant < settings.customers.len())
+            .and_then(|tenant| self.offices.get(tenant).copied())
+    }
+
     fn estimate(&self, settings: &Settings, class: usize) -> Span {
         let seen = self.estimates.get(class).copied().filter(|span| span.0 > 0);
         seen.unwrap_or(Span(settings.profiles[class].promise.0 / FIRST_ESTIMATE))
@@ -91,22 +99,47 @@
     }
 }
 
-/// The cells of these settings, by place. Made at the start and at a reload: each is a hash of two names.
-fn cells(settings: &Settings) -> Vec<CellId> {
+/// The cells of these settings, by place, and those of whole offices. Made at the start and at a reload: each is a hash of two
+/// names.
+fn cells(settings: &Settings) -> (Vec<CellId>, Vec<CellId>) {
     let offices = std::iter::once("").chain(settings.customers.iter().map(|office| office.name.as_str()));
-    offices
+    let of_classes = offices
         .flat_map(|office| settings.profiles.iter().map(move |class| CellId::of(office, &class.name)))
-        .collect()
+        .collect();
+    (of_classes, settings.customers.iter().map(|office| CellId::of(&office.name, "")).collect())
+}
+
+/// What the cells of these settings are called, for people.
+pub fn cell_names(settings: &Settings) -> std::collections::BTreeMap<u32, String> {
+    let office = |row: usize| match row.checked_sub(1).and_then(|office| settings.customers.get(office)) {
+        Some(office) => format!(" of {}", office.name),
+        None => String::new(),
+    };
+    let classes = settings.profiles.len().max(1);
+    let (of_classes, offices) = cells(settings);
+    let name =
+        |place: usize| format!("{}{}", settings.profiles[place % classes].name, office(place / classes));
+    let parts = of_classes.into_iter().enumerate().map(|(place, cell)| (cell.0, name(place)));
+    let wholes =
+        offices.into_iter().zip(&settings.customers).map(|(cell, office)| (cell.0, office.name.clone()));
+    parts.chain(wholes).collect()
 }
 
 impl Reducer {
     /// With a part in a fleet whose servers talk to each other.
     pub fn with_cluster(mut self, cluster: Cluster) -> Self {
         self.fleet.cluster = Some(Box::new(cluster));
-        self.fleet.cells = cells(&self.settings);
+        (self.fleet.cells, self.fleet.offices) = cells(&self.settings);
         self
     }
 
+    /// Tells another server something that isn't the cluster's own.
+    pub(super) fn fleet_post(&mut self, to: &str, word: &[u8]) {
+        if let Some(cluster) = &mut self.fleet.cluster {
+            cluster.post(self.moment.now, to, word);
+        }
+    }
+
     /// A datagram of another server came.
     pub(super) fn letter(&mut self, letter: &Letter) {
         if let Some(cluster) = &mut self.fleet.cluster {
@@ -233,6 +266,7 @@
         for effect in asked {
             match effect {
                 Asked::Send(to, datagram) => self.effects.push(Effect::Peer(to, datagram)),
+                Asked::Post(from, life, word) => self.agreed_word(&from, life.0, &word),
                 Asked::Note(bad, text) => {
                     self.log(if bad { Level::Warning } else { Level::Info }, format!("fleet: {text}"));
                 }
@@ -283,7 +317,7 @@
         if let Some(cluster) = &mut self.fleet.cluster {
             cluster.retune(self.settings.servers as usize, lent_share(&self.settings));
             self.fleet.told = None;
-            self.fleet.cells = cells(&self.settings);
+            (self.fleet.cells, self.fleet.offices) = cells(&self.settings);
         }
     }
 
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -4,6 +4,7 @@
 //! test can drive it through any course of events. This file steps and routes; each concern has a file with the state
 //! that it alone changes.
 
+mod agreed;
 mod calls;
 mod claims;
 mod connections;
@@ -28,10 +29,11 @@
 use crate::pool::Pool;
 use crate::registration::Registration;
 use crate::tally::Tally;
+use agreed::Agreed;
 use connections::Connections;
 use drain::Drain;
 use fleet::Fleet;
-pub use fleet::lent_share;
+pub use fleet::{cell_names, lent_share};
 use gradepin_decisions::{Action, Controller, Event, Settings, Span, Time, after};
 use housekeeping::Duties;
 use keeping::Past;
@@ -63,6 +65,8 @@
     duties: Duties,
     /// What it shares with other servers, where they may talk to each other.
     fleet: Fleet,
+    /// Its part in what that fleet agrees on.
+    agreed: Agreed,
     active: bool,
     hint: Option<f64>,
     registration: Registration,
@@ -101,6 +105,7 @@
             drain: Drain::new(Span(config.stop_ms.saturating_mul(MS))),
             duties: Duties::default(),
             fleet: Fleet::default(),
+            agreed: Agreed::default(),
             active: false,
             hint: None,
             registration,
@@ -146,6 +151,7 @@
         }
         self.fire();
         self.decide();
+        self.agreed_step();
         self.fleet_step();
         self.housekeeping();
         effects.append(&mut self.effects);
@@ -159,7 +165,7 @@
         let timer = self.duties.timer_at(self.moment.now, self.link.open_since);
         let own =
             sooner(sooner(timer, self.drain.wake_at()), sooner(self.ledger.wake_at(), self.past.hope()));
-        let own = sooner(own, self.fleet.wake_at(self.moment.now));
+        let own = sooner(sooner(own, self.fleet.wake_at(self.moment.now)), self.agreed.wake_at());
         sooner(sooner(own, self.registration.wake_at(self.moment.now)), Some(self.duties.wake_at()))
     }
 
@@ -217,8 +223,19 @@
             Input::Paced(conn, pause) => self.conns.paced(conn, after(self.moment.now, pause)),
             Input::Terminate => self.terminate(),
             Input::NotAccepting => self.drain.handover.stopped(),
-            Input::TakeOut => self.take_out(),
-            Input::TakeIn => self.take_in(),
+            Input::TakeOut => {
+                if !self.asks_to_leave() {
+                    self.take_out();
+                }
+            }
+            Input::TakeIn => {
+                self.asks_to_stay();
+                self.take_in();
+            }
+            Input::CouncilWritten(number) => self.council_written(number),
+            Input::CouncilFailed(found, why) => self.council_failed(*found, &why),
+            Input::SettingsAre(settings, staged) => self.settings_are(settings, staged),
+            Input::ChangeFailed(release, why) => self.change_failed(release, why),
             Input::Registry(ticket, reply) => self.registration.reply(self.moment.now, ticket, reply),
             Input::Reload(config) => self.reload(*config),
             Input::ReloadRefused(why) => self.reload_refused(why),
--- a/crates/core/src/reducer/operators.rs
+++ b/crates/core/src/reducer/operators.rs
@@ -14,7 +14,11 @@
 impl Reducer {
     /// An operator's call; each is answered in this step.
     pub(super) fn admin(&mut self, id: CallId, call: AdminCall) {
-        let answer = match self.door.order(self.moment.now, call) {
+        if let AdminCall::Agreed(call) = call {
+            let answer = AdminAnswer::Agreed(self.agreed_call(call));
+            return self.effects.push(Effect::Admin(id, answer));
+        }
+        let answer = match self.door.order(self.moment.now, &call) {
             Some(done) => {
                 if let AdminAnswer::Done { failed, changed: true } = done {
                     // The control plane and health checks hear of it at once.
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -49,6 +49,8 @@
     pub(super) state: State,
     /// Whether its caller still waits for an answer.
     pub(super) owed: bool,
+    /// Whether it is the first try of its caller.
+    pub(super) first: bool,
     pub(super) body: Arc<Buffer>,
     /// The call its run waits for, and since when that call is out.
     pub(super) call: Option<Arc<Buffer>>,
@@ -161,6 +163,10 @@
             let why = format!("the rid {} is open already", call.id.0);
             return self.invalid(conn, seq, Some(call.class), Misuse::Conflict, why);
         }
+        if !call.retry {
+            // Whatever becomes of it: what is turned away before the module hears of it came too.
+            self.agreed_count(call.tenant, call.class, 1, 0);
+        }
         if self.controller.is_none() {
             // No processor yet, so nobody to ask; nothing has run.
             return self.turn_away(conn, seq, call.class, Span(0));
@@ -221,6 +227,7 @@
             queued_for: queued,
         }));
         let open = Open {
+            first: !call.retry,
             conn,
             seq,
             class: call.class,
@@ -346,6 +353,11 @@
         let Some(open) = self.requests.open.get_mut(id).filter(|open| open.owed) else { return };
         open.owed = false;
         let (conn, seq) = (open.conn, open.seq);
+        let (tenant, class, first) = (open.tenant, open.class, open.first);
+        if first && matches!(answer, Answer::Served(_)) {
+            self.agreed_count(tenant, class, 0, 1);
+        }
+        let Some(open) = self.requests.open.get(id) else { return };
         self.tally.answered(&self.settings.profiles[open.class].name, &answer);
         self.conns.answered(conn, seq, self.moment.now);
         self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
--- a/crates/gradepin/src/main.rs
+++ b/crates/gradepin/src/main.rs
@@ -1,8 +1,11 @@
 //! The command line of the tile server.
 
+mod door;
+mod fleet;
 mod store;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use fleet::{FleetCommand, ReleaseCommand};
 use gradepin_core::config::Config;
 use gradepin_node::fronts::scgi::routes::Routes;
 use gradepin_node::handed::Handed;
@@ -32,6 +35,9 @@
     /// Our own settings, as KDL; without it all that they switch on is off
     #[arg(long, value_name = "FILE")]
     settings: Option<PathBuf>,
+    /// What this program is called in releases
+    #[arg(long, default_value = env!("CARGO_PKG_VERSION"))]
+    program_version: String,
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -64,6 +70,16 @@
         #[arg(long)]
         cancel: bool,
     },
+    /// What the fleet agrees on: who may be out, the council
+    Fleet {
+        #[command(subcommand)]
+        command: FleetCommand,
+    },
+    /// Releases of programs and settings over the fleet, in waves
+    Release {
+        #[command(subcommand)]
+        command: ReleaseCommand,
+    },
     /// Look into the store of keyed runs, without a server
     Store {
         #[command(subcommand)]
@@ -83,7 +99,7 @@
             // As `serve` would: a route to a class that isn't there ends the start.
             Routes::new(scgi, Arc::new(config.settings.clone()))?;
         }
-        Ok((config, own, serve::Files { config: path, own: self.settings }))
+        Ok((config, own, serve::Files { config: path, own: self.settings, version: self.program_version }))
     }
 }
 
@@ -128,6 +144,16 @@
                     let keys = keys(&cluster.key_file)?;
                     let (zone, seeds) = (&cluster.zone, cluster.seeds.len());
                     let lends = if cluster.slots.is_some() { "lends" } else { "doesn't lend" };
+                    if let Some(council) = &own.council {
+                        let voters: Vec<&str> = council.voters.iter().map(|name| &**name).collect();
+                        let most = &council.limits;
+                        println!(
+                            "council: voters {}; {} of the fleet may be out, {} of a zone",
+                            voters.join(", "),
+                            most.fleet,
+                            most.zone
+                        );
+                    }
                     println!(
                         "cluster: {} in zone '{zone}', {seeds} seeds, {keys:?}, {lends} slots",
                         cluster.advertise
@@ -142,6 +168,8 @@
             kill_process(process, signal).map_err(|e| format!("process {pid}: {e}"))?;
             Ok(true)
         }
+        Command::Fleet { command } => fleet::fleet(command),
+        Command::Release { command } => fleet::release(command),
         Command::Store { command } => store::run(command),
         Command::Version => {
             println!("gradepin {}", env!("CARGO_PKG_VERSION"));
--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -234,6 +234,7 @@
             AdminCall::Health => "GET /healthcheck",
             AdminCall::Stats => "GET /stats",
             AdminCall::Fleet => "GET /fleet",
+            AdminCall::Agreed(_) => "GET /fleet/status",
             AdminCall::Fail => "POST /healthcheck/fail",
             AdminCall::Ok => "POST /healthcheck/ok",
         };
--- a/crates/kit/src/drill/mod.rs
+++ b/crates/kit/src/drill/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod recovery;
 pub mod registry;
+pub mod release;
 pub mod scgi;
 pub mod shared;
 
--- a/crates/kit/src/fleet.rs
+++ b/crates/kit/src/fleet.rs
@@ -57,6 +57,8 @@
     pub registry_more: String,
     /// Servers that talk to each other, if they do.
     pub peers: Option<PeersSpec>,
+    /// And agree on who may be out.
+    pub council: Option<CouncilSpec>,
     /// Where files and logs go.
     pub folder: PathBuf,
 }
@@ -80,6 +82,48 @@
     pub plain: bool,
 }
 
+/// Servers that agree on who may be out.
+#[derive(Debug, Clone)]
+pub struct CouncilSpec {
+    /// The first so many are voters.
+    pub voters: usize,
+    /// The most that may be out, of the fleet and of a zone.
+    pub most: u32,
+    /// See `most`.
+    pub zone: u32,
+    /// A drill's: nothing is ever too many.
+    pub plain: bool,
+}
+
+impl CouncilSpec {
+    /// The block of server `n` in its settings file.
+    fn settings(&self, n: usize, folder: &Path) -> String {
+        let voters: String = (0..self.voters).map(|n| format!("    voter \"n{n}\"\n")).collect();
+        let path = |what: &str| folder.join(format!("n{n}.{what}")).display().to_string();
+        let own = if n < self.voters { format!("    folder {:?}\n", path("council")) } else { String::new() };
+        let plain = if self.plain { "    drill-ignores-limits #true\n" } else { "" };
+        let (most, zone) = (self.most, self.zone);
+        format!(
+            "council {{\n{voters}{own}{plain}    stage {:?}\n    replace-command {:?}\n    most-out {most}\n    \
+             most-out-of-a-zone {zone}\n    steady-ms 1000\n}}\n",
+            path("stage"),
+            folder.join("replace").display().to_string()
+        )
+    }
+}
+
+/// The command that daemons run to be replaced: it leaves the version where the stand-in for a supervisor looks.
+fn write_replace(folder: &Path) -> io::Result<()> {
+    use std::os::unix::fs::PermissionsExt;
+    let path = folder.join("replace");
+    let folder = folder.display();
+    let text = format!(
+        "#!/bin/sh\necho \"$1\" > \"{folder}/$2.tmp\" && mv \"{folder}/$2.tmp\" \"{folder}/$2.wanted\"\n"
+    );
+    std::fs::write(&path, text)?;
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755))
+}
+
 /// The fleet's key in a rig: no secret.
 pub const KEY: &str = "a1b2c3d4e5f60718293a4b5c6d7e8f90a1b2c3d4e5f60718293a4b5c6d7e8f90";
 
@@ -114,6 +158,7 @@
             store: false,
             registry_more: String::new(),
             peers: None,
+            council: None,
             folder: PathBuf::new(),
         }
     }
@@ -224,6 +269,8 @@
     log: PathBuf,
     daemon: PathBuf,
     stop: Duration,
+    /// What its program is called in releases, from its next start on.
+    pub version: String,
 }
 
 impl Node {
@@ -235,6 +282,8 @@
             .arg("serve")
             .arg("--config")
             .arg(&self.config)
+            .arg("--program-version")
+            .arg(&self.version)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log);
@@ -355,6 +404,7 @@
         if spec.peers.is_some() {
             // Once, before any server reads it.
             std::fs::write(spec.folder.join("fleet.keys"), KEY)?;
+            write_replace(&spec.folder)?;
         }
         for n in 0..spec.servers {
             let name = format!("n{n}");
@@ -394,7 +444,9 @@
                 let store =
                     if spec.store { format!("store {{\n    path {path:?}\n}}\n") } else { String::new() };
                 let peers = spec.peers.as_ref().map(|peers| peers.settings(n, &spec.folder));
-                std::fs::write(own, registry + &scgi + &store + &peers.unwrap_or_default())?;
+                let council = spec.council.as_ref().map(|council| council.settings(n, &spec.folder));
+                let rest = peers.unwrap_or_default() + &council.unwrap_or_default();
+                std::fs::write(own, registry + &scgi + &store + &rest)?;
             }
             let (log, daemon) = (spec.folder.join(format!("{name}.log")), spec.daemon.clone());
             let mut node = Node {
@@ -408,6 +460,7 @@
                 log,
                 daemon,
                 stop: spec.stop,
+                version: "v1".into(),
             };
             node.spawn()?;
             nodes.push(node);
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -369,6 +369,30 @@
         #[arg(long)]
         daemon: Option<PathBuf>,
     },
+    /// Servers that agree on who may be out: a release, and a bad one that stops and goes back, under load
+    Release {
+        /// Seed of everything that is drawn
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Servers, in three zones; three are voters
+        #[arg(long, default_value_t = 9)]
+        servers: usize,
+        /// With faults drawn between them: kills, stops, cuts
+        #[arg(long)]
+        faults: bool,
+        /// Without limits on what may be out. Must fail
+        #[arg(long)]
+        plain: bool,
+        /// The part of all cores that is asked for
+        #[arg(long, default_value_t = 0.8)]
+        load: f64,
+        /// Seconds of load without a release, to hold the others against
+        #[arg(long, default_value_t = 15)]
+        quiet: u64,
+        /// The daemon's program, if it is not beside this one
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
     /// Servers that share the ledger's slots, with faults between them: the bound, leases, and who is there
     Shared {
         /// Seed of everything that is drawn
@@ -696,6 +720,20 @@
             let daemon = daemon(told)?;
             Ok(drill::recovery::run(&drill::recovery::Drill { daemon, seed, kills, plain })?)
         }
+        Command::Drill {
+            which: Which::Release { seed, servers, faults, plain, load, quiet, daemon: told },
+        } => {
+            let (daemon, quiet_s) = (daemon(told)?, quiet);
+            Ok(drill::release::run(&drill::release::Drill {
+                daemon,
+                seed,
+                servers,
+                faults,
+                plain,
+                load,
+                quiet_s,
+            })?)
+        }
         Command::Drill { which: Which::Shared { seed, servers, seconds, plain, history, daemon: told } } => {
             let daemon = daemon(told)?;
             Ok(drill::shared::run(&drill::shared::Drill { daemon, seed, servers, seconds, plain, history })?)
--- a/crates/kit/src/rig/mod.rs
+++ b/crates/kit/src/rig/mod.rs
@@ -6,6 +6,7 @@
 //! - [`ledger`]: the stand-in ledger, an address for each server.
 //! - [`schedule`]: what happens when.
 //! - [`history`]: what was seen, and the claims about it.
+//! - [`supervisor`]: what starts the operators' processes, and replaces them in a release.
 //! - [`play`]: all of it together, for a drill.
 
 pub mod history;
@@ -13,3 +14,4 @@
 pub mod play;
 pub mod relay;
 pub mod schedule;
+pub mod supervisor;
--- /dev/null
+++ b/crates/node/src/admin/agreements.rs
@@ -0,0 +1,108 @@
+//! What the fleet agrees on, as the door tells it.
+//!
+//! ```text
+//! GET /fleet/status  {"leader": "n1", "voter": true, "age_s": 0.2, "limits": {..}, "servers": [{"name", "zone", "heard", "permit",
+//!                     "program", "settings", "step"}, ..], "permits": [{"epoch", "target", "holder", "for", "stage"}, ..],
+//!                     "release": {"name", "state", "wave", "halts", ..}, "waits": {"for_s", "why"}, "acts": [..]}
+//! POST /fleet/order  202 and a ticket; GET /fleet/order?ticket=N  202 while it is under way, 200 and what came of it, or 409 and why not
+//! ```
+
+use super::http::Response;
+use gradepin_core::admin::FleetAnswer;
+use gradepin_releases::part::{Became, Status};
+use gradepin_releases::record::{Limits, Purpose, Stage, Target};
+use gradepin_releases::release::{Release, Step};
+use serde_json::{Value, json};
+
+/// The response to a call about the fleet's agreements.
+pub fn response(answer: &FleetAnswer) -> Response {
+    let said = |said: &Result<String, String>| match said {
+        Ok(text) => Response::text(200, format!("{text}\n")),
+        Err(why) => Response::text(409, format!("{why}\n")),
+    };
+    match answer {
+        FleetAnswer::Off => Response::text(404, "this server takes no part in what a fleet agrees on\n"),
+        FleetAnswer::Status(status) => {
+            let mut response = Response::text(200, format!("{}\n", value(status)));
+            response.content_type = "application/json";
+            response
+        }
+        FleetAnswer::Ticket(ticket) => Response::text(202, format!("{ticket}\n")),
+        FleetAnswer::Became(Became::Pending) => Response::text(202, "under way\n"),
+        FleetAnswer::Became(Became::Unknown) => {
+            Response::text(404, "no order of this ticket is known here\n")
+        }
+        FleetAnswer::Became(Became::Over(answer)) | FleetAnswer::Said(answer) => said(answer),
+        FleetAnswer::Wanted(Some(version)) => Response::text(200, format!("{version}\n")),
+        FleetAnswer::Wanted(None) => Response::text(404, "no release says which version it shall have\n"),
+    }
+}
+
+fn stage(stage: &Stage) -> &'static str {
+    match stage {
+        Stage::Reserved => "reserved",
+        Stage::Begun => "begun",
+        Stage::Freed => "freed",
+    }
+}
+
+fn step(step: &Step) -> String {
+    match step {
+        Step::Waits => "waits".into(),
+        Step::Changes => "changes".into(),
+        Step::New => "new".into(),
+        Step::Failed(why) => format!("failed: {why}"),
+        Step::GoesBack => "goes back".into(),
+        Step::Back => "back".into(),
+        Step::Stuck(why) => format!("can't go back: {why}"),
+    }
+}
+
+fn limits(limits: &Limits) -> Value {
+    json!({"fleet": limits.fleet, "zone": limits.zone, "zones": limits.zones, "services": limits.services})
+}
+
+fn release(release: &Release) -> Value {
+    json!({
+        "name": release.plan.name, "number": release.number, "version": release.plan.version, "by": &*release.by,
+        "state": release.state.to_string(), "open": release.is_open(), "wave": release.wave,
+        "waves": release.plan.waves.len(), "halts": release.halts,
+    })
+}
+
+fn value(status: &Status) -> Value {
+    let mut value = json!({
+        "leader": status.leader.as_deref(), "voter": status.voter, "lost": status.lost, "unsure": status.unsure,
+    });
+    value["waits"] = status.waits.as_ref().map_or(Value::Null, |w| json!({"for_s": w.for_s, "why": w.why}));
+    let Some((record, age_s)) = &status.record else { return value };
+    value["age_s"] = if age_s.is_finite() { json!(age_s) } else { Value::Null };
+    value["index"] = json!(record.index);
+    value["voters"] = json!(record.voters.values().map(|name| &**name).collect::<Vec<_>>());
+    value["limits"] = limits(&record.limits);
+    let servers = record.roster.iter().map(|(name, member)| {
+        let permit = record.permit_of(&Target::Server(name.clone())).map(|(epoch, _)| epoch);
+        let (program, settings) = status.versions.get(name).cloned().unwrap_or_default();
+        let of = record.release.as_ref().and_then(|release| release.servers.get(name));
+        // Who isn't heard to be ready is known to voters alone.
+        let heard = status.voter.then(|| !status.unheard.contains(name));
+        json!({"name": &**name, "zone": &*member.zone, "ready": heard, "permit": permit, "program": program,
+               "settings": settings, "step": of.map(|server| step(&server.step))})
+    });
+    value["servers"] = servers.collect();
+    let permits = record.permits.iter().map(|(epoch, permit)| {
+        let purpose = match permit.purpose {
+            Purpose::Drain => "drain".to_string(),
+            Purpose::Release(number) => format!("release {number}"),
+        };
+        json!({"epoch": epoch, "target": permit.target.to_string(), "holder": &*permit.holder, "for": purpose,
+               "stage": stage(&permit.stage)})
+    });
+    value["permits"] = permits.collect();
+    value["release"] = record.release.as_ref().map_or(Value::Null, release);
+    let acts = record.acts.iter().rev().take(8);
+    value["acts"] = acts
+        .map(|act| json!({"index": act.index, "by": &*act.by, "what": act.what, "why": act.why}))
+        .collect();
+    value
+}
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -6,14 +6,16 @@
 //! Callers that never finish their request are cut off after [`READ_PATIENCE`], and the oldest of them gives its
 //! place to a newcomer once [`MOST_CALLERS`] are in. What the calls mean is the reducer's ([`gradepin_core::admin`]).
 
+mod agreements;
 mod exposition;
 mod fleet;
 pub mod http;
 
+use crate::change::Stage;
 use crossbeam_channel::{Receiver, Sender, bounded};
-use gradepin_core::admin::{AdminAnswer, AdminCall, CallId};
+use gradepin_core::admin::{AdminAnswer, AdminCall, CallId, FleetCall};
 use gradepin_core::messages::Input;
-use http::{BODY_MOST, Head, Response};
+use http::{BODY_MOST, Called, Head, Response};
 use slog::{Logger, info, warn};
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
@@ -48,6 +50,8 @@
     waiting: Mutex<HashMap<CallId, Sender<AdminAnswer>>>,
     callers: Mutex<Vec<Caller>>,
     next: AtomicU64,
+    /// Where settings are staged, if they are.
+    stage: Option<Arc<Stage>>,
     log: Logger,
 }
 
@@ -69,7 +73,12 @@
 
 impl Admin {
     /// Listens on the address and serves from now on; calls go to the reducer as inputs.
-    pub fn start(address: SocketAddr, inputs: Sender<Input>, log: Logger) -> io::Result<Self> {
+    pub fn start(
+        address: SocketAddr,
+        inputs: Sender<Input>,
+        stage: Option<Arc<Stage>>,
+        log: Logger,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
@@ -77,6 +86,7 @@
             waiting: Mutex::default(),
             callers: Mutex::new(Vec::with_capacity(MOST_CALLERS)),
             next: AtomicU64::new(1),
+            stage,
             log,
         });
         let door = Arc::clone(&shared);
@@ -144,21 +154,26 @@
 /// One connection: a request, its answer, the end.
 fn serve(mut stream: TcpStream, whole: &AtomicBool, shared: &Shared) {
     let until = Instant::now() + READ_PATIENCE;
-    let head = match read(&mut stream, until) {
-        Ok(head) => head,
+    let (head, body) = match read(&mut stream, until) {
+        Ok(read) => read,
         Err(Some(response)) => return respond(stream, &response, false),
         Err(None) => return,
     };
     whole.store(true, Ordering::SeqCst);
     let response = match head.call {
-        Ok(call) => ask(shared, call),
+        Ok(Called::Plain(call)) => ask(shared, call),
+        Ok(Called::Order) => match serde_json::from_slice(&body) {
+            Ok(order) => ask(shared, AdminCall::Agreed(FleetCall::Order(Box::new(order)))),
+            Err(e) => Response::text(400, format!("expected an order as JSON: {e}\n")),
+        },
+        Ok(Called::Stage) => stage(shared, &body),
         Err(response) => response,
     };
     respond(stream, &response, head.head_only);
 }
 
 /// Reads a whole request, its body too; what to answer instead, if anything.
-fn read(stream: &mut TcpStream, until: Instant) -> Result<Head, Option<Response>> {
+fn read(stream: &mut TcpStream, until: Instant) -> Result<(Head, Vec<u8>), Option<Response>> {
     let mut bytes = Vec::with_capacity(1024);
     let mut chunk = [0_u8; 1024];
     let head = loop {
@@ -168,12 +183,36 @@
         let n = read_some(stream, until, &mut chunk)?;
         bytes.extend_from_slice(&chunk[..n]);
     };
-    // The body has no use; it is read so that the close resets nothing.
-    let mut body = bytes.len().saturating_sub(head.len).min(BODY_MOST);
-    while body < head.body {
-        body += read_some(stream, until, &mut chunk)?;
+    // Most bodies have no use; they are read so that the close resets nothing.
+    let uses = matches!(head.call, Ok(Called::Order | Called::Stage));
+    let mut body = bytes.split_off(head.len.min(bytes.len()));
+    let mut length = body.len().min(BODY_MOST);
+    while length < head.body {
+        let n = read_some(stream, until, &mut chunk)?;
+        length += n;
+        if uses {
+            body.extend_from_slice(&chunk[..n]);
+        }
+    }
+    body.truncate(head.body);
+    Ok((head, body))
+}
+
+/// Stages settings: checked here, and told to the reducer where they are taken.
+fn stage(shared: &Shared, body: &[u8]) -> Response {
+    let Some(stage) = &shared.stage else {
+        return Response::text(404, "expected a stage in the settings' council block\n");
+    };
+    match std::str::from_utf8(body).map_err(|e| e.to_string()).and_then(|text| stage.put(text)) {
+        Ok(digest) => {
+            let told = shared.inputs.send_timeout(Input::SettingsAre(None, stage.staged()), REDUCER_PATIENCE);
+            if told.is_err() {
+                return Response::text(503, "the server did not take it in time; try again\n");
+            }
+            Response::text(200, format!("{digest}\n"))
+        }
+        Err(why) => Response::text(409, format!("{why}\n")),
     }
-    Ok(head)
 }
 
 /// Some bytes before the time is up; at the end of the connection or an error nothing is owed.
@@ -201,11 +240,12 @@
     let (reply, answer): (Sender<AdminAnswer>, Receiver<AdminAnswer>) = bounded(1);
     shared.waiting().insert(id, reply);
     let until = Instant::now() + REDUCER_PATIENCE;
+    let told = call.clone();
     let sent = shared.inputs.send_deadline(Input::Admin(id, call), until).is_ok();
     let answer = if sent { answer.recv_deadline(until).ok() } else { None };
     shared.waiting().remove(&id);
     answer.map(response).unwrap_or_else(|| {
-        warn!(shared.log, "the reducer did not answer an operator's call in time"; "call" => ?call);
+        warn!(shared.log, "the reducer did not answer an operator's call in time"; "call" => ?told);
         Response::text(503, "the server did not answer in time; try again\n")
     })
 }
@@ -225,6 +265,7 @@
             response.content_type = "application/json";
             response
         }
+        AdminAnswer::Agreed(answer) => agreements::response(&answer),
         AdminAnswer::Fleet(None) => Response::text(404, "this server takes no part in a fleet\n"),
         AdminAnswer::Done { failed: true, .. } => Response::text(200, "draining\n"),
         AdminAnswer::Done { failed: false, .. } => Response::text(200, "serving\n"),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,10 +4,12 @@
 //! others; [`settings`] and [`config`] read what the server is told; [`serve`] joins them.
 
 pub mod admin;
+pub mod change;
 pub mod claims;
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod council;
 pub mod fronts;
 pub mod handed;
 pub mod log;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,10 +1,12 @@
 //! Joins the parts: the one thread that owns the reducer, and carries out what it asks for.
 
 use crate::admin::Admin;
+use crate::change::Stage;
 use crate::claims::Claims;
 use crate::clock::Clock;
 use crate::config;
 use crate::control::Control;
+use crate::council::CouncilFolder;
 use crate::fronts::scgi::Scgi;
 use crate::fronts::scgi::routes::{BadRoute, Routes};
 use crate::fronts::thrift::Thrift;
@@ -14,7 +16,7 @@
 use crate::processor::Processor;
 use crate::registry::Registry;
 use crate::settings::cluster::{self, KeysError};
-use crate::settings::{FleetSettings, Live, Own};
+use crate::settings::{CouncilSettings, FleetSettings, Live, Own};
 use crate::shared_ledger::SharedLedger;
 use crate::signals::Signals;
 use crate::store::{self, Store};
@@ -26,10 +28,14 @@
 use gradepin_core::ledger::Ledger;
 use gradepin_core::messages::{Effect, Input};
 use gradepin_core::pool::{Pool, SIZE};
-use gradepin_core::reducer::{Reducer, lent_share};
+use gradepin_core::reducer::{Reducer, cell_names, lent_share};
 use gradepin_core::registration::Registration;
 use gradepin_decisions::{Below, Settings, Span};
 use gradepin_registry::membership::Membership;
+use gradepin_releases::chair::ChairSettings;
+use gradepin_releases::council::Found;
+use gradepin_releases::part::{Part, PartSettings};
+use gradepin_releases::record::Limits;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use slog::{Level, Logger, error, info, warn};
 use std::error::Error;
@@ -71,6 +77,9 @@
     /// The server's name can't stand in a datagram.
     #[error("expected a name of {MOST_NAME} bytes at the most for a fleet, got '{0}'")]
     Name(String),
+    /// A voter has no disk.
+    #[error("{0} is a voter of the council, and its settings name no folder for it")]
+    Voter(String),
     /// What was handed over can't be used.
     #[error(transparent)]
     Handed(#[from] HandedError),
@@ -84,13 +93,15 @@
     },
 }
 
-/// Where the process reads again what it was told.
+/// Where the process reads again what it was told, and what its program is called.
 #[derive(Debug, Clone)]
 pub struct Files {
     /// The configuration.
     pub config: PathBuf,
     /// Our own settings, where there are any.
     pub own: Option<PathBuf>,
+    /// The version of the program, as a release names it.
+    pub version: String,
 }
 
 /// Serves until the process is told to leave and its time is up.
@@ -164,12 +175,39 @@
     if fleet.is_none() && own.cluster.is_some() {
         warn!(log, "on an inherited listener this server takes no part in the fleet");
     }
+    let agrees = own.council.as_ref().filter(|_| fleet.is_some());
+    let stage = agrees.and_then(|set| set.stage.clone().map(|folder| (folder, set.replace.clone())));
+    let stage = stage.map(|(folder, replace)| {
+        Stage::new(folder, files.config.clone(), replace, config.name.clone()).map(Arc::new)
+    });
+    let stage = stage.transpose().map_err(failed("the folder of staged settings"))?;
+    let council = agrees.and_then(|set| set.folder.clone()).map(|folder| {
+        // The system's own randomness: an identity never comes again.
+        let fresh = RandomState::new().build_hasher().finish() | 1;
+        CouncilFolder::start(folder, fresh, urgently.clone())
+    });
+    let council = council.transpose().map_err(failed("the council's folder"))?;
+    if let Some(set) = agrees.filter(|set| set.folder.is_none())
+        && set.voters.iter().any(|name| **name == *config.name)
+    {
+        return Err(StartError::Voter(config.name.clone()));
+    }
     let keys = fleet.map(|set| cluster::keys(&set.key_file)).transpose()?;
     let keys = keys.map(|keys| Arc::new(RwLock::new(keys)));
     let peers = match (fleet, &keys) {
         (Some(set), Some(keys)) => {
             let settings = fleet_settings(set, &config, read(keys), clock, seed)?;
+            let own_life = settings.own.clone();
             reducer = reducer.with_cluster(Cluster::new(settings, clock.read().now));
+            if let Some(set) = &own.council {
+                let found = council.as_ref().map(|(_, found)| found.clone());
+                let part = part_settings(set, &config, own_life.clone(), found, seed);
+                let in_force =
+                    stage.as_ref().map(|stage| stage.in_force()).transpose().map_err(failed("stage"))?;
+                let (part, zone) = (Part::new(part, clock.read().now), own_life.zone.to_string());
+                let (version, settings) = (files.version.clone(), in_force.unwrap_or_default());
+                reducer = reducer.with_part(part, zone, version, settings);
+            }
             let peers = Peers::start(set.listen, Arc::clone(keys), letters_in, clock, log.clone());
             Some(peers.map_err(failed(&format!("the fleet's address {}", set.listen)))?)
         }
@@ -188,7 +226,7 @@
         arrived.extend(urgent.recv_timeout(STORE_PATIENCE).ok());
     }
     let admin = config.admin_addr.map(|address| {
-        let door = Admin::start(address, urgently.clone(), log.clone());
+        let door = Admin::start(address, urgently.clone(), stage.clone(), log.clone());
         door.map_err(failed(&format!("the operators' door on {address}")))
     });
     let admin = admin.transpose()?;
@@ -203,6 +241,10 @@
         ledger.map_err(failed("ledger"))
     });
     let ledger = ledger.transpose()?;
+    let changes = urgently.clone();
+    if let Some(stage) = &stage {
+        arrived.push(Input::SettingsAre(None, stage.staged()));
+    }
     let processor = Processor::connect(config.processor, urgently, pool, log.clone());
     let processor = processor.map_err(failed("processor"))?;
     info!(log, "serving"; "listen" => %config.listen, "version" => env!("CARGO_PKG_VERSION"));
@@ -230,6 +272,22 @@
                         peers.send(to, &datagram);
                     }
                 }
+                Effect::Council(generation, number, records) => {
+                    if let Some((folder, _)) = &council {
+                        folder.write(generation, number, records);
+                    }
+                }
+                Effect::Change(turn, until) => {
+                    let release = turn.release;
+                    let changed = match &stage {
+                        Some(stage) => {
+                            stage.change(*turn, until, clock, changes.clone()).map_err(|e| e.to_string())
+                        }
+                        None => Err("the settings name no stage".to_string()),
+                    };
+                    // In its own queue: this thread must not wait for itself.
+                    arrived.extend(changed.err().map(|why| Input::ChangeFailed(release, why)));
+                }
                 Effect::Reply(link, id, reply) => processor.answer(link, &id, &reply),
                 Effect::Interrupt(link, id) => processor.interrupt(link, &id),
                 Effect::Renew(link) => processor.renew(link),
@@ -374,6 +432,41 @@
     keys.read().unwrap_or_else(PoisonError::into_inner).clone()
 }
 
+/// This server's part in what the fleet agrees on.
+fn part_settings(
+    set: &CouncilSettings,
+    config: &Config,
+    own: Peer,
+    folder: Option<Found>,
+    seed: u64,
+) -> PartSettings {
+    let any = u32::MAX;
+    let all = set.limits.services.keys().map(|name| (Arc::clone(name), any)).collect();
+    let limits = if set.plain {
+        Limits { fleet: any, zone: any, zones: any, services: all }
+    } else {
+        set.limits.clone()
+    };
+    let chair = ChairSettings {
+        limits,
+        steady: set.steady,
+        fresh: set.fresh,
+        plain: set.plain,
+        names: cell_names(&config.settings),
+        ..ChairSettings::default()
+    };
+    PartSettings {
+        name: own.name,
+        life: own.life.0,
+        zone: own.zone.to_string(),
+        voters: set.voters.clone(),
+        folder,
+        chair,
+        waits: set.waits,
+        seed: seed ^ own.life.0,
+    }
+}
+
 /// What this server is in the fleet, in the life that begins.
 fn fleet_settings(
     set: &FleetSettings,
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -4,12 +4,14 @@
 //! column, and a file with any of them is not used.
 
 pub mod cluster;
+mod council;
 mod live;
 mod reader;
 mod scgi;
 mod store;
 
 pub use cluster::FleetSettings;
+pub use council::CouncilSettings;
 pub use live::Live;
 pub use scgi::{Headers, Route, ScgiSettings};
 pub use store::StoreSettings;
@@ -71,6 +73,8 @@
     pub store: Option<StoreSettings>,
     /// The fleet whose servers talk to each other, where they do.
     pub cluster: Option<FleetSettings>,
+    /// What that fleet agrees on, where it does.
+    pub council: Option<CouncilSettings>,
 }
 
 /// Where a registry is, and what this server tells it.
@@ -167,6 +171,10 @@
             own.scgi = root.block("scgi").map(scgi::read);
             own.store = root.block("store").and_then(store::read);
             own.cluster = root.block("cluster").and_then(cluster::read);
+            own.council = root.block("council").map(council::read);
+            if own.council.is_some() && !root.has("cluster") {
+                root.problem("expected a cluster beside the council: its servers talk by that");
+            }
             root.end();
         }
         let problems = problems.into_sorted();
@@ -335,6 +343,9 @@
         assert_eq!(own.scgi.map(|set| set.routes.len()), Some(4));
         let own = Own::parse(include_str!("../../../../deploy/store.kdl")).unwrap();
         assert_eq!(own.store.map(|set| set.patience), Some(Span(250 * MS)));
+        let own = Own::parse(include_str!("../../../../deploy/council.kdl")).unwrap();
+        let council = own.council.unwrap();
+        assert_eq!((council.voters.len(), council.limits.fleet, council.limits.services.len()), (3, 2, 1));
         let own = Own::parse(include_str!("../../../../deploy/cluster.kdl")).unwrap();
         assert_eq!(own.cluster.and_then(|set| set.slots).map(|set| set.length), Some(Span(2_000 * MS)));
     }
@@ -387,6 +398,35 @@
         assert_eq!(problems("cluster {\n}").len(), 3, "no listen, no seed and no key-file");
     }
 
+    /// Guards a council against settings by which it can't work.
+    #[test]
+    fn what_a_council_cannot_work_with_is_told() {
+        let with = |more: &str| {
+            problems(&format!(
+                "cluster {{\nlisten \"127.0.0.1:7\"\nseed \"127.0.0.1:7\"\nkey-file \"k\"\n}}\ncouncil {{\n{more}\n}}"
+            ))
+        };
+        let three = "voter \"a\"\nvoter \"b\"\nvoter \"c\"\n";
+        assert_eq!(with(three), Vec::<String>::new());
+        for (more, expected) in [
+            (format!("{three}voter \"d\""), "expected 3 or 5 voters"),
+            (format!("{three}voter \"a\"\nvoter \"e\""), "the same voter twice"),
+            (format!("{three}most-out -1"), "expected most-out from 0 to 4096"),
+            (format!("{three}without-permit \"go\""), "expected without-permit"),
+            (
+                format!("{three}most-out-of-services {{ ledger \"one\"; }}"),
+                "expected ledger to be a whole number",
+            ),
+            (String::new(), "expected a voter"),
+        ] {
+            let found = with(&more);
+            assert!(found.len() == 1 && found[0].contains(expected), "{more}: {found:?}");
+        }
+        assert!(
+            problems(&format!("council {{\n{three}}}"))[0].contains("expected a cluster beside the council")
+        );
+    }
+
     #[test]
     fn contradictions_and_broken_documents_are_told_too() {
         let with = |more: &str| {
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -238,10 +238,14 @@
         all
     }
 
+    /// The names of all nodes, each once.
+    pub fn names(&self) -> BTreeSet<String> {
+        self.nodes.iter().map(|node| node.name().value().to_string()).collect()
+    }
+
     /// All nodes, names and their one text each.
     pub fn rest_as_words(&mut self) -> Vec<(String, String)> {
-        let names: BTreeSet<String> = self.nodes.iter().map(|node| node.name().value().to_string()).collect();
-        names.into_iter().filter_map(|name| Some((name.clone(), self.word(&name)?))).collect()
+        self.names().into_iter().filter_map(|name| Some((name.clone(), self.word(&name)?))).collect()
     }
 
     /// Whatever was not taken is unknown.
--- a/crates/releases/src/chair.rs
+++ b/crates/releases/src/chair.rs
@@ -47,6 +47,8 @@
     pub drift_ppm: u64,
     /// A drill's: everybody may always be out.
     pub plain: bool,
+    /// What cells of the counts are called.
+    pub names: BTreeMap<Cell, String>,
 }
 
 impl Default for ChairSettings {
@@ -57,6 +59,7 @@
             fresh: Span(2_000 * MS),
             drift_ppm: 10_000,
             plain: false,
+            names: BTreeMap::new(),
         }
     }
 }
@@ -743,9 +746,11 @@
         }
         if forward {
             if let Some(worse) = self.watch.worse(release.plan.worse) {
+                let name = self.set.names.get(&worse.cell).cloned();
+                let name = name.unwrap_or_else(|| format!("cell {:x}", worse.cell));
                 let why = format!(
-                    "cell {:x} is served to {:.3} by the new version and to {:.3} by the old, by {} tries",
-                    worse.cell, worse.new, worse.old, worse.tries
+                    "{name} is served to {:.3} by the new version and to {:.3} by the old, by {} tries",
+                    worse.new, worse.old, worse.tries
                 );
                 return self.stop(now, council, why);
             }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -3,8 +3,9 @@
 //! [`frame`] is the form of the files, without I/O; [`log`] writes them and reads them back, deciding nothing about
 //! requests; [`recovery`] makes of what was read what a new life needs to know. [`disk`] is the border to files, and
 //! [`sim`] a disk in memory that loses, tears and reorders what was not synced, for tests. What must be durable, and when,
-//! is decided in `gradepin_core::ledger`. The form of the files and what holds after a crash: `docs/design/recovery.md`.
+//! is decided in `gradepin_core::ledger`. [`council`] has the files of a voter of the fleet's council. The form of the files and what holds after a crash: `docs/design/recovery.md`.
 
+pub mod council;
 pub mod disk;
 pub mod frame;
 pub mod log;
