Play releases of large fleets in the model, and take no cut-off server for a failed one

The world of parts in virtual time is the model's now (model releases): seeds of a release with a zone without power and a cut.

--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -730,6 +730,7 @@
                 servers,
                 faults,
                 plain,
+                timed: true,
                 load,
                 quiet_s,
             })?)
--- a/crates/kit/src/model/cli.rs
+++ b/crates/kit/src/model/cli.rs
@@ -2,7 +2,7 @@
 
 use super::experiment::Experiment;
 use super::results::{self, FIGURES, Line};
-use super::{Plan, peers, plots, report, trace};
+use super::{Plan, agreed, peers, plots, report, trace};
 use crate::fleet::memory_of;
 use clap::{Args, Subcommand};
 use gradepin_model::day::Day;
@@ -75,6 +75,8 @@
     },
     /// What servers share, over modelled datagrams: seeds by the thousand, and whether the bound held on each
     Peers(peers::PeersArgs),
+    /// Releases over a large fleet, with zones that lose power and cuts
+    Releases(agreed::ReleasesArgs),
     /// All runs of an experiment that are not in the results yet; Ctrl-C ends it, and it goes on from there
     Sweep {
         /// The experiment, as KDL
@@ -161,6 +163,7 @@
 pub fn run(command: ModelCommand, end: &AtomicBool) -> Result<bool, Box<dyn Error>> {
     match command {
         ModelCommand::Peers(args) => Ok(peers::run(&args)),
+        ModelCommand::Releases(args) => Ok(agreed::run(&args)),
         ModelCommand::Run { day, html, json, svg, save } => {
             let plan = day.plan()?;
             let drawn = day.drawn(&plan)?;
--- a/crates/kit/src/model/mod.rs
+++ b/crates/kit/src/model/mod.rs
@@ -1,6 +1,7 @@
 //! Experiments with the fleet model: files that say what is tried, runs over all cores, figures with their intervals, plots and
 //! reports. The model itself is in `gradepin-model`.
 
+pub mod agreed;
 pub mod cli;
 pub mod experiment;
 pub mod peers;
--- a/crates/kit/tests/shared.rs
+++ b/crates/kit/tests/shared.rs
@@ -2,6 +2,7 @@
 //! passes or fails by how fast the machine is.
 
 use gradepin_cluster::seal::Keys;
+use gradepin_kit::drill::release;
 use gradepin_kit::drill::shared::{Drill, run};
 use gradepin_kit::fleet::{self, Fleet, FleetSpec, PeersSpec};
 use gradepin_kit::rig::history::History;
@@ -84,3 +85,21 @@
     drop(fleet);
     fleet::remove(&folder);
 }
+
+/// A short drill of what the fleet agrees on: three daemons, each replaced in a release under load, and a bad version that is
+/// stopped and taken back by itself.
+#[test]
+fn a_short_release_keeps_its_claims() {
+    let daemon = fleet::daemon().expect("the daemon is built with the workspace's tests");
+    let drill = release::Drill {
+        daemon,
+        seed: 1,
+        servers: 3,
+        faults: false,
+        plain: false,
+        timed: false,
+        load: 0.4,
+        quiet_s: 3,
+    };
+    assert!(release::run(&drill).expect("it is played"), "a claim is not kept");
+}
--- a/crates/releases/src/chair.rs
+++ b/crates/releases/src/chair.rs
@@ -31,6 +31,8 @@
 const MOST_LIVES: usize = 3;
 /// Proposals whose outcome somebody waits for.
 const MOST_PENDING: usize = 1_024;
+/// So many servers that are gone without a permit are a trouble of their own, and a hundredth of a large fleet.
+const SEVERAL: usize = 2;
 /// Who halts where nobody did by hand.
 const COUNCIL: &str = "the council";
 
@@ -842,8 +844,8 @@
             None => None,
         };
         if let Some(why) = why {
-            if !self.zone_is_there(now, council.record(), name) {
-                // Its zone has lost more than it: that is no fault of the version, whose time counts from the zone's return.
+            if self.others_are_gone(now, council.record(), name) {
+                // More is lost than it: that is no fault of the version, whose time counts from when they are back.
                 if let Some(known) = self.permits.get_mut(&epoch) {
                     known.since = now;
                     known.lives.clear();
@@ -870,16 +872,22 @@
         false
     }
 
-    /// Whether others of its zone are there that aren't out by a permit; a zone of one is there.
-    fn zone_is_there(&self, now: Time, record: &Record, name: &Name) -> bool {
-        let Some(zone) = record.roster.get(name).map(|member| &member.zone) else { return true };
+    /// Whether more is gone than one server, which nobody agreed on: all of its zone, or several of the fleet. It may have lost its
+    /// power, or be cut off, with them.
+    fn others_are_gone(&self, now: Time, record: &Record, name: &Name) -> bool {
+        let Some(zone) = record.roster.get(name).map(|member| &member.zone) else { return false };
         let (planned, unplanned) = (record.out_by_permit(), self.unplanned(now, record));
-        let others = record
-            .roster
-            .iter()
-            .filter(|(other, member)| *other != name && member.zone == *zone && !planned.contains(*other));
-        let others: Vec<&Name> = others.map(|(other, _)| other).collect();
-        others.is_empty() || others.iter().any(|other| !unplanned.contains(*other))
+        let others = record.roster.iter().filter(|(other, _)| *other != name && !planned.contains(*other));
+        let (mut there, mut gone) = (0, 0);
+        let mut all_gone = 0;
+        for (other, member) in others {
+            let is_gone = unplanned.contains(other);
+            all_gone += usize::from(is_gone);
+            if member.zone == *zone {
+                (there, gone) = (there + usize::from(!is_gone), gone + usize::from(is_gone));
+            }
+        }
+        (there == 0 && gone > 0) || all_gone >= SEVERAL.max(record.roster.len() / 100)
     }
 }
 
--- a/crates/releases/src/part.rs
+++ b/crates/releases/src/part.rs
@@ -369,8 +369,10 @@
     }
 
     fn reported(&mut self, now: Time, from: &Name, life: u64, report: Report) {
-        let record = self.council.as_ref().map(Council::record).cloned();
-        self.chair.told(now, &record.unwrap_or_default(), from, life, report);
+        // Who is no voter hears no reports; one whose council isn't founded yet goes by them for that.
+        if let Some(council) = &self.council {
+            self.chair.told(now, council.record(), from, life, report);
+        }
     }
 
     fn answered(&mut self, now: Time, number: u64, answer: Answer) {
