Let an end name what it saw, as exploring permits in the small showed, and explore them

Exploring two servers with stateright found a course that passes the limit: a leader sees a permit's server steady and proposes its end; before that is agreed on the holder asks to begin once more and is told that it may; the end is applied, the place is given away, and both leave. Lines at fault: Record's End took a permit whatever was granted since. An end names how many beginnings its leader saw, a holder's word its life (a word of an earlier life that comes late ends nothing). Test in record.rs.

--- a/crates/kit/src/drill/release.rs
+++ b/crates/kit/src/drill/release.rs
@@ -147,6 +147,8 @@
     under_way: Option<(Fault, usize, Instant)>,
     /// Servers that a fault took, and when: what they were asked then is owed nothing.
     hurt: Vec<(usize, u64, u64)>,
+    /// Releases that were started.
+    starts: u32,
 }
 
 impl Stage<'_> {
@@ -254,8 +256,12 @@
         Ok(last)
     }
 
+    /// Starts a release; each under a name of its own.
     fn start(&mut self, version: &str) -> io::Result<Result<String, String>> {
-        self.order(&Order::Start { plan: Box::new(plan(version)), by: Arc::from("the drill") })
+        self.starts += 1;
+        let mut plan = plan(version);
+        plan.name = format!("{}: to {version}", self.starts);
+        self.order(&Order::Start { plan: Box::new(plan), by: Arc::from("the drill") })
     }
 
     /// Sees a release through to its end; one that stood still for a fault is resumed, one that went back is started again.
@@ -271,7 +277,8 @@
                 return Ok(true);
             }
             if state.starts_with("halted") {
-                let (name, by) = (format!("to {version}"), Arc::from("the drill"));
+                let name = status["release"]["name"].as_str().unwrap_or_default().to_string();
+                let by = Arc::from("the drill");
                 let halts = status["release"]["halts"].as_u64().unwrap_or(0) as u32;
                 println!("  {state}; resumed");
                 let _ = self.order(&Order::Release(ReleaseOrder::Resume { name, halts, by }))?;
@@ -342,6 +349,7 @@
         next_fault: begin + Duration::from_secs(3_600),
         under_way: None,
         hurt: Vec::new(),
+        starts: 0,
     };
     let mut claims = Claims::default();
     let result = play(&mut stage, &mut claims);
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bench;
 pub mod control;
 pub mod drill;
+pub mod explore;
 pub mod fleet;
 pub mod forward;
 pub mod load;
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use gradepin_kit::control::Control;
+use gradepin_kit::explore::permits::{Small, Without};
 use gradepin_kit::fleet::{self, Fleet, FleetSpec};
 use gradepin_kit::load::{Fixed, Habit, Live, Proxy, Repeats, Retry, classes};
 use gradepin_kit::model::cli::{self as model, ModelCommand};
@@ -9,7 +10,7 @@
 use gradepin_kit::registry::faults::Script;
 use gradepin_kit::registry::server::{Server, ServerSettings};
 use gradepin_kit::registry::state::RegistrySettings;
-use gradepin_kit::{bench, drill, forward, measure};
+use gradepin_kit::{bench, drill, explore, forward, measure};
 use gradepin_node::registry::Client;
 use gradepin_node::settings::ServiceUrl;
 use gradepin_registry::instance::{Applications, Instance, Status};
@@ -36,6 +37,30 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Explore permits exhaustively in the small, with every rule and without each of three
+    Explore {
+        /// Servers; one may be out
+        #[arg(long, default_value_t = 4)]
+        servers: usize,
+        /// Entries at the most
+        #[arg(long, default_value_t = 6)]
+        entries: u64,
+        /// Eras of time
+        #[arg(long, default_value_t = 1)]
+        eras: u8,
+        /// Crashes, and permits that an operator frees
+        #[arg(long, default_value_t = 1)]
+        crashes: u8,
+        /// See `crashes`
+        #[arg(long, default_value_t = 1)]
+        frees: u8,
+        /// Seconds for each of the four at the most
+        #[arg(long, default_value_t = 300)]
+        seconds: u64,
+        /// Threads
+        #[arg(long, default_value_t = 4)]
+        threads: usize,
+    },
     /// A fleet of real servers with all their stand-ins and client proxies; a line a second, Ctrl-C drains it
     Fleet {
         /// Servers
@@ -716,6 +741,10 @@
             Ok(true)
         }
         Command::Model { command } => model::run(command, &*end()?),
+        Command::Explore { servers, entries, eras, crashes, frees, seconds, threads } => {
+            let small = Small { servers, entries, eras, crashes, frees, without: Without::Nothing };
+            Ok(explore::permits::run(&small, threads, Duration::from_secs(seconds)))
+        }
         Command::Drill { which: Which::Recovery { seed, kills, plain, daemon: told } } => {
             let daemon = daemon(told)?;
             Ok(drill::recovery::run(&drill::recovery::Drill { daemon, seed, kills, plain })?)
--- a/crates/releases/src/chair.rs
+++ b/crates/releases/src/chair.rs
@@ -7,7 +7,7 @@
 use crate::asker::{Answer, Ask, Want};
 use crate::council::{Council, Refused, VoterId};
 use crate::halt::{Cell, Total, Watch};
-use crate::record::{Command, Limits, Name, Outcome, Purpose, Record, Stage, Target, Why};
+use crate::record::{Command, Ends, Limits, Name, Outcome, Purpose, Record, Stage, Target, Why};
 use crate::release::{Kind, Plan, ReleaseOrder, State, Step};
 use gradepin_decisions::{Span, Time, after};
 use serde::{Deserialize, Serialize};
@@ -207,6 +207,7 @@
 #[derive(Debug)]
 struct Known {
     stage: Stage,
+    begins: u32,
     since: Time,
     /// The life that it began in, as far as it was heard, and those that were heard since.
     first: Option<u64>,
@@ -370,7 +371,7 @@
     }
 
     /// A server asks.
-    pub fn ask(&mut self, now: Time, council: &mut Council, from: &Name, ask: Ask) {
+    pub fn ask(&mut self, now: Time, council: &mut Council, from: &Name, life: u64, ask: Ask) {
         let number = ask.number;
         let target = Target::Server(Arc::clone(from));
         let record = council.record();
@@ -381,7 +382,7 @@
                 {
                     return self.answer(from, number, Answer::Wait(why));
                 }
-                (Command::Reserve { target, holder: Arc::clone(from), purpose: Purpose::Drain }, None)
+                (Command::Reserve { target, holder: Arc::clone(from), life, purpose: Purpose::Drain }, None)
             }
             Want::Begin(epoch) => {
                 if council.leads().is_some()
@@ -390,14 +391,14 @@
                 {
                     return self.answer(from, number, Answer::Wait(why));
                 }
-                (Command::Begin { epoch, holder: Arc::clone(from) }, Some(target))
+                (Command::Begin { epoch, holder: Arc::clone(from), life }, Some(target))
             }
             Want::Cancel(epoch) => {
                 let its = record.permits.get(&epoch).is_none_or(|permit| permit.holder == *from);
                 if !its {
                     return self.answer(from, number, Answer::Over);
                 }
-                (Command::End { epoch }, None)
+                (Command::End { epoch, by: Ends::Word(life) }, None)
             }
         };
         let whom = For::Server { name: Arc::clone(from), number, begin };
@@ -466,7 +467,7 @@
                     return Err(format!("a server asks itself: tell {name} to leave"));
                 }
                 self.fits(now, council.record(), &target).map_err(|why| why.to_string())?;
-                Command::Reserve { target, holder: by, purpose: Purpose::Drain }
+                Command::Reserve { target, holder: by, life: 0, purpose: Purpose::Drain }
             }
             Order::In { target, by } => {
                 let (epoch, permit) =
@@ -474,7 +475,7 @@
                 if permit.holder != by {
                     return Err(format!("the permit of {target} is {}'s", permit.holder));
                 }
-                Command::End { epoch }
+                Command::End { epoch, by: Ends::Word(permit.life) }
             }
             Order::Free { epoch, by, why } => Command::Free { epoch, by, why },
             Order::Strike { name, by, why } => {
@@ -653,13 +654,16 @@
         for (epoch, permit) in &record.permits {
             let known = self.permits.entry(*epoch).or_insert_with(|| Known {
                 stage: permit.stage.clone(),
+                begins: permit.begins,
                 since: now,
                 first: None,
                 lives: BTreeSet::new(),
                 told: None,
             });
-            if known.stage != permit.stage {
-                (known.stage, known.since) = (permit.stage.clone(), now);
+            if (&known.stage, known.begins) != (&permit.stage, permit.begins) {
+                (known.stage, known.begins, known.since) = (permit.stage.clone(), permit.begins, now);
+                // Its right is of the life that was heard by then, or of a later one.
+                known.first = None;
             }
             let since = known.since;
             let heard = match &permit.target {
@@ -688,12 +692,12 @@
                 (Stage::Begun, Target::Server(name))
                     if now >= over && self.steady(now, name, self.set.steady) =>
                 {
-                    due.push((*epoch, Command::End { epoch: *epoch }));
+                    due.push((*epoch, Command::End { epoch: *epoch, by: Ends::Steady(permit.begins) }));
                 }
                 (Stage::Reserved, Target::Server(name))
                     if now >= after(since, UNUSED) && self.steady(now, name, UNUSED) =>
                 {
-                    due.push((*epoch, Command::End { epoch: *epoch }));
+                    due.push((*epoch, Command::End { epoch: *epoch, by: Ends::Steady(permit.begins) }));
                 }
                 _ => {}
             }
@@ -823,11 +827,12 @@
             let target = Target::Server(Arc::clone(name));
             if heard.is_some() && self.fits(now, council.record(), &target).is_ok() {
                 let (holder, purpose) = (Arc::clone(name), Purpose::Release(number));
+                let life = heard.as_ref().map_or(0, |heard| heard.life);
                 self.once(
                     now,
                     council,
                     format!("reserve {name}"),
-                    Command::Reserve { target, holder, purpose },
+                    Command::Reserve { target, holder, life, purpose },
                 );
             }
             return false;
--- a/crates/releases/src/part.rs
+++ b/crates/releases/src/part.rs
@@ -344,7 +344,7 @@
             }
             Word::Report(report) => self.reported(now, from, life, *report),
             Word::Ask(ask) => match &mut self.council {
-                Some(council) => self.chair.ask(now, council, from, ask),
+                Some(council) => self.chair.ask(now, council, from, life, ask),
                 None => self.say(from, &Word::Answer(ask.number, Answer::Elsewhere(None))),
             },
             Word::Answer(number, answer) => self.answered(now, number, answer),
@@ -498,7 +498,7 @@
             if to == self.set.name {
                 if let Some(council) = &mut self.council {
                     let from = Arc::clone(&self.set.name);
-                    self.chair.ask(now, council, &from, ask);
+                    self.chair.ask(now, council, &from, self.set.life, ask);
                     self.chair_says(now);
                 }
             } else {
--- a/crates/releases/src/record.rs
+++ b/crates/releases/src/record.rs
@@ -98,6 +98,10 @@
     pub purpose: Purpose,
     /// How far it has got.
     pub stage: Stage,
+    /// How often its holder was told that it may begin: each is a right of its own.
+    pub begins: u32,
+    /// The life of its holder that asked last; 0 for a person.
+    pub life: u64,
 }
 
 /// What an operator did.
@@ -212,6 +216,8 @@
         target: Target,
         /// For whom.
         holder: Name,
+        /// In which of its lives.
+        life: u64,
         /// What for.
         purpose: Purpose,
     },
@@ -221,11 +227,15 @@
         epoch: u64,
         /// Who asks.
         holder: Name,
+        /// In which of its lives.
+        life: u64,
     },
     /// The permit is over: its target is back and steady, or never left.
     End {
         /// The permit.
         epoch: u64,
+        /// By what.
+        by: Ends,
     },
     /// An operator frees it.
     Free {
@@ -245,6 +255,16 @@
     Release(ReleaseOrder),
 }
 
+/// By what a permit ends. Either names what it saw: between the seeing and the agreeing the holder may have asked to begin once
+/// more, and what it was told then must not be taken from it unseen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ends {
+    /// A leader saw its target steady after so many beginnings.
+    Steady(u32),
+    /// Its holder's word, in this life.
+    Word(u64),
+}
+
 /// What a command came to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -319,14 +339,24 @@
                 }
                 self.act(index, by, format!("{name} struck from the roster"), why);
             }
-            Command::Reserve { target, holder, purpose } => {
-                return self.reserve(index, target, holder, purpose);
+            Command::Reserve { target, holder, life, purpose } => {
+                return self.reserve(index, target, holder, life, purpose);
             }
-            Command::Begin { epoch, holder } => return self.begin(epoch, &holder),
-            Command::End { epoch } => {
-                if self.permits.remove(&epoch).is_none() {
+            Command::Begin { epoch, holder, life } => return self.begin(epoch, &holder, life),
+            Command::End { epoch, by } => {
+                let Some(permit) = self.permits.get(&epoch) else {
                     return Outcome::Refused(Why::Stale(epoch));
+                };
+                let is_it = match by {
+                    Ends::Steady(begins) => permit.begins == begins,
+                    Ends::Word(life) => permit.life == life,
+                };
+                if !is_it {
+                    return Outcome::Refused(Why::Sense(format!(
+                        "permit {epoch} was asked for again meanwhile"
+                    )));
                 }
+                self.permits.remove(&epoch);
             }
             Command::Free { epoch, by, why } => {
                 let Some(permit) = self.permits.get_mut(&epoch) else {
@@ -355,14 +385,16 @@
         }
     }
 
-    fn reserve(&mut self, index: u64, target: Target, holder: Name, purpose: Purpose) -> Outcome {
-        if let Some((epoch, permit)) = self.permit_of(&target) {
+    fn reserve(&mut self, index: u64, target: Target, holder: Name, life: u64, purpose: Purpose) -> Outcome {
+        let known = self.permits.iter_mut().find(|(_, permit)| permit.target == target);
+        if let Some((&epoch, permit)) = known {
             // Asked again, here or elsewhere: the same permit, unless it is another's or was taken away.
             return if permit.holder != holder {
                 Outcome::Refused(Why::Other { epoch, holder: Arc::clone(&permit.holder) })
             } else if permit.stage == Stage::Freed {
                 Outcome::Refused(Why::Stale(epoch))
             } else {
+                permit.life = permit.life.max(life);
                 Outcome::Permit(epoch, permit.stage.clone())
             };
         }
@@ -375,11 +407,12 @@
         if let Err(why) = self.fits(&target, &BTreeSet::new()) {
             return Outcome::Refused(why);
         }
-        self.permits.insert(index, Permit { target, holder, purpose, stage: Stage::Reserved });
+        self.permits
+            .insert(index, Permit { target, holder, purpose, stage: Stage::Reserved, begins: 0, life });
         Outcome::Permit(index, Stage::Reserved)
     }
 
-    fn begin(&mut self, epoch: u64, holder: &Name) -> Outcome {
+    fn begin(&mut self, epoch: u64, holder: &Name, life: u64) -> Outcome {
         let purpose = match self.permits.get(&epoch) {
             None => return Outcome::Refused(Why::Stale(epoch)),
             Some(permit) if permit.stage == Stage::Freed => return Outcome::Refused(Why::Stale(epoch)),
@@ -395,6 +428,8 @@
         }
         if let Some(permit) = self.permits.get_mut(&epoch) {
             permit.stage = Stage::Begun;
+            permit.begins += 1;
+            permit.life = permit.life.max(life);
         }
         self.began(epoch);
         Outcome::Permit(epoch, Stage::Begun)
@@ -542,7 +577,7 @@
 
     fn reserve(record: &mut Record, index: u64, target: Target) -> Outcome {
         let holder = name(&format!("by {target}"));
-        record.apply(index, Command::Reserve { target, holder, purpose: Purpose::Drain })
+        record.apply(index, Command::Reserve { target, holder, life: 1, purpose: Purpose::Drain })
     }
 
     /// Guards the most of the fleet, of a zone and of a service, and says who is out.
@@ -595,7 +630,7 @@
         assert_eq!(reserve(&mut record, 21, server("n0")), Outcome::Permit(20, Stage::Reserved));
         let holder = name("by n0");
         let begin = |record: &mut Record, at, epoch, holder: &Name| {
-            record.apply(at, Command::Begin { epoch, holder: Arc::clone(holder) })
+            record.apply(at, Command::Begin { epoch, holder: Arc::clone(holder), life: 1 })
         };
         assert!(matches!(begin(&mut record, 22, 20, &name("x")), Outcome::Refused(Why::Other { .. })));
         assert_eq!(begin(&mut record, 23, 20, &holder), Outcome::Permit(20, Stage::Begun));
@@ -619,6 +654,28 @@
         assert_eq!(reserve(&mut record, 30, server("n0")), Outcome::Permit(30, Stage::Reserved));
     }
 
+    /// Guards a right that was given between the seeing of an end and its agreeing, and one of a later life against an earlier
+    /// life's word that comes late. Found by the exploration in the small.
+    #[test]
+    fn an_end_names_what_it_saw() {
+        let mut record = record();
+        reserve(&mut record, 20, server("n0"));
+        let holder = name("by n0");
+        let begin = |life| Command::Begin { epoch: 20, holder: Arc::clone(&holder), life };
+        record.apply(21, begin(1));
+        record.apply(22, begin(1));
+        let end = |by| Command::End { epoch: 20, by };
+        assert!(
+            matches!(record.apply(23, end(Ends::Steady(1))), Outcome::Refused(_)),
+            "it was told once more"
+        );
+        record.apply(24, begin(2));
+        assert!(matches!(record.apply(25, end(Ends::Word(1))), Outcome::Refused(_)), "another life has it");
+        assert!(matches!(record.fits(&server("n3"), &BTreeSet::new()), Err(Why::Zone { .. })));
+        assert_eq!(record.apply(26, end(Ends::Steady(3))), Outcome::Done);
+        assert!(matches!(record.apply(27, end(Ends::Word(2))), Outcome::Refused(Why::Stale(20))));
+    }
+
     /// Guards the record's size: acts and texts are bounded, and a place is had for who is gone.
     #[test]
     fn the_record_is_bounded() {
--- a/crates/releases/src/release.rs
+++ b/crates/releases/src/release.rs
@@ -384,13 +384,15 @@
 
     fn start(&mut self, index: u64, plan: Plan, by: Name, before: Vec<(Name, String)>) -> Outcome {
         if let Some(release) = &self.release
-            && (release.is_open() || release.plan == plan)
+            && (release.is_open() || release.plan.name == plan.name)
         {
-            // Said twice it is one; another has to wait.
-            return if release.plan == plan {
+            // Said twice it is one, also where the second word of it comes after its end; another has to wait.
+            return if release.plan == plan && !matches!(release.state, State::Undone(_)) {
                 Outcome::Done
-            } else {
+            } else if release.is_open() {
                 refused(format!("release {} is {}", release.plan.name, release.state))
+            } else {
+                refused(format!("release {} is {}; give another try another name", plan.name, release.state))
             };
         }
         if let Err(why) = plan.check() {
@@ -562,7 +564,12 @@
         stepped(&mut record, 41, "n3", Step::Back);
         assert_eq!(order(&mut record, 42, over), Outcome::Done);
         assert!(matches!(record.release.as_ref().unwrap().state, State::Undone(_)));
-        assert_eq!(start(&mut record, 43, plan("v3")), Outcome::Done, "the next one may begin");
+        let again = start(&mut record, 43, plan("v2"));
+        assert!(
+            matches!(&again, Outcome::Refused(why) if why.to_string().ends_with("another name")),
+            "{again:?}"
+        );
+        assert_eq!(start(&mut record, 44, plan("v3")), Outcome::Done, "the next one may begin");
     }
 
     /// Guards a halt: no step of the release is granted while it stands still, and one that was reserved doesn't begin.
@@ -573,17 +580,19 @@
         let reserve = |server: &str| Command::Reserve {
             target: Target::Server(name(server)),
             holder: name(server),
+            life: 1,
             purpose: Purpose::Release(20),
         };
         assert!(matches!(record.apply(21, reserve("n0")), Outcome::Permit(21, _)));
         halt(&mut record, 22);
         assert!(matches!(record.apply(23, reserve("n1")), Outcome::Refused(Why::Release(_))));
-        let begin = Command::Begin { epoch: 21, holder: name("n0") };
+        let begin = Command::Begin { epoch: 21, holder: name("n0"), life: 1 };
         assert!(matches!(record.apply(24, begin), Outcome::Refused(Why::Release(_))));
         // A drain by hand has nothing to do with it, and draws on the same permits.
         let drain = |server: &str| Command::Reserve {
             target: Target::Server(name(server)),
             holder: name(server),
+            life: 1,
             purpose: Purpose::Drain,
         };
         assert!(matches!(record.apply(25, drain("n1")), Outcome::Permit(25, _)));
--- a/crates/releases/tests/council.rs
+++ b/crates/releases/tests/council.rs
@@ -224,7 +224,7 @@
         agree(&mut world, &enrol(1));
         let reserve = |n: usize| {
             let (target, holder) = (Target::Server(name(n)), name(n));
-            Command::Reserve { target, holder, purpose: Purpose::Drain }
+            Command::Reserve { target, holder, life: 1, purpose: Purpose::Drain }
         };
         let ticket = world.propose(reserve(0)).expect("it leads");
         // At any point between the proposal and the answer.
