--- /dev/null
+++ b/crates/kit/src/bench/council.rs
@@ -0,0 +1,162 @@
+//! What a permit costs: voters with files on a real disk in one process, no net between them. Time from a server's question until it may
+//! begin, syncs, and what the files keep.
+
+use gradepin_decisions::{Span, Time, after};
+use gradepin_releases::chair::{ChairSettings, Report};
+use gradepin_releases::council::Found;
+use gradepin_releases::part::{Effect, Part, PartSettings};
+use gradepin_releases::record::{Limits, Name};
+use gradepin_store::council::CouncilLog;
+use gradepin_store::disk::Folder;
+use hdrhistogram::Histogram;
+use std::collections::VecDeque;
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const MS: u64 = 1_000_000;
+
+struct Voter {
+    name: Name,
+    part: Part,
+    log: CouncilLog,
+    found: Found,
+}
+
+struct World {
+    voters: Vec<Voter>,
+    net: VecDeque<(usize, usize, Vec<u8>)>,
+    begin: Instant,
+    syncs: u64,
+    may: Option<usize>,
+}
+
+impl World {
+    fn new(folder: &Path, count: usize) -> io::Result<Self> {
+        let names: Vec<Name> = (0..count).map(|n| Arc::from(format!("n{n}"))).collect();
+        let mut voters = Vec::new();
+        for (n, name) in names.iter().enumerate() {
+            let files = Folder::open(&folder.join(format!("{count}-{n}"))).map_err(io::Error::other)?;
+            let (log, found) = CouncilLog::open(Box::new(files), 100 + n as u64).map_err(io::Error::other)?;
+            let limits = Limits { fleet: 1, zone: 1, ..Limits::default() };
+            let set = PartSettings {
+                name: Arc::clone(name),
+                life: 1 << 20,
+                zone: format!("z{n}"),
+                voters: names.clone(),
+                folder: Some(found.clone()),
+                chair: ChairSettings { limits, steady: Span(MS), ..ChairSettings::default() },
+                waits: true,
+                seed: n as u64,
+            };
+            voters.push(Voter { name: Arc::clone(name), part: Part::new(set, Time(MS)), log, found });
+        }
+        Ok(Self { voters, net: VecDeque::new(), begin: Instant::now(), syncs: 0, may: None })
+    }
+
+    fn now(&self) -> Time {
+        after(Time(MS), Span(self.begin.elapsed().as_nanos() as u64))
+    }
+
+    /// One turn of all; whether anything happened.
+    fn turn(&mut self) -> io::Result<bool> {
+        let mut busy = !self.net.is_empty();
+        for (from, to, bytes) in std::mem::take(&mut self.net) {
+            let (now, name) = (self.now(), Arc::clone(&self.voters[from].name));
+            self.voters[to].part.word(now, &name, 1 << 20, &bytes);
+        }
+        for n in 0..self.voters.len() {
+            let now = self.now();
+            let voter = &mut self.voters[n];
+            voter.part.tells(now, Report { zone: format!("z{n}"), ready: true, ..Report::default() });
+            let mut effects = Vec::new();
+            voter.part.step(now, &mut effects);
+            for effect in effects {
+                busy = true;
+                match effect {
+                    Effect::Send(to, bytes) => {
+                        let to = self.voters.iter().position(|voter| voter.name == to);
+                        self.net.extend(to.map(|to| (n, to, bytes)));
+                    }
+                    Effect::Write(number, records) => {
+                        let voter = &mut self.voters[n];
+                        voter.log.write(&voter.found, &records).map_err(io::Error::other)?;
+                        self.syncs += 1;
+                        voter.part.written(number);
+                    }
+                    Effect::MayLeave(..) => self.may = Some(n),
+                    _ => {}
+                }
+            }
+        }
+        Ok(busy)
+    }
+
+    fn until(&mut self, most: Duration, holds: impl Fn(&Self) -> bool) -> io::Result<bool> {
+        let begin = Instant::now();
+        while !holds(self) {
+            if begin.elapsed() > most {
+                return Ok(false);
+            }
+            if !self.turn()? {
+                std::thread::sleep(Duration::from_micros(100));
+            }
+        }
+        Ok(true)
+    }
+}
+
+/// Prints a line for each size.
+pub fn run(folder: &Path, sizes: &[usize], grants: u64) -> io::Result<()> {
+    for &count in sizes {
+        let mut world = World::new(folder, count)?;
+        let slow = Duration::from_secs(20);
+        world.until(Duration::from_secs(2), |_| false)?;
+        let now = world.now();
+        world.voters[0].part.found(now).map_err(io::Error::other)?;
+        let whole = |world: &World| {
+            let record = world.voters[0].part.record();
+            record.is_some_and(|record| record.roster.len() == world.voters.len() && record.limits.fleet == 1)
+        };
+        if !world.until(slow, whole)? {
+            return Err(io::Error::other("the council was not founded"));
+        }
+        let mut times = Histogram::<u64>::new(3).map_err(io::Error::other)?;
+        let syncs = world.syncs;
+        for grant in 0..grants {
+            let n = grant as usize % count;
+            let (asked, now) = (Instant::now(), world.now());
+            world.may = None;
+            world.voters[n].part.leave(now);
+            if !world.until(slow, |world| world.may == Some(n))? {
+                let why = world.voters[n].part.status(world.now()).waits;
+                return Err(io::Error::other(format!("grant {grant} was not given: {why:?}")));
+            }
+            times.record(asked.elapsed().as_micros() as u64).map_err(io::Error::other)?;
+            let now = world.now();
+            world.voters[n].part.stay(now);
+            let over = |world: &World| {
+                world
+                    .voters
+                    .iter()
+                    .all(|voter| voter.part.record().is_some_and(|record| record.permits.is_empty()))
+            };
+            world.until(slow, over)?;
+        }
+        let bytes = |n: usize| -> u64 {
+            let files =
+                std::fs::read_dir(folder.join(format!("{count}-{n}"))).into_iter().flatten().flatten();
+            files.filter_map(|file| file.metadata().ok()).map(|meta| meta.len()).sum()
+        };
+        println!(
+            "{count} voters, {grants} grants: p50 {:.1} ms, p99 {:.1} ms until a server may begin; {:.1} syncs a grant and its end, of all \
+             voters; {} bytes kept by a voter",
+            times.value_at_quantile(0.5) as f64 / 1e3,
+            times.value_at_quantile(0.99) as f64 / 1e3,
+            (world.syncs - syncs) as f64 / grants as f64,
+            (0..count).map(bytes).max().unwrap_or_default()
+        );
+    }
+    Ok(())
+}
--- a/crates/kit/src/bench/mod.rs
+++ b/crates/kit/src/bench/mod.rs
@@ -23,6 +23,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+pub mod council;
 pub mod doors;
 pub mod fronts;
 pub mod keys;
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -294,6 +294,15 @@
         #[arg(long)]
         daemon: Option<PathBuf>,
     },
+    /// What a permit costs: time until a server may begin, syncs, bytes kept
+    Council {
+        /// Voters
+        #[arg(long, value_delimiter = ',', default_values_t = [3, 5])]
+        sizes: Vec<usize>,
+        /// Grants of each
+        #[arg(long, default_value_t = 10_000)]
+        grants: u64,
+    },
     /// The sketch of heavy clients beside a map of all, and two ways to take turns
     Doors {
         /// Clients
@@ -713,6 +722,13 @@
             bench::peers::run(&daemon(told)?, &sizes, &rates, seconds)?;
             Ok(true)
         }
+        Command::Bench { what: What::Council { sizes, grants } } => {
+            let folder = fleet::folder("bench-council")?;
+            let result = bench::council::run(&folder, &sizes, grants);
+            fleet::remove(&folder);
+            result?;
+            Ok(true)
+        }
         Command::Bench { what: What::Doors { sizes } } => {
             bench::doors::run(&sizes);
             Ok(true)
--- a/crates/kit/src/model/cli.rs
+++ b/crates/kit/src/model/cli.rs
@@ -162,7 +162,7 @@
 /// Carries a command out; `end` is set by Ctrl-C.
 pub fn run(command: ModelCommand, end: &AtomicBool) -> Result<bool, Box<dyn Error>> {
     match command {
-        ModelCommand::Peers(args) => Ok(peers::run(&args)),
+        ModelCommand::Peers(args) => peers::run(&args),
         ModelCommand::Releases(args) => Ok(agreed::run(&args)),
         ModelCommand::Run { day, html, json, svg, save } => {
             let plan = day.plan()?;
