Ask the record which program a release wants, and take a halt down in one place

Read again: the reducer and the model's supervisor each looked up which program a server shall have (Record::program_for serves both); the chair took a halt down in two branches, before and after it knew whether it leads; Chair::retune was called by nothing; three scenarios began with the same lines.

--- a/crates/core/src/reducer/agreed.rs
+++ b/crates/core/src/reducer/agreed.rs
@@ -216,10 +216,7 @@
             FleetCall::Became(ticket) => FleetAnswer::Became(part.became(ticket)),
             FleetCall::Found => FleetAnswer::Said(part.found(now)),
             FleetCall::Wanted(name) => {
-                let release = part.record().and_then(|record| record.release.as_ref());
-                let release = release.filter(|release| release.plan.kind == Kind::Program);
-                let server = release.and_then(|release| Some((release, release.servers.get(name.as_str())?)));
-                FleetAnswer::Wanted(server.map(|(release, server)| release.wanted(server)))
+                FleetAnswer::Wanted(part.record().and_then(|record| record.program_for(&name)))
             }
             FleetCall::Leave => {
                 self.asks_to_leave();
--- a/crates/gradepin/tests/fleet.rs
+++ b/crates/gradepin/tests/fleet.rs
@@ -24,17 +24,26 @@
     stage
 }
 
+/// One that has just started, with a run that asked for its call: the module made it, and it waits for its slot.
+fn waiting_for_a_slot() -> Virtually {
+    let mut stage = Virtually::lending(calling);
+    play(
+        &mut stage,
+        "wait 20
+         send a call 1 rid=1 body=one
+         send processor ask 1 1 one",
+    );
+    stage
+}
+
 /// Guards the bound over a restart: calls of the earlier life may still be with the ledger, so none leaves before they are
 /// certainly over, though the module makes it at once.
 #[test]
 fn no_call_leaves_before_those_of_an_earlier_life_are_over() {
-    let mut stage = Virtually::lending(calling);
+    let mut stage = waiting_for_a_slot();
     play(
         &mut stage,
-        "wait 20
-         send a call 1 rid=1 body=one
-         send processor ask 1 1 one
-         wait 150
+        "wait 150
          expect no ledger call
          wait 60
          expect ledger call 1 one
@@ -49,13 +58,10 @@
 /// slot: it would look slow while it is this server that holds calls back.
 #[test]
 fn a_wait_for_a_slot_is_not_the_ledgers_time() {
-    let mut stage = Virtually::lending(calling);
+    let mut stage = waiting_for_a_slot();
     play(
         &mut stage,
-        "wait 20
-         send a call 1 rid=1 body=one
-         send processor ask 1 1 one
-         wait 230
+        "wait 230
          expect ledger call 1 one
          wait 10
          send ledger 1 500
@@ -67,13 +73,10 @@
 /// count though nobody calls for them any more.
 #[test]
 fn a_run_waits_for_a_slot_until_its_call_is_made_or_given_up() {
-    let mut stage = Virtually::lending(calling);
+    let mut stage = waiting_for_a_slot();
     play(
         &mut stage,
-        "wait 20
-         send a call 1 rid=1 body=one
-         send processor ask 1 1 one
-         until admin stats 200 server_fleet_waiting 1.0
+        "until admin stats 200 server_fleet_waiting 1.0
          wait 230
          expect ledger call 1 one
          until admin stats 200 server_fleet_waiting 0.0
--- a/crates/model/src/agreed/mod.rs
+++ b/crates/model/src/agreed/mod.rs
@@ -237,9 +237,7 @@
         let all = self.servers.iter().filter(|server| !server.stopped && server.ready);
         let records = all.filter_map(|server| server.part.as_ref()?.record());
         let newest = records.max_by_key(|record| record.index);
-        let release =
-            newest.and_then(|record| record.release.as_ref()).filter(|r| r.plan.kind == Kind::Program);
-        let wanted = release.and_then(|release| Some(release.wanted(release.servers.get(name)?)));
+        let wanted = newest.and_then(|record| record.program_for(name));
         wanted.filter(|_| self.supervised).unwrap_or_else(|| self.servers[n].program.clone())
     }
 
--- a/crates/releases/src/chair.rs
+++ b/crates/releases/src/chair.rs
@@ -260,11 +260,6 @@
         }
     }
 
-    /// New settings, told at a reload.
-    pub fn retune(&mut self, set: ChairSettings) {
-        self.set = set;
-    }
-
     /// What is to be said since the last call.
     pub fn says(&mut self) -> Vec<Says> {
         std::mem::take(&mut self.says)
@@ -442,10 +437,11 @@
 
     /// An operator orders something; the answer comes as [`Says::Ordered`] with the ticket.
     pub fn order(&mut self, now: Time, council: &mut Council, ticket: u64, order: Order) {
+        if let Order::Release(ReleaseOrder::Halt { name, .. }) = &order {
+            // It takes effect here before anybody agrees.
+            self.halt(council.record(), name);
+        }
         if council.leads().is_none() {
-            if let Order::Release(ReleaseOrder::Halt { name, .. }) = &order {
-                self.halt(council.record(), name);
-            }
             let leader = council.leader().and_then(|id| council.record().voters.get(&id).cloned());
             return self.says.push(Says::Ordered(ticket, Ordered::Elsewhere(leader)));
         }
@@ -520,13 +516,7 @@
                 let before = before.collect();
                 Command::Release(ReleaseOrder::Start { plan, by, before })
             }
-            Order::Release(order) => {
-                if let ReleaseOrder::Halt { name, .. } = &order {
-                    // It takes effect here before anybody agrees.
-                    self.halt(council.record(), name);
-                }
-                Command::Release(order)
-            }
+            Order::Release(order) => Command::Release(order),
         };
         self.propose(now, council, command, For::Operator(ticket)).map(drop).map_err(|why| why.to_string())
     }
--- a/crates/releases/src/release.rs
+++ b/crates/releases/src/release.rs
@@ -433,6 +433,12 @@
         Outcome::Done
     }
 
+    /// The program that the release, if there is one, wants a server to have: for whoever starts its process.
+    pub fn program_for(&self, name: &str) -> Option<String> {
+        let release = self.release.as_ref().filter(|release| release.plan.kind == Kind::Program)?;
+        Some(release.wanted(release.servers.get(name)?))
+    }
+
     /// Permits of a release, by server.
     pub fn release_permits(&self, number: u64) -> impl Iterator<Item = (u64, &Name, &Stage)> {
         self.permits.iter().filter_map(move |(epoch, permit)| match (&permit.target, &permit.purpose) {
