Hold each connection's life under one lock, with half-close and lingering close

Cause: by reading, each shown by a test. The old writer (outgoing.rs, end) shut both ways at a close, so bytes that came in that instant reset the connection and took answers just written along. Reading::turn took a peer's shut half, half a frame, a frame that makes no sense (also end_late) for the end of the connection: owed answers behind it were dropped. A thread that could not be started ended a healthy connection. SharedLedger::call told a call without room to the queue that its own thread empties. A notice to leave between the bind and the handlers killed a process with connections waiting. The end of a drain that nobody stopped left what waited in sockets. Ruled out: Life's lock held over a full queue (passing on sends after it), an edge lost while held back (what waits implies EAGAIN since, so epoll tells again). Change: one struct and lock a connection (fronts/conn.rs), no writer threads; Input::Ended beside Input::Closed; lingering close, bounded in time, bytes and places; signals taken before anything listens; an address still held is tried for 10 s; the process closes down before it ends; spare places for health checks when all others are taken.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -49,8 +49,11 @@
 /// Least memory that the process can do with.
 const LEAST_MEMORY_MB: u64 = 16;
 
-/// Descriptors kept back for the listener, the link, signals, standard streams and health checks.
+/// Descriptors kept back for the listener, the link, reports, signals, standard streams and the spare places.
 const RESERVED_SOCKETS: usize = 32;
+/// Of those, places for connections that come while all others are taken: each has one exchange, a health check or a
+/// refusal, and is closed. Guards against peers that fill all places for as long as they like.
+pub const SPARE_PLACES: usize = 8;
 /// Kept back beside those where there is a door for operators: its listener and its callers.
 pub const ADMIN_SOCKETS: usize = 33;
 
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -68,7 +68,10 @@
 pub enum Input {
     /// A client connection was accepted.
     Opened(ConnId),
-    /// It ended, or can't be used any more.
+    /// Nothing more comes from it: its peer has shut its half, or sent what is no message. All that came before was
+    /// passed on, and is owed its answers.
+    Ended(ConnId),
+    /// It is over, or can't be used any more.
     Closed(ConnId),
     /// A request.
     Call(ConnId, SeqId, Box<Call>),
@@ -184,7 +187,7 @@
     Answer(ConnId, SeqId, Answer, Option<f64>),
     /// Tell a connection that no more requests should come on it.
     Draining(ConnId),
-    /// Close a connection once all is written.
+    /// Close a connection once all is written; [`Input::Closed`] follows when its peer has ended it too.
     Close(ConnId),
     /// Close a connection if nothing is under way on it: no more than so many of its messages were passed on, and
     /// nothing waits unread.
--- a/crates/core/src/reducer/connections.rs
+++ b/crates/core/src/reducer/connections.rs
@@ -28,6 +28,10 @@
     spoke: bool,
     /// Since when it is asked to drain.
     draining: Option<Time>,
+    /// Nothing more comes from it; it is closed once what is open is answered.
+    ended: bool,
+    /// Nothing more is taken from it; the same holds once nothing of it is under way.
+    pub(super) refused: bool,
     /// Messages taken in from it.
     taken: u64,
     /// Until when nothing was read from it, the last time that its pace held it back.
@@ -47,8 +51,9 @@
 #[derive(Debug)]
 pub(super) struct Connections {
     table: BTreeMap<ConnId, Connection>,
-    /// Connections from which on newcomers take the places of resting ones.
+    /// Connections from which on newcomers take the places of resting ones, and from which on they have spare places.
     room: usize,
+    most: usize,
     /// Those with nothing open, and when to look at which whether it is idle.
     resting: Resting,
     looks: Wheel<ConnId>,
@@ -60,7 +65,7 @@
     /// For so many connections at the most.
     pub(super) fn new(most: usize) -> Self {
         let (table, resting, looks) = (BTreeMap::new(), Resting::default(), Wheel::default());
-        Self { table, room: most * 7 / 8, resting, looks, idle: None }
+        Self { table, room: most * 7 / 8, most, resting, looks, idle: None }
     }
 
     pub(super) fn len(&self) -> usize {
@@ -124,6 +129,13 @@
         self.rest(conn, now);
     }
 
+    /// Nothing more is taken from it.
+    pub(super) fn refuse(&mut self, conn: ConnId) {
+        if let Some(connection) = self.table.get_mut(&conn) {
+            connection.refused = true;
+        }
+    }
+
     /// Near the limit, a newcomer takes the place of a connection with nothing open: of the one that rested longest,
     /// and one that never said anything counts as if for twice as long. It may have sent what was not read yet, so
     /// it is closed only where that is not so, and one that has only just come or spoken stays. Guards against silent
@@ -163,8 +175,13 @@
         if let Some(rested) = self.conns.makes_room(self.moment.now) {
             self.close_resting(rested);
         }
+        let spare = self.conns.len() >= self.conns.most;
         self.conns.opened(conn, self.moment.now);
-        if self.drain.is_told() {
+        if spare {
+            // A health check is answered there and a request turned away; then it makes room for the next.
+            self.conns.refuse(conn);
+        }
+        if spare || self.drain.is_told() {
             self.ask_to_drain(conn);
         }
     }
@@ -174,7 +191,28 @@
             for id in connection.open.into_values().collect::<BTreeSet<_>>() {
                 self.gone(&id);
             }
-            self.effects.push(Effect::Close(conn));
+        }
+    }
+
+    /// Nothing more comes from a connection: it is closed once what is open on it is answered. Until then it is asked
+    /// to drain, which costs a peer that reads nothing, and makes one that is gone altogether answer with a reset.
+    pub(super) fn input_ended(&mut self, conn: ConnId) {
+        let Some(connection) = self.conns.table.get_mut(&conn) else { return };
+        connection.ended = true;
+        if !connection.open.is_empty() {
+            self.ask_to_drain(conn);
+        }
+        self.close_if_over(conn);
+    }
+
+    /// Closes a connection from which nothing more is to come, once it is owed nothing.
+    pub(super) fn close_if_over(&mut self, conn: ConnId) {
+        match self.conns.table.get(&conn) {
+            Some(connection) if !connection.open.is_empty() => {}
+            Some(connection) if connection.ended => self.effects.push(Effect::Close(conn)),
+            // What is on its way from it yet is answered first.
+            Some(connection) if connection.refused => self.close_resting(conn),
+            _ => {}
         }
     }
 
--- a/crates/core/src/reducer/drain.rs
+++ b/crates/core/src/reducer/drain.rs
@@ -12,12 +12,15 @@
 const STOP_MARGIN: Span = Span(100 * MS);
 /// After the told stop: the end of a process that nobody stopped.
 const STOP_OVERDUE: Span = Span(2_000 * MS);
+/// How long that end may take: no more is accepted, what was accepted is answered, and what rests is closed.
+const CLOSE_DOWN: Span = Span(1_500 * MS);
 
 /// Whether and how the process leaves.
 #[derive(Debug)]
 pub(super) struct Drain {
-    /// Whether the notice to leave has come, and when the process ends if nobody stops it.
-    told: bool,
+    /// When the notice to leave came.
+    told: Option<Time>,
+    /// When the process closes down if nobody stops it; then, when it ends whatever stands.
     exit_at: Option<Time>,
     /// From the notice to the stop.
     pub(super) stop: Span,
@@ -27,12 +30,12 @@
 
 impl Drain {
     pub(super) fn new(stop: Span) -> Self {
-        Self { told: false, exit_at: None, stop, handover: Handover::default() }
+        Self { told: None, exit_at: None, stop, handover: Handover::default() }
     }
 
     /// Whether the notice to leave has come.
     pub(super) fn is_told(&self) -> bool {
-        self.told
+        self.told.is_some()
     }
 
     /// When it is due though nothing comes in.
@@ -43,16 +46,16 @@
 
     /// When the notice came; now, if it didn't.
     pub(super) fn since(&self, now: Time) -> Time {
-        let spent = Span(self.stop.0.saturating_add(STOP_OVERDUE.0));
-        self.exit_at.map_or(now, |exit| before(exit, spent))
+        self.told.unwrap_or(now)
     }
 }
 
 impl Reducer {
     pub(super) fn terminate(&mut self) {
-        if std::mem::replace(&mut self.drain.told, true) {
+        if self.drain.is_told() {
             return;
         }
+        self.drain.told = Some(self.moment.now);
         self.drain.exit_at = Some(after(after(self.moment.now, self.drain.stop), STOP_OVERDUE));
         if self.drain.handover.begin(self.moment.now, self.drain.stop) {
             self.effects.push(Effect::StopAccepting);
@@ -69,7 +72,7 @@
 
     /// Out of service for all who list this server, while callers may still think otherwise; then the drain.
     pub(super) fn take_out(&mut self) {
-        if self.drain.told || !self.registration.take_out(self.moment.now) {
+        if self.drain.is_told() || !self.registration.take_out(self.moment.now) {
             return;
         }
         self.changed();
@@ -77,7 +80,7 @@
     }
 
     pub(super) fn take_in(&mut self) {
-        if self.drain.told || !self.registration.take_in() {
+        if self.drain.is_told() || !self.registration.take_in() {
             return;
         }
         self.changed();
@@ -91,7 +94,7 @@
         self.events.push(Event::Sigterm(Span(end.0.saturating_sub(self.moment.now.0))));
     }
 
-    /// What keeps an old process that hands over: requests owed an answer, and connections. Those that rest after
+    /// What keeps a process that hands over or closes down: requests owed an answer, and connections. Those that rest after
     /// they were asked to drain are closed where nothing of them is unread.
     pub(super) fn left(&mut self) -> Left {
         let now = self.moment.now;
@@ -103,9 +106,16 @@
         Left { open: self.requests.owed(), connections: self.conns.len() }
     }
 
-    /// Ends the process when its time is up, or all is handed over.
+    /// Ends the process when its time is up, or all is handed over. It closes down first: a request that came in the
+    /// last instant is answered, and its connection closed as any other, not reset by the end of the process.
     pub(super) fn end(&mut self) {
         let now = self.moment.now;
+        let due = self.drain.exit_at.is_some_and(|at| now >= at);
+        if due && self.drain.handover.close_down(now, CLOSE_DOWN) {
+            self.drain.exit_at = Some(after(now, CLOSE_DOWN));
+            self.effects.push(Effect::StopAccepting);
+            return;
+        }
         let handed = self.drain.handover.is_under_way() && {
             let left = self.left();
             self.drain.handover.may_leave(now, left)
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -183,6 +183,7 @@
         }
         match input {
             Input::Opened(conn) => self.opened(conn),
+            Input::Ended(conn) => self.input_ended(conn),
             Input::Closed(conn) => self.closed(conn),
             Input::Call(conn, seq, call) => self.call(conn, seq, *call),
             Input::Invalid(conn, seq, misuse, why) => self.invalid(conn, seq, None, misuse, why),
@@ -192,6 +193,7 @@
                 let good = self.active && self.door.failed_since().is_none();
                 let health = Answer::Health(good, self.ledger.standing(self.moment.now).word());
                 self.effects.push(Effect::Answer(conn, seq, health, self.hint));
+                self.close_if_over(conn);
             }
             Input::LinkUp { link, cold, age } => self.link_up(link, cold, age),
             Input::LinkDown => {
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -138,11 +138,13 @@
     pub(super) fn call(&mut self, conn: ConnId, seq: SeqId, call: Call) {
         let Some(connection) = self.conns.touch(conn, self.moment.now) else { return };
         if connection.open.contains_key(&seq) {
-            // Two answers under one number could not be told apart.
+            // Two answers under one number could not be told apart: the first keeps its own, and nothing more is taken.
             self.log(Level::Warning, format!("closing connection {conn}: request {seq} came twice"));
-            return self.closed(conn);
+            self.conns.refuse(conn);
+            return self.ask_to_drain(conn);
         }
         let (opened, paced, open) = (connection.opened, connection.paced, connection.open.len());
+        let refused = connection.refused;
         if !self.classes.takes(call.class, self.moment.now) {
             let why = format!(
                 "unknown method \"{}\": the class was dropped",
@@ -150,7 +152,7 @@
             );
             return self.invalid(conn, seq, Some(call.class), Misuse::NotFound, why);
         }
-        if open >= WINDOW || self.requests.body_bytes > self.requests.most_bodies {
+        if refused || open >= WINDOW || self.requests.body_bytes > self.requests.most_bodies {
             // Guards against hundreds of requests at once: left unread, they would hide cancels and the close. And
             // against more bodies than the memory holds, on many connections.
             return self.turn_away(conn, seq, call.class, Span(0));
@@ -252,6 +254,7 @@
         let answer = Answer::Refused { backoff, last: false };
         self.tally.answered(&self.settings.profiles[class].name, &answer);
         self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
+        self.close_if_over(conn);
     }
 
     /// Keyed, so that nobody can choose two bodies with one print; and by name, which a store outlives.
@@ -290,6 +293,7 @@
             self.tally.answered(&self.settings.profiles[class].name, &answer);
         }
         self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
+        self.close_if_over(conn);
     }
 
     pub(super) fn cancel(&mut self, conn: ConnId, seq: SeqId) {
@@ -300,6 +304,7 @@
         self.conns.rest(conn, self.moment.now);
         if let Some(id) = open {
             self.gone(&id);
+            self.close_if_over(conn);
         }
     }
 
@@ -361,5 +366,6 @@
         self.tally.answered(&self.settings.profiles[open.class].name, &answer);
         self.conns.answered(conn, seq, self.moment.now);
         self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
+        self.close_if_over(conn);
     }
 }
--- a/crates/gradepin/tests/node.rs
+++ b/crates/gradepin/tests/node.rs
@@ -83,13 +83,40 @@
         expect processor begin 2");
 }
 
+/// Guards against owed answers lost because their peer sends nothing more: a shut half is no close.
 #[test]
-fn a_reused_seqid_closes_the_connection_and_a_reused_rid_is_an_exception() {
+fn a_half_closed_connection_is_answered_whole_and_then_closed() {
     up("send a call 1 rid=1
+        send a call 2 rid=2
+        half-close a
+        expect a draining
+        expect no a closed
+        send processor complete 1 2 OK two
+        expect a 2 served two
+        expect no a closed
+        send processor complete 2 1 OK one
+        expect a 1 served one
+        expect a closed
+        send b health 1
+        half-close b
+        expect b closed");
+}
+
+#[test]
+fn a_reused_seqid_closes_the_connection_once_its_first_is_answered_and_a_reused_rid_is_an_exception() {
+    up("send a call 1 rid=1
+        expect processor begin 1
         send b call 1 rid=1
         expect b 1 invalid the rid
         send a call 1 rid=2
+        expect a draining
+        send a call 2 rid=3
+        expect a 2 refused
+        expect no a closed
+        send processor complete 1 1 OK out
+        expect a 1 served out
         expect a closed
+        expect no processor begin
         send b health 2
         expect b 2 good");
 }
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -22,7 +22,12 @@
 //! - `send claims RID ours|unsure|failed|served ..`: whose a keyed run is, where two processes of an upgrade share them;
 //!   asked for as `claim RID TOKEN`, its end told as `claim-ended TOKEN served|failed|void`.
 //! - `open CONN`: a connection opens, and nothing is sent on it.
-//! - `close CONN` and `close processor`: a peer ends its connection.
+//! - `close CONN` and `close processor`: a peer ends its connection, both ways at once.
+//! - `half-close CONN`: it sends nothing more, and still reads. `reset CONN`: it is gone, and what is unread with it; on
+//!   sockets alone, as are the next three.
+//! - `hold CONN` reads nothing of a connection that is not open yet, until `release CONN`. `flood CONN COUNT health` and
+//!   `flood CONN COUNT hex BYTES` send the same so many times, as fast as the server reads it.
+//! - `trickle CONN call SEQ ..`: sends a call byte by byte, each once the one before has left.
 //! - `wait MS`: time passes; on the virtual stage no real time does.
 //!
 //! The processor answers every `usage` by itself, unless it was sent `mute`.
@@ -61,6 +66,19 @@
     }
     fn open(&mut self, conn: &str);
     fn close(&mut self, peer: &str);
+    fn half_close(&mut self, conn: &str);
+    fn reset(&mut self, conn: &str) {
+        panic!("this stage resets no connection: {conn}");
+    }
+    fn hold(&mut self, conn: &str, holds: bool) {
+        panic!("this stage holds no connection: {conn} {holds}");
+    }
+    fn flood(&mut self, conn: &str, bytes: &[u8]) {
+        panic!("this stage has no floods: {conn} of {}", bytes.len());
+    }
+    fn trickle(&mut self, conn: &str, bytes: &[u8]) {
+        panic!("this stage sends whole messages alone: {conn} of {}", bytes.len());
+    }
     fn wait(&mut self, ms: u64);
     /// The Unix clock, in ms.
     fn unix_ms(&self) -> u64;
@@ -186,6 +204,17 @@
             }
             ["open", conn] => stage.open(conn),
             ["close", peer] => stage.close(peer),
+            ["half-close", conn] => stage.half_close(conn),
+            ["reset", conn] => stage.reset(conn),
+            ["hold", conn] => stage.hold(conn, true),
+            ["release", conn] => stage.hold(conn, false),
+            ["trickle", conn, "call", ..] => stage.trickle(conn, &call(&words[3..], stage.unix_ms())),
+            ["flood", conn, _, "health"] => {
+                stage.flood(conn, &(1..=seq(2)).flat_map(thrift::health).collect::<Vec<u8>>())
+            }
+            ["flood", conn, _, "hex", bytes] => {
+                stage.flood(conn, &thrift::unhex(bytes).repeat(seq(2) as usize))
+            }
             ["wait", ms] => stage.wait(ms.parse().expect("milliseconds")),
             _ => panic!("{at}: not in the scenario language"),
         }
--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -27,6 +27,8 @@
     whole: String,
     address: String,
     conns: HashMap<String, TcpStream>,
+    /// Connections that read nothing until their gate is dropped.
+    gates: HashMap<String, Sender<()>>,
     held_back: Vec<u8>,
     link: Slot,
     started: Instant,
@@ -50,7 +52,7 @@
         let mut program = Command::new(env!("CARGO_BIN_EXE_gradepin"));
         let program = program.arg("serve").env("GW_CONFIG", &file).stderr(Stdio::null());
         let program = program.spawn().expect("the program starts");
-        let (conns, held_back) = (HashMap::new(), Vec::new());
+        let (conns, gates, held_back) = (HashMap::new(), HashMap::new(), Vec::new());
         let events = Vec::new();
         Self {
             program,
@@ -58,6 +60,7 @@
             whole: text,
             address,
             conns,
+            gates,
             held_back,
             link,
             started,
@@ -84,7 +87,13 @@
             };
             let (mut reads, events) = (socket.try_clone().expect("a clone"), self.sender.clone());
             let conn = name.to_string();
+            let (gate, held) = channel::<()>();
+            if let Some(slot) = self.gates.get_mut(name) {
+                *slot = gate;
+            }
             thread::spawn(move || {
+                // Until the gate is dropped, which it is at once where none was asked for.
+                let _ = held.recv();
                 let mut prefix = [0; 4];
                 while reads.read_exact(&mut prefix).is_ok() {
                     let mut frame = vec![0; u32::from_be_bytes(prefix) as usize];
@@ -106,6 +115,19 @@
         threads.trim().parse().expect("a number")
     }
 
+    /// Waits for the next event that begins with any of these words and takes it.
+    pub fn take_any(&mut self, words: &[&str]) -> String {
+        let start = Instant::now();
+        loop {
+            let wanted = |event: &String| words.iter().any(|words| begins(event, words));
+            if let Some(place) = self.events.iter().position(wanted) {
+                return self.events.remove(place);
+            }
+            let next = self.receiver.recv_timeout(PATIENCE.saturating_sub(start.elapsed()));
+            self.events.push(next.unwrap_or_else(|_| panic!("no {words:?} in {:?}", self.events)));
+        }
+    }
+
     pub fn address(&self) -> &str {
         &self.address
     }
@@ -269,6 +291,39 @@
         socket.expect("a connection").shutdown(Shutdown::Both).expect("it stood");
     }
 
+    fn half_close(&mut self, conn: &str) {
+        self.conn(conn).shutdown(Shutdown::Write).expect("it stood");
+    }
+
+    fn reset(&mut self, conn: &str) {
+        // The end of a connection that lingers for no time is a reset.
+        let socket = self.conns.remove(conn).expect("a connection");
+        rustix::net::sockopt::set_socket_linger(&socket, Some(Duration::ZERO)).expect("a socket");
+        socket.shutdown(Shutdown::Read).expect("its reader lets go of it");
+        self.take(&format!("{conn} closed")).expect("its reader ends");
+    }
+
+    fn hold(&mut self, conn: &str, holds: bool) {
+        if holds {
+            self.gates.insert(conn.to_string(), channel().0);
+            drop(self.conn(conn));
+        } else {
+            self.gates.remove(conn).expect("a connection held");
+        }
+    }
+
+    fn flood(&mut self, conn: &str, bytes: &[u8]) {
+        let (mut socket, bytes) = (self.conn(conn), bytes.to_vec());
+        // The server may stop reading, or close; the scenario goes on.
+        thread::spawn(move || drop(socket.write_all(&bytes)));
+    }
+
+    fn trickle(&mut self, conn: &str, bytes: &[u8]) {
+        let mut socket = self.conn(conn);
+        socket.set_nodelay(true).expect("a socket");
+        bytes.iter().for_each(|byte| socket.write_all(&[*byte]).expect("it stands"));
+    }
+
     fn wait(&mut self, ms: u64) {
         thread::sleep(Duration::from_millis(ms));
     }
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -170,11 +170,11 @@
                 self.waiting.push(Input::NotAccepting);
                 "stop accepting".to_string()
             }
-            Effect::CloseResting(conn, _) => {
+            Effect::CloseResting(conn, _) | Effect::Close(conn) => {
+                // Its peer ends it too, as peers do.
                 self.waiting.push(Input::Closed(conn));
-                return;
+                format!("{} closed", name(conn))
             }
-            Effect::Close(conn) => format!("{} closed", name(conn)),
             Effect::Begin(_, id, class, body) => {
                 let id = u64::from_str_radix(&id.0, 16).expect("hex");
                 let class = &self.settings.profiles[class].name;
@@ -372,10 +372,19 @@
 
     fn close(&mut self, peer: &str) {
         let input = if peer == "processor" { Input::LinkDown } else { Input::Closed(self.conn(peer)) };
+        if peer != "processor" {
+            self.events.push(format!("{peer} closed"));
+        }
         self.waiting.push(input);
         self.settle();
     }
 
+    fn half_close(&mut self, conn: &str) {
+        let conn = self.conn(conn);
+        self.waiting.push(Input::Ended(conn));
+        self.settle();
+    }
+
     fn wait(&mut self, ms: u64) {
         let until = self.ms + ms;
         while self.ms < until {
--- a/crates/node/src/fronts/mod.rs
+++ b/crates/node/src/fronts/mod.rs
@@ -4,25 +4,23 @@
 //! here, once: descriptors, buffers, pace, turns, closing for room, drains. A connection of any front has its turn like
 //! all others, and each front but the first has at most half of the places.
 //!
-//! A connection is one shared socket, so it takes one descriptor and, while its peer reads, no thread. A thread for
-//! each was tried: 480 of them cost a process that is stopped and continued for its share of the core more than all
-//! its requests. Nothing here blocks the caller of [`Clients`]: a frame that a socket doesn't take at once waits for
-//! a thread that is started for it, and what waits is bounded, since nothing is read while its peer leaves answers
-//! unread.
+//! A connection is one shared socket, so it takes one descriptor and no thread. A thread for each was tried: 480 of them
+//! cost a process that is stopped and continued for its share of the core more than all its requests. Nothing here
+//! blocks the caller of [`Fronts`]: a frame that a socket doesn't take at once waits until the reader is told of room
+//! (`conn.rs`), and what waits is bounded, since nothing is read while its peer leaves answers unread.
 
+mod conn;
 mod pace;
 mod reader;
 pub mod scgi;
 pub mod thrift;
 
-use crate::outgoing::{Outgoing, Place};
+use conn::Conn;
 use crossbeam_channel::Sender;
 use gradepin_core::messages::{Answer, Call, ConnId, Input, Misuse, SeqId};
 use gradepin_core::pool::{Buffer, Pool};
 use pace::Worth;
 use reader::Reader;
-use rustix::io::Errno;
-use rustix::net::{RecvFlags, recv};
 use slog::Logger;
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
@@ -30,7 +28,7 @@
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixListener;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -39,8 +37,6 @@
 const STACK: usize = 64 * 1024;
 /// Frames that a peer may leave unread before no more is read from it.
 const MOST_UNREAD: usize = 64;
-/// A peer that takes nothing for so long is dead.
-const WRITE_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Why a connection can't go on: its bytes are no messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -104,6 +100,9 @@
     /// The message that asks for no more requests, if the protocol has one; else idle connections are closed.
     fn draining(&self, pool: &Arc<Pool>) -> Option<Buffer>;
 
+    /// What a peer is told whose bytes are no message, before its connection is closed; none if only the close tells.
+    fn malformed(&self, why: &str, pool: &Arc<Pool>) -> Option<Buffer>;
+
     /// Whether a connection carries one request and ends with its answer.
     fn once(&self) -> bool;
 }
@@ -112,6 +111,8 @@
 pub enum Listener {
     /// On an address.
     Tcp(TcpListener),
+    /// On an address, by a socket that another process has too.
+    Shared(TcpListener),
     /// On a path, which is removed at the end.
     Unix(UnixListener, PathBuf),
 }
@@ -136,14 +137,14 @@
 
     fn set_nonblocking(&self) -> io::Result<()> {
         match self {
-            Self::Tcp(listener) => listener.set_nonblocking(true),
+            Self::Tcp(listener) | Self::Shared(listener) => listener.set_nonblocking(true),
             Self::Unix(listener, _) => listener.set_nonblocking(true),
         }
     }
 
     fn accept(&self) -> io::Result<OwnedFd> {
         match self {
-            Self::Tcp(listener) => {
+            Self::Tcp(listener) | Self::Shared(listener) => {
                 let (stream, _) = listener.accept()?;
                 stream.set_nodelay(true)?;
                 Ok(stream.into())
@@ -156,7 +157,7 @@
 impl std::os::fd::AsFd for Listener {
     fn as_fd(&self) -> std::os::fd::BorrowedFd<'_> {
         match self {
-            Self::Tcp(listener) => listener.as_fd(),
+            Self::Tcp(listener) | Self::Shared(listener) => listener.as_fd(),
             Self::Unix(listener, _) => listener.as_fd(),
         }
     }
@@ -170,38 +171,6 @@
     }
 }
 
-/// A connection, as its reader and the main thread have it. While its peer is slow, a writer has the socket too; it
-/// counts as long as any of them does.
-struct Conn {
-    out: Arc<Outgoing>,
-    front: Arc<dyn Front>,
-    /// Messages passed on, counted before they are, and whether the reader has nothing and waits for more.
-    passed: AtomicU64,
-    waits: AtomicBool,
-    /// What the answers so far say of the peer; the reader takes it.
-    spent: AtomicUsize,
-}
-
-impl Conn {
-    fn new(stream: OwnedFd, front: Arc<dyn Front>, count: &Arc<AtomicUsize>) -> Self {
-        Self {
-            out: Arc::new(Outgoing::new(stream, Some(Place::take(count)))),
-            front,
-            passed: AtomicU64::new(0),
-            waits: AtomicBool::new(false),
-            spent: AtomicUsize::new(0),
-        }
-    }
-
-    /// Whether it rests: nothing is unread, the reader has nothing, and it passed on no more than so many messages.
-    /// In this order: what leaves the socket is with the reader before it leaves, and counted before that is over.
-    fn rests(&self, taken: u64) -> bool {
-        let flags = RecvFlags::DONTWAIT | RecvFlags::PEEK;
-        let unread = recv(&self.out.stream, &mut [0_u8; 1][..], flags) != Err(Errno::WOULDBLOCK);
-        !unread && self.waits.load(Ordering::SeqCst) && self.passed.load(Ordering::SeqCst) == taken
-    }
-}
-
 type Handles = Arc<Mutex<HashMap<ConnId, Arc<Conn>>>>;
 
 /// What the reader has from the rest of the server.
@@ -251,7 +220,8 @@
     }
 
     /// Accepts nothing more from now on; connections that were accepted are read and answered as ever. What waits to
-    /// be accepted stays with the listener, for a process that shares it.
+    /// be accepted is accepted yet where the listener is ours alone, which is then closed, and else stays with the
+    /// listener for the process that shares it.
     pub fn stop_accepting(&self) {
         self.accepting.store(false, Ordering::SeqCst);
     }
@@ -268,9 +238,9 @@
         let frame = encode(answer).or_else(|| encode(&Answer::Failed { late: false }));
         conn.spent.fetch_add(Worth::of(answer).cost(), Ordering::Relaxed);
         let once = frame.is_none() || conn.front.once();
-        frame.into_iter().for_each(|frame| conn.out.send(frame));
+        frame.into_iter().for_each(|frame| conn.send(frame));
         if once {
-            conn.out.close();
+            conn.close();
         }
     }
 
@@ -279,52 +249,23 @@
         self.leaving.store(true, Ordering::Relaxed);
         let Some(conn) = self.handle(conn) else { return };
         match conn.front.draining(&self.pool) {
-            Some(frame) => conn.out.send(frame),
-            None if conn.rests(0) => conn.out.close(),
-            None => {}
+            Some(frame) => conn.send(frame),
+            None => conn.close_resting(0),
         }
     }
 
-    /// Ends a connection on which nothing is under way; its reader then reports the end. Guards against a request
+    /// Closes a connection on which nothing is under way; its reader then reports the end. Guards against a request
     /// that is in the socket or in the queue while the reducer knows nothing open: its answer would be lost.
     pub fn close_resting(&self, conn: ConnId, taken: u64) {
-        if let Some(conn) = self.handle(conn).filter(|conn| conn.rests(taken)) {
-            conn.out.close();
+        if let Some(conn) = self.handle(conn) {
+            conn.close_resting(taken);
         }
     }
 
-    /// Closes a connection once all is written.
+    /// Closes a connection once all is written; its reader reports the end when the peer has ended its half too.
     pub fn close(&self, conn: ConnId) {
-        if let Some(conn) = self.handles.lock().unwrap_or_else(PoisonError::into_inner).remove(&conn) {
-            conn.out.close();
+        if let Some(conn) = self.handle(conn) {
+            conn.close();
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::io::Write;
-    use std::net::TcpStream;
-
-    /// Guards against a connection closed for room with a request in the socket, with its reader or in the queue,
-    /// which the reducer doesn't know of: a server that was told to leave closed 20 so, unanswered.
-    #[test]
-    fn a_connection_rests_only_while_nothing_is_under_way() {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        let front = Arc::new(scgi::Scgi::new(
-            scgi::routes::Routes::new(&Default::default(), Arc::default()).unwrap(),
-            1,
-        ));
-        let conn = Conn::new(listener.accept().unwrap().0.into(), front, &Arc::default());
-        assert!(!conn.rests(0), "the reader has not begun to wait");
-        conn.waits.store(true, Ordering::SeqCst);
-        assert!(conn.rests(0));
-        conn.passed.store(1, Ordering::SeqCst);
-        assert!(!conn.rests(0) && conn.rests(1), "a message is in the queue");
-        peer.write_all(&[0]).unwrap();
-        recv(&conn.out.stream, &mut [0_u8; 1][..], RecvFlags::PEEK).unwrap();
-        assert!(!conn.rests(1), "a byte is unread");
-    }
-}
--- a/crates/node/src/fronts/thrift/mod.rs
+++ b/crates/node/src/fronts/thrift/mod.rs
@@ -5,7 +5,7 @@
 use super::{Cut, Cutter, Front, Malformed, Patience};
 use crate::settings::Live;
 use codec::Message;
-use gradepin_core::messages::{Answer, SeqId};
+use gradepin_core::messages::{Answer, Misuse, SeqId};
 use gradepin_core::pool::{Buffer, Pool};
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,6 +51,11 @@
         codec::draining(pool)
     }
 
+    fn malformed(&self, why: &str, pool: &Arc<Pool>) -> Option<Buffer> {
+        // Number 0 is no request's: clients count from 1, and what is open keeps its one answer.
+        codec::encode(0, &Answer::Invalid(Misuse::Request, why.into()), None, pool)
+    }
+
     fn once(&self) -> bool {
         false
     }
--- /dev/null
+++ b/crates/node/src/outgoing/tests.rs
@@ -0,0 +1,27 @@
+use super::*;
+use gradepin_core::pool::Pool;
+use std::io::Read;
+use std::net::{TcpListener, TcpStream};
+
+/// Guards against frames that overtake one another when the socket is full: the processor would take half a command
+/// for another.
+#[test]
+fn frames_keep_their_order_through_a_full_socket() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let out = Arc::new(Outgoing::new(listener.accept().unwrap().0.into()));
+    let (pool, count) = (Pool::new(4), 4_000_u32);
+    for n in 0..count {
+        let mut frame = pool.take();
+        assert!(frame.extend(&n.to_be_bytes()) && frame.extend(&[7; 4_000]));
+        out.send(frame);
+    }
+    assert!(!out.sending().waiting.is_empty(), "the socket was never full");
+    for n in 0..count {
+        let mut frame = [0; 4_004];
+        peer.read_exact(&mut frame).unwrap();
+        assert_eq!(frame[..4], n.to_be_bytes());
+    }
+    out.shut();
+    assert_eq!(peer.read(&mut [0; 1]).unwrap(), 0);
+}
--- a/crates/node/src/processor.rs
+++ b/crates/node/src/processor.rs
@@ -240,7 +240,7 @@
 fn start(socket: TcpStream, last_notice: u64, pool: &Arc<Pool>) -> io::Result<Arc<Outgoing>> {
     socket.set_nodelay(true)?;
     socket.set_write_timeout(Some(WRITE_PATIENCE))?;
-    let out = Arc::new(Outgoing::new(socket.into(), None));
+    let out = Arc::new(Outgoing::new(socket.into()));
     let mut hello = pool.take();
     hello.extend(format!("hello {last_notice}\r\n").as_bytes());
     out.send(hello);
@@ -383,24 +383,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a link that is made later and later because the ones before it were only quiet.
-    #[test]
-    fn only_links_that_fell_young_and_brought_nothing_lengthen_the_pause() {
-        let young = Duration::from_millis(3);
-        assert_eq!(next_pause(RETRY, false, young), RETRY * 2);
-        assert_eq!(next_pause(MOST_RETRY, false, young), MOST_RETRY);
-        assert_eq!(next_pause(MOST_RETRY, false, STOOD), RETRY);
-        assert_eq!(next_pause(MOST_RETRY, true, young), RETRY);
-    }
-
-    /// Guards against a link that falls again and again over the text of a remark.
-    #[test]
-    fn a_remark_may_hold_anything() {
-        let parsed = parse(b"remark 7 \xff\xfe 12\r\nused 1 0.5\r\n", &Pool::new(1)).expect("a remark");
-        assert!(matches!(parsed, Some((16, Line::Remark(7)))), "{parsed:?}");
-        assert!(parse(b"remark x \r\n", &Pool::new(1)).is_err());
-    }
-}
+mod tests;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -40,10 +40,12 @@
 use slog::{Level, Logger, error, info, warn};
 use std::error::Error;
 use std::hash::{BuildHasher, Hasher, RandomState};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, PoisonError, RwLock};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Inputs from clients that may wait for the reducer; more hold their readers back. It is short, so that one who
 /// sends at full speed delays the others by little.
@@ -59,6 +61,9 @@
 const POOL_PART: usize = 16;
 /// How long a start waits for the store to be read before it serves all else; requests wait in the sockets meanwhile.
 const STORE_PATIENCE: Duration = Duration::from_millis(500);
+/// How long an address may be held by another process, which may be on its way out, and how often it is tried again.
+const HELD_PATIENCE: Duration = Duration::from_secs(10);
+const HELD_AGAIN: Duration = Duration::from_millis(50);
 /// Of the thread that reads the configuration again, nested as it is.
 const SIGNAL_STACK: usize = 256 * 1024;
 
@@ -116,6 +121,9 @@
         let what = what.to_string();
         move |why| StartError::System { what, why }
     };
+    // Before anything listens: a notice to leave that comes in the middle of a start is taken as one, and ends nothing
+    // that already waits in a socket.
+    let signals = Signals::new(&[SIGTERM, SIGHUP, SIGUSR1, SIGUSR2]).map_err(failed("signals"))?;
     config.admin_addr = handed.admin_addr.or(config.admin_addr);
     let mut settings = Arc::new(config.settings.clone());
     let clock = Clock::start();
@@ -152,15 +160,18 @@
     let thrift: Arc<dyn Front> = Arc::new(Thrift::new(live.clone()));
     let listener = match handed.accept_fd {
         // The platform holds it, and the process before this one may still accept on it.
-        Some(fd) => Listener::Tcp(handed::listener(fd)?),
-        None => Listener::tcp(config.listen).map_err(failed(&format!("listening on {}", config.listen)))?,
+        Some(fd) => Listener::Shared(handed::listener(fd)?),
+        None => match listen(config.listen, &signals, log)? {
+            Some(listener) => listener,
+            None => return Ok(()),
+        },
     };
     let mut listeners = vec![(thrift, listener)];
     let scgi = own.scgi.as_ref().map(|set| Routes::new(set, Arc::clone(&settings))).transpose()?;
     let scgi = scgi.map(|routes| Arc::new(Scgi::new(routes, seed)));
     if let (Some(front), Some(set)) = (&scgi, &own.scgi) {
         for &address in &set.listen {
-            let listener = Listener::tcp(address).map_err(failed(&format!("listening on {address}")))?;
+            let Some(listener) = listen(address, &signals, log)? else { return Ok(()) };
             listeners.push((Arc::clone(front) as Arc<dyn Front>, listener));
         }
         for path in &set.unix {
@@ -214,7 +225,8 @@
         _ => None,
     };
     let letters = if peers.is_some() { letters } else { never() };
-    watch_signals(files, scgi, keys, Arc::clone(&settings), urgently.clone()).map_err(failed("signals"))?;
+    let watched = watch_signals(signals, files, scgi, keys, Arc::clone(&settings), urgently.clone());
+    watched.map_err(failed("signals"))?;
     let (mut arrived, mut effects): (Vec<Input>, Vec<Effect>) = (Vec::new(), Vec::new());
     let store = own.store.as_ref().map(|set| {
         let (open, limits) = (store::folder(set.path.clone()), set.limits(&config));
@@ -263,9 +275,10 @@
                 }
                 Effect::Usage(link, tag) => processor.usage(link, tag),
                 Effect::Call(id, body, limit, leaves) => {
-                    if let Some(ledger) = &ledger {
-                        ledger.call(id, &body, limit, leaves.map(|at| clock.instant(at)));
-                    }
+                    let call = ledger.as_ref();
+                    let call = call.map(|l| l.call(id, &body, limit, leaves.map(|at| clock.instant(at))));
+                    // In its own queue: this thread must not wait for itself.
+                    arrived.extend(call.and_then(Result::err));
                 }
                 Effect::Peer(to, datagram) => {
                     if let Some(peers) = &peers {
@@ -369,17 +382,40 @@
     settings.profiles.iter().map(|profile| profile.window).max().unwrap_or_default()
 }
 
+/// Listens on an address; where another process still holds it, tries again until its time is up. None if the notice to
+/// leave came meanwhile.
+fn listen(address: SocketAddr, signals: &Signals, log: &Logger) -> Result<Option<Listener>, StartError> {
+    let start = Instant::now();
+    let mut told = false;
+    loop {
+        match Listener::tcp(address) {
+            Ok(listener) => return Ok(Some(listener)),
+            Err(_) if signals.is_pending(SIGTERM) => {
+                info!(log, "told to leave before anything was served"; "listen" => %address);
+                return Ok(None);
+            }
+            Err(e) if e.kind() == ErrorKind::AddrInUse && start.elapsed() < HELD_PATIENCE => {
+                if !std::mem::replace(&mut told, true) {
+                    warn!(log, "another process holds the address, and it is tried again"; "listen" => %address);
+                }
+                thread::sleep(HELD_AGAIN);
+            }
+            Err(why) => return Err(StartError::System { what: format!("listening on {address}"), why }),
+        }
+    }
+}
+
 /// SIGTERM becomes the notice to leave, SIGUSR1 an operator's order to go out of service and then leave, SIGUSR2 the
 /// order to come back from that. SIGHUP becomes the configuration, read again; where that can't be used,
 /// the one in force stays.
 fn watch_signals(
+    mut signals: Signals,
     files: Files,
     scgi: Option<Arc<Scgi>>,
     keys: Option<SharedKeys>,
     settings: Arc<Settings>,
     inputs: Sender<Input>,
 ) -> std::io::Result<()> {
-    let mut signals = Signals::new(&[SIGTERM, SIGHUP, SIGUSR1, SIGUSR2])?;
     let watch = move || {
         while let Ok(came) = signals.wait() {
             for signal in came {
--- a/crates/node/src/shared_ledger.rs
+++ b/crates/node/src/shared_ledger.rs
@@ -10,7 +10,7 @@
 //! | 504, or no reply in time (the connection is closed, which gives the call up) | `Expired` |
 //! | a connection that broke during the call | `Dropped` |
 
-use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use crossbeam_channel::{Receiver, Sender, bounded};
 use gradepin_core::messages::Input;
 use gradepin_core::pool::{Buffer, Pool, SIZE};
 use gradepin_decisions::{Outcome, RequestId, Span};
@@ -49,7 +49,6 @@
 pub struct SharedLedger {
     calls: Sender<Call>,
     url: Arc<RwLock<Arc<str>>>,
-    inputs: Sender<Input>,
     log: Logger,
 }
 
@@ -83,7 +82,7 @@
             let carry = move || carry(&agent, &url, &queue, &inputs, &pool);
             thread::Builder::new().name(format!("ledger-{n}")).stack_size(STACK).spawn(carry)?;
         }
-        Ok(Self { calls, url, inputs, log })
+        Ok(Self { calls, url, log })
     }
 
     /// Calls go to this address from now on; those out already end where they are.
@@ -91,16 +90,23 @@
         *self.url.write().unwrap_or_else(PoisonError::into_inner) = url(address);
     }
 
-    /// Makes a call for a request; never blocks.
+    /// Makes a call for a request; never blocks. Where it finds no room, its end is given back at once: put into the
+    /// queue of inputs, a full one, it would have the thread that empties that queue wait for itself.
     /// `leaves` is the time after which it must not leave here any more: a lease that it goes by is over then.
-    pub fn call(&self, id: RequestId, body: &[u8], limit: Span, leaves: Option<Instant>) {
+    pub fn call(
+        &self,
+        id: RequestId,
+        body: &[u8],
+        limit: Span,
+        leaves: Option<Instant>,
+    ) -> Result<(), Input> {
         let limit = Duration::from_nanos(limit.0);
         let until = Instant::now() + limit;
         let call = Call { id, body: Arc::new(body.to_vec()), limit, until, leaves };
-        if let Err(TrySendError::Full(call) | TrySendError::Disconnected(call)) = self.calls.try_send(call) {
+        self.calls.try_send(call).map_err(|unsent| {
             warn!(self.log, "a call to the ledger found no room; it is turned away unmade");
-            let _ = self.inputs.send(Input::Called { id: call.id, outcome: Outcome::Shed, reply: None });
-        }
+            Input::Called { id: unsent.into_inner().id, outcome: Outcome::Shed, reply: None }
+        })
     }
 }
 
@@ -168,75 +174,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::io::{Read, Write};
-    use std::net::TcpListener;
-
-    /// A stand-in ledger that answers each call with the next of these replies, or holds it without one.
-    fn ledger(replies: Vec<Option<&'static str>>) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        thread::spawn(move || {
-            for (reply, socket) in replies.into_iter().zip(listener.incoming()) {
-                let mut socket = socket.unwrap();
-                let mut head = Vec::new();
-                let mut byte = [0];
-                while !head.ends_with(b"\r\n\r\n") && socket.read(&mut byte).unwrap_or(0) == 1 {
-                    head.push(byte[0]);
-                }
-                let text = String::from_utf8_lossy(&head).to_lowercase();
-                assert!(text.starts_with("post /post http/1.1\r\n"), "{text}");
-                assert!(
-                    text.contains("x-txn-ref: 00000000000000a1\r\n") && text.contains("x-limit-ms: "),
-                    "{text}"
-                );
-                let mut body = [0; 4];
-                socket.read_exact(&mut body).unwrap();
-                assert_eq!(&body, b"form");
-                match reply {
-                    Some(reply) => socket.write_all(reply.as_bytes()).unwrap(),
-                    None => thread::sleep(Duration::from_secs(2)),
-                }
-            }
-        });
-        address
-    }
-
-    fn outcome(address: SocketAddr, limit_ms: u64) -> (Outcome, Option<Vec<u8>>) {
-        let (inputs, came) = bounded(4);
-        let pool = Pool::new(4);
-        let log = Logger::root(slog::Discard, slog::o!());
-        let ledger = SharedLedger::start(address, 1.0, inputs, pool, log).unwrap();
-        ledger.call(RequestId::new("00000000000000a1"), b"form", Span(limit_ms * 1_000_000), None);
-        match came.recv_timeout(Duration::from_secs(10)).unwrap() {
-            Input::Called { outcome, reply, .. } => (outcome, reply.map(|reply| reply.to_vec())),
-            _ => panic!("another input"),
-        }
-    }
-
-    /// Guards each reply's meaning for the module: which prove that the call never ran, which may have had an
-    /// effect, and the body that goes to the run.
-    #[test]
-    fn replies_of_the_ledger_say_what_became_of_a_call() {
-        let replies = [
-            ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Outcome::Delivered),
-            ("HTTP/1.1 503 Busy\r\nX-Untouched: 1\r\nContent-Length: 0\r\n\r\n", Outcome::Shed),
-            ("HTTP/1.1 409 Conflict\r\nX-Untouched: 1\r\nContent-Length: 0\r\n\r\n", Outcome::Shed),
-            ("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", Outcome::AppError),
-            ("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n", Outcome::AppError),
-            ("HTTP/1.1 504 Late\r\nContent-Length: 0\r\n\r\n", Outcome::Expired),
-        ];
-        for (reply, expected) in replies {
-            let (outcome, body) = outcome(ledger(vec![Some(reply)]), 2_000);
-            assert_eq!(outcome, expected, "{reply}");
-            assert_eq!(body.is_some(), expected == Outcome::Delivered, "{reply}");
-        }
-        assert_eq!(outcome(ledger(vec![Some(replies[0].0)]), 2_000).1.as_deref(), Some(&b"ok"[..]));
-        // No reply within the limit: the call is given up, and may have had its effect.
-        assert_eq!(outcome(ledger(vec![None]), 200).0, Outcome::Expired);
-        // Nobody listens: it never ran.
-        let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        assert_eq!(outcome(gone, 2_000).0, Outcome::DialFailed);
-    }
-}
+mod tests;
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -33,6 +33,11 @@
         Ok(Self { pipe: reader, flags })
     }
 
+    /// Whether a signal came that was not told yet. It stays to be told.
+    pub fn is_pending(&self, signal: c_int) -> bool {
+        self.flags.iter().any(|(known, flag)| *known == signal && flag.load(Ordering::SeqCst))
+    }
+
     /// Waits until at least one signal came, and tells those that did, in the order they were asked for. One that came
     /// twice meanwhile is told once.
     pub fn wait(&mut self) -> io::Result<Vec<c_int>> {
@@ -59,45 +64,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use signal_hook::consts::{SIGUSR1, SIGUSR2};
-    use signal_hook::low_level::raise;
-
-    /// Guards the reload and the planned leave: a signal that comes is told, one that didn't is not, and one that came
-    /// while nobody waited is told at the next wait.
-    #[test]
-    fn signals_that_came_are_told_once() {
-        let mut signals = Signals::new(&[SIGUSR1, SIGUSR2]).unwrap();
-        raise(SIGUSR2).unwrap();
-        assert_eq!(signals.wait().unwrap(), vec![SIGUSR2]);
-        raise(SIGUSR1).unwrap();
-        raise(SIGUSR2).unwrap();
-        let mut came = signals.wait().unwrap();
-        if came.len() < 2 {
-            came.extend(signals.wait().unwrap());
-        }
-        assert_eq!(came, vec![SIGUSR1, SIGUSR2]);
-    }
-
-    /// Guards the start on platforms that refuse Unix sockets: what is opened for signals is pipes, no socket.
-    #[test]
-    fn signals_take_no_socket() {
-        let links = || -> Vec<String> {
-            let folder = std::fs::read_dir("/proc/self/fd").unwrap();
-            let links = folder.filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok());
-            links.map(|link| link.display().to_string()).collect()
-        };
-        let before = links();
-        let _signals = Signals::new(&[SIGUSR1]).unwrap();
-        let new: Vec<String> = links().into_iter().filter(|link| !before.contains(link)).collect();
-        // Tests beside this one open files and TCP sockets of their own; none has Unix sockets.
-        let unix = std::fs::read_to_string("/proc/self/net/unix").unwrap();
-        let is_unix = |link: &String| {
-            let inode = link.strip_prefix("socket:[").and_then(|link| link.strip_suffix(']'));
-            inode.is_some_and(|inode| unix.split_whitespace().any(|word| word == inode))
-        };
-        assert!(new.iter().any(|link| link.starts_with("pipe:")), "{new:?}");
-        assert!(!new.iter().any(is_unix), "{new:?}");
-    }
-}
+mod tests;
