Carry out a close that met the reader's turn, and keep unkeyed classes keyed for a window

Cause: in three of four plays of the new test of full places a connection in a spare place stayed open: its close came while the reader was about to end the turn in which it had passed the message on (rests was false, Conn::close_resting did nothing, and nobody came back to it). A class that a reload makes safe to repeat lost its tokens at once (codec and routes filtered by the new effect), so a repeat within the window of a run ran again. Ruled out: the peek (nothing was unread), the count of messages (passed and taken agreed). Change: a wish to close is kept and carried out when the reader rests, under the same lock; Classes::in_force keeps such a class keyed for the module until its window and the grace are past. The scenario language has freeze, thaw, half, rest and a control plane that is gone; tests bring requests, signals and ends to the server in one instant.

--- a/crates/core/src/classes.rs
+++ b/crates/core/src/classes.rs
@@ -5,9 +5,13 @@
 //! and one that the file leaves out is dropped: its requests are still taken for [`DROP_GRACE`], since client proxies
 //! hear of new settings late, and turned away as unknown after that; those open keep their class. Tenants go the same
 //! way but are never dropped: a request of a tenant that is gone is simply of no tenant's share.
+//!
+//! A class that was keyed and is so no more stays keyed for the module until the window of the last try that came with a
+//! token is past ([`Classes::in_force`]): what ran under a token must not run again because the file changed. Tries without
+//! a token run meanwhile as the file says.
 //! Not here: reading the file, which is the shell's, and what the module makes of the figures.
 
-use gradepin_decisions::{Settings, Span, Time, after};
+use gradepin_decisions::{Effect, Settings, Span, Time, after};
 use std::sync::Arc;
 
 /// How long requests of a dropped class are still taken: client proxies use new settings 1.2 s after a reload,
@@ -56,32 +60,64 @@
 pub struct Classes {
     settings: Arc<Settings>,
     dropped: Vec<Option<Time>>,
+    /// Classes that are keyed no more: until when they stay so for the module, and with which window.
+    unkeyed: Vec<Option<(Time, Span)>>,
 }
 
 impl Classes {
     /// The settings that the process started with.
     pub fn new(settings: Arc<Settings>) -> Self {
-        let dropped = vec![None; settings.profiles.len()];
-        Self { settings, dropped }
+        let classes = settings.profiles.len();
+        Self { settings, dropped: vec![None; classes], unkeyed: vec![None; classes] }
     }
 
-    /// The settings in force: the classes in their places, dropped ones too.
+    /// The settings as the file says: the classes in their places, dropped ones too.
     pub fn settings(&self) -> &Arc<Settings> {
         &self.settings
     }
 
+    /// The settings that the module goes by: the same, with the classes that are still keyed.
+    pub fn in_force(&self) -> Arc<Settings> {
+        if self.unkeyed.iter().all(Option::is_none) {
+            return Arc::clone(&self.settings);
+        }
+        let mut settings = Settings::clone(&self.settings);
+        for (profile, unkeyed) in settings.profiles.iter_mut().zip(&self.unkeyed) {
+            if let Some((_, window)) = *unkeyed {
+                (profile.effect, profile.window) = (Effect::ByKey, window);
+            }
+        }
+        Arc::new(settings)
+    }
+
+    /// Whether the last window of a class that is keyed no more has passed, so that other settings are in force now.
+    pub fn lapsed(&mut self, now: Time) -> bool {
+        let mut lapsed = false;
+        for unkeyed in &mut self.unkeyed {
+            lapsed |= unkeyed.take_if(|(until, _)| *until <= now).is_some();
+        }
+        lapsed
+    }
+
     /// Takes new settings; on an error nothing changes.
     pub fn retune(&mut self, now: Time, new: &Settings) -> Result<Retuned, RetuneError> {
         once("profiles", new.profiles.iter().map(|profile| &profile.name))?;
         once("customers", new.customers.iter().map(|customer| &customer.name))?;
         let mut merged = new.clone();
-        let mut dropped = self.dropped.clone();
+        let (mut dropped, mut unkeyed) = (self.dropped.clone(), self.unkeyed.clone());
         let mut retuned = Retuned::default();
         // Old places first, with new figures where the name is still there.
         let mut profiles = Vec::with_capacity(self.settings.profiles.len() + new.profiles.len());
         for (place, old) in self.settings.profiles.iter().enumerate() {
             match new.profiles.iter().find(|profile| profile.name == old.name) {
                 Some(profile) => {
+                    if profile.effect == Effect::ByKey {
+                        unkeyed[place] = None;
+                    } else if old.effect == Effect::ByKey {
+                        // Client proxies may send tokens for as long as those of a dropped class come.
+                        let until = after(after(now, old.window), DROP_GRACE);
+                        unkeyed[place] = Some((until, old.window));
+                    }
                     if dropped[place].take().is_some() {
                         retuned.back.push(old.name.clone());
                     }
@@ -101,6 +137,7 @@
                 retuned.added.push(profile.name.clone());
                 profiles.push(profile.clone());
                 dropped.push(None);
+                unkeyed.push(None);
             }
         }
         if profiles.len() > MOST_CLASSES {
@@ -120,7 +157,7 @@
             return Err(RetuneError::TooMany { what: "tenants", most: MOST_TENANTS });
         }
         (merged.profiles, merged.customers) = (profiles, customers);
-        (self.settings, self.dropped) = (Arc::new(merged), dropped);
+        (self.settings, self.dropped, self.unkeyed) = (Arc::new(merged), dropped, unkeyed);
         Ok(retuned)
     }
 
--- a/crates/core/src/classes/tests.rs
+++ b/crates/core/src/classes/tests.rs
@@ -56,3 +56,32 @@
     assert_eq!(full, RetuneError::TooMany { what: "classes", most: MOST_CLASSES });
     assert_eq!(classes.settings().profiles.len(), MOST_CLASSES);
 }
+
+/// Guards the window of a run under a token across reloads that make its class keyed no more, and keyed again.
+#[test]
+fn a_class_stays_keyed_for_the_module_until_its_last_window_is_past() {
+    let of = |effect: &str| {
+        let mut set = settings(&[("save", 4)], &[]);
+        set.profiles[0].effect = serde_json::from_value(json!(effect)).unwrap();
+        set.profiles[0].window = if effect == "by_key" { Span(700) } else { Span(0) };
+        set
+    };
+    let in_force =
+        |classes: &Classes| (classes.in_force().profiles[0].effect, classes.in_force().profiles[0].window);
+    let mut classes = Classes::new(Arc::new(of("by_key")));
+    classes.retune(Time(100), &of("once")).unwrap();
+    assert_eq!(classes.settings().profiles[0].effect, Effect::Once);
+    assert_eq!(in_force(&classes), (Effect::ByKey, Span(700)));
+    let until = after(Time(800), DROP_GRACE);
+    // Other reloads meanwhile don't lengthen it, nor cut it short.
+    classes.retune(Time(200), &of("repeatable")).unwrap();
+    assert!(!classes.lapsed(Time(until.0 - 1)));
+    assert_eq!(in_force(&classes), (Effect::ByKey, Span(700)));
+    assert!(classes.lapsed(until) && !classes.lapsed(until));
+    assert_eq!(in_force(&classes), (Effect::Repeatable, Span(0)));
+    classes.retune(Time(300), &of("by_key")).unwrap();
+    classes.retune(Time(400), &of("once")).unwrap();
+    classes.retune(Time(500), &of("by_key")).unwrap();
+    assert!(!classes.lapsed(Time(u64::MAX)));
+    assert_eq!(in_force(&classes), (Effect::ByKey, Span(700)));
+}
--- a/crates/core/src/reducer/operators.rs
+++ b/crates/core/src/reducer/operators.rs
@@ -49,14 +49,19 @@
         })
     }
 
-    /// New settings are in force: the module and the shell take them, and the log says what changed.
-    pub(super) fn retuned(&mut self, retuned: &Retuned) {
-        self.settings = Arc::clone(self.classes.settings());
+    /// The module and the fleet go by the settings in force now.
+    pub(super) fn goes_by_settings(&mut self) {
+        self.settings = self.classes.in_force();
         if let Some(controller) = &mut self.controller {
             controller.retune(Settings::clone(&self.settings));
         }
         self.fleet_retuned();
-        self.effects.push(Effect::Settings(Arc::clone(&self.settings)));
+    }
+
+    /// New settings are in force: the module and the shell take them, and the log says what changed.
+    pub(super) fn retuned(&mut self, retuned: &Retuned) {
+        self.goes_by_settings();
+        self.effects.push(Effect::Settings(Arc::clone(self.classes.settings())));
         let Retuned { added, dropped, back } = retuned;
         let text = format!("settings in force: classes added {added:?}, dropped {dropped:?}, back {back:?}");
         self.log(Level::Info, text);
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -135,7 +135,7 @@
 }
 
 impl Reducer {
-    pub(super) fn call(&mut self, conn: ConnId, seq: SeqId, call: Call) {
+    pub(super) fn call(&mut self, conn: ConnId, seq: SeqId, mut call: Call) {
         let Some(connection) = self.conns.touch(conn, self.moment.now) else { return };
         if connection.open.contains_key(&seq) {
             // Two answers under one number could not be told apart: the first keeps its own, and nothing more is taken.
@@ -157,6 +157,10 @@
             // against more bodies than the memory holds, on many connections.
             return self.turn_away(conn, seq, call.class, Span(0));
         }
+        if self.settings.profiles[call.class].effect != gradepin_decisions::Effect::ByKey {
+            // Where no class is keyed by it, a token means nothing.
+            call.token = None;
+        }
         let deadline = self.settings.profiles[call.class].deadline;
         if call.budget > BUDGET_MULTIPLE * deadline.0.div_ceil(MS) {
             return self.invalid(conn, seq, Some(call.class), Misuse::Request, "budget out of range".into());
--- a/crates/gradepin/tests/reload.rs
+++ b/crates/gradepin/tests/reload.rs
@@ -84,3 +84,71 @@
          expect admin 200 server_operations_total{priority=\"view\",status=\"fulfilled\"} 1",
     );
 }
+
+/// Guards against a keyed request that runs twice because its class was made safe to repeat meanwhile: for the rest of
+/// the window its repeats are answered from the run, and tries without a token run as the new settings say.
+#[test]
+fn a_class_that_is_keyed_no_more_still_answers_repeats_of_what_ran_as_such() {
+    play(
+        &mut Virtually::up(),
+        "send a call 1 method=claim token=t rid=1
+         expect processor begin 1
+         send processor complete 1 1 OK once
+         expect a 1 served once
+         send a call 2 method=claim token=u rid=2
+         expect processor begin 2
+         send server HUP unkeyed
+         expect settings
+         send b call 1 method=claim token=t rid=3 again=1
+         expect b 1 served once
+         send b call 2 method=claim token=u rid=4 again=1
+         send b call 3 method=claim rid=5
+         expect processor begin 5
+         send b call 4 method=claim rid=6
+         expect processor begin 6
+         send processor complete 2 2 OK still
+         expect a 2 served still
+         expect b 2 served still
+         wait 8900
+         send c call 1 method=claim token=t rid=7 again=1
+         expect c 1 served once
+         wait 2800
+         send c call 2 method=claim token=t rid=8
+         expect processor begin 8
+         send c call 3 method=claim token=t rid=9
+         expect processor begin 9
+         expect no processor begin",
+    );
+}
+
+/// Guards a class that comes back as keyed, with a window shorter than its deadline: counted from the stamp of the try
+/// that ran, nothing runs again just inside, and just outside it does.
+#[test]
+fn a_class_keyed_again_goes_by_its_new_window() {
+    play(
+        &mut Virtually::up(),
+        "send server HUP unkeyed
+         expect settings
+         send a call 1 method=claim rid=1
+         expect processor begin 1
+         send server HUP rekeyed
+         expect settings
+         send a call 2 method=claim rid=2
+         expect a 2 invalid no token
+         send a call 3 method=claim token=t rid=3
+         expect processor begin 3
+         send processor complete 1 3 OK once
+         expect a 3 served once
+         wait 1999
+         send b call 1 method=claim token=t rid=4 again=1
+         expect b 1 served once
+         wait 20
+         send b call 2 method=claim token=t rid=5 again=1
+         expect processor begin 5
+         send b call 3 method=claim token=t rid=6 again=1
+         send processor complete 2 5 OK anew
+         expect b 2 served anew
+         expect b 3 served anew
+         expect no processor begin",
+    );
+}
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -28,6 +28,9 @@
 //! - `hold CONN` reads nothing of a connection that is not open yet, until `release CONN`. `flood CONN COUNT health` and
 //!   `flood CONN COUNT hex BYTES` send the same so many times, as fast as the server reads it.
 //! - `trickle CONN call SEQ ..`: sends a call byte by byte, each once the one before has left.
+//! - `send CONN half call SEQ ..` and `send CONN rest`: the first half of a call, and what is left of it.
+//! - `freeze` and `thaw`: the server stops and goes on, so that what is sent in between, signals too, comes to it in one
+//!   instant; on sockets alone, as are `close control` and `open control`: nobody takes its reports for a while.
 //! - `wait MS`: time passes; on the virtual stage no real time does.
 //!
 //! The processor answers every `usage` by itself, unless it was sent `mute`.
@@ -79,6 +82,16 @@
     fn trickle(&mut self, conn: &str, bytes: &[u8]) {
         panic!("this stage sends whole messages alone: {conn} of {}", bytes.len());
     }
+    fn freeze(&mut self, stops: bool) {
+        panic!("this stage stops at no instant: {stops}");
+    }
+    fn control(&mut self, stands: bool) {
+        panic!("this stage's control plane always stands: {stands}");
+    }
+    /// The half of a call that is still to be sent.
+    fn rest_of(&mut self, conn: &str) -> &mut Vec<u8> {
+        panic!("this stage sends whole messages alone: {conn}");
+    }
     fn wait(&mut self, ms: u64);
     /// The Unix clock, in ms.
     fn unix_ms(&self) -> u64;
@@ -104,7 +117,8 @@
 }
 
 /// The text of a configuration file after a change of some kind to the one in force. `retuned` keeps `read` with a
-/// longer deadline, drops `claim` and adds `view`; the others are broken in one way each and must be turned down.
+/// longer deadline, drops `claim` and adds `view`; `unkeyed` has `claim` safe to repeat, and `rekeyed` keyed again with a
+/// short window; the others are broken in one way each and must be turned down.
 pub fn changed(config: &Value, how: &str) -> String {
     let mut config = config.clone();
     let deadline = &mut config["settings"]["profiles"][0]["deadline"];
@@ -116,6 +130,11 @@
             let read = config["settings"]["profiles"][0].clone();
             config["settings"]["profiles"] = json!([view, read]);
         }
+        "unkeyed" => config["settings"]["profiles"][1]["effect"] = json!("repeatable"),
+        "rekeyed" => {
+            config["settings"]["profiles"][1]["effect"] = json!("by_key");
+            config["settings"]["profiles"][1]["window"] = json!(2_000_000_000_u64);
+        }
         "empty" => return String::new(),
         "cut" => {
             let text = config.to_string();
@@ -178,6 +197,16 @@
             ["send", "server", order @ ("OUT" | "IN")] => stage.order(order == "OUT"),
             ["send", "server", "HUP", how] => stage.reload(how),
             ["send", "admin", call] => stage.admin(admin_call(call, &at)),
+            ["send", conn, "half", "call", ..] => {
+                let mut first = call(&words[4..], stage.unix_ms());
+                *stage.rest_of(conn) = first.split_off(first.len() / 2);
+                stage.client(conn, &first, false);
+            }
+            ["send", conn, "rest"] => {
+                let rest = std::mem::take(stage.rest_of(conn));
+                assert!(!rest.is_empty(), "{at}: no half was sent");
+                stage.client(conn, &rest, false);
+            }
             ["send", conn, "call", ..] => stage.client(conn, &call(&words[3..], stage.unix_ms()), false),
             ["send", conn, "+", "call", ..] => stage.client(conn, &call(&words[4..], stage.unix_ms()), true),
             ["send", conn, "cancel", _] => stage.client(conn, &thrift::cancel(seq(3)), false),
@@ -202,8 +231,12 @@
                 let taken = stage.take(&words[1..].join(" "));
                 assert!(taken.is_ok(), "{at}: there is only {:?}", taken.err());
             }
+            ["open", "control"] => stage.control(true),
+            ["close", "control"] => stage.control(false),
             ["open", conn] => stage.open(conn),
             ["close", peer] => stage.close(peer),
+            ["freeze"] => stage.freeze(true),
+            ["thaw"] => stage.freeze(false),
             ["half-close", conn] => stage.half_close(conn),
             ["reset", conn] => stage.reset(conn),
             ["hold", conn] => stage.hold(conn, true),
--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -4,11 +4,11 @@
 use super::{Stage, begins, changed, config, thrift};
 use gradepin_core::admin::AdminCall;
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -30,6 +30,11 @@
     /// Connections that read nothing until their gate is dropped.
     gates: HashMap<String, Sender<()>>,
     held_back: Vec<u8>,
+    /// Halves of calls still to be sent.
+    halves: HashMap<String, Vec<u8>>,
+    /// Whether nobody takes the server's reports.
+    no_control: Arc<AtomicBool>,
+    notices: u64,
     link: Slot,
     started: Instant,
     sender: Sender<String>,
@@ -40,17 +45,30 @@
 impl Sockets {
     /// Starts the program; its processor greets as warm on each link.
     pub fn up(name: &str) -> Self {
+        Self::with(name, 1024, |_| ())
+    }
+
+    /// The same, with so many descriptors and a configuration that differs in something.
+    pub fn with(name: &str, descriptors: usize, change: impl FnOnce(&mut serde_json::Value)) -> Self {
         // An address of its own for each program: a port that was only free a moment ago may be taken.
         let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         let address = format!("127.{}.{}.{n}:18443", 64 + (pid >> 8) % 64, pid % 256);
         let (sender, receiver) = channel();
         let link = Arc::new(Mutex::new(None));
         let started = Instant::now();
-        let text = parties("", &address, &link, started, &sender);
+        let no_control = Arc::<AtomicBool>::default();
+        let text = parties("", &address, &link, started, &sender, &no_control);
+        let mut text: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        text["limits"]["sockets"] = serde_json::json!(descriptors);
+        change(&mut text);
+        let text = text.to_string();
         let file = std::env::temp_dir().join(format!("gradepin-{}-{name}.json", std::process::id()));
         std::fs::write(&file, &text).expect("a file for the configuration");
-        let mut program = Command::new(env!("CARGO_BIN_EXE_gradepin"));
-        let program = program.arg("serve").env("GW_CONFIG", &file).stderr(Stdio::null());
+        // The shell sets the limit, and becomes the program.
+        let limited = format!("ulimit -n {descriptors} && exec \"$0\" serve");
+        let mut program = Command::new("/bin/sh");
+        let program = program.args(["-c", &limited, env!("CARGO_BIN_EXE_gradepin")]);
+        let program = program.env("GW_CONFIG", &file).stderr(Stdio::null());
         let program = program.spawn().expect("the program starts");
         let (conns, gates, held_back) = (HashMap::new(), HashMap::new(), Vec::new());
         let events = Vec::new();
@@ -62,6 +80,9 @@
             conns,
             gates,
             held_back,
+            halves: HashMap::new(),
+            no_control,
+            notices: 0,
             link,
             started,
             sender,
@@ -71,8 +92,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let kill = format!("kill -{name} {}", self.program.id());
-        assert!(Command::new("/bin/sh").arg("-c").arg(kill).status().expect("a shell").success());
+        kill(&self.program, name);
     }
 
     fn conn(&mut self, name: &str) -> TcpStream {
@@ -94,14 +114,20 @@
             thread::spawn(move || {
                 // Until the gate is dropped, which it is at once where none was asked for.
                 let _ = held.recv();
-                let mut prefix = [0; 4];
-                while reads.read_exact(&mut prefix).is_ok() {
+                let mut frame = || {
+                    let mut prefix = [0; 4];
+                    reads.read_exact(&mut prefix)?;
                     let mut frame = vec![0; u32::from_be_bytes(prefix) as usize];
-                    if reads.read_exact(&mut frame).is_ok() {
-                        let _ = events.send(format!("{conn} {}", thrift::event(&frame)));
+                    reads.read_exact(&mut frame).map(|()| frame)
+                };
+                let end = loop {
+                    match frame() {
+                        Ok(frame) => drop(events.send(format!("{conn} {}", thrift::event(&frame)))),
+                        Err(end) => break end,
                     }
-                }
-                let _ = events.send(format!("{conn} closed"));
+                };
+                let reset = if end.kind() == ErrorKind::ConnectionReset { " reset" } else { "" };
+                let _ = events.send(format!("{conn} closed{reset}"));
             });
             self.conns.insert(name.to_string(), socket);
         }
@@ -128,6 +154,42 @@
         }
     }
 
+    /// Forgets what came so far and begins with these words.
+    pub fn forget(&mut self, words: &str) {
+        self.events.extend(self.receiver.try_iter());
+        self.events.retain(|event| !begins(event, words));
+    }
+
+    /// A number for the processor's next notice, where the test counts none itself.
+    pub fn next_notice(&mut self) -> u64 {
+        self.notices += 1;
+        self.notices
+    }
+
+    /// A processor comes up at this address.
+    pub fn processor_at(&self, address: &str) {
+        let listener = TcpListener::bind(address).expect("the address is free");
+        accept_links(listener, &self.link, self.started, "processor".into(), &self.sender);
+    }
+
+    /// Descriptors of the program.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.program.id())).expect("it runs").count()
+    }
+
+    /// Time that the program has had on the cores, in clock ticks of the system, a hundred a second.
+    pub fn ticks(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.program.id())).expect("it runs");
+        let (_, after_name) = stat.rsplit_once(") ").expect("a name in brackets");
+        let ticks = after_name.split(' ').skip(11).take(2);
+        ticks.map(|ticks| ticks.parse::<u64>().expect("a number")).sum()
+    }
+
+    /// Waits for the program's end; its status.
+    pub fn end(&mut self) -> Option<i32> {
+        self.program.wait().expect("a program").code()
+    }
+
     pub fn address(&self) -> &str {
         &self.address
     }
@@ -144,7 +206,14 @@
 }
 
 /// A processor and a control plane whose events bear a mark, and the configuration that names them.
-fn parties(mark: &str, address: &str, link: &Slot, started: Instant, events: &Sender<String>) -> String {
+fn parties(
+    mark: &str,
+    address: &str,
+    link: &Slot,
+    started: Instant,
+    events: &Sender<String>,
+    no_control: &Arc<AtomicBool>,
+) -> String {
     let (processor, control) = (TcpListener::bind("127.0.0.1:0"), UdpSocket::bind("127.0.0.1:0"));
     let (processor, control) = (processor.expect("a port"), control.expect("a port"));
     let of = |address: std::io::Result<std::net::SocketAddr>| address.expect("an address").to_string();
@@ -152,19 +221,26 @@
     config["admin_addr"] = serde_json::json!(admin_address(address));
     // The module's idle limit must not be what ends connections here.
     config["settings"]["specifics"]["idle"] = serde_json::json!(600_000_000_000_u64);
-    let (sender, slot, name) = (events.clone(), Arc::clone(link), format!("processor{mark}"));
-    thread::spawn(move || {
-        for socket in processor.incoming().flatten() {
-            *slot.lock().expect("whole") = Some(socket.try_clone().expect("a clone"));
-            serve_link(socket, started, &name, &sender);
-        }
-    });
-    let (events, name) = (events.clone(), format!("control{mark}"));
+    accept_links(processor, link, started, format!("processor{mark}"), events);
+    let (events, name, down) = (events.clone(), format!("control{mark}"), Arc::clone(no_control));
     thread::spawn(move || {
-        let mut datagram = [0; 64];
-        while let Ok(len) = control.recv(&mut datagram) {
+        let address = control.local_addr().expect("an address");
+        let mut socket = Some(control);
+        loop {
+            if down.load(Ordering::SeqCst) {
+                socket = None;
+                thread::sleep(Duration::from_millis(5));
+                continue;
+            }
+            let control = socket.get_or_insert_with(|| UdpSocket::bind(address).expect("the port is free"));
+            control.set_read_timeout(Some(Duration::from_millis(20))).expect("a socket");
+            let mut datagram = [0; 64];
+            let Ok(len) = control.recv(&mut datagram) else { continue };
             let text = String::from_utf8_lossy(&datagram[..len]).into_owned();
-            let _ = events.send(format!("{name} {}", text.strip_prefix("lease n1 ").expect("a lease")));
+            let lease = text.strip_prefix("lease n1 ").expect("a lease");
+            if events.send(format!("{name} {lease}")).is_err() {
+                return;
+            }
         }
     });
     // Nor may what a slow machine takes be what ends requests.
@@ -172,6 +248,34 @@
     config.to_string()
 }
 
+/// A processor under a name, whose link is the one made last.
+fn accept_links(listener: TcpListener, link: &Slot, started: Instant, name: String, events: &Sender<String>) {
+    let (events, slot) = (events.clone(), Arc::clone(link));
+    thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            *slot.lock().expect("whole") = Some(socket.try_clone().expect("a clone"));
+            serve_link(socket, started, &name, &events);
+        }
+    });
+}
+
+/// Starts the program alone with a configuration; it and the lines of its log.
+pub fn start(name: &str, config: &str) -> (Child, std::io::Lines<BufReader<std::process::ChildStderr>>) {
+    let file = std::env::temp_dir().join(format!("gradepin-{}-{name}.json", std::process::id()));
+    std::fs::write(&file, config).expect("a file for the configuration");
+    let mut program = Command::new(env!("CARGO_BIN_EXE_gradepin"));
+    let program = program.arg("serve").env("GW_CONFIG", &file).stderr(Stdio::piped()).spawn();
+    let mut program = program.expect("the program starts");
+    let lines = BufReader::new(program.stderr.take().expect("a pipe")).lines();
+    (program, lines)
+}
+
+/// Sends a signal to a program that the test started.
+pub fn kill(program: &Child, signal: &str) {
+    let kill = format!("kill -{signal} {}", program.id());
+    assert!(Command::new("/bin/sh").arg("-c").arg(kill).status().expect("a shell").success());
+}
+
 /// The operators' door beside the clients' address: the same host, the next port.
 fn admin_address(address: &str) -> String {
     let address: std::net::SocketAddr = address.parse().expect("an address");
@@ -241,7 +345,7 @@
 
     fn reload(&mut self, how: &str) {
         let text = match how {
-            "moved" => parties("2", &self.address, &self.link, self.started, &self.sender),
+            "moved" => parties("2", &self.address, &self.link, self.started, &self.sender, &Arc::default()),
             _ => changed(&serde_json::from_str(&self.whole).expect("JSON in force"), how),
         };
         if serde_json::from_str::<serde_json::Value>(&text).is_ok() {
@@ -324,6 +428,18 @@
         bytes.iter().for_each(|byte| socket.write_all(&[*byte]).expect("it stands"));
     }
 
+    fn freeze(&mut self, stops: bool) {
+        self.signal(if stops { "STOP" } else { "CONT" });
+    }
+
+    fn control(&mut self, stands: bool) {
+        self.no_control.store(!stands, Ordering::SeqCst);
+    }
+
+    fn rest_of(&mut self, conn: &str) -> &mut Vec<u8> {
+        self.halves.entry(conn.to_string()).or_default()
+    }
+
     fn wait(&mut self, ms: u64) {
         thread::sleep(Duration::from_millis(ms));
     }
--- a/crates/node/src/fronts/conn.rs
+++ b/crates/node/src/fronts/conn.rs
@@ -52,6 +52,8 @@
     /// Messages passed on, and whether the reader has nothing of it and waits for more.
     passed: u64,
     rests: bool,
+    /// To be closed when it rests, unless more than so many messages were passed on by then.
+    closes_at_rest: Option<u64>,
 }
 
 impl Life {
@@ -72,6 +74,22 @@
         }
     }
 
+    /// Closes it as was wished, if nothing is under way: no message more was passed on, the reader has nothing, and
+    /// nothing is unread. What comes after this look is never read, and its sender sees the end instead.
+    fn close_at_rest(&mut self, socket: &OwnedFd) {
+        let Some(taken) = self.closes_at_rest else { return };
+        if self.passed != taken {
+            self.closes_at_rest = None;
+        } else if self.rests {
+            let flags = RecvFlags::DONTWAIT | RecvFlags::PEEK;
+            // Where there is something, the reader is told of it, and rests again after that.
+            if recv(socket, &mut [0_u8; 1][..], flags) == Err(Errno::WOULDBLOCK) {
+                self.closes_at_rest = None;
+                self.close(socket);
+            }
+        }
+    }
+
     /// Writes of a frame what the socket takes; false if that was not all.
     fn write(&mut self, socket: &OwnedFd, frame: &mut Buffer) -> bool {
         while !frame.is_empty() {
@@ -109,8 +127,14 @@
     /// One that was accepted; it takes a place among those counted there.
     pub(super) fn new(socket: OwnedFd, front: Arc<dyn Front>, count: &Arc<AtomicUsize>) -> Self {
         count.fetch_add(1, Ordering::Relaxed);
-        let life =
-            Life { stage: Stage::Open, waiting: VecDeque::new(), stalled: None, passed: 0, rests: true };
+        let life = Life {
+            stage: Stage::Open,
+            waiting: VecDeque::new(),
+            stalled: None,
+            passed: 0,
+            rests: true,
+            closes_at_rest: None,
+        };
         let (life, spent) = (Mutex::new(life), AtomicUsize::new(0));
         Self { socket, front, life, spent, _place: Place(Arc::clone(count)) }
     }
@@ -155,7 +179,9 @@
 
     /// The reader has nothing of it and waits for more.
     pub(super) fn rest(&self) {
-        self.life().rests = true;
+        let mut life = self.life();
+        life.rests = true;
+        life.close_at_rest(&self.socket);
     }
 
     /// How many frames the peer has left unread.
@@ -177,17 +203,12 @@
         self.life().close(&self.socket);
     }
 
-    /// The same, if nothing is under way: no more than so many messages were passed on, the reader has nothing, and
-    /// nothing is unread. What comes after this look is never read, and its sender sees the end instead.
+    /// The same, as soon as nothing is under way, unless another message is passed on before that. Guards against a close
+    /// that comes while the reader's turn is about to end, and is forgotten.
     pub(super) fn close_resting(&self, taken: u64) {
         let mut life = self.life();
-        let flags = RecvFlags::DONTWAIT | RecvFlags::PEEK;
-        if life.rests
-            && life.passed == taken
-            && recv(&self.socket, &mut [0_u8; 1][..], flags) == Err(Errno::WOULDBLOCK)
-        {
-            life.close(&self.socket);
-        }
+        life.closes_at_rest = Some(taken);
+        life.close_at_rest(&self.socket);
     }
 
     /// Ends it at once.
--- a/crates/node/src/fronts/conn/tests.rs
+++ b/crates/node/src/fronts/conn/tests.rs
@@ -30,16 +30,32 @@
     conn.turn();
     conn.close_resting(0);
     assert!(is_open(&conn), "the reader has it in hand");
-    conn.rest();
     assert!(conn.pass());
+    conn.rest();
+    assert!(is_open(&conn), "a message was passed on since");
     conn.close_resting(0);
     assert!(is_open(&conn), "a message is in the queue");
     peer.write_all(&[0]).unwrap();
     arrived(&conn);
     conn.close_resting(1);
     assert!(is_open(&conn), "a byte is unread");
+    // The reader finds no message in it, and rests.
+    conn.turn();
     recv(&conn.socket, &mut [0_u8; 1][..], RecvFlags::empty()).unwrap();
+    conn.rest();
+    assert!(matches!(conn.life().stage, Stage::Lingering(_)));
+}
+
+/// Guards against a connection that stays open because it was to be closed in the instant before its reader was done
+/// with the message that was just answered.
+#[test]
+fn a_close_that_comes_in_the_readers_turn_is_carried_out_when_it_rests() {
+    let (conn, _peer) = pair();
+    conn.turn();
+    assert!(conn.pass());
     conn.close_resting(1);
+    assert!(is_open(&conn), "the reader has it in hand");
+    conn.rest();
     assert!(matches!(conn.life().stage, Stage::Lingering(_)));
 }
 
--- a/crates/node/src/fronts/reader.rs
+++ b/crates/node/src/fronts/reader.rs
@@ -552,3 +552,6 @@
         turn
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/fronts/scgi/routes.rs
+++ b/crates/node/src/fronts/scgi/routes.rs
@@ -180,7 +180,7 @@
             retry: text(&h.retry)? == Some("1"),
             size_kb: number(&h.memory_kb, self.memory_kb, 0.001..2_000.0)?,
             precedence: number(&h.rank, self.rank, 0.0..1.0)?,
-            token: token.filter(|_| keyed).map(Arc::from),
+            token: token.map(Arc::from),
             has_key: false,
             body: pool.exact(&request.body).ok_or((Misuse::TooLarge, "a body over its limit".to_string()))?,
         })))
--- a/crates/node/src/fronts/thrift/codec.rs
+++ b/crates/node/src/fronts/thrift/codec.rs
@@ -189,7 +189,7 @@
             retry: self.again == Some("1"),
             size_kb,
             precedence,
-            token: token.filter(|_| keyed).map(Arc::from),
+            token: token.map(Arc::from),
             has_key: self.obj.is_some(),
             body: pool.exact(body).ok_or(bad("a body over the size limit"))?,
         })
