Spread the first calls of a fleet whose shares are below one call

Cause: measured in virtual time, 30 workers with a share of 0.4 each of 12 calls: 25 to 30 calls together when the dependency is back, against 12 + 2 x root of 12 + 2 = 20.9. The pace of a small share (gate) is a call's length over the share, and before any call came back that length was 0: nothing was spaced. Shares of 1 and more keep their bound (half a share at first). Ruled out: the mean over the span, 6.1 at most with that; allowance saved up while the dependency was down. Change: until a call came back the first one waits a random part of a quarter of the shortest aim, and those after it go by the longest a call may take. What was spaced so is free again with the first call back. Not taken: the whole first gap at random (2.5 s), which kept 71 of 100 short calls back in the test that guards them.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -633,6 +633,10 @@
         self.call_s = if self.call_s == 0.0 { took } else { self.call_s + 0.2 * (took - self.call_s) };
         // The floor of the mean, not of single calls: those differ by far more than crowding slows them.
         self.calls_seen += 1;
+        if self.calls_seen == 1 {
+            // What was spaced for want of a length need not wait any more.
+            self.next_call = self.now;
+        }
         let floor = if self.calls_seen > 10 { self.call_floor_s } else { self.call_s };
         self.call_floor_s = floor.min(self.call_s).max(1e-4);
         let slow = self.call_s > CALL_SLOW * self.call_floor_s;
@@ -691,7 +695,16 @@
             let (small, budget) = (shared && share < 1.0, secs(self.set.specifics.share_span) * share);
             let linger = secs(self.set.specifics.linger);
             let spent = self.call_spent + self.lingering.len() as f64 * linger;
-            let gap = self.call_s / (share * self.pace).max(1e-6);
+            let longest = (budget / 2.0 - linger).max(budget / 8.0);
+            // Before any came back, one may take the longest it may; the first ones of all who hear of a
+            // dependency's start are spread, or they come together.
+            let unknown = small && self.calls_seen == 0;
+            let (usual, part) =
+                if unknown { (longest + linger, share) } else { (self.call_s, share * self.pace) };
+            let gap = usual / part.max(1e-6);
+            if unknown && self.next_call == Time(0) {
+                self.next_call = after(self.now, span(CALL_SHORTEST * self.shortest_aim() * dice));
+            }
             if small && spent > budget / 2.0 {
                 // At random again, or all that ran out of budget together call together when it is back.
                 self.next_call = after(self.now, span(gap * dice));
@@ -709,7 +722,7 @@
                 timeout = timeout.min(usual * heavy);
             }
             if small {
-                timeout = timeout.min((budget / 2.0 - linger).max(budget / 8.0));
+                timeout = timeout.min(longest);
             }
             self.at_gate.retain(|&s| s != seq);
             self.calls_out += 1;
