--- a/crates/core/src/classes.rs
+++ b/crates/core/src/classes.rs
@@ -101,8 +101,7 @@
 
     /// Takes new settings; on an error nothing changes.
     pub fn retune(&mut self, now: Time, new: &Settings) -> Result<Retuned, RetuneError> {
-        once("profiles", new.profiles.iter().map(|profile| &profile.name))?;
-        once("customers", new.customers.iter().map(|customer| &customer.name))?;
+        check(new)?;
         let mut merged = new.clone();
         let (mut dropped, mut unkeyed) = (self.dropped.clone(), self.unkeyed.clone());
         let mut retuned = Retuned::default();
@@ -171,6 +170,12 @@
     }
 }
 
+/// Whether settings name each class and each tenant once.
+pub fn check(settings: &Settings) -> Result<(), RetuneError> {
+    once("profiles", settings.profiles.iter().map(|profile| &profile.name))?;
+    once("customers", settings.customers.iter().map(|customer| &customer.name))
+}
+
 fn once<'a>(what: &'static str, names: impl Iterator<Item = &'a String>) -> Result<(), RetuneError> {
     let mut seen = std::collections::BTreeSet::new();
     for name in names {
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration of one tile server, as JSON. Reading the file is the shell's.
 
+use crate::classes::{self, RetuneError};
 use gradepin_decisions::{BadSettings, Below, Settings};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -78,6 +79,12 @@
     /// The module can't work with its settings.
     #[error(transparent)]
     Settings(#[from] BadSettings),
+    /// A name stands for two classes or two tenants.
+    #[error(transparent)]
+    Names(#[from] RetuneError),
+    /// A class can't be named in a line to the processor.
+    #[error("expected names of classes without spaces, got '{0}'")]
+    Class(String),
     /// The module would make calls that nobody takes.
     #[error(
         "expected 'ledger' in the configuration: specifics.below is 'shared', and calls go to the ledger"
@@ -109,6 +116,12 @@
         }
         self.seed()?;
         self.settings.check()?;
+        classes::check(&self.settings)?;
+        let spaced =
+            |name: &str| name.is_empty() || name.contains(|c: char| c.is_whitespace() || c.is_control());
+        if let Some(class) = self.settings.profiles.iter().find(|profile| spaced(&profile.name)) {
+            return Err(ConfigError::Class(class.name.clone()));
+        }
         match self.settings.specifics.below {
             Below::Off => {}
             Below::Shared if self.ledger.is_none() => return Err(ConfigError::NoLedger),
--- a/crates/core/src/reducer/connections.rs
+++ b/crates/core/src/reducer/connections.rs
@@ -65,7 +65,7 @@
     /// For so many connections at the most.
     pub(super) fn new(most: usize) -> Self {
         let (table, resting, looks) = (BTreeMap::new(), Resting::default(), Wheel::default());
-        Self { table, room: most * 7 / 8, most, resting, looks, idle: None }
+        Self { table, room: most - most / 8, most, resting, looks, idle: None }
     }
 
     pub(super) fn len(&self) -> usize {
--- a/crates/gradepin/tests/sockets.rs
+++ b/crates/gradepin/tests/sockets.rs
@@ -115,6 +115,8 @@
         (good.replace("\"below\":\"off\"", "\"below\":\"tier\""), "no calls to a tier"),
         (good.replace("\"sockets\":1024", "\"sockets\":64"), "limits.sockets"),
         (good.replace("\"name\":\"n1\"", "\"name\":\"n 1\""), "printable"),
+        (good.replace("\"name\":\"read\"", "\"name\":\"claim\""), "got 'claim' twice"),
+        (good.replace("\"name\":\"read\"", "\"name\":\"re ad\""), "without spaces, got 're ad'"),
     ];
     for (text, message) in cases {
         let (code, err) = Sockets::ends_with(&text);
