--- a/crates/gradepin/tests/life.rs
+++ b/crates/gradepin/tests/life.rs
@@ -439,3 +439,31 @@
          expect no processor begin",
     );
 }
+
+/// Guards against a run whose end is lost because the link broke in the middle of its result, and against the half of it
+/// served: the new link begins behind the last whole notice, and the end is told again.
+#[test]
+fn a_result_cut_off_with_its_link_is_told_again_and_served_whole() {
+    play(
+        &mut Sockets::up("cut"),
+        "expect processor hello 0
+         expect control Ready
+         send a call 1 rid=1 budget=60000
+         send a call 2 rid=2 budget=60000
+         expect processor begin 1
+         expect processor begin 2
+         send processor complete 1 2 OK two
+         expect a 2 served two
+         send processor half complete 2 0000000000000001 OK 5.125 40 0123456789012345678901234567890123456789
+         close processor
+         expect processor hello 1
+         expect no a 1
+         send processor complete 2 1 OK whole
+         expect a 1 served whole
+         send processor complete 2 1 OK again
+         send a health 3
+         expect a 3 good
+         expect no a 1
+         expect no processor begin",
+    );
+}
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -27,6 +27,7 @@
 //!   sockets alone, as are the next three.
 //! - `hold CONN` reads nothing of a connection that is not open yet, until `release CONN`. `flood CONN COUNT health` and
 //!   `flood CONN COUNT hex BYTES` send the same so many times, as fast as the server reads it.
+//! - `send processor half LINE`: the first half of a line of the processor; on sockets alone.
 //! - `trickle CONN call SEQ ..`: sends a call byte by byte, each once the one before has left.
 //! - `send CONN half call SEQ ..` and `send CONN rest`: the first half of a call, and what is left of it.
 //! - `freeze` and `thaw`: the server stops and goes on, so that what is sent in between, signals too, comes to it in one
--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -332,6 +332,10 @@
             _ => format!("{line}\r\n"),
         };
         let link = self.link.lock().expect("whole");
+        let text = match text.strip_prefix("half ") {
+            Some(whole) => &whole[..whole.len() / 2],
+            None => &text,
+        };
         link.as_ref().expect("a link").write_all(text.as_bytes()).expect("the link takes lines");
     }
 
--- a/crates/kit/src/bench/mod.rs
+++ b/crates/kit/src/bench/mod.rs
@@ -29,6 +29,7 @@
 pub mod keys;
 pub mod peers;
 pub mod queue;
+pub mod ready;
 pub mod restart;
 pub mod store;
 
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -336,6 +336,24 @@
         #[arg(long)]
         daemon: Option<PathBuf>,
     },
+    /// How soon servers that are started anew under load answer health checks as good
+    Ready {
+        /// Servers
+        #[arg(long, default_value_t = 6)]
+        servers: usize,
+        /// Started anew at a time
+        #[arg(long, default_value_t = 3)]
+        at_once: usize,
+        /// Times
+        #[arg(long, default_value_t = 10)]
+        rounds: usize,
+        /// Seed
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The daemon's program, if it is not beside this one
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
     /// How long a start takes with so many records in the store, and what memory
     Starts {
         /// Records
@@ -752,6 +770,9 @@
             bench::restart::run(daemon(told)?, seeds, &loads, seconds)?;
             Ok(true)
         }
+        Command::Bench { what: What::Ready { servers, at_once, rounds, seed, daemon: told } } => {
+            Ok(bench::ready::run(daemon(told)?, servers, at_once.min(servers), rounds, seed)?)
+        }
         Command::Bench { what: What::Starts { sizes, daemon: told } } => {
             bench::store::starts(daemon(told)?, &sizes)?;
             Ok(true)
