--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -31,6 +31,9 @@
     pub limits: Limits,
     /// What the module is told.
     pub settings: Settings,
+    /// Whether slots of the ledger are lent between servers, as our own settings say: then more calls may be out.
+    #[serde(skip)]
+    pub lends: bool,
 }
 
 /// Limits of the process.
@@ -58,6 +61,13 @@
 /// Kept back beside those where there is a door for operators: its listener and its callers.
 pub const ADMIN_SOCKETS: usize = 33;
 
+/// Calls to the ledger at a time, as a multiple of the told share, and of that where slots are borrowed; their bounds,
+/// and the part of the descriptors that they may take at the most.
+const CALLS_PER_SHARE: f64 = 2.0;
+const BORROWED: f64 = 3.0;
+const CALLS: [usize; 2] = [4, 64];
+const CALLS_PART: usize = 8;
+
 /// Why a configuration can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -144,6 +154,20 @@
     /// Most client connections at a time.
     pub fn connections(&self) -> usize {
         let admin = if self.admin_addr.is_some() { ADMIN_SOCKETS } else { 0 };
-        self.limits.sockets - RESERVED_SOCKETS - admin
+        self.limits.sockets - RESERVED_SOCKETS - admin - self.calls()
+    }
+
+    /// Most calls to the ledger at a time, each with a connection and a thread of its own. Their descriptors are kept back:
+    /// a call that can't be made for want of one would count as one that may have run.
+    pub fn calls(&self) -> usize {
+        if self.ledger.is_none() || self.settings.specifics.below != Below::Shared {
+            return 0;
+        }
+        let share = self.settings.specifics.calls_out * if self.lends { BORROWED } else { 1.0 };
+        let most = CALLS[1].min(self.limits.sockets / CALLS_PART);
+        ((share * CALLS_PER_SHARE).ceil() as usize).clamp(CALLS[0], most)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -54,8 +54,6 @@
 const URGENT: usize = 1024;
 /// Datagrams of other servers have one too; what finds no room there is dropped.
 const LETTERS: usize = 512;
-/// Threads for calls with borrowed slots, as a multiple of those for the own share.
-const BORROWED: f64 = 3.0;
 /// Free buffers kept at the most, some 9 MB, and the part of the memory that they may take where that is less.
 const POOL: usize = 2048;
 const POOL_PART: usize = 16;
@@ -125,6 +123,7 @@
     // that already waits in a socket.
     let signals = Signals::new(&[SIGTERM, SIGHUP, SIGUSR1, SIGUSR2]).map_err(failed("signals"))?;
     config.admin_addr = handed.admin_addr.or(config.admin_addr);
+    config.lends = own.cluster.as_ref().is_some_and(|set| set.slots.is_some());
     let mut settings = Arc::new(config.settings.clone());
     let clock = Clock::start();
     let seed = config.seed()?;
@@ -247,9 +246,8 @@
     let registry = own.registry.as_ref().map(|set| Registry::start(set, &id, &urgently, log));
     let registry = registry.transpose().map_err(failed("registry"))?;
     let ledger = config.ledger.filter(|_| settings.specifics.below == Below::Shared).map(|address| {
-        let lends = own.cluster.as_ref().is_some_and(|set| set.slots.is_some());
-        let share = settings.specifics.calls_out * if lends { BORROWED } else { 1.0 };
-        let ledger = SharedLedger::start(address, share, urgently.clone(), Arc::clone(&pool), log.clone());
+        let most = config.calls();
+        let ledger = SharedLedger::start(address, most, urgently.clone(), Arc::clone(&pool), log.clone());
         ledger.map_err(failed("ledger"))
     });
     let ledger = ledger.transpose()?;
--- a/crates/node/src/shared_ledger.rs
+++ b/crates/node/src/shared_ledger.rs
@@ -24,9 +24,6 @@
 
 /// The library nests its calls, and keeps its buffers on the heap.
 const STACK: usize = 1024 * 1024;
-/// Threads, each with one call at a time, as many times the told share of calls; and their bounds.
-const THREADS_PER_SHARE: f64 = 2.0;
-const THREADS: [usize; 2] = [4, 64];
 /// Calls that wait for a thread at the most; more are turned away here, which proves that they never ran.
 const QUEUE: usize = 256;
 /// A connection idle for so long is not used again: the ledger closes those idle for 10 s, and a call on one that it
@@ -57,10 +54,10 @@
 }
 
 impl SharedLedger {
-    /// Calls this address from now on, with threads for so many calls at once, and tells how each ended.
+    /// Calls this address from now on, so many calls at a time with a thread each, and tells how each ended.
     pub fn start(
         address: SocketAddr,
-        share: f64,
+        most: usize,
         inputs: Sender<Input>,
         pool: Arc<Pool>,
         log: Logger,
@@ -75,8 +72,7 @@
         let agent: Agent = config.build().into();
         let url = Arc::new(RwLock::new(url(address)));
         let (calls, queue) = bounded::<Call>(QUEUE);
-        let threads = (share * THREADS_PER_SHARE).ceil() as usize;
-        for n in 0..threads.clamp(THREADS[0], THREADS[1]) {
+        for n in 0..most {
             let (agent, url, queue, inputs, pool) =
                 (agent.clone(), Arc::clone(&url), queue.clone(), inputs.clone(), Arc::clone(&pool));
             let carry = move || carry(&agent, &url, &queue, &inputs, &pool);
--- a/crates/node/src/shared_ledger/tests.rs
+++ b/crates/node/src/shared_ledger/tests.rs
@@ -36,7 +36,7 @@
     let (inputs, came) = bounded(4);
     let pool = Pool::new(4);
     let log = Logger::root(slog::Discard, slog::o!());
-    let ledger = SharedLedger::start(address, 1.0, inputs, pool, log).unwrap();
+    let ledger = SharedLedger::start(address, 4, inputs, pool, log).unwrap();
     assert!(
         ledger.call(RequestId::new("00000000000000a1"), b"form", Span(limit_ms * 1_000_000), None).is_ok()
     );
@@ -95,10 +95,10 @@
     inputs.send(Input::LinkDown).unwrap();
     let log = Logger::root(slog::Discard, slog::o!());
     let address = silent.local_addr().unwrap();
-    let ledger = SharedLedger::start(address, 1.0, inputs, Pool::new(4), log).unwrap();
+    let ledger = SharedLedger::start(address, 4, inputs, Pool::new(4), log).unwrap();
     let (told, tells) = bounded(1);
     thread::spawn(move || {
-        let turned_away = (0..QUEUE + THREADS[0] + 1).filter_map(|n| {
+        let turned_away = (0..QUEUE + 4 + 1).filter_map(|n| {
             ledger.call(RequestId::new(&format!("{n:016x}")), b"form", Span(60_000_000_000), None).err()
         });
         let all = turned_away.collect::<Vec<_>>();
@@ -132,7 +132,7 @@
     });
     let (inputs, came) = bounded(4);
     let log = Logger::root(slog::Discard, slog::o!());
-    let ledger = SharedLedger::start(address, 1.0, inputs, Pool::new(4), log).unwrap();
+    let ledger = SharedLedger::start(address, 4, inputs, Pool::new(4), log).unwrap();
     for n in 0..2 {
         let id = RequestId::new(&format!("{n:016x}"));
         assert!(ledger.call(id, b"form", Span(10_000_000_000), None).is_ok());
