--- a/crates/model/src/policies/mod.rs
+++ b/crates/model/src/policies/mod.rs
@@ -154,6 +154,7 @@
         control: nowhere,
         seed: format!("{:016x}", start.seed),
         stop_ms,
+        lends: false,
         admin_addr: None,
         ledger: Some(nowhere),
         limits: Limits { sockets: 4_096, memory_mb: 192 },
