--- a/crates/kit/tests/shared.rs
+++ b/crates/kit/tests/shared.rs
@@ -5,7 +5,9 @@
 use gradepin_kit::drill::release;
 use gradepin_kit::drill::shared::{Drill, run};
 use gradepin_kit::fleet::{self, Fleet, FleetSpec, PeersSpec};
-use gradepin_kit::rig::history::History;
+use gradepin_kit::load::{Fixed, Habit, Proxy, classes};
+use gradepin_kit::processor::Spec;
+use gradepin_kit::rig::history::{History, What};
 use gradepin_kit::rig::ledger::Ledger;
 use gradepin_kit::rig::play::ask;
 use gradepin_kit::rig::relay::Net;
@@ -103,3 +105,73 @@
     };
     assert!(release::run(&drill).expect("it is played"), "a claim is not kept");
 }
+
+/// Guards a ledger that was away and comes back cold from servers that lend each other nothing and hear of it each by its
+/// own tries: together they send it what their shares allow, and beyond that only chance.
+#[test]
+fn a_ledger_that_comes_back_cold_gets_the_shares_of_all_servers_and_no_burst() {
+    const SERVERS: usize = 20;
+    const SURVIVES: f64 = 4.0;
+    const SPAN_US: u64 = 5_000_000;
+    let folder = fleet::folder("shared-cold").unwrap();
+    let listen: Vec<_> = (0..SERVERS).map(|_| fleet::peer_address()).collect();
+    let history = Arc::<History>::default();
+    let ledger = Ledger::start(SERVERS, Duration::from_millis(60), 1, &history).unwrap();
+    let work = classes().into_iter().map(|class| (class.name, Duration::from_millis(20))).collect();
+    let spec = FleetSpec {
+        daemon: fleet::daemon().expect("the daemon is built with the workspace's tests"),
+        servers: SERVERS,
+        processor: Spec { classes: work, calls: 1.0, ..Spec::default() },
+        scale: 4,
+        peers: Some(PeersSpec {
+            advertise: listen.clone(),
+            listen,
+            zones: vec!["z".into(); SERVERS],
+            ledgers: ledger.addresses.clone(),
+            share: SURVIVES / SERVERS as f64,
+            lends: false,
+            plain: false,
+        }),
+        folder: folder.clone(),
+        ..FleetSpec::default()
+    };
+    // It is away, and cold when it is back; many ask every server for more than it may call for.
+    ledger.close(&(0..SERVERS).collect::<Vec<_>>());
+    ledger.slow(8);
+    let fleet = Fleet::start(&spec).unwrap();
+    let callers: Vec<Proxy> = (0..SERVERS)
+        .map(|n| {
+            let list = Fixed { all: vec![fleet.nodes[n].address], turn: 0 };
+            Proxy::start(n as u64 + 1, n as u64, Habit::thrift(6.0, 1, true), Box::new(list)).unwrap()
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(2));
+    let back_us = history.elapsed_us();
+    ledger.close(&[]);
+    thread::sleep(Duration::from_secs(7));
+    callers.into_iter().for_each(|caller| drop(caller.stop()));
+    drop(fleet);
+    fleet::remove(&folder);
+    // What is in its hands, and when it changes.
+    let (mut hands, mut course) = (0_usize, vec![(back_us, 0_usize)]);
+    for entry in history.read().into_iter().filter(|entry| entry.at_us >= back_us) {
+        match entry.what {
+            What::CallBegan(_) => hands += 1,
+            What::CallEnded(_) => hands = hands.saturating_sub(1),
+            _ => continue,
+        }
+        course.push((entry.at_us, hands));
+    }
+    let most = course.iter().map(|(_, hands)| *hands).max().unwrap();
+    let begun = course.windows(2).filter(|two| two[1].1 > two[0].1).count();
+    let held: f64 = course
+        .windows(2)
+        .filter(|two| two[0].0 < back_us + SPAN_US)
+        .map(|two| two[0].1 as f64 * (two[1].0.min(back_us + SPAN_US) - two[0].0) as f64)
+        .sum();
+    let mean = held / SPAN_US as f64;
+    println!("{begun} calls, {most} at once at the most, {mean:.2} in the mean of its first span");
+    assert!(begun > SERVERS, "it was called at all");
+    assert!(mean <= SURVIVES, "{mean:.2} in the mean");
+    assert!(most as f64 <= SURVIVES + 2.0 * SURVIVES.sqrt() + 2.0, "{most} at once");
+}
