--- a/crates/gradepin/tests/life.rs
+++ b/crates/gradepin/tests/life.rs
@@ -467,3 +467,38 @@
          expect no processor begin",
     );
 }
+
+/// Guards against answers left out, or given twice, under floods of whole requests beside connections that are opened and
+/// dropped, some with a request on them, by an end or by a reset.
+#[test]
+fn floods_of_requests_beside_connections_that_come_and_go_leave_no_answer_out() {
+    let mut stage = Sockets::up("requests-flood");
+    play(&mut stage, "expect processor hello 0\nexpect control Ready");
+    for n in 0..4 {
+        play(&mut stage, &format!("flood r{n} 200 call {}", 1000 * (n + 1)));
+    }
+    for n in 0..60 {
+        play(
+            &mut stage,
+            &format!(
+                "open o{n}
+                 close o{n}
+                 send e{n} call 1 rid={} budget=60000
+                 close e{n}
+                 send x{n} half call 1 rid={}
+                 reset x{n}",
+                10_000 + n,
+                20_000 + n
+            ),
+        );
+    }
+    let served = serve(&mut stage, &["r0", "r1", "r2", "r3"], 800);
+    assert!(served > 0, "none of 800 was served");
+    // Whatever begins yet was of those who left; nobody is answered again.
+    play(&mut stage, "send a health 1\nexpect a 1");
+    for n in 0..4 {
+        play(&mut stage, &format!("send r{n} health 1000\nexpect r{n} 1000\nexpect no r{n} closed"));
+        let more = stage.rest().into_iter().filter(|event| event.starts_with(&format!("r{n} "))).count();
+        assert_eq!(more, 0, "answers beyond one each");
+    }
+}
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -26,7 +26,8 @@
 //! - `half-close CONN`: it sends nothing more, and still reads. `reset CONN`: it is gone, and what is unread with it; on
 //!   sockets alone, as are the next three.
 //! - `hold CONN` reads nothing of a connection that is not open yet, until `release CONN`. `flood CONN COUNT health` and
-//!   `flood CONN COUNT hex BYTES` send the same so many times, as fast as the server reads it.
+//!   `flood CONN COUNT hex BYTES` send the same so many times, as fast as the server reads it; `flood CONN COUNT call RID`
+//!   so many calls, with ids that count on from there.
 //! - `send processor half LINE`: the first half of a line of the processor; on sockets alone.
 //! - `trickle CONN call SEQ ..`: sends a call byte by byte, each once the one before has left.
 //! - `send CONN half call SEQ ..` and `send CONN rest`: the first half of a call, and what is left of it.
@@ -249,6 +250,14 @@
             ["flood", conn, _, "health"] => {
                 stage.flood(conn, &(1..=seq(2)).flat_map(thrift::health).collect::<Vec<u8>>())
             }
+            ["flood", conn, _, "call", first] => {
+                let (first, now) = (first.parse::<i32>().expect("a number"), stage.unix_ms());
+                let one = |n: i32| {
+                    let rid = format!("rid={}", first + n);
+                    call(&[&n.to_string(), &rid, "budget=60000", "mem=1"], now)
+                };
+                stage.flood(conn, &(1..=seq(2)).flat_map(one).collect::<Vec<u8>>())
+            }
             ["flood", conn, _, "hex", bytes] => {
                 stage.flood(conn, &thrift::unhex(bytes).repeat(seq(2) as usize))
             }
