Name a share below one call once, and take the kit's own quantile

Cause: read again, the module asked in two places whether the share is below one call, once without asking whether the dependency is shared (learn_call, which then drew a number that nothing used where it isn't); bench ready had a quantile of its own beside drill::quantile. Change: Controller::small_share for both; bench ready goes by drill::quantile.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -634,10 +634,9 @@
         self.call_s = if self.call_s == 0.0 { took } else { self.call_s + 0.2 * (took - self.call_s) };
         // The floor of the mean, not of single calls: those differ by far more than crowding slows them.
         self.calls_seen += 1;
-        let share = self.set.specifics.calls_out;
-        if self.calls_seen == 1 && share < 1.0 {
+        if self.calls_seen == 1 && self.small_share() {
             // Now that a length is known, the next one is spaced by it.
-            let gap = took / (share * self.pace).max(1e-6);
+            let gap = took / (self.set.specifics.calls_out * self.pace).max(1e-6);
             self.next_call = after(self.now, span(gap * self.unit()));
         }
         let floor = if self.calls_seen > 10 { self.call_floor_s } else { self.call_s };
@@ -649,6 +648,11 @@
         self.call_limit = limit.clamp((self.call_cap() / 4.0).max(1.0), self.call_cap());
     }
 
+    /// Whether the told share is below one call, so that a mean over its span is kept, by pacing.
+    fn small_share(&self) -> bool {
+        self.set.specifics.below == Below::Shared && self.set.specifics.calls_out < 1.0
+    }
+
     /// Most calls in hand: the told share, or for a tier of servers the crowd that may run here.
     fn call_cap(&self) -> f64 {
         let shared = self.set.specifics.below == Below::Shared;
@@ -671,7 +675,6 @@
         while self.call_log.front().is_some_and(|&(until, _)| until <= self.now) {
             self.call_spent -= self.call_log.pop_front().map_or(0.0, |(_, took)| took);
         }
-        let shared = self.set.specifics.below == Below::Shared;
         let dice = self.unit();
         let mut waiting: Vec<(f64, u64)> = self.at_gate.iter().map(|&s| (self.density(s), s)).collect();
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
@@ -695,7 +698,7 @@
             // The told share rounds down: 1.2 lets one call out, or a full fleet would pass what is survived.
             let room = (self.calls_out + self.lingering.len() + 1) as f64 <= self.call_limit.max(1.0);
             // Below a share of one call, the mean over the span is kept by what calls may still take in it.
-            let (small, budget) = (shared && share < 1.0, secs(self.set.specifics.share_span) * share);
+            let (small, budget) = (self.small_share(), secs(self.set.specifics.share_span) * share);
             let linger = secs(self.set.specifics.linger);
             let spent = self.call_spent + self.lingering.len() as f64 * linger;
             let longest = (budget / 2.0 - linger).max(budget / 8.0);
--- a/crates/kit/src/bench/ready.rs
+++ b/crates/kit/src/bench/ready.rs
@@ -1,6 +1,7 @@
 //! How soon servers are ready after they were started anew: under load, several at once, after a graceful shutdown and
 //! after a kill in turn. Ready is a health check answered as good.
 
+use crate::drill::quantile;
 use crate::fleet::{self, Fleet, FleetSpec, Node};
 use crate::load::{Fixed, Habit, Proxy, classes};
 use crate::processor::Spec;
@@ -97,16 +98,16 @@
     fleet::remove(&folder);
     took.sort();
     let starts = took.len() + never;
-    let at = |part: f64| took.get(((took.len() as f64 * part) as usize).min(took.len().saturating_sub(1)));
-    let ms = |time: Option<&Duration>| time.map_or(f64::NAN, |time| time.as_secs_f64() * 1e3);
+    let us: Vec<u64> = took.iter().map(|time| time.as_micros() as u64).collect();
+    let ms = |q| quantile(&us, q) as f64 / 1e3;
     println!(
         "{starts} starts of {servers} servers, {at_once} at once, at {:.0}% load, seed {seed}: ready after {:.0} ms at the soonest, p50 {:.0}, p90 {:.0}, p99 {:.0}, {:.0} at the latest, {never} never",
         100.0 * LOAD,
-        ms(took.first()),
-        ms(at(0.5)),
-        ms(at(0.9)),
-        ms(at(0.99)),
-        ms(took.last()),
+        ms(0.0),
+        ms(0.5),
+        ms(0.9),
+        ms(0.99),
+        ms(1.0),
     );
     let prompt = took.iter().filter(|time| **time <= MOST).count();
     Ok(never == 0 && prompt * 10 >= starts * 9)
