--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,8 @@
+//! Revisions of the fleet's configuration, without I/O and without a clock.
+//!
+//! - [`change`]: typed changes of classes, tenants and rules, and the commit that carries them under one revision.
+//!
+//! A configuration is the result of applying a prefix of the committed log to an empty configuration. Every server of
+//! the fleet holds such a prefix, and never anything else.
+
+pub mod change;
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -1,6 +1,6 @@
 //! The types that cross the border of the decision module: settings, events, actions, ids and times.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// A point on the worker's clock, in nanoseconds; the clock has no special start.
@@ -8,7 +8,7 @@
 pub struct Time(pub u64);
 
 /// A length of time in nanoseconds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Span(pub u64);
 
@@ -128,7 +128,7 @@
 }
 
 /// A request class.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[allow(missing_docs)]
 pub struct Profile {
     pub name: String,
@@ -149,7 +149,7 @@
 }
 
 /// Whether a request may run again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Effect {
     /// Safe to repeat.
@@ -161,7 +161,7 @@
 }
 
 /// A tenant.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[allow(missing_docs)]
 pub struct Customer {
     pub name: String,
