--- /dev/null
+++ b/crates/cluster/src/authentication.rs
@@ -0,0 +1,194 @@
+//! Authentication of datagrams: the header says who sends it, to which incarnation of whom, its number and when it left by
+//! the sender's clock; a tag by a key that the whole fleet has covers it all. What lacks the tag is dropped before anything
+//! else of it is looked at.
+//!
+//! The tag is BLAKE3 in its keyed mode, cut to 16 bytes. It says that the sender has the key, and no more: nothing is
+//! hidden, and nothing is agreed on. Whether a datagram is a replay or too old is [`crate::replay_window`]'s to say.
+//!
+//! ```text
+//! version | length of name | name | incarnation | to | number | sent | content | tag
+//!    1    |       1        | 1-48 |  8   | 8  |   8    |  8   |                 |  16     bytes, big-endian
+//! ```
+
+use crate::peer::{Incarnation, MAX_NAME_BYTES};
+use std::fmt;
+
+/// The longest datagram, in bytes: one that no path of 1,500 bytes cuts.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// What the envelope takes of it at the most.
+pub const MAX_OVERHEAD_BYTES: usize = 2 + MAX_NAME_BYTES + 4 * 8 + TAG_BYTES;
+const VERSION: u8 = 1;
+const TAG_BYTES: usize = 16;
+
+/// Why a datagram is dropped. Each kind is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub enum DropReason {
+    /// It can't be an envelope.
+    #[error("expected a datagram of 52 to 1400 bytes, version 1")]
+    Form,
+    /// Its tag is by no key of ours.
+    #[error("expected a tag by one of the keys in force")]
+    Tag,
+    /// It was taken before.
+    #[error("a datagram that came before")]
+    Replay,
+    /// It was under way for too long, or waited here unread.
+    #[error("a datagram that was under way for too long")]
+    Late,
+    /// A later incarnation of its sender is known.
+    #[error("a datagram of an earlier incarnation of its sender")]
+    EarlierIncarnation,
+    /// It is for another incarnation of this server, or for another server.
+    #[error("a datagram for another incarnation")]
+    OtherIncarnation,
+    /// What it carries makes no sense.
+    #[error("a datagram whose content can't be read")]
+    Content,
+    /// More came than are taken in a second.
+    #[error("more datagrams than are taken in a second")]
+    RateLimited,
+}
+
+impl DropReason {
+    /// The reason as a label of metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Form => "form",
+            Self::Tag => "tag",
+            Self::Replay => "replay",
+            Self::Late => "late",
+            Self::EarlierIncarnation => "earlier-life",
+            Self::OtherIncarnation => "other-life",
+            Self::Content => "content",
+            Self::RateLimited => "flood",
+        }
+    }
+}
+
+/// Why a text holds no keys.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum BadKeys {
+    /// A line is no key.
+    #[error("line {0}: expected 64 hex digits")]
+    Line(usize),
+    /// There is none, or there are more than two.
+    #[error("expected one key, or two while one is replaced, got {0}")]
+    Number(usize),
+}
+
+/// The keys of the fleet: the first one tags what is sent, both are accepted.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Keys {
+    keys: Vec<[u8; 32]>,
+}
+
+impl fmt::Debug for Keys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // Keys don't belong in a log.
+        write!(f, "{} keys", self.keys.len())
+    }
+}
+
+impl Keys {
+    /// Reads keys, a line each; blank lines and those that begin with `#` are skipped.
+    pub fn parse(text: &str) -> Result<Self, BadKeys> {
+        let mut keys = Vec::new();
+        for (n, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if !line.is_empty() && !line.starts_with('#') {
+                keys.push(key(line).ok_or(BadKeys::Line(n + 1))?);
+            }
+        }
+        if keys.is_empty() || keys.len() > 2 {
+            return Err(BadKeys::Number(keys.len()));
+        }
+        Ok(Self { keys })
+    }
+
+    /// One key of these bytes, for a fleet in a model.
+    pub fn of(key: [u8; 32]) -> Self {
+        Self { keys: vec![key] }
+    }
+
+    /// A datagram with its tag.
+    pub fn authenticate(&self, header: &Header<'_>, body: &[u8]) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(MAX_OVERHEAD_BYTES + body.len());
+        bytes.extend([VERSION, header.name.len() as u8]);
+        bytes.extend(header.name.as_bytes());
+        for number in [header.incarnation.0, header.to.0, header.number, header.sent_us] {
+            bytes.extend(number.to_be_bytes());
+        }
+        bytes.extend(body);
+        let tag = tag(&self.keys[0], &bytes);
+        bytes.extend(tag);
+        bytes
+    }
+
+    /// The envelope and what it holds, if its tag is by one of the keys.
+    pub fn verify<'d>(&self, datagram: &'d [u8]) -> Result<(Header<'d>, &'d [u8]), DropReason> {
+        if datagram.len() > MAX_DATAGRAM_BYTES || datagram.first() != Some(&VERSION) {
+            return Err(DropReason::Form);
+        }
+        let (tagged, found) = datagram.split_last_chunk::<TAG_BYTES>().ok_or(DropReason::Form)?;
+        // By a comparison whose time doesn't tell how much of the tag was right.
+        let good = |key: &[u8; 32]| {
+            let tag = tag(key, tagged);
+            tag.iter().zip(found).fold(0, |differ, (a, b)| differ | (a ^ b)) == 0
+        };
+        if !self.keys.iter().any(good) {
+            return Err(DropReason::Tag);
+        }
+        let (&length, rest) = tagged[1..].split_first().ok_or(DropReason::Form)?;
+        let (name, rest) = rest.split_at_checked(usize::from(length)).ok_or(DropReason::Form)?;
+        let name = std::str::from_utf8(name).map_err(|_| DropReason::Form)?;
+        let (numbers, body) = rest.split_first_chunk::<32>().ok_or(DropReason::Form)?;
+        if name.is_empty() || name.len() > MAX_NAME_BYTES {
+            return Err(DropReason::Form);
+        }
+        let number = |n: usize| numbers[n * 8..].first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes));
+        let header = Header {
+            name,
+            incarnation: Incarnation(number(0)),
+            to: Incarnation(number(1)),
+            number: number(2),
+            sent_us: number(3),
+        };
+        Ok((header, body))
+    }
+}
+
+/// What an envelope says beside what it carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Header<'d> {
+    /// The sender's name.
+    pub name: &'d str,
+    /// And its incarnation.
+    pub incarnation: Incarnation,
+    /// The incarnation of the one that it is for; 0 where that isn't known.
+    pub to: Incarnation,
+    /// Counters the datagrams of a incarnation.
+    pub number: u64,
+    /// When it left, in microseconds since the sender's incarnation began, by a clock that nobody sets.
+    pub sent_us: u64,
+}
+
+fn tag(key: &[u8; 32], bytes: &[u8]) -> [u8; TAG_BYTES] {
+    let hash = blake3::keyed_hash(key, bytes);
+    let mut tag = [0; TAG_BYTES];
+    tag.copy_from_slice(&hash.as_bytes()[..TAG_BYTES]);
+    tag
+}
+
+fn key(line: &str) -> Option<[u8; 32]> {
+    let mut key = [0; 32];
+    if line.len() != 64 || !line.is_ascii() {
+        return None;
+    }
+    for (n, byte) in key.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&line[2 * n..2 * n + 2], 16).ok()?;
+    }
+    Some(key)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/cluster/src/cluster/receive.rs
@@ -0,0 +1,138 @@
+//! Datagrams that come in: whether they are taken, and which part they are passed to.
+
+use super::envelope::Envelope;
+use super::message::MessageKind;
+use super::{Cluster, Effect};
+use crate::MS;
+use crate::authentication::DropReason;
+use crate::counters::GossipedRow;
+use crate::leases::LeaseMessage;
+use crate::peer::Incarnation;
+use gradepin_decisions::{Span, Time, after};
+use std::sync::Arc;
+
+/// Between two notices to a server that is known in a greater incarnation.
+const NOTICE_INTERVAL: Span = Span(500 * MS);
+/// A datagram to nobody in particular, as to a seed.
+const ANY_INCARNATION: Incarnation = Incarnation(0);
+
+impl Cluster {
+    /// Datagrams were dropped before they came here.
+    pub fn dropped(&mut self, why: DropReason, times: u64) {
+        *self.status.dropped.entry(why).or_default() += times;
+    }
+
+    /// A datagram with a good tag came.
+    pub fn receive(&mut self, now: Time, envelope: &Envelope) {
+        match self.take(now, envelope) {
+            Ok(()) => self.status.received += 1,
+            Err(why) => self.dropped(why, 1),
+        }
+    }
+
+    fn take(&mut self, now: Time, envelope: &Envelope) -> Result<(), DropReason> {
+        if envelope.name == *self.members.own().name {
+            // Another incarnation of ours, at an address where this one is taken for a peer.
+            return Err(DropReason::OtherIncarnation);
+        }
+        // The window goes on before the content is looked at; an unknown kind is dropped after it.
+        if envelope.is_empty() {
+            return Err(DropReason::Content);
+        }
+        let delay = self.check_replay(now, envelope)?;
+        self.check_receiver(now, envelope)?;
+        let (kind, content) = envelope.message().ok_or(DropReason::Content)?;
+        match kind {
+            MessageKind::Membership => self.members.receive(now, content).map_err(|_| DropReason::Content),
+            MessageKind::Rows => self.receive_rows(now, content, delay),
+            MessageKind::Lease => self.receive_lease(now, envelope, content),
+            MessageKind::KnownIncarnation => Ok(()),
+            MessageKind::Fragment => self.receive_fragment(now, envelope, content),
+        }
+    }
+
+    /// Drops replays, and tells a sender that is known in a greater incarnation of it.
+    fn check_replay(&mut self, now: Time, envelope: &Envelope) -> Result<Span, DropReason> {
+        let checked = self.replay_window.check(now, &envelope.header());
+        if checked == Err(DropReason::EarlierIncarnation) {
+            self.notify_of_incarnation(now, &envelope.name);
+        }
+        checked
+    }
+
+    /// Drops what is for another incarnation of this server.
+    fn check_receiver(&mut self, now: Time, envelope: &Envelope) -> Result<(), DropReason> {
+        let own = self.members.own().incarnation;
+        let kind = envelope.message().map(|(kind, _)| kind);
+        let to = envelope.to;
+        if to > own || (kind == Some(MessageKind::KnownIncarnation) && to < own) {
+            // It is meant for a greater incarnation of this name: this one comes back past it.
+            self.members.raise_incarnation(now, to);
+            return Err(DropReason::OtherIncarnation);
+        }
+        // To nobody in particular only announcements come, which say nothing that counts.
+        let is_membership = kind == Some(MessageKind::Membership);
+        if to == own || (to == ANY_INCARNATION && is_membership) {
+            return Ok(());
+        }
+        if is_membership
+            && self.may_notify(now, &envelope.name)
+            && let Some((_, content)) = envelope.message()
+        {
+            self.members.announce_to_sender(now, content);
+        }
+        Err(DropReason::OtherIncarnation)
+    }
+
+    fn receive_rows(&mut self, now: Time, mut content: &[u8], delay: Span) -> Result<(), DropReason> {
+        while !content.is_empty() {
+            let taken = postcard::take_from_bytes::<GossipedRow>(content);
+            let (row, rest) = taken.map_err(|_| DropReason::Content)?;
+            self.counters.merge(now, row, delay);
+            content = rest;
+        }
+        Ok(())
+    }
+
+    fn receive_lease(&mut self, now: Time, envelope: &Envelope, content: &[u8]) -> Result<(), DropReason> {
+        let message: LeaseMessage = postcard::from_bytes(content).map_err(|_| DropReason::Content)?;
+        let from: Arc<str> = Arc::from(envelope.name.as_str());
+        if let Some(reply) = self.leases.receive(now, &from, envelope.incarnation, message) {
+            self.send_lease(now, &from, reply);
+        }
+        // What was recalled goes as soon as it may.
+        self.next_lease_step = self.next_lease_step.min(now);
+        Ok(())
+    }
+
+    fn receive_fragment(&mut self, now: Time, envelope: &Envelope, content: &[u8]) -> Result<(), DropReason> {
+        let Envelope { name, incarnation, .. } = envelope;
+        if let Some(content) = self.reassembly.take(now, name, *incarnation, content)? {
+            let from = Arc::from(name.as_str());
+            self.effects.push(Effect::Post { from, incarnation: *incarnation, content });
+        }
+        Ok(())
+    }
+
+    /// Tells a server whose incarnation is less than one that was known that it is so; its wall clock was set back, most
+    /// likely.
+    fn notify_of_incarnation(&mut self, now: Time, name: &str) {
+        let Some(known) = self.members.find(name) else { return };
+        let mut peer = known.peer.clone();
+        let last_heard = self.replay_window.incarnation(name).unwrap_or_default();
+        peer.incarnation = last_heard.max(peer.incarnation);
+        if self.may_notify(now, name) {
+            self.send(now, &peer, MessageKind::KnownIncarnation, &[]);
+        }
+    }
+
+    /// Whether a server may be told now that it is mistaken about an incarnation: not with each of its datagrams.
+    fn may_notify(&mut self, now: Time, name: &str) -> bool {
+        self.notified.retain(|_, at| now < after(*at, NOTICE_INTERVAL));
+        let may = !self.notified.contains_key(name);
+        if may {
+            self.notified.insert(Arc::from(name), now);
+        }
+        may
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/cluster/send.rs
@@ -0,0 +1,159 @@
+//! Datagrams that go out: the bound on bytes a second, and what is gossiped to whom.
+
+use super::message::MessageKind;
+use super::{Cluster, Effect};
+use crate::MS;
+use crate::authentication::{Header, MAX_DATAGRAM_BYTES, MAX_OVERHEAD_BYTES};
+use crate::counters::{GossipedRow, StoredRow};
+use crate::fragments;
+use crate::leases::LeaseMessage;
+use crate::peer::Peer;
+use gradepin_decisions::{Span, Time, secs};
+use rand_pcg::rand_core::Rng;
+use std::sync::Arc;
+
+/// What a datagram may carry after the byte of its kind.
+const MAX_CONTENT_BYTES: usize = MAX_DATAGRAM_BYTES - MAX_OVERHEAD_BYTES - 1;
+/// Rows of others that are passed on are no older than this: what is about to be forgotten helps nobody.
+const MAX_GOSSIP_AGE: Span = Span(6_000 * MS);
+/// The longest encoded message about a lease.
+const MAX_LEASE_BYTES: usize = 32;
+/// A rate under so many datagrams a second leaves nothing in reserve for what can't wait.
+const MIN_DATAGRAMS_FOR_RESERVE: f64 = 4.0;
+
+/// A token bucket of bytes: one second's worth at the most.
+#[derive(Debug)]
+pub(super) struct SendBudget {
+    rate: f64,
+    available: f64,
+    at: Time,
+}
+
+impl SendBudget {
+    pub(super) fn new(bytes_per_second: u32, now: Time) -> Self {
+        let rate = f64::from(bytes_per_second);
+        Self { rate, available: rate, at: now }
+    }
+
+    fn refill(&mut self, now: Time) {
+        let passed = secs(Span(now.0.saturating_sub(self.at.0)));
+        self.available = (self.available + self.rate * passed).min(self.rate);
+        self.at = now;
+    }
+
+    /// Whether so many bytes may be sent that can wait: half of a second's worth is left for what can't, as answers to
+    /// probes and messages about leases.
+    fn allows_deferrable(&mut self, now: Time, bytes: usize) -> bool {
+        self.refill(now);
+        let bytes = bytes as f64;
+        let is_small = self.rate < MIN_DATAGRAMS_FOR_RESERVE * MAX_DATAGRAM_BYTES as f64;
+        self.available >= self.rate / 2.0 + bytes || is_small && self.available >= bytes
+    }
+
+    fn allows(&mut self, now: Time, bytes: usize) -> bool {
+        self.refill(now);
+        self.available >= bytes as f64
+    }
+
+    fn spend(&mut self, bytes: usize) {
+        self.available -= bytes as f64;
+    }
+}
+
+/// Rows encoded one after the other, as many as fit into a datagram.
+struct RowsContent {
+    content: Vec<u8>,
+    buffer: [u8; MAX_DATAGRAM_BYTES],
+}
+
+impl RowsContent {
+    fn new() -> Self {
+        Self { content: Vec::with_capacity(MAX_DATAGRAM_BYTES), buffer: [0; MAX_DATAGRAM_BYTES] }
+    }
+
+    /// Adds a row, if it fits.
+    fn add(&mut self, now: Time, stored: &StoredRow) -> bool {
+        let age_ms = stored.age(now).0.div_ceil(MS).min(u64::from(u32::MAX)) as u32;
+        let gossiped = GossipedRow { row: stored.row.clone(), age_ms };
+        match postcard::to_slice(&gossiped, &mut self.buffer) {
+            Ok(bytes) if self.content.len() + bytes.len() <= MAX_CONTENT_BYTES => {
+                self.content.extend_from_slice(bytes);
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+impl Cluster {
+    /// Gossips rows to one member: the own one, and others' as they fit, drawn anew each time.
+    pub(super) fn gossip(&mut self, now: Time) {
+        let up = self.members.up_count();
+        if up == 0 || !self.budget.allows_deferrable(now, MAX_DATAGRAM_BYTES) {
+            return;
+        }
+        let place = self.rng.next_u64() as usize % up;
+        let Some(peer) = self.members.up().nth(place).cloned() else { return };
+        let own = Arc::clone(&self.members.own().name);
+        let mut content = RowsContent::new();
+        if let Some(stored) = self.counters.row(&own) {
+            content.add(now, stored);
+        }
+        let is_passed_on = |stored: &&StoredRow| {
+            let name = &stored.row.name;
+            *name != own && *name != peer.name && stored.age(now) <= MAX_GOSSIP_AGE
+        };
+        let young: Vec<&StoredRow> = self.counters.rows().filter(is_passed_on).collect();
+        let from = if young.is_empty() { 0 } else { self.rng.next_u64() as usize % young.len() };
+        // From a place drawn at random on: each row has the same chance, and no list is shuffled for it.
+        for stored in young[from..].iter().chain(&young[..from]) {
+            if !content.add(now, stored) {
+                break;
+            }
+        }
+        self.send(now, &peer, MessageKind::Rows, &content.content);
+    }
+
+    /// Sends a message to another server, by name, in as many datagrams as it takes, each of which may be lost. The
+    /// receiver's cluster gives it out as [`Effect::Post`]; its content is not the cluster's to know.
+    pub fn post(&mut self, now: Time, to: &str, content: &[u8]) {
+        let Some(peer) = self.members.find(to).map(|known| known.peer.clone()) else { return };
+        self.posts = self.posts.wrapping_add(1);
+        for fragment in fragments::split(self.posts, content) {
+            self.send(now, &peer, MessageKind::Fragment, &fragment);
+        }
+    }
+
+    pub(super) fn send_lease(&mut self, now: Time, to: &str, message: LeaseMessage) {
+        let Some(peer) = self.members.find(to).map(|known| known.peer.clone()) else { return };
+        let mut buffer = [0_u8; MAX_LEASE_BYTES];
+        if let Ok(content) = postcard::to_slice(&message, &mut buffer) {
+            self.send(now, &peer, MessageKind::Lease, content);
+        }
+    }
+
+    /// Sends a datagram, if the budget has room for it.
+    pub(super) fn send(&mut self, now: Time, peer: &Peer, kind: MessageKind, content: &[u8]) {
+        if !self.budget.allows(now, MAX_OVERHEAD_BYTES + 1 + content.len()) {
+            self.status.suppressed += 1;
+            return;
+        }
+        self.number += 1;
+        let own = self.members.own();
+        let header = Header {
+            name: &own.name,
+            incarnation: own.incarnation,
+            to: peer.incarnation,
+            number: self.number,
+            sent_us: (now.0 - self.began.0) / 1_000,
+        };
+        let mut body = Vec::with_capacity(1 + content.len());
+        body.push(kind.byte());
+        body.extend_from_slice(content);
+        let datagram = self.settings.keys.authenticate(&header, &body);
+        self.budget.spend(datagram.len());
+        self.status.sent += 1;
+        self.status.bytes_sent += datagram.len() as u64;
+        self.effects.push(Effect::Send { to: peer.address, datagram });
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/cluster/upstream.rs
@@ -0,0 +1,128 @@
+//! Calls to the shared upstream: whether one may be made now, by the leases on its slots and by the circuit breaker.
+
+use super::{Cluster, TICK};
+use crate::MS;
+use crate::circuit_breaker::{Admission, PeerObservations};
+use crate::leases::{LenderOffer, SLOT, Slot};
+use gradepin_decisions::{Outcome, Span, Time, after};
+use rand_pcg::rand_core::Rng;
+use std::sync::Arc;
+
+/// Between two steps of the leases while runs wait for a slot.
+const SHORT_TICK: Span = Span(20 * MS);
+/// What a lender says of its spare slots counts for so long.
+const OFFER_VALID_FOR: Span = Span(3_000 * MS);
+/// Lenders that are considered in one step.
+const MAX_LENDERS: usize = 12;
+
+/// Whether a call to the shared upstream may be made now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallDecision {
+    /// It may, with this slot, which is taken.
+    Proceed(Slot),
+    /// Not now: all slots are taken.
+    Wait,
+    /// Not: the upstream looks dead.
+    Rejected,
+}
+
+impl Cluster {
+    /// So many runs wait for a call to the upstream.
+    pub fn set_waiting(&mut self, now: Time, waiting: usize) {
+        self.leases.set_waiting(now, waiting as u32);
+        if self.leases.is_short(now) {
+            self.next_lease_step = self.next_lease_step.min(after(now, SHORT_TICK));
+        }
+    }
+
+    /// Whether a call to the upstream may be made now.
+    pub fn call(&mut self, now: Time) -> CallDecision {
+        let random = self.random();
+        let lends = self.settings.share.is_some();
+        let has_slot = self.leases.limit(now) >= (self.leases.taken(now) + 1) * SLOT;
+        if lends && self.circuit_breaker.is_closed() && !has_slot {
+            return CallDecision::Wait;
+        }
+        match self.circuit_breaker.call(now, random) {
+            Admission::Rejected => CallDecision::Rejected,
+            // Where slots aren't lent, how many calls are out is the module's alone.
+            Admission::Call | Admission::Probe if !lends => CallDecision::Proceed(Slot::Own),
+            Admission::Call | Admission::Probe => {
+                self.leases.call(now).map_or(CallDecision::Wait, CallDecision::Proceed)
+            }
+        }
+    }
+
+    /// A call that was made has ended.
+    pub fn called(&mut self, now: Time, outcome: Outcome, took: Span) {
+        let given_up = matches!(outcome, Outcome::Expired | Outcome::Dropped);
+        self.leases.called(now, given_up);
+        if self.leases.has_queued_requests() {
+            self.next_lease_step = self.next_lease_step.min(now);
+        }
+        let random = self.random();
+        self.circuit_breaker.called(now, outcome, took, random);
+    }
+
+    /// Slots that may be used here now; none where slots aren't lent.
+    pub fn limit(&self, now: Time) -> Option<f64> {
+        self.settings.share.map(|_| f64::from(self.leases.limit(now)) / f64::from(SLOT))
+    }
+
+    /// When a slot may come free by time alone.
+    pub fn slot_at(&self, now: Time) -> Option<Time> {
+        self.leases.wake_at(now)
+    }
+
+    /// Leases that end, are missing, or are recalled.
+    pub(super) fn step_leases(&mut self, now: Time) {
+        self.next_lease_step = after(now, TICK);
+        if self.settings.share.is_none() {
+            return;
+        }
+        let is_short = self.leases.is_short(now);
+        let lenders = if is_short { self.lenders(now) } else { Vec::new() };
+        let mut messages = Vec::new();
+        self.leases.step(now, &lenders, &mut messages);
+        for outgoing in messages {
+            self.send_lease(now, &outgoing.to, outgoing.message);
+        }
+        if is_short {
+            self.next_lease_step = after(now, SHORT_TICK);
+        }
+    }
+
+    /// Members that would lend, in an order drawn anew each time: those first that said that they have whole slots. What
+    /// they said may be out of date either way, so the others follow.
+    fn lenders(&mut self, now: Time) -> Vec<LenderOffer> {
+        let own = Arc::clone(&self.members.own().name);
+        let recent = |stored: &&crate::counters::StoredRow| {
+            stored.row.name != own && stored.age(now) <= OFFER_VALID_FOR
+        };
+        let offer = |stored: &crate::counters::StoredRow| LenderOffer {
+            name: Arc::clone(&stored.row.name),
+            spare: stored.row.spare,
+        };
+        let mut offers: Vec<LenderOffer> = self.counters.rows().filter(recent).map(offer).collect();
+        for place in (1..offers.len()).rev() {
+            offers.swap(place, self.rng.next_u64() as usize % (place + 1));
+        }
+        offers.sort_by_key(|offer| offer.spare < SLOT);
+        offers.iter_mut().for_each(|offer| offer.spare = offer.spare.max(SLOT));
+        // More than are asked at once, as some may be left alone; few, as each is looked up among the members.
+        offers.truncate(MAX_LENDERS);
+        offers.retain(|offer| self.members.healthy(&offer.name).is_some());
+        offers
+    }
+
+    /// Observations of others, by their age on the own clock: a server that was stopped has none that counts until it
+    /// receives some anew.
+    pub(super) fn peer_observations(&self, now: Time) -> PeerObservations {
+        let mut others = PeerObservations::default();
+        let own = &self.members.own().name;
+        for stored in self.counters.rows().filter(|stored| stored.row.name != *own) {
+            others.add(&stored.row.observation, stored.age(now));
+        }
+        others
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/counters/local.rs
@@ -0,0 +1,70 @@
+//! This server's own counts, by cell, over a sliding window.
+
+use super::row::{CellId, CounterCell, WorkCount};
+use super::{MAX_CELLS, WINDOW};
+use crate::MS;
+use gradepin_decisions::{Span, Time, after};
+use std::collections::{BTreeMap, VecDeque};
+
+/// The window moves in steps of this.
+const STEP: Span = Span(500 * MS);
+/// The cell of all that found no other.
+const OVERFLOW: CellId = CellId(0);
+
+#[derive(Debug)]
+struct WindowStep {
+    since: Time,
+    work: WorkCount,
+}
+
+/// One cell: a sum over the window, and the steps that leave it one after the other.
+#[derive(Debug, Default)]
+struct WindowedCount {
+    steps: VecDeque<WindowStep>,
+    sum: WorkCount,
+}
+
+impl WindowedCount {
+    fn add(&mut self, now: Time, work: WorkCount) {
+        match self.steps.back_mut() {
+            Some(last) if now < after(last.since, STEP) => last.work.add(&work),
+            _ => self.steps.push_back(WindowStep { since: now, work }),
+        }
+        self.sum.add(&work);
+    }
+
+    fn expire(&mut self, now: Time) {
+        while let Some(gone) = self.steps.pop_front_if(|step| after(step.since, WINDOW) <= now) {
+            self.sum.subtract(&gone.work);
+        }
+    }
+}
+
+/// All cells of this server, [`MAX_CELLS`] at the most.
+#[derive(Debug, Default)]
+pub(super) struct LocalCounters {
+    cells: BTreeMap<CellId, WindowedCount>,
+}
+
+impl LocalCounters {
+    /// Counts into a cell, or into the one of the rest where there is no room for another.
+    pub(super) fn count(&mut self, now: Time, cell: CellId, work: WorkCount) {
+        let has_room = self.cells.contains_key(&cell) || self.cells.len() < MAX_CELLS - 1;
+        let cell = if has_room { cell } else { OVERFLOW };
+        self.cells.entry(cell).or_default().add(now, work);
+    }
+
+    /// What lies within the window; cells with nothing in it are dropped.
+    pub(super) fn cells(&mut self, now: Time) -> Vec<CounterCell> {
+        self.cells.values_mut().for_each(|count| count.expire(now));
+        self.cells.retain(|_, count| !count.steps.is_empty());
+        self.cells.iter().map(|(id, count)| CounterCell { id: *id, work: count.sum }).collect()
+    }
+
+    /// The sum of some cells.
+    pub(super) fn sum(&self, wanted: impl Fn(CellId) -> bool) -> WorkCount {
+        let mut sum = WorkCount::default();
+        self.cells.iter().filter(|(id, _)| wanted(**id)).for_each(|(_, count)| sum.add(&count.sum));
+        sum
+    }
+}
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -1,26 +1,28 @@
-//! What tile servers tell each other, without I/O and without a clock: `(now, inputs) -> effects`.
+//! What tile servers share with each other, without I/O and without a clock: `(now, inputs) -> effects`.
 //!
-//! - [`seal`]: the keyed tag of each datagram, and what is dropped for lack of one.
-//! - [`fresh`]: what is a replay, too late, or of an earlier life.
-//! - [`peer`] and [`members`]: who is there, by SWIM; a process that was stopped doubts itself first.
-//! - [`counts`]: work asked and done by office and class, counted over the fleet, each figure with its age.
-//! - [`escrow`]: slots of the shared ledger that one server lends to another for a time.
-//! - [`judge`]: whether what lies below answers, by own evidence first and others' where it is fresh.
-//! - [`pieces`]: words that are longer than a datagram.
+//! - [`authentication`] and [`rate_limit`]: the keyed tag of each datagram, and how many are looked at.
+//! - [`replay_window`]: what is a replay, delayed for too long, or of an earlier incarnation.
+//! - [`peer`] and [`members`]: membership and failure detection, by SWIM.
+//! - [`counters`]: work requested and served by tenant and class, counted over the fleet, each figure with its age.
+//! - [`leases`]: slots of the shared upstream that one server lends to another for a time.
+//! - [`circuit_breaker`]: whether the shared upstream answers, by own observations first and others' where they are fresh.
+//! - [`fragments`]: messages that are longer than a datagram.
 //! - [`cluster`]: the parts together, as the reducer holds them.
 //!
-//! The promise that all of it keeps: a server that hears nothing is never more generous than its own share allows, and
-//! the sum over the fleet never passes the bound. The argument stands in `docs/design/cluster.md`.
+//! The invariant that all of it keeps: a server that hears nothing is never more generous than its own share allows, and
+//! the sum over the fleet never passes the bound. The argument is in `docs/design/cluster.md`, and terms are in
+//! `docs/GLOSSARY.md`.
 
+pub mod authentication;
+pub mod circuit_breaker;
 pub mod cluster;
-pub mod counts;
-pub mod escrow;
-pub mod fresh;
-pub mod judge;
+pub mod counters;
+pub mod fragments;
+pub mod leases;
 pub mod members;
 pub mod peer;
-pub mod pieces;
-pub mod seal;
+pub mod rate_limit;
+pub mod replay_window;
 
 /// Nanoseconds in a millisecond.
 const MS: u64 = 1_000_000;
--- a/crates/cluster/src/peer.rs
+++ b/crates/cluster/src/peer.rs
@@ -1,4 +1,4 @@
-//! A server as the others know it: its name, its life, where it is reached and the zone it runs in.
+//! A server as the others know it: its name, its incarnation, where it is reached and the zone it runs in.
 
 use foca::Identity;
 use serde::{Deserialize, Serialize};
@@ -6,18 +6,18 @@
 use std::sync::Arc;
 
 /// Longest name of a server or a zone, in bytes: with two of each a datagram still has room for what it carries.
-pub const MOST_NAME: usize = 48;
+pub const MAX_NAME_BYTES: usize = 48;
 
-/// One life of a process. A later life of the same name is greater, whatever its machine's wall clock says: a process
+/// One incarnation of a process. A later incarnation of the same name is greater, whatever its machine's wall clock says: a process
 /// that hears of a greater one of its own name raises its own past it.
 ///
-/// The upper 48 bits begin as the Unix time in ms at the start, the lower 16 as random ones, so that no life comes again
+/// The upper 48 bits begin as the Unix time in ms at the start, the lower 16 as random ones, so that no incarnation comes again
 /// though nothing was kept on a disk.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
-pub struct Life(pub u64);
+pub struct Incarnation(pub u64);
 
-impl Life {
-    /// The life of a process that starts now, by a clock that may be wrong and a number drawn at random.
+impl Incarnation {
+    /// The incarnation of a process that starts now, by a clock that may be wrong and a number drawn at random.
     pub fn starting(unix_ms: u64, random: u64) -> Self {
         Self(unix_ms << 16 | random & 0xffff)
     }
@@ -28,13 +28,13 @@
     }
 }
 
-/// A server in one of its lives.
+/// A server in one of its incarnations.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Peer {
     /// Its name; empty while only its address is known, as of a seed.
     pub name: Arc<str>,
-    /// Which of its lives.
-    pub life: Life,
+    /// Which of its incarnations.
+    pub incarnation: Incarnation,
     /// Where datagrams reach it.
     pub address: SocketAddr,
     /// Its group: servers that may fail together.
@@ -44,16 +44,16 @@
 impl Peer {
     /// Somebody at an address of whom nothing else is known.
     pub fn unknown(address: SocketAddr) -> Self {
-        Self { name: Arc::from(""), life: Life(0), address, zone: Arc::from("") }
+        Self { name: Arc::from(""), incarnation: Incarnation(0), address, zone: Arc::from("") }
     }
 }
 
 impl Identity for Peer {
     type Addr = SocketAddr;
 
-    /// Declared dead though it lives: it comes back as a later life.
+    /// Declared dead though it incarnations: it comes back as a later incarnation.
     fn renew(&self) -> Option<Self> {
-        Some(Self { life: self.life.past(self.life), ..self.clone() })
+        Some(Self { incarnation: self.incarnation.past(self.incarnation), ..self.clone() })
     }
 
     fn addr(&self) -> SocketAddr {
@@ -61,6 +61,6 @@
     }
 
     fn win_addr_conflict(&self, adversary: &Self) -> bool {
-        self.life > adversary.life
+        self.incarnation > adversary.incarnation
     }
 }
--- /dev/null
+++ b/crates/cluster/src/replay_window.rs
@@ -0,0 +1,161 @@
+//! What of the tagged datagrams is new_sender: no replay, not under way for too long, and of no earlier incarnation of its sender.
+//!
+//! No wall clock is used, as one may jump by an hour. A datagram tells when it left by its sender's own clock; the least
+//! difference to the own clock that was seen lately stands for a quick way, and what is later than that by more than a
+//! bound was under way for too long, or waited unread while this process was stopped.
+
+use crate::MS;
+use crate::authentication::{DropReason, Header};
+use crate::peer::Incarnation;
+use gradepin_decisions::{Span, Time, after};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// What is later than a quick datagram by more than this is dropped.
+pub const MAX_DELAY: Span = Span(3_000 * MS);
+/// Numbers behind the highest that are told apart; what is older counts as a replay.
+const WINDOW_NUMBERS: u64 = 1_024;
+const WINDOW_WORDS: usize = (WINDOW_NUMBERS / 64) as usize;
+/// For so long the least difference is taken before the next one counts: clocks drift by a few ms in that time.
+const BASELINE_SPAN: Span = Span(10_000 * MS);
+/// If everything is too late for so long, the way has grown longer, or the sender's clock has stood still.
+const REBASE_AFTER: Span = Span(20_000 * MS);
+/// Senders remembered; with more, the one not last_received for longest goes.
+const MAX_SENDERS: usize = 8_192;
+
+/// One sender's numbers and clock.
+#[derive(Debug)]
+struct Sender {
+    incarnation: Incarnation,
+    highest: u64,
+    /// A bit for each of the numbers up to the highest.
+    seen: [u64; WINDOW_WORDS],
+    last_received: Time,
+    /// The least own time less sender's time, in microseconds: in force, and in the span that runs.
+    baseline_us: i64,
+    next_baseline_us: i64,
+    since: Time,
+    /// Since when all is too late, and the least difference since then.
+    late: Option<(Time, i64)>,
+}
+
+/// The senders that were last_received.
+#[derive(Debug, Default)]
+pub struct ReplayWindow {
+    senders: HashMap<Arc<str>, Sender>,
+}
+
+impl ReplayWindow {
+    /// Whether a datagram is new_sender, and how much later it came than a quick one would have.
+    pub fn check(&mut self, now: Time, header: &Header<'_>) -> Result<Span, DropReason> {
+        let offset_us = (now.0 / 1_000) as i64 - header.sent_us as i64;
+        let new_sender = || Sender {
+            incarnation: header.incarnation,
+            highest: 0,
+            seen: [0; WINDOW_WORDS],
+            last_received: now,
+            baseline_us: offset_us,
+            next_baseline_us: offset_us,
+            since: now,
+            late: None,
+        };
+        if !self.senders.contains_key(header.name) {
+            self.make_room();
+            self.senders.insert(Arc::from(header.name), new_sender());
+        }
+        let Some(sender) = self.senders.get_mut(header.name) else {
+            return Err(DropReason::EarlierIncarnation);
+        };
+        if header.incarnation < sender.incarnation {
+            return Err(DropReason::EarlierIncarnation);
+        }
+        if header.incarnation > sender.incarnation {
+            *sender = new_sender();
+        }
+        if !sender.is_new(header.number) {
+            return Err(DropReason::Replay);
+        }
+        let delay = sender.delay(now, offset_us);
+        if delay > MAX_DELAY {
+            return Err(DropReason::Late);
+        }
+        sender.take(header.number);
+        sender.last_received = now;
+        Ok(delay)
+    }
+
+    /// The incarnation in which a server was last_received last.
+    pub fn incarnation(&self, name: &str) -> Option<Incarnation> {
+        self.senders.get(name).map(|sender| sender.incarnation)
+    }
+
+    /// How many senders are remembered.
+    pub fn len(&self) -> usize {
+        self.senders.len()
+    }
+
+    /// Whether nobody was last_received yet.
+    pub fn is_empty(&self) -> bool {
+        self.senders.is_empty()
+    }
+
+    fn make_room(&mut self) {
+        if self.senders.len() >= MAX_SENDERS {
+            let oldest =
+                self.senders.iter().min_by_key(|(name, sender)| (sender.last_received, Arc::clone(name)));
+            if let Some(name) = oldest.map(|(name, _)| Arc::clone(name)) {
+                self.senders.remove(&name);
+            }
+        }
+    }
+}
+
+impl Sender {
+    fn is_new(&self, number: u64) -> bool {
+        if number > self.highest {
+            return true;
+        }
+        let back = self.highest - number;
+        back < WINDOW_NUMBERS && self.seen[(number % WINDOW_NUMBERS / 64) as usize] & 1 << (number % 64) == 0
+    }
+
+    fn take(&mut self, number: u64) {
+        if number > self.highest {
+            // What lies between wasn't seen; past a whole window nothing of the old bits counts.
+            let from = self.highest.max(number.saturating_sub(WINDOW_NUMBERS)) + 1;
+            for between in from..=number {
+                self.seen[(between % WINDOW_NUMBERS / 64) as usize] &= !(1 << (between % 64));
+            }
+            self.highest = number;
+        }
+        self.seen[(number % WINDOW_NUMBERS / 64) as usize] |= 1 << (number % 64);
+    }
+
+    /// How much later than a quick datagram one is with this difference of clocks.
+    fn delay(&mut self, now: Time, offset_us: i64) -> Span {
+        if now >= after(self.since, BASELINE_SPAN) {
+            (self.baseline_us, self.next_baseline_us, self.since) =
+                (self.next_baseline_us.min(offset_us), offset_us, now);
+        }
+        self.next_baseline_us = self.next_baseline_us.min(offset_us);
+        self.baseline_us = self.baseline_us.min(offset_us);
+        let delay = Span((offset_us - self.baseline_us) as u64 * 1_000);
+        if delay <= MAX_DELAY {
+            self.late = None;
+            return delay;
+        }
+        // Without this, what is late would be the base of the next span.
+        self.next_baseline_us = self.next_baseline_us.min(self.baseline_us);
+        let (since, least) = self.late.unwrap_or((now, offset_us));
+        self.late = Some((since, least.min(offset_us)));
+        if now >= after(since, REBASE_AFTER) {
+            (self.baseline_us, self.next_baseline_us, self.since, self.late) =
+                (least.min(offset_us), offset_us, now, None);
+            return Span((offset_us - self.baseline_us) as u64 * 1_000);
+        }
+        delay
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/cluster/tests/common/mod.rs
+++ b/crates/cluster/tests/common/mod.rs
@@ -1,11 +1,11 @@
 //! Two servers that talk, in virtual time.
 #![allow(dead_code)]
 
-use gradepin_cluster::cluster::{Cluster, ClusterSettings, Effect, Letter};
-use gradepin_cluster::escrow::LeaseSettings;
-use gradepin_cluster::members::Pace;
-use gradepin_cluster::peer::{Life, Peer};
-use gradepin_cluster::seal::Keys;
+use gradepin_cluster::authentication::Keys;
+use gradepin_cluster::cluster::{Cluster, ClusterSettings, Effect, Envelope};
+use gradepin_cluster::leases::LeaseSettings;
+use gradepin_cluster::members::FailureDetection;
+use gradepin_cluster::peer::{Incarnation, Peer};
 use gradepin_decisions::{Span, Time, after};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,20 +13,25 @@
 pub const MS: u64 = 1_000_000;
 
 /// A server of two, with a slot budget of its own and a budget of repeats.
-pub fn cluster(n: u16, life: u64, now: Time) -> Cluster {
+pub fn cluster(n: u16, incarnation: u64, now: Time) -> Cluster {
     let address = SocketAddr::from(([127, 0, 0, 1], n));
-    let own = Peer { name: Arc::from(format!("n{n}")), life: Life(life), address, zone: Arc::from("z") };
+    let own = Peer {
+        name: Arc::from(format!("n{n}")),
+        incarnation: Incarnation(incarnation),
+        address,
+        zone: Arc::from("z"),
+    };
     let settings = ClusterSettings {
         own,
         seeds: vec![SocketAddr::from(([127, 0, 0, 1], 1))],
         keys: Keys::of([3; 32]),
-        pace: Pace::default(),
-        bytes_s: 32_000,
+        failure_detection: FailureDetection::default(),
+        max_bytes_per_second: 32_000,
         servers: 2,
         share: Some(4.0),
         leases: LeaseSettings::default(),
-        probes_s: 2.0,
-        repeats: Some(0.2),
+        probes_per_second: 2.0,
+        retry_ratio: Some(0.2),
         seed: u64::from(n),
     };
     Cluster::new(settings, now)
@@ -55,11 +60,11 @@
                 let mut effects = Vec::new();
                 self.servers[n].step(self.now, &mut effects);
                 for effect in effects {
-                    if let Effect::Send(_, datagram) = effect
+                    if let Effect::Send { datagram, .. } = effect
                         && !self.cut
                     {
-                        let letter = Letter::open(&keys, &datagram).expect("what we send is tagged");
-                        self.servers[1 - n].letter(self.now, &letter);
+                        let envelope = Envelope::open(&keys, &datagram).expect("what we send is tagged");
+                        self.servers[1 - n].receive(self.now, &envelope);
                         self.passed.push((1 - n, datagram));
                     }
                 }
--- a/crates/cluster/tests/counted.rs
+++ b/crates/cluster/tests/counted.rs
@@ -3,16 +3,16 @@
 mod common;
 
 use common::{MS, Two};
-use gradepin_cluster::counts::CellId;
+use gradepin_cluster::counters::CellId;
 use gradepin_decisions::Span;
 
 const OFFICE: CellId = CellId(7);
 const OTHER: CellId = CellId(8);
 
 /// So many requests of a cell come to a server, a tenth of a second apart.
-fn ask(two: &mut Two, server: usize, cell: CellId, firsts: u32, repeats: u32) {
-    for n in 0..firsts.max(repeats) {
-        if n < firsts {
+fn ask(two: &mut Two, server: usize, cell: CellId, first_attempts: u32, repeats: u32) {
+    for n in 0..first_attempts.max(repeats) {
+        if n < first_attempts {
             two.servers[server].arrived(two.now, cell, false, Span(10 * MS));
         }
         if n < repeats {
@@ -63,7 +63,7 @@
 fn the_budget_of_repeats_is_the_fleets() {
     let taken = |two: &mut Two| {
         let now = two.now;
-        (0..200).filter(|_| two.servers[0].takes_repeat(now)).count()
+        (0..200).filter(|_| two.servers[0].admits_retry(now)).count()
     };
     let mut two = Two::new();
     two.run(3_000);
--- a/crates/cluster/tests/datagrams.rs
+++ b/crates/cluster/tests/datagrams.rs
@@ -1,12 +1,12 @@
-//! What comes at a server's address: strangers' bytes, mutated and replayed datagrams, and those of earlier lives. Nothing
+//! What comes at a server's address: strangers' bytes, mutated and replayed datagrams, and those of earlier incarnations. Nothing
 //! panics, nothing is believed.
 
 mod common;
 
 use common::{MS, Two, cluster};
-use gradepin_cluster::cluster::Letter;
-use gradepin_cluster::peer::Life;
-use gradepin_cluster::seal::{Dropped, Keys};
+use gradepin_cluster::authentication::{DropReason, Keys};
+use gradepin_cluster::cluster::Envelope;
+use gradepin_cluster::peer::Incarnation;
 use gradepin_decisions::Span;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -40,8 +40,8 @@
             }
             mutated += 1;
         }
-        let opened = Letter::open(&keys, &datagram);
-        assert!(matches!(opened, Err(Dropped::Tag | Dropped::Form)), "{n}");
+        let opened = Envelope::open(&keys, &datagram);
+        assert!(matches!(opened, Err(DropReason::Tag | DropReason::Form)), "{n}");
     }
     assert_eq!(mutated, 50_000);
     assert_eq!(two.servers[0].view(two.now).members, before.members);
@@ -58,18 +58,18 @@
         two.passed.iter().filter(|(to, _)| *to == 0).map(|(_, d)| d.clone()).collect();
     let before = two.servers[0].status(two.now);
     for datagram in to_first.iter().rev().chain(&to_first) {
-        let letter = Letter::open(&keys, datagram).unwrap();
-        two.servers[0].letter(two.now, &letter);
+        let envelope = Envelope::open(&keys, datagram).unwrap();
+        two.servers[0].receive(two.now, &envelope);
     }
     let status = two.servers[0].status(two.now);
-    assert_eq!(status.taken, before.taken, "none was taken again");
-    let replays = status.dropped.get(&Dropped::Replay).copied().unwrap_or(0);
-    let late = status.dropped.get(&Dropped::Late).copied().unwrap_or(0);
-    let other = status.dropped.get(&Dropped::OtherLife).copied().unwrap_or(0);
+    assert_eq!(status.received, before.received, "none was taken again");
+    let replays = status.dropped.get(&DropReason::Replay).copied().unwrap_or(0);
+    let late = status.dropped.get(&DropReason::Late).copied().unwrap_or(0);
+    let other = status.dropped.get(&DropReason::OtherIncarnation).copied().unwrap_or(0);
     assert_eq!(replays + late + other, 2 * to_first.len() as u64, "{:?}", status.dropped);
 }
 
-/// Guards a server that starts again against what was sent to its earlier life, and the others against what its earlier life
+/// Guards a server that starts again against what was sent to its earlier incarnation, and the others against what its earlier incarnation
 /// had sent.
 #[test]
 fn datagrams_of_and_for_an_earlier_life_count_for_nobody() {
@@ -79,19 +79,19 @@
     let old = std::mem::take(&mut two.passed);
     two.servers[0] = cluster(1, 30, two.now);
     two.run(3_000);
-    assert_eq!(two.servers[1].members().find("n1").map(|seen| seen.peer.life), Some(Life(30)));
-    let rows = |two: &Two| two.servers[0].read(two.now, |_| true).heard;
+    assert_eq!(two.servers[1].members().find("n1").map(|seen| seen.peer.incarnation), Some(Incarnation(30)));
+    let rows = |two: &Two| two.servers[0].read(two.now, |_| true).servers;
     let before = (rows(&two), two.servers[0].view(two.now).members, two.servers[1].view(two.now).members);
     for (to, datagram) in &old {
-        let letter = Letter::open(&keys, datagram).unwrap();
-        two.servers[*to].letter(two.now, &letter);
+        let envelope = Envelope::open(&keys, datagram).unwrap();
+        two.servers[*to].receive(two.now, &envelope);
     }
     let after = (rows(&two), two.servers[0].view(two.now).members, two.servers[1].view(two.now).members);
     assert_eq!(before, after);
     let dropped = two.servers[1].status(two.now).dropped;
-    assert!(dropped.get(&Dropped::EarlierLife).is_some_and(|times| *times > 0), "{dropped:?}");
+    assert!(dropped.get(&DropReason::EarlierIncarnation).is_some_and(|times| *times > 0), "{dropped:?}");
     let dropped = two.servers[0].status(two.now).dropped;
-    assert!(dropped.get(&Dropped::OtherLife).is_some_and(|times| *times > 0), "{dropped:?}");
+    assert!(dropped.get(&DropReason::OtherIncarnation).is_some_and(|times| *times > 0), "{dropped:?}");
 }
 
 /// Guards the net: whatever is said, a server sends no more than its bound over any second but for one second's worth.
@@ -102,7 +102,7 @@
     for _ in 0..200 {
         two.run(100);
         for n in 0..60 {
-            two.servers[0].arrived(two.now, gradepin_cluster::counts::CellId(n + 1), false, Span(MS));
+            two.servers[0].arrived(two.now, gradepin_cluster::counters::CellId(n + 1), false, Span(MS));
         }
         sent.push(two.servers[0].status(two.now).bytes_sent);
     }
--- a/crates/cluster/tests/wire.rs
+++ b/crates/cluster/tests/wire.rs
@@ -4,13 +4,13 @@
 mod common;
 
 use common::{MS, Two};
-use gradepin_cluster::cluster::Letter;
-use gradepin_cluster::counts::{CellId, Row, Told, Work};
-use gradepin_cluster::escrow::Word;
-use gradepin_cluster::judge::Evidence;
-use gradepin_cluster::peer::{Life, Peer};
-use gradepin_cluster::pieces;
-use gradepin_cluster::seal::{Head, Keys};
+use gradepin_cluster::authentication::{Header, Keys};
+use gradepin_cluster::circuit_breaker::Observation;
+use gradepin_cluster::cluster::Envelope;
+use gradepin_cluster::counters::{CellId, CounterCell, CounterRow, GossipedRow, WorkCount};
+use gradepin_cluster::fragments;
+use gradepin_cluster::leases::LeaseMessage;
+use gradepin_cluster::peer::{Incarnation, Peer};
 use gradepin_decisions::{Span, Time};
 use std::sync::Arc;
 
@@ -20,30 +20,45 @@
 
 #[test]
 fn the_envelope_keeps_its_bytes() {
-    let head = Head { name: "n1", life: Life(7), to: Life(9), number: 3, sent_us: 44 };
-    let datagram = Keys::of([5; 32]).seal(&head, b"body");
+    let header =
+        Header { name: "n1", incarnation: Incarnation(7), to: Incarnation(9), number: 3, sent_us: 44 };
+    let datagram = Keys::of([5; 32]).authenticate(&header, b"body");
     let expected = "01026e31000000000000000700000000000000090000000000000003000000000000002c626f6479ea83bc3cf9fa349a32d3e866ad61181b";
     assert_eq!(hex(&datagram), expected);
 }
 
 #[test]
 fn a_row_keeps_its_bytes() {
-    let cells = vec![(CellId(7), Work { asked_ms: 300, done_ms: 200, firsts: 5, repeats: 1 })];
-    let evidence = Evidence { good: 9, failed: 2, late: 1, mean_ms: 130 };
+    let cells = vec![CounterCell {
+        id: CellId(7),
+        work: WorkCount { requested_ms: 300, served_ms: 200, first_attempts: 5, retries: 1 },
+    }];
+    let observation = Observation { succeeded: 9, failed: 2, timed_out: 1, mean_ms: 130 };
     let (name, zone) = (Arc::from("n1"), Arc::from("z"));
-    let row = Row { name, life: Life(1 << 20), version: 4, zone, spare: 2_000, evidence, cells };
-    let bytes = postcard::to_allocvec(&Told { row, age_ms: 150 }).expect("a row is encoded");
+    let row = CounterRow {
+        name,
+        incarnation: Incarnation(1 << 20),
+        version: 4,
+        zone,
+        spare: 2_000,
+        observation,
+        cells,
+    };
+    let bytes = postcard::to_allocvec(&GossipedRow { row, age_ms: 150 }).expect("a row is encoded");
     assert_eq!(hex(&bytes), "026e3180804004017ad00f09020182010107ac02c80105019601");
 }
 
 #[test]
 fn words_about_leases_keep_their_bytes() {
     let words = [
-        (Word::Ask { number: 300, round: 2, amount: 1_000 }, "00ac0202e807"),
-        (Word::Grant { number: 300, round: 2, amount: 1_000, length_ms: 2_000 }, "01ac0202e807d00f"),
-        (Word::Refuse { number: 300 }, "02ac02"),
-        (Word::Recall { number: 300 }, "03ac02"),
-        (Word::Return { number: 300 }, "04ac02"),
+        (LeaseMessage::Request { number: 300, round: 2, amount: 1_000 }, "00ac0202e807"),
+        (
+            LeaseMessage::Grant { number: 300, round: 2, amount: 1_000, duration_ms: 2_000 },
+            "01ac0202e807d00f",
+        ),
+        (LeaseMessage::Refuse { number: 300 }, "02ac02"),
+        (LeaseMessage::Recall { number: 300 }, "03ac02"),
+        (LeaseMessage::Return { number: 300 }, "04ac02"),
     ];
     for (word, expected) in words {
         assert_eq!(hex(&postcard::to_allocvec(&word).expect("a word is encoded")), expected, "{word:?}");
@@ -53,16 +68,16 @@
 #[test]
 fn a_peer_and_a_piece_keep_their_bytes() {
     let address = "127.0.0.1:7947".parse().expect("an address");
-    let peer = Peer { name: Arc::from("n1"), life: Life(300), address, zone: Arc::from("z") };
+    let peer = Peer { name: Arc::from("n1"), incarnation: Incarnation(300), address, zone: Arc::from("z") };
     assert_eq!(
         hex(&postcard::to_allocvec(&peer).expect("a peer is encoded")),
         "026e31ac02007f0000018b3e017a"
     );
-    let pieces = pieces::cut(0x0102_0304, b"word");
-    assert_eq!(pieces.iter().map(|piece| hex(piece)).collect::<Vec<_>>(), ["010203040001776f7264"]);
+    let fragments = fragments::split(0x0102_0304, b"word");
+    assert_eq!(fragments.iter().map(|fragment| hex(fragment)).collect::<Vec<_>>(), ["010203040001776f7264"]);
 }
 
-/// All that two servers send each other in ten seconds of everything: looks, rows, leases, a post in several pieces. The same seeds
+/// All that two servers send each other in ten seconds of everything: looks, rows, leases, a post in several fragments. The same seeds
 /// give the same datagrams, so their digest tells whether any behaviour or any byte has changed. A later version of the membership library may change it too, and
 /// then the new one is written down here with that.
 #[test]
@@ -76,17 +91,17 @@
     (0..6).for_each(|_| {
         let _ = two.servers[0].call(now);
     });
-    two.servers[0].waiting(now, 3);
+    two.servers[0].set_waiting(now, 3);
     two.run(7_000);
     let mut kinds = [0_usize; 5];
     let mut digest = blake3::Hasher::new();
     for (to, datagram) in &two.passed {
-        let (_, body) = Keys::of([3; 32]).open(datagram).expect("what we send is tagged");
+        let (_, body) = Keys::of([3; 32]).verify(datagram).expect("what we send is tagged");
         kinds[usize::from(body[0])] += 1;
         digest.update(&[*to as u8]);
         digest.update(datagram);
     }
-    assert!(Letter::open(&Keys::of([3; 32]), &two.passed[0].1).is_ok() && two.now > Time(0));
+    assert!(Envelope::open(&Keys::of([3; 32]), &two.passed[0].1).is_ok() && two.now > Time(0));
     assert_eq!(
         (kinds, digest.finalize().to_hex().as_str()),
         ([54, 198, 6, 0, 3], "2206be44508ed878f44cb6f164c252aa45c2cfcc80d7d2fcc1c8a210b242df75")
--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -5,7 +5,7 @@
 //! its own where the reducer is late.
 
 use crate::tally::Stats;
-use gradepin_cluster::cluster::View;
+use gradepin_cluster::cluster::FleetView;
 use gradepin_decisions::Time;
 use gradepin_releases::chair::Order;
 use gradepin_releases::part::{Became, Status as Agreements};
@@ -76,7 +76,7 @@
     /// About what the fleet agrees on.
     Agreed(FleetAnswer),
     /// The fleet as it is seen from here; none where servers don't talk to each other.
-    Fleet(Option<Box<View>>),
+    Fleet(Option<Box<FleetView>>),
     /// The order is in force, and whether it changed anything.
     Done {
         /// Whether the process is drained by hand from now on.
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -6,8 +6,8 @@
 use crate::ledger::{Batch, Recovered};
 use crate::pool::Buffer;
 use crate::records::{End, Print};
-use gradepin_cluster::cluster::Letter;
-use gradepin_cluster::seal::{Dropped, Keys};
+use gradepin_cluster::authentication::{DropReason, Keys};
+use gradepin_cluster::cluster::Envelope;
 use gradepin_decisions::{Outcome, RequestId, Span, Time};
 use gradepin_registry::membership::{Ask, Reply};
 use gradepin_releases::chair::Turn;
@@ -154,9 +154,9 @@
     /// What was written up to this batch can't be relied on, and why. With no batch: the store can't be opened.
     Unpersisted(u64, String),
     /// A tagged datagram of another server.
-    Letter(Box<Letter>),
+    Envelope(Box<Envelope>),
     /// Datagrams at the fleet's address were dropped, so many for each reason.
-    LettersDropped(Vec<(Dropped, u64)>),
+    EnvelopesDropped(Vec<(DropReason, u64)>),
     /// The fleet's keys, read again.
     FleetKeys(Keys),
     /// What was written in the council's folder up to this number is durable.
--- a/crates/core/src/reducer/agreed.rs
+++ b/crates/core/src/reducer/agreed.rs
@@ -7,7 +7,7 @@
 use super::{MS, Reducer};
 use crate::admin::{FleetAnswer, FleetCall};
 use crate::messages::Effect;
-use gradepin_cluster::counts::CellId;
+use gradepin_cluster::counters::CellId;
 use gradepin_decisions::{Span, Time, after};
 use gradepin_releases::chair::Report;
 use gradepin_releases::council::Found;
--- a/crates/core/src/reducer/fleet.rs
+++ b/crates/core/src/reducer/fleet.rs
@@ -6,10 +6,12 @@
 
 use super::{MS, Reducer};
 use crate::messages::{Effect, sooner};
-use gradepin_cluster::cluster::{Cluster, Effect as Asked, Gate, Letter, Status, View};
-use gradepin_cluster::counts::CellId;
-use gradepin_cluster::escrow::Slot;
-use gradepin_cluster::seal::{Dropped, Keys};
+use gradepin_cluster::authentication::{DropReason, Keys};
+use gradepin_cluster::cluster::{
+    CallDecision, Cluster, Effect as ClusterEffect, Envelope, FleetView, Severity, Status,
+};
+use gradepin_cluster::counters::CellId;
+use gradepin_cluster::leases::Slot;
 use gradepin_decisions::{Below, Outcome, RequestId, Settings, Span, Time, after};
 use slog::Level;
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -89,7 +91,7 @@
     }
 
     /// The fleet as it is seen from here, where there is a cluster.
-    pub(super) fn view(&self, now: Time) -> Option<Box<View>> {
+    pub(super) fn view(&self, now: Time) -> Option<Box<FleetView>> {
         self.cluster.as_ref().map(|cluster| Box::new(cluster.view(now)))
     }
 
@@ -141,14 +143,14 @@
     }
 
     /// A datagram of another server came.
-    pub(super) fn letter(&mut self, letter: &Letter) {
+    pub(super) fn envelope_received(&mut self, envelope: &Envelope) {
         if let Some(cluster) = &mut self.fleet.cluster {
-            cluster.letter(self.moment.now, letter);
+            cluster.receive(self.moment.now, envelope);
         }
     }
 
     /// Datagrams were dropped at the socket.
-    pub(super) fn letters_dropped(&mut self, dropped: &[(Dropped, u64)]) {
+    pub(super) fn envelopes_dropped(&mut self, dropped: &[(DropReason, u64)]) {
         if let Some(cluster) = &mut self.fleet.cluster {
             dropped.iter().for_each(|(why, times)| cluster.dropped(*why, *times));
         }
@@ -157,7 +159,7 @@
     /// The fleet's keys were read again.
     pub(super) fn fleet_keys(&mut self, keys: Keys) {
         if let Some(cluster) = &mut self.fleet.cluster {
-            cluster.keys(keys);
+            cluster.set_keys(keys);
             self.log(Level::Info, "the fleet's keys were read again".into());
         }
     }
@@ -171,7 +173,7 @@
         let cell = self.fleet.cell(&self.settings, tenant, class);
         let Some(cluster) = &mut self.fleet.cluster else { return true };
         cluster.arrived(self.moment.now, cell, repeat, estimate);
-        !repeat || cluster.takes_repeat(self.moment.now)
+        !repeat || cluster.admits_retry(self.moment.now)
     }
 
     /// A run went well.
@@ -208,23 +210,23 @@
             let still = self.requests.get(&first.id).is_some_and(|open| open.call.is_some());
             let over = first.until <= now;
             let Some(cluster) = &mut self.fleet.cluster else { return };
-            let gate = if still && !over { cluster.call(now) } else { Gate::Closed };
-            if gate == Gate::Wait {
+            let decision = if still && !over { cluster.call(now) } else { CallDecision::Rejected };
+            if decision == CallDecision::Wait {
                 break;
             }
             let Some(Waiting { id, timeout, until }) = self.fleet.waiting.pop_front() else { return };
-            match gate {
-                Gate::Go(slot) => {
+            match decision {
+                CallDecision::Proceed(slot) => {
                     self.fleet.slots.insert(id.clone(), now);
                     let left = Span(until.0 - now.0).min(timeout);
                     let (left, leaves) = match slot {
                         Slot::Own => (left, None),
-                        Slot::Borrowed { until, most } => (left.min(most), Some(until)),
+                        Slot::Borrowed { until, max_call } => (left.min(max_call), Some(until)),
                     };
                     self.make_call(&id, left, leaves);
                 }
-                Gate::Closed if still => self.called(&id, Outcome::Shed, None),
-                Gate::Closed | Gate::Wait => {}
+                CallDecision::Rejected if still => self.called(&id, Outcome::Shed, None),
+                CallDecision::Rejected | CallDecision::Wait => {}
             }
         }
         self.tell_waiting();
@@ -237,7 +239,7 @@
         self.fleet.asking.retain(waits);
         let waiting = self.fleet.waiting.len() + self.fleet.asking.len();
         if let Some(cluster) = &mut self.fleet.cluster {
-            cluster.waiting(self.moment.now, waiting);
+            cluster.set_waiting(self.moment.now, waiting);
         }
     }
 
@@ -265,10 +267,13 @@
         }
         for effect in asked {
             match effect {
-                Asked::Send(to, datagram) => self.effects.push(Effect::Peer(to, datagram)),
-                Asked::Post(from, life, word) => self.agreed_word(&from, life.0, &word),
-                Asked::Note(bad, text) => {
-                    self.log(if bad { Level::Warning } else { Level::Info }, format!("fleet: {text}"));
+                ClusterEffect::Send { to, datagram } => self.effects.push(Effect::Peer(to, datagram)),
+                ClusterEffect::Post { from, incarnation, content } => {
+                    self.agreed_word(&from, incarnation.0, &content);
+                }
+                ClusterEffect::Log(severity, text) => {
+                    let level = if severity == Severity::Warning { Level::Warning } else { Level::Info };
+                    self.log(level, format!("fleet: {text}"));
                 }
             }
         }
@@ -315,7 +320,7 @@
     /// Settings changed at a reload: the fleet's part goes by them, and the module is told anew.
     pub(super) fn fleet_retuned(&mut self) {
         if let Some(cluster) = &mut self.fleet.cluster {
-            cluster.retune(self.settings.servers as usize, lent_share(&self.settings));
+            cluster.reconfigure(self.settings.servers as usize, lent_share(&self.settings));
             self.fleet.told = None;
             (self.fleet.cells, self.fleet.offices) = cells(&self.settings);
         }
@@ -328,7 +333,7 @@
         let mut asked = Vec::new();
         cluster.step(self.moment.now, &mut asked);
         for effect in asked {
-            if let Asked::Send(to, datagram) = effect {
+            if let ClusterEffect::Send { to, datagram } = effect {
                 self.effects.push(Effect::Peer(to, datagram));
             }
         }
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -250,8 +250,8 @@
                     }
                 }
             }
-            Input::Letter(letter) => self.letter(&letter),
-            Input::LettersDropped(dropped) => self.letters_dropped(&dropped),
+            Input::Envelope(envelope) => self.envelope_received(&envelope),
+            Input::EnvelopesDropped(dropped) => self.envelopes_dropped(&dropped),
             Input::FleetKeys(keys) => self.fleet_keys(keys),
             Input::Unpersisted(upto, why) => {
                 for id in self.ledger.failed(self.moment.now, upto, &why) {
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -1,11 +1,11 @@
 //! A stage with no sockets and no real time: the reducer alone, with the clients' codec before it.
 
 use super::{Stage, begins, changed, config, thrift};
+use gradepin_cluster::authentication::Keys;
 use gradepin_cluster::cluster::{Cluster, ClusterSettings};
-use gradepin_cluster::escrow::LeaseSettings;
-use gradepin_cluster::members::Pace;
-use gradepin_cluster::peer::{Life, Peer};
-use gradepin_cluster::seal::Keys;
+use gradepin_cluster::leases::LeaseSettings;
+use gradepin_cluster::members::FailureDetection;
+use gradepin_cluster::peer::{Incarnation, Peer};
 use gradepin_core::admin::AdminCall;
 use gradepin_core::config::Config;
 use gradepin_core::keys::End;
@@ -78,18 +78,18 @@
     pub fn lending(change: impl FnOnce(&mut serde_json::Value)) -> Self {
         let mut stage = Self::with(change);
         let address = "127.0.0.1:9".parse().expect("an address");
-        let own = Peer { name: Arc::from("n1"), life: Life(5), address, zone: Arc::from("z") };
+        let own = Peer { name: Arc::from("n1"), incarnation: Incarnation(5), address, zone: Arc::from("z") };
         let settings = ClusterSettings {
             own,
             seeds: vec![address],
             keys: Keys::of([9; 32]),
-            pace: Pace::default(),
-            bytes_s: 32_000,
+            failure_detection: FailureDetection::default(),
+            max_bytes_per_second: 32_000,
             servers: 2,
             share: lent_share(&stage.settings),
             leases: LeaseSettings::default(),
-            probes_s: 2.0,
-            repeats: Some(0.5),
+            probes_per_second: 2.0,
+            retry_ratio: Some(0.5),
             seed: 3,
         };
         let cluster = Cluster::new(settings, Time(stage.ms * MS));
--- a/crates/kit/src/bench/peers.rs
+++ b/crates/kit/src/bench/peers.rs
@@ -4,10 +4,12 @@
 use super::{nanos, spec};
 use crate::fleet::{self, Fleet, FleetSpec, PeersSpec};
 use crate::load::{Fixed, Habit, Proxy};
-use gradepin_cluster::counts::{CellId, Counts, MOST_CELLS, Row, Told, Work};
-use gradepin_cluster::judge::Evidence;
-use gradepin_cluster::members::{Members, Pace};
-use gradepin_cluster::peer::{Life, Peer};
+use gradepin_cluster::circuit_breaker::Observation;
+use gradepin_cluster::counters::{
+    CellId, CounterCell, CounterRow, Counters, GossipedRow, MAX_CELLS, WorkCount,
+};
+use gradepin_cluster::members::{FailureDetection, Members};
+use gradepin_cluster::peer::{Incarnation, Peer};
 use gradepin_decisions::{Span, Time, after};
 use std::hint::black_box;
 use std::io;
@@ -25,7 +27,7 @@
 
 fn peer(n: usize) -> Peer {
     let address = SocketAddr::from(([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 7947));
-    Peer { name: Arc::from(format!("n{n}")), life: Life(1), address, zone: Arc::from("z") }
+    Peer { name: Arc::from(format!("n{n}")), incarnation: Incarnation(1), address, zone: Arc::from("z") }
 }
 
 fn place(address: SocketAddr) -> usize {
@@ -36,23 +38,26 @@
 
 /// A merge of a row and a reading of the sum, with rows of so many servers.
 fn merges(servers: usize) {
-    let row = |n: usize, version: u32| Row {
+    let row = |n: usize, version: u32| CounterRow {
         name: Arc::from(format!("n{n}")),
-        life: Life(1),
+        incarnation: Incarnation(1),
         version,
         zone: Arc::from("z"),
         spare: 0,
-        evidence: Evidence::default(),
-        cells: (1..=CELLS.min(MOST_CELLS as u32))
-            .map(|cell| (CellId(cell), Work { asked_ms: 7, ..Work::default() }))
+        observation: Observation::default(),
+        cells: (1..=CELLS.min(MAX_CELLS as u32))
+            .map(|cell| CounterCell {
+                id: CellId(cell),
+                work: WorkCount { requested_ms: 7, ..WorkCount::default() },
+            })
             .collect(),
     };
-    let mut counts = Counts::new(Arc::from("own"));
+    let mut counts = Counters::new(Arc::from("own"));
     let now = Time(1_000 * MS);
     let rounds = 100;
-    let mut told: Vec<Told> = (0..rounds)
+    let mut told: Vec<GossipedRow> = (0..rounds)
         .flat_map(|round| (0..servers).map(move |n| (n, round)))
-        .map(|(n, round)| Told { row: row(n, round as u32 + 1), age_ms: 3 })
+        .map(|(n, round)| GossipedRow { row: row(n, round as u32 + 1), age_ms: 3 })
         .collect();
     told.reverse();
     let count = told.len();
@@ -61,7 +66,7 @@
         black_box(counts.merge(now, told, Span(0)));
     }
     let merge = start.elapsed().as_nanos() as f64 / count as f64;
-    let again: Vec<Told> = (0..servers).map(|n| Told { row: row(n, 1), age_ms: 3 }).collect();
+    let again: Vec<GossipedRow> = (0..servers).map(|n| GossipedRow { row: row(n, 1), age_ms: 3 }).collect();
     let mut turn = 0;
     let stale = nanos(10_000, || {
         turn += 1;
@@ -79,7 +84,7 @@
 /// announce themselves to three seeds at once; later one dies.
 fn members(count: usize) {
     let seeds: Vec<SocketAddr> = (0..3.min(count)).map(|n| peer(n).address).collect();
-    let pace = Pace::default();
+    let pace = FailureDetection::default();
     let mut now = Time(1_000 * MS);
     let mut all: Vec<Members> =
         (0..count).map(|n| Members::new(peer(n), seeds.clone(), &pace, n as u64, now)).collect();
@@ -89,7 +94,7 @@
     let mut turn = |all: &mut Vec<Members>, now: Time, alive: usize| {
         for n in 0..alive {
             for data in std::mem::take(&mut inbox[n]) {
-                let _ = all[n].data(now, &data);
+                let _ = all[n].receive(now, &data);
             }
             all[n].step(now);
             black_box(all[n].changes());
@@ -109,7 +114,7 @@
     while whole.is_none() && now < after(begin, Span(60_000 * MS)) {
         now = after(now, TURN);
         turn(&mut all, now, count);
-        if all.iter().all(|members| members.count() == count - 1) {
+        if all.iter().all(|members| members.up_count() == count - 1) {
             whole = Some(Span(now.0 - begin.0));
         }
     }
@@ -129,7 +134,7 @@
     while known.is_none() && now < after(died, Span(60_000 * MS)) {
         now = after(now, TURN);
         turn(&mut all, now, dead);
-        if all[..dead].iter().all(|members| members.count() == count - 2) {
+        if all[..dead].iter().all(|members| members.up_count() == count - 2) {
             known = Some(Span(now.0 - died.0));
         }
     }
--- a/crates/kit/src/drill/release.rs
+++ b/crates/kit/src/drill/release.rs
@@ -12,7 +12,7 @@
 use crate::rig::play::{ask, call};
 use crate::rig::relay::Net;
 use crate::rig::supervisor::{NO_SAVES, Supervisor};
-use gradepin_cluster::seal::Keys;
+use gradepin_cluster::authentication::Keys;
 use gradepin_releases::chair::Order;
 use gradepin_releases::release::{Kind, Plan, ReleaseOrder, Wave};
 use rand_pcg::Pcg64Mcg;
--- a/crates/kit/src/rig/play.rs
+++ b/crates/kit/src/rig/play.rs
@@ -8,7 +8,7 @@
 use crate::load::{Books, End, Fixed, Habit, Proxy, classes};
 use crate::processor::Spec;
 use crate::registry::server::unix_ms;
-use gradepin_cluster::seal::Keys;
+use gradepin_cluster::authentication::Keys;
 use serde_json::Value;
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
--- a/crates/kit/src/rig/relay.rs
+++ b/crates/kit/src/rig/relay.rs
@@ -2,9 +2,9 @@
 //! knows both ends of what passes, and the net can treat any pair as it likes.
 
 use super::history::{History, What};
-use gradepin_cluster::cluster::Letter;
-use gradepin_cluster::escrow::Word;
-use gradepin_cluster::seal::Keys;
+use gradepin_cluster::authentication::Keys;
+use gradepin_cluster::cluster::Envelope;
+use gradepin_cluster::leases::LeaseMessage;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -167,16 +167,18 @@
 
     /// Writes down what is said about leases. An ask is seen no sooner than it was made, and a grant no later than it comes.
     fn witness(&self, from: usize, datagram: &[u8]) {
-        let Some(word) = Letter::open(&self.keys, datagram).ok().and_then(|letter| letter.word()) else {
+        let Some(message) =
+            Envelope::open(&self.keys, datagram).ok().and_then(|envelope| envelope.lease_message())
+        else {
             return;
         };
-        let what = match word {
-            Word::Ask { number, round, .. } => What::Asked { lender: self.to, number, round },
-            Word::Grant { number, round, amount, length_ms } => {
-                What::Granted { borrower: self.to, number, round, amount, length_ms }
+        let what = match message {
+            LeaseMessage::Request { number, round, .. } => What::Asked { lender: self.to, number, round },
+            LeaseMessage::Grant { number, round, amount, duration_ms } => {
+                What::Granted { borrower: self.to, number, round, amount, length_ms: duration_ms }
             }
-            Word::Return { number } => What::Returned { lender: self.to, number },
-            Word::Refuse { .. } | Word::Recall { .. } => return,
+            LeaseMessage::Return { number } => What::Returned { lender: self.to, number },
+            LeaseMessage::Refuse { .. } | LeaseMessage::Recall { .. } => return,
         };
         self.history.write(from, what);
     }
--- a/crates/kit/tests/shared.rs
+++ b/crates/kit/tests/shared.rs
@@ -1,7 +1,7 @@
 //! Real daemons that talk to each other, with relays between them, on loopback sockets. Waits are upper bounds; nothing
 //! passes or fails by how fast the machine is.
 
-use gradepin_cluster::seal::Keys;
+use gradepin_cluster::authentication::Keys;
 use gradepin_kit::drill::release;
 use gradepin_kit::drill::shared::{Drill, run};
 use gradepin_kit::fleet::{self, Fleet, FleetSpec, PeersSpec};
--- a/crates/model/src/peers/world.rs
+++ b/crates/model/src/peers/world.rs
@@ -3,12 +3,12 @@
 use super::{Break, Outcome, Sharing, Spec, Trouble, What};
 use crate::queue::{At, Heap, Queue, nanos};
 use crate::streams::{Streams, unit, within};
-use gradepin_cluster::cluster::{Cluster, ClusterSettings, Effect, Gate, Letter};
-use gradepin_cluster::counts::CellId;
-use gradepin_cluster::escrow::{LeaseSettings, Slot};
-use gradepin_cluster::members::{Pace, Seen};
-use gradepin_cluster::peer::{Life, Peer};
-use gradepin_cluster::seal::Keys;
+use gradepin_cluster::authentication::Keys;
+use gradepin_cluster::cluster::{CallDecision, Cluster, ClusterSettings, Effect, Envelope};
+use gradepin_cluster::counters::CellId;
+use gradepin_cluster::leases::{LeaseSettings, Slot};
+use gradepin_cluster::members::{FailureDetection, KnownMember};
+use gradepin_cluster::peer::{Incarnation, Peer};
 use gradepin_decisions::{Outcome as Ended, Span, Time, secs, span};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::Rng;
@@ -239,7 +239,7 @@
         let draw = Streams::new(spec.seed).of("life", (n as u64) << 32 | u64::from(server.life)).next_u64();
         let own = Peer {
             name: Arc::clone(&self.names[n]),
-            life: Life::starting(wall_ms as u64, draw),
+            incarnation: Incarnation::starting(wall_ms as u64, draw),
             address: Self::address(n),
             zone: Arc::from(format!("z{}", n % spec.zones)),
         };
@@ -248,13 +248,13 @@
             own,
             seeds: (0..3.min(spec.servers)).map(Self::address).collect(),
             keys: self.keys.clone(),
-            pace: Pace::default(),
-            bytes_s: 32_000,
+            failure_detection: FailureDetection::default(),
+            max_bytes_per_second: 32_000,
             servers: spec.servers,
             share: Some(spec.share),
-            leases: LeaseSettings { plain, ..LeaseSettings::default() },
-            probes_s: 2.0,
-            repeats: None,
+            leases: LeaseSettings { ignore_expiry: plain, ..LeaseSettings::default() },
+            probes_per_second: 2.0,
+            retry_ratio: None,
             seed: draw,
         };
         let local = server.local(self.now);
@@ -339,8 +339,8 @@
         let local = server.local(self.now);
         let Some(cluster) = &mut server.cluster else { return };
         for data in server.inbox.drain(..) {
-            match Letter::open(&self.keys, &data) {
-                Ok(letter) => cluster.letter(local, &letter),
+            match Envelope::open(&self.keys, &data) {
+                Ok(envelope) => cluster.receive(local, &envelope),
                 Err(why) => cluster.dropped(why, 1),
             }
         }
@@ -351,7 +351,7 @@
             self.told(n, call, how);
         }
         for effect in effects {
-            if let Effect::Send(to, data) = effect {
+            if let Effect::Send { to, datagram: data } = effect {
                 self.send(n, to, data);
             }
         }
@@ -491,20 +491,20 @@
                 self.decide(n, None);
                 continue;
             }
-            cluster.waiting(local, waiting);
+            cluster.set_waiting(local, waiting);
             if waiting == 0 {
                 return;
             }
             match cluster.call(local) {
-                Gate::Go(slot) => {
+                CallDecision::Proceed(slot) => {
                     server.waiting.pop_front();
                     let waiting = server.waiting.len();
-                    cluster.waiting(local, waiting);
+                    cluster.set_waiting(local, waiting);
                     self.decide(n, Some(slot));
                 }
-                Gate::Wait => return,
+                CallDecision::Wait => return,
                 // As in the server: what finds the door closed is given up at once, and asks no second time.
-                Gate::Closed => drop(server.waiting.pop_front()),
+                CallDecision::Rejected => drop(server.waiting.pop_front()),
             }
         }
     }
@@ -553,12 +553,12 @@
         }
         let local = self.servers[n].local(self.now);
         let mut limit = OWN_LIMIT_S;
-        if let Some(Slot::Borrowed { until, most }) = call.slot {
+        if let Some(Slot::Borrowed { until, max_call }) = call.slot {
             if local >= until {
                 self.calls.remove(&id);
                 return self.told_of(n, id, Ended::Shed, Span(0));
             }
-            limit = secs(most) / self.servers[n].rate;
+            limit = secs(max_call) / self.servers[n].rate;
         }
         let closed = self.troubles().any(|t| matches!(&t.what, What::NoLedger(some) if some.contains(&n)));
         if closed {
@@ -662,18 +662,18 @@
             return self.judge();
         }
         let now = self.now;
-        let lives: Vec<Life> = self
+        let lives: Vec<Incarnation> = self
             .servers
             .iter()
-            .map(|s| s.cluster.as_ref().map_or(Life(0), |c| c.members().own().life))
+            .map(|s| s.cluster.as_ref().map_or(Incarnation(0), |c| c.members().own().incarnation))
             .collect();
         let servers = &self.servers;
         let names = &self.names;
         let known = &mut self.out.known_s;
         self.watched.retain(|watched| {
             let n = names.iter().position(|name| *name == watched.name).unwrap_or(0);
-            let knows = |seen: Option<&Seen>| match watched.up {
-                true => seen.is_some_and(|seen| seen.up && seen.peer.life == lives[n]),
+            let knows = |seen: Option<&KnownMember>| match watched.up {
+                true => seen.is_some_and(|seen| seen.up && seen.peer.incarnation == lives[n]),
                 false => seen.is_some_and(|seen| !seen.up),
             };
             let mut others = servers.iter().enumerate().filter(|(m, server)| *m != n && server.runs());
@@ -704,7 +704,7 @@
         let mut still = HashSet::new();
         for observer in (0..self.servers.len()).step_by(step).filter(|n| well(&self.servers[*n])) {
             let Some(cluster) = &self.servers[observer].cluster else { continue };
-            for seen in cluster.members().seen().filter(|seen| !seen.up) {
+            for seen in cluster.members().known().filter(|seen| !seen.up) {
                 let number = seen.peer.name.get(1..).and_then(|number| number.parse::<usize>().ok());
                 let Some(n) = number.filter(|n| well(&self.servers[*n])) else { continue };
                 still.insert((observer, n));
@@ -756,7 +756,7 @@
                 self.judged[0] += own * (judged - truth).abs();
                 self.judged[1] += own;
             }
-            heard.insert(n, cluster.read(local, |_| true).part(spec.servers));
+            heard.insert(n, cluster.read(local, |_| true).coverage(spec.servers));
         }
         self.heard[0] += heard.values().sum::<f64>();
         self.heard[1] += heard.len() as f64;
--- a/crates/node/src/admin/exposition.rs
+++ b/crates/node/src/admin/exposition.rs
@@ -89,30 +89,35 @@
     registry.register(
         "fleet_heard",
         "Servers whose counts are young enough, this one among them",
-        gauge(fleet.heard as f64),
+        gauge(fleet.reporting as f64),
+    );
+    registry.register(
+        "fleet_oldest_seconds",
+        "The age of the oldest of these counts",
+        gauge(fleet.oldest_report_s),
     );
-    registry.register("fleet_oldest_seconds", "The age of the oldest of these counts", gauge(fleet.oldest_s));
     let slots = Family::<Labels, Gauge<f64, AtomicU64>>::default();
-    let kinds = [("kept", fleet.kept), ("lent", fleet.lent), ("borrowed", fleet.borrowed)];
-    for (kind, value) in kinds.into_iter().chain([("taken", f64::from(fleet.calls))]) {
+    let kinds =
+        [("kept", fleet.retained_slots), ("lent", fleet.lent_slots), ("borrowed", fleet.borrowed_slots)];
+    for (kind, value) in kinds.into_iter().chain([("taken", f64::from(fleet.taken_slots))]) {
         slots.get_or_create(&vec![("kind", kind.to_string())]).set(value);
     }
     registry.register("fleet_slots", "Slots of the shared ledger", slots);
-    registry.register("fleet_waiting", "Runs that wait for a slot", gauge(f64::from(fleet.waiting)));
+    registry.register("fleet_waiting", "Runs that wait for a slot", gauge(f64::from(fleet.waiting_runs)));
     registry.register(
         "fleet_ledger_open",
         "Whether calls to the ledger are made as ever",
-        gauge(f64::from(u8::from(fleet.open))),
+        gauge(f64::from(u8::from(fleet.circuit_closed))),
     );
     let datagrams = Family::<Labels, Counter>::default();
-    let kinds = [("sent", fleet.sent), ("taken", fleet.taken), ("withheld", fleet.withheld)];
+    let kinds = [("sent", fleet.sent), ("taken", fleet.received), ("withheld", fleet.suppressed)];
     for (kind, count) in kinds {
         datagrams.get_or_create(&vec![("kind", kind.to_string())]).inc_by(count);
     }
     registry.register("fleet_datagrams", "Datagrams between servers", datagrams);
     let dropped = Family::<Labels, Counter>::default();
     for (why, count) in &fleet.dropped {
-        dropped.get_or_create(&vec![("why", why.word().to_string())]).inc_by(*count);
+        dropped.get_or_create(&vec![("why", why.label().to_string())]).inc_by(*count);
     }
     registry.register("fleet_dropped", "Datagrams that were not taken, by reason", dropped);
     let bytes = Counter::<u64>::default();
--- a/crates/node/src/admin/fleet.rs
+++ b/crates/node/src/admin/fleet.rs
@@ -6,27 +6,27 @@
 //!  "dropped": {"late": 3, ..}}
 //! ```
 
-use gradepin_cluster::cluster::View;
+use gradepin_cluster::cluster::FleetView;
 use serde_json::{Map, Value, json};
 
 /// The text of an answer.
-pub fn text(view: &View) -> String {
+pub fn text(view: &FleetView) -> String {
     let members: Vec<Value> = view
         .members
         .iter()
         .map(|member| {
-            json!({"name": &*member.name, "zone": &*member.zone, "life": format!("{:x}", member.life.0),
+            json!({"name": &*member.name, "zone": &*member.zone, "life": format!("{:x}", member.incarnation.0),
                    "up": member.up, "for_ms": member.for_ms})
         })
         .collect();
     let status = &view.status;
     let dropped: Map<String, Value> =
-        status.dropped.iter().map(|(why, times)| (why.word().to_string(), json!(times))).collect();
+        status.dropped.iter().map(|(why, times)| (why.label().to_string(), json!(times))).collect();
     let value = json!({
-        "name": &*view.name, "life": format!("{:x}", view.life.0), "members": members,
-        "heard": status.heard, "oldest_s": status.oldest_s,
-        "slots": {"kept": status.kept, "lent": status.lent, "borrowed": status.borrowed, "taken": status.calls},
-        "ledger_open": status.open, "dropped": dropped,
+        "name": &*view.name, "life": format!("{:x}", view.incarnation.0), "members": members,
+        "heard": status.reporting, "oldest_s": status.oldest_report_s,
+        "slots": {"kept": status.retained_slots, "lent": status.lent_slots, "borrowed": status.borrowed_slots, "taken": status.taken_slots},
+        "ledger_open": status.circuit_closed, "dropped": dropped,
     });
     format!("{value}\n")
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,12 +1,13 @@
 //! The socket between servers of a fleet: datagrams out as the reducer asks for them, and in after their tags were looked
 //! at. What has no good tag goes no further than this thread.
 //!
-//! Decides nothing: what is too much in a second is [`Flood`]'s to say, what a tag is worth [`Letter`]'s.
+//! Decides nothing: what is too much in a second is [`RateLimiter`]'s to say, what a tag is worth [`Envelope`]'s.
 
 use crate::clock::Clock;
 use crossbeam_channel::{Sender, TrySendError};
-use gradepin_cluster::cluster::Letter;
-use gradepin_cluster::seal::{Dropped, Flood, Keys, MOST};
+use gradepin_cluster::authentication::{DropReason, Keys, MAX_DATAGRAM_BYTES};
+use gradepin_cluster::cluster::Envelope;
+use gradepin_cluster::rate_limit::RateLimiter;
 use gradepin_core::messages::Input;
 use slog::{Logger, info};
 use std::collections::BTreeMap;
@@ -59,17 +60,17 @@
 
 fn receive(socket: &UdpSocket, keys: &RwLock<Keys>, inputs: &Sender<Input>, clock: Clock) {
     // One byte more than a datagram may have, so that a longer one isn't taken for a whole one.
-    let mut buffer = [0_u8; MOST + 1];
-    let mut flood = Flood::default();
-    let mut dropped: BTreeMap<Dropped, u64> = BTreeMap::new();
+    let mut buffer = [0_u8; MAX_DATAGRAM_BYTES + 1];
+    let mut limiter = RateLimiter::default();
+    let mut dropped: BTreeMap<DropReason, u64> = BTreeMap::new();
     let mut told = Instant::now();
     loop {
-        let letter = match socket.recv_from(&mut buffer) {
-            Ok((length, _)) if flood.takes(clock.read().now) => {
+        let envelope = match socket.recv_from(&mut buffer) {
+            Ok((length, _)) if limiter.takes(clock.read().now) => {
                 let keys = keys.read().unwrap_or_else(PoisonError::into_inner);
-                Some(Letter::open(&keys, &buffer[..length]))
+                Some(Envelope::open(&keys, &buffer[..length]))
             }
-            Ok(_) => Some(Err(Dropped::Flood)),
+            Ok(_) => Some(Err(DropReason::RateLimited)),
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => None,
             // What ICMP tells of earlier datagrams; a pause, in case it is something that stays.
             Err(_) => {
@@ -77,10 +78,10 @@
                 None
             }
         };
-        let result = match letter {
-            Some(Ok(letter)) => match inputs.try_send(Input::Letter(Box::new(letter))) {
+        let result = match envelope {
+            Some(Ok(envelope)) => match inputs.try_send(Input::Envelope(Box::new(envelope))) {
                 Ok(()) => Ok(()),
-                Err(TrySendError::Full(_)) => Err(Dropped::Flood),
+                Err(TrySendError::Full(_)) => Err(DropReason::RateLimited),
                 Err(TrySendError::Disconnected(_)) => return,
             },
             Some(Err(why)) => Err(why),
@@ -90,8 +91,8 @@
             *dropped.entry(why).or_default() += 1;
         }
         if !dropped.is_empty() && told.elapsed() >= TELL {
-            let figures: Vec<(Dropped, u64)> = dropped.iter().map(|(why, times)| (*why, *times)).collect();
-            if inputs.try_send(Input::LettersDropped(figures)).is_ok() {
+            let figures: Vec<(DropReason, u64)> = dropped.iter().map(|(why, times)| (*why, *times)).collect();
+            if inputs.try_send(Input::EnvelopesDropped(figures)).is_ok() {
                 dropped.clear();
                 told = Instant::now();
             }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -21,9 +21,9 @@
 use crate::signals::Signals;
 use crate::store::{self, Store};
 use crossbeam_channel::{Sender, bounded, never, select};
+use gradepin_cluster::authentication::Keys;
 use gradepin_cluster::cluster::{Cluster, ClusterSettings};
-use gradepin_cluster::peer::{Life, MOST_NAME, Peer};
-use gradepin_cluster::seal::Keys;
+use gradepin_cluster::peer::{Incarnation, MAX_NAME_BYTES, Peer};
 use gradepin_core::config::{Config, ConfigError};
 use gradepin_core::ledger::Ledger;
 use gradepin_core::messages::{Effect, Input};
@@ -78,7 +78,7 @@
     #[error(transparent)]
     Keys(#[from] KeysError),
     /// The server's name can't stand in a datagram.
-    #[error("expected a name of {MOST_NAME} bytes at the most for a fleet, got '{0}'")]
+    #[error("expected a name of {MAX_NAME_BYTES} bytes at the most for a fleet, got '{0}'")]
     Name(String),
     /// A voter has no disk.
     #[error("{0} is a voter of the council, and its settings name no folder for it")]
@@ -491,13 +491,13 @@
     };
     PartSettings {
         name: own.name,
-        life: own.life.0,
+        life: own.incarnation.0,
         zone: own.zone.to_string(),
         voters: set.voters.clone(),
         folder,
         chair,
         waits: set.waits,
-        seed: seed ^ own.life.0,
+        seed: seed ^ own.incarnation.0,
     }
 }
 
@@ -509,14 +509,14 @@
     clock: Clock,
     seed: u64,
 ) -> Result<ClusterSettings, StartError> {
-    if config.name.len() > MOST_NAME {
+    if config.name.len() > MAX_NAME_BYTES {
         return Err(StartError::Name(config.name.clone()));
     }
     // The system's own randomness: a seed may stand in a file that outlives a life.
     let random = RandomState::new().build_hasher().finish();
     let own = Peer {
         name: Arc::from(config.name.as_str()),
-        life: Life::starting(clock.read().unix_ms, random),
+        incarnation: Incarnation::starting(clock.read().unix_ms, random),
         address: set.advertise,
         zone: Arc::from(set.zone.as_str()),
     };
@@ -524,13 +524,13 @@
         own,
         seeds: set.seeds.clone(),
         keys,
-        pace: set.pace.clone(),
-        bytes_s: set.bytes_s,
+        failure_detection: set.failure_detection.clone(),
+        max_bytes_per_second: set.max_bytes_per_second,
         servers: config.settings.servers as usize,
         share: set.slots.as_ref().and_then(|_| lent_share(&config.settings)),
         leases: set.leases(config.settings.specifics.linger),
-        probes_s: set.probes_s,
-        repeats: set.repeats,
+        probes_per_second: set.probes_per_second,
+        retry_ratio: set.retry_ratio,
         seed: seed ^ random,
     })
 }
--- a/crates/node/src/settings/cluster.rs
+++ b/crates/node/src/settings/cluster.rs
@@ -1,10 +1,10 @@
 //! Settings of the fleet: how servers reach each other, and what they share.
 
 use super::reader::Block;
-use gradepin_cluster::escrow::LeaseSettings;
-use gradepin_cluster::members::Pace;
-use gradepin_cluster::peer::MOST_NAME;
-use gradepin_cluster::seal::{BadKeys, Keys};
+use gradepin_cluster::authentication::{BadKeys, Keys};
+use gradepin_cluster::leases::LeaseSettings;
+use gradepin_cluster::members::FailureDetection;
+use gradepin_cluster::peer::MAX_NAME_BYTES;
 use gradepin_decisions::Span;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -27,13 +27,13 @@
     /// The file with the fleet's keys.
     pub key_file: PathBuf,
     /// How quickly the fleet notices.
-    pub pace: Pace,
+    pub failure_detection: FailureDetection,
     /// Bytes sent in a second at the most.
-    pub bytes_s: u32,
+    pub max_bytes_per_second: u32,
     /// Repeated tries for each first one that the fleet takes.
-    pub repeats: Option<f64>,
+    pub retry_ratio: Option<f64>,
     /// Probes a second of the whole fleet to a ledger that looks dead.
-    pub probes_s: f64,
+    pub probes_per_second: f64,
     /// How slots of the shared ledger are lent, if they are; its linger is told by the configuration.
     pub slots: Option<LeaseSettings>,
 }
@@ -80,8 +80,8 @@
         block.problem("expected a key-file, as in key-file \"/etc/gradepin/fleet.keys\"");
     }
     let zone = block.word("zone").unwrap_or_default();
-    if zone.len() > MOST_NAME {
-        block.problem(&format!("expected zone of {MOST_NAME} bytes at the most"));
+    if zone.len() > MAX_NAME_BYTES {
+        block.problem(&format!("expected zone of {MAX_NAME_BYTES} bytes at the most"));
     }
     let mut seeds = Vec::new();
     for (text, node) in block.each("seed") {
@@ -98,23 +98,23 @@
     if seeds.len() > MOST_SEEDS {
         block.problem(&format!("expected {MOST_SEEDS} seeds at the most"));
     }
-    let usual = Pace::default();
-    let pace = Pace {
-        probe: block.span_ms("probe-ms", 100..=60_000).unwrap_or(usual.probe),
-        answer: block.span_ms("answer-ms", 10..=30_000).unwrap_or(usual.answer),
-        suspect: block.span_ms("suspect-ms", 200..=600_000).unwrap_or(usual.suspect),
+    let usual = FailureDetection::default();
+    let failure_detection = FailureDetection {
+        probe_period: block.span_ms("probe-ms", 100..=60_000).unwrap_or(usual.probe_period),
+        probe_timeout: block.span_ms("answer-ms", 10..=30_000).unwrap_or(usual.probe_timeout),
+        suspicion_timeout: block.span_ms("suspect-ms", 200..=600_000).unwrap_or(usual.suspicion_timeout),
     };
-    if pace.answer.0 * 2 > pace.probe.0 {
+    if failure_detection.probe_timeout.0 * 2 > failure_detection.probe_period.0 {
         block.problem(
             "expected answer-ms of half of probe-ms at the most: others are asked to look meanwhile",
         );
     }
-    if pace.suspect < pace.probe {
+    if failure_detection.suspicion_timeout < failure_detection.probe_period {
         block.problem("expected suspect-ms of probe-ms or more: a suspect must get to say that it lives");
     }
-    let bytes_s = block.whole("bytes-a-second", 4_000..=10_000_000).unwrap_or(32_000) as u32;
-    let repeats = block.number("repeats", 0.0..=10.0);
-    let probes_s = block.number("probes-a-second", 0.01..=1_000.0).unwrap_or(2.0);
+    let max_bytes_per_second = block.whole("bytes-a-second", 4_000..=10_000_000).unwrap_or(32_000) as u32;
+    let retry_ratio = block.number("repeats", 0.0..=10.0);
+    let probes_per_second = block.number("probes-a-second", 0.01..=1_000.0).unwrap_or(2.0);
     let slots = block.block("slots").map(slots);
     block.end();
     Some(FleetSettings {
@@ -123,10 +123,10 @@
         zone,
         seeds,
         key_file: key_file?.into(),
-        pace,
-        bytes_s,
-        repeats,
-        probes_s,
+        failure_detection,
+        max_bytes_per_second,
+        retry_ratio,
+        probes_per_second,
         slots,
     })
 }
@@ -134,14 +134,14 @@
 fn slots(mut block: Block<'_>) -> LeaseSettings {
     let usual = LeaseSettings::default();
     let set = LeaseSettings {
-        length: block.span_ms("lease-ms", 200..=60_000).unwrap_or(usual.length),
-        call: block.span_ms("call-ms", 50..=60_000).unwrap_or(usual.call),
-        linger: usual.linger,
-        drift_ppm: block.share("drift").map_or(usual.drift_ppm, |share| (share * 1e6) as u64),
-        part: block.share("part").map_or(usual.part, |share| (share * 1e3) as u32),
-        plain: block.truth("drill-ignores-ends").unwrap_or(false),
+        duration: block.span_ms("lease-ms", 200..=60_000).unwrap_or(usual.duration),
+        max_call: block.span_ms("call-ms", 50..=60_000).unwrap_or(usual.max_call),
+        upstream_linger: usual.upstream_linger,
+        max_drift_ppm: block.share("drift").map_or(usual.max_drift_ppm, |share| (share * 1e6) as u64),
+        lendable_permille: block.share("part").map_or(usual.lendable_permille, |share| (share * 1e3) as u32),
+        ignore_expiry: block.truth("drill-ignores-ends").unwrap_or(false),
     };
-    if set.drift_ppm > 200_000 {
+    if set.max_drift_ppm > 200_000 {
         block.problem("expected drift from 0 to 0.2: a clock further off than that is broken");
     }
     block.end();
@@ -151,6 +151,6 @@
 impl FleetSettings {
     /// How slots are lent by a server whose configuration tells how long an abandoned call stays with the ledger.
     pub fn leases(&self, linger: Span) -> LeaseSettings {
-        LeaseSettings { linger: linger.max(Span(MS)), ..self.slots.clone().unwrap_or_default() }
+        LeaseSettings { upstream_linger: linger.max(Span(MS)), ..self.slots.clone().unwrap_or_default() }
     }
 }
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -347,7 +347,7 @@
         let council = own.council.unwrap();
         assert_eq!((council.voters.len(), council.limits.fleet, council.limits.services.len()), (3, 2, 1));
         let own = Own::parse(include_str!("../../../../deploy/cluster.kdl")).unwrap();
-        assert_eq!(own.cluster.and_then(|set| set.slots).map(|set| set.length), Some(Span(2_000 * MS)));
+        assert_eq!(own.cluster.and_then(|set| set.slots).map(|set| set.duration), Some(Span(2_000 * MS)));
     }
 
     /// Guards against a file that is half used, and against a typing error that silently keeps a default.
