--- a/crates/cluster/src/authentication.rs
+++ b/crates/cluster/src/authentication.rs
@@ -166,7 +166,7 @@
     pub incarnation: Incarnation,
     /// The incarnation of the one that it is for; 0 where that isn't known.
     pub to: Incarnation,
-    /// Counters the datagrams of a incarnation.
+    /// Counts the datagrams of an incarnation.
     pub number: u64,
     /// When it left, in microseconds since the sender's incarnation began, by a clock that nobody sets.
     pub sent_us: u64,
--- a/crates/cluster/src/counters/tests.rs
+++ b/crates/cluster/src/counters/tests.rs
@@ -26,7 +26,7 @@
 
 const NOW: Time = Time(100_000 * MS);
 
-/// Guards against a datagram that comes twice, late, or after a newer one, and against a past incarnation that counters beside
+/// Guards against a datagram that comes twice, late, or after a newer one, and against a past incarnation that counts beside
 /// the present one.
 #[test]
 fn nothing_counts_twice() {
--- a/crates/cluster/src/fragments.rs
+++ b/crates/cluster/src/fragments.rs
@@ -1,7 +1,12 @@
-//! Messages that are longer than a datagram: cut into fragments, and put together again where all of them came.
+//! Messages that are longer than a datagram: split into fragments, and reassembled where all of them came.
 //!
-//! A message whose fragments don't all come is lost, as a datagram may be; whoever said it says it again. What is incomplete here is
-//! bounded in number, bytes and time, for each sender and in all.
+//! A message whose fragments don't all come is lost, as a datagram may be; its sender sends it again. What is incomplete
+//! here is bounded in number, bytes and time, for each sender and in all.
+//!
+//! ```text
+//! number of the message | index of the fragment | fragments in all | bytes
+//!           4           |           1           |        1         |         big-endian
+//! ```
 
 use crate::MS;
 use crate::authentication::{DropReason, MAX_DATAGRAM_BYTES, MAX_OVERHEAD_BYTES};
@@ -16,29 +21,51 @@
 const FRAGMENT_HEADER_BYTES: usize = 4 + 1 + 1;
 /// The longest message, in bytes: 200 kB.
 pub const MAX_MESSAGE_BYTES: usize = 200 * FRAGMENT_BYTES;
-/// Messages of one sender that are incomplete here, and bytes of all.
+/// Messages of one sender that are incomplete here.
 const MAX_PARTIAL_PER_SENDER: usize = 4;
+/// Bytes of all that is incomplete here.
 const MAX_PARTIAL_BYTES: usize = 4 << 20;
 /// What isn't whole by then won't be.
 const REASSEMBLY_TIMEOUT: Span = Span(3_000 * MS);
 
-/// Cuts a message.
+/// Splits a message; none if it is too long.
 pub fn split(number: u32, message: &[u8]) -> Vec<Vec<u8>> {
     if message.len() > MAX_MESSAGE_BYTES {
         return Vec::new();
     }
     let chunks: Vec<&[u8]> =
         if message.is_empty() { vec![&[]] } else { message.chunks(FRAGMENT_BYTES).collect() };
-    let all = chunks.len() as u8;
+    let count = chunks.len() as u8;
     let fragment = |(index, chunk): (usize, &&[u8])| {
         let mut bytes = number.to_be_bytes().to_vec();
-        bytes.extend([index as u8, all]);
+        bytes.extend([index as u8, count]);
         bytes.extend(*chunk);
         bytes
     };
     chunks.iter().enumerate().map(fragment).collect()
 }
 
+struct Fragment<'d> {
+    number: u32,
+    index: usize,
+    count: usize,
+    bytes: &'d [u8],
+}
+
+impl<'d> Fragment<'d> {
+    fn parse(datagram: &'d [u8]) -> Option<Self> {
+        let (header, bytes) = datagram.split_first_chunk::<FRAGMENT_HEADER_BYTES>()?;
+        let [a, b, c, d, index, count] = *header;
+        let fragment = Self {
+            number: u32::from_be_bytes([a, b, c, d]),
+            index: usize::from(index),
+            count: usize::from(count),
+            bytes,
+        };
+        (fragment.index < fragment.count && bytes.len() <= FRAGMENT_BYTES).then_some(fragment)
+    }
+}
+
 #[derive(Debug)]
 struct PartialMessage {
     since: Time,
@@ -50,12 +77,24 @@
     fn bytes(&self) -> usize {
         self.parts.iter().flatten().map(Vec::len).sum()
     }
+
+    fn is_whole(&self) -> bool {
+        self.parts.iter().all(Option::is_some)
+    }
+}
+
+/// A sender's numbers begin anew with each of its incarnations.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct SenderKey {
+    name: Arc<str>,
+    incarnation: Incarnation,
 }
 
 /// Messages that are incomplete here.
 #[derive(Debug, Default)]
 pub struct Reassembly {
-    partial: BTreeMap<(Arc<str>, Incarnation), Vec<PartialMessage>>,
+    partial: BTreeMap<SenderKey, Vec<PartialMessage>>,
+    /// Of all of them.
     bytes: usize,
 }
 
@@ -66,41 +105,36 @@
         now: Time,
         from: &str,
         incarnation: Incarnation,
-        fragment: &[u8],
+        datagram: &[u8],
     ) -> Result<Option<Vec<u8>>, DropReason> {
-        let (header, chunk) =
-            fragment.split_first_chunk::<FRAGMENT_HEADER_BYTES>().ok_or(DropReason::Content)?;
-        let [a, b, c, d, index, all] = *header;
-        let (number, index, all) = (u32::from_be_bytes([a, b, c, d]), usize::from(index), usize::from(all));
-        if index >= all || chunk.len() > FRAGMENT_BYTES {
-            return Err(DropReason::Content);
-        }
-        if all == 1 {
-            return Ok(Some(chunk.to_vec()));
+        let fragment = Fragment::parse(datagram).ok_or(DropReason::Content)?;
+        if fragment.count == 1 {
+            return Ok(Some(fragment.bytes.to_vec()));
         }
         self.forget(now);
-        if self.bytes + chunk.len() > MAX_PARTIAL_BYTES {
+        if self.bytes + fragment.bytes.len() > MAX_PARTIAL_BYTES {
             return Ok(None);
         }
-        let partials = self.partial.entry((Arc::from(from), incarnation)).or_default();
-        let known = partials.iter().position(|partial| partial.number == number);
+        let partials = self.partial.entry(SenderKey { name: Arc::from(from), incarnation }).or_default();
+        let known = partials.iter().position(|partial| partial.number == fragment.number);
         let at = known.unwrap_or_else(|| {
             if partials.len() >= MAX_PARTIAL_PER_SENDER {
                 // The oldest gives way: it waits for what was lost, most likely.
                 self.bytes -= partials.remove(0).bytes();
             }
-            partials.push(PartialMessage { since: now, number, parts: vec![None; all] });
+            let parts = vec![None; fragment.count];
+            partials.push(PartialMessage { since: now, number: fragment.number, parts });
             partials.len() - 1
         });
         let partial = &mut partials[at];
-        if partial.parts.len() != all {
+        if partial.parts.len() != fragment.count {
             return Err(DropReason::Content);
         }
-        if partial.parts[index].is_none() {
-            partial.parts[index] = Some(chunk.to_vec());
-            self.bytes += chunk.len();
+        if partial.parts[fragment.index].is_none() {
+            partial.parts[fragment.index] = Some(fragment.bytes.to_vec());
+            self.bytes += fragment.bytes.len();
         }
-        if partial.parts.iter().any(Option::is_none) {
+        if !partial.is_whole() {
             return Ok(None);
         }
         let whole = partials.remove(at);
--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -1,68 +1,35 @@
-//! Who is there: SWIM with suspicion and incarnations, by the library `foca`, told the time that this process was awake.
+//! Which servers are up: SWIM with suspicion and incarnations (Das, Gupta and Motivala, 2002), by the library `foca`, told
+//! the time that this process was awake.
 //!
 //! What is added to the library here: its timers, a clock that leaves out the time in which this process was stopped or
 //! starved, names beside addresses, and the ways back together of parts that each believe the other dead. Not here:
 //! envelopes and their order ([`crate::authentication`], [`crate::replay_window`]).
 
+mod awake_clock;
+mod library;
+mod settings;
+
+pub use settings::FailureDetection;
+
 use crate::MS;
-use crate::authentication::{MAX_DATAGRAM_BYTES, MAX_OVERHEAD_BYTES};
 use crate::peer::{Incarnation, Peer};
-use foca::{
-    Codec, Foca, Notification, OwnedNotification, PeriodicParams, PostcardCodec, Runtime, State, Timer,
-};
-use gradepin_decisions::{Span, Time, after, before};
+use awake_clock::AwakeClock;
+use foca::{Codec, Foca, OwnedNotification, PostcardCodec, State, Timer};
+use gradepin_decisions::{Span, Time, after};
+use library::LibraryRequests;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::num::{NonZeroU8, NonZeroUsize};
 use std::sync::Arc;
-use std::time::Duration;
 
-/// Time beyond this between the wake that was asked for and the one that came was not this process's: it was stopped, or
-/// starved. Its timers don't count it, so that it never suspects others for what it paused through.
-const MAX_LATENESS: Span = Span(40 * MS);
-/// A sleep of this length is told in the log.
-const REPORTED_PAUSE: Span = Span(1_000 * MS);
-/// Between announcements to seeds while nobody is known, at the least, and to one seed that isn't a member otherwise: two
-/// parts that forgot each other find back by it.
+/// Between announcements to seeds while nobody is known, at the least.
 const ANNOUNCE_INTERVAL: Span = Span(500 * MS);
+/// Between announcements to one seed that isn't a member otherwise: two parts that forgot each other find back by it.
 const SEED_INTERVAL: Span = Span(5_000 * MS);
-/// The dead are remembered for so long, and asked whether they are back so often, so many at a time.
-const REMEMBER_DOWN_FOR: Duration = Duration::from_secs(600);
-const ANNOUNCE_TO_DOWN_INTERVAL: Duration = Duration::from_millis(2_000);
-const DOWN_PER_ANNOUNCE: NonZeroUsize = NonZeroUsize::new(2).unwrap();
-/// Changes are told so often, to so many.
-const GOSSIP_INTERVAL: Duration = Duration::from_millis(200);
-const GOSSIP_FANOUT: NonZeroUsize = NonZeroUsize::new(3).unwrap();
-/// All members are told again over time, by a feed from one of them.
-const FEED_INTERVAL: Duration = Duration::from_secs(15);
-/// PeerObservations asked to look when one doesn't answer.
-const INDIRECT_PROBES: NonZeroUsize = NonZeroUsize::new(3).unwrap();
 /// Names of the past that are kept for their last incarnation.
 const MAX_PAST: usize = 4_096;
 
-/// How quickly the fleet notices.
-#[derive(Debug, Clone, PartialEq)]
-pub struct FailureDetection {
-    /// Between looks at one member each.
-    pub probe_period: Span,
-    /// How long an answer may take before others are asked to look.
-    pub probe_timeout: Span,
-    /// How long a suspect has to say that it incarnations.
-    pub suspicion_timeout: Span,
-}
-
-impl Default for FailureDetection {
-    fn default() -> Self {
-        Self {
-            probe_period: Span(1_000 * MS),
-            probe_timeout: Span(400 * MS),
-            suspicion_timeout: Span(4_000 * MS),
-        }
-    }
-}
-
 /// What is known of a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KnownMember {
@@ -74,7 +41,7 @@
     pub since: Time,
 }
 
-/// What changed, for the log and for those who keep books by members.
+/// What changed, for the log and for those who act on members.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MembershipChange {
     /// Somebody is there, for the first time or again.
@@ -87,28 +54,6 @@
     Paused(Span),
 }
 
-/// What the library asks for in one call.
-#[derive(Default)]
-struct LibraryRequests {
-    send: Vec<(Peer, Vec<u8>)>,
-    timers: Vec<(Duration, Timer<Peer>)>,
-    news: Vec<OwnedNotification<Peer>>,
-}
-
-impl Runtime<Peer> for LibraryRequests {
-    fn notify(&mut self, notification: Notification<'_, Peer>) {
-        self.news.push(notification.to_owned());
-    }
-
-    fn send_to(&mut self, to: Peer, data: &[u8]) {
-        self.send.push((to, data.to_vec()));
-    }
-
-    fn submit_after(&mut self, event: Timer<Peer>, after: Duration) {
-        self.timers.push((after, event));
-    }
-}
-
 /// The members as this server knows them.
 pub struct Members {
     foca: Foca<Peer, PostcardCodec, Pcg64Mcg, foca::NoCustomBroadcast>,
@@ -134,30 +79,14 @@
         seed: u64,
         now: Time,
     ) -> Self {
-        let duration = |span: Span| Duration::from_nanos(span.0);
-        let config = foca::Config {
-            probe_period: duration(failure_detection.probe_period),
-            probe_rtt: duration(failure_detection.probe_timeout),
-            num_indirect_probes: INDIRECT_PROBES,
-            max_transmissions: NonZeroU8::new(10).unwrap_or(NonZeroU8::MIN),
-            suspect_to_down_after: duration(failure_detection.suspicion_timeout),
-            remove_down_after: Some(REMEMBER_DOWN_FOR),
-            max_packet_size: NonZeroUsize::new(MAX_DATAGRAM_BYTES - MAX_OVERHEAD_BYTES - 1)
-                .unwrap_or(NonZeroUsize::MIN),
-            notify_down_members: true,
-            periodic_announce: Some(PeriodicParams {
-                frequency: FEED_INTERVAL,
-                num_members: NonZeroUsize::MIN,
-            }),
-            periodic_announce_to_down_members: Some(PeriodicParams {
-                frequency: ANNOUNCE_TO_DOWN_INTERVAL,
-                num_members: DOWN_PER_ANNOUNCE,
-            }),
-            periodic_gossip: Some(PeriodicParams { frequency: GOSSIP_INTERVAL, num_members: GOSSIP_FANOUT }),
-        };
         let seeds = seeds.into_iter().filter(|seed| *seed != own.address).collect();
         Self {
-            foca: Foca::new(own, config, Pcg64Mcg::seed_from_u64(seed), PostcardCodec),
+            foca: Foca::new(
+                own,
+                library::config(failure_detection),
+                Pcg64Mcg::seed_from_u64(seed),
+                PostcardCodec,
+            ),
             requests: LibraryRequests::default(),
             timers: BTreeMap::new(),
             timer_no: 0,
@@ -180,14 +109,14 @@
         let result = self.foca.handle_data(data, &mut self.requests);
         self.take_requests(now);
         match result {
-            // Addressed to a incarnation of ours that is over, or by one: nothing is wrong with it.
+            // Addressed to an incarnation of ours that is over, or by one: nothing is wrong with it.
             Err(foca::Error::DataFromOurselves | foca::Error::IndirectForOurselves) => Ok(()),
             other => other,
         }
     }
 
-    /// Something came that was meant for an earlier incarnation of this server: its sender is told of the one that began, rather
-    /// than left to find the earlier one dead.
+    /// Something came that was meant for an earlier incarnation of this server: its sender is told of the one that began,
+    /// rather than left to find the earlier one dead.
     pub fn announce_to_sender(&mut self, now: Time, data: &[u8]) {
         if let Ok(header) = PostcardCodec.decode_header(data) {
             let _ = self.foca.announce(header.src, &mut self.requests);
@@ -211,7 +140,7 @@
 
     /// Does what is due. Datagrams that have come are to be told before.
     pub fn step(&mut self, now: Time) {
-        if let Some(paused) = self.clock.step(now) {
+        if let Some(paused) = self.clock.resume(now) {
             self.changes.push(MembershipChange::Paused(paused));
         }
         loop {
@@ -307,8 +236,8 @@
             let due = after(awake, Span(wait.as_nanos() as u64));
             self.timers.insert((due, self.timer_no), timer);
         }
-        for news in std::mem::take(&mut self.requests.news) {
-            match news {
+        for notification in std::mem::take(&mut self.requests.notifications) {
+            match notification {
                 OwnedNotification::MemberUp(peer) => self.set_up(now, peer, true),
                 OwnedNotification::MemberDown(peer) => self.set_up(now, peer, false),
                 OwnedNotification::Rename(_, peer) => {
@@ -332,7 +261,7 @@
         if let Some(known) = self.known.get(&peer.name)
             && known.peer.incarnation > peer.incarnation
         {
-            // Of a incarnation at another address: the later one is there.
+            // Of an incarnation at another address: the later one is there.
             return;
         }
         if !self.known.contains_key(&peer.name) && self.known.len() >= MAX_PAST {
@@ -345,39 +274,5 @@
     }
 }
 
-/// The time that this process was awake.
-#[derive(Debug)]
-struct AwakeClock {
-    /// The time that it paused so far.
-    paused: u64,
-    /// When it is to be called again.
-    expected_at: Time,
-}
-
-impl AwakeClock {
-    fn new(now: Time) -> Self {
-        Self { paused: 0, expected_at: now }
-    }
-
-    /// It is called now; how long it paused, if for long.
-    fn step(&mut self, now: Time) -> Option<Span> {
-        let late = now.0.saturating_sub(after(self.expected_at, MAX_LATENESS).0);
-        self.paused += late;
-        (late >= REPORTED_PAUSE.0).then_some(Span(late))
-    }
-
-    fn expect_at(&mut self, at: Time) {
-        self.expected_at = at;
-    }
-
-    fn awake(&self, now: Time) -> Time {
-        before(now, Span(self.paused))
-    }
-
-    fn real(&self, awake: Time) -> Time {
-        after(awake, Span(self.paused))
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/cluster/src/members/tests.rs
+++ b/crates/cluster/src/members/tests.rs
@@ -94,8 +94,8 @@
     assert!(slept);
 }
 
-/// Guards against a suspicion that a stopped process took with it: the suspect has said long ago that it incarnations, but what
-/// it said found no room in the stopped one's socket, and by the clock its time to say so is over. Nobody who incarnations is
+/// Guards against a suspicion that a stopped process took with it: the suspect has said long ago that it is alive, but what
+/// it said found no room in the stopped one's socket, and by the clock its time to say so is over. Nobody who is alive is
 /// held dead for it.
 #[test]
 fn a_suspicion_from_before_a_stop_is_no_death_after_it() {
--- a/crates/cluster/src/peer.rs
+++ b/crates/cluster/src/peer.rs
@@ -8,11 +8,11 @@
 /// Longest name of a server or a zone, in bytes: with two of each a datagram still has room for what it carries.
 pub const MAX_NAME_BYTES: usize = 48;
 
-/// One incarnation of a process. A later incarnation of the same name is greater, whatever its machine's wall clock says: a process
-/// that hears of a greater one of its own name raises its own past it.
+/// One incarnation of a process. A later one of the same name is greater, whatever its machine's wall clock
+/// says: a process that hears of a greater one of its own name raises its own past it.
 ///
-/// The upper 48 bits begin as the Unix time in ms at the start, the lower 16 as random ones, so that no incarnation comes again
-/// though nothing was kept on a disk.
+/// The upper 48 bits begin as the Unix time in ms at the start, the lower 16 as random ones, so that no incarnation
+/// comes again though nothing was kept on a disk.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
 
@@ -51,7 +51,7 @@
 impl Identity for Peer {
     type Addr = SocketAddr;
 
-    /// Declared dead though it incarnations: it comes back as a later incarnation.
+    /// Declared dead though it is alive: it comes back as a later incarnation.
     fn renew(&self) -> Option<Self> {
         Some(Self { incarnation: self.incarnation.past(self.incarnation), ..self.clone() })
     }
--- a/crates/cluster/src/replay_window.rs
+++ b/crates/cluster/src/replay_window.rs
@@ -1,8 +1,10 @@
-//! What of the tagged datagrams is new_sender: no replay, not under way for too long, and of no earlier incarnation of its sender.
+//! Replay protection: a datagram that is tagged is taken once, not after too long a delay, and not from an earlier
+//! incarnation of its sender.
 //!
-//! No wall clock is used, as one may jump by an hour. A datagram tells when it left by its sender's own clock; the least
-//! difference to the own clock that was seen lately stands for a quick way, and what is later than that by more than a
-//! bound was under way for too long, or waited unread while this process was stopped.
+//! Numbers are held in a sliding bitmap, as in IPsec (RFC 4303, 3.4.3). No wall clock is used, as one may jump by an hour.
+//! A datagram says when it left by its sender's own clock; the least offset to the own clock that was seen lately is the
+//! baseline, and what is later than that by more than a bound was under way for too long, or waited unread while this
+//! process was stopped.
 
 use crate::MS;
 use crate::authentication::{DropReason, Header};
@@ -15,14 +17,22 @@
 pub const MAX_DELAY: Span = Span(3_000 * MS);
 /// Numbers behind the highest that are told apart; what is older counts as a replay.
 const WINDOW_NUMBERS: u64 = 1_024;
+/// Words of the bitmap.
 const WINDOW_WORDS: usize = (WINDOW_NUMBERS / 64) as usize;
 /// For so long the least difference is taken before the next one counts: clocks drift by a few ms in that time.
 const BASELINE_SPAN: Span = Span(10_000 * MS);
 /// If everything is too late for so long, the way has grown longer, or the sender's clock has stood still.
 const REBASE_AFTER: Span = Span(20_000 * MS);
-/// Senders remembered; with more, the one not last_received for longest goes.
+/// Senders remembered; with more, the one that was silent for longest goes.
 const MAX_SENDERS: usize = 8_192;
 
+/// A span in which every datagram of a sender is too late.
+#[derive(Debug, Clone, Copy)]
+struct LateSpan {
+    since: Time,
+    least_offset_us: i64,
+}
+
 /// One sender's numbers and clock.
 #[derive(Debug)]
 struct Sender {
@@ -34,19 +44,20 @@
     /// The least own time less sender's time, in microseconds: in force, and in the span that runs.
     baseline_us: i64,
     next_baseline_us: i64,
+    /// When the span that runs began.
     since: Time,
-    /// Since when all is too late, and the least difference since then.
-    late: Option<(Time, i64)>,
+    /// Set while all is too late.
+    late: Option<LateSpan>,
 }
 
-/// The senders that were last_received.
+/// The senders that were heard.
 #[derive(Debug, Default)]
 pub struct ReplayWindow {
     senders: HashMap<Arc<str>, Sender>,
 }
 
 impl ReplayWindow {
-    /// Whether a datagram is new_sender, and how much later it came than a quick one would have.
+    /// Whether a datagram is taken, and how much later it came than a quick one would have.
     pub fn check(&mut self, now: Time, header: &Header<'_>) -> Result<Span, DropReason> {
         let offset_us = (now.0 / 1_000) as i64 - header.sent_us as i64;
         let new_sender = || Sender {
@@ -84,7 +95,7 @@
         Ok(delay)
     }
 
-    /// The incarnation in which a server was last_received last.
+    /// The incarnation in which a server was heard last.
     pub fn incarnation(&self, name: &str) -> Option<Incarnation> {
         self.senders.get(name).map(|sender| sender.incarnation)
     }
@@ -94,7 +105,7 @@
         self.senders.len()
     }
 
-    /// Whether nobody was last_received yet.
+    /// Whether nobody was heard yet.
     pub fn is_empty(&self) -> bool {
         self.senders.is_empty()
     }
@@ -131,29 +142,39 @@
         self.seen[(number % WINDOW_NUMBERS / 64) as usize] |= 1 << (number % 64);
     }
 
-    /// How much later than a quick datagram one is with this difference of clocks.
+    /// How much later than a quick datagram one is with this offset of clocks.
     fn delay(&mut self, now: Time, offset_us: i64) -> Span {
         if now >= after(self.since, BASELINE_SPAN) {
-            (self.baseline_us, self.next_baseline_us, self.since) =
-                (self.next_baseline_us.min(offset_us), offset_us, now);
+            self.rebase(now, self.next_baseline_us.min(offset_us), offset_us);
         }
         self.next_baseline_us = self.next_baseline_us.min(offset_us);
         self.baseline_us = self.baseline_us.min(offset_us);
-        let delay = Span((offset_us - self.baseline_us) as u64 * 1_000);
+        let delay = self.delay_beyond_baseline(offset_us);
         if delay <= MAX_DELAY {
             self.late = None;
             return delay;
         }
         // Without this, what is late would be the base of the next span.
         self.next_baseline_us = self.next_baseline_us.min(self.baseline_us);
-        let (since, least) = self.late.unwrap_or((now, offset_us));
-        self.late = Some((since, least.min(offset_us)));
-        if now >= after(since, REBASE_AFTER) {
-            (self.baseline_us, self.next_baseline_us, self.since, self.late) =
-                (least.min(offset_us), offset_us, now, None);
-            return Span((offset_us - self.baseline_us) as u64 * 1_000);
+        let mut late = self.late.unwrap_or(LateSpan { since: now, least_offset_us: offset_us });
+        late.least_offset_us = late.least_offset_us.min(offset_us);
+        self.late = Some(late);
+        if now < after(late.since, REBASE_AFTER) {
+            return delay;
         }
-        delay
+        self.late = None;
+        self.rebase(now, late.least_offset_us, offset_us);
+        self.delay_beyond_baseline(offset_us)
+    }
+
+    fn rebase(&mut self, now: Time, baseline_us: i64, offset_us: i64) {
+        self.baseline_us = baseline_us;
+        self.next_baseline_us = offset_us;
+        self.since = now;
+    }
+
+    fn delay_beyond_baseline(&self, offset_us: i64) -> Span {
+        Span((offset_us - self.baseline_us) as u64 * 1_000)
     }
 }
 
