--- /dev/null
+++ b/crates/config/src/digest.rs
@@ -0,0 +1,76 @@
+//! Digests of entries and of states.
+//!
+//! The digest of a state is the sum modulo 2^128 of keyed BLAKE3 hashes of its entries. A sum does not depend on the
+//! order, and putting or removing one entry costs one hash. It finds faults, also malicious bytes of one entry; that
+//! peers do not construct whole colliding states is left to the authentication of the messages between them.
+
+use crate::change::{ClassDefinition, Revision, Rule};
+use gradepin_decisions::Customer;
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, LazyLock};
+
+/// Separates these hashes from all other uses of BLAKE3.
+const CONTEXT: &str = "gradepin configuration entry, version 1";
+static KEY: LazyLock<[u8; 32]> = LazyLock::new(|| blake3::derive_key(CONTEXT, &[]));
+
+/// The sum of the hashes of some entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+pub struct Digest(pub u128);
+
+impl Digest {
+    /// With the entries of another digest too.
+    pub fn plus(self, other: Self) -> Self {
+        Self(self.0.wrapping_add(other.0))
+    }
+
+    /// Without the entries of another digest.
+    pub fn minus(self, other: Self) -> Self {
+        Self(self.0.wrapping_sub(other.0))
+    }
+}
+
+impl std::fmt::Display for Digest {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
+/// Which state a server is in: two servers of the same revision and another digest are not in the same state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+pub struct Version {
+    /// The last commit applied.
+    pub revision: Revision,
+    /// All entries in force.
+    pub digest: Digest,
+}
+
+impl std::fmt::Display for Version {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{} ({})", self.revision, self.digest)
+    }
+}
+
+/// One entry of a state, in the form that is hashed and put into snapshots.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Entry {
+    /// A class.
+    Class(Arc<ClassDefinition>),
+    /// A tenant.
+    Tenant(Arc<Customer>),
+    /// A rule.
+    Rule(Rule),
+}
+
+impl Entry {
+    /// The digest of this entry alone.
+    pub fn digest(&self) -> Digest {
+        let mut hasher = blake3::Hasher::new_keyed(&KEY);
+        // A hasher takes all that is written to it, and entries have no part that postcard can't encode.
+        if let Ok(bytes) = postcard::to_stdvec(self) {
+            hasher.update(&bytes);
+        }
+        let mut short = [0; 16];
+        hasher.finalize_xof().fill(&mut short);
+        Digest(u128::from_le_bytes(short))
+    }
+}
--- /dev/null
+++ b/crates/config/src/rules.rs
@@ -0,0 +1,92 @@
+//! The rules of a configuration: at most one value of each kind.
+
+use crate::change::Rule;
+use crate::digest::{Digest, Entry};
+use gradepin_decisions::Settings;
+
+/// The kinds of rules.
+const KINDS: usize = 7;
+
+/// The rules that are set.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct RuleSet {
+    set: [Option<Rule>; KINDS],
+}
+
+impl Rule {
+    /// The key of the rule in documents and messages.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::AnswerSlack(_) => "answer_slack",
+            Self::Cold(_) => "cold",
+            Self::ColdShare(_) => "cold_share",
+            Self::DrainGrace(_) => "drain_grace",
+            Self::Fall(_) => "fall",
+            Self::TipMultiple(_) => "tip_multiple",
+            Self::OverShareWorth(_) => "over_share_worth",
+        }
+    }
+
+    /// The place of the rule among all kinds.
+    fn place(&self) -> usize {
+        match self {
+            Self::AnswerSlack(_) => 0,
+            Self::Cold(_) => 1,
+            Self::ColdShare(_) => 2,
+            Self::DrainGrace(_) => 3,
+            Self::Fall(_) => 4,
+            Self::TipMultiple(_) => 5,
+            Self::OverShareWorth(_) => 6,
+        }
+    }
+
+    /// Sets this rule in settings of the decision module.
+    pub fn write(&self, settings: &mut Settings) {
+        match *self {
+            Self::AnswerSlack(span) => settings.rules.answer_slack = span,
+            Self::Cold(span) => settings.rules.cold = span,
+            Self::ColdShare(share) => settings.rules.cold_share = share,
+            Self::DrainGrace(span) => settings.rules.drain_grace = span,
+            Self::Fall(span) => settings.rules.fall = span,
+            Self::TipMultiple(multiple) => settings.rules.tip_multiple = multiple,
+            Self::OverShareWorth(part) => settings.over_share_worth = part,
+        }
+    }
+}
+
+impl RuleSet {
+    /// All rules of settings.
+    pub fn of(settings: &Settings) -> Self {
+        let rules = &settings.rules;
+        let all = [
+            Rule::AnswerSlack(rules.answer_slack),
+            Rule::Cold(rules.cold),
+            Rule::ColdShare(rules.cold_share),
+            Rule::DrainGrace(rules.drain_grace),
+            Rule::Fall(rules.fall),
+            Rule::TipMultiple(rules.tip_multiple),
+            Rule::OverShareWorth(settings.over_share_worth),
+        ];
+        Self { set: all.map(Some) }
+    }
+
+    /// Sets a rule; gives the value before.
+    pub fn put(&mut self, rule: Rule) -> Option<Rule> {
+        self.set[rule.place()].replace(rule)
+    }
+
+    /// The value of the kind of this rule.
+    pub fn same_kind(&self, rule: &Rule) -> Option<Rule> {
+        self.set[rule.place()]
+    }
+
+    /// Those that are set, in the order of their kinds.
+    pub fn iter(&self) -> impl Iterator<Item = Rule> + '_ {
+        self.set.iter().flatten().copied()
+    }
+
+    /// The digest of all rules.
+    pub fn digest(&self) -> Digest {
+        self.iter().fold(Digest::default(), |sum, rule| sum.plus(Entry::Rule(rule).digest()))
+    }
+}
--- /dev/null
+++ b/crates/config/tests/common/mod.rs
@@ -0,0 +1,112 @@
+//! Small configurations for the tests of this crate.
+#![allow(dead_code)]
+
+use gradepin_config::{Change, ClassDefinition, Commit, Configuration, Revision, Rule, Transaction};
+use gradepin_decisions::{Customer, Effect, Profile, Settings, Span};
+use proptest::prelude::*;
+use std::sync::Arc;
+
+const MS: u64 = 1_000_000;
+
+pub fn class(name: &str, promise_ms: u64) -> ClassDefinition {
+    let profile = Profile {
+        name: name.into(),
+        promise: Span(promise_ms * MS),
+        deadline: Span(2 * promise_ms * MS),
+        effect: Effect::Repeatable,
+        late_value: 0.0,
+        window: Span(0),
+        worth: 1.0,
+        aim_stretch: 0.0,
+    };
+    ClassDefinition { profile, calls: true, skip_worth: 0.0 }
+}
+
+pub fn tenant(name: &str, portion: f64) -> Customer {
+    Customer { name: name.into(), quota_rps: 10.0, portion }
+}
+
+pub fn put_class(class: ClassDefinition) -> Change {
+    Change::PutClass(Arc::new(class))
+}
+
+pub fn put_tenant(tenant: Customer) -> Change {
+    Change::PutTenant(Arc::new(tenant))
+}
+
+/// Settings with these classes and tenants.
+pub fn settings(classes: &[ClassDefinition], tenants: &[Customer]) -> Settings {
+    let mut settings = Settings {
+        profiles: classes.iter().map(|class| class.profile.clone()).collect(),
+        customers: tenants.to_vec(),
+        over_share_worth: 1.0,
+        ..Settings::default()
+    };
+    settings.rules.tip_multiple = 4.0;
+    settings.rules.cold_share = 1.0;
+    settings.specifics.calls_by_class = classes.iter().map(|class| class.calls).collect();
+    settings.specifics.class_skip_worth = classes.iter().map(|class| class.skip_worth).collect();
+    settings
+}
+
+/// One class, one tenant.
+pub fn base() -> Configuration {
+    let settings = settings(&[class("label-save", 100)], &[tenant("acme", 0.5)]);
+    Configuration::from_settings(&settings).expect("a valid base")
+}
+
+pub fn commit(revision: u64, changes: Vec<Change>) -> Commit {
+    Commit {
+        revision: Revision(revision),
+        author: "ada".into(),
+        reason: "test".into(),
+        request_id: format!("request-{revision}").into(),
+        proposed_at_ms: 0,
+        transaction: Transaction { changes },
+    }
+}
+
+fn name() -> impl Strategy<Value = String> {
+    // Few names, so that changes meet; enough for several chunks.
+    (0..12u8).prop_map(|n| format!("name-{n}"))
+}
+
+/// A change that is valid by itself, or nearly always.
+pub fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        4 => (name(), 0..40u64).prop_map(|(name, promise)| put_class(class(&name, promise))),
+        2 => name().prop_map(|name| Change::RemoveClass(name.into())),
+        4 => (name(), 0..40u8).prop_map(|(name, part)| put_tenant(tenant(&name, f64::from(part) / 30.0))),
+        2 => name().prop_map(|name| Change::RemoveTenant(name.into())),
+        1 => (0..20u64).prop_map(|ms| Change::PutRule(Rule::Cold(Span(ms * MS)))),
+        1 => (0..12u8).prop_map(|part| Change::PutRule(Rule::ColdShare(f64::from(part) / 10.0))),
+    ]
+}
+
+/// Transactions, some of which are not valid where they come.
+pub fn transactions() -> impl Strategy<Value = Vec<Vec<Change>>> {
+    prop::collection::vec(prop::collection::vec(change(), 0..5), 1..40)
+}
+
+/// A start file of a few classes and tenants.
+pub fn some_settings() -> impl Strategy<Value = Settings> {
+    let classes = prop::collection::btree_map(name(), 1..40u64, 1..10);
+    let tenants = prop::collection::btree_map(name(), 0..10u8, 0..10);
+    (classes, tenants, 1..9u64).prop_map(|(classes, tenants, cold)| {
+        let classes: Vec<_> = classes.iter().map(|(name, promise)| class(name, *promise)).collect();
+        let tenants: Vec<_> =
+            tenants.iter().map(|(name, part)| tenant(name, f64::from(*part) / 10.0)).collect();
+        let mut settings = settings(&classes, &tenants);
+        settings.rules.cold = Span(cold * MS);
+        settings
+    })
+}
+
+/// The digest as a sum over all entries, told again from nothing.
+pub fn digest_anew(state: &Configuration) -> gradepin_config::Digest {
+    use gradepin_config::digest::Entry;
+    let classes = state.classes().cloned().map(Entry::Class);
+    let tenants = state.tenants().cloned().map(Entry::Tenant);
+    let entries = classes.chain(tenants).chain(state.rules().map(Entry::Rule));
+    entries.fold(gradepin_config::Digest::default(), |sum, entry| sum.plus(entry.digest()))
+}
--- /dev/null
+++ b/crates/config/tests/parts.rs
@@ -0,0 +1,111 @@
+//! Damaged and foreign parts of snapshots are found, and the log keeps what it is told to.
+
+mod common;
+
+use common::{base, class, commit, put_class, put_tenant, settings, tenant};
+use gradepin_config::chunk::{ChunkError, ChunkNumber};
+use gradepin_config::log::Gap;
+use gradepin_config::snapshot::SnapshotError;
+use gradepin_config::{Assembly, CommitLog, Configuration, LogLimits, Revision, Snapshot};
+use std::sync::Arc;
+
+fn some(first_promise: u64) -> Snapshot {
+    let classes: Vec<_> = (0..30).map(|n| class(&format!("c{n}"), first_promise + n)).collect();
+    let tenants: Vec<_> = (0..30).map(|n| tenant(&format!("t{n}"), 0.0)).collect();
+    Snapshot::of(&Configuration::from_settings(&settings(&classes, &tenants)).expect("valid"))
+}
+
+#[test]
+fn a_flipped_bit_anywhere_is_found() {
+    let whole = some(10);
+    let bytes = whole.encode();
+    for at in 0..bytes.len() {
+        let mut wrong = bytes.clone();
+        wrong[at] ^= 1 << (at % 8);
+        match Snapshot::decode(&wrong) {
+            Err(_) => {}
+            // The revision is the one thing that the digest does not cover; it is compared together with it.
+            Ok(read) => assert_ne!(read.version(), whole.version(), "byte {at}"),
+        }
+    }
+    for length in 0..bytes.len() {
+        assert!(Snapshot::decode(&bytes[..length]).is_err(), "cut to {length}");
+    }
+}
+
+#[test]
+fn a_chunk_of_another_state_or_place_is_not_taken() {
+    let (ours, theirs) = (some(10), some(11));
+    let mut assembly = Assembly::new(ours.manifest()).expect("own manifest");
+    let number = ChunkNumber::of("c3");
+    let other = ChunkNumber::of("c4");
+    assert_ne!(number, other);
+    let all = assembly.missing_count();
+    let foreign = theirs.chunk(number).expect("there");
+    assert!(matches!(assembly.add(number, &foreign), Err(ChunkError::Digest { .. })));
+    let misplaced = ours.chunk(other).expect("there");
+    assert!(matches!(assembly.add(number, &misplaced), Err(ChunkError::Order(_))));
+    let empty = (0..u16::MAX).map(ChunkNumber).find(|n| ours.chunk(*n).is_none()).expect("one");
+    assert_eq!(assembly.add(empty, &misplaced), Err(ChunkError::Unknown(empty.0)));
+    assert_eq!(assembly.missing_count(), all);
+    assembly.add(number, &ours.chunk(number).expect("there")).expect("its own");
+    assert_eq!(assembly.missing_count(), all - 1);
+    assert_eq!(assembly.finish().err(), Some(SnapshotError::Missing(all - 1)));
+}
+
+#[test]
+fn a_manifest_that_does_not_sum_to_its_digest_is_not_taken() {
+    let (ours, theirs) = (some(10), some(11));
+    let mut manifest = ours.manifest();
+    manifest.chunks = theirs.manifest().chunks;
+    assert!(matches!(Assembly::new(manifest), Err(SnapshotError::Digest { .. })));
+    let mut manifest = ours.manifest();
+    manifest.chunks.swap(0, 1);
+    assert_eq!(Assembly::new(manifest).err(), Some(SnapshotError::Order));
+    let mut manifest = ours.manifest();
+    manifest.rules.push(manifest.rules[0]);
+    assert_eq!(Assembly::new(manifest).err(), Some(SnapshotError::Order));
+}
+
+#[test]
+fn an_assembly_goes_on_when_its_source_has_moved_on() {
+    let old = some(10);
+    let mut state = old.configuration().clone();
+    let mut first = Assembly::new(old.manifest()).expect("own manifest");
+    let numbers: Vec<_> = first.missing().collect();
+    for number in numbers {
+        first.add(number, &old.chunk(number).expect("there")).expect("its own");
+    }
+    state.apply(&commit(1, vec![put_class(class("c3", 99))])).expect("valid");
+    let new = Snapshot::of(&state);
+    let mut second = Assembly::new(new.manifest()).expect("own manifest");
+    second.adopt_from(&first);
+    assert_eq!(second.missing().collect::<Vec<_>>(), [ChunkNumber::of("c3")]);
+}
+
+#[test]
+fn the_log_is_gapless_and_bounded() {
+    let one = |n: u64| Arc::new(commit(n, vec![put_tenant(tenant("acme", 0.1))]));
+    let limits = LogLimits { commits: 3, bytes: 1 << 20 };
+    let mut log = CommitLog::after_revision(base().revision(), limits);
+    (1..=5).for_each(|n| log.push(one(n)).expect("the next"));
+    assert_eq!(log.push(one(7)), Err(Gap { expected: Revision(6), came: Revision(7) }));
+    assert_eq!((log.base(), log.last()), (Revision(2), Revision(5)));
+    let revisions = |from| Some(log.after(Revision(from))?.map(|c| c.revision.0).collect::<Vec<_>>());
+    assert_eq!(revisions(1), None, "compacted");
+    assert_eq!(revisions(2), Some(vec![3, 4, 5]));
+    assert_eq!(revisions(4), Some(vec![5]));
+    assert_eq!(revisions(5), Some(vec![]));
+    assert_eq!(revisions(6), None, "yet to come");
+    assert_eq!(log.get(Revision(3)).map(|c| c.revision.0), Some(3));
+    assert_eq!(log.get(Revision(2)), None);
+    assert_eq!(log.get(Revision(0)), None);
+    assert_eq!(log.history().map(|c| c.revision.0).collect::<Vec<_>>(), [5, 4, 3]);
+
+    let few = LogLimits { commits: 100, bytes: log.bytes() };
+    let mut log = CommitLog::after_revision(Revision(0), few);
+    (1..=50).for_each(|n| log.push(one(n)).expect("the next"));
+    assert!(log.bytes() <= few.bytes && log.base() >= Revision(46), "{:?}", log.base());
+    log.restart(Revision(90));
+    assert_eq!((log.base(), log.last(), log.bytes()), (Revision(90), Revision(90), 0));
+}
--- /dev/null
+++ b/crates/config/tests/validation.rs
@@ -0,0 +1,149 @@
+//! Each kind of invalid transaction is refused with its place, what was expected and what came, and changes nothing.
+
+mod common;
+
+use common::{base, class, commit, put_class, put_tenant, settings, tenant};
+use gradepin_config::change::{MAX_CHANGES, MAX_CLASSES, MAX_TENANTS};
+use gradepin_config::{
+    ApplyError, Change, ClassDefinition, Configuration, Invalid, Proposal, Refused, Revision, Rule,
+    Transaction,
+};
+use gradepin_decisions::Span;
+
+/// The refusal of changes by a state, which stays as it is.
+fn refusal(state: &Configuration, changes: Vec<Change>) -> Invalid {
+    let mut after = state.clone();
+    let commit = commit(state.revision().0 + 1, changes);
+    let Err(ApplyError::Invalid(invalid)) = after.apply(&commit) else {
+        panic!("expected a refusal of {commit:?}")
+    };
+    assert_eq!(after.version(), state.version(), "{invalid}");
+    assert_eq!(state.validate(&commit.transaction), Err(invalid.clone()), "one check for all");
+    invalid
+}
+
+fn with(change: impl FnOnce(&mut ClassDefinition)) -> Change {
+    let mut class = class("label-save", 100);
+    change(&mut class);
+    put_class(class)
+}
+
+#[test]
+fn each_wrong_figure_is_told_with_its_place() {
+    let ok = || put_tenant(tenant("other", 0.1));
+    let ms = |n: u64| Span(n * 1_000_000);
+    let cases: Vec<(Change, &str, &str, &str)> = vec![
+        (
+            with(|c| c.profile.deadline = ms(99)),
+            "class.label-save.deadline",
+            "at least the promise of 100000000 ns",
+            "99000000 ns",
+        ),
+        (
+            with(|c| c.profile.promise = ms(0)),
+            "class.label-save.promise",
+            "from 1 to 86400000000000 ns",
+            "0 ns",
+        ),
+        (with(|c| c.profile.worth = f64::NAN), "class.label-save.worth", "from 0 to 1000000000", "NaN"),
+        (with(|c| c.profile.worth = -1.0), "class.label-save.worth", "from 0 to 1000000000", "-1"),
+        (with(|c| c.profile.late_value = 1.5), "class.label-save.late_value", "from 0 to 1", "1.5"),
+        (
+            with(|c| c.profile.aim_stretch = f64::INFINITY),
+            "class.label-save.aim_stretch",
+            "from 0 to 1000000",
+            "inf",
+        ),
+        (with(|c| c.skip_worth = 2.0), "class.label-save.skip_worth", "from 0 to 1", "2"),
+        (
+            with(|c| c.profile.window = Span(u64::MAX)),
+            "class.label-save.window",
+            "from 0 to 86400000000000 ns",
+            "18446744073709551615 ns",
+        ),
+        (with(|c| c.profile.name = "a b".into()), "class.a b", "a name without spaces", "'a b'"),
+        (with(|c| c.profile.name = String::new()), "class.", "a text", "an empty one"),
+        (put_tenant(tenant("acme", 1.01)), "tenant.acme.portion", "from 0 to 1", "1.01"),
+        (put_tenant(tenant("ac\nme", 0.1)), "tenant.acme", "no control characters", "one or more"),
+        (Change::RemoveClass("gone".into()), "class.gone", "a class in force", "an unknown name"),
+        (Change::RemoveTenant("gone".into()), "tenant.gone", "a tenant in force", "an unknown name"),
+        (Change::PutRule(Rule::ColdShare(0.0)), "rule.cold_share", "above 0 and at most 1", "0"),
+        (
+            Change::PutRule(Rule::TipMultiple(f64::NAN)),
+            "rule.tip_multiple",
+            "above 0 and at most 1000000",
+            "NaN",
+        ),
+        (Change::PutRule(Rule::OverShareWorth(1.1)), "rule.over_share_worth", "from 0 to 1", "1.1"),
+        (
+            Change::PutRule(Rule::Fall(Span(u64::MAX))),
+            "rule.fall",
+            "from 0 to 86400000000000 ns",
+            "18446744073709551615 ns",
+        ),
+        (ok(), "tenant.other", "each name once in a transaction", "the name twice"),
+    ];
+    for (change, path, expected, came) in cases {
+        let found = refusal(&base(), vec![ok(), change]);
+        assert_eq!(found, Invalid::new(format!("changes[1].{path}"), expected, came));
+    }
+    let long = "x".repeat(129);
+    let found = refusal(&base(), vec![put_tenant(tenant(&long, 0.1))]);
+    assert_eq!((found.expected.as_str(), found.came.as_str()), ("at most 128 bytes of text", "129"));
+}
+
+#[test]
+fn the_numbers_of_changes_and_entries_are_bounded() {
+    assert_eq!(refusal(&base(), vec![]), Invalid::new("changes", "at least one change", "none"));
+    let many = (0..=MAX_CHANGES).map(|n| put_tenant(tenant(&format!("t{n}"), 0.0))).collect();
+    assert_eq!(refusal(&base(), many), Invalid::new("changes", "at most 1024 changes", "1025"));
+    let last = refusal(&base(), vec![Change::RemoveClass("label-save".into())]);
+    assert_eq!(last, Invalid::new("changes", "at least one class left", "the last class removed"));
+
+    let classes: Vec<_> = (0..MAX_CLASSES).map(|n| class(&format!("c{n}"), 10)).collect();
+    let tenants: Vec<_> = (0..MAX_TENANTS).map(|n| tenant(&format!("t{n}"), 0.0)).collect();
+    let full = Configuration::from_settings(&settings(&classes, &tenants)).expect("a full table");
+    let found = refusal(&full, vec![put_class(class("more", 10))]);
+    assert_eq!(found, Invalid::new("changes", "at most 16384 classes in force", "16385"));
+    let found = refusal(&full, vec![put_tenant(tenant("more", 0.0))]);
+    assert_eq!(found, Invalid::new("changes", "at most 131072 tenants in force", "131073"));
+    let exchange = vec![put_class(class("more", 10)), Change::RemoveClass("c0".into())];
+    full.validate(&Transaction { changes: exchange }).expect("one for another");
+
+    // A difference between two full tables with no name in common stays within the bounds all the way.
+    let classes: Vec<_> = (0..MAX_CLASSES).map(|n| class(&format!("d{n}"), 10)).collect();
+    let target = Configuration::from_settings(&settings(&classes, &[])).expect("a full table");
+    let mut state = full;
+    for transaction in state.difference_to(&target) {
+        state.apply(&commit(state.revision().0 + 1, transaction.changes)).expect("within the bounds");
+    }
+    assert_eq!(state.digest(), target.digest());
+}
+
+#[test]
+fn a_proposal_is_checked_for_its_texts_and_what_its_author_saw() {
+    let state = base();
+    let proposal = |reason: &str, expected| Proposal {
+        request_id: "1".into(),
+        author: "ada".into(),
+        reason: reason.into(),
+        expected,
+        transaction: Transaction { changes: vec![put_tenant(tenant("acme", 0.1))] },
+    };
+    assert_eq!(state.check(&proposal("why", Some(Revision(0)))), Ok(()));
+    let moved = Refused::Moved { expected: Revision(3), in_force: Revision(0) };
+    assert_eq!(state.check(&proposal("why", Some(Revision(3)))), Err(moved));
+    let empty = Invalid::new("reason", "a text", "an empty one");
+    assert_eq!(state.check(&proposal("", None)), Err(Refused::Invalid(empty)));
+}
+
+#[test]
+fn a_gap_is_no_commit_to_apply() {
+    let mut state = base();
+    let change = || vec![put_tenant(tenant("acme", 0.1))];
+    for wrong in [0, 2] {
+        let gap = ApplyError::Gap { expected: Revision(1), came: Revision(wrong) };
+        assert_eq!(state.apply(&commit(wrong, change())), Err(gap));
+    }
+    state.apply(&commit(1, change())).expect("the next one");
+}
