--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,5 +1,6 @@
 //! Revisions of the fleet's configuration, without I/O and without a clock.
 //!
+//! - [`admin`]: what the admin endpoints take and give.
 //! - [`change`]: typed changes of classes, tenants and rules, and the commit that carries them under one revision.
 //! - [`configuration`]: the state that commits are applied to, with its [`digest`], in [`chunk`]s; the [`rules`].
 //! - [`validation`]: the one check of transactions.
@@ -10,6 +11,7 @@
 //! A configuration is the result of applying a prefix of the committed log to the one base, revision 0. Every server of
 //! the fleet holds such a prefix, and never anything else.
 
+pub mod admin;
 pub mod change;
 pub mod chunk;
 pub mod configuration;
