--- /dev/null
+++ b/crates/kit/src/commands/ask.rs
@@ -0,0 +1,90 @@
+//! `gradepin-kit ask`: one question to a registry.
+
+use clap::{Args, Subcommand};
+use gradepin_node::registry::Client;
+use gradepin_node::settings::ServiceUrl;
+use gradepin_registry::instance::{Applications, Instance, Status};
+use gradepin_registry::membership::{Op, Reply};
+use gradepin_registry::view::Fetch;
+use gradepin_registry::wire::Format;
+use std::error::Error;
+use std::time::Duration;
+
+/// Settings of `ask`.
+#[derive(Debug, Args)]
+pub struct AskArgs {
+    /// Its service URL
+    #[arg(long, default_value = "http://127.0.0.1:8761/eureka/v2")]
+    pub url: String,
+    /// Speak XML
+    #[arg(long)]
+    pub xml: bool,
+    #[command(subcommand)]
+    pub what: Question,
+}
+
+/// What is asked.
+#[derive(Debug, Subcommand)]
+pub enum Question {
+    /// All instances
+    Apps,
+    /// What changed of late
+    Delta,
+    /// The instances of one application
+    App { app: String },
+    /// The instances under one VIP address
+    Vip { vip: String },
+    /// One instance
+    Instance { app: String, id: String },
+    /// Set an override: out of service
+    Out { app: String, id: String },
+    /// Remove the override: up
+    In { app: String, id: String },
+    /// Set one key of an instance's metadata
+    Metadata { app: String, id: String, key: String, value: String },
+    /// Remove a registration
+    Cancel { app: String, id: String },
+}
+
+/// Puts the question; false if the registry doesn't know the instance, or won't.
+pub fn run(args: AskArgs) -> Result<bool, Box<dyn Error>> {
+    ask(&args.url, if args.xml { Format::Xml } else { Format::Json }, args.what)
+}
+
+/// Puts one question; false if the registry doesn't know the instance, or won't.
+fn ask(url: &str, format: Format, what: Question) -> Result<bool, Box<dyn Error>> {
+    const TIMEOUT: Duration = Duration::from_secs(5);
+    let client = Client::new(&ServiceUrl::parse(url)?, format);
+    let line = |i: &Instance| {
+        let (zone, address) = (i.zone().unwrap_or("-"), i.ip.map_or(i.host.clone(), |ip| ip.to_string()));
+        println!("{} {} {} {address}:{} zone {zone} vip {}", i.app, i.id, i.status, i.port.number, i.vip);
+    };
+    let all = |came: Applications| {
+        came.instances.iter().for_each(line);
+        println!("{} instances, code {}", came.instances.len(), came.hash_code);
+        Ok(true)
+    };
+    let (app, id, op) = match what {
+        Question::Apps => return all(client.fetch(Fetch::Full, TIMEOUT)?),
+        Question::Delta => return all(client.fetch(Fetch::Delta, TIMEOUT)?),
+        Question::App { app } => return all(client.application(&app, TIMEOUT)?),
+        Question::Vip { vip } => return all(client.vip(&vip, TIMEOUT)?),
+        Question::Metadata { app, id, key, value } => {
+            client.metadata(&app, &id, &key, &value, TIMEOUT)?;
+            return Ok(true);
+        }
+        Question::Instance { app, id } => (app, id, Op::Look),
+        Question::Out { app, id } => (app, id, Op::Override { status: Status::OutOfService, dirty_ms: 0 }),
+        Question::In { app, id } => (app, id, Op::ClearOverride { status: Status::Up, dirty_ms: 0 }),
+        Question::Cancel { app, id } => (app, id, Op::Cancel),
+    };
+    let reply = client.ask(&app, &id, &op, TIMEOUT);
+    match &reply {
+        Reply::Done => println!("done"),
+        Reply::Record(instance) => line(instance),
+        Reply::NotFound => println!("no {id} in {app}"),
+        Reply::Rejected(status) => println!("answered with status {status}"),
+        Reply::Failed(why) => println!("failed: {why}"),
+    }
+    Ok(matches!(reply, Reply::Done | Reply::Record(_)))
+}
--- /dev/null
+++ b/crates/kit/src/commands/control.rs
@@ -0,0 +1,30 @@
+//! `gradepin-kit control`: a stand-in control plane.
+
+use super::shared::each_second;
+use clap::Args;
+use gradepin_kit::control::Control;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Settings of `control`.
+#[derive(Debug, Args)]
+pub struct ControlArgs {
+    /// Where to listen
+    #[arg(long, default_value = "127.0.0.1:7946")]
+    pub listen: SocketAddr,
+}
+
+/// Runs one until a signal, with a line a second.
+pub fn run(args: ControlArgs) -> Result<bool, Box<dyn Error>> {
+    let control = Control::start(args.listen)?;
+    println!("a control plane at {}", control.address());
+    each_second(|second| {
+        println!(
+            "{second:>4} s  ready: {}",
+            control.roster().ready(Instant::now(), Duration::ZERO).join(" ")
+        );
+        true
+    })?;
+    Ok(true)
+}
--- /dev/null
+++ b/crates/kit/src/commands/registry.rs
@@ -0,0 +1,52 @@
+//! `gradepin-kit registry`: a stand-in registry with Eureka's API.
+
+use super::shared::each_second;
+use clap::Args;
+use gradepin_kit::registry::faults::Script;
+use gradepin_kit::registry::server::{Server, ServerSettings};
+use gradepin_kit::registry::state::RegistrySettings;
+use std::error::Error;
+use std::net::SocketAddr;
+
+/// Settings of `registry`.
+#[derive(Debug, Args)]
+pub struct RegistryArgs {
+    /// Where to listen
+    #[arg(long, default_value = "127.0.0.1:8761")]
+    pub listen: SocketAddr,
+    /// User and password to ask for, as USER:PASSWORD
+    #[arg(long)]
+    pub login: Option<String>,
+    /// How old an answer with all applications may be, ms
+    #[arg(long, default_value_t = 30_000)]
+    pub cache_ms: u64,
+    /// Between looks for leases that ran out, ms
+    #[arg(long, default_value_t = 60_000)]
+    pub evict_every_ms: u64,
+    /// Evict whatever ran out, however many heartbeats are missing
+    #[arg(long)]
+    pub no_self_preservation: bool,
+    /// Faults by time, as '500 hang; 2500 none'
+    #[arg(long, default_value = "")]
+    pub faults: Script,
+}
+
+/// Runs one until a signal, with a line a second.
+pub fn run(args: RegistryArgs) -> Result<bool, Box<dyn Error>> {
+    let RegistryArgs { listen, login, cache_ms, evict_every_ms, no_self_preservation, faults } = args;
+    let preserves = !no_self_preservation;
+    let rules = RegistrySettings { cache_ms, evict_every_ms, preserves, ..RegistrySettings::default() };
+    let login = login.map(|login| {
+        let (user, password) = login.split_once(':').ok_or("expected USER:PASSWORD")?;
+        Ok::<_, &str>((user.to_string(), password.to_string()))
+    });
+    let set =
+        ServerSettings { rules, login: login.transpose()?, script: faults, ..ServerSettings::default() };
+    let server = Server::start(listen, set)?;
+    println!("a registry at {}", server.url());
+    each_second(|second| {
+        println!("{second:>4} s  {}", server.summary());
+        true
+    })?;
+    Ok(true)
+}
--- /dev/null
+++ b/crates/kit/src/load/proxy/tries.rs
@@ -0,0 +1,138 @@
+//! Tries: what is written, over which protocol, and what the books say of its end.
+
+use super::{LATE, Later, Open, State};
+use crate::load::{End, Repeats, Try};
+use crate::registry::server::unix_ms;
+use crate::thrift;
+use gradepin_node::fronts::scgi::codec as scgi;
+use rand_pcg::rand_core::Rng;
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr};
+use std::time::{Duration, Instant};
+
+/// What a try is made of.
+pub(super) struct Sent {
+    class: usize,
+    again: bool,
+    token: String,
+    scgi: bool,
+    repeat: bool,
+}
+
+impl State {
+    /// Writes a try; false if there is no connection to be had.
+    pub(super) fn write(&mut self, request: u64, server: SocketAddr, left: Duration) -> bool {
+        let Some(pending) = self.pending.get_mut(&request) else { return true };
+        pending.tries += 1;
+        pending.tried.insert(server);
+        pending.written.get_or_insert_with(Instant::now);
+        let (class, again, token, scgi) =
+            (pending.class, pending.tries > 1, pending.token.clone(), pending.scgi);
+        let Repeats { share, within_ms, strangers } = self.habit.repeats;
+        if !again && self.classes[class].keyed && self.unit() < share {
+            let by = Duration::from_secs_f64(within_ms as f64 / 1e3 * self.unit());
+            let token = if strangers { format!("{:032x}", self.rng.next_u64()) } else { token.clone() };
+            self.put_off(by, Later::Repeat { request, class, token, server, scgi: !scgi });
+        }
+        self.put(request, server, left, Sent { class, again, token, scgi, repeat: false })
+    }
+
+    /// Sends a keyed request's second copy, whatever became of the first.
+    pub(super) fn repeat(
+        &mut self,
+        request: u64,
+        class: usize,
+        token: String,
+        server: SocketAddr,
+        scgi: bool,
+    ) {
+        let left = self.classes[class].deadline;
+        self.put(request, server, left, Sent { class, again: true, token, scgi, repeat: true });
+    }
+
+    /// Puts a try on a connection; false if there is none to be had.
+    pub(super) fn put(&mut self, request: u64, server: SocketAddr, left: Duration, sent: Sent) -> bool {
+        let Sent { class, again, token, scgi: over, repeat } = sent;
+        let rid = format!("{:016x}", self.rng.next_u64());
+        let memory = 8.0 + 56.0 * self.unit();
+        // Cut, not rounded: a rank is under 1, and servers reject what isn't.
+        let rank = (self.unit() * 1e4).floor() / 1e4;
+        let (keyed, name) = (self.classes[class].keyed, self.classes[class].name.clone());
+        let (t0_ms, budget_ms) = (unix_ms(), left.as_millis() as u64);
+        let due = Instant::now() + left + LATE;
+        let open = Open { rid: rid.clone(), request, t0_ms, due, scgi: over, repeat };
+        let conn = if over { self.scgi_connection(server) } else { self.connection(server) };
+        let Some(conn) = conn else {
+            self.end(server, &open, class, End::NoConnection, false);
+            return false;
+        };
+        conn.next_seq += 1;
+        let seq = conn.next_seq;
+        let tenants = ["etela-kasvio", "lansi-kasvio", "ita-kasvio", "pohjois-kasvio"];
+        let tenant = tenants[(request % 4) as usize];
+
+        let (t0, budget) = (t0_ms.to_string(), budget_ms.to_string());
+        let (memory, rank) = (format!("{memory:.1}"), format!("{rank:.4}"));
+        let peer = (request >> 40).to_string();
+        let mut fields: Vec<(&str, &str)> = vec![
+            ("method", &name),
+            ("rid", &rid),
+            ("t0", &t0),
+            ("peer", &peer),
+            ("acct", tenant),
+            ("budget", &budget),
+            ("mem", &memory),
+            ("prio", &rank),
+        ];
+        if again {
+            fields.push(("again", "1"));
+        }
+        if keyed {
+            fields.push(("token", &token));
+        }
+        let bytes = if over {
+            let path = format!("/{name}/{request}");
+            let quoted = format!("\"{token}\"");
+            let mut headers: Vec<(&str, &str)> = vec![
+                ("REQUEST_METHOD", if keyed { "PUT" } else { "GET" }),
+                ("DOCUMENT_URI", &path),
+                ("HTTP_X_REQUEST_ID", &rid),
+                ("HTTP_X_CALLER", &peer),
+                ("HTTP_X_TENANT", tenant),
+                ("HTTP_X_WAIT_MS", &budget),
+                ("HTTP_X_MEMORY_KB", &memory),
+                ("HTTP_X_RANK", &rank),
+            ];
+            if again {
+                headers.push(("HTTP_X_RETRY", "1"));
+            }
+            if keyed {
+                headers.push(("HTTP_IDEMPOTENCY_KEY", &quoted));
+            }
+            scgi::encode(&headers, request.to_string().as_bytes())
+        } else {
+            thrift::call(seq, &fields, request.to_string().as_bytes())
+        };
+        if conn.stream.write_all(&bytes).is_err() {
+            let _ = conn.stream.shutdown(Shutdown::Both);
+        }
+        conn.open.insert(seq, open);
+        true
+    }
+
+    pub(super) fn end(&mut self, server: SocketAddr, open: &Open, class: usize, end: End, genuine: bool) {
+        self.books.tries.push(Try {
+            rid: open.rid.clone(),
+            request: open.request,
+            class,
+            server,
+            scgi: open.scgi,
+            t0_ms: open.t0_ms,
+            budget_ms: (open.due - LATE).saturating_duration_since(Instant::now()).as_millis() as u64
+                + unix_ms().saturating_sub(open.t0_ms),
+            end_ms: unix_ms(),
+            end,
+            genuine,
+        });
+    }
+}
