Read transactions of the configuration from KDL and JSON documents

Cause: people write changes as files, with the keys that the configuration file has. Change: gradepin_config::Document is the form; gradepin_node::settings::transaction reads it from JSON, or from KDL with times as nanoseconds or texts with a unit, and tells what is wrong by line and column.

--- /dev/null
+++ b/crates/config/src/document.rs
@@ -0,0 +1,199 @@
+//! A transaction as people write it, with the keys of the configuration file.
+//!
+//! The order of a document has no meaning: each name stands once in it. A class or tenant that is put replaces the one
+//! of its name whole.
+
+use crate::change::{Change, ClassDefinition, Name, Rule, Transaction};
+use gradepin_decisions::{Customer, Effect, Profile, Span};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// The whole document. Unknown keys are refused: a key typed wrongly must not keep a default silently.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Document {
+    /// Classes to add or replace.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub classes: Vec<ClassEntry>,
+    /// Names of classes to remove.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub remove_classes: Vec<Name>,
+    /// Tenants to add or replace.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub tenants: Vec<TenantEntry>,
+    /// Names of tenants to remove.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub remove_tenants: Vec<Name>,
+    /// Rules to set.
+    #[serde(skip_serializing_if = "RuleEntries::is_empty")]
+    pub rules: RuleEntries,
+}
+
+/// A class. Times are in nanoseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct ClassEntry {
+    pub name: String,
+    pub promise: Span,
+    pub deadline: Span,
+    pub effect: Effect,
+    pub worth: f64,
+    #[serde(default)]
+    pub late_value: f64,
+    #[serde(default)]
+    pub window: Span,
+    #[serde(default)]
+    pub aim_stretch: f64,
+    /// As `specifics.calls_by_class` of the configuration file has it for this class.
+    #[serde(default = "yes")]
+    pub calls: bool,
+    /// As `specifics.class_skip_worth` of the configuration file has it for this class.
+    #[serde(default)]
+    pub skip_worth: f64,
+}
+
+/// A tenant.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct TenantEntry {
+    pub name: String,
+    #[serde(default)]
+    pub quota_rps: f64,
+    #[serde(default)]
+    pub portion: f64,
+}
+
+/// Rules; those that are absent stay as they are.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct RuleEntries {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answer_slack: Option<Span>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<Span>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_share: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub drain_grace: Option<Span>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fall: Option<Span>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tip_multiple: Option<f64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub over_share_worth: Option<f64>,
+}
+
+fn yes() -> bool {
+    true
+}
+
+impl RuleEntries {
+    fn is_empty(&self) -> bool {
+        self.iter().next().is_none()
+    }
+
+    /// The rules that are set, in the order of the fields.
+    pub fn iter(&self) -> impl Iterator<Item = Rule> {
+        let all = [
+            self.answer_slack.map(Rule::AnswerSlack),
+            self.cold.map(Rule::Cold),
+            self.cold_share.map(Rule::ColdShare),
+            self.drain_grace.map(Rule::DrainGrace),
+            self.fall.map(Rule::Fall),
+            self.tip_multiple.map(Rule::TipMultiple),
+            self.over_share_worth.map(Rule::OverShareWorth),
+        ];
+        all.into_iter().flatten()
+    }
+
+    fn set(&mut self, rule: Rule) {
+        match rule {
+            Rule::AnswerSlack(span) => self.answer_slack = Some(span),
+            Rule::Cold(span) => self.cold = Some(span),
+            Rule::ColdShare(share) => self.cold_share = Some(share),
+            Rule::DrainGrace(span) => self.drain_grace = Some(span),
+            Rule::Fall(span) => self.fall = Some(span),
+            Rule::TipMultiple(multiple) => self.tip_multiple = Some(multiple),
+            Rule::OverShareWorth(part) => self.over_share_worth = Some(part),
+        }
+    }
+}
+
+impl From<ClassEntry> for ClassDefinition {
+    fn from(entry: ClassEntry) -> Self {
+        let profile = Profile {
+            name: entry.name,
+            promise: entry.promise,
+            deadline: entry.deadline,
+            effect: entry.effect,
+            late_value: entry.late_value,
+            window: entry.window,
+            worth: entry.worth,
+            aim_stretch: entry.aim_stretch,
+        };
+        Self { profile, calls: entry.calls, skip_worth: entry.skip_worth }
+    }
+}
+
+impl From<&ClassDefinition> for ClassEntry {
+    fn from(class: &ClassDefinition) -> Self {
+        let profile = class.profile.clone();
+        Self {
+            name: profile.name,
+            promise: profile.promise,
+            deadline: profile.deadline,
+            effect: profile.effect,
+            worth: profile.worth,
+            late_value: profile.late_value,
+            window: profile.window,
+            aim_stretch: profile.aim_stretch,
+            calls: class.calls,
+            skip_worth: class.skip_worth,
+        }
+    }
+}
+
+impl From<TenantEntry> for Customer {
+    fn from(entry: TenantEntry) -> Self {
+        Self { name: entry.name, quota_rps: entry.quota_rps, portion: entry.portion }
+    }
+}
+
+impl From<&Customer> for TenantEntry {
+    fn from(tenant: &Customer) -> Self {
+        Self { name: tenant.name.clone(), quota_rps: tenant.quota_rps, portion: tenant.portion }
+    }
+}
+
+impl From<Document> for Transaction {
+    /// Rules first, then classes, then tenants; removals behind what is put.
+    fn from(document: Document) -> Self {
+        let class = |entry| Change::PutClass(Arc::new(ClassDefinition::from(entry)));
+        let tenant = |entry| Change::PutTenant(Arc::new(Customer::from(entry)));
+        let mut changes: Vec<Change> = document.rules.iter().map(Change::PutRule).collect();
+        changes.extend(document.classes.into_iter().map(class));
+        changes.extend(document.remove_classes.into_iter().map(Change::RemoveClass));
+        changes.extend(document.tenants.into_iter().map(tenant));
+        changes.extend(document.remove_tenants.into_iter().map(Change::RemoveTenant));
+        Self { changes }
+    }
+}
+
+impl From<&Transaction> for Document {
+    fn from(transaction: &Transaction) -> Self {
+        let mut document = Self::default();
+        for change in &transaction.changes {
+            match change {
+                Change::PutClass(class) => document.classes.push((&**class).into()),
+                Change::RemoveClass(name) => document.remove_classes.push(Arc::clone(name)),
+                Change::PutTenant(tenant) => document.tenants.push((&**tenant).into()),
+                Change::RemoveTenant(name) => document.remove_tenants.push(Arc::clone(name)),
+                Change::PutRule(rule) => document.rules.set(*rule),
+            }
+        }
+        document
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`snapshot`]: a state in chunks that are checked one by one.
 //! - [`log`]: the last commits.
 //! - [`difference`]: what turns one state into another.
+//! - [`document`]: a transaction as people write it.
 //!
 //! A configuration is the result of applying a prefix of the committed log to the one base, revision 0. Every server of
 //! the fleet holds such a prefix, and never anything else.
@@ -15,6 +16,7 @@
 pub mod configuration;
 pub mod difference;
 pub mod digest;
+pub mod document;
 pub mod log;
 pub mod rules;
 pub mod snapshot;
@@ -23,6 +25,7 @@
 pub use change::{Change, ClassDefinition, Commit, Name, Proposal, Revision, Rule, Transaction};
 pub use configuration::{ApplyError, Configuration, Refused};
 pub use digest::{Digest, Version};
+pub use document::Document;
 pub use log::{CommitLog, LogLimits};
 pub use snapshot::{Assembly, Manifest, Snapshot};
 pub use validation::Invalid;
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -9,6 +9,7 @@
 mod reader;
 mod scgi;
 mod store;
+pub mod transaction;
 
 pub use cluster::FleetSettings;
 pub use council::CouncilSettings;
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -187,6 +187,17 @@
         }
     }
 
+    /// A time: a whole number of nanoseconds, or a text with a unit, as in "250ms".
+    pub fn time(&mut self, name: &str) -> Option<Span> {
+        const WHAT: &str = "nanoseconds, or a time as in \"250ms\" or \"4s\"";
+        let (at, value) = self.value(name, WHAT)?;
+        let whole = value.as_integer().and_then(|number| u64::try_from(number).ok()).map(Span);
+        match whole.or_else(|| value.as_string().and_then(time_with_unit)) {
+            Some(time) => Some(time),
+            None => self.wrong(at, name, WHAT, &value),
+        }
+    }
+
     pub fn truth(&mut self, name: &str) -> Option<bool> {
         let (at, value) = self.value(name, "#true or #false")?;
         match value.as_bool() {
@@ -258,7 +269,20 @@
     }
 }
 
-impl Repeated<'_> {
+impl<'p> Repeated<'p> {
+    /// What stands between its braces.
+    pub fn block(&self) -> Block<'p> {
+        let nodes = self.node.children().map_or_else(Vec::new, |children| children.nodes().to_vec());
+        Block::of(nodes, offset(&self.node), self.problems)
+    }
+
+    /// Nothing may stand between braces.
+    pub fn no_block(&self) {
+        if self.node.children().is_some() {
+            self.problem("expected no children");
+        }
+    }
+
     /// A property that is a text.
     pub fn property(&mut self, name: &str) -> Option<String> {
         self.properties.insert(name.to_string());
@@ -287,6 +311,19 @@
     }
 }
 
+/// A time as in `4s`, `250ms`, `10us` or `7ns`, with a whole number.
+fn time_with_unit(text: &str) -> Option<Span> {
+    let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+    let nanoseconds = match &text[digits.len()..] {
+        "s" => 1_000_000_000,
+        "ms" => 1_000_000,
+        "us" => 1_000,
+        "ns" => 1,
+        _ => return None,
+    };
+    digits.parse::<u64>().ok()?.checked_mul(nanoseconds).map(Span)
+}
+
 /// A value as it would be written.
 fn shown(value: &KdlValue) -> String {
     match value {
--- /dev/null
+++ b/crates/node/src/settings/transaction.rs
@@ -0,0 +1,152 @@
+//! A transaction of the configuration as a KDL or JSON document.
+//!
+//! Both have the keys of the configuration file. In KDL times are nanoseconds too, or texts with a unit. What is wrong
+//! with the document is told with line and column; whether the figures are valid is `gradepin_config`'s.
+
+use super::Problem;
+use super::reader::{Block, Problems, Repeated};
+use gradepin_config::document::{ClassEntry, Document, RuleEntries, TenantEntry};
+use gradepin_config::{Name, Transaction};
+use gradepin_decisions::{Effect, Span};
+use std::ops::RangeInclusive;
+
+/// The longest document, in bytes: a transaction of the most changes fits.
+pub const MAX_DOCUMENT_BYTES: usize = 1 << 20;
+/// Any number, so that one check of figures is made, with one message.
+const ANY: RangeInclusive<f64> = f64::NEG_INFINITY..=f64::INFINITY;
+const EFFECTS: [&str; 3] = ["repeatable", "by_key", "once"];
+
+/// The form of a document.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// KDL.
+    Kdl,
+    /// JSON.
+    Json,
+}
+
+impl Form {
+    /// By the end of a file's name; JSON where that is `.json`.
+    pub fn of(path: &std::path::Path) -> Self {
+        let json = path.extension().is_some_and(|extension| extension.eq_ignore_ascii_case("json"));
+        if json { Self::Json } else { Self::Kdl }
+    }
+}
+
+/// Reads a document; all problems of KDL are told, of JSON the first.
+pub fn parse(text: &str, form: Form) -> Result<Transaction, Vec<Problem>> {
+    if text.len() > MAX_DOCUMENT_BYTES {
+        let what = format!("expected at most {MAX_DOCUMENT_BYTES} bytes, got {}", text.len());
+        return Err(vec![Problem { line: 1, column: 1, what }]);
+    }
+    match form {
+        Form::Kdl => kdl(text),
+        Form::Json => json(text),
+    }
+}
+
+fn json(text: &str) -> Result<Transaction, Vec<Problem>> {
+    let document = serde_json::from_str::<Document>(text);
+    let problem = |error: serde_json::Error| {
+        let told = error.to_string();
+        let place = format!(" at line {} column {}", error.line(), error.column());
+        let what = told.strip_suffix(&place).unwrap_or(&told).to_string();
+        vec![Problem { line: error.line().max(1), column: error.column().max(1), what }]
+    };
+    document.map(Transaction::from).map_err(problem)
+}
+
+fn kdl(text: &str) -> Result<Transaction, Vec<Problem>> {
+    let problems = Problems::new(text);
+    let mut document = Document::default();
+    if let Some(mut root) = Block::document(text, &problems) {
+        let classes = root.each("class").into_iter();
+        document.classes = classes.filter_map(|(name, node)| class(name, node)).collect();
+        document.remove_classes = names(&mut root, "remove-class");
+        document.tenants = root.each("tenant").into_iter().map(|(name, node)| tenant(name, node)).collect();
+        document.remove_tenants = names(&mut root, "remove-tenant");
+        document.rules = root.block("rules").map(rules).unwrap_or_default();
+        root.end();
+    }
+    let problems = problems.into_sorted();
+    if problems.is_empty() { Ok(document.into()) } else { Err(problems) }
+}
+
+fn names(root: &mut Block<'_>, node: &str) -> Vec<Name> {
+    let named = root.each(node).into_iter().map(|(name, node)| {
+        node.no_block();
+        node.end_properties();
+        Name::from(name)
+    });
+    named.collect()
+}
+
+/// Tells what a class can't do without.
+fn required<T>(block: &Block<'_>, name: &str, value: Option<T>) -> Option<T> {
+    if value.is_none() && !block.has(name) {
+        block.problem(&format!("expected {name} in the class"));
+    }
+    value
+}
+
+fn class(name: String, node: Repeated<'_>) -> Option<ClassEntry> {
+    let mut block = node.block();
+    node.end_properties();
+    let effect = match block.choice("effect", &EFFECTS) {
+        Some(0) => Some(Effect::Repeatable),
+        Some(1) => Some(Effect::ByKey),
+        Some(_) => Some(Effect::Once),
+        None => None,
+    };
+    let effect = required(&block, "effect", effect);
+    let promise = block.time("promise");
+    let promise = required(&block, "promise", promise);
+    let deadline = block.time("deadline");
+    let deadline = required(&block, "deadline", deadline);
+    let worth = block.number("worth", ANY);
+    let worth = required(&block, "worth", worth);
+    let late_value = block.number("late_value", ANY).unwrap_or(0.0);
+    let window = block.time("window").unwrap_or(Span(0));
+    let aim_stretch = block.number("aim_stretch", ANY).unwrap_or(0.0);
+    let calls = block.truth("calls").unwrap_or(true);
+    let skip_worth = block.number("skip_worth", ANY).unwrap_or(0.0);
+    block.end();
+    Some(ClassEntry {
+        name,
+        promise: promise?,
+        deadline: deadline?,
+        effect: effect?,
+        worth: worth?,
+        late_value,
+        window,
+        aim_stretch,
+        calls,
+        skip_worth,
+    })
+}
+
+fn tenant(name: String, node: Repeated<'_>) -> TenantEntry {
+    let mut block = node.block();
+    node.end_properties();
+    let quota_rps = block.number("quota_rps", ANY).unwrap_or(0.0);
+    let portion = block.number("portion", ANY).unwrap_or(0.0);
+    block.end();
+    TenantEntry { name, quota_rps, portion }
+}
+
+fn rules(mut block: Block<'_>) -> RuleEntries {
+    let rules = RuleEntries {
+        answer_slack: block.time("answer_slack"),
+        cold: block.time("cold"),
+        cold_share: block.number("cold_share", ANY),
+        drain_grace: block.time("drain_grace"),
+        fall: block.time("fall"),
+        tip_multiple: block.number("tip_multiple", ANY),
+        over_share_worth: block.number("over_share_worth", ANY),
+    };
+    block.end();
+    rules
+}
+
+#[cfg(test)]
+mod tests;
