Make founding the consensus group safe to ask for again

Cause: a second founding was answered "a council was founded already", so an answer that was lost or late (the admin endpoint answers 503 after 600 ms while the reducer founds all the same) could never be asked for again; and a founding that no other voter took within 10 s could never be completed. Change: crates/releases/src/founding.rs. The same voters give the same answer at any voter and at any time; other voters give an error that names both; asking again sends the founding for another 10 s as long as no leader has committed anything. A group that has committed an entry is never founded anew.

--- a/crates/core/src/reducer/agreed.rs
+++ b/crates/core/src/reducer/agreed.rs
@@ -214,7 +214,7 @@
                 }
             }
             FleetCall::Became(ticket) => FleetAnswer::Became(part.became(ticket)),
-            FleetCall::Found => FleetAnswer::Said(part.found(now)),
+            FleetCall::Found => FleetAnswer::Said(part.found(now).map_err(|why| why.to_string())),
             FleetCall::Wanted(name) => {
                 FleetAnswer::Wanted(part.record().and_then(|record| record.program_for(&name)))
             }
--- a/crates/node/src/admin/agreements.rs
+++ b/crates/node/src/admin/agreements.rs
@@ -4,6 +4,8 @@
 //! GET /fleet/status  {"leader": "n1", "voter": true, "age_s": 0.2, "limits": {..}, "servers": [{"name", "zone", "heard", "permit",
 //!                     "program", "settings", "step"}, ..], "permits": [{"epoch", "target", "holder", "for", "stage"}, ..],
 //!                     "release": {"name", "state", "wave", "halts", ..}, "waits": {"for_s", "why"}, "acts": [..]}
+//! POST /fleet/found  200 "a council of n0, n1, n2 is founded", each time it is asked for; 409 where other voters have one, or one
+//!                     isn't heard
 //! POST /fleet/order  202 and a ticket; GET /fleet/order?ticket=N  202 while it is under way, 200 and what came of it, or 409 and why not
 //! ```
 
--- a/crates/releases/src/lib.rs
+++ b/crates/releases/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`council`]: one voter, on the `raft` library: what must be durable before what leaves, and when it may vote.
 //! - [`chair`]: what the leader does: asks, ends, the release's turns.
 //! - [`asker`]: one server that wants out: whom it asks, and until when it may begin.
+//! - [`founding`]: which voters the group begins with, and what a request to found it is answered.
 //! - [`halt`]: whether a new version serves worse, by more than noise.
 //! - [`part`]: the parts together, as the reducer of one server holds them.
 //!
@@ -14,6 +15,7 @@
 pub mod asker;
 pub mod chair;
 pub mod council;
+pub mod founding;
 pub mod halt;
 pub mod part;
 pub mod record;
--- a/crates/releases/src/part.rs
+++ b/crates/releases/src/part.rs
@@ -4,6 +4,7 @@
 use crate::asker::{Answer, Ask, Asker, Heard, Waiting, Want};
 use crate::chair::{Chair, ChairSettings, Order, Ordered, Report, Says, Turn};
 use crate::council::{Council, Durable, Effect as Voted, Found, VoterId};
+use crate::founding::{self, Founding, FoundingError, FoundingStep, ReportedVoter};
 use crate::record::{Name, Record, Target};
 use crate::release::Kind;
 use gradepin_decisions::{Span, Time, after, secs};
@@ -21,8 +22,6 @@
 const ORDER_PATIENCE: Span = Span(8_000 * MS);
 /// Orders under way, and answers that are kept for those who ask what became of them.
 const MOST_ORDERS: usize = 64;
-/// How long a founding is tried.
-const FOUNDING: Span = Span(10_000 * MS);
 
 /// What servers say to each other here.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -150,7 +149,7 @@
     /// Orders that this server's chair was given: by whom, under which ticket of theirs.
     given: VecDeque<(u64, Name, u64)>,
     given_no: u64,
-    founding: Option<(BTreeMap<VoterId, Name>, Time, Time)>,
+    founding: Founding,
     effects: Vec<Effect>,
 }
 
@@ -174,7 +173,7 @@
             answers: VecDeque::new(),
             given: VecDeque::new(),
             given_no: 0,
-            founding: None,
+            founding: Founding::new(&set.voters),
             effects: Vec::new(),
             set,
         }
@@ -273,52 +272,42 @@
         }
     }
 
-    /// Founds the council: with all voters that the settings name, each of which must be heard and have an empty folder.
-    pub fn found(&mut self, now: Time) -> Result<String, String> {
-        let council = self.council.as_ref().ok_or("this server has no folder for a council")?;
-        if council.is_founded() {
-            return Err("a council was founded already".into());
-        }
-        let mut voters = BTreeMap::new();
-        for name in &self.set.voters {
-            let id = if *name == self.set.name {
-                Some(council.id())
-            } else {
-                let heard = self.chair.report(now, name).filter(|(_, age)| *age <= self.set.chair.fresh);
-                let (report, _) = heard.ok_or_else(|| format!("{name} isn't heard"))?;
-                if report.founded {
-                    return Err(format!("{name} belongs to a council already"));
-                }
-                report.voter
-            };
-            let id = id.ok_or_else(|| format!("{name} has no folder for a council"))?;
-            voters.insert(id, Arc::clone(name));
-        }
-        if voters.len() != self.set.voters.len() || voters.len().is_multiple_of(2) {
-            return Err(format!("expected 3 or 5 voters, or 1, got {}", voters.len()));
-        }
-        let names: Vec<&str> = voters.values().map(|name| &**name).collect();
-        let text = format!("a council of {} is founded", names.join(", "));
-        self.founding = Some((voters.clone(), now, after(now, FOUNDING)));
+    /// Founds the council with the voters that the settings name, each of which must be heard and have an empty folder. Asked
+    /// again, here or at another voter, it gives the same answer.
+    pub fn found(&mut self, now: Time) -> Result<String, FoundingError> {
+        let council = self.council.as_ref().ok_or(FoundingError::NoFolder)?;
+        let reported = |name: &Name| {
+            let (report, age) = self.chair.report(now, name)?;
+            (age <= self.set.chair.fresh)
+                .then_some(ReportedVoter { id: report.voter, founded: report.founded })
+        };
+        let voters = self.founding.ask(now, &self.set.name, council, reported)?;
         self.founded(&voters);
-        Ok(text)
+        Ok(founding::answer(&voters))
     }
 
     fn founded(&mut self, voters: &BTreeMap<VoterId, Name>) {
-        let mut named: Vec<&Name> = voters.values().collect();
-        let mut own: Vec<&Name> = self.set.voters.iter().collect();
-        named.sort();
-        own.sort();
         let Some(council) = self.council.as_mut().filter(|council| !council.is_founded()) else { return };
-        if named != own {
-            let text = format!("a council of {named:?} was to be founded, the settings here name {own:?}");
-            return self.effects.push(Effect::Note(true, text));
+        if let Err(why) = self.founding.accepts(voters) {
+            return self.effects.push(Effect::Note(true, format!("not founded: {why}")));
         }
         if council.found(voters).is_ok() {
             self.effects.push(Effect::Note(false, "a council is founded, and this server is a voter".into()));
         }
     }
 
+    /// Sends the founding to voters that have not taken it, while that is due.
+    fn send_founding(&mut self, now: Time) {
+        let own = Arc::clone(&self.set.name);
+        let founded = |name: &Name| self.chair.report(now, name).is_some_and(|(report, _)| report.founded);
+        let step = self.founding.step(now, &own, founded);
+        self.effects.extend(step.note().map(|text| Effect::Note(true, text)));
+        if let FoundingStep::Send(voters) = step {
+            let found = Word::Found(voters.clone());
+            voters.values().filter(|voter| **voter != own).for_each(|voter| self.say(voter, &found));
+        }
+    }
+
     /// What was to be written in the council's folder is durable.
     pub fn written(&mut self, number: u64) {
         if let Some(council) = &mut self.council {
@@ -599,25 +588,7 @@
                 self.say(&voter, &report);
             }
         }
-        if let Some((voters, since, until)) = self.founding.clone() {
-            let name = Arc::clone(&self.set.name);
-            let all = voters.values().all(|voter| {
-                *voter == name || self.chair.report(now, voter).is_some_and(|(report, _)| report.founded)
-            });
-            if all || now >= until {
-                if !all {
-                    let text = format!(
-                        "not all voters founded the council within {:.0} s",
-                        secs(Span(until.0 - since.0))
-                    );
-                    self.effects.push(Effect::Note(true, text));
-                }
-                self.founding = None;
-            } else {
-                let found = Word::Found(voters.clone());
-                voters.values().filter(|voter| **voter != name).for_each(|voter| self.say(voter, &found));
-            }
-        }
+        self.send_founding(now);
     }
 
     /// One that is no voter keeps a copy of the record, for its operators.
