Hold a release while the fleet's service falls and no server has the version

Nothing of the release can be the cause then and there is nothing to go back from: the leader now begins nothing, refuses begins of reserved permits, says so once and goes on when service is back. Once a server has the version a fall goes back as before.

--- a/crates/model/src/agreed/mod.rs
+++ b/crates/model/src/agreed/mod.rs
@@ -106,6 +106,8 @@
     pub notes: Vec<String>,
     /// What `v-slight` serves.
     pub slight: f64,
+    /// What a sound version serves.
+    pub sound: f64,
     ticket: u64,
     /// Whether the supervisor asks which version is wanted when it starts a process.
     pub supervised: bool,
@@ -151,6 +153,7 @@
             began: Vec::new(),
             notes: Vec::new(),
             slight: SOUND - 0.05,
+            sound: SOUND,
             ticket: 0,
             supervised: true,
         };
@@ -295,7 +298,7 @@
                 let share = match cell {
                     SAVE if has("v-bad") || has("s-bad") => 0.0,
                     _ if has("v-slight") => self.slight,
-                    _ => SOUND,
+                    _ => self.sound,
                 };
                 let served = (0..COME).filter(|_| self.unit() < share).count() as u32;
                 let total = self.servers[n].totals.entry(cell).or_default();
--- a/crates/model/tests/agreed.rs
+++ b/crates/model/tests/agreed.rs
@@ -1,6 +1,6 @@
 //! Drains and releases of a fleet in virtual time: permits under faults, waves, the halt, the way back.
 
-use gradepin_model::agreed::{Day, Fleet, limits, plan, play};
+use gradepin_model::agreed::{Day, Fleet, SOUND, limits, plan, play};
 use gradepin_releases::chair::Order;
 use gradepin_releases::record::Target;
 use gradepin_releases::release::{Kind, ReleaseOrder, State, Step};
@@ -178,6 +178,38 @@
     }
 }
 
+/// A fall of the whole fleet's service while no server has the version holds the release, and undoes nothing: it goes on when service
+/// is back. The same fall once a server has it goes back, as no comparison can say whose fault it is.
+#[test]
+fn a_fall_before_the_first_step_holds_the_release_and_undoes_nothing() {
+    let seed = 11;
+    println!("seed {seed}");
+    let most = limits(1, 1);
+    let mut fleet = Fleet::new(9, 3, most.clone(), seed);
+    // One is out already, so that no step of the release fits.
+    fleet.servers[8].dark = true;
+    fleet.kill(8);
+    fleet.run(5_000);
+    fleet.release(plan("v2", Kind::Program)).expect("it starts");
+    fleet.run(7_000);
+    fleet.sound = 0.6;
+    fleet.run(15_000);
+    assert_eq!(fleet.state(), State::Runs, "{:?}", fleet.notes);
+    // It would fit now, and is held.
+    fleet.servers[8].dark = false;
+    fleet.revive(8);
+    fleet.run(20_000);
+    assert!(fleet.began.is_empty() && fleet.state() == State::Runs, "{:?}", fleet.notes);
+    let held = fleet.notes.iter().filter(|note| note.contains("no server has the version")).count();
+    assert_eq!(held, 1, "said once: {:?}", fleet.notes);
+    fleet.sound = SOUND;
+    assert!(fleet.until(20_000, |fleet| !fleet.began.is_empty()), "{:?}", fleet.notes);
+    fleet.sound = 0.6;
+    let goes = |fleet: &Fleet| matches!(fleet.state(), State::GoesBack(_) | State::Undone(_));
+    assert!(fleet.until(20_000, goes), "{:?} {:?}", fleet.state(), fleet.notes);
+    fleet.promise(&most).unwrap();
+}
+
 /// Hard case 6, the other side: a sound version while a trouble of another cause is on, the same for old and new, isn't blamed;
 /// where the whole fleet falls, the release stands still, whoever's fault it is.
 #[test]
--- a/crates/releases/src/chair.rs
+++ b/crates/releases/src/chair.rs
@@ -8,7 +8,7 @@
 use crate::council::{Council, Refused, VoterId};
 use crate::halt::{Cell, Total, Watch};
 use crate::record::{Command, Ends, Limits, Name, Outcome, Purpose, Record, Stage, Target, Why};
-use crate::release::{Kind, Plan, ReleaseOrder, State, Step};
+use crate::release::{Kind, Plan, Release, ReleaseOrder, State, Step};
 use gradepin_decisions::{Span, Time, after};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,6 +27,8 @@
 const TELL: Span = Span(500 * MS);
 /// Between steps of the fleet's course.
 const COURSE: Span = Span(5_000 * MS);
+/// A smaller fall of the whole fleet is an ordinary change of load.
+const LEAST_FLEET_FALL: f64 = 0.05;
 /// Lives of one server with the new version after which it counts as one that crashes.
 const MOST_LIVES: usize = 3;
 /// Proposals whose outcome somebody waits for.
@@ -231,6 +233,8 @@
     /// Which way the release goes.
     forward: Option<bool>,
     next_course: Time,
+    /// Whether the open release waits for a fall of service that it can't have caused.
+    held: bool,
     /// Since when the wave has been whole.
     whole: Option<Time>,
     /// Releases that were ordered to halt here, agreed or not, with the halts known then.
@@ -254,6 +258,7 @@
             watched: None,
             forward: None,
             next_course: now,
+            held: false,
             whole: None,
             halted: BTreeMap::new(),
             says: Vec::new(),
@@ -414,6 +419,12 @@
         {
             return Err(Why::Release(format!("{} is ordered to halt", release.plan.name)));
         }
+        if let Some(Purpose::Release(number)) = record.permits.get(&epoch).map(|permit| &permit.purpose)
+            && let Some(release) = record.release.as_ref().filter(|release| release.number == *number)
+            && let Some((before, since)) = self.fall_from_outside(release)
+        {
+            return Err(Why::Release(outside(&release.plan.name, before, since)));
+        }
         self.fits(now, record, target)
     }
 
@@ -424,6 +435,40 @@
         })
     }
 
+    /// The fleet's service before the release and now, where it fell while no server has the release's version: nothing of the
+    /// release can be the cause, and there is nothing to go back from.
+    fn fall_from_outside(&self, release: &Release) -> Option<(f64, f64)> {
+        let (number, plan) = (release.number, &release.plan);
+        let begun = release.servers.values().any(|server| server.step != Step::Waits);
+        let has = |heard: &Heard| *version_of(&heard.report, plan.kind) == plan.version;
+        if self.watched != Some(number) || release.state != State::Runs || begun {
+            return None;
+        }
+        if self.heard.values().any(has) {
+            return None;
+        }
+        self.watch.fleet_falls(least_fall(plan))
+    }
+
+    /// Holds the release, and says so once; true while it is held.
+    fn holds(&mut self, release: &Release) -> bool {
+        let fall = self.fall_from_outside(release);
+        if let Some((before, since)) = fall
+            && !self.held
+        {
+            self.says.push(Says::Note(true, outside(&release.plan.name, before, since)));
+        }
+        if fall.is_none() && self.held {
+            let name = &release.plan.name;
+            self.says.push(Says::Note(
+                false,
+                format!("release {name} waits no longer: the fleet serves as before"),
+            ));
+        }
+        self.held = fall.is_some();
+        self.held
+    }
+
     /// A halt was ordered somewhere: no further step here, agreed or not.
     pub fn halt(&mut self, record: &Record, name: &str) {
         if let Some(release) = record.release.as_ref().filter(|release| release.plan.name == name) {
@@ -722,6 +767,7 @@
         let number = release.number;
         if self.watched != Some(number) {
             (self.watch, self.watched, self.next_course) = (Watch::default(), Some(number), now);
+            self.held = false;
         }
         if now >= self.next_course {
             self.watch.next_step();
@@ -750,7 +796,10 @@
                 );
                 return self.stop(now, council, why);
             }
-            if let Some((before, since)) = self.watch.fleet_falls(release.plan.worse.max(0.05)) {
+            if self.holds(&release) {
+                return;
+            }
+            if let Some((before, since)) = self.watch.fleet_falls(least_fall(&release.plan)) {
                 let why = format!("the fleet serves {since:.3}, {before:.3} before");
                 return self.stop(now, council, why);
             }
@@ -783,13 +832,7 @@
     }
 
     /// What is due with one server of a release; whether the release stops for it.
-    fn turn_of(
-        &mut self,
-        now: Time,
-        council: &mut Council,
-        release: &crate::release::Release,
-        name: &Name,
-    ) -> bool {
+    fn turn_of(&mut self, now: Time, council: &mut Council, release: &Release, name: &Name) -> bool {
         let Some(server) = release.servers.get(name) else { return false };
         let (number, plan) = (release.number, &release.plan);
         let forward = release.state == State::Runs;
@@ -886,6 +929,18 @@
     }
 }
 
+/// The least fall of the whole fleet's service that stops a release, as a part of all tries.
+fn least_fall(plan: &Plan) -> f64 {
+    plan.worse.max(LEAST_FLEET_FALL)
+}
+
+/// Why a release waits that no server has begun.
+fn outside(name: &str, before: f64, since: f64) -> String {
+    format!(
+        "release {name} waits: the fleet serves {since:.3}, {before:.3} before, and no server has the version"
+    )
+}
+
 /// What a server has of a kind.
 pub fn version_of(report: &Report, kind: Kind) -> &String {
     match kind {
