Measure the machine's lag in the release drill and don't score late runs

The drill's verdict hung on the machine's speed. It now measures beats of a thread that only wakes up and the run delay of all threads of the kit and of each daemon; past stated bounds claims on times are not scored, with exit status 3, and claims that hold on any machine are judged all the same.

--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -211,7 +211,7 @@
         #[command(subcommand)]
         command: ModelCommand,
     },
-    /// Plays failures against real servers; a line a claim, and status 1 if any is not kept
+    /// Plays failures against real servers; a line a claim, status 1 if any is not kept, 3 if the machine was too late to say
     Drill {
         #[command(subcommand)]
         which: Which,
@@ -799,7 +799,8 @@
                 timed: true,
                 load,
                 quiet_s,
-            })?)
+            })?
+            .kept()?)
         }
         Command::Drill { which: Which::Shared { seed, servers, seconds, plain, history, daemon: told } } => {
             let daemon = daemon(told)?;
@@ -870,7 +871,8 @@
         Ok(false) => ExitCode::FAILURE,
         Err(message) => {
             eprintln!("gradepin-kit: {message}");
-            ExitCode::from(2)
+            let not_scored = message.is::<drill::NotScored>();
+            ExitCode::from(if not_scored { drill::NotScored::EXIT_STATUS } else { 2 })
         }
     }
 }
--- a/crates/kit/src/rig/mod.rs
+++ b/crates/kit/src/rig/mod.rs
@@ -7,9 +7,11 @@
 //! - [`schedule`]: what happens when.
 //! - [`history`]: what was seen, and the claims about it.
 //! - [`supervisor`]: what starts the operators' processes, and replaces them in a release.
+//! - [`lag`]: how late the machine was.
 //! - [`play`]: all of it together, for a drill.
 
 pub mod history;
+pub mod lag;
 pub mod ledger;
 pub mod play;
 pub mod relay;
