--- a/crates/kit/src/commands/drill.rs
+++ b/crates/kit/src/commands/drill.rs
@@ -169,5 +169,5 @@
     let ReleaseArgs { seed, servers, faults, plain, load, quiet, daemon: told } = args;
     let (daemon, quiet_s) = (daemon(told)?, quiet);
     let drill = release::Drill { daemon, seed, servers, faults, plain, timed: true, load, quiet_s };
-    Ok(release::run(&drill)?)
+    Ok(release::run(&drill)?.kept()?)
 }
--- a/crates/kit/src/commands/mod.rs
+++ b/crates/kit/src/commands/mod.rs
@@ -44,7 +44,7 @@
         #[command(subcommand)]
         command: ModelCommand,
     },
-    /// Plays failures against real servers; a line a claim, and status 1 if any is not kept
+    /// Plays failures against real servers; a line a claim, status 1 if any is not kept, 3 if the machine was too late to say
     Drill(drill::DrillArgs),
     /// What a server, and a fleet, cost by size: figures, fits, and budgets at the size that an installation is planned for
     Scale(ScaleArgs),
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::Parser;
 use commands::Command;
+use gradepin_kit::drill::NotScored;
 use std::process::ExitCode;
 
 #[derive(Parser)]
@@ -19,7 +20,8 @@
         Ok(false) => ExitCode::FAILURE,
         Err(message) => {
             eprintln!("gradepin-kit: {message}");
-            ExitCode::from(2)
+            let not_scored = message.is::<NotScored>();
+            ExitCode::from(if not_scored { NotScored::EXIT_STATUS } else { 2 })
         }
     }
 }
