--- a/crates/kit/src/model/cli.rs
+++ b/crates/kit/src/model/cli.rs
@@ -2,7 +2,7 @@
 
 use super::experiment::Experiment;
 use super::results::{self, FIGURES, Line};
-use super::{Plan, agreed, peers, plots, report, trace};
+use super::{Plan, agreed, config, peers, plots, report, trace};
 use crate::fleet::memory_of;
 use clap::{Args, Subcommand};
 use gradepin_model::day::Day;
@@ -77,6 +77,8 @@
     Peers(peers::PeersArgs),
     /// Releases over a large fleet, with zones that lose power and cuts
     Releases(agreed::ReleasesArgs),
+    /// How changes of the configuration reach a large fleet, and whether each is in force in time and in order
+    Config(config::ConfigArgs),
     /// All runs of an experiment that are not in the results yet; Ctrl-C ends it, and it goes on from there
     Sweep {
         /// The experiment, as KDL
@@ -164,6 +166,7 @@
     match command {
         ModelCommand::Peers(args) => peers::run(&args),
         ModelCommand::Releases(args) => Ok(agreed::run(&args)),
+        ModelCommand::Config(args) => Ok(config::run(&args)),
         ModelCommand::Run { day, html, json, svg, save } => {
             let plan = day.plan()?;
             let drawn = day.drawn(&plan)?;
--- a/crates/kit/src/model/mod.rs
+++ b/crates/kit/src/model/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod agreed;
 pub mod cli;
+pub mod config;
 pub mod experiment;
 pub mod peers;
 pub mod plots;
--- /dev/null
+++ b/crates/model/src/config/account.rs
@@ -0,0 +1,88 @@
+//! What servers sent, and whether one was ever above its limit.
+
+use super::{Bytes, Spec};
+use crate::queue::At;
+use gradepin_config::dissemination::Sent;
+
+/// What the burst of a server may go over its limit by: one message longer than is left.
+const MESSAGE_BYTES: f64 = 40_000.0;
+/// Seconds' worth of bytes that a burst may take.
+const BURST_S: f64 = 4.0;
+const SECOND: At = 1_000_000_000;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Sender {
+    total: u64,
+    second: At,
+    this_second: u64,
+    most: u64,
+    level: f64,
+    at: At,
+}
+
+/// Bytes of all servers.
+#[derive(Debug)]
+pub struct Account {
+    senders: Vec<Sender>,
+    rate: f64,
+    over: u64,
+    up_ns: Vec<u64>,
+    sent: Sent,
+}
+
+impl Account {
+    /// Nothing sent yet.
+    pub fn new(spec: &Spec) -> Self {
+        let rate = spec.settings.send_bytes_s + spec.settings.snapshot_bytes_s;
+        Self {
+            senders: vec![Sender::default(); spec.servers],
+            rate,
+            over: 0,
+            up_ns: vec![0; spec.servers],
+            sent: Sent::default(),
+        }
+    }
+
+    /// A server sent so many bytes.
+    pub fn sent(&mut self, now: At, n: usize, bytes: usize) {
+        let sender = &mut self.senders[n];
+        if now / SECOND != sender.second {
+            (sender.second, sender.this_second) = (now / SECOND, 0);
+        }
+        sender.total += bytes as u64;
+        sender.this_second += bytes as u64;
+        sender.most = sender.most.max(sender.this_second);
+        // A bucket of its own, which knows nothing of the sender's.
+        let passed = (now - sender.at) as f64 / SECOND as f64;
+        sender.level = (sender.level - passed * self.rate).max(0.0) + bytes as f64;
+        sender.at = now;
+        self.over += u64::from(sender.level > BURST_S * self.rate + MESSAGE_BYTES);
+    }
+
+    /// A process ends that was up for so long and sent this.
+    pub fn ended(&mut self, n: usize, up: At, sent: Sent) {
+        self.up_ns[n] += up;
+        self.sent.small += sent.small;
+        self.sent.commits += sent.commits;
+        self.sent.snapshots += sent.snapshots;
+    }
+
+    /// All together.
+    pub fn sum_up(&self, voters: usize) -> Bytes {
+        let seconds = |up: &[u64]| up.iter().sum::<u64>().max(1) as f64 / SECOND as f64;
+        let total = |senders: &[Sender]| senders.iter().map(|sender| sender.total).sum::<u64>() as f64;
+        let most = |senders: &[Sender]| senders.iter().map(|sender| sender.most).max().unwrap_or(0) as f64;
+        let all = seconds(&self.up_ns);
+        Bytes {
+            mean_s: total(&self.senders) / all,
+            small_s: self.sent.small as f64 / all,
+            commits_s: self.sent.commits as f64 / all,
+            snapshots_s: self.sent.snapshots as f64 / all,
+            most_s: most(&self.senders),
+            voters_s: total(&self.senders[..voters]) / seconds(&self.up_ns[..voters]),
+            voters_most_s: most(&self.senders[..voters]),
+            limit: BURST_S * self.rate,
+            over_limit: self.over,
+        }
+    }
+}
