Add gradepin config: apply, rollback, diff, show, status, history at any server's admin endpoint

A change is asked for again under its request id until an answer is final, at each named server in turn. The exit status tells a script what it may do next. door.rs, the HTTP client of fleet and release, is now admin_client.rs, with typed errors, and serves all three.

--- a/crates/config/src/admin.rs
+++ b/crates/config/src/admin.rs
@@ -2,6 +2,7 @@
 //! command line. The calls, statuses and bounds are in `docs/design/configuration-admin.md`.
 
 use crate::change::{Change, ClassDefinition, Name, Proposal, Revision, Rule};
+use crate::validation::Invalid;
 use gradepin_decisions::Customer;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -85,15 +86,8 @@
         in_force: Revision,
     },
     /// The transaction is not valid. Nothing of it was proposed.
-    #[error("{path}: expected {expected}, came {came}")]
-    Invalid {
-        /// The place in the transaction.
-        path: String,
-        /// What is valid there.
-        expected: String,
-        /// What came.
-        came: String,
-    },
+    #[error(transparent)]
+    Invalid(#[from] Invalid),
     /// The request id was used for another content.
     #[error("request id {request_id} was used for another change, committed as revision {revision}")]
     RequestIdReused {
@@ -169,7 +163,7 @@
             Self::UnknownEntry { .. } | Self::UnknownRequest { .. } | Self::Off => 404,
             Self::Stale { .. } | Self::RequestIdReused { .. } | Self::ServersFail { .. } => 409,
             Self::UnknownRevision { .. } => 410,
-            Self::Invalid { .. } => 422,
+            Self::Invalid(_) => 422,
             Self::TooBusy { .. } => 429,
             Self::NoLeader { .. } => 503,
         }
--- /dev/null
+++ b/crates/gradepin/src/admin_client.rs
@@ -0,0 +1,88 @@
+//! A client of the admin endpoint of a running server: HTTP/1.1, one call a connection. Used by `gradepin fleet`, `release` and
+//! `config`.
+
+use std::error::Error;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// An answer is owed within a second.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// An answer is read up to so many bytes; a page of entries is well below.
+const MAX_RESPONSE_BYTES: u64 = 4 << 20;
+/// How long an order may be under way, and how often is asked.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(100);
+
+/// A response: status and body.
+#[derive(Debug)]
+pub struct Response {
+    pub status: u16,
+    pub body: String,
+}
+
+/// Why there is no response.
+#[derive(Debug, thiserror::Error)]
+pub enum ClientError {
+    /// No connection was had: the server knows nothing of the call.
+    #[error("the admin endpoint at {address}: {cause}")]
+    Connect { address: SocketAddr, cause: std::io::Error },
+    /// The call may have come, and its answer did not.
+    #[error("the admin endpoint at {address}: no answer: {cause}")]
+    Lost { address: SocketAddr, cause: std::io::Error },
+    /// What came is no HTTP response.
+    #[error("the admin endpoint at {address}: expected an HTTP response")]
+    NotHttp { address: SocketAddr },
+}
+
+impl Response {
+    /// The body where the call was taken; else it is the error.
+    pub fn taken(self) -> Result<String, Box<dyn Error>> {
+        let text = self.body.trim().to_string();
+        if (200..300).contains(&self.status) { Ok(text) } else { Err(text.into()) }
+    }
+}
+
+/// Calls an admin endpoint.
+pub fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> Result<Response, ClientError> {
+    let stream = TcpStream::connect_timeout(&address, TIMEOUT);
+    let stream = stream.map_err(|cause| ClientError::Connect { address, cause })?;
+    let length = body.len();
+    let head = format!("{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Length: {length}\r\n\r\n");
+    let text = exchange(stream, &(head + body)).map_err(|cause| ClientError::Lost { address, cause })?;
+    parse(&text).ok_or(ClientError::NotHttp { address })
+}
+
+fn exchange(mut stream: TcpStream, request: &str) -> std::io::Result<String> {
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    stream.set_write_timeout(Some(TIMEOUT))?;
+    stream.write_all(request.as_bytes())?;
+    let mut text = String::new();
+    stream.take(MAX_RESPONSE_BYTES).read_to_string(&mut text)?;
+    if text.is_empty() {
+        return Err(std::io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(text)
+}
+
+fn parse(text: &str) -> Option<Response> {
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some(Response { status, body: body.to_string() })
+}
+
+/// Gives an order and waits for what becomes of it.
+pub fn order(address: SocketAddr, order: &impl serde::Serialize) -> Result<String, Box<dyn Error>> {
+    let ticket = call(address, "POST", "/fleet/order", &serde_json::to_string(order)?)?.taken()?;
+    let begin = Instant::now();
+    loop {
+        let answer = call(address, "GET", &format!("/fleet/order?ticket={ticket}"), "")?;
+        if answer.status != 202 {
+            return answer.taken();
+        }
+        if begin.elapsed() > ORDER_TIMEOUT {
+            return Err("it is still under way; the status shows what became of it".into());
+        }
+        std::thread::sleep(POLL);
+    }
+}
--- /dev/null
+++ b/crates/gradepin/src/config/render.rs
@@ -0,0 +1,154 @@
+//! Replies of the configuration's admin endpoints as text for a terminal.
+
+use gradepin_config::admin::{
+    CommitLine, DiffReply, Entry, HistoryReply, Lagging, RevisionSpread, ShowReply, Source, StatusReply,
+};
+use gradepin_config::change::{Change, Rule};
+use gradepin_config::document::{ClassEntry, TenantEntry};
+use gradepin_decisions::secs;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// `status`.
+pub fn status(reply: &StatusReply) -> String {
+    let source = match reply.source {
+        Source::StartFile => "the start file",
+        Source::Snapshot => "the snapshot on disk",
+        Source::Fleet => "the fleet",
+    };
+    let mut lines = vec![format!(
+        "{}: revision {} (digest {}) from {source}; newest heard of {}; leader {}",
+        reply.server.as_deref().unwrap_or("-"),
+        reply.revision,
+        reply.digest,
+        reply.newest,
+        reply.leader.as_deref().unwrap_or("not known"),
+    )];
+    let age = reply.age_s.map_or("never".to_string(), |age| format!("{age:.1} s ago"));
+    let stale = if reply.stale { "STALE, serves on by what it has; " } else { "" };
+    lines.push(format!("{stale}last heard what the newest revision is: {age}"));
+    if let Some(why) = &reply.cannot_apply {
+        lines.push(format!("CAN'T APPLY the next revision: {why}"));
+    }
+    lines.push(format!(
+        "{:<10} {:<14} {:<14} {:<10} {:<9} p99",
+        "revision", "proposed", "servers", "zones", "p50"
+    ));
+    lines.extend(reply.revisions.iter().map(spread));
+    lines.push(format!("lagging: {} servers", reply.lagging_servers));
+    lines.extend(reply.lagging.iter().map(lagging));
+    let left_out = (reply.lagging_servers as usize).saturating_sub(reply.lagging.len());
+    if left_out > 0 {
+        lines.push(format!("  and {left_out} more"));
+    }
+    lines.join("\n")
+}
+
+fn spread(spread: &RevisionSpread) -> String {
+    let seconds = |ms: Option<u64>| ms.map_or("-".to_string(), |ms| format!("{:.1} s", ms as f64 / 1e3));
+    format!(
+        "{:<10} {:<14} {:<14} {:<10} {:<9} {}",
+        spread.revision.to_string(),
+        ago(spread.proposed_at_ms),
+        format!("{}/{}", spread.servers, spread.of_servers),
+        format!("{}/{}", spread.zones, spread.of_zones),
+        seconds(spread.p50_ms),
+        seconds(spread.p99_ms),
+    )
+}
+
+fn lagging(one: &Lagging) -> String {
+    let has = one.revision.map_or("never heard".to_string(), |revision| format!("revision {revision}"));
+    let heard = if one.reachable { "" } else { ", not heard now" };
+    let why = one.cannot_apply.as_ref().map(|why| format!(", can't apply the next: {why}"));
+    let (server, zone, since) = (&one.server, &one.zone, one.since_s);
+    format!("  {server} in {zone}: {has}, for {since:.0} s{heard}{}", why.unwrap_or_default())
+}
+
+/// `history`.
+pub fn history(reply: &HistoryReply) -> String {
+    let line = |commit: &CommitLine| {
+        format!(
+            "{:<8} {:<14} {:<16} {:>5} changes  {}  ({})",
+            commit.revision.to_string(),
+            ago(commit.proposed_at_ms),
+            commit.author,
+            commit.changes,
+            commit.reason,
+            commit.request_id
+        )
+    };
+    let mut lines: Vec<String> = reply.commits.iter().map(line).collect();
+    lines.push(format!("kept: revisions {} to {}", reply.oldest, reply.newest));
+    lines.join("\n")
+}
+
+/// `diff`.
+pub fn diff(reply: &DiffReply) -> String {
+    let mut lines = vec![format!("from revision {} to revision {}:", reply.from, reply.to)];
+    lines.extend(reply.changes.iter().map(change));
+    if reply.left_out > 0 {
+        lines.push(format!("and {} more changes", reply.left_out));
+    }
+    lines.join("\n")
+}
+
+fn change(change: &Change) -> String {
+    match change {
+        Change::PutClass(class) => format!("put {}", entry(&Entry::Class(class.clone()))),
+        Change::RemoveClass(name) => format!("remove class {name}"),
+        Change::PutTenant(tenant) => format!("put {}", entry(&Entry::Tenant(tenant.clone()))),
+        Change::RemoveTenant(name) => format!("remove tenant {name}"),
+        Change::PutRule(of) => format!("set {}", rule(of)),
+    }
+}
+
+fn rule(rule: &Rule) -> String {
+    match rule {
+        Rule::AnswerSlack(span) => format!("answer_slack {} s", secs(*span)),
+        Rule::Cold(span) => format!("cold {} s", secs(*span)),
+        Rule::ColdShare(share) => format!("cold_share {share}"),
+        Rule::DrainGrace(span) => format!("drain_grace {} s", secs(*span)),
+        Rule::Fall(span) => format!("fall {} s", secs(*span)),
+        Rule::TipMultiple(multiple) => format!("tip_multiple {multiple}"),
+        Rule::OverShareWorth(part) => format!("over_share_worth {part}"),
+    }
+}
+
+/// `show` without entries.
+pub fn summary(reply: &ShowReply) -> String {
+    let mut lines = vec![format!(
+        "revision {} (digest {}): {} classes, {} tenants",
+        reply.revision, reply.digest, reply.classes, reply.tenants
+    )];
+    lines.extend(reply.rules.iter().map(rule));
+    lines.join("\n")
+}
+
+/// A page of `show`.
+pub fn entries(reply: &ShowReply) -> String {
+    reply.entries.iter().map(entry).collect::<Vec<String>>().join("\n")
+}
+
+/// With the keys of a document, so that it can be copied into one.
+fn entry(entry: &Entry) -> String {
+    match entry {
+        Entry::Class(class) => format!("class {}", as_json(&ClassEntry::from(&**class))),
+        Entry::Tenant(tenant) => format!("tenant {}", as_json(&TenantEntry::from(&**tenant))),
+    }
+}
+
+fn as_json(entry: &impl serde::Serialize) -> String {
+    serde_json::to_string(entry).unwrap_or_else(|why| why.to_string())
+}
+
+/// How long ago a Unix time in ms was, by this machine's clock.
+fn ago(at_ms: u64) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    let seconds = now.saturating_sub(at_ms) / 1_000;
+    match seconds {
+        0..120 => format!("{seconds} s ago"),
+        120..7_200 => format!("{} min ago", seconds / 60),
+        7_200..172_800 => format!("{} h ago", seconds / 3_600),
+        _ => format!("{} days ago", seconds / 86_400),
+    }
+}
--- a/crates/gradepin/src/fleet.rs
+++ b/crates/gradepin/src/fleet.rs
@@ -1,6 +1,6 @@
 //! `gradepin fleet` and `gradepin release`: what the fleet agrees on, asked and ordered at any server's door.
 
-use crate::door;
+use crate::admin_client;
 use clap::{Args, Subcommand};
 use gradepin_releases::chair::Order;
 use gradepin_releases::record::{Name, Target};
@@ -194,7 +194,7 @@
 }
 
 fn status(door: SocketAddr) -> Result<Value> {
-    Ok(serde_json::from_str(&door::call(door, "GET", "/fleet/status", "")?.taken()?)?)
+    Ok(serde_json::from_str(&admin_client::call(door, "GET", "/fleet/status", "")?.taken()?)?)
 }
 
 /// Does what is asked of the fleet.
@@ -204,23 +204,23 @@
             let status = status(door)?;
             if json { status.to_string() } else { table(&status) }
         }
-        FleetCommand::Found { at } => door::call(at.door, "POST", "/fleet/found", "")?.taken()?,
-        FleetCommand::Leave { at } => door::call(at.door, "POST", "/fleet/leave", "")?.taken()?,
-        FleetCommand::Stay { at } => door::call(at.door, "POST", "/fleet/stay", "")?.taken()?,
+        FleetCommand::Found { at } => admin_client::call(at.door, "POST", "/fleet/found", "")?.taken()?,
+        FleetCommand::Leave { at } => admin_client::call(at.door, "POST", "/fleet/leave", "")?.taken()?,
+        FleetCommand::Stay { at } => admin_client::call(at.door, "POST", "/fleet/stay", "")?.taken()?,
         FleetCommand::Out { at, what } => {
-            door::order(at.door, &Order::Out { target: what.target()?, by: at.by() })?
+            admin_client::order(at.door, &Order::Out { target: what.target()?, by: at.by() })?
         }
         FleetCommand::In { at, what } => {
-            door::order(at.door, &Order::In { target: what.target()?, by: at.by() })?
+            admin_client::order(at.door, &Order::In { target: what.target()?, by: at.by() })?
         }
         FleetCommand::Free { at, epoch, why } => {
-            door::order(at.door, &Order::Free { epoch, by: at.by(), why })?
+            admin_client::order(at.door, &Order::Free { epoch, by: at.by(), why })?
         }
         FleetCommand::Strike { at, name, why } => {
-            door::order(at.door, &Order::Strike { name: Arc::from(name), by: at.by(), why })?
+            admin_client::order(at.door, &Order::Strike { name: Arc::from(name), by: at.by(), why })?
         }
         FleetCommand::Voter { at, name, out } => {
-            door::order(at.door, &Order::Voter { name: Arc::from(name), puts_in: !out, by: at.by() })?
+            admin_client::order(at.door, &Order::Voter { name: Arc::from(name), puts_in: !out, by: at.by() })?
         }
     };
     println!("{text}");
@@ -232,25 +232,25 @@
     let text = match command {
         ReleaseCommand::Plan { file } => told(&plan(&file)?),
         ReleaseCommand::Stage { door, file } => {
-            door::call(door, "POST", "/fleet/stage", &read(&file)?)?.taken()?
+            admin_client::call(door, "POST", "/fleet/stage", &read(&file)?)?.taken()?
         }
         ReleaseCommand::Start { at, file } => {
-            door::order(at.door, &Order::Start { plan: Box::new(plan(&file)?), by: at.by() })?
+            admin_client::order(at.door, &Order::Start { plan: Box::new(plan(&file)?), by: at.by() })?
         }
         ReleaseCommand::Status { door, json } => {
             let status = status(door)?;
             if json { status["release"].to_string() } else { table(&status) }
         }
         ReleaseCommand::Halt { at, name, why } => {
-            door::order(at.door, &Order::Release(ReleaseOrder::Halt { name, by: at.by(), why }))?
+            admin_client::order(at.door, &Order::Release(ReleaseOrder::Halt { name, by: at.by(), why }))?
         }
         ReleaseCommand::Resume { at, name } => {
             let status = status(at.door)?;
             let halts = status["release"]["halts"].as_u64().ok_or("there is no release")? as u32;
-            door::order(at.door, &Order::Release(ReleaseOrder::Resume { name, halts, by: at.by() }))?
+            admin_client::order(at.door, &Order::Release(ReleaseOrder::Resume { name, halts, by: at.by() }))?
         }
         ReleaseCommand::Back { at, name, why } => {
-            door::order(at.door, &Order::Release(ReleaseOrder::Back { name, by: at.by(), why }))?
+            admin_client::order(at.door, &Order::Release(ReleaseOrder::Back { name, by: at.by(), why }))?
         }
     };
     println!("{text}");
--- a/crates/gradepin/src/main.rs
+++ b/crates/gradepin/src/main.rs
@@ -1,10 +1,12 @@
 //! The command line of the tile server.
 
-mod door;
+mod admin_client;
+mod config;
 mod fleet;
 mod store;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use config::{ConfigCommand, ConfigError};
 use fleet::{FleetCommand, ReleaseCommand};
 use gradepin_core::config::Config;
 use gradepin_node::fronts::scgi::routes::Routes;
@@ -12,7 +14,7 @@
 use gradepin_node::log::{self, LogFormat};
 use gradepin_node::settings::Own;
 use gradepin_node::settings::cluster::keys;
-use gradepin_node::{config, serve};
+use gradepin_node::{config as configuration, serve};
 use rustix::process::{Pid, Signal, kill_process};
 use std::error::Error;
 use std::path::PathBuf;
@@ -80,6 +82,15 @@
         #[command(subcommand)]
         command: ReleaseCommand,
     },
+    /// The configuration that the fleet agrees on: changes, their spread, history
+    #[command(
+        after_help = "Exit status: 0 done, 1 refused or not valid, 3 another revision is in force than expected, 4 not taken now, \
+                            5 not known whether it was committed: ask again with the same --request-id"
+    )]
+    Config {
+        #[command(subcommand)]
+        command: ConfigCommand,
+    },
     /// Look into the store of keyed runs, without a server
     Store {
         #[command(subcommand)]
@@ -94,7 +105,7 @@
         let path = self.config.or_else(|| std::env::var_os("GW_CONFIG").map(PathBuf::from));
         let path = path.ok_or("no configuration: give --config FILE or set GW_CONFIG")?;
         let own = self.settings.as_deref().map(Own::load).transpose()?.unwrap_or_default();
-        let config = config::load(&path)?;
+        let config = configuration::load(&path)?;
         if let Some(scgi) = &own.scgi {
             // As `serve` would: a route to a class that isn't there ends the start.
             Routes::new(scgi, Arc::new(config.settings.clone()))?;
@@ -170,6 +181,10 @@
         }
         Command::Fleet { command } => fleet::fleet(command),
         Command::Release { command } => fleet::release(command),
+        Command::Config { command } => {
+            config::run(command)?;
+            Ok(true)
+        }
         Command::Store { command } => store::run(command),
         Command::Version => {
             println!("gradepin {}", env!("CARGO_PKG_VERSION"));
@@ -186,7 +201,8 @@
             for line in message.to_string().lines() {
                 eprintln!("gradepin: {line}");
             }
-            ExitCode::FAILURE
+            let status = message.downcast_ref::<ConfigError>().map(ConfigError::exit_status);
+            status.map_or(ExitCode::FAILURE, ExitCode::from)
         }
     }
 }
