--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -587,6 +587,20 @@
         quota * part * reading.heard.min(self.set.servers) as f64
     }
 
+    /// The part of its fleet-wide quota that each of these may use here, by what was asked here and by all servers heard;
+    /// `of` tells whose a cell is. One pass over the counts, however many they are.
+    pub fn parts<K: Ord + Copy>(&self, now: Time, of: impl Fn(CellId) -> Option<K>) -> BTreeMap<K, f64> {
+        let (heard, fleet) = self.counts.sums(now, &of);
+        let own = self.counts.own_sums(&of);
+        let asked = own.into_iter().filter(|(_, own)| own.asked_ms > 0);
+        let part = |(key, own): (K, Work)| {
+            let all = fleet.get(&key).map_or(0, |sum| sum.asked_ms);
+            let share = f64::from(own.asked_ms) / f64::from(all.max(own.asked_ms));
+            (key, if all == 0 { 1.0 } else { share * heard.min(self.set.servers) as f64 })
+        };
+        asked.map(part).collect()
+    }
+
     /// Whether a repeated try is within the fleet's budget of them: all while they are few, else at random the part that
     /// the budget has room for. Alone, by what came here alone.
     pub fn takes_repeat(&mut self, now: Time) -> bool {
--- a/crates/cluster/src/counts.rs
+++ b/crates/cluster/src/counts.rs
@@ -270,6 +270,32 @@
         reading
     }
 
+    /// How many servers are heard, and what the cells of each key come to over them; `of` tells whose a cell is.
+    pub fn sums<K: Ord>(&self, now: Time, of: impl Fn(CellId) -> Option<K>) -> (usize, BTreeMap<K, Work>) {
+        let mut sums = BTreeMap::<K, Work>::new();
+        let mut heard = 0;
+        for kept in self.rows.values().filter(|kept| kept.age(now) <= TOO_OLD) {
+            heard += 1;
+            for (id, work) in &kept.row.cells {
+                if let Some(key) = of(*id) {
+                    sums.entry(key).or_default().add(work);
+                }
+            }
+        }
+        (heard, sums)
+    }
+
+    /// What was counted here alone, by key.
+    pub fn own_sums<K: Ord>(&self, of: impl Fn(CellId) -> Option<K>) -> BTreeMap<K, Work> {
+        let mut sums = BTreeMap::<K, Work>::new();
+        for (id, own) in &self.own {
+            if let Some(key) = of(*id) {
+                sums.entry(key).or_default().add(&own.sum);
+            }
+        }
+        sums
+    }
+
     /// What was counted here alone.
     pub fn own(&self, wanted: impl Fn(CellId) -> bool) -> Work {
         let mut sum = Work::default();
--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -3,7 +3,8 @@
 //! A [`Transaction`] is applied whole or not at all. A [`Commit`] is a transaction that the consensus group has given a
 //! [`Revision`]; commits are applied in the order of their revisions, without gaps.
 
-use gradepin_decisions::{Customer, Profile, Span};
+pub use gradepin_decisions::ClassDefinition;
+use gradepin_decisions::{Customer, Span};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -38,17 +39,6 @@
     }
 }
 
-/// A request class with the settings of it that the decision module keeps beside its profile.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ClassDefinition {
-    /// Name, latency target, deadline, effect and worth.
-    pub profile: Profile,
-    /// Whether its runs call the shared dependency; `specifics.calls_by_class` of the configuration file.
-    pub calls: bool,
-    /// Worth kept when the call is left out, as a part; `specifics.class_skip_worth` of the configuration file.
-    pub skip_worth: f64,
-}
-
 /// One of the rules of the configuration file (`settings.rules`), with its value.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/core/src/classes/tests.rs
+++ b/crates/core/src/classes/tests.rs
@@ -1,87 +1,119 @@
 use super::*;
-use serde_json::json;
 
-fn settings(classes: &[(&str, u64)], tenants: &[&str]) -> Settings {
-    let profiles: Vec<_> = classes
-        .iter()
-        .map(|(name, deadline)| {
-            json!({"name": name, "promise": 1, "deadline": deadline, "effect": "repeatable", "worth": 1.0})
-        })
-        .collect();
-    let customers: Vec<_> = tenants.iter().map(|name| json!({"name": name, "portion": 0.5})).collect();
-    serde_json::from_value(json!({"granularity": 1, "profiles": profiles, "customers": customers,
-        "rules": {"fall": 1, "tip_multiple": 1.0, "drain_grace": 1},
-        "specifics": {"n_cores": 1, "memory_kb": 1.0, "run_factor": 1.0}}))
-    .unwrap()
+fn class(name: &str, effect: Effect, window: u64, deadline: u64) -> Arc<ClassDefinition> {
+    let mut class = ClassDefinition::default();
+    (class.profile.name, class.profile.effect) = (name.to_string(), effect);
+    (class.profile.window, class.profile.deadline) = (Span(window), Span(deadline));
+    Arc::new(class)
+}
+
+fn plain(name: &str, deadline: u64) -> Arc<ClassDefinition> {
+    class(name, Effect::Repeatable, 0, deadline)
 }
 
 fn names(classes: &Classes) -> Vec<(&str, u64)> {
-    classes.settings().profiles.iter().map(|profile| (profile.name.as_str(), profile.deadline.0)).collect()
+    classes.iter().map(|(_, class)| (class.profile.name.as_str(), class.profile.deadline.0)).collect()
+}
+
+fn grace(since: u64, more: u64) -> Time {
+    after(after(Time(since), DROP_GRACE), Span(more))
 }
 
-/// Guards open requests and counts across a reload: places stay, new classes come after, dropped ones stay
-/// taken for the grace and not after, and one that comes back is taken again.
+/// Guards open requests and counts across a change: slots stay, new classes come after, dropped ones stay taken for the
+/// grace and not after, and one that comes back is taken again.
 #[test]
-fn classes_keep_their_places_and_dropped_ones_lapse() {
-    let mut classes = Classes::new(Arc::new(settings(&[("view", 4), ("save", 4)], &["a"])));
-    let retuned = classes.retune(Time(100), &settings(&[("save-v2", 5), ("view", 9)], &["b"])).unwrap();
-    assert_eq!(retuned.added, vec!["save-v2"]);
-    assert_eq!(retuned.dropped, vec!["save"]);
+fn classes_keep_their_slots_and_dropped_ones_lapse() {
+    let mut classes = Classes::new([plain("view", 4), plain("save", 4)]);
+    assert_eq!(classes.remove(Time(100), "save"), Some(1));
+    assert_eq!(classes.put(Time(100), plain("save-v2", 5)), (2, Put::Added));
+    assert_eq!(classes.put(Time(100), plain("view", 9)), (0, Put::Changed));
+    assert_eq!(classes.put(Time(100), plain("view", 9)), (0, Put::Same));
     assert_eq!(names(&classes), vec![("view", 9), ("save", 4), ("save-v2", 5)]);
-    let tenants: Vec<&str> = classes.settings().customers.iter().map(|c| c.name.as_str()).collect();
-    assert_eq!(tenants, vec!["a", "b"]);
     assert!(classes.takes(0, Time(100)) && classes.takes(2, Time(100)));
-    assert!(classes.takes(1, after(Time(100), Span(DROP_GRACE.0 - 1))));
-    assert!(!classes.takes(1, after(Time(100), DROP_GRACE)));
-    assert!(!classes.takes(3, Time(100)), "no class has that place");
-    let retuned = classes.retune(Time(200), &settings(&[("save", 7)], &["a"])).unwrap();
-    assert_eq!(
-        (retuned.back, retuned.dropped),
-        (vec!["save".to_string()], vec!["view".into(), "save-v2".into()])
-    );
-    assert_eq!(names(&classes), vec![("view", 9), ("save", 7), ("save-v2", 5)]);
+    assert!(classes.takes(1, Time(grace(100, 0).0 - 1)) && !classes.takes(1, grace(100, 0)));
+    assert!(!classes.takes(3, Time(100)), "no class has that slot");
+    assert_eq!((classes.in_force(), classes.knows("save"), classes.has_slot("save")), (2, false, true));
+    assert_eq!(classes.put(Time(200), plain("save", 7)), (1, Put::Back));
     assert!(classes.takes(1, Time(u64::MAX)));
+    assert!(classes.settle(Time(u64::MAX), 9).is_empty(), "what came back is not freed by its drop");
+}
+
+/// Guards against a slot that is given away while something refers to it, and one that is never used again.
+#[test]
+fn a_slot_is_free_once_its_grace_its_windows_and_its_requests_are_over() {
+    let mut classes = Classes::new([plain("view", 4), class("save", Effect::ByKey, 700, 4)]);
+    for slot in 0..2 {
+        classes.acquire(slot);
+    }
+    let old = classes.handle(0);
+    assert_eq!((classes.remove(Time(100), "view"), classes.remove(Time(100), "save")), (Some(0), Some(1)));
+    assert!(classes.settle(Time(u64::MAX / 2), 9).is_empty(), "requests are open");
+    classes.release(0);
+    assert!(classes.settle(Time(grace(100, 0).0 - 1), 9).is_empty(), "the grace");
+    assert_eq!(classes.settle(grace(100, 0), 9), [Settled::Freed(0, plain("view", 4))]);
+    assert_eq!((classes.resolve(old), classes.get(0).profile.name.as_str()), (None, ""));
+    classes.release(1);
+    assert!(classes.settle(grace(100, 699), 9).is_empty(), "the window");
+    assert_eq!(classes.put(grace(100, 699), plain("other", 1)), (0, Put::Added));
+    assert_ne!(classes.handle(0), old);
+    assert_eq!(classes.settle(grace(100, 700), 9).len(), 1);
+    assert_eq!((names(&classes), classes.longest_window()), (vec![("other", 1)], Span(0)));
 }
 
-/// Guards against a file that names a class twice, and a table that grows without bound: both change nothing.
+/// Guards against a table that grows with the life of a process: any number of names comes and goes.
 #[test]
-fn a_bad_retune_changes_nothing() {
-    let mut classes = Classes::new(Arc::new(settings(&[("view", 4)], &[])));
-    let twice = classes.retune(Time(1), &settings(&[("a", 1), ("a", 2)], &[])).unwrap_err();
-    assert_eq!(twice, RetuneError::Twice { what: "profiles", name: "a".into() });
-    for n in 1..MOST_CLASSES {
-        classes.retune(Time(n as u64), &settings(&[(&format!("c{n}"), 1)], &[])).unwrap();
+fn any_number_of_names_over_a_life_takes_few_slots() {
+    let mut classes = Classes::new([plain("stays", 1)]);
+    for n in 0..3 * MAX_CLASSES as u64 {
+        let now = Time(n * DROP_GRACE.0);
+        let name = format!("class-{n}");
+        classes.put(now, plain(&name, 1));
+        assert!(classes.remove(now, &name).is_some());
+        classes.settle(now, 4);
     }
-    let full = classes.retune(Time(99), &settings(&[("one-too-many", 1)], &[])).unwrap_err();
-    assert_eq!(full, RetuneError::TooMany { what: "classes", most: MOST_CLASSES });
-    assert_eq!(classes.settings().profiles.len(), MOST_CLASSES);
+    assert!(classes.room() >= MOST_SLOTS - 4, "{}", classes.room());
+    let mut many = Settings { profiles: vec![plain("a", 1).profile.clone(); 2], ..Settings::default() };
+    assert_eq!(check(&many), Err(NamesError::Twice { what: "profiles", name: "a".into() }));
+    let profile = |n: usize| Profile { name: n.to_string(), ..many.profiles[0].clone() };
+    many.profiles = (0..=MAX_CLASSES).map(profile).collect();
+    let came = MAX_CLASSES + 1;
+    assert_eq!(check(&many), Err(NamesError::TooMany { what: "profiles", most: MAX_CLASSES, came }));
+    many.profiles.pop();
+    assert_eq!(check(&many), Ok(()));
 }
 
-/// Guards the window of a run under a token across reloads that make its class keyed no more, and keyed again.
+/// Guards the window of a run under a token across changes that make its class keyed no more, and keyed again.
 #[test]
 fn a_class_stays_keyed_for_the_module_until_its_last_window_is_past() {
-    let of = |effect: &str| {
-        let mut set = settings(&[("save", 4)], &[]);
-        set.profiles[0].effect = serde_json::from_value(json!(effect)).unwrap();
-        set.profiles[0].window = if effect == "by_key" { Span(700) } else { Span(0) };
-        set
-    };
-    let in_force =
-        |classes: &Classes| (classes.in_force().profiles[0].effect, classes.in_force().profiles[0].window);
-    let mut classes = Classes::new(Arc::new(of("by_key")));
-    classes.retune(Time(100), &of("once")).unwrap();
-    assert_eq!(classes.settings().profiles[0].effect, Effect::Once);
-    assert_eq!(in_force(&classes), (Effect::ByKey, Span(700)));
-    let until = after(Time(800), DROP_GRACE);
-    // Other reloads meanwhile don't lengthen it, nor cut it short.
-    classes.retune(Time(200), &of("repeatable")).unwrap();
-    assert!(!classes.lapsed(Time(until.0 - 1)));
-    assert_eq!(in_force(&classes), (Effect::ByKey, Span(700)));
-    assert!(classes.lapsed(until) && !classes.lapsed(until));
-    assert_eq!(in_force(&classes), (Effect::Repeatable, Span(0)));
-    classes.retune(Time(300), &of("by_key")).unwrap();
-    classes.retune(Time(400), &of("once")).unwrap();
-    classes.retune(Time(500), &of("by_key")).unwrap();
-    assert!(!classes.lapsed(Time(u64::MAX)));
-    assert_eq!(in_force(&classes), (Effect::ByKey, Span(700)));
+    let of = |effect| class("save", effect, if effect == Effect::ByKey { 700 } else { 0 }, 4);
+    let holds = |classes: &Classes| (classes.profile(0).effect, classes.profile(0).window);
+    let mut classes = Classes::new([of(Effect::ByKey)]);
+    classes.put(Time(100), of(Effect::Once));
+    assert_eq!(classes.defined(0).profile.effect, Effect::Once);
+    assert_eq!(holds(&classes), (Effect::ByKey, Span(700)));
+    // Other changes meanwhile don't lengthen it, nor cut it short.
+    classes.put(Time(200), of(Effect::Repeatable));
+    let until = grace(800, 0);
+    assert!(classes.settle(Time(until.0 - 1), 9).is_empty());
+    assert_eq!(holds(&classes), (Effect::ByKey, Span(700)));
+    assert_eq!(classes.settle(until, 9), [Settled::Unkeyed(0)]);
+    assert!(classes.settle(until, 9).is_empty());
+    assert_eq!(holds(&classes), (Effect::Repeatable, Span(0)));
+    for (at, effect) in [(300, Effect::ByKey), (400, Effect::Once), (500, Effect::ByKey)] {
+        classes.put(after(until, Span(at)), of(effect));
+    }
+    assert!(classes.settle(Time(u64::MAX), 9).is_empty());
+    assert_eq!(holds(&classes), (Effect::ByKey, Span(700)));
+}
+
+/// Guards a run begun under a long window against a change to a short one and then to none: the long one counts.
+#[test]
+fn the_longest_window_of_what_a_class_was_counts() {
+    let mut classes = Classes::new([class("save", Effect::ByKey, 9_000, 4)]);
+    classes.put(Time(100), class("save", Effect::ByKey, 10, 4));
+    assert_eq!(classes.longest_window(), Span(10));
+    classes.put(Time(200), plain("save", 4));
+    assert!(classes.settle(Time(grace(9_100, 0).0 - 1), 9).is_empty());
+    assert_eq!(classes.profile(0).window, Span(9_000));
+    assert_eq!(classes.settle(grace(9_100, 0), 9), [Settled::Unkeyed(0)]);
 }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration of one tile server, as JSON. Reading the file is the shell's.
 
-use crate::classes::{self, RetuneError};
+use crate::classes::{self, NamesError};
 use gradepin_decisions::{BadSettings, Below, Settings};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -91,7 +91,7 @@
     Settings(#[from] BadSettings),
     /// A name stands for two classes or two tenants.
     #[error(transparent)]
-    Names(#[from] RetuneError),
+    Names(#[from] NamesError),
     /// A class can't be named in a line to the processor.
     #[error("expected names of classes without spaces, got '{0}'")]
     Class(String),
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -2,13 +2,14 @@
 
 use crate::admin::{AdminAnswer, AdminCall, CallId};
 pub use crate::answer::{Answer, Misuse, UNKNOWN};
-use crate::config::Config;
 use crate::ledger::{Batch, Recovered};
 use crate::pool::Buffer;
 use crate::records::{End, Print};
+use crate::reload::Reload;
+use crate::slots::Handle;
 use gradepin_cluster::cluster::Letter;
 use gradepin_cluster::seal::{Dropped, Keys};
-use gradepin_decisions::{Outcome, RequestId, Span, Time};
+use gradepin_decisions::{ClassDefinition, Customer, Outcome, RequestId, Span, Time};
 use gradepin_registry::membership::{Ask, Reply};
 use gradepin_releases::chair::Turn;
 use gradepin_releases::council::{Durable, Found};
@@ -26,10 +27,10 @@
 pub struct Call {
     /// Its id, new with every try.
     pub id: RequestId,
-    /// Index into the settings' profiles.
-    pub class: usize,
-    /// Index into the settings' customers.
-    pub tenant: Option<usize>,
+    /// Its class.
+    pub class: Handle,
+    /// Its tenant, if it names one.
+    pub tenant: Option<Handle>,
     /// Number of the client proxy.
     pub caller: u64,
     /// When it came to the machine, in Unix milliseconds.
@@ -141,8 +142,8 @@
     TakeIn,
     /// What became of a question to a registry.
     Registry(u64, Reply),
-    /// The configuration was read again.
-    Reload(Box<Config>),
+    /// The configuration was read again, and compared with the classes and tenants in force.
+    Reload(Box<Reload>),
     /// The configuration was read again and can't be used, for this reason; what is in force stays.
     ReloadRefused(String),
     /// An operator's call at the door, owed an answer under its id.
@@ -193,7 +194,7 @@
     /// nothing waits unread.
     CloseResting(ConnId, u64),
     /// Run a request: on which link, its id, its class and its body.
-    Begin(u64, RequestId, usize, Arc<Buffer>),
+    Begin(u64, RequestId, Arc<ClassDefinition>, Arc<Buffer>),
     /// Call the ledger for a request: its id, the body, how long to wait for the reply, and the time after which it must
     /// not leave here any more, if there is one.
     Call(RequestId, Arc<Buffer>, Span, Option<Time>),
@@ -223,8 +224,17 @@
     Persist(u64, Batch),
     /// Have the processor tell all the notices again that it keeps.
     Retell,
-    /// These settings are in force from now on: classes and tenants in the same places as before, new ones after.
-    Settings(Arc<gradepin_decisions::Settings>),
+    /// The names that requests may use have changed so, in this order.
+    Names {
+        /// The number of the last change of what is in force that these are of.
+        edition: u64,
+        /// The changes.
+        changes: Vec<NameChange>,
+    },
+    /// The longest in which a keyed request may come again is this from now on.
+    LongestWindow(Span),
+    /// A reload is over: all of its file is in force, or nothing of it.
+    Reloaded,
     /// Accept no more connections: the listener is the successor's now.
     StopAccepting,
     /// Answer an operator's call.
@@ -241,6 +251,23 @@
     Exit,
 }
 
+/// A change of the names that requests may use; what is in a slot is shared, not copied.
+#[derive(Debug, Clone)]
+pub enum NameChange {
+    /// A class is in force, as it was defined.
+    Class(Handle, Arc<ClassDefinition>),
+    /// A class was removed; requests that name it are still sent on, to be turned away by what is in force.
+    ClassDropped(Arc<ClassDefinition>),
+    /// Nothing refers to it any more: its name is unknown.
+    ClassGone(Arc<ClassDefinition>),
+    /// A tenant is in force.
+    Tenant(Handle, Arc<Customer>),
+    /// A tenant was removed; requests may still name it.
+    TenantRemoved(Arc<Customer>),
+    /// Its slot is another's: its name is unknown.
+    TenantGone(Arc<Customer>),
+}
+
 /// No processor ends and starts again in less. Tells a restart from a greeting that was on its way for a moment.
 pub const LEAST_RESTART: Span = Span(50_000_000);
 
--- a/crates/core/src/reducer/agreed.rs
+++ b/crates/core/src/reducer/agreed.rs
@@ -101,9 +101,9 @@
         if !self.agreed.is_on() {
             return;
         }
-        let whole = self.fleet.cell(&self.settings, None, class);
-        let of_office = tenant.map(|tenant| self.fleet.cell(&self.settings, Some(tenant), class));
-        let office = self.fleet.office(&self.settings, tenant);
+        let whole = self.fleet_cell(None, class);
+        let of_office = tenant.map(|tenant| self.fleet_cell(Some(tenant), class));
+        let office = self.fleet_tenant_cell(tenant);
         let totals = &mut self.agreed.totals;
         for cell in [Some(whole), office, of_office].into_iter().flatten() {
             if totals.len() < MOST_CELLS || totals.contains_key(&cell) {
--- a/crates/core/src/reducer/calls.rs
+++ b/crates/core/src/reducer/calls.rs
@@ -28,7 +28,7 @@
             return;
         }
         open.call_since = Some(self.moment.now);
-        let timeout = if timeout.0 == 0 { self.settings.profiles[open.class].deadline } else { timeout };
+        let timeout = if timeout.0 == 0 { self.classes.profile(open.class).deadline } else { timeout };
         self.fleet_asks(id, false);
         if self.fleet.is_on() {
             self.call_waits(id, timeout);
--- a/crates/core/src/reducer/claims.rs
+++ b/crates/core/src/reducer/claims.rs
@@ -12,7 +12,7 @@
     pub(super) fn claim(&mut self, id: &RequestId) {
         let Some(open) = self.requests.get(id) else { return };
         let Some((token, print)) = open.key() else { return };
-        let patience = self.claims.asked(id, self.settings.profiles[open.class].deadline);
+        let patience = self.claims.asked(id, self.classes.profile(open.class).deadline);
         self.effects.push(Effect::Claim(id.clone(), Arc::clone(token), print, patience));
     }
 
@@ -33,7 +33,7 @@
         let Some(open) = self.requests.running(id) else { return };
         let token = open.token.clone();
         self.answer_end(id, end.clone());
-        self.requests.forget(id);
+        self.forget(id);
         // Nothing was started here, and nothing is to be learnt of how long it took.
         self.events.push(Event::Completed { id: id.clone(), outcome: Outcome::Unused, took: Span(0) });
         let waiters = token.map(|token| self.keys.ended(&token, id, Some(end.clone()))).unwrap_or_default();
--- a/crates/core/src/reducer/fleet.rs
+++ b/crates/core/src/reducer/fleet.rs
@@ -4,7 +4,9 @@
 //! Not here: what is lent, believed or judged, which is [`gradepin_cluster`]'s, and which calls are made in which order,
 //! which is the module's. Without a cluster nothing here does anything.
 
+use super::cells::Cells;
 use super::{MS, Reducer};
+use crate::classes::Classes;
 use crate::messages::{Effect, sooner};
 use gradepin_cluster::cluster::{Cluster, Effect as Asked, Gate, Letter, Status, View};
 use gradepin_cluster::counts::CellId;
@@ -12,7 +14,7 @@
 use gradepin_cluster::seal::{Dropped, Keys};
 use gradepin_decisions::{Below, Outcome, RequestId, Settings, Span, Time, after};
 use slog::Level;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// Between looks at the quotas, which move over seconds.
 const QUOTAS: Span = Span(500 * MS);
@@ -20,6 +22,8 @@
 const LIMITS: Span = Span(20 * MS);
 /// The part of its class's aim that a run is estimated to take before any was seen.
 const FIRST_ESTIMATE: u64 = 8;
+/// Names of cells kept for people, some 400 KB; a cell without one is told by its number.
+const MOST_NAMES: usize = 4_096;
 
 /// A call that the module made and that has no slot yet.
 #[derive(Debug)]
@@ -40,11 +44,11 @@
     asking: HashSet<RequestId>,
     /// What a run of each class takes, as seen here.
     estimates: Vec<Span>,
-    /// The cells of the counts by place: a row of classes for no office, and one for each office.
-    cells: Vec<CellId>,
-    offices: Vec<CellId>,
-    /// The limit and quotas that the module goes by, and when the next may be told.
-    told: Option<(f64, Vec<f64>)>,
+    /// The cells of the counts that requests here fall into.
+    cells: Cells,
+    /// The limit that the module goes by, and the quotas that it was told by slot; and when the next may be told.
+    limit: Option<f64>,
+    quotas: BTreeMap<usize, f64>,
     next_limit: Time,
     next_quotas: Time,
 }
@@ -54,22 +58,9 @@
         self.cluster.is_some()
     }
 
-    /// The cell of an office's part of a class; of a place that these settings don't know, the rest's.
-    pub(super) fn cell(&self, settings: &Settings, tenant: Option<usize>, class: usize) -> CellId {
-        let row = tenant.filter(|tenant| *tenant < settings.customers.len()).map_or(0, |tenant| tenant + 1);
-        self.cells.get(row * settings.profiles.len() + class).copied().unwrap_or(CellId(0))
-    }
-
-    /// The cell of a whole office.
-    pub(super) fn office(&self, settings: &Settings, tenant: Option<usize>) -> Option<CellId> {
-        tenant
-            .filter(|tenant| *tenant < settings.customers.len())
-            .and_then(|tenant| self.offices.get(tenant).copied())
-    }
-
-    fn estimate(&self, settings: &Settings, class: usize) -> Span {
+    fn estimate(&self, classes: &Classes, class: usize) -> Span {
         let seen = self.estimates.get(class).copied().filter(|span| span.0 > 0);
-        seen.unwrap_or(Span(settings.profiles[class].promise.0 / FIRST_ESTIMATE))
+        seen.unwrap_or(Span(classes.profile(class).promise.0 / FIRST_ESTIMATE))
     }
 
     fn ended(&mut self, class: usize, took: Span) {
@@ -99,40 +90,40 @@
     }
 }
 
-/// The cells of these settings, by place, and those of whole offices. Made at the start and at a reload: each is a hash of two
-/// names.
-fn cells(settings: &Settings) -> (Vec<CellId>, Vec<CellId>) {
-    let offices = std::iter::once("").chain(settings.customers.iter().map(|office| office.name.as_str()));
-    let of_classes = offices
-        .flat_map(|office| settings.profiles.iter().map(move |class| CellId::of(office, &class.name)))
-        .collect();
-    (of_classes, settings.customers.iter().map(|office| CellId::of(&office.name, "")).collect())
-}
-
-/// What the cells of these settings are called, for people.
-pub fn cell_names(settings: &Settings) -> std::collections::BTreeMap<u32, String> {
-    let office = |row: usize| match row.checked_sub(1).and_then(|office| settings.customers.get(office)) {
-        Some(office) => format!(" of {}", office.name),
-        None => String::new(),
-    };
-    let classes = settings.profiles.len().max(1);
-    let (of_classes, offices) = cells(settings);
-    let name =
-        |place: usize| format!("{}{}", settings.profiles[place % classes].name, office(place / classes));
-    let parts = of_classes.into_iter().enumerate().map(|(place, cell)| (cell.0, name(place)));
-    let wholes =
-        offices.into_iter().zip(&settings.customers).map(|(cell, office)| (cell.0, office.name.clone()));
-    parts.chain(wholes).collect()
+/// What the cells of these settings are called, for people: of classes and tenants as far as there is room, and of their
+/// pairs where all of those have room.
+pub fn cell_names(settings: &Settings) -> BTreeMap<u32, String> {
+    let classes = || settings.profiles.iter().map(|class| class.name.as_str());
+    let tenants = || settings.customers.iter().map(|tenant| tenant.name.as_str());
+    let of_classes = classes().map(|class| (CellId::of("", class).0, class.to_string()));
+    let of_tenants = tenants().map(|tenant| (CellId::of(tenant, "").0, tenant.to_string()));
+    let mut names: BTreeMap<u32, String> = of_classes.chain(of_tenants).take(MOST_NAMES).collect();
+    if settings.profiles.len().saturating_mul(settings.customers.len()) <= MOST_NAMES {
+        for tenant in tenants() {
+            let name = |class: &str| (CellId::of(tenant, class).0, format!("{class} of {tenant}"));
+            names.extend(classes().map(name));
+        }
+    }
+    names
 }
 
 impl Reducer {
     /// With a part in a fleet whose servers talk to each other.
     pub fn with_cluster(mut self, cluster: Cluster) -> Self {
         self.fleet.cluster = Some(Box::new(cluster));
-        (self.fleet.cells, self.fleet.offices) = cells(&self.settings);
         self
     }
 
+    /// The cell of a tenant's part of a class, or of all of a class.
+    pub(super) fn fleet_cell(&mut self, tenant: Option<usize>, class: usize) -> CellId {
+        self.fleet.cells.cell(&self.classes, &self.tenants, tenant, class)
+    }
+
+    /// The cell of a whole tenant.
+    pub(super) fn fleet_tenant_cell(&mut self, tenant: Option<usize>) -> Option<CellId> {
+        tenant.and_then(|tenant| self.fleet.cells.whole(&self.tenants, tenant))
+    }
+
     /// Tells another server something that isn't the cluster's own.
     pub(super) fn fleet_post(&mut self, to: &str, word: &[u8]) {
         if let Some(cluster) = &mut self.fleet.cluster {
@@ -167,8 +158,9 @@
         if !self.fleet.is_on() {
             return true;
         }
-        let estimate = self.fleet.estimate(&self.settings, class);
-        let cell = self.fleet.cell(&self.settings, tenant, class);
+        let estimate = self.fleet.estimate(&self.classes, class);
+        let cell = self.fleet_cell(tenant, class);
+        self.fleet.cells.seen(self.moment.now, tenant, class);
         let Some(cluster) = &mut self.fleet.cluster else { return true };
         cluster.arrived(self.moment.now, cell, repeat, estimate);
         !repeat || cluster.takes_repeat(self.moment.now)
@@ -176,7 +168,10 @@
 
     /// A run went well.
     pub(super) fn fleet_served(&mut self, tenant: Option<usize>, class: usize, took: Span) {
-        let cell = self.fleet.cell(&self.settings, tenant, class);
+        if !self.fleet.is_on() {
+            return;
+        }
+        let cell = self.fleet_cell(tenant, class);
         if let Some(cluster) = &mut self.fleet.cluster {
             cluster.served(self.moment.now, cell, took);
             self.fleet.ended(class, took);
@@ -275,49 +270,80 @@
         self.tell_module();
     }
 
-    /// The module goes by the slots that may be used now, and by each office's quota as the fleet's counts tell it.
+    /// The module goes by the slots that may be used now, and by the quotas of the tenants seen here as the fleet's counts
+    /// tell them.
     fn tell_module(&mut self) {
+        let now = self.moment.now;
+        if now >= self.fleet.next_limit {
+            self.tell_limit();
+        }
+        if now >= self.fleet.next_quotas {
+            self.fleet.next_quotas = after(now, QUOTAS);
+            self.tell_quotas();
+        }
+    }
+
+    fn tell_limit(&mut self) {
         let now = self.moment.now;
         let Some(cluster) = &self.fleet.cluster else { return };
         let limit = cluster.limit(now).unwrap_or(self.settings.specifics.calls_out);
-        let told = self.fleet.told.as_ref();
-        let moved = told.is_none_or(|(told, _)| *told != limit) && now >= self.fleet.next_limit;
-        if !moved && now < self.fleet.next_quotas {
+        if self.fleet.limit == Some(limit) {
             return;
         }
-        let settings = &self.settings;
-        let quotas: Vec<f64> = if now >= self.fleet.next_quotas {
-            self.fleet.next_quotas = after(now, QUOTAS);
-            let classes = settings.profiles.len();
-            let of = |tenant: usize| {
-                let cells = self.fleet.cells.chunks(classes.max(1)).nth(tenant + 1).unwrap_or_default();
-                cluster.quota(now, settings.customers[tenant].quota_rps, |id| cells.contains(&id))
-            };
-            (0..settings.customers.len()).map(of).collect()
-        } else {
-            told.map(|(_, quotas)| quotas.clone()).unwrap_or_default()
-        };
+        let Some(controller) = &mut self.controller else { return };
+        let mut settings = Settings::clone(&self.settings);
+        settings.specifics.calls_out = limit;
+        controller.set_rest(settings);
+        self.fleet.limit = Some(limit);
         self.fleet.next_limit = after(now, LIMITS);
-        if told.is_some_and(|(known, old)| *known == limit && *old == quotas) {
+    }
+
+    /// Tells the quotas that moved; of tenants no longer seen, the one that they are set.
+    fn tell_quotas(&mut self) {
+        let now = self.moment.now;
+        let Some(cluster) = &self.fleet.cluster else { return };
+        let Some(controller) = &mut self.controller else { return };
+        let cells = self.fleet.cells.of_seen(now, &self.classes, &self.tenants);
+        if cells.is_empty() && self.fleet.quotas.is_empty() {
             return;
         }
-        if let Some(controller) = &mut self.controller {
-            let mut settings = Settings::clone(&self.settings);
-            settings.specifics.calls_out = limit;
-            for (customer, quota) in settings.customers.iter_mut().zip(&quotas) {
-                customer.quota_rps = *quota;
+        let mut parts = cluster.parts(now, |id| cells.get(&id).copied());
+        for slot in self.fleet.quotas.keys() {
+            parts.entry(*slot).or_insert(1.0);
+        }
+        for (slot, part) in parts {
+            let Some(tenant) = self.tenants.get(slot) else { continue };
+            let quota = tenant.quota_rps * part;
+            let told = self.fleet.quotas.insert(slot, quota).unwrap_or(tenant.quota_rps);
+            if told != quota {
+                controller.put_tenant(slot, quota, false);
+            }
+            if quota == tenant.quota_rps {
+                self.fleet.quotas.remove(&slot);
             }
-            controller.retune(settings);
-            self.fleet.told = Some((limit, quotas));
         }
     }
 
-    /// Settings changed at a reload: the fleet's part goes by them, and the module is told anew.
+    /// Settings other than classes and tenants have changed: the fleet's part goes by them, and the module is told anew.
     pub(super) fn fleet_retuned(&mut self) {
         if let Some(cluster) = &mut self.fleet.cluster {
             cluster.retune(self.settings.servers as usize, lent_share(&self.settings));
-            self.fleet.told = None;
-            (self.fleet.cells, self.fleet.offices) = cells(&self.settings);
+            self.fleet.limit = None;
+            self.fleet.next_limit = Time(0);
+        }
+    }
+
+    /// A tenant has another quota, or is another: what was told of the one before no longer holds.
+    pub(super) fn fleet_tenant_changed(&mut self, slot: usize) {
+        if self.fleet.quotas.remove(&slot).is_some() {
+            self.fleet.next_quotas = self.moment.now;
+        }
+    }
+
+    /// Nothing refers to the class in a slot any more.
+    pub(super) fn fleet_class_gone(&mut self, slot: usize) {
+        if let Some(estimate) = self.fleet.estimates.get_mut(slot) {
+            *estimate = Span(0);
         }
     }
 
--- a/crates/core/src/reducer/housekeeping.rs
+++ b/crates/core/src/reducer/housekeeping.rs
@@ -90,11 +90,8 @@
             self.effects.push(Effect::Report(ready));
         }
         if now >= self.duties.next_sweep {
-            if self.classes.lapsed(now) {
-                self.goes_by_settings();
-            }
             // What is left of a sweep has its turn with the next step, which comes at once.
-            let more = self.keys.sweep(now) | self.close_idle();
+            let more = self.settle_classes() | self.keys.sweep(now) | self.close_idle();
             self.duties.next_sweep = if more { now } else { after(now, SWEEP_EVERY) };
             self.conns.tidy();
         }
--- a/crates/core/src/reducer/keeping.rs
+++ b/crates/core/src/reducer/keeping.rs
@@ -71,7 +71,7 @@
             let longest = if self.past.young {
                 None
             } else {
-                self.settings.profiles.iter().map(|profile| profile.deadline.0).max()
+                self.classes.iter().map(|(_, class)| class.profile.deadline.0).max()
             };
             self.past.hope = Some(after(now, Span(longest.unwrap_or(0).saturating_mul(HOPE_MULTIPLE))));
             if self.link.heard != Time::default() {
--- a/crates/core/src/reducer/link.rs
+++ b/crates/core/src/reducer/link.rs
@@ -75,7 +75,14 @@
             // Warmth counts from the start of the processor, which may be long after this process's.
             let mut settings = Settings::clone(&self.settings);
             settings.specifics.just_started = cold;
-            self.controller = Some(Controller::new(settings, self.seed, before(now, age)));
+            let mut controller = Controller::new(settings, self.seed, before(now, age));
+            for (slot, class) in self.classes.iter() {
+                controller.put_class(slot, Arc::clone(class));
+            }
+            for (slot, tenant) in self.tenants.iter() {
+                controller.put_tenant(slot, tenant.quota_rps, true);
+            }
+            self.controller = Some(controller);
             self.active = true;
             self.registration.health(now, true);
             self.changed();
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -6,6 +6,7 @@
 
 mod agreed;
 mod calls;
+mod cells;
 mod claims;
 mod connections;
 mod drain;
@@ -16,6 +17,7 @@
 mod operators;
 mod requests;
 mod runs;
+mod settings;
 
 use crate::admin::Door;
 use crate::claims::Claims;
@@ -29,16 +31,19 @@
 use crate::pool::Pool;
 use crate::registration::Registration;
 use crate::tally::Tally;
+use crate::tenants::Tenants;
 use agreed::Agreed;
 use connections::Connections;
 use drain::Drain;
 use fleet::Fleet;
 pub use fleet::{cell_names, lent_share};
-use gradepin_decisions::{Action, Controller, Event, Settings, Span, Time, after};
+use gradepin_decisions::{Action, ClassDefinition, Controller, Customer, Event, Settings, Span, Time, after};
 use housekeeping::Duties;
 use keeping::Past;
 use link::Link;
 use requests::{Open, Requests, State};
+use settings::Changes;
+pub use settings::{Applied, ApplyError, Named};
 use slog::Level;
 use std::sync::Arc;
 
@@ -70,8 +75,10 @@
     active: bool,
     hint: Option<f64>,
     registration: Registration,
-    /// The classes and tenants in force across reloads; `settings` are theirs.
+    /// The classes and tenants in force; `settings` are all others.
     classes: Classes,
+    tenants: Tenants,
+    changes: Changes,
     /// The drain that operators order at their door, and the figures they scrape.
     door: Door,
     tally: Tally,
@@ -88,11 +95,25 @@
         settings: Arc<Settings>,
         registration: Registration,
     ) -> Result<Self, ConfigError> {
-        let classes = Classes::new(Arc::clone(&settings));
+        let (rest, classes, tenants) = Arc::unwrap_or_clone(settings).split();
+        let config = Config { settings: rest, ..config.clone() };
+        Self::with_definitions(&config, classes, tenants, registration)
+    }
+
+    /// The same, with the classes and tenants, in slots by their order, apart from the settings of the configuration.
+    pub fn with_definitions(
+        config: &Config,
+        classes: Vec<Arc<ClassDefinition>>,
+        tenants: Vec<Arc<Customer>>,
+        registration: Registration,
+    ) -> Result<Self, ConfigError> {
+        let settings = config.settings.clone();
+        let classes = Classes::new(classes);
+        let window = classes.longest_window();
         Ok(Self {
             seed: config.seed()?,
             config: config.clone(),
-            settings,
+            settings: Arc::new(settings),
             controller: None,
             moment: Moment::default(),
             requests: Requests::new(config),
@@ -110,6 +131,8 @@
             hint: None,
             registration,
             classes,
+            tenants: Tenants::new(tenants),
+            changes: Changes::starting(window),
             door: Door::default(),
             tally: Tally::default(),
             events: Vec::new(),
@@ -149,6 +172,7 @@
         for input in inputs {
             self.input(input);
         }
+        self.reload_step();
         self.fire();
         self.decide();
         self.agreed_step();
@@ -159,7 +183,7 @@
 
     /// When [`Reducer::step`] must be called again though nothing came in.
     pub fn wake_at(&self) -> Option<Time> {
-        if !self.events.is_empty() {
+        if !self.events.is_empty() || self.changes.is_pending() || !self.effects.is_empty() {
             return Some(self.moment.now);
         }
         let timer = self.duties.timer_at(self.moment.now, self.link.open_since);
@@ -239,8 +263,8 @@
             Input::SettingsAre(settings, staged) => self.settings_are(settings, staged),
             Input::ChangeFailed(release, why) => self.change_failed(release, why),
             Input::Registry(ticket, reply) => self.registration.reply(self.moment.now, ticket, reply),
-            Input::Reload(config) => self.reload(*config),
-            Input::ReloadRefused(why) => self.reload_refused(why),
+            Input::Reload(config) => self.reload(config),
+            Input::ReloadRefused(why) => self.reload_refused(&why),
             Input::Admin(id, call) => self.admin(id, call),
             Input::Recovered(recovered) => self.recovered(*recovered),
             Input::Persisted(upto) => {
@@ -274,7 +298,7 @@
         }
         self.actions = actions;
         for id in self.requests.decided() {
-            self.requests.forget(&id);
+            self.forget(&id);
         }
     }
 
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -127,10 +127,10 @@
     }
 
     /// Takes a request out of the books.
-    pub(super) fn forget(&mut self, id: &RequestId) {
-        if let Some(open) = self.open.remove(id) {
-            self.body_bytes -= open.body.len() + BESIDE;
-        }
+    fn remove(&mut self, id: &RequestId) -> Option<Open> {
+        let open = self.open.remove(id)?;
+        self.body_bytes -= open.body.len() + BESIDE;
+        Some(open)
     }
 }
 
@@ -145,42 +145,53 @@
         }
         let (opened, paced, open) = (connection.opened, connection.paced, connection.open.len());
         let refused = connection.refused;
-        if !self.classes.takes(call.class, self.moment.now) {
-            let why = format!(
-                "unknown method \"{}\": the class was dropped",
-                self.settings.profiles[call.class].name
-            );
-            return self.invalid(conn, seq, Some(call.class), Misuse::NotFound, why);
+        let Some(class) = self.classes.resolve(call.class) else {
+            // Its slot was freed since it was read, and may be another's.
+            let why = "unknown method: the class was dropped".into();
+            return self.invalid(conn, seq, None, Misuse::NotFound, why);
+        };
+        if !self.classes.takes(class, self.moment.now) {
+            let name = &self.classes.profile(class).name;
+            let why = format!("unknown method \"{name}\": the class was dropped");
+            return self.invalid(conn, seq, Some(class), Misuse::NotFound, why);
         }
+        // One whose slot is another's by now is of no tenant's share.
+        let tenant = call.tenant.and_then(|tenant| self.tenants.resolve(tenant));
         if refused || open >= WINDOW || self.requests.body_bytes > self.requests.most_bodies {
             // Guards against hundreds of requests at once: left unread, they would hide cancels and the close. And
             // against more bodies than the memory holds, on many connections.
-            return self.turn_away(conn, seq, call.class, Span(0));
+            return self.turn_away(conn, seq, class, Span(0));
         }
-        if self.settings.profiles[call.class].effect != gradepin_decisions::Effect::ByKey {
+        if self.classes.profile(class).effect != gradepin_decisions::Effect::ByKey {
             // Where no class is keyed by it, a token means nothing.
             call.token = None;
         }
-        let deadline = self.settings.profiles[call.class].deadline;
+        let deadline = self.classes.profile(class).deadline;
         if call.budget > BUDGET_MULTIPLE * deadline.0.div_ceil(MS) {
-            return self.invalid(conn, seq, Some(call.class), Misuse::Request, "budget out of range".into());
+            return self.invalid(conn, seq, Some(class), Misuse::Request, "budget out of range".into());
         }
         if self.requests.open.contains_key(&call.id) {
             let why = format!("the rid {} is open already", call.id.0);
-            return self.invalid(conn, seq, Some(call.class), Misuse::Conflict, why);
+            return self.invalid(conn, seq, Some(class), Misuse::Conflict, why);
         }
         if !call.retry {
             // Whatever becomes of it: what is turned away before the module hears of it came too.
-            self.agreed_count(call.tenant, call.class, 1, 0);
+            self.agreed_count(tenant, class, 1, 0);
         }
         if self.controller.is_none() {
             // No processor yet, so nobody to ask; nothing has run.
-            return self.turn_away(conn, seq, call.class, Span(0));
+            return self.turn_away(conn, seq, class, Span(0));
         }
         let unix = self.moment.unix_ms;
         // Nothing came later than it is read. Guards against a stamp that keeps a key's run for ever.
         let t0 = call.t0.min(unix);
         let due = t0.saturating_add(call.budget);
+        if let Some(token) = &call.token
+            && !self.classes.takes_new_tokens(class, self.moment.now)
+            && self.earlier(token, t0).is_none()
+        {
+            call.token = None;
+        }
         // It did not wait here before there was a connection. Guards against stamps of long ago, which would tell
         // the module that requests wait unread.
         let queued = Span(unix.saturating_sub(t0).saturating_mul(MS));
@@ -195,22 +206,22 @@
             && self.ledger.refuses(self.moment.now).is_some()
         {
             // It can't be made sure that this never runs twice. Whatever ran before is answered all the same.
-            return self.turn_away(conn, seq, call.class, self.store_advice());
+            return self.turn_away(conn, seq, class, self.store_advice());
         }
-        let print = if call.token.is_some() { self.print(&call) } else { 0 };
+        let print = if call.token.is_some() { self.print(class, &call.body) } else { 0 };
         let earlier = call.token.as_ref().and_then(|token| self.earlier(token, t0));
         if earlier.as_ref().is_some_and(|(_, first)| *first != print) {
             // Guards against a stranger who learnt a token: its request would be served another's result.
             let why = "the token came before with another body or class".into();
-            return self.invalid(conn, seq, Some(call.class), Misuse::Conflict, why);
+            return self.invalid(conn, seq, Some(class), Misuse::Conflict, why);
         }
         let earlier = earlier.map(|(id, _)| id);
         // A repeat of what is there is answered from it, and costs the fleet nothing.
         let repeats = call.retry && earlier.is_none();
-        if !self.fleet_takes(call.tenant, call.class, repeats) {
+        if !self.fleet_takes(tenant, class, repeats) {
             let limits = &self.settings.limits;
             let advice = if limits.retry_after { limits.max_retry_after } else { Span(0) };
-            return self.turn_away(conn, seq, call.class, advice);
+            return self.turn_away(conn, seq, class, advice);
         }
         let Some(connection) = self.conns.get_mut(conn) else { return };
         connection.open.insert(seq, call.id.clone());
@@ -220,11 +231,11 @@
         self.events.push(Event::Arrived(Request {
             id: call.id.clone(),
             expires_in: Some(Span(due.saturating_sub(unix).saturating_mul(MS))),
-            class: call.class,
+            class,
             has_key: call.has_key,
             caller: call.caller,
             work: None,
-            tenant: call.tenant,
+            tenant,
             size_kb: call.size_kb,
             precedence: call.precedence,
             retry: call.retry,
@@ -236,8 +247,8 @@
             first: !call.retry,
             conn,
             seq,
-            class: call.class,
-            tenant: call.tenant,
+            class,
+            tenant,
             t0,
             due_ms: due,
             token: call.token,
@@ -249,25 +260,35 @@
             call_since: None,
         };
         self.requests.body_bytes += open.body.len() + BESIDE;
+        self.classes.acquire(class);
+        tenant.into_iter().for_each(|tenant| self.tenants.acquire(tenant));
         self.requests.open.insert(call.id, open);
     }
 
+    /// Takes a request out of the books; nothing of it refers to its class and its tenant any more.
+    pub(super) fn forget(&mut self, id: &RequestId) {
+        if let Some(open) = self.requests.remove(id) {
+            self.classes.release(open.class);
+            open.tenant.into_iter().for_each(|tenant| self.tenants.release(tenant));
+        }
+    }
+
     /// Turns away what the module never hears of.
     pub(super) fn turn_away(&mut self, conn: ConnId, seq: SeqId, class: usize, backoff: Span) {
         self.conns.rest(conn, self.moment.now);
         let answer = Answer::Refused { backoff, last: false };
-        self.tally.answered(&self.settings.profiles[class].name, &answer);
+        self.tally.answered(&self.classes.profile(class).name, &answer);
         self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
         self.close_if_over(conn);
     }
 
     /// Keyed, so that nobody can choose two bodies with one print; and by name, which a store outlives.
-    pub(super) fn print(&self, call: &Call) -> Print {
+    fn print(&self, class: usize, body: &[u8]) -> Print {
         let mut hasher = SipHasher13::new_with_keys(self.past.salt, !self.past.salt);
-        let name = self.settings.profiles[call.class].name.as_bytes();
+        let name = self.classes.profile(class).name.as_bytes();
         hasher.write_usize(name.len());
         hasher.write(name);
-        hasher.write(&call.body);
+        hasher.write(body);
         hasher.finish()
     }
 
@@ -294,7 +315,7 @@
         self.log(Level::Warning, format!("a request on connection {conn} made no sense: {why}"));
         let answer = Answer::Invalid(misuse, why);
         if let Some(class) = class {
-            self.tally.answered(&self.settings.profiles[class].name, &answer);
+            self.tally.answered(&self.classes.profile(class).name, &answer);
         }
         self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
         self.close_if_over(conn);
@@ -327,7 +348,7 @@
     pub(super) fn finish(&mut self, id: &RequestId, answer: Answer) {
         self.answer(id, answer);
         if self.requests.open.get(id).is_some_and(|open| open.state != State::Running) {
-            self.requests.forget(id);
+            self.forget(id);
         }
     }
 
@@ -353,7 +374,7 @@
         let took = Span(self.moment.now.0.saturating_sub(since.0));
         let outcome = if matches!(end, End::Served(_)) { Outcome::Delivered } else { Outcome::AppError };
         self.answer_end(id, end);
-        self.requests.forget(id);
+        self.forget(id);
         self.events.push(Event::Completed { id: id.clone(), outcome, took });
     }
 
@@ -367,7 +388,7 @@
             self.agreed_count(tenant, class, 0, 1);
         }
         let Some(open) = self.requests.open.get(id) else { return };
-        self.tally.answered(&self.settings.profiles[open.class].name, &answer);
+        self.tally.answered(&self.classes.profile(open.class).name, &answer);
         self.conns.answered(conn, seq, self.moment.now);
         self.effects.push(Effect::Answer(conn, seq, answer, self.hint));
         self.close_if_over(conn);
--- a/crates/core/src/reducer/runs.rs
+++ b/crates/core/src/reducer/runs.rs
@@ -18,7 +18,7 @@
         };
         open.state = State::Running;
         if let Some(token) = &open.token {
-            let window_ms = self.settings.profiles[open.class].window.0.div_ceil(MS);
+            let window_ms = self.classes.profile(open.class).window.0.div_ceil(MS);
             let closes_ms = open.t0.saturating_add(window_ms);
             self.keys.began(token, open.print, id, closes_ms, self.moment);
             if self.claims.is_on() {
@@ -42,7 +42,8 @@
         self.link.unproven.push((id.clone(), self.link.asked));
         if let Some(link) = self.link.settled() {
             self.tally.relayed();
-            self.effects.push(Effect::Begin(link, id.clone(), open.class, Arc::clone(&open.body)));
+            let class = Arc::clone(self.classes.get(open.class));
+            self.effects.push(Effect::Begin(link, id.clone(), class, Arc::clone(&open.body)));
         }
     }
 
@@ -91,7 +92,7 @@
         }
         for id in std::iter::once(id.clone()).chain(waiters) {
             self.answer(&id, Answer::Refused { backoff: self.store_advice(), last: false });
-            self.requests.forget(&id);
+            self.forget(&id);
             self.events.push(Event::Completed { id, outcome: Outcome::Unused, took: Span(0) });
         }
     }
@@ -121,7 +122,7 @@
         }
         self.events.push(Event::Completed { id: id.clone(), outcome, took });
         if outcome != Outcome::Revoked || !self.requests.get(id).is_some_and(|open| open.owed) {
-            self.requests.forget(id);
+            self.forget(id);
         }
         if let Some(token) = token {
             self.settle(&token, id, kept);
--- a/crates/core/tests/room.rs
+++ b/crates/core/tests/room.rs
@@ -80,7 +80,7 @@
         for n in 0..12 {
             let call = Call {
                 id: RequestId::new(&format!("{n:016x}")),
-                class: 0,
+                class: 0.into(),
                 tenant: None,
                 caller: 1,
                 t0: 9_000,
--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -8,6 +8,7 @@
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 // Every constant, with unit and reason. Shares have no unit.
 const PERIOD: Span = Span(100_000_000); // ns; the source's sampling period
@@ -48,6 +49,9 @@
 const FIRST_WAIT: f64 = 0.125; // part of the wait winnable that a first try may wait however short runs are
 const SWAMP_AIM: f64 = 0.4; // part of the shortest aim for which readings may fill the cores alone
 const UNREAD_WELL: f64 = 0.1; // and at which it is good again, and runs get all the cores
+const UNASKED: f64 = 0.1; // requests that a class in force counts by in the mean run, asked for or not
+const FORGOTTEN: f64 = 1e-18; // requests; a count below it changes no sum any more, and fades no further
+const AT_REST: f64 = 4_000.0; // periods; by then an estimate is back at where it began
 
 /// Output of the law at a utilization, in per cent of the arrivals, before the danger zone is looked at.
 pub fn throttling(utilization: f64) -> f64 {
@@ -85,9 +89,12 @@
     call_fails: u32,
 }
 
-/// What is learnt of a class.
+/// What is learnt of the class in a slot; `counts` is 0 where the slot is free.
 #[derive(Debug, Default)]
 struct Class {
+    definition: Arc<ClassDefinition>,
+    counts: f64,
+    recent: bool,
     core_s: f64,
     lat_s: f64,
     per_work: f64,
@@ -99,9 +106,11 @@
 }
 
 impl Class {
-    fn fresh(p: &Profile) -> Self {
-        let first = secs(p.promise) * FIRST_RUN;
-        Class { core_s: first, lat_s: first, first_s: first, per_work: 1.0, ..Class::default() }
+    fn fresh(definition: Arc<ClassDefinition>) -> Self {
+        let first = secs(definition.profile.promise) * FIRST_RUN;
+        let start = Class { core_s: first, lat_s: first, first_s: first, per_work: 1.0, ..Class::default() };
+        let counts = if definition.profile.name.is_empty() { 0.0 } else { UNASKED };
+        Class { definition, counts, ..start }
     }
 }
 
@@ -131,7 +140,13 @@
     kb: f64,
     kb_unseen: f64,
     classes: Vec<Class>,
-    tenants: Vec<f64>,
+    /// By slot: quotas in requests a second, and what was asked for lately.
+    tenants: Vec<(f64, f64)>,
+    /// Slots seen lately, whose figures fade.
+    recent_classes: Vec<usize>,
+    recent_tenants: Vec<usize>,
+    shortest_aim: f64,
+    aims_changed: bool,
     /// Parts of their deadlines that first tries may take, and how often each was seen.
     patiences: Vec<(f64, f64)>,
     arrivals: f64,
@@ -176,13 +191,11 @@
     pub fn new(mut set: Settings, seed: u64, now: Time) -> Self {
         set.specifics.n_cores = set.specifics.n_cores.max(1);
         let cores = f64::from(set.specifics.n_cores);
-        let classes = set.profiles.iter().map(Class::fresh);
-        Self {
+        let (set, classes, tenants) = set.split();
+        let mut new = Self {
             rng: Some(Pcg64Mcg::seed_from_u64(seed)),
             now,
             born: now,
-            classes: classes.collect(),
-            tenants: vec![0.0; set.customers.len()],
             limit: cores,
             crowd: cores,
             call_limit: if set.specifics.below == Below::Shared {
@@ -196,21 +209,43 @@
             pace: CALL_PACE[1],
             idle_part: IDLE_LEAST,
             next_period: now,
+            shortest_aim: f64::INFINITY,
             set,
             ..Self::default()
+        };
+        classes.into_iter().enumerate().for_each(|(slot, class)| new.put_class(slot, class));
+        tenants.iter().enumerate().for_each(|(slot, tenant)| new.put_tenant(slot, tenant.quota_rps, true));
+        new
+    }
+
+    /// The class of a slot from now on, of no name where the slot is free. What was learnt goes by the name; the
+    /// host gives no slot away that an open request is in.
+    pub fn put_class(&mut self, slot: usize, definition: Arc<ClassDefinition>) {
+        self.classes.resize_with(self.classes.len().max(slot + 1), Class::default);
+        self.shortest_aim = self.shortest_aim.min(secs(definition.profile.promise));
+        self.aims_changed = true;
+        let class = &mut self.classes[slot];
+        if class.definition.profile.name == definition.profile.name {
+            class.definition = definition;
+        } else {
+            // It stays listed where the one before was, or it would be listed twice.
+            *class = Class { recent: class.recent, ..Class::fresh(definition) };
         }
     }
 
-    /// New settings while it runs: classes and tenants keep their places and what was learnt of them,
-    /// new ones come after. The host keeps the places; what is open stays in its class.
-    pub fn retune(&mut self, mut set: Settings) {
-        set.specifics.n_cores = set.specifics.n_cores.max(1);
+    /// The quota of the tenant in a slot, in requests a second; another one than before begins anew.
+    pub fn put_tenant(&mut self, slot: usize, quota_rps: f64, another: bool) {
+        self.tenants.resize_with(self.tenants.len().max(slot + 1), Default::default);
+        let asked = self.tenants[slot].1;
+        self.tenants[slot] = (quota_rps, if another { asked.min(2.0 * FORGOTTEN) } else { asked });
+    }
+
+    /// All settings but classes and tenants.
+    pub fn set_rest(&mut self, mut rest: Settings) {
+        rest.specifics.n_cores = rest.specifics.n_cores.max(1);
         // Whether it began cold was learnt at its start, not told by the file.
-        set.specifics.just_started = self.set.specifics.just_started;
-        let new = set.profiles.iter().skip(self.classes.len()).map(Class::fresh).collect::<Vec<_>>();
-        self.classes.extend(new);
-        self.tenants.resize(set.customers.len().max(self.tenants.len()), 0.0);
-        self.set = set;
+        rest.specifics.just_started = self.set.specifics.just_started;
+        self.set = rest;
     }
 
     /// Takes in all events of a batch, then decides once. Events of requests it doesn't know change nothing.
@@ -253,10 +288,12 @@
     // ---- arrival
 
     fn arrive(&mut self, r: &Request, out: &mut Vec<Action>) {
-        if self.seqs.contains_key(&r.id) || r.class >= self.classes.len() {
-            return;
-        }
-        let profile = &self.set.profiles[r.class];
+        let class = self.classes.get_mut(r.class).filter(|class| class.counts > 0.0);
+        let Some(class) = class.filter(|_| !self.seqs.contains_key(&r.id)) else { return };
+        self.recent_classes.extend((!class.recent).then_some(r.class));
+        (class.recent, class.idle) = (true, class.idle.min(10.0));
+        let definition = Arc::clone(&class.definition);
+        let profile = &definition.profile;
         let arrived = before(self.now, r.queued_for);
         let told = r.expires_in.map(|wait| after(self.now, wait));
         let due = told.unwrap_or(after(arrived, profile.deadline));
@@ -274,8 +311,9 @@
         } else {
             self.classes[r.class].asked += 1.0;
             self.learn_patience(patience);
-            if let Some(t) = r.tenant.and_then(|t| self.tenants.get_mut(t)) {
-                *t += 1.0;
+            if let Some(((_, asked), slot)) = r.tenant.and_then(|t| Some((self.tenants.get_mut(t)?, t))) {
+                self.recent_tenants.extend((*asked <= FORGOTTEN).then_some(slot));
+                *asked += 1.0;
             }
         }
         let seq = self.next_seq;
@@ -327,7 +365,7 @@
 
     /// What becomes of a request that was just read.
     fn admit(&mut self, seq: u64, r: &Request, out: &mut Vec<Action>) {
-        let effect = self.set.profiles[r.class].effect;
+        let effect = self.classes[r.class].definition.profile.effect;
         let held = |c: &Self, seq: &u64| c.tries.get(seq).is_some_and(|t| t.state == State::Held);
         let known = r.earlier.as_ref().and_then(|id| self.seqs.get(id)).copied().filter(|k| held(self, k));
         let fits = self.make_room(seq, 0.0, out);
@@ -383,7 +421,7 @@
     /// Keeps a request in the table: a keyed one until its window from arrival is past, a read while fresh.
     fn remember(&mut self, seq: u64, out: &mut Vec<Action>) {
         let t = &self.tries[&seq];
-        let profile = &self.set.profiles[t.class];
+        let profile = &self.classes[t.class].definition.profile;
         let until = match profile.effect {
             Effect::ByKey => after(after(t.arrived, profile.window), self.set.granularity),
             _ => after(t.aim.max(self.now), self.set.specifics.fresh_for),
@@ -532,7 +570,7 @@
         t.answered = true;
         self.at_gate.retain(|&s| s != seq);
         self.dues.remove(&(t.due, seq));
-        let safe = self.set.profiles[t.class].effect == Effect::Repeatable && t.serves <= 1.0;
+        let safe = self.classes[t.class].definition.profile.effect == Effect::Repeatable && t.serves <= 1.0;
         if safe && self.set.specifics.stop_mode != StopMode::Off && t.state == State::Running {
             out.push(Action::Suspend(t.id.clone()));
         }
@@ -576,7 +614,7 @@
     // ---- calls
 
     fn skip_worth(&self, class: usize) -> f64 {
-        self.set.specifics.class_skip_worth.get(class).copied().unwrap_or(0.0)
+        self.classes[class].definition.skip_worth
     }
 
     fn ready(&mut self, id: &RequestId) {
@@ -620,7 +658,7 @@
         }
         let class = t.class;
         let never_ran = matches!(outcome, Outcome::Shed | Outcome::DialFailed);
-        if never_ran || self.set.profiles[class].effect == Effect::Repeatable {
+        if never_ran || self.classes[class].definition.profile.effect == Effect::Repeatable {
             self.at_gate.push(seq);
         } else if self.skip_worth(class) > 0.0 {
             self.degrade(seq, out);
@@ -709,7 +747,7 @@
                 if unknown { (longest + linger, share) } else { (self.call_s, share * self.pace) };
             let gap = usual / part.max(1e-6);
             if unknown && self.next_call == Time(0) {
-                self.next_call = after(self.now, span(CALL_FIRST * self.shortest_aim() * dice));
+                self.next_call = after(self.now, span(CALL_FIRST * self.shortest_aim * dice));
             }
             if small && spent > budget / 2.0 {
                 // At random again, or all that ran out of budget together call together when it is back.
@@ -720,11 +758,11 @@
                 continue;
             }
             let mut timeout = left(self.now, t.due).max(secs(self.set.granularity));
-            if self.set.profiles[t.class].effect == Effect::Repeatable && self.calls_seen > 10 {
+            if self.classes[t.class].definition.profile.effect == Effect::Repeatable && self.calls_seen > 10 {
                 // A call may be lost on its way: what is safe to repeat doesn't wait for it to the end.
                 let heavy =
                     (self.core_s(t) / class.core_s).max(1.0) * f64::from(1 << (2 * t.call_fails).min(16));
-                let usual = (CALL_PATIENCE * self.call_s).max(CALL_SHORTEST * self.shortest_aim());
+                let usual = (CALL_PATIENCE * self.call_s).max(CALL_SHORTEST * self.shortest_aim);
                 timeout = timeout.min(usual * heavy);
             }
             if small {
@@ -755,7 +793,7 @@
     /// that wait there tell. Where several calls may be out at once, the longest waiting are the passed over.
     fn gate_s(&self, class: usize) -> f64 {
         let (told, now) = (&self.set.specifics, self.now);
-        let calls = told.calls_by_class.get(class).is_none_or(|&calls| calls) && told.calls_out < 1.0;
+        let calls = self.classes[class].definition.calls && told.calls_out < 1.0;
         if !calls || self.skip_worth(class) > 0.0 || told.below != Below::Shared {
             return 0.0;
         }
@@ -767,7 +805,7 @@
     fn density(&self, seq: u64) -> f64 {
         let t = &self.tries[&seq];
         let class = &self.classes[t.class];
-        let profile = &self.set.profiles[t.class];
+        let profile = &class.definition.profile;
         let cost = self.core_s(t);
         let wait = class.lat_s.min(class.lat_s - class.core_s + cost) + self.gate_s(t.class);
         let part = match (left(self.now, t.aim), left(self.now, t.due)) {
@@ -781,8 +819,7 @@
 
     /// What a tenant sends over its local share is worth little, and nothing marks it: the mean counts.
     fn tenant_factor(&self, tenant: Option<usize>) -> f64 {
-        let known = tenant.and_then(|n| Some((*self.tenants.get(n)?, self.set.customers.get(n)?.quota_rps)));
-        let Some((asked, quota)) = known else { return 1.0 };
+        let Some(&(quota, asked)) = tenant.and_then(|slot| self.tenants.get(slot)) else { return 1.0 };
         let mine = quota / f64::from(self.set.servers.max(1)) * MEMORY_OF_COUNTS_S;
         if self.set.tier > 0 || quota <= 0.0 || asked <= mine {
             return 1.0;
@@ -805,7 +842,7 @@
         let mut ahead = 0.0;
         for (_, seq) in line {
             let Some(t) = self.tries.get(&seq) else { continue };
-            let (class, profile) = (&self.classes[t.class], &self.set.profiles[t.class]);
+            let (class, profile) = (&self.classes[t.class], &self.classes[t.class].definition.profile);
             let cost = self.core_s(t);
             let base = class.lat_s.min(class.lat_s - class.core_s + cost) + self.gate_s(t.class);
             let target = left(self.now, t.aim) - base;
@@ -865,6 +902,10 @@
     fn period(&mut self, out: &mut Vec<Action>) {
         self.next_period = after(self.now, PERIOD);
         let gauges = self.gauges.take().unwrap_or_default();
+        if std::mem::take(&mut self.aims_changed) {
+            let aims = self.classes.iter().map(|class| secs(class.definition.profile.promise));
+            self.shortest_aim = aims.fold(f64::INFINITY, f64::min);
+        }
         self.law(&gauges, out);
         self.adapt_limit(&gauges);
         // The way back: while calls look too slow to make, none comes back to say that they no longer are.
@@ -874,7 +915,9 @@
         self.arrivals *= keep;
         self.retries *= keep;
         self.refusals *= keep;
-        for class in &mut self.classes {
+        let (classes, tenants) = (&mut self.classes, &mut self.tenants);
+        self.recent_classes.retain(|&slot| {
+            let class = &mut classes[slot];
             class.asked *= keep;
             // The way back for an estimate so long that nothing is started to correct it.
             class.idle += 1.0;
@@ -882,15 +925,21 @@
                 class.core_s -= 0.03 * (class.core_s - class.first_s).max(0.0);
                 class.lat_s -= 0.03 * (class.lat_s - class.first_s).max(0.0);
             }
-        }
-        self.tenants.iter_mut().for_each(|asked| *asked *= keep);
+            class.recent = class.asked > FORGOTTEN || class.idle < AT_REST;
+            class.recent
+        });
+        self.recent_tenants.retain(|&slot| {
+            tenants[slot].1 *= keep;
+            tenants[slot].1 > FORGOTTEN
+        });
         self.patiences.iter_mut().for_each(|(_, times)| *times *= keep);
-        let usual = (STALL_RUNS * self.mean_run()).max(STALL_AIM * self.shortest_aim());
-        let usual = if self.swamped { usual.min(SWAMP_AIM * self.shortest_aim()) } else { usual };
+        let mean = self.mean_run();
+        let usual = (STALL_RUNS * mean).max(STALL_AIM * self.shortest_aim);
+        let usual = if self.swamped { usual.min(SWAMP_AIM * self.shortest_aim) } else { usual };
         self.stalled = left(self.progress, self.now) > usual;
         self.trim(out);
         self.shape_connections(&gauges, out);
-        self.advise(out);
+        self.advise(mean, out);
     }
 
     /// The design's law: past the danger zone, Output per cent of the arrivals are refused before being held.
@@ -919,7 +968,7 @@
             self.limit -= 0.25;
         }
         // The floor gives way while requests wait unread: runs and readings crowd each other.
-        let unread = self.unread_s / self.shortest_aim();
+        let unread = self.unread_s / self.shortest_aim;
         let floor = cores * (1.0 - (unread - UNREAD_WELL) / (UNREAD_UNWELL - UNREAD_WELL)).clamp(0.0, 1.0);
         self.limit = self.limit.clamp(floor.min(self.crowd), self.crowd.max(1.0));
     }
@@ -942,18 +991,14 @@
         }
     }
 
-    fn shortest_aim(&self) -> f64 {
-        self.set.profiles.iter().map(|p| secs(p.promise)).fold(f64::INFINITY, f64::min)
-    }
-
     fn mean_run(&self) -> f64 {
-        let asked: f64 = self.classes.iter().map(|c| c.asked + 0.1).sum();
-        self.classes.iter().map(|c| c.core_s * (c.asked + 0.1) / asked).sum()
+        let asked: f64 = self.classes.iter().map(|c| c.asked + c.counts).sum();
+        self.classes.iter().map(|c| c.core_s * (c.asked + c.counts) / asked).sum()
     }
 
     /// Tells callers early what this worker has room for.
-    fn advise(&mut self, out: &mut Vec<Action>) {
-        let promise = self.shortest_aim();
+    fn advise(&mut self, mean: f64, out: &mut Vec<Action>) {
+        let promise = self.shortest_aim;
         let fill = self.wait_s() / (HOLD_AIM * promise);
         if self.refused_now || fill > 1.0 {
             self.accept = (self.accept * 0.95).max(0.05);
@@ -972,7 +1017,6 @@
             self.unwell = unwell;
             out.push(Action::ReportHealth { shallow: true, active: !unwell });
         }
-        let mean = self.mean_run();
         let open = if self.leaving.is_some() || self.stalled {
             0.0
         } else {
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -120,6 +120,55 @@
     }
 }
 
+/// A request class with the settings of it that the module keeps beside its profile.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ClassDefinition {
+    /// Name, latency target, deadline, effect and worth.
+    pub profile: Profile,
+    /// Whether its runs call the shared dependency; `specifics.calls_by_class` of the configuration file.
+    pub calls: bool,
+    /// Worth kept when the call is left out, as a part; `specifics.class_skip_worth` of the configuration file.
+    pub skip_worth: f64,
+}
+
+impl Default for ClassDefinition {
+    /// The class of a free slot, which no request is in.
+    fn default() -> Self {
+        let (name, none, never) = (String::new(), Span(0), Span(u64::MAX));
+        let (effect, worth) = (Effect::Once, 0.0);
+        let profile = Profile {
+            name,
+            promise: never,
+            deadline: never,
+            effect,
+            late_value: 0.0,
+            window: none,
+            worth,
+            aim_stretch: 0.0,
+        };
+        Self { profile, calls: true, skip_worth: 0.0 }
+    }
+}
+
+impl Settings {
+    /// The rest, the classes and the tenants: what the settings of a class are told by its place for is in its definition.
+    pub fn split(mut self) -> (Self, Vec<Arc<ClassDefinition>>, Vec<Arc<Customer>>) {
+        let calls = std::mem::take(&mut self.specifics.calls_by_class);
+        let worths = std::mem::take(&mut self.specifics.class_skip_worth);
+        let define = |(place, profile): (usize, Profile)| {
+            let calls = calls.get(place).copied().unwrap_or(true);
+            Arc::new(ClassDefinition {
+                profile,
+                calls,
+                skip_worth: worths.get(place).copied().unwrap_or(0.0),
+            })
+        };
+        let classes = std::mem::take(&mut self.profiles).into_iter().enumerate().map(define).collect();
+        let tenants = std::mem::take(&mut self.customers).into_iter().map(Arc::new).collect();
+        (self, classes, tenants)
+    }
+}
+
 fn one() -> u32 {
     1
 }
--- a/crates/gradepin/src/main.rs
+++ b/crates/gradepin/src/main.rs
@@ -10,14 +10,13 @@
 use gradepin_node::fronts::scgi::routes::Routes;
 use gradepin_node::handed::Handed;
 use gradepin_node::log::{self, LogFormat};
-use gradepin_node::settings::Own;
 use gradepin_node::settings::cluster::keys;
+use gradepin_node::settings::{Live, Own};
 use gradepin_node::{config, serve};
 use rustix::process::{Pid, Signal, kill_process};
 use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
 use store::StoreCommand;
 
 #[derive(Parser)]
@@ -97,7 +96,8 @@
         let config = config::load(&path)?;
         if let Some(scgi) = &own.scgi {
             // As `serve` would: a route to a class that isn't there ends the start.
-            Routes::new(scgi, Arc::new(config.settings.clone()))?;
+            let names = Live::new(&config.settings);
+            Routes::new(scgi, names.clone(), |class| names.class(class).is_some())?;
         }
         Ok((config, own, serve::Files { config: path, own: self.settings, version: self.program_version }))
     }
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -9,7 +9,7 @@
 use gradepin_core::admin::AdminCall;
 use gradepin_core::config::Config;
 use gradepin_core::keys::End;
-use gradepin_core::messages::{Claim, ConnId, Effect, Input, RunEnd};
+use gradepin_core::messages::{Claim, ConnId, Effect, Input, NameChange, RunEnd};
 use gradepin_core::moment::Moment;
 use gradepin_core::pool::Pool;
 use gradepin_core::reducer::{Reducer, lent_share};
@@ -17,6 +17,8 @@
 use gradepin_decisions::{Outcome, RequestId, Settings, Span, Time};
 use gradepin_node::admin;
 use gradepin_node::fronts::thrift::codec;
+use gradepin_node::settings::Live;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 const MS: u64 = 1_000_000;
@@ -25,7 +27,10 @@
     /// The configuration it started with, of which reloads are made.
     config: serde_json::Value,
     reducer: Reducer,
-    settings: Arc<Settings>,
+    settings: Settings,
+    names: Live,
+    /// Classes by their slots, in force or not, and the number of the last change of names.
+    classes: BTreeMap<usize, String>,
     pool: Arc<Pool>,
     ms: u64,
     /// How far the Unix clock was set since the start.
@@ -37,6 +42,8 @@
     muted: bool,
     link: u64,
     calls: u64,
+    /// Whether a file that can be used was told and is not in force yet.
+    reloading: bool,
 }
 
 impl Virtually {
@@ -108,11 +115,14 @@
         let mut text = config("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3");
         change(&mut text);
         let config = Config::parse(&text.to_string()).expect("a whole configuration");
-        let settings = Arc::new(config.settings.clone());
+        let settings = config.settings.clone();
+        let classes = settings.profiles.iter().map(|class| class.name.clone()).enumerate().collect();
         Self {
             config: text,
-            reducer: Reducer::new(&config, Arc::clone(&settings), registration)
+            reducer: Reducer::new(&config, Arc::new(settings.clone()), registration)
                 .expect("a whole configuration"),
+            names: Live::new(&settings),
+            classes,
             settings,
             pool: Pool::new(8),
             ms: 1_000_000,
@@ -123,6 +133,7 @@
             muted: false,
             link: 0,
             calls: 0,
+            reloading: false,
         }
     }
 
@@ -177,7 +188,7 @@
             }
             Effect::Begin(_, id, class, body) => {
                 let id = u64::from_str_radix(&id.0, 16).expect("hex");
-                let class = &self.settings.profiles[class].name;
+                let class = &class.profile.name;
                 format!("processor begin {id} {class} {}", String::from_utf8_lossy(&body))
             }
             Effect::Call(id, body, limit, _) => {
@@ -220,12 +231,26 @@
             Effect::Persist(number, _) => format!("store {number}"),
             Effect::Retell => "retell".to_string(),
             Effect::Exit => "exit".to_string(),
-            Effect::Settings(settings) => {
-                let names: Vec<&str> =
-                    settings.profiles.iter().map(|profile| profile.name.as_str()).collect();
-                let event = format!("settings {}", names.join(" "));
-                self.settings = settings;
-                event
+            Effect::Names { edition, changes } => {
+                for change in &changes {
+                    match change {
+                        NameChange::Class(handle, class) => {
+                            self.classes.insert(handle.slot(), class.profile.name.clone());
+                        }
+                        NameChange::ClassGone(class) => {
+                            self.classes.retain(|_, name| *name != class.profile.name);
+                        }
+                        _ => {}
+                    }
+                }
+                self.names.publish(edition, changes);
+                return;
+            }
+            Effect::LongestWindow(_) => return,
+            Effect::Reloaded => {
+                let names: Vec<&str> = self.classes.values().map(String::as_str).collect();
+                let reloaded = format!("settings {}", names.join(" "));
+                if std::mem::take(&mut self.reloading) { reloaded } else { return }
             }
             Effect::Admin(_, answer) => {
                 let response = admin::response(answer);
@@ -245,7 +270,7 @@
 impl Stage for Virtually {
     fn client(&mut self, conn: &str, bytes: &[u8], more: bool) {
         let conn = self.conn(conn);
-        let input = match codec::decode(&bytes[4..], &self.settings, &self.pool).expect("well-formed") {
+        let input = match codec::decode(&bytes[4..], &self.names, &self.pool).expect("well-formed") {
             codec::Message::Call(seq, call) => Input::Call(conn, seq, call),
             codec::Message::Health(seq) => Input::Health(conn, seq),
             codec::Message::Cancel(seq) => Input::Cancel(conn, seq),
@@ -318,7 +343,10 @@
         };
         // As the shell reads a file: what can't be parsed reaches the reducer as a refusal.
         self.waiting.push(match Config::parse(&text) {
-            Ok(config) => Input::Reload(Box::new(config)),
+            Ok(config) => {
+                self.reloading = true;
+                Input::Reload(Box::new(self.names.compare(config)))
+            }
             Err(why) => Input::ReloadRefused(why.to_string()),
         });
         self.settle();
--- a/crates/model/src/policies/shell.rs
+++ b/crates/model/src/policies/shell.rs
@@ -209,7 +209,7 @@
         let open = Open {
             conn,
             seq,
-            class: call.class,
+            class: call.class.slot(),
             kb: call.size_kb,
             ask,
             token: call.token.clone(),
@@ -341,10 +341,10 @@
             }
             self.kb += extra + keyed;
             open.began = Some(self.now);
-            let (ask, class, body) = (open.ask, open.class, Arc::clone(&open.body));
+            let (ask, body) = (open.ask, Arc::clone(&open.body));
             self.running += 1;
             self.policy.began(self.now, &ask);
-            effects.push(Effect::Begin(link, id, class, body));
+            effects.push(Effect::Begin(link, id, Arc::default(), body));
         }
         if self.line.is_empty() {
             self.policy.idle(self.now);
--- a/crates/model/src/world/machines.rs
+++ b/crates/model/src/world/machines.rs
@@ -220,8 +220,8 @@
         let came_ms = one.came / MS;
         let call = Call {
             id: RequestId::new(&format!("{id:016x}")),
-            class,
-            tenant: Some(request.office as usize),
+            class: class.into(),
+            tenant: Some((request.office as usize).into()),
             caller: u64::from(self.conns[one.conn as usize].proxy),
             t0: EPOCH_MS + came_ms,
             budget: one.budget_ms,
--- a/crates/model/tests/common/mod.rs
+++ b/crates/model/tests/common/mod.rs
@@ -117,7 +117,12 @@
                     }
                     self.ran.insert(token, call.id.clone());
                     self.open.insert(call.id.clone(), (conn, seq));
-                    effects.push(Effect::Begin(1, call.id, call.class, std::sync::Arc::new(call.body)));
+                    effects.push(Effect::Begin(
+                        1,
+                        call.id,
+                        std::sync::Arc::default(),
+                        std::sync::Arc::new(call.body),
+                    ));
                 }
                 Input::Complete { id, result, .. } => {
                     let Some((conn, seq)) = self.open.remove(&id) else { continue };
--- a/crates/node/src/change.rs
+++ b/crates/node/src/change.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Clock;
 use crate::config;
+use crate::reload::Reloads;
 use crossbeam_channel::Sender;
 use gradepin_core::config::Config;
 use gradepin_core::messages::Input;
@@ -115,6 +116,7 @@
         until: Time,
         clock: Clock,
         inputs: Sender<Input>,
+        reloads: Reloads,
     ) -> io::Result<()> {
         let stage = Arc::clone(self);
         let run = move || {
@@ -124,7 +126,7 @@
             } else {
                 match turn.kind {
                     Kind::Program => stage.program(&turn.version),
-                    Kind::Settings => stage.settings(&turn.version, &inputs),
+                    Kind::Settings => stage.settings(&turn.version, &reloads),
                 }
             };
             if let Err(why) = done {
@@ -146,7 +148,7 @@
         Err(format!("{} ended with {}: {said}", command.display(), output.status))
     }
 
-    fn settings(&self, version: &str, inputs: &Sender<Input>) -> Result<(), String> {
+    fn settings(&self, version: &str, reloads: &Reloads) -> Result<(), String> {
         let text = fs::read_to_string(self.path(version))
             .map_err(|e| format!("settings {version} aren't staged: {e}"))?;
         if digest(&text) != version {
@@ -157,8 +159,7 @@
         // Whole and checked before anything of it is in force.
         let config = Config::parse(&text).map_err(|e| e.to_string())?;
         replace(&self.config, &text).map_err(|e| format!("{}: {e}", self.config.display()))?;
-        let _ = inputs.send(Input::Reload(Box::new(config)));
-        let _ = inputs.send(Input::SettingsAre(Some(version.to_string()), self.staged()));
+        reloads.staged(config, Input::SettingsAre(Some(version.to_string()), self.staged()));
         Ok(())
     }
 }
--- a/crates/node/src/fronts/conn/tests.rs
+++ b/crates/node/src/fronts/conn/tests.rs
@@ -9,7 +9,7 @@
 fn pair() -> (Conn, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let front = Arc::new(Thrift::new(Live::new(Arc::default())));
+    let front = Arc::new(Thrift::new(Live::new(&Default::default())));
     (Conn::new(listener.accept().unwrap().0.into(), front, &Arc::default()), peer)
 }
 
--- a/crates/node/src/fronts/reader/tests.rs
+++ b/crates/node/src/fronts/reader/tests.rs
@@ -13,7 +13,7 @@
     let address = listener.local_addr().unwrap();
     let listener = if shared { Listener::Shared(listener) } else { Listener::Tcp(listener) };
     let (inputs, came) = unbounded();
-    let front: Arc<dyn Front> = Arc::new(Thrift::new(Live::new(Arc::default())));
+    let front: Arc<dyn Front> = Arc::new(Thrift::new(Live::new(&Default::default())));
     let log = Logger::root(slog::Discard, slog::o!());
     let shared = Shared {
         handles: Arc::default(),
--- a/crates/node/src/fronts/scgi/routes.rs
+++ b/crates/node/src/fronts/scgi/routes.rs
@@ -2,10 +2,10 @@
 //! the settings alone; no I/O.
 
 use super::codec::Request;
-use crate::settings::{Headers, ScgiSettings};
+use crate::settings::{Headers, Live, ScgiSettings};
 use gradepin_core::messages::{Call, Misuse};
 use gradepin_core::pool::Pool;
-use gradepin_decisions::{Effect, RequestId, Settings};
+use gradepin_decisions::{Effect, RequestId};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -35,9 +35,10 @@
 pub type Refusal = (Misuse, String);
 
 /// Where a path leads.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Target {
-    Class(usize),
+    /// By its name, which a request looks up: its slot may be another's later.
+    Class(Arc<str>),
     Health,
 }
 
@@ -50,19 +51,19 @@
     Health,
 }
 
-/// The routes of one set of settings, checked against one configuration.
+/// The routes of one set of settings, to the classes in force.
 #[derive(Debug)]
 pub struct Routes {
     routers: BTreeMap<String, matchit::Router<Target>>,
     headers: Headers,
     memory_kb: f64,
     rank: f64,
-    settings: Arc<Settings>,
+    names: Live,
 }
 
 impl Routes {
-    /// Builds and checks them.
-    pub fn new(set: &ScgiSettings, settings: Arc<Settings>) -> Result<Self, BadRoute> {
+    /// Builds and checks them; `is_class` says whether the configuration they go with has a class of a name.
+    pub fn new(set: &ScgiSettings, names: Live, is_class: impl Fn(&str) -> bool) -> Result<Self, BadRoute> {
         let mut routers = BTreeMap::<String, matchit::Router<Target>>::new();
         let mut insert = |method: &str, path: &str, target| {
             let router = routers.entry(method.to_string()).or_default();
@@ -73,14 +74,16 @@
             })
         };
         for route in &set.routes {
-            let class = settings.class(&route.class).ok_or_else(|| BadRoute::Class(route.class.clone()))?;
-            insert(&route.method, &route.path, Target::Class(class))?;
+            if !is_class(&route.class) {
+                return Err(BadRoute::Class(route.class.clone()));
+            }
+            insert(&route.method, &route.path, Target::Class(Arc::from(route.class.as_str())))?;
         }
         if let Some(path) = &set.health {
             insert("GET", path, Target::Health)?;
         }
         let (headers, memory_kb, rank) = (set.headers.clone(), set.memory_kb, set.rank);
-        Ok(Self { routers, headers, memory_kb, rank, settings })
+        Ok(Self { routers, headers, memory_kb, rank, names })
     }
 
     /// The headers that a decoder is to keep.
@@ -98,7 +101,7 @@
         let path = names.iter().filter_map(|name| text(name)).find(|path| !path.is_empty());
         let path = path.ok_or((Misuse::Request, "expected a path as DOCUMENT_URI".to_string()))?;
         let path = path.split('?').next().unwrap_or(path);
-        let at = |router: &matchit::Router<Target>| router.at(path).ok().map(|found| *found.value);
+        let at = |router: &matchit::Router<Target>| router.at(path).ok().map(|found| found.value.clone());
         if let Some(target) = self.routers.get(method).and_then(at) {
             return Ok(target);
         }
@@ -137,11 +140,14 @@
                 std::str::from_utf8(value).map(Some).map_err(|_| bad(&format!("no text as {name}")))
             }
         };
-        let profile = &self.settings.profiles[class];
+        let Some((class, definition)) = self.names.class(&class) else {
+            return Err((Misuse::NotFound, "the class of this route is not in force".into()));
+        };
+        let profile = &definition.profile;
         let h = &self.headers;
         let tenant = match text(&h.tenant)? {
             None => None,
-            Some(name) => Some(self.settings.tenant(name).ok_or_else(|| bad("an unknown tenant"))?),
+            Some(name) => Some(self.names.tenant(name).ok_or_else(|| bad("an unknown tenant"))?),
         };
         let number = |name: &str, default: f64, range: std::ops::Range<f64>| match text(name)? {
             None => Ok(default),
--- a/crates/node/src/fronts/scgi/routes/tests.rs
+++ b/crates/node/src/fronts/scgi/routes/tests.rs
@@ -19,7 +19,8 @@
         health: Some("/health".into()),
         ..ScgiSettings::default()
     };
-    Routes::new(&set, Arc::new(settings.expect("settings")))
+    let settings: gradepin_decisions::Settings = settings.expect("settings");
+    Routes::new(&set, Live::new(&settings), |class| settings.class(class).is_some())
 }
 
 fn some() -> Routes {
@@ -35,7 +36,7 @@
 fn methods_and_paths_lead_to_classes_health_and_plain_errors() {
     let of = |method: &str, path: &str| asked(&[("REQUEST_METHOD", method), ("DOCUMENT_URI", path)]);
     let Ok(Routed::Call(call)) = of("GET", "/sheets/9?zoom=1") else { panic!("a call") };
-    assert_eq!((call.class, call.budget, call.t0, &*call.id.0), (0, 4000, 17, "00000000000000ff"));
+    assert_eq!((call.class.slot(), call.budget, call.t0, &*call.id.0), (0, 4000, 17, "00000000000000ff"));
     assert!(matches!(of("GET", "/health"), Ok(Routed::Health)));
     for (method, path, misuse) in [
         ("GET", "/nothing", Misuse::NotFound),
--- a/crates/node/src/fronts/thrift/codec.rs
+++ b/crates/node/src/fronts/thrift/codec.rs
@@ -1,8 +1,9 @@
 //! Thrift's framed transport and strict binary protocol: bytes to messages and answers to bytes.
 
+use crate::settings::Live;
 use gradepin_core::messages::{Answer, Call, Misuse, SeqId, UNKNOWN};
 use gradepin_core::pool::{Buffer, Pool, SIZE};
-use gradepin_decisions::{Effect, RequestId, Settings};
+use gradepin_decisions::{Effect, RequestId};
 use std::sync::Arc;
 
 const VERSION: u32 = 0x8001_0000;
@@ -50,7 +51,7 @@
 }
 
 /// Reads the message in a frame, its length prefix taken off.
-pub fn decode(frame: &[u8], settings: &Settings, pool: &Arc<Pool>) -> Result<Message, Malformed> {
+pub fn decode(frame: &[u8], names: &Live, pool: &Arc<Pool>) -> Result<Message, Malformed> {
     let mut r = Reader(frame);
     let head = r.u32()?;
     if head & 0xffff_0000 != VERSION {
@@ -67,7 +68,7 @@
                 (2, STRING) => r.string().map(|bytes| body = bytes).map(|()| true),
                 _ => Ok(false),
             })?;
-            match fields.call(body, settings, pool) {
+            match fields.call(body, names, pool) {
                 Ok(call) => Message::Call(seq, Box::new(call)),
                 Err((misuse, why)) => Message::Invalid(seq, misuse, why),
             }
@@ -150,13 +151,13 @@
         Ok(())
     }
 
-    fn call(&self, body: &[u8], settings: &Settings, pool: &Arc<Pool>) -> Result<Call, (Misuse, String)> {
+    fn call(&self, body: &[u8], names: &Live, pool: &Arc<Pool>) -> Result<Call, (Misuse, String)> {
         let bad = |why: &str| (Misuse::Request, why.to_string());
         let method = self.method.ok_or(bad("no method"))?;
-        let class = settings.class(method).ok_or_else(|| (Misuse::NotFound, unknown(method)))?;
+        let (class, definition) = names.class(method).ok_or_else(|| (Misuse::NotFound, unknown(method)))?;
         let tenant = match self.acct {
             Some(name) => {
-                let tenant = settings.tenant(name);
+                let tenant = names.tenant(name);
                 Some(tenant.ok_or_else(|| bad(&format!("unknown tenant {}", quoted(name))))?)
             }
             None => None,
@@ -172,7 +173,7 @@
         if !(0.0..1.0).contains(&precedence) {
             return Err(bad("prio out of range"));
         }
-        let keyed = settings.profiles[class].effect == Effect::ByKey;
+        let keyed = definition.profile.effect == Effect::ByKey;
         if keyed && token.is_none() {
             return Err(bad("no token of 1 to 64 bytes in a keyed class"));
         }
--- a/crates/node/src/fronts/thrift/mod.rs
+++ b/crates/node/src/fronts/thrift/mod.rs
@@ -17,19 +17,19 @@
 
 /// The front.
 pub struct Thrift {
-    settings: Live,
+    names: Live,
 }
 
 impl Thrift {
-    /// For classes and tenants of the settings in force.
-    pub fn new(settings: Live) -> Self {
-        Self { settings }
+    /// For the classes and tenants in force.
+    pub fn new(names: Live) -> Self {
+        Self { names }
     }
 }
 
 impl Front for Thrift {
     fn cutter(&self) -> Box<dyn Cutter> {
-        Box::new(Frames(self.settings.clone()))
+        Box::new(Frames(self.names.clone()))
     }
 
     fn patience(&self) -> Patience {
@@ -68,7 +68,7 @@
     fn cut(&mut self, bytes: &[u8], pool: &Arc<Pool>) -> Result<Option<(usize, Cut)>, Malformed> {
         let Some(len) = codec::frame(bytes)? else { return Ok(None) };
         let Some(frame) = bytes.get(4..len) else { return Ok(None) };
-        let cut = match codec::decode(frame, &self.0.current(), pool)? {
+        let cut = match codec::decode(frame, &self.0, pool)? {
             Message::Call(seq, call) => Cut::Call(seq, call),
             Message::Health(seq) => Cut::Health(seq),
             Message::Invalid(seq, misuse, why) => Cut::Invalid(seq, misuse, why),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod processor;
 pub mod registry;
+pub mod reload;
 pub mod serve;
 pub mod settings;
 pub mod shared_ledger;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -4,7 +4,6 @@
 use crate::change::Stage;
 use crate::claims::Claims;
 use crate::clock::Clock;
-use crate::config;
 use crate::control::Control;
 use crate::council::CouncilFolder;
 use crate::fronts::scgi::Scgi;
@@ -15,6 +14,7 @@
 use crate::peers::{Peers, SharedKeys};
 use crate::processor::Processor;
 use crate::registry::Registry;
+use crate::reload::{Parties, Reloads};
 use crate::settings::cluster::{self, KeysError};
 use crate::settings::{CouncilSettings, FleetSettings, Live, Own};
 use crate::shared_ledger::SharedLedger;
@@ -38,7 +38,7 @@
 use gradepin_releases::record::Limits;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use slog::{Level, Logger, error, info, warn};
-use std::error::Error;
+use std::collections::BTreeMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -62,8 +62,7 @@
 /// How long an address may be held by another process, which may be on its way out, and how often it is tried again.
 const HELD_PATIENCE: Duration = Duration::from_secs(10);
 const HELD_AGAIN: Duration = Duration::from_millis(50);
-/// Of the thread that reads the configuration again, nested as it is.
-const SIGNAL_STACK: usize = 256 * 1024;
+const SIGNAL_STACK: usize = 64 * 1024;
 
 /// Why a server can't start.
 #[derive(Debug, thiserror::Error)]
@@ -124,14 +123,21 @@
     let signals = Signals::new(&[SIGTERM, SIGHUP, SIGUSR1, SIGUSR2]).map_err(failed("signals"))?;
     config.admin_addr = handed.admin_addr.or(config.admin_addr);
     config.lends = own.cluster.as_ref().is_some_and(|set| set.slots.is_some());
-    let mut settings = Arc::new(config.settings.clone());
+    let names = cell_names(&config.settings);
+    let store_limits = own.store.as_ref().map(|set| set.limits(&config));
+    let window = longest_window(&config.settings);
+    // From here on the reducer has the classes and tenants, once, shared with the fronts.
+    let (rest, classes, tenants) = std::mem::take(&mut config.settings).split();
+    config.settings = rest;
+    let settings = Arc::new(config.settings.clone());
+    let live = Live::of(&classes, &tenants);
     let clock = Clock::start();
     let seed = config.seed()?;
     let membership = own.registry.as_ref().map(|set| set.membership(&config));
     let id = membership.as_ref().map(|set| set.instance.id.clone()).unwrap_or_default();
     let membership = membership.map(|set| Membership::new(set, seed, clock.read().now));
     let registration = Registration::new(membership, own.leave_hold);
-    let mut reducer = Reducer::new(&config, Arc::clone(&settings), registration)?;
+    let mut reducer = Reducer::with_definitions(&config, classes, tenants, registration)?;
     if handed.accept_fd.is_some() {
         reducer = reducer.sharing_listener();
     }
@@ -145,7 +151,7 @@
     let shared_folder = handed.shared_folder.as_ref().filter(|_| own.store.is_none());
     let claims = shared_folder.map(|folder| {
         let folder = folder.join(format!("gradepin.{}.keys", config.name));
-        let (memory, window) = (config.memory(1), longest_window(&settings));
+        let memory = config.memory(1);
         Claims::start(folder, seed, memory, window, urgently.clone(), Arc::clone(&pool), log.clone())
     });
     let claims = claims.transpose().map_err(failed("the folder of keyed runs in $TMPDIR"))?;
@@ -155,7 +161,6 @@
         warn!(log, "no $TMPDIR: keyed runs are not shared with the other process of an upgrade");
     }
     let mut control = Control::new(&config.name, config.listen, config.control).map_err(failed("control"))?;
-    let live = Live::new(Arc::clone(&settings));
     let thrift: Arc<dyn Front> = Arc::new(Thrift::new(live.clone()));
     let listener = match handed.accept_fd {
         // The platform holds it, and the process before this one may still accept on it.
@@ -166,7 +171,9 @@
         },
     };
     let mut listeners = vec![(thrift, listener)];
-    let scgi = own.scgi.as_ref().map(|set| Routes::new(set, Arc::clone(&settings))).transpose()?;
+    let scgi =
+        own.scgi.as_ref().map(|set| Routes::new(set, live.clone(), |class| live.class(class).is_some()));
+    let scgi = scgi.transpose()?;
     let scgi = scgi.map(|routes| Arc::new(Scgi::new(routes, seed)));
     if let (Some(front), Some(set)) = (&scgi, &own.scgi) {
         for &address in &set.listen {
@@ -211,7 +218,7 @@
             reducer = reducer.with_cluster(Cluster::new(settings, clock.read().now));
             if let Some(set) = &own.council {
                 let found = council.as_ref().map(|(_, found)| found.clone());
-                let part = part_settings(set, &config, own_life.clone(), found, seed);
+                let part = part_settings(set, names, own_life.clone(), found, seed);
                 let in_force =
                     stage.as_ref().map(|stage| stage.in_force()).transpose().map_err(failed("stage"))?;
                 let (part, zone) = (Part::new(part, clock.read().now), own_life.zone.to_string());
@@ -224,12 +231,13 @@
         _ => None,
     };
     let letters = if peers.is_some() { letters } else { never() };
-    let watched = watch_signals(signals, files, scgi, keys, Arc::clone(&settings), urgently.clone());
-    watched.map_err(failed("signals"))?;
+    let (reloaded, is_reloaded) = bounded(1);
+    let parties = Parties { files, scgi, keys, live: live.clone(), inputs: urgently.clone() };
+    let reloads = Reloads::start(parties, is_reloaded).map_err(failed("reloads"))?;
+    watch_signals(signals, reloads.clone(), urgently.clone()).map_err(failed("signals"))?;
     let (mut arrived, mut effects): (Vec<Input>, Vec<Effect>) = (Vec::new(), Vec::new());
-    let store = own.store.as_ref().map(|set| {
-        let (open, limits) = (store::folder(set.path.clone()), set.limits(&config));
-        Store::start(open, limits, seed, clock, urgently.clone(), log.clone())
+    let store = own.store.as_ref().zip(store_limits).map(|(set, limits)| {
+        Store::start(store::folder(set.path.clone()), limits, seed, clock, urgently.clone(), log.clone())
     });
     let store = store.transpose().map_err(failed("store"))?;
     if store.is_some() {
@@ -269,7 +277,7 @@
                 Effect::Close(conn) => fronts.close(conn),
                 Effect::CloseResting(conn, taken) => fronts.close_resting(conn, taken),
                 Effect::Begin(link, id, class, body) => {
-                    processor.begin(link, &id, &settings.profiles[class].name, &body);
+                    processor.begin(link, &id, &class.profile.name, &body);
                 }
                 Effect::Usage(link, tag) => processor.usage(link, tag),
                 Effect::Call(id, body, limit, leaves) => {
@@ -291,9 +299,9 @@
                 Effect::Change(turn, until) => {
                     let release = turn.release;
                     let changed = match &stage {
-                        Some(stage) => {
-                            stage.change(*turn, until, clock, changes.clone()).map_err(|e| e.to_string())
-                        }
+                        Some(stage) => stage
+                            .change(*turn, until, clock, changes.clone(), reloads.clone())
+                            .map_err(|e| e.to_string()),
                         None => Err("the settings name no stage".to_string()),
                     };
                     // In its own queue: this thread must not wait for itself.
@@ -335,13 +343,13 @@
                         claims.ended(token, print, end);
                     }
                 }
-                Effect::Settings(new) => {
+                Effect::Names { edition, changes } => live.publish(edition, changes),
+                Effect::LongestWindow(window) => {
                     if let Some(claims) = &claims {
-                        claims.window(longest_window(&new));
+                        claims.window(window);
                     }
-                    live.publish(Arc::clone(&new));
-                    settings = new;
                 }
+                Effect::Reloaded => drop(reloaded.try_send(())),
                 Effect::Admin(id, answer) => {
                     if let Some(admin) = &admin {
                         admin.answer(id, answer);
@@ -404,32 +412,16 @@
 }
 
 /// SIGTERM becomes the notice to leave, SIGUSR1 an operator's order to go out of service and then leave, SIGUSR2 the
-/// order to come back from that. SIGHUP becomes the configuration, read again; where that can't be used,
-/// the one in force stays.
-fn watch_signals(
-    mut signals: Signals,
-    files: Files,
-    scgi: Option<Arc<Scgi>>,
-    keys: Option<SharedKeys>,
-    settings: Arc<Settings>,
-    inputs: Sender<Input>,
-) -> std::io::Result<()> {
+/// order to come back from that. SIGHUP has the configuration read again.
+fn watch_signals(mut signals: Signals, reloads: Reloads, inputs: Sender<Input>) -> std::io::Result<()> {
     let watch = move || {
         while let Ok(came) = signals.wait() {
             for signal in came {
                 let input = match signal {
-                    SIGHUP => match reload(&files, scgi.as_deref(), keys.is_some(), &settings) {
-                        Ok((config, new)) => {
-                            if let (Some(keys), Some(new)) = (&keys, new) {
-                                new.clone_into(&mut keys.write().unwrap_or_else(PoisonError::into_inner));
-                                if inputs.send(Input::FleetKeys(new)).is_err() {
-                                    return;
-                                }
-                            }
-                            Input::Reload(Box::new(config))
-                        }
-                        Err(why) => Input::ReloadRefused(why.to_string()),
-                    },
+                    SIGHUP => {
+                        reloads.files();
+                        continue;
+                    }
                     SIGUSR1 => Input::TakeOut,
                     SIGUSR2 => Input::TakeIn,
                     _ => Input::Terminate,
@@ -443,25 +435,6 @@
     thread::Builder::new().name("signals".into()).stack_size(SIGNAL_STACK).spawn(watch).map(drop)
 }
 
-/// Reads both files again. Both are checked before either is used: a bad one changes nothing.
-fn reload(
-    files: &Files,
-    scgi: Option<&Scgi>,
-    fleet: bool,
-    settings: &Arc<Settings>,
-) -> Result<(Config, Option<Keys>), Box<dyn Error>> {
-    let config = config::load(&files.config)?;
-    let own = files.own.as_deref().map(Own::load).transpose()?.unwrap_or_default();
-    let keys = own.cluster.as_ref().filter(|_| fleet).map(|set| cluster::keys(&set.key_file)).transpose()?;
-    if let Some(front) = scgi {
-        // Listeners take a restart; without the block the routes stay.
-        if let Some(set) = &own.scgi {
-            front.reload(Routes::new(set, Arc::clone(settings))?);
-        }
-    }
-    Ok((config, keys))
-}
-
 fn read(keys: &SharedKeys) -> Keys {
     keys.read().unwrap_or_else(PoisonError::into_inner).clone()
 }
@@ -469,7 +442,7 @@
 /// This server's part in what the fleet agrees on.
 fn part_settings(
     set: &CouncilSettings,
-    config: &Config,
+    names: BTreeMap<u32, String>,
     own: Peer,
     folder: Option<Found>,
     seed: u64,
@@ -486,7 +459,7 @@
         steady: set.steady,
         fresh: set.fresh,
         plain: set.plain,
-        names: cell_names(&config.settings),
+        names,
         ..ChairSettings::default()
     };
     PartSettings {
--- /dev/null
+++ b/crates/node/src/settings/live/tests.rs
@@ -0,0 +1,52 @@
+use super::*;
+use serde_json::json;
+
+fn config(classes: &[(&str, u64)], tenants: &[(&str, f64)]) -> Config {
+    let class = |(name, deadline): &(&str, u64)| json!({"name": name, "promise": 1, "deadline": deadline, "effect": "once", "worth": 1.0});
+    let tenant = |(name, quota): &(&str, f64)| json!({"name": name, "quota_rps": quota});
+    let address = "127.0.0.1:1";
+    let text = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
+        "stop_ms": 2000, "limits": {"sockets": 128}, "settings": {"granularity": 1,
+            "profiles": classes.iter().map(class).collect::<Vec<_>>(),
+            "customers": tenants.iter().map(tenant).collect::<Vec<_>>(),
+            "rules": {"fall": 1, "tip_multiple": 4.0, "drain_grace": 1},
+            "specifics": {"n_cores": 1, "memory_kb": 1.0, "run_factor": 1.0}}});
+    Config::parse(&text.to_string()).expect("a whole configuration")
+}
+
+fn told(changes: &[Change]) -> Vec<String> {
+    let name = |change: &Change| match change {
+        Change::PutClass(class) => format!("+{}", class.profile.name),
+        Change::RemoveClass(name) => format!("-{name}"),
+        Change::PutTenant(tenant) => format!("+@{}", tenant.name),
+        Change::RemoveTenant(name) => format!("-@{name}"),
+        Change::PutRule(_) => "rule".to_string(),
+    };
+    changes.iter().map(name).collect()
+}
+
+/// Guards a reload against what it need not change, what it must remove, and names that are removed already.
+#[test]
+fn a_file_arrives_as_its_difference() {
+    let live = Live::new(&config(&[("view", 4), ("save", 4)], &[("a", 1.0), ("b", 1.0)]).settings);
+    let new = config(&[("view", 4), ("save", 9), ("tag", 1)], &[("b", 2.0), ("c", 1.0)]);
+    let reload = live.compare(new.clone());
+    assert_eq!(told(&reload.changes), ["-@a", "+save", "+tag", "+@b", "+@c"]);
+    assert_eq!((reload.new_classes, reload.new_tenants, reload.compared_at), (1, 1, 0));
+    assert!(reload.config.settings.profiles.is_empty() && reload.config.settings.customers.is_empty());
+    let (_, tenants) = (live.tenant("b"), new.settings.split().2);
+    live.publish(
+        5,
+        vec![
+            NameChange::TenantRemoved(Arc::new(Customer { name: "a".into(), quota_rps: 1.0, portion: 0.0 })),
+            NameChange::Tenant(1.into(), Arc::clone(&tenants[0])),
+        ],
+    );
+    let again = live.compare(config(&[("view", 4), ("save", 4)], &[("b", 2.0)]));
+    assert_eq!(
+        (told(&again.changes), again.compared_at),
+        (Vec::new(), 5),
+        "a is removed already, b is as it is"
+    );
+    assert!(live.tenant("a").is_some(), "requests may still name it");
+}
--- a/crates/store/tests/world/mod.rs
+++ b/crates/store/tests/world/mod.rs
@@ -238,8 +238,8 @@
         let (seq, budget) = (self.seq, 4_000);
         let call = Call {
             id: RequestId::new(&format!("{:016x}", self.rng.next_u64())),
-            class,
-            tenant: Some(0),
+            class: class.into(),
+            tenant: Some(0.into()),
             caller: 1,
             t0: self.moment().unix_ms,
             budget,
@@ -350,7 +350,7 @@
                 let body = String::from_utf8_lossy(&body).into_owned();
                 // Runs take from 20 ms to 1.3 s.
                 let takes = 20 + self.rng.next_u64() % 16 * (self.rng.next_u64() % 80);
-                if class == 1 {
+                if class.profile.effect == gradepin_decisions::Effect::ByKey {
                     let now = self.truth.ms;
                     let ran = self.truth.ran.entry(body.clone()).or_default();
                     // A run begun again on a new link is the same run.
