--- a/crates/cluster/src/cluster/quota.rs
+++ b/crates/cluster/src/cluster/quota.rs
@@ -4,6 +4,7 @@
 use crate::MS;
 use crate::counters::{CellId, Reading, WINDOW, WorkCount};
 use gradepin_decisions::{Span, Time, secs};
+use std::collections::BTreeMap;
 
 impl Cluster {
     /// A request came: of which cell, whether it is a retry, and what it is estimated to take.
@@ -41,6 +42,24 @@
         quota * part * reading.servers.min(self.settings.servers) as f64
     }
 
+    /// The part of its fleet-wide quota that each key may use here, by what was requested here and by all servers heard;
+    /// `key_of` tells whose a cell is. One pass over the counters, however many keys there are.
+    pub fn quota_parts<K: Ord + Copy>(
+        &self,
+        now: Time,
+        key_of: impl Fn(CellId) -> Option<K>,
+    ) -> BTreeMap<K, f64> {
+        let fleet = self.counters.sums(now, &key_of);
+        let servers = fleet.servers.min(self.settings.servers) as f64;
+        let part = |(key, own): (K, WorkCount)| {
+            let requested_ms = fleet.sums.get(&key).map_or(0, |sum| sum.requested_ms);
+            let share = f64::from(own.requested_ms) / f64::from(requested_ms.max(own.requested_ms));
+            (key, if requested_ms == 0 { 1.0 } else { share * servers })
+        };
+        let local = self.counters.local_sums(&key_of);
+        local.into_iter().filter(|(_, own)| own.requested_ms > 0).map(part).collect()
+    }
+
     /// Whether a retry is within the fleet's budget of them: all while they are few, else at random the part that the
     /// budget has room for. Alone, by what came here alone.
     pub fn admits_retry(&mut self, now: Time) -> bool {
--- a/crates/cluster/src/counters.rs
+++ b/crates/cluster/src/counters.rs
@@ -50,6 +50,15 @@
     }
 }
 
+/// What several keys come to over the fleet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetSums<K> {
+    /// How many servers report, this one among them.
+    pub servers: usize,
+    /// What they counted together, by key.
+    pub sums: BTreeMap<K, WorkCount>,
+}
+
 /// The rows of the fleet as this server has them, and its own counts.
 #[derive(Debug)]
 pub struct Counters {
@@ -164,6 +173,25 @@
         reading
     }
 
+    /// What the cells of each key come to over the fleet; `key_of` tells whose a cell is.
+    pub fn sums<K: Ord>(&self, now: Time, key_of: impl Fn(CellId) -> Option<K>) -> FleetSums<K> {
+        let mut fleet = FleetSums { servers: 0, sums: BTreeMap::new() };
+        for stored in self.rows.values().filter(|stored| stored.age(now) <= MAX_AGE) {
+            fleet.servers += 1;
+            for cell in &stored.row.cells {
+                if let Some(key) = key_of(cell.id) {
+                    fleet.sums.entry(key).or_default().add(&cell.work);
+                }
+            }
+        }
+        fleet
+    }
+
+    /// What was counted here alone, by key.
+    pub fn local_sums<K: Ord>(&self, key_of: impl Fn(CellId) -> Option<K>) -> BTreeMap<K, WorkCount> {
+        self.local.sums(key_of)
+    }
+
     /// What was counted here alone.
     pub fn local(&self, wanted: impl Fn(CellId) -> bool) -> WorkCount {
         self.local.sum(wanted)
--- a/crates/cluster/src/counters/local.rs
+++ b/crates/cluster/src/counters/local.rs
@@ -67,4 +67,15 @@
         self.cells.iter().filter(|(id, _)| wanted(**id)).for_each(|(_, count)| sum.add(&count.sum));
         sum
     }
+
+    /// The sum of the cells of each key; `key_of` tells whose a cell is.
+    pub(super) fn sums<K: Ord>(&self, key_of: impl Fn(CellId) -> Option<K>) -> BTreeMap<K, WorkCount> {
+        let mut sums = BTreeMap::<K, WorkCount>::new();
+        for (id, count) in &self.cells {
+            if let Some(key) = key_of(*id) {
+                sums.entry(key).or_default().add(&count.sum);
+            }
+        }
+        sums
+    }
 }
