Hold a class keyed for the longest window that a run of it may begin under

Cause: a class keyed with a long window, then a short one, then not at all, took new tokens under the long window for 2.5 s more but stayed keyed by the short one; a repeat then ran a second time inside its window.

Change: the hold is counted from the longest window.

--- a/crates/core/src/classes.rs
+++ b/crates/core/src/classes.rs
@@ -182,9 +182,10 @@
         let Some(standing) = self.slots.state_mut(slot) else { return (slot, Put::Same) };
         if old.profile.effect == Effect::ByKey {
             standing.new_tokens = after(now, DROP_GRACE);
-            let until = after(standing.new_tokens, old.profile.window);
             let (before, window) = standing.keyed.filter(|(until, _)| *until > now).unwrap_or_default();
-            standing.keyed = Some((until.max(before), window.max(old.profile.window)));
+            // What begins under a new token until then goes by the longest window, not by the last.
+            let window = window.max(old.profile.window);
+            standing.keyed = Some((before.max(after(standing.new_tokens, window)), window));
         }
         let back = standing.dropped.take().is_some();
         standing.still = None;
