--- a/crates/core/src/reducer/settings.rs
+++ b/crates/core/src/reducer/settings.rs
@@ -13,8 +13,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// Changes of a file that one step applies. Some 200 µs of the main thread.
-const PIECE: usize = 256;
+/// Changes of a file that one step applies; 100 changes at once took 0.9 ms in a debug build, at 10,000 classes and 110,000
+/// tenants.
+const PIECE: usize = 64;
 /// Slots of dropped classes that one step looks at.
 const SETTLED: usize = 128;
 /// Names that the log tells of one kind of change.
--- a/crates/core/tests/apply.rs
+++ b/crates/core/tests/apply.rs
@@ -361,7 +361,8 @@
 #[test]
 fn a_transaction_that_can_not_be_applied_changes_nothing() {
     let tenant = |name: &str| Arc::new(Customer { name: name.into(), quota_rps: 1.0, portion: 0.0 });
-    let bad: [(Change, fn(&ApplyError) -> bool); 6] = [
+    type IsWhy = fn(&ApplyError) -> bool;
+    let bad: [(Change, IsWhy); 6] = [
         (Change::RemoveClass("none".into()), |e| matches!(e, ApplyError::UnknownClass(_))),
         (Change::RemoveTenant("none".into()), |e| matches!(e, ApplyError::UnknownTenant(_))),
         (Change::PutClass(definition("", "once", 0)), |e| matches!(e, ApplyError::BadClass(_))),
