--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -218,7 +218,7 @@
         new
     }
 
-    /// The class of a slot from now on, of no name where the slot is free. What was learnt goes by the name; the
+    /// The class of a slot from now on, of no name where it is free. What was learnt goes by the name; the
     /// host gives no slot away that an open request is in.
     pub fn put_class(&mut self, slot: usize, definition: Arc<ClassDefinition>) {
         self.classes.resize_with(self.classes.len().max(slot + 1), Class::default);
