--- a/crates/core/src/reducer/agreed.rs
+++ b/crates/core/src/reducer/agreed.rs
@@ -7,7 +7,7 @@
 use super::{MS, Reducer};
 use crate::admin::{FleetAnswer, FleetCall};
 use crate::messages::Effect;
-use gradepin_cluster::counts::CellId;
+use gradepin_cluster::counters::CellId;
 use gradepin_decisions::{Span, Time, after};
 use gradepin_releases::chair::Report;
 use gradepin_releases::council::Found;
@@ -214,7 +214,7 @@
                 }
             }
             FleetCall::Became(ticket) => FleetAnswer::Became(part.became(ticket)),
-            FleetCall::Found => FleetAnswer::Said(part.found(now)),
+            FleetCall::Found => FleetAnswer::Said(part.found(now).map_err(|why| why.to_string())),
             FleetCall::Wanted(name) => {
                 FleetAnswer::Wanted(part.record().and_then(|record| record.program_for(&name)))
             }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -10,7 +10,7 @@
 use crate::settings::cluster;
 use crate::settings::{Live, Own};
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
-use gradepin_cluster::seal::Keys;
+use gradepin_cluster::authentication::Keys;
 use gradepin_core::config::Config;
 use gradepin_core::messages::Input;
 use std::collections::HashSet;
