--- a/crates/core/src/reducer/cells.rs
+++ b/crates/core/src/reducer/cells.rs
@@ -4,14 +4,14 @@
 use crate::classes::Classes;
 use crate::slots::Handle;
 use crate::tenants::Tenants;
-use gradepin_cluster::counts::{CellId, MOST_CELLS, WINDOW};
+use gradepin_cluster::counters::{CellId, MAX_CELLS, WINDOW};
 use gradepin_decisions::{Time, after};
 use std::collections::{BTreeMap, HashMap};
 
 /// Cells kept at their pairs, some 160 KB; another pair of the same place is hashed anew.
 const KEPT: usize = 4_096;
 /// Tenants and classes whose quotas are looked at: a server tells no more cells of its own, so it counts no more apart.
-const SEEN: usize = MOST_CELLS;
+const SEEN: usize = MAX_CELLS;
 
 /// A tenant and a class; none stands for no tenant, or for all classes of one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
