Give the cluster's settings standard names, and take the old ones with a warning

Cause: keys such as probe-ms, repeats and slots were house words. Change: OldName tables and Block::accept_old_names in settings/reader.rs, a general mechanism: an old name is read under its new one with a warning that has its line, both in one block are a problem. Warnings are logged at the start and printed by gradepin check, not yet at a reload. Not tried: taking the code out.

--- a/crates/gradepin/src/main.rs
+++ b/crates/gradepin/src/main.rs
@@ -118,6 +118,9 @@
         }
         Command::Check { files } => {
             let (config, own, _) = files.load()?;
+            for warning in &own.warnings {
+                println!("warning: {warning}");
+            }
             let (classes, tenants) = (config.settings.profiles.len(), config.settings.customers.len());
             println!("{}: listens on {}, {classes} classes, {tenants} tenants", config.name, config.listen);
             match own.registry {
@@ -143,7 +146,7 @@
                 Some(cluster) => {
                     let keys = keys(&cluster.key_file)?;
                     let (zone, seeds) = (&cluster.zone, cluster.seeds.len());
-                    let lends = if cluster.slots.is_some() { "lends" } else { "doesn't lend" };
+                    let lends = if cluster.leases.is_some() { "lends" } else { "doesn't lend" };
                     if let Some(council) = &own.council {
                         let voters: Vec<&str> = council.voters.iter().map(|name| &**name).collect();
                         let most = &council.limits;
--- a/crates/kit/src/fleet.rs
+++ b/crates/kit/src/fleet.rs
@@ -132,12 +132,12 @@
     fn settings(&self, n: usize, folder: &Path) -> String {
         let seeds: String =
             self.advertise.iter().take(3).map(|seed| format!("    seed \"{seed}\"\n")).collect();
-        let plain = if self.plain { "drill-ignores-ends #true" } else { "" };
-        let slots =
-            if self.lends { format!("    slots {{\n        {plain}\n    }}\n") } else { String::new() };
+        let plain = if self.plain { "drill-ignore-expiry #true" } else { "" };
+        let leases =
+            if self.lends { format!("    leases {{\n        {plain}\n    }}\n") } else { String::new() };
         let key = folder.join("fleet.keys").display().to_string();
         format!(
-            "cluster {{\n    listen \"{}\"\n    advertise \"{}\"\n    zone {:?}\n{seeds}    key-file {key:?}\n{slots}}}\n",
+            "cluster {{\n    listen \"{}\"\n    advertise \"{}\"\n    zone {:?}\n{seeds}    key-file {key:?}\n{leases}}}\n",
             self.listen[n], self.advertise[n], self.zones[n]
         )
     }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -32,10 +32,10 @@
 use gradepin_core::registration::Registration;
 use gradepin_decisions::{Below, Settings, Span};
 use gradepin_registry::membership::Membership;
-use gradepin_releases::chair::ChairSettings;
+use gradepin_releases::controller::ControllerSettings;
 use gradepin_releases::council::Found;
-use gradepin_releases::part::{Part, PartSettings};
 use gradepin_releases::record::Limits;
+use gradepin_releases::server_agent::{AgentSettings, ServerAgent};
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use slog::{Level, Logger, error, info, warn};
 use std::error::Error;
@@ -122,8 +122,11 @@
     // Before anything listens: a notice to leave that comes in the middle of a start is taken as one, and ends nothing
     // that already waits in a socket.
     let signals = Signals::new(&[SIGTERM, SIGHUP, SIGUSR1, SIGUSR2]).map_err(failed("signals"))?;
+    for warning in &own.warnings {
+        warn!(log, "an old name in the settings: {}", warning);
+    }
     config.admin_addr = handed.admin_addr.or(config.admin_addr);
-    config.lends = own.cluster.as_ref().is_some_and(|set| set.slots.is_some());
+    config.lends = own.cluster.as_ref().is_some_and(|set| set.leases.is_some());
     let mut settings = Arc::new(config.settings.clone());
     let clock = Clock::start();
     let seed = config.seed()?;
@@ -527,8 +530,8 @@
         failure_detection: set.failure_detection.clone(),
         max_bytes_per_second: set.max_bytes_per_second,
         servers: config.settings.servers as usize,
-        share: set.slots.as_ref().and_then(|_| lent_share(&config.settings)),
-        leases: set.leases(config.settings.specifics.linger),
+        share: set.leases.as_ref().and_then(|_| lent_share(&config.settings)),
+        leases: set.lease_settings(config.settings.specifics.linger),
         probes_per_second: set.probes_per_second,
         retry_ratio: set.retry_ratio,
         seed: seed ^ random,
--- /dev/null
+++ b/crates/node/src/settings/cluster/tests.rs
@@ -0,0 +1,53 @@
+//! Names of an earlier version, which are taken for one more.
+
+use super::super::Own;
+
+const REQUIRED: &str = "listen \"127.0.0.1:7\"\nseed \"127.0.0.1:7\"\nkey-file \"k\"\n";
+
+fn cluster(more: &str) -> String {
+    format!("cluster {{\n{REQUIRED}{more}\n}}")
+}
+
+/// Guards a fleet whose settings were written for the version before: each old name means what it meant, and is told with its
+/// line.
+#[test]
+fn old_names_mean_the_same_and_are_warned_of() {
+    let old = "probe-ms 2000\nanswer-ms 500\nsuspect-ms 5000\nbytes-a-second 16000\nrepeats 0.5\nprobes-a-second 3\n\
+               slots {\nlease-ms 1500\ncall-ms 1000\ndrift 0.02\npart 0.5\ndrill-ignores-ends #true\n}";
+    let new = "probe-period-ms 2000\nprobe-timeout-ms 500\nsuspicion-timeout-ms 5000\nmax-bytes-per-second 16000\n\
+               retry-ratio 0.5\nprobes-per-second 3\nleases {\nduration-ms 1500\nmax-call-ms 1000\nmax-clock-drift 0.02\n\
+               lendable-share 0.5\ndrill-ignore-expiry #true\n}";
+    let of_old = Own::parse(&cluster(old)).expect("old names are taken");
+    let of_new = Own::parse(&cluster(new)).expect("new names are taken");
+    assert_eq!(of_old.cluster, of_new.cluster);
+    let default = Own::parse(&cluster("leases {\n}")).expect("nothing is needed").cluster;
+    assert_ne!(of_new.cluster, default, "all of it is read");
+    assert_eq!(of_new.warnings, []);
+    let warnings: Vec<String> = of_old.warnings.iter().map(ToString::to_string).collect();
+    assert_eq!(warnings.len(), 12, "{warnings:#?}");
+    assert_eq!(
+        warnings[0],
+        "line 5, column 1: 'probe-ms' is called 'probe-period-ms' now; the next version won't take the old name"
+    );
+    assert!(warnings[6].starts_with("line 11, column 1: 'slots' is called 'leases' now"), "{}", warnings[6]);
+    assert!(warnings[11].starts_with("line 16, column 1: 'drill-ignores-ends'"), "{}", warnings[11]);
+}
+
+/// Guards against a file in which nobody can say which of two values counts.
+#[test]
+fn an_old_name_beside_its_new_one_is_a_problem() {
+    let both = "probe-period-ms 2000\nprobe-ms 1000";
+    let problems = Own::parse(&cluster(both)).expect_err("it says two things");
+    let first = problems[0].to_string();
+    assert_eq!(
+        first,
+        "line 6, column 1: 'probe-ms' is the old name of 'probe-period-ms', which stands here too"
+    );
+}
+
+/// Guards against an old name that holds where it never did.
+#[test]
+fn old_names_hold_in_their_own_block_alone() {
+    let problems = Own::parse(&cluster("leases {\nprobe-ms 1000\n}")).expect_err("it is unknown there");
+    assert_eq!(problems[0].to_string(), "line 6, column 1: an unknown node 'probe-ms'");
+}
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -76,6 +76,8 @@
     pub cluster: Option<FleetSettings>,
     /// What that fleet agrees on, where it does.
     pub council: Option<CouncilSettings>,
+    /// Names of an earlier version that the file still has, for the log and for `check`.
+    pub warnings: Vec<Problem>,
 }
 
 /// Where a registry is, and what this server tells it.
@@ -178,6 +180,7 @@
             }
             root.end();
         }
+        own.warnings = problems.warnings();
         let problems = problems.into_sorted();
         if problems.is_empty() { Ok(own) } else { Err(problems) }
     }
@@ -348,7 +351,7 @@
         let council = own.council.unwrap();
         assert_eq!((council.voters.len(), council.limits.fleet, council.limits.services.len()), (3, 2, 1));
         let own = Own::parse(include_str!("../../../../deploy/cluster.kdl")).unwrap();
-        assert_eq!(own.cluster.and_then(|set| set.slots).map(|set| set.duration), Some(Span(2_000 * MS)));
+        assert_eq!(own.cluster.and_then(|set| set.leases).map(|set| set.duration), Some(Span(2_000 * MS)));
     }
 
     /// Guards against a file that is half used, and against a typing error that silently keeps a default.
@@ -382,16 +385,16 @@
                 "cluster {{\nlisten \"127.0.0.1:7\"\nseed \"127.0.0.1:7\"\nkey-file \"k\"\n{more}\n}}"
             ))
         };
-        assert_eq!(with("zone \"a\"\nslots { lease-ms 500; }"), Vec::<String>::new());
+        assert_eq!(with("zone \"a\"\nleases { duration-ms 500; }"), Vec::<String>::new());
         for (more, expected) in [
             ("seed \"127.0.0.1:7\"", "the same seed twice"),
             ("seed \"here\"", "expected seed to be IP:PORT"),
             ("advertise \"0.0.0.0:7\"", "an address that others reach"),
-            ("probe-ms 500", "half of probe-ms"),
-            ("suspect-ms 500", "suspect-ms of probe-ms or more"),
-            ("slots { drift 0.5; }", "a clock further off"),
-            ("slots { lease 5; }", "an unknown node 'lease'"),
-            ("repeats -1", "expected repeats from 0 to 10"),
+            ("probe-period-ms 500", "half of probe-period-ms"),
+            ("suspicion-timeout-ms 500", "suspicion-timeout-ms of probe-period-ms or more"),
+            ("leases { max-clock-drift 0.5; }", "a clock further off"),
+            ("leases { lease 5; }", "an unknown node 'lease'"),
+            ("retry-ratio -1", "expected retry-ratio from 0 to 10"),
         ] {
             let found = with(more);
             assert!(found.len() == 1 && found[0].contains(expected), "{more}: {found:?}");
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -8,23 +8,46 @@
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
-/// What is wrong, by the place in the text.
+/// A node's name of an earlier version, which is taken for one version more.
+#[derive(Debug, Clone, Copy)]
+pub struct OldName {
+    /// As it was called.
+    pub old: &'static str,
+    /// As it is called.
+    pub new: &'static str,
+}
+
+/// What is wrong, by the place in the text; and what is taken though it is out of date.
 pub struct Problems<'t> {
     text: &'t str,
     found: RefCell<Vec<(usize, String)>>,
+    warnings: RefCell<Vec<(usize, String)>>,
 }
 
 impl<'t> Problems<'t> {
     pub fn new(text: &'t str) -> Self {
-        Self { text, found: RefCell::default() }
+        Self { text, found: RefCell::default(), warnings: RefCell::default() }
     }
 
     fn add(&self, offset: usize, what: impl Into<String>) {
         self.found.borrow_mut().push((offset, what.into()));
     }
 
+    fn warn(&self, offset: usize, what: String) {
+        self.warnings.borrow_mut().push((offset, what));
+    }
+
+    /// What is taken though it is out of date, in the order of the text.
+    pub fn warnings(&self) -> Vec<Problem> {
+        self.placed(self.warnings.borrow().clone())
+    }
+
+    /// What is wrong, in the order of the text.
     pub fn into_sorted(self) -> Vec<Problem> {
-        let mut found = self.found.into_inner();
+        self.placed(self.found.borrow().clone())
+    }
+
+    fn placed(&self, mut found: Vec<(usize, String)>) -> Vec<Problem> {
         found.sort();
         found.dedup();
         let place = |offset: usize| {
@@ -88,6 +111,27 @@
         self.problems.add(self.at, what);
     }
 
+    /// Takes nodes by their names of an earlier version too, each with a warning; call it before anything is read. Both
+    /// names of one node in a block are a problem, as it is not told which of them counts.
+    pub fn accept_old_names(&mut self, names: &[OldName]) {
+        for OldName { old, new } in names {
+            let has_new = self.has(new);
+            for node in self.nodes.iter_mut().filter(|node| node.name().value() == *old) {
+                let at = offset(node);
+                if has_new {
+                    self.problems
+                        .add(at, format!("'{old}' is the old name of '{new}', which stands here too"));
+                } else {
+                    let what =
+                        format!("'{old}' is called '{new}' now; the next version won't take the old name");
+                    self.problems.warn(at, what);
+                }
+                // The name changes within the identifier, which keeps its place in the text.
+                node.name_mut().set_value(*new);
+            }
+        }
+    }
+
     /// Whether a node of the name stands here, right or wrong.
     pub fn has(&self, name: &str) -> bool {
         self.nodes.iter().any(|node| node.name().value() == name)
