--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -7,8 +7,8 @@
 use crate::tally::Stats;
 use gradepin_cluster::cluster::FleetView;
 use gradepin_decisions::Time;
-use gradepin_releases::chair::Order;
-use gradepin_releases::part::{Became, Status as Agreements};
+use gradepin_releases::messages::Order;
+use gradepin_releases::server_agent::{Became, Status as Agreements};
 
 /// Names a call of the door until it is answered; never used again.
 pub type CallId = u64;
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -10,8 +10,8 @@
 use gradepin_cluster::cluster::Envelope;
 use gradepin_decisions::{Outcome, RequestId, Span, Time};
 use gradepin_registry::membership::{Ask, Reply};
-use gradepin_releases::chair::Turn;
 use gradepin_releases::council::{Durable, Found};
+use gradepin_releases::messages::Turn;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/crates/core/src/reducer/agreed.rs
+++ b/crates/core/src/reducer/agreed.rs
@@ -9,11 +9,11 @@
 use crate::messages::Effect;
 use gradepin_cluster::counters::CellId;
 use gradepin_decisions::{Span, Time, after};
-use gradepin_releases::chair::Report;
 use gradepin_releases::council::Found;
-use gradepin_releases::halt::Total;
-use gradepin_releases::part::{Effect as Asked, Part};
+use gradepin_releases::messages::Report;
 use gradepin_releases::release::Kind;
+use gradepin_releases::rollback::Total;
+use gradepin_releases::server_agent::{Effect as Asked, ServerAgent};
 use slog::Level;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -26,7 +26,7 @@
 /// What the reducer holds of it.
 #[derive(Default)]
 pub(super) struct Agreed {
-    part: Option<Box<Part>>,
+    part: Option<Box<ServerAgent>>,
     zone: String,
     program: String,
     settings: String,
@@ -53,7 +53,7 @@
 
 impl Reducer {
     /// With a part in what the fleet agrees on; `program` and `settings` are the versions that run here.
-    pub fn with_part(mut self, part: Part, zone: String, program: String, settings: String) -> Self {
+    pub fn with_part(mut self, part: ServerAgent, zone: String, program: String, settings: String) -> Self {
         self.agreed = Agreed { part: Some(Box::new(part)), zone, program, settings, ..Agreed::default() };
         self
     }
--- a/crates/gradepin/src/fleet.rs
+++ b/crates/gradepin/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::door;
 use clap::{Args, Subcommand};
-use gradepin_releases::chair::Order;
+use gradepin_releases::messages::Order;
 use gradepin_releases::record::{Name, Target};
 use gradepin_releases::release::{Kind, Plan, ReleaseOrder, Wave};
 use kdl::{KdlDocument, KdlNode};
--- a/crates/kit/src/bench/council.rs
+++ b/crates/kit/src/bench/council.rs
@@ -2,10 +2,11 @@
 //! begin, syncs, and what the files keep.
 
 use gradepin_decisions::{Span, Time, after};
-use gradepin_releases::chair::{ChairSettings, Report};
+use gradepin_releases::controller::ControllerSettings;
 use gradepin_releases::council::Found;
-use gradepin_releases::part::{Effect, Part, PartSettings};
+use gradepin_releases::messages::Report;
 use gradepin_releases::record::{Limits, Name};
+use gradepin_releases::server_agent::{AgentSettings, Effect, ServerAgent};
 use gradepin_store::council::CouncilLog;
 use gradepin_store::disk::Folder;
 use hdrhistogram::Histogram;
@@ -19,7 +20,7 @@
 
 struct Voter {
     name: Name,
-    part: Part,
+    part: ServerAgent,
     log: CouncilLog,
     found: Found,
 }
@@ -40,17 +41,21 @@
             let files = Folder::open(&folder.join(format!("{count}-{n}"))).map_err(io::Error::other)?;
             let (log, found) = CouncilLog::open(Box::new(files), 100 + n as u64).map_err(io::Error::other)?;
             let limits = Limits { fleet: 1, zone: 1, ..Limits::default() };
-            let set = PartSettings {
+            let set = AgentSettings {
                 name: Arc::clone(name),
                 life: 1 << 20,
                 zone: format!("z{n}"),
                 voters: names.clone(),
                 folder: Some(found.clone()),
-                chair: ChairSettings { limits, steady: Span(MS), ..ChairSettings::default() },
+                controller: ControllerSettings {
+                    limits,
+                    stabilization: Span(MS),
+                    ..ControllerSettings::default()
+                },
                 waits: true,
                 seed: n as u64,
             };
-            voters.push(Voter { name: Arc::clone(name), part: Part::new(set, Time(MS)), log, found });
+            voters.push(Voter { name: Arc::clone(name), part: ServerAgent::new(set, Time(MS)), log, found });
         }
         Ok(Self { voters, net: VecDeque::new(), begin: Instant::now(), syncs: 0, may: None })
     }
--- a/crates/kit/src/drill/release.rs
+++ b/crates/kit/src/drill/release.rs
@@ -13,7 +13,7 @@
 use crate::rig::relay::Net;
 use crate::rig::supervisor::{NO_SAVES, Supervisor};
 use gradepin_cluster::authentication::Keys;
-use gradepin_releases::chair::Order;
+use gradepin_releases::messages::Order;
 use gradepin_releases::release::{Kind, Plan, ReleaseOrder, Wave};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
--- a/crates/model/src/agreed/mod.rs
+++ b/crates/model/src/agreed/mod.rs
@@ -9,12 +9,13 @@
 pub use days::{Day, Outcome, play};
 
 use gradepin_decisions::{Span, Time, after};
-use gradepin_releases::chair::{ChairSettings, Order, Report};
+use gradepin_releases::controller::ControllerSettings;
 use gradepin_releases::council::{Durable, Found};
-use gradepin_releases::halt::{Cell, Total};
-use gradepin_releases::part::{Became, Effect, Part, PartSettings};
+use gradepin_releases::messages::{Order, Report};
 use gradepin_releases::record::{Limits, Name};
 use gradepin_releases::release::{Kind, Plan, ReleaseOrder, State, Wave};
+use gradepin_releases::rollback::{Cell, Total};
+use gradepin_releases::server_agent::{AgentSettings, Became, Effect, ServerAgent};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -47,7 +48,7 @@
     /// Its name.
     pub name: Name,
     /// Its process's part, while there is one.
-    pub part: Option<Part>,
+    pub part: Option<ServerAgent>,
     life: u64,
     /// Whether it serves.
     pub ready: bool,
@@ -97,7 +98,7 @@
     /// The part of words that is lost.
     pub loss: f64,
     voters: usize,
-    chair: ChairSettings,
+    controller: ControllerSettings,
     next_life: u64,
     next_count: Time,
     /// Each beginning of an agreed outage.
@@ -136,7 +137,8 @@
     /// So many servers in three zones, the first `voters` of which found a council.
     pub fn new(count: usize, voters: usize, limits: Limits, seed: u64) -> Self {
         let now = Time(1_000 * MS);
-        let chair = ChairSettings { limits, steady: Span(1_000 * MS), ..ChairSettings::default() };
+        let controller =
+            ControllerSettings { limits, stabilization: Span(1_000 * MS), ..ControllerSettings::default() };
         let mut fleet = Self {
             now,
             servers: Vec::new(),
@@ -145,7 +147,7 @@
             cut: BTreeSet::new(),
             loss: 0.0,
             voters,
-            chair,
+            controller,
             next_life: 10,
             next_count: now,
             began: Vec::new(),
@@ -192,17 +194,17 @@
         server.pending.clear();
         let folder =
             (n < self.voters).then(|| Found { id: 1_000 + n as u64, records: server.durable.clone() });
-        let set = PartSettings {
+        let set = AgentSettings {
             name: Arc::clone(&server.name),
             life,
             zone: format!("z{}", n % 3),
             voters,
             folder,
-            chair: self.chair.clone(),
+            controller: self.controller.clone(),
             waits: true,
             seed: life ^ n as u64,
         };
-        server.part = Some(Part::new(set, now));
+        server.part = Some(ServerAgent::new(set, now));
         (server.life, server.next, server.failed, server.told) = (life, None, None, None);
         server.totals.clear();
         // One that crashes at its start is never ready, and ends again.
--- a/crates/model/tests/agreed.rs
+++ b/crates/model/tests/agreed.rs
@@ -1,7 +1,7 @@
 //! Drains and releases of a fleet in virtual time: permits under faults, waves, the halt, the way back.
 
 use gradepin_model::agreed::{Day, Fleet, limits, plan, play};
-use gradepin_releases::chair::Order;
+use gradepin_releases::messages::Order;
 use gradepin_releases::record::Target;
 use gradepin_releases::release::{Kind, ReleaseOrder, State, Step};
 use std::sync::Arc;
--- a/crates/node/src/admin/agreements.rs
+++ b/crates/node/src/admin/agreements.rs
@@ -11,9 +11,9 @@
 
 use super::http::Response;
 use gradepin_core::admin::FleetAnswer;
-use gradepin_releases::part::{Became, Status};
 use gradepin_releases::record::{Limits, Purpose, Stage, Target};
 use gradepin_releases::release::{Release, Step};
+use gradepin_releases::server_agent::{Became, Status};
 use serde_json::{Value, json};
 
 /// The response to a call about the fleet's agreements.
--- a/crates/node/src/change.rs
+++ b/crates/node/src/change.rs
@@ -9,7 +9,7 @@
 use gradepin_core::config::Config;
 use gradepin_core::messages::Input;
 use gradepin_decisions::Time;
-use gradepin_releases::chair::Turn;
+use gradepin_releases::messages::Turn;
 use gradepin_releases::release::Kind;
 use std::fs;
 use std::io;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -217,7 +217,7 @@
                 let part = part_settings(set, &config, own_life.clone(), found, seed);
                 let in_force =
                     stage.as_ref().map(|stage| stage.in_force()).transpose().map_err(failed("stage"))?;
-                let (part, zone) = (Part::new(part, clock.read().now), own_life.zone.to_string());
+                let (part, zone) = (ServerAgent::new(part, clock.read().now), own_life.zone.to_string());
                 let (version, settings) = (files.version.clone(), in_force.unwrap_or_default());
                 reducer = reducer.with_part(part, zone, version, settings);
             }
@@ -476,7 +476,7 @@
     own: Peer,
     folder: Option<Found>,
     seed: u64,
-) -> PartSettings {
+) -> AgentSettings {
     let any = u32::MAX;
     let all = set.limits.services.keys().map(|name| (Arc::clone(name), any)).collect();
     let limits = if set.plain {
@@ -484,21 +484,21 @@
     } else {
         set.limits.clone()
     };
-    let chair = ChairSettings {
+    let controller = ControllerSettings {
         limits,
-        steady: set.steady,
-        fresh: set.fresh,
-        plain: set.plain,
-        names: cell_names(&config.settings),
-        ..ChairSettings::default()
+        stabilization: set.steady,
+        fresh_for: set.fresh,
+        ignore_limits: set.plain,
+        cell_names: cell_names(&config.settings),
+        ..ControllerSettings::default()
     };
-    PartSettings {
+    AgentSettings {
         name: own.name,
         life: own.incarnation.0,
         zone: own.zone.to_string(),
         voters: set.voters.clone(),
         folder,
-        chair,
+        controller,
         waits: set.waits,
         seed: seed ^ own.incarnation.0,
     }
--- /dev/null
+++ b/crates/releases/src/controller/requests.rs
@@ -0,0 +1,134 @@
+//! Requests of servers for permits, and the replies to them.
+
+use super::proposals::{PendingProposal, Waiter};
+use super::{Controller, ControllerEffect, MS};
+use crate::council::{Council, Refused};
+use crate::messages::{OrderReply, PermitAction, PermitReply, PermitRequest};
+use crate::record::{Command, Ends, Name, Outcome, Purpose, Record, Target, Why};
+use gradepin_decisions::{Span, Time};
+use std::sync::Arc;
+
+/// A reply to begin goes by who was heard no longer ago than this when it was proposed and agreed on.
+pub(super) const AGREED_WITHIN: Span = Span(1_000 * MS);
+
+impl Controller {
+    /// A server asks; the reply comes as [`ControllerEffect::Reply`].
+    pub fn request(
+        &mut self,
+        now: Time,
+        council: &mut Council,
+        from: &Name,
+        incarnation: u64,
+        request: PermitRequest,
+    ) {
+        let number = request.number;
+        let (command, begins) = match self.command_for(now, council, from, incarnation, request.action) {
+            Ok(proposed) => proposed,
+            Err(reply) => return self.reply(from, number, reply),
+        };
+        let waiter = Waiter::Server { name: Arc::clone(from), number, begins };
+        if let Err(why) = self.proposals.propose(now, council, command, waiter) {
+            let leader = match why {
+                Refused::Elsewhere(id) => council.record().voters.get(&id).cloned(),
+                Refused::Busy | Refused::Leaderless | Refused::NoVoter => None,
+            };
+            self.reply(from, number, PermitReply::Redirect(leader));
+        }
+    }
+
+    /// The command that a request comes to, with a target where it asks to begin; or the reply where nothing is proposed.
+    fn command_for(
+        &self,
+        now: Time,
+        council: &Council,
+        from: &Name,
+        incarnation: u64,
+        action: PermitAction,
+    ) -> Result<(Command, Option<Target>), PermitReply> {
+        let record = council.record();
+        let leads = council.leads().is_some();
+        let target = Target::Server(Arc::clone(from));
+        let holder = Arc::clone(from);
+        match action {
+            PermitAction::Reserve => {
+                if leads {
+                    self.context(now, record).fits(&target).map_err(PermitReply::Wait)?;
+                }
+                let purpose = Purpose::Drain;
+                Ok((Command::Reserve { target, holder, life: incarnation, purpose }, None))
+            }
+            PermitAction::Begin(epoch) => {
+                if leads && record.permits.contains_key(&epoch) {
+                    self.may_begin(now, record, epoch, &target).map_err(PermitReply::Wait)?;
+                }
+                Ok((Command::Begin { epoch, holder, life: incarnation }, Some(target)))
+            }
+            PermitAction::Cancel(epoch) => {
+                let is_its = record.permits.get(&epoch).is_none_or(|permit| permit.holder == *from);
+                if !is_its {
+                    return Err(PermitReply::Ended);
+                }
+                Ok((Command::End { epoch, by: Ends::Word(incarnation) }, None))
+            }
+        }
+    }
+
+    /// Whether a step may begin: it fits, and its release was not halted here.
+    fn may_begin(&self, now: Time, record: &Record, epoch: u64, target: &Target) -> Result<(), Why> {
+        if let Some(Purpose::Release(number)) = record.permits.get(&epoch).map(|permit| &permit.purpose)
+            && let Some(release) = record.release.as_ref().filter(|release| release.number == *number)
+            && self.rollout.is_halted(record)
+        {
+            return Err(Why::Release(format!("{} is ordered to halt", release.plan.name)));
+        }
+        self.context(now, record).fits(target)
+    }
+
+    fn reply(&mut self, to: &Name, number: u64, reply: PermitReply) {
+        self.effects.push(ControllerEffect::Reply { to: Arc::clone(to), number, reply });
+    }
+
+    /// A proposal of this controller was applied.
+    pub fn applied(&mut self, now: Time, record: &Record, number: u64, outcome: Outcome) {
+        let Some(PendingProposal { at, waiter }) = self.proposals.take(number) else { return };
+        match waiter {
+            Waiter::Nobody => {}
+            Waiter::Operator(ticket) => {
+                let result = match outcome {
+                    Outcome::Done => Ok("done".to_string()),
+                    Outcome::Permit(epoch, _) => Ok(format!("permit {epoch}")),
+                    Outcome::Refused(why) => Err(why.to_string()),
+                };
+                self.effects.push(ControllerEffect::OrderReply { ticket, reply: OrderReply::Done(result) });
+            }
+            Waiter::Server { name, number, begins } => {
+                let reply = match (outcome, begins) {
+                    (Outcome::Refused(why), _) => PermitReply::Wait(why),
+                    (Outcome::Permit(epoch, _), Some(target)) => {
+                        self.reply_to_begin(now, at, record, epoch, &target)
+                    }
+                    (Outcome::Permit(epoch, _), None) => PermitReply::Reserved(epoch),
+                    (Outcome::Done, _) => PermitReply::Ended,
+                };
+                self.reply(&name, number, reply);
+            }
+        }
+    }
+
+    /// Looks once more at who is heard, now that it is agreed on.
+    fn reply_to_begin(
+        &self,
+        now: Time,
+        proposed_at: Time,
+        record: &Record,
+        epoch: u64,
+        target: &Target,
+    ) -> PermitReply {
+        let is_late = now.0.saturating_sub(proposed_at.0) > AGREED_WITHIN.0;
+        match self.may_begin(now, record, epoch, target) {
+            Ok(()) if !is_late => PermitReply::Begin(epoch),
+            Ok(()) => PermitReply::Wait(Why::Sense("it took too long to agree; ask again".into())),
+            Err(why) => PermitReply::Wait(why),
+        }
+    }
+}
--- /dev/null
+++ b/crates/releases/src/controller/rollout.rs
@@ -0,0 +1,321 @@
+//! The rollout of a release: whose turn it is, when a batch is over, and when the release stops or rolls back.
+//!
+//! Each step is a command; nothing here moves the release by itself. A server has its turn by a permit, changes, and counts
+//! once it is stable with the wanted version.
+
+use super::permits::{MAX_INCARNATIONS, PermitController};
+use super::servers::HeardServer;
+use super::{Context, ControllerEffect, KeyedCommand, MS};
+use crate::messages::{Report, Turn};
+use crate::record::{Command, Name, Permit, Purpose, Record, Stage, Target};
+use crate::release::{Release, ReleaseOrder, Server, State, Step};
+use crate::rollback::Watch;
+use gradepin_decisions::{Span, Time, after};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A server is told of its turn so often.
+const TURN_INTERVAL: Span = Span(500 * MS);
+/// Between steps of the watch on the whole fleet's service.
+const WATCH_STEP: Span = Span(5_000 * MS);
+/// So many servers that are gone without a permit are a fault of their own, and a hundredth of a large fleet.
+const SEVERAL: usize = 2;
+/// The part of a large fleet, as a divisor.
+const SEVERAL_OF_FLEET: usize = 100;
+/// A fall of the whole fleet's service by less than this stops nothing.
+const MIN_FLEET_FALL: f64 = 0.05;
+/// Who stops a release where nobody did by hand.
+const AUTOMATIC: &str = "the council";
+
+/// What one step of the rollout comes to.
+#[derive(Debug, Default)]
+pub(super) struct RolloutStep {
+    pub commands: Vec<KeyedCommand>,
+    pub effects: Vec<ControllerEffect>,
+}
+
+impl RolloutStep {
+    fn order(&mut self, key: &str, order: ReleaseOrder) {
+        self.commands.push(KeyedCommand { key: format!("release {key}"), command: Command::Release(order) });
+    }
+
+    fn server_stepped(&mut self, number: u64, name: &Name, step: Step) {
+        let server = Arc::clone(name);
+        self.order(&format!("step {name}"), ReleaseOrder::Stepped { number, server, step });
+    }
+
+    /// Halts the release, and rolls it back if the plan says so.
+    fn stop(&mut self, release: &Release, why: String) {
+        let name = release.plan.name.clone();
+        let by: Name = Arc::from(AUTOMATIC);
+        let rolls_back = release.plan.goes_back && release.state == State::Runs;
+        self.effects.push(ControllerEffect::Log(true, format!("release {name} stops: {why}")));
+        let order = if rolls_back {
+            ReleaseOrder::Back { name, by, why }
+        } else {
+            ReleaseOrder::Halt { name, by, why }
+        };
+        self.order("stop", order);
+    }
+}
+
+/// What this leader knows of the rollout beside the replicated state.
+#[derive(Debug)]
+pub(super) struct RolloutController {
+    watch: Watch,
+    /// The release that is watched.
+    watched: Option<u64>,
+    /// Whether the release goes forward or back.
+    forward: Option<bool>,
+    next_watch_step: Time,
+    /// Since when all of the batch are whole.
+    batch_whole_since: Option<Time>,
+    /// Releases that were ordered to halt here, agreed or not, with the halts known then.
+    halted: BTreeMap<String, u32>,
+}
+
+impl RolloutController {
+    pub(super) fn new(now: Time) -> Self {
+        Self {
+            watch: Watch::default(),
+            watched: None,
+            forward: None,
+            next_watch_step: now,
+            batch_whole_since: None,
+            halted: BTreeMap::new(),
+        }
+    }
+
+    /// A new term begins, or this one is over.
+    pub(super) fn begin_term(&mut self) {
+        self.watch = Watch::default();
+        self.watched = None;
+        self.batch_whole_since = None;
+    }
+
+    /// A server reported: what it counted is its old or its new version's.
+    pub(super) fn reported(&mut self, record: &Record, name: &Name, incarnation: u64, report: &Report) {
+        let release = record.release.as_ref().filter(|release| self.watched == Some(release.number));
+        let Some(release) = release else { return };
+        let Some(server) = release.servers.get(name) else { return };
+        let has = report.version(release.plan.kind);
+        let is_new =
+            if *has == release.plan.version { Some(true) } else { (*has == server.before).then_some(false) };
+        self.watch.told(name, incarnation, is_new, &report.totals);
+    }
+
+    /// Whether a halt was ordered here that the replicated state doesn't know yet.
+    pub(super) fn is_halted(&self, record: &Record) -> bool {
+        record.release.as_ref().is_some_and(|release| {
+            self.halted.get(&release.plan.name).is_some_and(|halts| release.halts <= *halts)
+        })
+    }
+
+    /// A halt was ordered somewhere: no further step here, agreed or not.
+    pub(super) fn halt(&mut self, record: &Record, name: &str) {
+        if let Some(release) = record.release.as_ref().filter(|release| release.plan.name == name) {
+            self.halted.insert(name.to_string(), release.halts);
+        }
+    }
+
+    /// Moves the release that is open.
+    pub(super) fn step(&mut self, context: &Context<'_>, permits: &mut PermitController) -> RolloutStep {
+        let mut out = RolloutStep::default();
+        let Some(release) = context.record.release.as_ref().filter(|release| release.is_open()) else {
+            self.watched = None;
+            self.forward = None;
+            return out;
+        };
+        self.step_watch(context.now, release.number);
+        if matches!(release.state, State::Halted(_)) || self.is_halted(context.record) {
+            return out;
+        }
+        let forward = release.state == State::Runs;
+        if self.forward != Some(forward) {
+            // What was seen of the way forward says nothing of the way back.
+            permits.restart_all(context.now);
+            self.forward = Some(forward);
+        }
+        if forward && let Some(why) = self.reason_to_stop(context, release) {
+            out.stop(release, why);
+            return out;
+        }
+        for name in release.turns() {
+            if step_server(context, permits, release, name, &mut out) == Progress::Stops {
+                return out;
+            }
+        }
+        self.step_batch(context.now, release, &mut out);
+        out
+    }
+
+    fn step_watch(&mut self, now: Time, number: u64) {
+        if self.watched != Some(number) {
+            self.watch = Watch::default();
+            self.watched = Some(number);
+            self.next_watch_step = now;
+        }
+        if now >= self.next_watch_step {
+            self.watch.next_step();
+            self.next_watch_step = after(now, WATCH_STEP);
+        }
+    }
+
+    /// Why the release is to stop by what the servers counted, if it is.
+    fn reason_to_stop(&self, context: &Context<'_>, release: &Release) -> Option<String> {
+        if let Some(worse) = self.watch.worse(release.plan.worse) {
+            let name = context.settings.cell_names.get(&worse.cell).cloned();
+            let name = name.unwrap_or_else(|| format!("cell {:x}", worse.cell));
+            return Some(format!(
+                "{name} is served to {:.3} by the new version and to {:.3} by the old, by {} tries",
+                worse.new, worse.old, worse.tries
+            ));
+        }
+        let (before, since) = self.watch.fleet_falls(release.plan.worse.max(MIN_FLEET_FALL))?;
+        Some(format!("the fleet serves {since:.3}, {before:.3} before"))
+    }
+
+    /// Ends the release where all are there, or begins the next batch where this one has been whole for its pause.
+    fn step_batch(&mut self, now: Time, release: &Release, out: &mut RolloutStep) {
+        let number = release.number;
+        let forward = release.state == State::Runs;
+        let is_done = |server: &Server| match server.step {
+            Step::New => forward,
+            Step::Waits | Step::Back => !forward,
+            _ => false,
+        };
+        if release.servers.values().all(is_done) {
+            return out.order("over", ReleaseOrder::Over { number });
+        }
+        if !forward || !release.wave_is_whole() {
+            self.batch_whole_since = None;
+            return;
+        }
+        let since = *self.batch_whole_since.get_or_insert(now);
+        let pause_ms = release.plan.waves.get(release.wave as usize).map_or(0, |wave| wave.pause_ms);
+        if now >= after(since, Span(pause_ms * MS)) {
+            self.batch_whole_since = None;
+            out.order("wave", ReleaseOrder::Wave { number, wave: release.wave + 1 });
+        }
+    }
+}
+
+/// Whether the rollout goes on after a look at one server.
+#[derive(Debug, PartialEq, Eq)]
+enum Progress {
+    GoesOn,
+    Stops,
+}
+
+/// What is due with one server whose turn it is.
+fn step_server(
+    context: &Context<'_>,
+    permits: &mut PermitController,
+    release: &Release,
+    name: &Name,
+    out: &mut RolloutStep,
+) -> Progress {
+    let Some(server) = release.servers.get(name) else { return Progress::GoesOn };
+    let (now, plan) = (context.now, &release.plan);
+    let forward = release.state == State::Runs;
+    let wanted = if forward { &plan.version } else { &server.before };
+    let heard = context.servers.get_fresh(now, name);
+    let has_wanted = heard.is_some_and(|heard| heard.report.version(plan.kind) == wanted);
+    if has_wanted && context.servers.is_stable(now, name, Span(plan.steady_ms * MS)) {
+        out.server_stepped(release.number, name, if forward { Step::New } else { Step::Back });
+        return Progress::GoesOn;
+    }
+    let permit = context.record.permit_of(&Target::Server(Arc::clone(name)));
+    let permit = permit.filter(|(_, permit)| permit.purpose == Purpose::Release(release.number));
+    let Some((epoch, permit)) = permit else {
+        reserve(context, release, name, heard, out);
+        return Progress::GoesOn;
+    };
+    let Some(observed) = permits.get_mut(epoch) else { return Progress::GoesOn };
+    let incarnations = observed.incarnations.len();
+    if let Some(why) = failure(context, release, permit, observed.since, incarnations, heard) {
+        if others_are_gone(context, name) {
+            // More is lost than it: that is no fault of the version, whose time counts from when they are back.
+            observed.restart(now);
+            return Progress::GoesOn;
+        }
+        let text = format!("{name}: {why}");
+        let step = if forward { Step::Failed(why) } else { Step::Stuck(why) };
+        out.server_stepped(release.number, name, step);
+        out.stop(release, text);
+        return Progress::Stops;
+    }
+    let is_due = observed.turn_sent_at.is_none_or(|at| now >= after(at, TURN_INTERVAL));
+    if is_due && heard.is_some() && !has_wanted {
+        observed.turn_sent_at = Some(now);
+        let turn = Turn { release: release.number, epoch, kind: plan.kind, version: wanted.clone() };
+        out.effects.push(ControllerEffect::Turn { to: Arc::clone(name), turn });
+    }
+    Progress::GoesOn
+}
+
+/// Reserves a permit for a server whose turn it is. Who isn't there can't be told; who is there and doesn't fit waits.
+fn reserve(
+    context: &Context<'_>,
+    release: &Release,
+    name: &Name,
+    heard: Option<&HeardServer>,
+    out: &mut RolloutStep,
+) {
+    let Some(heard) = heard else { return };
+    let target = Target::Server(Arc::clone(name));
+    if context.fits(&target).is_err() {
+        return;
+    }
+    let command = Command::Reserve {
+        target,
+        holder: Arc::clone(name),
+        life: heard.incarnation,
+        purpose: Purpose::Release(release.number),
+    };
+    out.commands.push(KeyedCommand { key: format!("reserve {name}"), command });
+}
+
+/// Why a server's step failed, if it did: by its own word, by a process that ends again and again, or by time.
+fn failure(
+    context: &Context<'_>,
+    release: &Release,
+    permit: &Permit,
+    since: Time,
+    incarnations: usize,
+    heard: Option<&HeardServer>,
+) -> Option<String> {
+    let reported = heard.and_then(|heard| heard.report.failed.as_ref());
+    if let Some((_, why)) = reported.filter(|(of, _)| *of == release.number) {
+        return Some(why.clone());
+    }
+    if permit.stage != Stage::Begun {
+        return None;
+    }
+    if incarnations > MAX_INCARNATIONS {
+        return Some("its process ends again and again".into());
+    }
+    let ready_ms = release.plan.ready_ms;
+    let is_late = context.now >= after(since, Span(ready_ms * MS));
+    is_late.then(|| format!("not ready within {ready_ms} ms"))
+}
+
+/// Whether more is gone than one server, which nobody agreed on: all of its zone, or several of the fleet. It may have lost
+/// its power, or be cut off, with them.
+fn others_are_gone(context: &Context<'_>, name: &Name) -> bool {
+    let record = context.record;
+    let Some(zone) = record.roster.get(name).map(|member| &member.zone) else { return false };
+    let (planned, unplanned) = (record.out_by_permit(), context.unplanned());
+    let others = record.roster.iter().filter(|(other, _)| *other != name && !planned.contains(*other));
+    let (mut zone_there, mut zone_gone, mut all_gone) = (0, 0, 0);
+    for (other, member) in others {
+        let is_gone = unplanned.contains(other);
+        all_gone += usize::from(is_gone);
+        if member.zone == *zone {
+            zone_there += usize::from(!is_gone);
+            zone_gone += usize::from(is_gone);
+        }
+    }
+    let zone_is_gone = zone_there == 0 && zone_gone > 0;
+    zone_is_gone || all_gone >= SEVERAL.max(record.roster.len() / SEVERAL_OF_FLEET)
+}
--- a/crates/releases/src/lib.rs
+++ b/crates/releases/src/lib.rs
@@ -1,22 +1,24 @@
-//! Who may be out, and when: agreed by a council of servers, without I/O and without a clock: `(now, inputs) -> effects`.
+//! Who may be out, and when: agreed by a group of servers, without I/O and without a clock: `(now, inputs) -> effects`.
 //!
-//! - [`record`]: the agreed state: roster, permits with their epochs; changed by the log's commands alone.
-//! - [`release`]: the release in it: plan, waves, where each server stands, the way back.
+//! - [`record`]: the replicated state: roster, permits with their epochs; changed by the log's commands alone.
+//! - [`release`]: the release in it: plan, batches, where each server stands, the rollback.
 //! - [`council`]: one voter, on the `raft` library: what must be durable before what leaves, and when it may vote.
-//! - [`chair`]: what the leader does: asks, ends, the release's turns.
-//! - [`asker`]: one server that wants out: whom it asks, and until when it may begin.
-//! - [`founding`]: which voters the group begins with, and what a request to found it is answered.
-//! - [`halt`]: whether a new version serves worse, by more than noise.
-//! - [`part`]: the parts together, as the reducer of one server holds them.
+//! - [`founding`]: the voters that the group begins with, the same for everybody who asks.
+//! - [`messages`]: what servers say to each other about permits, rollouts and orders.
+//! - [`controller`]: what the leader does: permits, operators' orders, the rollout.
+//! - [`permit_client`]: one server that wants out: which voter it asks, and until when it may begin.
+//! - [`rollback`]: whether a new version serves worse, by more than noise.
+//! - [`server_agent`]: the parts together, as the reducer of one server holds them.
 //!
-//! The promise that all of it keeps: agreed outages plus those that are known to have happened never pass the most that the
-//! settings allow, whatever is cut, paused, killed or restarted. The argument stands in `docs/design/releases.md`.
+//! The invariant that all of it keeps: agreed outages plus those that are known to have happened never pass the most that
+//! the settings allow, whatever is cut, paused, killed or restarted. The argument is in `docs/design/releases.md`.
 
-pub mod asker;
-pub mod chair;
+pub mod controller;
 pub mod council;
 pub mod founding;
-pub mod halt;
-pub mod part;
+pub mod messages;
+pub mod permit_client;
 pub mod record;
 pub mod release;
+pub mod rollback;
+pub mod server_agent;
--- a/crates/releases/src/record.rs
+++ b/crates/releases/src/record.rs
@@ -1,7 +1,7 @@
 //! The agreed state: who belongs to the fleet, who has a permit to be out, and which release is under way. It changes by
 //! commands of the council's log alone, applied in their order, and is the same wherever the same commands were applied.
 //!
-//! Not here: who is heard to be ready (the leader's to see, [`crate::chair`]), and how commands are agreed on
+//! Not here: who is heard to be ready (the leader's to see, [`crate::controller`]), and how commands are agreed on
 //! ([`crate::council`]).
 
 use crate::release::{Release, ReleaseOrder, Step};
--- a/crates/releases/src/part.rs
+++ b/crates/releases/src/server_agent.rs
@@ -1,10 +1,11 @@
 //! One server's part in what the fleet agrees on: its own asks and turns, and where its settings make it a voter, its vote and
-//! its chair. Words to other servers go out as bytes by name; who said what came in is the fleet's tag's to prove.
+//! its controller. Words to other servers go out as bytes by name; who said what came in is the fleet's tag's to prove.
 
-use crate::asker::{Answer, Ask, Asker, Heard, Waiting, Want};
-use crate::chair::{Chair, ChairSettings, Order, Ordered, Report, Says, Turn};
+use crate::controller::{Controller, ControllerEffect, ControllerSettings};
 use crate::council::{Council, Durable, Effect as Voted, Found, VoterId};
 use crate::founding::{self, Founding, FoundingError, FoundingStep, ReportedVoter};
+use crate::messages::{Order, OrderReply, PermitAction, PermitReply, PermitRequest, Report, Turn};
+use crate::permit_client::{ClientEvent, OutgoingRequest, PermitClient, WaitingRequest};
 use crate::record::{Name, Record, Target};
 use crate::release::Kind;
 use gradepin_decisions::{Span, Time, after, secs};
@@ -25,21 +26,21 @@
 
 /// What servers say to each other here.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-enum Word {
+enum Message {
     /// Between voters, by the identities of their disks.
     Voter { from: VoterId, to: VoterId, bytes: Vec<u8> },
     /// A server of itself.
     Report(Box<Report>),
     /// A server's question, and the answer.
-    Ask(Ask),
-    /// See `Ask`.
-    Answer(u64, Answer),
+    Request(PermitRequest),
+    /// See `Request`.
+    Reply(u64, PermitReply),
     /// It is a server's turn.
     Turn(Turn),
     /// An operator's order, on its way to the leader, and what it came to.
     Order(u64, Order),
     /// See `Order`.
-    Ordered(u64, Ordered),
+    OrderReply(u64, OrderReply),
     /// A release is to halt: no further step, agreed or not.
     Halt(String),
     /// A council is founded with these voters.
@@ -52,7 +53,7 @@
 
 /// What an operator sets, and what the server knows of itself.
 #[derive(Debug, Clone)]
-pub struct PartSettings {
+pub struct AgentSettings {
     /// Its name and its life.
     pub name: Name,
     /// See `name`.
@@ -63,8 +64,8 @@
     pub voters: Vec<Name>,
     /// Its folder, if it is to be a voter.
     pub folder: Option<Found>,
-    /// How its chair goes by what it hears.
-    pub chair: ChairSettings,
+    /// How its controller goes by what it hears.
+    pub controller: ControllerSettings,
     /// Whether a leave without a permit to be had waits for one, or is refused.
     pub waits: bool,
     /// For all that is drawn.
@@ -76,7 +77,7 @@
 pub enum Effect {
     /// Tell another server; it may be lost.
     Send(Name, Vec<u8>),
-    /// Make these durable in the council's folder, then say [`Part::written`].
+    /// Make these durable in the council's folder, then say [`ServerAgent::written`].
     Write(u64, Vec<Durable>),
     /// This server may leave by this permit, if that is still before the time.
     MayLeave(u64, Time),
@@ -123,7 +124,7 @@
     /// Whether it is a voter that started a moment ago and doesn't vote yet.
     pub unsure: bool,
     /// What this server asks for, how long and why it waits.
-    pub waits: Option<Waiting>,
+    pub waits: Option<WaitingRequest>,
     /// Servers of the roster that aren't heard to be ready here; known to voters alone.
     pub unheard: Vec<Name>,
     /// What servers have, as they told the voters: program and settings.
@@ -131,11 +132,11 @@
 }
 
 /// One server's part.
-pub struct Part {
-    set: PartSettings,
+pub struct ServerAgent {
+    set: AgentSettings,
     council: Option<Council>,
-    chair: Chair,
-    asker: Asker,
+    controller: Controller,
+    permit_client: PermitClient,
     /// A turn that is asked for, and the permit of one that this life has taken.
     turn: Option<Turn>,
     taken: Option<u64>,
@@ -146,23 +147,23 @@
     looked: Option<(Record, Time)>,
     orders: BTreeMap<u64, Under>,
     answers: VecDeque<(u64, Result<String, String>)>,
-    /// Orders that this server's chair was given: by whom, under which ticket of theirs.
+    /// Orders that this server's controller was given: by whom, under which ticket of theirs.
     given: VecDeque<(u64, Name, u64)>,
     given_no: u64,
     founding: Founding,
     effects: Vec<Effect>,
 }
 
-impl Part {
+impl ServerAgent {
     /// A server that starts.
-    pub fn new(set: PartSettings, now: Time) -> Self {
+    pub fn new(set: AgentSettings, now: Time) -> Self {
         // Numbers of another life are less: a life is greater than any before.
         let number = set.life;
         let council = set.folder.clone().map(|found| Council::new(found, set.seed, now));
         Self {
             council,
-            chair: Chair::new(set.chair.clone(), number, now),
-            asker: Asker::new(set.voters.clone(), number),
+            controller: Controller::new(set.controller.clone(), number, now),
+            permit_client: PermitClient::new(set.voters.clone(), number),
             turn: None,
             taken: None,
             report: Report { zone: set.zone.clone(), ..Report::default() },
@@ -189,19 +190,19 @@
 
     /// This server wants out: asked for until it may, or until it is refused.
     pub fn leave(&mut self, now: Time) {
-        self.asker.want(now, Want::Out);
+        self.permit_client.request(now, PermitAction::Reserve);
     }
 
     /// It doesn't want out any more.
     pub fn stay(&mut self, now: Time) {
-        let epoch = match self.asker.wanted() {
-            Some(Want::Begin(epoch)) => Some(*epoch),
+        let epoch = match self.permit_client.wanted() {
+            Some(PermitAction::Begin(epoch)) => Some(*epoch),
             _ => self.own_permit(),
         };
         self.turn = None;
         match epoch {
-            Some(epoch) => self.asker.want(now, Want::Cancel(epoch)),
-            None => self.asker.stop(),
+            Some(epoch) => self.permit_client.request(now, PermitAction::Cancel(epoch)),
+            None => self.permit_client.stop(),
         }
     }
 
@@ -232,7 +233,7 @@
             self.halt(name);
             let name = name.clone();
             for voter in self.set.voters.clone() {
-                self.say(&voter, &Word::Halt(name.clone()));
+                self.send(&voter, &Message::Halt(name.clone()));
             }
         }
         self.orders
@@ -247,10 +248,10 @@
         });
         if is_it {
             self.turn = None;
-            self.asker.stop();
+            self.permit_client.stop();
         }
         if let Some(council) = &self.council {
-            self.chair.halt(council.record(), name);
+            self.controller.halt(council.record(), name);
         }
     }
 
@@ -277,8 +278,8 @@
     pub fn found(&mut self, now: Time) -> Result<String, FoundingError> {
         let council = self.council.as_ref().ok_or(FoundingError::NoFolder)?;
         let reported = |name: &Name| {
-            let (report, age) = self.chair.report(now, name)?;
-            (age <= self.set.chair.fresh)
+            let (report, age) = self.controller.report(now, name)?;
+            (age <= self.set.controller.fresh_for)
                 .then_some(ReportedVoter { id: report.voter, founded: report.founded })
         };
         let voters = self.founding.ask(now, &self.set.name, council, reported)?;
@@ -299,12 +300,13 @@
     /// Sends the founding to voters that have not taken it, while that is due.
     fn send_founding(&mut self, now: Time) {
         let own = Arc::clone(&self.set.name);
-        let founded = |name: &Name| self.chair.report(now, name).is_some_and(|(report, _)| report.founded);
+        let founded =
+            |name: &Name| self.controller.report(now, name).is_some_and(|(report, _)| report.founded);
         let step = self.founding.step(now, &own, founded);
         self.effects.extend(step.note().map(|text| Effect::Note(true, text)));
         if let FoundingStep::Send(voters) = step {
-            let found = Word::Found(voters.clone());
-            voters.values().filter(|voter| **voter != own).for_each(|voter| self.say(voter, &found));
+            let found = Message::Found(voters.clone());
+            voters.values().filter(|voter| **voter != own).for_each(|voter| self.send(voter, &found));
         }
     }
 
@@ -324,31 +326,31 @@
 
     /// Another server said something, in this life of its.
     pub fn word(&mut self, now: Time, from: &Name, life: u64, bytes: &[u8]) {
-        let Ok(word) = postcard::from_bytes::<Word>(bytes) else { return };
-        match word {
-            Word::Voter { from: id, to, bytes } => {
+        let Ok(message) = postcard::from_bytes::<Message>(bytes) else { return };
+        match message {
+            Message::Voter { from: id, to, bytes } => {
                 if let Some(council) = self.council.as_mut().filter(|council| council.id() == to) {
                     council.heard_from(now, id, &bytes);
                 }
             }
-            Word::Report(report) => self.reported(now, from, life, *report),
-            Word::Ask(ask) => match &mut self.council {
-                Some(council) => self.chair.ask(now, council, from, life, ask),
-                None => self.say(from, &Word::Answer(ask.number, Answer::Elsewhere(None))),
+            Message::Report(report) => self.reported(now, from, life, *report),
+            Message::Request(request) => match &mut self.council {
+                Some(council) => self.controller.request(now, council, from, life, request),
+                None => self.send(from, &Message::Reply(request.number, PermitReply::Redirect(None))),
             },
-            Word::Answer(number, answer) => self.answered(now, number, answer),
-            Word::Turn(turn) => self.take_turn(now, turn),
-            Word::Order(ticket, order) => self.given(now, from, ticket, order),
-            Word::Ordered(ticket, answer) => self.ordered(now, ticket, answer),
-            Word::Halt(name) => self.halt(&name),
-            Word::Found(voters) => self.founded(&voters),
-            Word::Look => {
+            Message::Reply(number, reply) => self.replied(now, number, reply),
+            Message::Turn(turn) => self.take_turn(now, turn),
+            Message::Order(ticket, order) => self.given(now, from, ticket, order),
+            Message::OrderReply(ticket, answer) => self.ordered(now, ticket, answer),
+            Message::Halt(name) => self.halt(&name),
+            Message::Found(voters) => self.founded(&voters),
+            Message::Look => {
                 if let Some(record) = self.council.as_ref().filter(|c| c.is_founded()).map(Council::record) {
-                    let record = Word::Record(Box::new(record.clone()));
-                    self.say(from, &record);
+                    let record = Message::Record(Box::new(record.clone()));
+                    self.send(from, &record);
                 }
             }
-            Word::Record(record) => {
+            Message::Record(record) => {
                 let newer = self.looked.as_ref().is_none_or(|(known, _)| record.index >= known.index);
                 if newer {
                     self.looked = Some((*record, now));
@@ -360,33 +362,34 @@
     fn reported(&mut self, now: Time, from: &Name, life: u64, report: Report) {
         // Who is no voter hears no reports; one whose council isn't founded yet goes by them for that.
         if let Some(council) = &self.council {
-            self.chair.told(now, council.record(), from, life, report);
+            self.controller.reported(now, council.record(), from, life, report);
         }
     }
 
-    fn answered(&mut self, now: Time, number: u64, answer: Answer) {
-        let refuses =
-            !self.set.waits && matches!(answer, Answer::Wait(_)) && self.asker.wanted() == Some(&Want::Out);
-        let why = if let Answer::Wait(why) = &answer { why.to_string() } else { String::new() };
-        match self.asker.heard(now, number, answer) {
-            Heard::Nothing if refuses => {
-                self.asker.stop();
+    fn replied(&mut self, now: Time, number: u64, reply: PermitReply) {
+        let refuses = !self.set.waits
+            && matches!(reply, PermitReply::Wait(_))
+            && self.permit_client.wanted() == Some(&PermitAction::Reserve);
+        let why = if let PermitReply::Wait(why) = &reply { why.to_string() } else { String::new() };
+        match self.permit_client.receive(now, number, reply) {
+            ClientEvent::Nothing if refuses => {
+                self.permit_client.stop();
                 self.effects.push(Effect::Refused(why));
             }
-            Heard::Nothing => {}
-            Heard::MayBegin(epoch, until) => match self.turn.take() {
+            ClientEvent::Nothing => {}
+            ClientEvent::MayBegin { epoch, until } => match self.turn.take() {
                 Some(turn) if turn.epoch == epoch => {
                     self.taken = Some(epoch);
                     self.effects.push(Effect::MayChange(turn, until));
                 }
                 _ => self.effects.push(Effect::MayLeave(epoch, until)),
             },
-            Heard::Stale(epoch) => {
+            ClientEvent::Stale(epoch) => {
                 if self.turn.take().is_none() {
                     // The place was given away meanwhile: it has to be asked for anew.
                     let text = format!("permit {epoch} is over or was freed; another is asked for");
                     self.effects.push(Effect::Note(true, text));
-                    self.asker.want(now, Want::Out);
+                    self.permit_client.request(now, PermitAction::Reserve);
                 }
             }
         }
@@ -399,34 +402,34 @@
         };
         // A drain by hand comes first; and who couldn't take a step doesn't try it again by itself.
         let failed = self.report.failed.as_ref().is_some_and(|(release, _)| *release == turn.release);
-        let drains = matches!(self.asker.wanted(), Some(Want::Out));
+        let drains = matches!(self.permit_client.wanted(), Some(PermitAction::Reserve));
         if *has == turn.version || failed || drains || self.turn.is_some() || self.taken == Some(turn.epoch) {
             return;
         }
-        self.asker.want(now, Want::Begin(turn.epoch));
+        self.permit_client.request(now, PermitAction::Begin(turn.epoch));
         self.turn = Some(turn);
     }
 
-    /// An order for this server's chair, its own or another's.
+    /// An order for this server's controller, its own or another's.
     fn given(&mut self, now: Time, from: &Name, ticket: u64, order: Order) {
         let Some(council) = &mut self.council else {
-            return self.say(from, &Word::Ordered(ticket, Ordered::Elsewhere(None)));
+            return self.send(from, &Message::OrderReply(ticket, OrderReply::Redirect(None)));
         };
         self.given_no += 1;
         self.given.push_back((self.given_no, Arc::clone(from), ticket));
         while self.given.len() > MOST_ORDERS {
             self.given.pop_front();
         }
-        self.chair.order(now, council, self.given_no, order);
-        self.chair_says(now);
+        self.controller.order(now, council, self.given_no, order);
+        self.apply_controller_effects(now);
     }
 
     /// A voter says what became of an order.
-    fn ordered(&mut self, now: Time, ticket: u64, answer: Ordered) {
+    fn ordered(&mut self, now: Time, ticket: u64, answer: OrderReply) {
         let Some(under) = self.orders.get_mut(&ticket) else { return };
         match answer {
-            Ordered::Over(answer) => self.over(ticket, answer),
-            Ordered::Elsewhere(whom) => {
+            OrderReply::Done(answer) => self.over(ticket, answer),
+            OrderReply::Redirect(whom) => {
                 let known = whom.and_then(|whom| self.set.voters.iter().position(|voter| *voter == whom));
                 let pause = if known.is_some() { Span(20 * MS) } else { ORDER_AGAIN };
                 under.turn = known.unwrap_or(under.turn + 1);
@@ -464,13 +467,13 @@
             if to == self.set.name {
                 self.given(now, &to, ticket, order);
             } else {
-                self.say(&to, &Word::Order(ticket, order));
+                self.send(&to, &Message::Order(ticket, order));
             }
         }
     }
 
-    fn say(&mut self, to: &Name, word: &Word) {
-        if let Ok(bytes) = postcard::to_stdvec(word) {
+    fn send(&mut self, to: &Name, message: &Message) {
+        if let Ok(bytes) = postcard::to_stdvec(message) {
             self.effects.push(Effect::Send(Arc::clone(to), bytes));
         }
     }
@@ -479,19 +482,19 @@
     pub fn step(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.vote(now);
         if let Some(council) = &mut self.council {
-            self.chair.step(now, council);
+            self.controller.step(now, council);
         }
-        self.chair_says(now);
+        self.apply_controller_effects(now);
         self.put_orders(now);
-        while let Some((to, ask)) = self.asker.step(now) {
+        while let Some(OutgoingRequest { to, request }) = self.permit_client.step(now) {
             if to == self.set.name {
                 if let Some(council) = &mut self.council {
                     let from = Arc::clone(&self.set.name);
-                    self.chair.ask(now, council, &from, self.set.life, ask);
-                    self.chair_says(now);
+                    self.controller.request(now, council, &from, self.set.life, request);
+                    self.apply_controller_effects(now);
                 }
             } else {
-                self.say(&to, &Word::Ask(ask));
+                self.send(&to, &Message::Request(request));
             }
         }
         if now >= self.next_report {
@@ -517,20 +520,20 @@
                 Voted::Send(to, bytes) => {
                     let name = self.voter_name(to);
                     if let Some(name) = name {
-                        self.say(&name, &Word::Voter { from: id, to, bytes });
+                        self.send(&name, &Message::Voter { from: id, to, bytes });
                     }
                 }
                 Voted::Write(number, records) => self.effects.push(Effect::Write(number, records)),
                 Voted::Applied { by, number, outcome, .. } if by == id => {
                     if let Some(council) = &self.council {
-                        self.chair.applied(now, council.record(), number, outcome);
+                        self.controller.applied(now, council.record(), number, outcome);
                     }
                 }
                 Voted::Applied { .. } => {}
                 Voted::Note(bad, text) => self.effects.push(Effect::Note(bad, format!("council: {text}"))),
             }
         }
-        self.chair_says(now);
+        self.apply_controller_effects(now);
     }
 
     /// Whose a disk is: by the record, or while that doesn't know it yet, by what servers report.
@@ -539,17 +542,24 @@
         if let Some(name) = record.and_then(|record| record.voters.get(&id)) {
             return Some(Arc::clone(name));
         }
-        self.chair.reports().find(|(_, report)| report.voter == Some(id)).map(|(name, _)| Arc::clone(name))
+        self.controller
+            .reports()
+            .find(|(_, report)| report.voter == Some(id))
+            .map(|(name, _)| Arc::clone(name))
     }
 
-    fn chair_says(&mut self, now: Time) {
-        for says in self.chair.says() {
-            match says {
-                Says::Answer(to, number, answer) if to == self.set.name => self.answered(now, number, answer),
-                Says::Answer(to, number, answer) => self.say(&to, &Word::Answer(number, answer)),
-                Says::Turn(to, turn) if to == self.set.name => self.take_turn(now, turn),
-                Says::Turn(to, turn) => self.say(&to, &Word::Turn(turn)),
-                Says::Ordered(given, answer) => {
+    fn apply_controller_effects(&mut self, now: Time) {
+        for effect in self.controller.take_effects() {
+            match effect {
+                ControllerEffect::Reply { to, number, reply } if to == self.set.name => {
+                    self.replied(now, number, reply)
+                }
+                ControllerEffect::Reply { to, number, reply } => {
+                    self.send(&to, &Message::Reply(number, reply))
+                }
+                ControllerEffect::Turn { to, turn } if to == self.set.name => self.take_turn(now, turn),
+                ControllerEffect::Turn { to, turn } => self.send(&to, &Message::Turn(turn)),
+                ControllerEffect::OrderReply { ticket: given, reply: answer } => {
                     let Some((_, from, ticket)) = self.given.iter().find(|(no, ..)| *no == given).cloned()
                     else {
                         continue;
@@ -557,10 +567,12 @@
                     if from == self.set.name {
                         self.ordered(now, ticket, answer);
                     } else {
-                        self.say(&from, &Word::Ordered(ticket, answer));
+                        self.send(&from, &Message::OrderReply(ticket, answer));
                     }
                 }
-                Says::Note(bad, text) => self.effects.push(Effect::Note(bad, format!("council: {text}"))),
+                ControllerEffect::Log(bad, text) => {
+                    self.effects.push(Effect::Note(bad, format!("council: {text}")))
+                }
             }
         }
     }
@@ -576,16 +588,16 @@
             voters.extend(
                 self.set.voters.iter().filter(|name| !record.voters.values().any(|v| v == *name)).cloned(),
             );
-            self.asker.voters(voters.clone());
+            self.permit_client.set_voters(voters.clone());
             self.set.voters = voters;
         }
-        let report = Word::Report(Box::new(self.report.clone()));
+        let report = Message::Report(Box::new(self.report.clone()));
         for voter in self.set.voters.clone() {
             if voter == self.set.name {
                 let name = Arc::clone(&self.set.name);
                 self.reported(now, &name, self.set.life, self.report.clone());
             } else {
-                self.say(&voter, &report);
+                self.send(&voter, &report);
             }
         }
         self.send_founding(now);
@@ -599,17 +611,17 @@
             self.set.voters.get(place % self.set.voters.len().max(1)).filter(|_| !own).cloned()
             && voter != self.set.name
         {
-            self.say(&voter, &Word::Look);
+            self.send(&voter, &Message::Look);
         }
     }
 
-    /// When [`Part::step`] must be called again.
+    /// When [`ServerAgent::step`] must be called again.
     pub fn wake_at(&self) -> Time {
         let council = self.council.as_ref().map_or(Time(u64::MAX), Council::wake_at);
-        let chair = if self.council.is_some() { self.chair.wake_at() } else { Time(u64::MAX) };
+        let controller = if self.council.is_some() { self.controller.wake_at() } else { Time(u64::MAX) };
         let orders = self.orders.values().map(|under| under.next).min();
-        let asker = self.asker.wake_at();
-        [Some(self.next_report), Some(self.next_look), orders, asker, Some(council), Some(chair)]
+        let permit_client = self.permit_client.wake_at();
+        [Some(self.next_report), Some(self.next_look), orders, permit_client, Some(council), Some(controller)]
             .into_iter()
             .flatten()
             .min()
@@ -628,9 +640,9 @@
         };
         let leader = founded.and_then(|council| council.leader());
         let leader = leader.and_then(|id| founded?.record().voters.get(&id).cloned());
-        let unheard = founded.map(|council| self.chair.unplanned(now, council.record()));
+        let unheard = founded.map(|council| self.controller.unplanned(now, council.record()));
         let versions = self
-            .chair
+            .controller
             .reports()
             .map(|(name, report)| (Arc::clone(name), (report.program.clone(), report.settings.clone())));
         Status {
@@ -639,7 +651,7 @@
             voter: founded.is_some(),
             lost: self.council.as_ref().and_then(|council| council.lost()).map(String::from),
             unsure: founded.is_some_and(Council::is_unsure),
-            waits: self.asker.waits(now),
+            waits: self.permit_client.waits(now),
             unheard: unheard.into_iter().flatten().collect(),
             versions: versions.collect(),
         }
--- a/crates/releases/tests/founding.rs
+++ b/crates/releases/tests/founding.rs
@@ -1,11 +1,12 @@
 //! Founding the consensus group is safe to ask for again: an answer is lost, a voter is heard late, settings differ.
 
 use gradepin_decisions::{Span, Time, after};
-use gradepin_releases::chair::{ChairSettings, Report};
+use gradepin_releases::controller::ControllerSettings;
 use gradepin_releases::council::Found;
 use gradepin_releases::founding::FoundingError;
-use gradepin_releases::part::{Effect, Part, PartSettings};
+use gradepin_releases::messages::Report;
 use gradepin_releases::record::Name;
+use gradepin_releases::server_agent::{AgentSettings, Effect, ServerAgent};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
@@ -20,7 +21,7 @@
 /// Servers that reach each other at once; writes are durable at once. Who is cut off neither sends nor receives.
 struct Fleet {
     now: Time,
-    parts: Vec<Part>,
+    parts: Vec<ServerAgent>,
     cut: BTreeSet<usize>,
 }
 
@@ -30,17 +31,17 @@
         let now = Time(SECOND.0);
         let part = |(n, voters): (usize, &&[usize])| {
             let found = Found { id: 100 + n as u64, records: Vec::new() };
-            let set = PartSettings {
+            let set = AgentSettings {
                 name: name(n),
                 life: 1,
                 zone: format!("z{n}"),
                 voters: voters.iter().copied().map(name).collect(),
                 folder: (n < 3).then_some(found),
-                chair: ChairSettings::default(),
+                controller: ControllerSettings::default(),
                 waits: true,
                 seed: 5 + n as u64,
             };
-            Part::new(set, now)
+            ServerAgent::new(set, now)
         };
         Self { now, parts: voters_of.iter().enumerate().map(part).collect(), cut: BTreeSet::new() }
     }
