--- a/crates/kit/src/drill/release/session.rs
+++ b/crates/kit/src/drill/release/session.rs
@@ -9,7 +9,7 @@
 use crate::rig::play::{ask, call};
 use crate::rig::relay::Net;
 use crate::rig::supervisor::Supervisor;
-use gradepin_releases::chair::Order;
+use gradepin_releases::messages::Order;
 use gradepin_releases::release::ReleaseOrder;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::Rng;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -32,10 +32,10 @@
 use gradepin_core::registration::Registration;
 use gradepin_decisions::{Below, Settings, Span};
 use gradepin_registry::membership::Membership;
-use gradepin_releases::chair::ChairSettings;
+use gradepin_releases::controller::ControllerSettings;
 use gradepin_releases::council::Found;
-use gradepin_releases::part::{Part, PartSettings};
 use gradepin_releases::record::Limits;
+use gradepin_releases::server_agent::{AgentSettings, ServerAgent};
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use slog::{Level, Logger, error, info, warn};
 use std::collections::BTreeMap;
@@ -121,8 +121,11 @@
     // Before anything listens: a notice to leave that comes in the middle of a start is taken as one, and ends nothing
     // that already waits in a socket.
     let signals = Signals::new(&[SIGTERM, SIGHUP, SIGUSR1, SIGUSR2]).map_err(failed("signals"))?;
+    for warning in &own.warnings {
+        warn!(log, "an old name in the settings: {}", warning);
+    }
     config.admin_addr = handed.admin_addr.or(config.admin_addr);
-    config.lends = own.cluster.as_ref().is_some_and(|set| set.slots.is_some());
+    config.lends = own.cluster.as_ref().is_some_and(|set| set.leases.is_some());
     let names = cell_names(&config.settings);
     let store_limits = own.store.as_ref().map(|set| set.limits(&config));
     let window = longest_window(&config.settings);
@@ -221,7 +224,7 @@
                 let part = part_settings(set, names, own_life.clone(), found, seed);
                 let in_force =
                     stage.as_ref().map(|stage| stage.in_force()).transpose().map_err(failed("stage"))?;
-                let (part, zone) = (Part::new(part, clock.read().now), own_life.zone.to_string());
+                let (part, zone) = (ServerAgent::new(part, clock.read().now), own_life.zone.to_string());
                 let (version, settings) = (files.version.clone(), in_force.unwrap_or_default());
                 reducer = reducer.with_part(part, zone, version, settings);
             }
@@ -446,7 +449,7 @@
     own: Peer,
     folder: Option<Found>,
     seed: u64,
-) -> PartSettings {
+) -> AgentSettings {
     let any = u32::MAX;
     let all = set.limits.services.keys().map(|name| (Arc::clone(name), any)).collect();
     let limits = if set.plain {
@@ -454,21 +457,21 @@
     } else {
         set.limits.clone()
     };
-    let chair = ChairSettings {
+    let controller = ControllerSettings {
         limits,
-        steady: set.steady,
-        fresh: set.fresh,
-        plain: set.plain,
-        names,
-        ..ChairSettings::default()
+        stabilization: set.steady,
+        fresh_for: set.fresh,
+        ignore_limits: set.plain,
+        cell_names: names,
+        ..ControllerSettings::default()
     };
-    PartSettings {
+    AgentSettings {
         name: own.name,
         life: own.incarnation.0,
         zone: own.zone.to_string(),
         voters: set.voters.clone(),
         folder,
-        chair,
+        controller,
         waits: set.waits,
         seed: seed ^ own.incarnation.0,
     }
@@ -500,8 +503,8 @@
         failure_detection: set.failure_detection.clone(),
         max_bytes_per_second: set.max_bytes_per_second,
         servers: config.settings.servers as usize,
-        share: set.slots.as_ref().and_then(|_| lent_share(&config.settings)),
-        leases: set.leases(config.settings.specifics.linger),
+        share: set.leases.as_ref().and_then(|_| lent_share(&config.settings)),
+        leases: set.lease_settings(config.settings.specifics.linger),
         probes_per_second: set.probes_per_second,
         retry_ratio: set.retry_ratio,
         seed: seed ^ random,
