Measure settings, requests, connections, gossip and consensus by size, with fits and budgets

Cause: what a server and a fleet cost at 1,100 servers, 10,000 classes and 110,000 tenants rested on single figures of single sizes. Change: `gradepin-kit scale settings | requests | connections | membership | counters | consensus`: a figure at several sizes, the form that fits it (constant, logarithmic, linear, square, one bend) with its residual, and the planned size beside a budget; status 1 if a budget claimed to hold doesn't. A fit is refused with under five sizes, sizes too close or uneven, past four times the largest size, and where the slope bends at the end. A load that was late itself is not scored. Descriptors and memory are checked before the start; a signal ends what was started. The model charges datagrams to membership, rows, leases and posts, and can play a stand-in that sends more. The kit's fleets can have classes and tenants that no request names, and a processor's link can be cut.

--- a/crates/kit/src/bench/council.rs
+++ b/crates/kit/src/bench/council.rs
@@ -107,56 +107,75 @@
     }
 }
 
+/// What grants came to.
+#[derive(Debug, Clone, Copy)]
+pub struct Granted {
+    /// Half of the grants, in ms until a server may begin.
+    pub p50_ms: f64,
+    /// 99 in 100 of them.
+    pub p99_ms: f64,
+    /// Syncs of all voters for a grant and its end.
+    pub syncs: f64,
+    /// The most that a voter keeps, in bytes.
+    pub bytes: u64,
+}
+
 /// Prints a line for each size.
 pub fn run(folder: &Path, sizes: &[usize], grants: u64) -> io::Result<()> {
     for &count in sizes {
-        let mut world = World::new(folder, count)?;
-        let slow = Duration::from_secs(20);
-        world.until(Duration::from_secs(2), |_| false)?;
-        let now = world.now();
-        world.voters[0].part.found(now).map_err(io::Error::other)?;
-        let whole = |world: &World| {
-            let record = world.voters[0].part.record();
-            record.is_some_and(|record| record.roster.len() == world.voters.len() && record.limits.fleet == 1)
-        };
-        if !world.until(slow, whole)? {
-            return Err(io::Error::other("the council was not founded"));
-        }
-        let mut times = Histogram::<u64>::new(3).map_err(io::Error::other)?;
-        let syncs = world.syncs;
-        for grant in 0..grants {
-            let n = grant as usize % count;
-            let (asked, now) = (Instant::now(), world.now());
-            world.may = None;
-            world.voters[n].part.leave(now);
-            if !world.until(slow, |world| world.may == Some(n))? {
-                let why = world.voters[n].part.status(world.now()).waits;
-                return Err(io::Error::other(format!("grant {grant} was not given: {why:?}")));
-            }
-            times.record(asked.elapsed().as_micros() as u64).map_err(io::Error::other)?;
-            let now = world.now();
-            world.voters[n].part.stay(now);
-            let over = |world: &World| {
-                world
-                    .voters
-                    .iter()
-                    .all(|voter| voter.part.record().is_some_and(|record| record.permits.is_empty()))
-            };
-            world.until(slow, over)?;
-        }
-        let bytes = |n: usize| -> u64 {
-            let files =
-                std::fs::read_dir(folder.join(format!("{count}-{n}"))).into_iter().flatten().flatten();
-            files.filter_map(|file| file.metadata().ok()).map(|meta| meta.len()).sum()
-        };
+        let Granted { p50_ms, p99_ms, syncs, bytes } = measure(folder, count, grants)?;
         println!(
-            "{count} voters, {grants} grants: p50 {:.1} ms, p99 {:.1} ms until a server may begin; {:.1} syncs a grant and its end, of all \
-             voters; {} bytes kept by a voter",
-            times.value_at_quantile(0.5) as f64 / 1e3,
-            times.value_at_quantile(0.99) as f64 / 1e3,
-            (world.syncs - syncs) as f64 / grants as f64,
-            (0..count).map(bytes).max().unwrap_or_default()
+            "{count} voters, {grants} grants: p50 {p50_ms:.1} ms, p99 {p99_ms:.1} ms until a server may begin; {syncs:.1} syncs a grant and its end, of all \
+             voters; {bytes} bytes kept by a voter"
         );
     }
     Ok(())
 }
+
+/// So many voters, and so many grants, one after another.
+pub fn measure(folder: &Path, count: usize, grants: u64) -> io::Result<Granted> {
+    let mut world = World::new(folder, count)?;
+    let slow = Duration::from_secs(20);
+    world.until(Duration::from_secs(2), |_| false)?;
+    let now = world.now();
+    world.voters[0].part.found(now).map_err(io::Error::other)?;
+    let whole = |world: &World| {
+        let record = world.voters[0].part.record();
+        record.is_some_and(|record| record.roster.len() == world.voters.len() && record.limits.fleet == 1)
+    };
+    if !world.until(slow, whole)? {
+        return Err(io::Error::other("the council was not founded"));
+    }
+    let mut times = Histogram::<u64>::new(3).map_err(io::Error::other)?;
+    let syncs = world.syncs;
+    for grant in 0..grants {
+        let n = grant as usize % count;
+        let (asked, now) = (Instant::now(), world.now());
+        world.may = None;
+        world.voters[n].part.leave(now);
+        if !world.until(slow, |world| world.may == Some(n))? {
+            let why = world.voters[n].part.status(world.now()).waits;
+            return Err(io::Error::other(format!("grant {grant} was not given: {why:?}")));
+        }
+        times.record(asked.elapsed().as_micros() as u64).map_err(io::Error::other)?;
+        let now = world.now();
+        world.voters[n].part.stay(now);
+        let over = |world: &World| {
+            world
+                .voters
+                .iter()
+                .all(|voter| voter.part.record().is_some_and(|record| record.permits.is_empty()))
+        };
+        world.until(slow, over)?;
+    }
+    let bytes = |n: usize| -> u64 {
+        let files = std::fs::read_dir(folder.join(format!("{count}-{n}"))).into_iter().flatten().flatten();
+        files.filter_map(|file| file.metadata().ok()).map(|meta| meta.len()).sum()
+    };
+    Ok(Granted {
+        p50_ms: times.value_at_quantile(0.5) as f64 / 1e3,
+        p99_ms: times.value_at_quantile(0.99) as f64 / 1e3,
+        syncs: (world.syncs - syncs) as f64 / grants as f64,
+        bytes: (0..count).map(bytes).max().unwrap_or_default(),
+    })
+}
--- a/crates/kit/src/fleet.rs
+++ b/crates/kit/src/fleet.rs
@@ -59,10 +59,41 @@
     pub peers: Option<PeersSpec>,
     /// And agree on who may be out.
     pub council: Option<CouncilSpec>,
+    /// Descriptors that each server may have.
+    pub sockets: u32,
+    /// Classes and tenants of the settings beside those of the brief, which no request names.
+    pub unused: Unused,
     /// Where files and logs go.
     pub folder: PathBuf,
 }
 
+/// Classes and tenants that make the settings as large as those of a big installation.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Unused {
+    /// Classes.
+    pub classes: usize,
+    /// Tenants.
+    pub tenants: usize,
+}
+
+impl Unused {
+    /// Adds them to the settings.
+    fn add_to(self, settings: &mut Value) {
+        const MS: u64 = 1_000_000;
+        let class = |n: usize| {
+            json!({"name": format!("class-{n:05}"), "promise": 1_600 * MS, "deadline": 4_000 * MS,
+                   "effect": "repeatable", "worth": 1.0})
+        };
+        let tenant = |n: usize| json!({"name": format!("tenant-{n:06}"), "portion": 0.0, "quota_rps": 4.0});
+        if let Some(profiles) = settings["profiles"].as_array_mut() {
+            profiles.extend((0..self.classes).map(class));
+        }
+        if let Some(customers) = settings["customers"].as_array_mut() {
+            customers.extend((0..self.tenants).map(tenant));
+        }
+    }
+}
+
 /// How servers of a fleet reach each other and the ledger.
 #[derive(Debug, Clone)]
 pub struct PeersSpec {
@@ -159,6 +190,8 @@
             registry_more: String::new(),
             peers: None,
             council: None,
+            sockets: 1024,
+            unused: Unused::default(),
             folder: PathBuf::new(),
         }
     }
@@ -294,6 +327,18 @@
         Ok(())
     }
 
+    /// Changes its configuration file, which it reads at its next start or when it is told to.
+    pub fn edit(&self, change: impl FnOnce(&mut Value)) -> io::Result<()> {
+        let mut config = serde_json::from_slice(&std::fs::read(&self.config)?)?;
+        change(&mut config);
+        std::fs::write(&self.config, config.to_string())
+    }
+
+    /// The size of its configuration file in bytes.
+    pub fn config_bytes(&self) -> io::Result<u64> {
+        Ok(std::fs::metadata(&self.config)?.len())
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
         // One that has ended is not there to be told.
@@ -418,8 +463,12 @@
             let mut text = json!({
                 "name": name, "listen": address, "processor": processor.address(), "control": control.address(),
                 "seed": format!("{:016x}", spec.processor.seed + n as u64), "stop_ms": spec.stop.as_millis() as u64,
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings(spec)
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": spec.sockets}, "settings": settings(spec)
             });
+            if spec.unused != Unused::default() {
+                text["admin_addr"] = json!(admin_of(address));
+                spec.unused.add_to(&mut text["settings"]);
+            }
             if let Some(peers) = &spec.peers {
                 text["ledger"] = json!(peers.ledgers[n]);
                 text["admin_addr"] = json!(admin_of(address));
--- a/crates/kit/src/processor.rs
+++ b/crates/kit/src/processor.rs
@@ -185,6 +185,13 @@
         }
     }
 
+    /// Its link falls; runs go on, and the server connects again.
+    pub fn cut_link(&self) {
+        if let Some((_, stream)) = self.shared.state().link.take() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Runs now on its cores.
     pub fn running(&self) -> usize {
         self.shared.state().runs.len()
--- a/crates/kit/src/scale/cli.rs
+++ b/crates/kit/src/scale/cli.rs
@@ -1,6 +1,12 @@
 //! `gradepin-kit scale`: its commands.
 
+use super::connections::{self, ConnectionsArgs};
+use super::consensus::{self, ConsensusArgs};
 use super::fleet::{self, FleetArgs};
+use super::gossip::GossipArgs;
+use super::requests::{self, RequestsArgs};
+use super::settings::{self, SettingsArgs};
+use super::{counters, membership};
 use clap::{Args, Subcommand};
 use std::error::Error;
 
@@ -15,35 +21,30 @@
 #[derive(Debug, Subcommand)]
 enum ScaleCommand {
     /// A server by the classes and tenants of its settings: start, memory, CPU, gaps while it reloads
-    Settings(PendingArgs),
+    Settings(SettingsArgs),
     /// A request by the size of the settings: CPU, and the time that the server adds
-    Requests(PendingArgs),
+    Requests(RequestsArgs),
     /// A connection: bytes and CPU, up to what descriptors allow
-    Connections(PendingArgs),
+    Connections(ConnectionsArgs),
     /// Membership by the number of servers: messages, bytes and CPU
-    Membership(PendingArgs),
+    Membership(GossipArgs),
     /// Gossiped counter rows and leases by the number of servers: bytes by the kind of message
-    Counters(PendingArgs),
+    Counters(GossipArgs),
     /// Consensus by entries, voters and the size of the snapshot
-    Consensus(PendingArgs),
+    Consensus(ConsensusArgs),
     /// Many servers without a processor in a few processes, with real ones among them
     Fleet(FleetArgs),
 }
 
-/// Settings of a command that is not there yet.
-#[derive(Debug, Args)]
-struct PendingArgs {}
-
 /// Measures; false if a budget that is claimed to hold doesn't.
 pub fn run(args: ScaleArgs) -> Result<bool, Box<dyn Error>> {
-    let pending = |name: &str| Err(format!("scale {name} is not there yet").into());
     match args.command {
-        ScaleCommand::Settings(_) => pending("settings"),
-        ScaleCommand::Requests(_) => pending("requests"),
-        ScaleCommand::Connections(_) => pending("connections"),
-        ScaleCommand::Membership(_) => pending("membership"),
-        ScaleCommand::Counters(_) => pending("counters"),
-        ScaleCommand::Consensus(_) => pending("consensus"),
+        ScaleCommand::Settings(args) => settings::run(&args),
+        ScaleCommand::Requests(args) => requests::run(&args),
+        ScaleCommand::Connections(args) => connections::run(&args),
+        ScaleCommand::Membership(args) => membership::run(&args),
+        ScaleCommand::Counters(args) => counters::run(&args),
+        ScaleCommand::Consensus(args) => consensus::run(&args),
         ScaleCommand::Fleet(args) => fleet::run(args),
     }
 }
--- /dev/null
+++ b/crates/kit/src/scale/requests.rs
@@ -0,0 +1,214 @@
+//! `gradepin-kit scale requests`: what a request costs and how much later its answer is, by the size of the settings, open loop.
+
+use super::budgets::{ADDED_MS, REQUESTS_S, TENANTS};
+use super::figure::{Budget, Claim, Figure};
+use super::lag::{Lag, times};
+use super::options::{Options, check_resources, go_on, progress};
+use super::report::Report;
+use super::server::{Server, Wanted};
+use crate::load::{Fixed, Habit, Live, Proxy};
+use crate::{fleet, interrupt};
+use clap::Args;
+use hdrhistogram::Histogram;
+use serde_json::json;
+use std::error::Error;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicBool;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Tenants of the sizes without others.
+const SIZES: [u64; 5] = [11, 110, 1_100, 11_000, 110_000];
+const MEMORY_NEEDED_MB: u64 = 600;
+const DESCRIPTORS: u64 = 256;
+/// Between two events beside which requests are measured.
+const EVENT_EVERY: Duration = Duration::from_secs(1);
+/// A request that wasn't served counts as one that took so long.
+const UNSERVED_US: u64 = 10_000_000;
+
+/// Settings on the command line.
+#[derive(Debug, Args)]
+pub struct RequestsArgs {
+    /// Settings of all commands; sizes are tenants, with a class for each eleven of them
+    #[command(flatten)]
+    pub options: Options,
+    /// Requests a second
+    #[arg(long, default_value_t = REQUESTS_S)]
+    pub rate: f64,
+    /// Seconds of each measurement
+    #[arg(long, default_value_t = 6.0)]
+    pub seconds: f64,
+    /// The load's own lag for 99 in 100, in ms, past which a run isn't scored
+    #[arg(long, default_value_t = 1.0)]
+    pub most_lag_ms: f64,
+    /// Without reloads, which keep some older daemons busy for most of a minute
+    #[arg(long)]
+    pub no_reloads: bool,
+    /// The daemon's program, if it is not beside this one
+    #[arg(long)]
+    pub daemon: Option<PathBuf>,
+}
+
+/// Beside what requests are measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Beside {
+    Nothing,
+    Reloads,
+    Links,
+}
+
+/// What one measurement came to.
+struct Measured {
+    cpu_us: f64,
+    p50_ms: f64,
+    p99_ms: f64,
+    unserved: u64,
+    lag: Lag,
+}
+
+/// Measures; false if a budget that is claimed to hold doesn't, or the load was late itself.
+pub fn run(args: &RequestsArgs) -> Result<bool, Box<dyn Error>> {
+    let end = interrupt::flag()?;
+    check_resources(DESCRIPTORS, MEMORY_NEEDED_MB)?;
+    let daemon = args.daemon.clone().map_or_else(fleet::daemon, Ok)?;
+    let sizes = args.options.sizes_or(&SIZES);
+    let bar = progress(sizes.len() * 3, "requests");
+    let mut table = Table::new();
+    let mut lag = Lag::default();
+    for tenants in sizes {
+        let wanted = Wanted { daemon: &daemon, tenants, sockets: 1_024, seed: args.options.seed };
+        let server = Server::start(&wanted)?;
+        for beside in [Beside::Nothing, Beside::Links, Beside::Reloads] {
+            go_on(&end)?;
+            bar.set_message(format!("{tenants} tenants, beside {beside:?}"));
+            if beside != Beside::Reloads || !args.no_reloads {
+                let measured = measure(args, &server, beside, &end)?;
+                lag = lag.worse(measured.lag);
+                table.add(tenants, beside, &measured);
+            }
+            bar.inc(1);
+        }
+    }
+    bar.finish_and_clear();
+    args.options.finish(&Report {
+        command: "requests",
+        sizes_of: "tenants, with a class for each eleven",
+        target: args.options.target_or(TENANTS),
+        seed: args.options.seed,
+        figures: table.figures(),
+        not_scored: lag.too_late(args.most_lag_ms),
+    })
+}
+
+fn measure(
+    args: &RequestsArgs,
+    server: &Server,
+    beside: Beside,
+    end: &AtomicBool,
+) -> Result<Measured, Box<dyn Error>> {
+    let list = Fixed { all: vec![server.node().address], turn: 0 };
+    // A number and a seed for each measurement: a server and its processor know the ids of the one before.
+    let number = beside as u64 + 1;
+    let seed = args.options.seed.wrapping_mul(1_000).wrapping_add(number);
+    let proxy = Proxy::start(number, seed, Habit::thrift(args.rate, 1, false), Box::new(list))?;
+    // The first requests open the connection.
+    thread::sleep(Duration::from_millis(300));
+    proxy.live();
+    let (cpu, begin) = (server.cpu(), Instant::now());
+    let (mut next, mut live) = (begin + EVENT_EVERY / 2, Live::default());
+    while begin.elapsed().as_secs_f64() < args.seconds {
+        go_on(end)?;
+        thread::sleep(Duration::from_millis(20));
+        live.add(proxy.live());
+        if Instant::now() >= next {
+            next += EVENT_EVERY;
+            disturb(server, beside)?;
+        }
+    }
+    let cpu = server.cpu().saturating_sub(cpu);
+    proxy.stop();
+    summed(&live, cpu)
+}
+
+fn disturb(server: &Server, beside: Beside) -> Result<(), Box<dyn Error>> {
+    match beside {
+        Beside::Nothing => {}
+        Beside::Links => server.node().processor.cut_link(),
+        Beside::Reloads => {
+            server.node().edit(|config| {
+                let tenants = config["settings"]["customers"].as_array_mut();
+                if let Some(last) = tenants.and_then(|tenants| tenants.last_mut()) {
+                    last["quota_rps"] = json!(last["quota_rps"].as_f64().unwrap_or(0.0) + 1.0);
+                }
+            })?;
+            server.node().reload();
+        }
+    }
+    Ok(())
+}
+
+fn summed(live: &Live, cpu: Duration) -> Result<Measured, Box<dyn Error>> {
+    let mut added = Histogram::<u64>::new(3)?;
+    let unserved = live.unserved + live.refused;
+    live.times_us.iter().try_for_each(|&us| added.record(us))?;
+    added.record_n(UNSERVED_US, unserved)?;
+    let at = |part: f64| added.value_at_quantile(part) as f64 / 1e3;
+    Ok(Measured {
+        cpu_us: cpu.as_secs_f64() * 1e6 / live.arrived.max(1) as f64,
+        p50_ms: at(0.5),
+        p99_ms: at(0.99),
+        unserved,
+        lag: Lag::of(&times(live))?,
+    })
+}
+
+/// The figures as they grow.
+struct Table {
+    cpu: Figure,
+    p50: Figure,
+    p99: Figure,
+    links_p99: Figure,
+    reloads_p99: Figure,
+    unserved: Figure,
+    lag: Figure,
+}
+
+impl Table {
+    fn new() -> Self {
+        let p99 = |id, what, claim| Figure::new(id, what, "ms").within(Budget::at_most(ADDED_MS, claim));
+        Self {
+            cpu: Figure::new("requests.cpu", "CPU of the server a request, idle CPU included", "us"),
+            p50: Figure::new("requests.added-p50", "answer less run, half of the requests", "ms"),
+            p99: p99("requests.added-p99", "answer less run, 99 in 100", Claim::Holds),
+            links_p99: p99("requests.added-p99-links", "the same, the link cut once a second", Claim::Fails),
+            reloads_p99: p99(
+                "requests.added-p99-reloads",
+                "the same, one tenant changed once a second",
+                Claim::Fails,
+            ),
+            unserved: Figure::new("requests.unserved", "not served, of all three measurements", "requests"),
+            lag: Figure::new("requests.own-lag", "by which the load was late itself, 99 in 100", "ms"),
+        }
+    }
+
+    fn add(&mut self, size: u64, beside: Beside, measured: &Measured) {
+        match beside {
+            Beside::Nothing => {
+                self.cpu.add(size, measured.cpu_us);
+                self.p50.add(size, measured.p50_ms);
+                self.p99.add(size, measured.p99_ms);
+                self.unserved.add(size, measured.unserved as f64);
+                self.lag.add(size, measured.lag.p99_ms);
+            }
+            Beside::Links => self.links_p99.add(size, measured.p99_ms),
+            Beside::Reloads => self.reloads_p99.add(size, measured.p99_ms),
+        }
+        if let Some(last) = self.unserved.points.last_mut().filter(|_| beside != Beside::Nothing) {
+            last.value += measured.unserved as f64;
+        }
+    }
+
+    fn figures(self) -> Vec<Figure> {
+        vec![self.cpu, self.p50, self.p99, self.links_p99, self.reloads_p99, self.unserved, self.lag]
+    }
+}
--- a/crates/model/src/peers/mod.rs
+++ b/crates/model/src/peers/mod.rs
@@ -4,9 +4,11 @@
 //! It is for seeds by the thousand, at sizes that sockets don't reach, and for what sharing earns beside static shares and
 //! beside a divider that knows all.
 
+mod traffic;
 mod troubles;
 mod world;
 
+pub use traffic::{Kind, Sent, Traffic};
 pub use troubles::{Trouble, Troubles, What, draw};
 pub use world::play;
 
@@ -56,6 +58,8 @@
     pub starved: usize,
     /// The mean of what a call takes in seconds.
     pub call_s: f64,
+    /// A stand-in that costs more: each server sends so many more bytes a second, as membership. For trying a measurement out.
+    pub stand_in_bytes_s: usize,
     /// What happens.
     pub troubles: Troubles,
 }
@@ -78,6 +82,7 @@
             drift: 0.01,
             starved: 0,
             call_s: 0.1,
+            stand_in_bytes_s: 0,
             troubles: Troubles::default(),
         }
     }
@@ -117,6 +122,8 @@
     pub bytes_s: f64,
     /// See `bytes_s`.
     pub most_bytes_s: f64,
+    /// What all servers sent, by kind, from `count_from_s` on.
+    pub traffic: Traffic,
     /// Times that a server that was there all along was believed dead, for each server and minute.
     pub wrongly_dead: f64,
     /// The longest time in seconds that one was.
--- a/crates/model/src/peers/world.rs
+++ b/crates/model/src/peers/world.rs
@@ -326,6 +326,7 @@
             Event::Trouble(n, begins) => self.trouble(n, begins),
             Event::Look => {
                 self.look();
+                self.send_of_stand_ins();
                 self.queue.push(self.now + nanos(LOOK_S), Event::Look);
             }
         }
@@ -361,6 +362,9 @@
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, data: Vec<u8>) {
+        if self.counts_now() {
+            self.out.traffic.add(&data);
+        }
         let SocketAddr::V4(to) = to else { return };
         let [_, _, high, low] = to.ip().octets();
         let to = usize::from(high) * 250 + usize::from(low);
@@ -375,6 +379,21 @@
         }
     }
 
+    /// What stand-ins send more: an envelope of no name and no tag that says membership, for nobody to take.
+    fn send_of_stand_ins(&mut self) {
+        const HEAD: usize = 2 + 4 * 8 + 1;
+        let bytes = (self.spec.stand_in_bytes_s as f64 * LOOK_S) as usize;
+        if bytes <= HEAD || !self.shares() {
+            return;
+        }
+        let mut data = vec![0; bytes];
+        data[0] = 1;
+        for from in 0..self.servers.len() {
+            let to = Self::address((from + 1) % self.servers.len());
+            self.send(from, to, data.clone());
+        }
+    }
+
     fn troubles(&self) -> impl Iterator<Item = &Trouble> {
         self.spec.troubles.0.iter().zip(&self.on).filter(|(_, on)| **on).map(|(trouble, _)| trouble)
     }
