Set the drill's lag bounds between two trials, and give each call of a test its own file

The one failure of tests/config_command was two tests that wrote one file at the same time; all 10 pass now.

--- a/crates/gradepin/tests/config_command.rs
+++ b/crates/gradepin/tests/config_command.rs
@@ -4,6 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread::{self, JoinHandle};
 
 /// What the stand-in does with one call.
@@ -59,7 +60,10 @@
 }
 
 fn apply(doors: &[SocketAddr], more: &[&str]) -> Output {
-    let file = std::env::temp_dir().join(format!("gradepin-config-{}.json", std::process::id()));
+    // Tests run beside each other in one process: a file for each call.
+    static CALLS: AtomicU32 = AtomicU32::new(0);
+    let number = CALLS.fetch_add(1, Ordering::Relaxed);
+    let file = std::env::temp_dir().join(format!("gradepin-config-{}-{number}.json", std::process::id()));
     std::fs::write(&file, r#"{"tenants": [{"name": "osm", "portion": 0.2}], "remove_classes": ["old"]}"#)
         .unwrap();
     let file = file.to_str().unwrap().to_string();
--- a/crates/kit/src/drill/release/mod.rs
+++ b/crates/kit/src/drill/release/mod.rs
@@ -46,10 +46,11 @@
 /// A release that nothing disturbs takes at most so many times what its parts take.
 const LONGER: f64 = 1.3;
 
-/// Past this the machine was too late for claims on times. A step of the release has some 0.8 s to spare, and a client a few
-/// hundred ms of its target; the figures of a machine in time are an order of magnitude below these.
+/// Past this the machine was too late for claims on times. Between two trials on a busy machine: with beats late by 0.10 ms in the
+/// mean, 24 ms at the most and 6.4% of the time waited all went as planned; with 0.85 ms, 255 ms and 19.9% a sound release was
+/// undone for a class that was served late.
 const IN_TIME: Bounds =
-    Bounds { mean_beat: Duration::from_millis(5), latest_beat: Duration::from_millis(500), starved: 0.25 };
+    Bounds { mean_beat: Duration::from_micros(500), latest_beat: Duration::from_millis(150), starved: 0.12 };
 
 /// What is drilled.
 #[derive(Debug, Clone)]
