--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -20,8 +20,7 @@
         Ok(false) => ExitCode::FAILURE,
         Err(message) => {
             eprintln!("gradepin-kit: {message}");
-            let not_scored = message.is::<NotScored>();
-            ExitCode::from(if not_scored { NotScored::EXIT_STATUS } else { 2 })
+            ExitCode::from(if message.is::<NotScored>() { NotScored::EXIT_STATUS } else { 2 })
         }
     }
 }
