Hold pushes back when a voter's bytes are spent, and describe the spread; not run yet

Cause: in a burst of 20 changes a second a voter spent its bytes on adverts to those it could not push to.

--- a/crates/config/src/dissemination/machine.rs
+++ b/crates/config/src/dissemination/machine.rs
@@ -24,6 +24,8 @@
 const ANSWER_BYTES: usize = 4_000;
 /// Commits that wait to be pushed, at the most: what is older is fetched by those who lack it.
 const MOST_PUSHED: usize = 64;
+/// After a push that the bound on bytes cut short the next one waits for so long.
+const HOLD_PUSH: Span = Span(400_000_000);
 /// A commit that this program can't apply is tried again after so long.
 const RETRY_APPLY: Span = Span(10_000_000_000);
 
@@ -69,6 +71,7 @@
     /// Revisions to be pushed, and when.
     fresh: Vec<Revision>,
     push_at: Time,
+    hold_push_until: Time,
     confirmed_at: Option<Time>,
     cannot_apply: Option<(Revision, Time)>,
     installed: u64,
@@ -97,6 +100,7 @@
             next_advert: now,
             fresh: Vec::new(),
             push_at: now,
+            hold_push_until: now,
             confirmed_at: None,
             cannot_apply: None,
             installed: 0,
@@ -321,7 +325,7 @@
         self.history.push(Arc::clone(&waiting.commit), self.state.digest());
         if !matches!(waiting.origin, Origin::Fetch(_)) {
             if self.fresh.is_empty() {
-                self.push_at = after(now, self.settings.push_every);
+                self.push_at = after(now, self.settings.push_every).max(self.hold_push_until);
             }
             if self.fresh.len() < MOST_PUSHED {
                 self.fresh.push(self.state.revision());
@@ -479,14 +483,17 @@
         let records = revisions.into_iter().filter_map(|revision| self.history.get(revision));
         let messages: Vec<Message> =
             serving::batches(&self.settings, records).into_iter().map(Message::Push).collect();
-        let advert = Message::Advert(self.state.version());
+        let mut refused = false;
         for peer in targets {
-            let all = messages.iter().all(|message| self.send(now, &peer, message, Traffic::Commits));
-            if !all {
-                // Too much for now: it fetches what it lacks, from here or elsewhere.
-                self.send(now, &peer, &advert, Traffic::Small);
+            refused |= !messages.iter().all(|message| self.send(now, &peer, message, Traffic::Commits));
+            if refused {
+                break;
             }
         }
+        if refused {
+            // The bytes are spent: the others fetch, and what comes next waits to go in fewer datagrams.
+            self.hold_push_until = after(now, HOLD_PUSH);
+        }
     }
 
     fn fetch(&mut self, now: Time) {
--- a/crates/config/src/dissemination/peers.rs
+++ b/crates/config/src/dissemination/peers.rs
@@ -206,6 +206,10 @@
             true if origin => self.draw(rng, self.relays(&self.own.zone), RELAYS, &mut chosen),
             true => {}
         }
+        // The bytes of a second may be spent before the end: at random, so that no zone comes last each time.
+        for last in (1..chosen.len()).rev() {
+            chosen.swap(last, below(rng, last + 1));
+        }
         chosen
     }
 
--- a/crates/config/src/dissemination/requests.rs
+++ b/crates/config/src/dissemination/requests.rs
@@ -3,11 +3,11 @@
 //! One request at a time. Nearer peers come first: those farther away are asked only when a server has been behind for
 //! longer, so that after a partition few servers of a zone fetch from afar and the others fetch from them.
 
-use crate::digest::Version;
 use super::peers::{Distance, Peers, below};
 use super::quarantine::Quarantine;
 use super::settings::{DisseminationSettings, Selection};
 use crate::change::{Name, Revision};
+use crate::digest::Version;
 use gradepin_decisions::{Span, Time, after};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
@@ -155,9 +155,7 @@
             return None;
         }
         let since = self.behind_since?;
-        let rank = |name: &Name| {
-            (self.has_failed(now, name), peers.distance(name), !peers.is_voter(name))
-        };
+        let rank = |name: &Name| (self.has_failed(now, name), peers.distance(name), !peers.is_voter(name));
         let may = |name: &&Name| {
             let delay = self.delay(settings, peers.distance(name));
             now >= after(since, delay) && peers.may_fetch(settings, name) && !quarantine.holds(now, name)
--- a/crates/config/src/dissemination/settings.rs
+++ b/crates/config/src/dissemination/settings.rs
@@ -71,7 +71,7 @@
             most_backoff: Span(2_000 * MS),
             quarantine: Span(60_000 * MS),
             kept: LogLimits { commits: 1_024, bytes: 4 << 20 },
-            send_bytes_s: 16_000.0,
+            send_bytes_s: 32_000.0,
             snapshot_bytes_s: 64_000.0,
             request_bytes_s: 256_000.0,
             envelope_bytes: 106,
--- a/crates/config/src/dissemination/transfer.rs
+++ b/crates/config/src/dissemination/transfer.rs
@@ -362,8 +362,7 @@
 
     /// The snapshot, once all of it is there.
     pub fn finished(&mut self, now: Time) -> Option<Snapshot> {
-        let whole =
-            matches!(&self.phase, Phase::Loading(loading) if loading.assembly.missing_count() == 0);
+        let whole = matches!(&self.phase, Phase::Loading(loading) if loading.assembly.missing_count() == 0);
         if !whole {
             return None;
         }
@@ -439,7 +438,8 @@
             if self.outstanding.contains_key(&number) {
                 continue;
             }
-            let load = |source: &Source| self.outstanding.values().filter(|(name, _)| *name == source.name).count();
+            let load =
+                |source: &Source| self.outstanding.values().filter(|(name, _)| *name == source.name).count();
             let fit = |source: &&Source| {
                 load(source) < window && !self.absent.contains(&(source.name.clone(), number))
             };
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`snapshot`]: a state in chunks that are checked one by one.
 //! - [`log`]: the last commits.
 //! - [`difference`]: what turns one state into another.
+//! - [`dissemination`]: how commits and snapshots reach every server.
 //! - [`document`]: a transaction as people write it.
 //!
 //! A configuration is the result of applying a prefix of the committed log to the one base, revision 0. Every server of
@@ -16,6 +17,7 @@
 pub mod configuration;
 pub mod difference;
 pub mod digest;
+pub mod dissemination;
 pub mod document;
 pub mod log;
 pub mod rules;
--- a/crates/model/src/config/tamper.rs
+++ b/crates/model/src/config/tamper.rs
@@ -29,7 +29,9 @@
 
 /// A message as a bad server sends it. The snapshots it serves are of an old state, under a newer revision.
 pub fn tamper(bytes: &[u8], old: &Configuration, rng: &mut Pcg64Mcg) -> Vec<u8> {
-    let Some(mut message) = Message::decode(bytes).filter(|_| chance(rng, PART)) else { return bytes.to_vec() };
+    let Some(mut message) = Message::decode(bytes).filter(|_| chance(rng, PART)) else {
+        return bytes.to_vec();
+    };
     match &mut message {
         Message::Advert(version) => version.digest = other(version.digest),
         Message::Push(records) | Message::Commits { records, .. } => {
