Add scale fleet: hollow servers and real daemons in one fleet, in real time

A hollow server is the real reducer, decision module and cluster on a real UDP socket of a loopback address, with synthetic requests and without threads, fronts and a processor. `gradepin-kit scale fleet` deals them to host processes, with real daemons in the same fleet by the same files, keys and seeds, in 15 zones and 4 regions. Regions are cut from each other where hollow servers send and receive. Counted for both sorts alike: messages and bytes by kind, CPU of control (a process with others less the same without), memory, members, reports heard, time until all know all after the start and after a cut. A server that costs more than the others is caught. Descriptors, processes and memory are checked first, and hosts end with their input.

Envelope::kind and MessageKind::word say what a datagram carries; node's fleet_settings is public.

Not measured yet: sizes above 100, and the CPU as counted now.

--- a/crates/cluster/src/cluster/envelope.rs
+++ b/crates/cluster/src/cluster/envelope.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// The kind of its content, for those who count; none where no kind has its byte.
+    pub fn kind(&self) -> Option<MessageKind> {
+        self.message().map(|(kind, _)| kind)
+    }
+
     pub(super) fn header(&self) -> Header<'_> {
         Header {
             name: &self.name,
--- a/crates/cluster/src/cluster/message.rs
+++ b/crates/cluster/src/cluster/message.rs
@@ -28,4 +28,15 @@
     pub fn byte(self) -> u8 {
         self as u8
     }
+
+    /// In a word, for figures.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Membership => "membership",
+            Self::Rows => "rows",
+            Self::Lease => "lease",
+            Self::KnownIncarnation => "known-incarnation",
+            Self::Fragment => "fragment",
+        }
+    }
 }
--- a/crates/kit/src/scale/cli.rs
+++ b/crates/kit/src/scale/cli.rs
@@ -1,5 +1,6 @@
 //! `gradepin-kit scale`: its commands.
 
+use super::fleet::host::{self, HostArgs};
 use super::fleet::{self, FleetArgs};
 use clap::{Args, Subcommand};
 use std::error::Error;
@@ -28,6 +29,9 @@
     Consensus(PendingArgs),
     /// Many servers without a processor in a few processes, with real ones among them
     Fleet(FleetArgs),
+    /// Host hollow servers, for `fleet`
+    #[command(hide = true)]
+    FleetHost(HostArgs),
 }
 
 /// Settings of a command that is not there yet.
@@ -45,5 +49,6 @@
         ScaleCommand::Counters(_) => pending("counters"),
         ScaleCommand::Consensus(_) => pending("consensus"),
         ScaleCommand::Fleet(args) => fleet::run(args),
+        ScaleCommand::FleetHost(args) => host::run(&args).map(|()| true),
     }
 }
--- /dev/null
+++ b/crates/kit/src/scale/fleet/requests/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+use gradepin_core::config::Config;
+
+const SETTINGS: &str = r#"{
+    "name": "h0", "listen": "127.0.0.1:1", "processor": "127.0.0.1:2", "control": "127.0.0.1:3", "seed": "1",
+    "stop_ms": 1000, "limits": {"sockets": 128},
+    "settings": {"granularity": 1000000, "rules": {"drain_grace": 1, "fall": 1500000000, "tip_multiple": 4.0},
+        "profiles": [
+            {"name": "label-save", "promise": 1000000, "deadline": 2000000, "effect": "by_key", "worth": 1.0},
+            {"name": "sheet-view", "promise": 1000000, "deadline": 2000000, "effect": "repeatable", "worth": 1.0}],
+        "customers": [{"name": "a"}, {"name": "b"}],
+        "specifics": {"n_cores": 2, "memory_kb": 4096.0, "run_factor": 4.0}}
+}"#;
+
+fn moment(ms: u64) -> Moment {
+    Moment { now: Time(1_000_000_000_000 + ms * 1_000_000), unix_ms: ms }
+}
+
+/// Guards the load: arrivals come at the rate that is set, whatever the host's own turns are, with a token where the class is
+/// keyed; and each run that began ends once.
+#[test]
+fn requests_come_at_their_rate_and_runs_end_once() {
+    let settings = Config::parse(SETTINGS).unwrap().settings;
+    let pool = Pool::new(8);
+    let mut requests = Requests::new(3, 11, 200.0, 20.0, moment(0).now);
+    let (mut inputs, mut arrived, mut ended) = (Vec::new(), 0, 0);
+    // Turns of uneven length up to ten seconds.
+    for ms in (0..=10_000).step_by(7) {
+        arrived += requests.due(moment(ms), &settings, &pool, &mut inputs);
+        for input in std::mem::take(&mut inputs) {
+            match input {
+                Input::Call(_, _, call) => {
+                    assert_eq!(call.token.is_some(), call.class == 0, "keyed classes have a token");
+                    let body = Arc::new(call.body);
+                    let begin = Effect::Begin(LINK, call.id, call.class, body);
+                    requests.take(moment(ms).now, begin, &mut inputs);
+                }
+                Input::Complete { notice, .. } => {
+                    ended += 1;
+                    assert_eq!(notice, ended, "notices are numbered without a gap");
+                }
+                _ => {}
+            }
+        }
+    }
+    assert!((1_800..2_200).contains(&arrived), "seed 11: {arrived} in ten seconds at 200 a second");
+    assert!(arrived - ended < 50, "{ended} of {arrived} ended");
+}
+
+/// Guards against a server that is asked on a connection which it has closed.
+#[test]
+fn a_closed_connection_is_made_anew() {
+    let settings = Config::parse(SETTINGS).unwrap().settings;
+    let pool = Pool::new(8);
+    let mut requests = Requests::new(1, 5, 100.0, 5.0, moment(0).now);
+    let mut inputs = Vec::new();
+    requests.due(moment(500), &settings, &pool, &mut inputs);
+    assert!(matches!(inputs[0], Input::Opened(1)));
+    inputs.clear();
+    requests.take(moment(500).now, Effect::CloseResting(1, 9), &mut inputs);
+    assert!(matches!(inputs[..], [Input::Closed(1)]));
+    inputs.clear();
+    requests.due(moment(1_000), &settings, &pool, &mut inputs);
+    assert!(matches!(inputs[0], Input::Opened(2)));
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -501,8 +501,8 @@
     }
 }
 
-/// What this server is in the fleet, in the life that begins.
-fn fleet_settings(
+/// What this server is in the fleet, in the life that begins. Also for those who host a reducer elsewhere.
+pub fn fleet_settings(
     set: &FleetSettings,
     config: &Config,
     keys: Keys,
