--- a/crates/kit/src/scale/cli.rs
+++ b/crates/kit/src/scale/cli.rs
@@ -2,6 +2,7 @@
 
 use super::connections::{self, ConnectionsArgs};
 use super::consensus::{self, ConsensusArgs};
+use super::fleet::host::{self, HostArgs};
 use super::fleet::{self, FleetArgs};
 use super::gossip::GossipArgs;
 use super::requests::{self, RequestsArgs};
@@ -34,6 +35,9 @@
     Consensus(ConsensusArgs),
     /// Many servers without a processor in a few processes, with real ones among them
     Fleet(FleetArgs),
+    /// Host hollow servers, for `fleet`
+    #[command(hide = true)]
+    FleetHost(HostArgs),
 }
 
 /// Measures; false if a budget that is claimed to hold doesn't.
@@ -46,5 +50,6 @@
         ScaleCommand::Counters(args) => counters::run(&args),
         ScaleCommand::Consensus(args) => consensus::run(&args),
         ScaleCommand::Fleet(args) => fleet::run(args),
+        ScaleCommand::FleetHost(args) => host::run(&args).map(|()| true),
     }
 }
