--- a/crates/core/src/reducer/agreed.rs
+++ b/crates/core/src/reducer/agreed.rs
@@ -193,6 +193,8 @@
                 self.log(Level::Info, format!("changing to {what} {version} by permit {}", turn.epoch));
                 self.effects.push(Effect::Change(Box::new(turn), until));
             }
+            // None comes while no settings turn the configuration service on.
+            Asked::Configuration(_) => {}
             Asked::Note(bad, text) => {
                 self.log(if bad { Level::Warning } else { Level::Info }, text);
             }
--- a/crates/model/src/agreed/mod.rs
+++ b/crates/model/src/agreed/mod.rs
@@ -381,6 +381,7 @@
                 },
                 Effect::MayChange(..) => self.servers[n].part.as_mut().unwrap().missed(),
                 Effect::Refused(why) => self.notes.push(format!("n{n}: refused: {why}")),
+                Effect::Configuration(_) => {}
                 Effect::Note(_, text) => self.notes.push(format!("n{n}: {text}")),
             }
         }
--- a/crates/releases/src/chair.rs
+++ b/crates/releases/src/chair.rs
@@ -553,6 +553,8 @@
                     Outcome::Done => Ok("done".to_string()),
                     Outcome::Permit(epoch, _) => Ok(format!("permit {epoch}")),
                     Outcome::Refused(why) => Err(why.to_string()),
+                    Outcome::Revision(revision) => Ok(format!("revision {revision}")),
+                    Outcome::NotCommitted(why) => Err(why.to_string()),
                 };
                 self.says.push(Says::Ordered(ticket, Ordered::Over(said)));
             }
@@ -568,7 +570,7 @@
                         }
                     }
                     (Outcome::Permit(epoch, _), None) => Answer::Permit(epoch),
-                    (Outcome::Done, _) => Answer::Over,
+                    (Outcome::Done | Outcome::Revision(_) | Outcome::NotCommitted(_), _) => Answer::Over,
                 };
                 self.answer(&name, number, answer);
             }
--- a/crates/releases/src/council.rs
+++ b/crates/releases/src/council.rs
@@ -4,7 +4,14 @@
 //! concern; what is agreed on is [`crate::record`]'s, and the files are the store's. Effects are to be done in their order:
 //! what stands behind a [`Effect::Write`] never depends on it, what does is held back until [`Council::written`].
 
+mod configuration;
+
+pub use configuration::{NotTaken, Taken};
+
 use crate::record::{Command, Name, Outcome, Record};
+use crate::replicated_snapshot;
+use configuration::Content;
+use gradepin_config::change::{Commit, Revision};
 use gradepin_decisions::{Span, Time, after};
 use protobuf::Message as _;
 use raft::eraftpb::{
@@ -12,7 +19,7 @@
 };
 use raft::eraftpb::{Snapshot, SnapshotMetadata};
 use raft::storage::{GetEntriesContext, RaftState};
-use raft::{Config, RawNode, StateRole, Storage, StorageError};
+use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole, Storage, StorageError};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -31,6 +38,10 @@
 /// Entries since the last snapshot that make the next one; the last few stay for voters that are a little behind.
 const SNAPSHOT_EVERY: u64 = 128;
 const KEPT_BEHIND: u64 = 32;
+/// Entries since the last snapshot that make the next one though the configuration isn't durable here yet.
+const SNAPSHOT_AT_LATEST: u64 = 4 * SNAPSHOT_EVERY;
+/// Ticks after which a snapshot that its receiver hasn't acknowledged is sent again: it goes in many datagrams.
+const SNAPSHOT_TICKS: u32 = 10;
 /// Bytes of entries in one message, beyond the first entry; and bytes that are not agreed on yet.
 const MESSAGE_BYTES: u64 = 900;
 const UNCOMMITTED_BYTES: u64 = 64 * 1024;
@@ -103,6 +114,11 @@
         /// What it came to.
         outcome: Outcome,
     },
+    /// A change of the configuration is committed. In the order of revisions; after a failure of the disk some come again.
+    Committed(Arc<Commit>),
+    /// The host is to make the configuration durable, at this revision or a later one, then call
+    /// [`Council::configuration_durable`]; the log is not compacted before.
+    MakeDurable(Revision),
     /// Tell it in the log; whether it is bad.
     Note(bool, String),
 }
@@ -241,7 +257,7 @@
 /// What a voter founds the council with: the same on each.
 pub fn founding(voters: &BTreeMap<VoterId, Name>) -> Vec<Durable> {
     let record = Record { index: 1, voters: voters.clone(), ..Record::default() };
-    let data = postcard::to_stdvec(&record).unwrap_or_default();
+    let data = replicated_snapshot::encode(&record);
     let voters = voters.keys().copied().collect();
     vec![Durable::Snapshot { index: 1, term: 1, voters, data }, Durable::Term { term: 1, vote: 0, commit: 1 }]
 }
@@ -288,6 +304,10 @@
     id: VoterId,
     node: Option<RawNode<Log>>,
     record: Record,
+    /// The configuration's content, as far as it is here.
+    content: Content,
+    /// Since which tick a voter waits for a snapshot that may have been lost.
+    snapshots_sent: BTreeMap<VoterId, u32>,
     held: VecDeque<Held>,
     /// Records that needn't be durable by themselves: they go with the next ones that must.
     along: Vec<Durable>,
@@ -312,6 +332,8 @@
             id: found.id,
             node: None,
             record: Record::default(),
+            content: Content::default(),
+            snapshots_sent: BTreeMap::new(),
             held: VecDeque::new(),
             along: Vec::new(),
             changed: false,
@@ -348,7 +370,7 @@
         for record in records {
             match record {
                 Durable::Snapshot { index, term, voters, data } => {
-                    self.record = postcard::from_bytes(&data).unwrap_or_default();
+                    self.record = replicated_snapshot::decode(&data).unwrap_or_default();
                     let conf = ConfState { voters, ..ConfState::default() };
                     log.restore(snapshot(index, term, conf, data));
                 }
@@ -368,6 +390,7 @@
             }
         }
         log.hard.commit = log.hard.commit.clamp(log.before.0, log.last());
+        self.content.restart(self.record.configuration.version());
         self.begin(log);
     }
 
@@ -400,8 +423,11 @@
     /// What must not be durable failed to be: nothing that was held back leaves, and the voter goes on from what its disk has.
     pub fn failed(&mut self, found: Found, now: Time) {
         let lost = self.lost.take();
+        let content = std::mem::take(&mut self.content);
         let (seed, effects) = (self.rng.next_u64(), std::mem::take(&mut self.effects));
         *self = Self::new(found, seed, now);
+        self.content = content;
+        self.content.restart(self.record.configuration.version());
         self.effects.splice(0..0, effects.into_iter().filter(|effect| matches!(effect, Effect::Note(..))));
         if let Some(why) = lost {
             (self.node, self.lost) = (None, Some(why));
@@ -619,6 +645,7 @@
             for _ in 0..=late.min(MOST_TICKS) {
                 self.tick();
             }
+            self.resend_snapshots();
             self.ask_where();
         }
         self.turn();
@@ -643,6 +670,25 @@
         }
     }
 
+    /// Sends snapshots again that were lost on their way: the library waits for word of them and gets none.
+    fn resend_snapshots(&mut self) {
+        let Some(node) = self.node.as_mut().filter(|node| node.raft.state == StateRole::Leader) else {
+            return self.snapshots_sent.clear();
+        };
+        let progress = node.raft.prs().iter();
+        let waiting: Vec<VoterId> =
+            progress.filter(|(_, of)| of.state == ProgressState::Snapshot).map(|(id, _)| *id).collect();
+        self.snapshots_sent.retain(|id, _| waiting.contains(id));
+        for id in waiting {
+            let ticks = self.snapshots_sent.entry(id).or_default();
+            *ticks += 1;
+            if *ticks >= SNAPSHOT_TICKS {
+                *ticks = 0;
+                node.report_snapshot(id, SnapshotStatus::Failure);
+            }
+        }
+    }
+
     /// Asks the others where they stand, until this voter is trusted again.
     fn ask_where(&mut self) {
         let Some(place) = self.place().filter(|_| self.trust != Trust::Whole) else { return };
@@ -660,7 +706,8 @@
             let taken = !ready.snapshot().is_empty();
             if taken {
                 let snapshot = ready.snapshot().clone();
-                self.record = postcard::from_bytes(snapshot.get_data()).unwrap_or_default();
+                self.record = replicated_snapshot::decode(snapshot.get_data()).unwrap_or_default();
+                self.content.restart(self.record.configuration.version());
                 records.push(durable(&snapshot));
                 node.mut_store().restore(snapshot);
             }
@@ -706,12 +753,16 @@
     /// Writes the record as of now into the records that are to be written, once enough was applied since the last time.
     fn snapshot_due(&mut self) -> bool {
         let Some(node) = &mut self.node else { return false };
-        let log = node.mut_store();
-        let due = self.record.index >= log.snapshot.get_metadata().index + SNAPSHOT_EVERY;
-        if !due && !std::mem::take(&mut self.changed) {
+        let since = self.record.index.saturating_sub(node.store().snapshot.get_metadata().index);
+        let changed = std::mem::take(&mut self.changed);
+        // A host that can't make the configuration durable keeps the log long, not endless: its content is had from peers.
+        let compacts = since >= SNAPSHOT_EVERY && (self.may_compact() || since >= SNAPSHOT_AT_LATEST);
+        if !compacts && !changed {
             return false;
         }
-        let data = postcard::to_stdvec(&self.record).unwrap_or_default();
+        let Some(node) = &mut self.node else { return false };
+        let log = node.mut_store();
+        let data = replicated_snapshot::encode(&self.record);
         log.compact(self.record.index, data);
         // All that the files have to hold from here on, in one piece: what stood before may go once this is durable.
         let index = self.record.index;
@@ -728,7 +779,17 @@
             self.record.index = index;
             if entry.get_entry_type() == EntryType::EntryNormal {
                 if let Ok(Proposal { by, number, command }) = postcard::from_bytes(&entry.data) {
+                    let change = match &command {
+                        Command::Configuration(entry) => Some(entry.clone()),
+                        _ => None,
+                    };
+                    let before = self.record.configuration.version().revision;
                     let outcome = self.record.apply(index, command);
+                    if let Some(entry) = change
+                        && self.record.configuration.version().revision > before
+                    {
+                        self.configuration_committed(&entry);
+                    }
                     self.effects.push(Effect::Applied { index, by, number, outcome });
                 }
                 continue;
--- a/crates/releases/src/part.rs
+++ b/crates/releases/src/part.rs
@@ -3,10 +3,16 @@
 
 use crate::asker::{Answer, Ask, Asker, Heard, Waiting, Want};
 use crate::chair::{Chair, ChairSettings, Order, Ordered, Report, Says, Turn};
-use crate::council::{Council, Durable, Effect as Voted, Found, VoterId};
+use crate::configuration_log::{
+    ConfigurationRequest, ConfigurationSettings, ProposalRefused, ReplicatedConfiguration,
+};
+use crate::council::{Council, Durable, Effect as Voted, Found, NotTaken, Taken, VoterId};
 use crate::founding::{self, Founding, FoundingError, FoundingStep, ReportedVoter};
+use crate::proposal_client::{Answered, Outgoing, ProposalClient, VoterAnswer, Waiter, Waiters};
 use crate::record::{Name, Record, Target};
 use crate::release::Kind;
+use gradepin_config::change::{Commit, Revision};
+use gradepin_config::configuration::Configuration;
 use gradepin_decisions::{Span, Time, after, secs};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -48,6 +54,10 @@
     Look,
     /// See `Look`.
     Record(Box<Record>),
+    /// A request for a change of the configuration, on its way to the leader, and what a voter says to it.
+    Request(u64, Box<ConfigurationRequest>),
+    /// See `Request`.
+    Requested(u64, VoterAnswer),
 }
 
 /// What an operator sets, and what the server knows of itself.
@@ -84,10 +94,24 @@
     Refused(String),
     /// This server may change by this turn, if that is still before the time.
     MayChange(Turn, Time),
+    /// About the configuration.
+    Configuration(ConfigurationEffect),
     /// Tell it in the log; whether it is bad.
     Note(bool, String),
 }
 
+/// What is to be done about the configuration.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ConfigurationEffect {
+    /// A commit, on voters only, in the order of revisions: to be applied and spread. One that is not newer than what the
+    /// server has is to be passed over.
+    Committed(Arc<Commit>),
+    /// The configuration is to be made durable at this revision or a later one, then [`Part::configuration_durable`] called.
+    MakeDurable(Revision),
+    /// What a request came to that was handed in here.
+    Answered(Answered),
+}
+
 /// What became of an operator's order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Became {
@@ -150,6 +174,10 @@
     given: VecDeque<(u64, Name, u64)>,
     given_no: u64,
     founding: Founding,
+    /// Whether changes of the configuration are committed by this group; requests that were handed in here; who waits here.
+    configuration: Option<ConfigurationSettings>,
+    requests: ProposalClient,
+    waiters: Waiters,
     effects: Vec<Effect>,
 }
 
@@ -174,6 +202,9 @@
             given: VecDeque::new(),
             given_no: 0,
             founding: Founding::new(&set.voters),
+            configuration: None,
+            requests: ProposalClient::default(),
+            waiters: Waiters::default(),
             effects: Vec::new(),
             set,
         }
@@ -348,6 +379,8 @@
                     self.say(from, &record);
                 }
             }
+            Word::Request(ticket, request) => self.requested(now, from, ticket, &request),
+            Word::Requested(ticket, answer) => self.request_answered(now, ticket, answer),
             Word::Record(record) => {
                 let newer = self.looked.as_ref().is_none_or(|(known, _)| record.index >= known.index);
                 if newer {
@@ -483,6 +516,7 @@
         }
         self.chair_says(now);
         self.put_orders(now);
+        self.put_requests(now);
         while let Some((to, ask)) = self.asker.step(now) {
             if to == self.set.name {
                 if let Some(council) = &mut self.council {
@@ -527,6 +561,11 @@
                     }
                 }
                 Voted::Applied { .. } => {}
+                Voted::Committed(commit) => self.committed(now, commit),
+                Voted::MakeDurable(revision) => {
+                    let effect = ConfigurationEffect::MakeDurable(revision);
+                    self.effects.push(Effect::Configuration(effect));
+                }
                 Voted::Note(bad, text) => self.effects.push(Effect::Note(bad, format!("council: {text}"))),
             }
         }
@@ -609,13 +648,121 @@
         let chair = if self.council.is_some() { self.chair.wake_at() } else { Time(u64::MAX) };
         let orders = self.orders.values().map(|under| under.next).min();
         let asker = self.asker.wake_at();
-        [Some(self.next_report), Some(self.next_look), orders, asker, Some(council), Some(chair)]
+        let requests = self.requests.wake_at();
+        [requests, Some(self.next_report), Some(self.next_look), orders, asker, Some(council), Some(chair)]
             .into_iter()
             .flatten()
             .min()
             .unwrap_or(Time(u64::MAX))
     }
 
+    /// With changes of the configuration committed by this group.
+    pub fn with_configuration(mut self, set: ConfigurationSettings) -> Self {
+        self.configuration = Some(set);
+        if let Some(council) = &mut self.council {
+            council.set_configuration(set);
+        }
+        self
+    }
+
+    /// Hands in a request for a change; [`ConfigurationEffect::Answered`] with the ticket tells within 2 s what it came to.
+    pub fn request(
+        &mut self,
+        now: Time,
+        ticket: u64,
+        request: ConfigurationRequest,
+    ) -> Result<(), ProposalRefused> {
+        if self.configuration.is_none() {
+            return Err(ProposalRefused::Off);
+        }
+        self.requests.ask(now, ticket, request)
+    }
+
+    /// The host has this content: from its durable copy, its start file or its peers. To be called at the start, and when
+    /// peers brought a newer one; what [`ConfigurationEffect::Committed`] told is known here already.
+    pub fn holds_configuration(&mut self, configuration: &Configuration) {
+        if let Some(council) = &mut self.council {
+            council.hold_configuration(configuration);
+        }
+    }
+
+    /// The host's durable copy has this revision.
+    pub fn configuration_durable(&mut self, revision: Revision) {
+        if let Some(council) = &mut self.council {
+            council.configuration_durable(revision);
+        }
+    }
+
+    /// The order of changes with its history, on a voter.
+    pub fn configuration_order(&self) -> Option<&ReplicatedConfiguration> {
+        let council = self.council.as_ref().filter(|council| council.is_founded());
+        council.map(|council| &council.record().configuration)
+    }
+
+    /// The content that this voter holds, if it does.
+    pub fn configuration(&self) -> Option<&Configuration> {
+        self.council.as_ref().and_then(Council::configuration)
+    }
+
+    fn put_requests(&mut self, now: Time) {
+        for Outgoing { to, ticket, request } in self.requests.due(now, &self.set.voters) {
+            if to == self.set.name {
+                self.requested(now, &to, ticket, &request);
+            } else {
+                self.say(&to, &Word::Request(ticket, Box::new(request)));
+            }
+        }
+        let expired = self.requests.expired(now);
+        expired.into_iter().for_each(|answered| self.answer_request(answered));
+    }
+
+    /// A request came to this voter, its own or another server's.
+    fn requested(&mut self, now: Time, from: &Name, ticket: u64, request: &ConfigurationRequest) {
+        let answer = match (&mut self.council, self.configuration) {
+            (None, _) => VoterAnswer::Elsewhere(None),
+            (Some(_), None) => VoterAnswer::Over(Err(ProposalRefused::Off)),
+            (Some(council), Some(_)) => match council.request(request) {
+                Ok(Taken::Committed(revision)) => VoterAnswer::Over(Ok(revision)),
+                Ok(Taken::Proposed(_)) => {
+                    let request_id = request.proposal.request_id.clone();
+                    self.waiters.wait(Waiter { request_id, server: Arc::clone(from), ticket, since: now });
+                    VoterAnswer::Proposed
+                }
+                Err(NotTaken::Refused(why)) => VoterAnswer::Over(Err(why)),
+                Err(NotTaken::Elsewhere(leader)) => {
+                    let voters = &council.record().voters;
+                    VoterAnswer::Elsewhere(leader.and_then(|leader| voters.get(&leader).cloned()))
+                }
+            },
+        };
+        self.tell_request(now, from, ticket, answer);
+    }
+
+    fn tell_request(&mut self, now: Time, to: &Name, ticket: u64, answer: VoterAnswer) {
+        if *to == self.set.name {
+            self.request_answered(now, ticket, answer);
+        } else {
+            self.say(to, &Word::Requested(ticket, answer));
+        }
+    }
+
+    fn request_answered(&mut self, now: Time, ticket: u64, answer: VoterAnswer) {
+        if let Some(answered) = self.requests.answered(now, ticket, answer, &self.set.voters) {
+            self.answer_request(answered);
+        }
+    }
+
+    fn answer_request(&mut self, answered: Answered) {
+        self.effects.push(Effect::Configuration(ConfigurationEffect::Answered(answered)));
+    }
+
+    fn committed(&mut self, now: Time, commit: Arc<Commit>) {
+        for waiter in self.waiters.committed(&commit.request_id) {
+            self.tell_request(now, &waiter.server, waiter.ticket, VoterAnswer::Over(Ok(commit.revision)));
+        }
+        self.effects.push(Effect::Configuration(ConfigurationEffect::Committed(commit)));
+    }
+
     /// The fleet's agreements as they are known here.
     pub fn status(&self, now: Time) -> Status {
         let founded = self.council.as_ref().filter(|council| council.is_founded());
--- a/crates/releases/src/record.rs
+++ b/crates/releases/src/record.rs
@@ -4,7 +4,9 @@
 //! Not here: who is heard to be ready (the leader's to see, [`crate::chair`]), and how commands are agreed on
 //! ([`crate::council`]).
 
+use crate::configuration_log::{ConfigurationEntry, ProposalRefused, ReplicatedConfiguration};
 use crate::release::{Release, ReleaseOrder, Step};
+use gradepin_config::change::Revision;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
@@ -253,6 +255,8 @@
     },
     /// Something about the release.
     Release(ReleaseOrder),
+    /// A change of the configuration. Last, so that logs of versions without it are read as they were written.
+    Configuration(Box<ConfigurationEntry>),
 }
 
 /// By what a permit ends. Either names what it saw: between the seeing and the agreeing the holder may have asked to begin once
@@ -274,6 +278,10 @@
     Permit(u64, Stage),
     /// It is not done.
     Refused(Why),
+    /// A change of the configuration has this revision.
+    Revision(Revision),
+    /// A change of the configuration is not committed.
+    NotCommitted(ProposalRefused),
 }
 
 /// The record.
@@ -293,6 +301,9 @@
     pub acts: VecDeque<Act>,
     /// The release, the last one if it is over.
     pub release: Option<Release>,
+    /// The order of configuration changes; encoded by [`crate::replicated_snapshot`] and not shown to servers that look.
+    #[serde(skip)]
+    pub configuration: ReplicatedConfiguration,
 }
 
 /// Names for a message, not too many.
@@ -372,6 +383,12 @@
                 }
             }
             Command::Release(order) => return self.order(index, order),
+            Command::Configuration(entry) => {
+                return match self.configuration.apply(&entry) {
+                    Ok(revision) => Outcome::Revision(revision),
+                    Err(why) => Outcome::NotCommitted(why),
+                };
+            }
         }
         Outcome::Done
     }
--- /dev/null
+++ b/crates/releases/tests/common/base.rs
@@ -0,0 +1,20 @@
+//! The start file's content: a configuration holds at least one class.
+
+use gradepin_config::configuration::Configuration;
+use gradepin_decisions::{Effect, Profile, Settings, Span};
+
+pub fn base() -> Configuration {
+    let second = Span(1_000_000_000);
+    let profile = Profile {
+        name: "read".into(),
+        promise: second,
+        deadline: second,
+        effect: Effect::Repeatable,
+        late_value: 0.0,
+        window: Span(0),
+        worth: 1.0,
+        aim_stretch: 0.0,
+    };
+    let settings = Settings { profiles: vec![profile], over_share_worth: 1.0, ..Settings::default() };
+    Configuration::from_settings(&settings).expect("valid")
+}
--- /dev/null
+++ b/crates/releases/tests/common/fleet.rs
@@ -0,0 +1,95 @@
+//! Servers whose parts reach each other at once and whose writes are durable at once. Who is cut off neither sends nor receives.
+#![allow(dead_code)]
+
+#[path = "base.rs"]
+mod base;
+
+use gradepin_decisions::{Span, Time, after};
+use gradepin_releases::chair::{ChairSettings, Report};
+use gradepin_releases::configuration_log::ConfigurationSettings;
+use gradepin_releases::council::Found;
+use gradepin_releases::founding::FoundingError;
+use gradepin_releases::part::{ConfigurationEffect, Effect, Part, PartSettings};
+use gradepin_releases::record::Name;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+const TURN: Span = Span(10_000_000);
+pub const SECOND: Span = Span(1_000_000_000);
+pub const ALL: &[usize] = &[0, 1, 2];
+
+pub fn name(n: usize) -> Name {
+    Arc::from(format!("n{n}"))
+}
+
+pub struct Fleet {
+    pub now: Time,
+    pub parts: Vec<Part>,
+    pub cut: BTreeSet<usize>,
+    /// What servers were told about the configuration.
+    pub told: Vec<(usize, Time, ConfigurationEffect)>,
+}
+
+impl Fleet {
+    /// Server `n` names these voters in its settings; the first three have a folder.
+    pub fn new(voters_of: &[&[usize]]) -> Self {
+        let now = Time(SECOND.0);
+        let part = |(n, voters): (usize, &&[usize])| {
+            let found = Found { id: 100 + n as u64, records: Vec::new() };
+            let set = PartSettings {
+                name: name(n),
+                life: 1,
+                zone: format!("z{n}"),
+                voters: voters.iter().copied().map(name).collect(),
+                folder: (n < 3).then_some(found),
+                chair: ChairSettings::default(),
+                waits: true,
+                seed: 5 + n as u64,
+            };
+            let mut part = Part::new(set, now).with_configuration(ConfigurationSettings::default());
+            part.holds_configuration(&base::base());
+            part
+        };
+        Self {
+            now,
+            parts: voters_of.iter().enumerate().map(part).collect(),
+            cut: BTreeSet::new(),
+            told: Vec::new(),
+        }
+    }
+
+    pub fn run(&mut self, span: Span) {
+        let until = after(self.now, span);
+        while self.now < until {
+            self.now = after(self.now, TURN);
+            (0..self.parts.len()).for_each(|n| self.step(n));
+        }
+    }
+
+    fn step(&mut self, n: usize) {
+        let mut effects = Vec::new();
+        self.parts[n].tells(self.now, Report { zone: format!("z{n}"), ready: true, ..Report::default() });
+        self.parts[n].step(self.now, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Send(to, bytes) => {
+                    let to = (0..self.parts.len()).find(|other| name(*other) == to).expect("a server");
+                    if !self.cut.contains(&n) && !self.cut.contains(&to) {
+                        self.parts[to].word(self.now, &name(n), 1, &bytes);
+                    }
+                }
+                Effect::Configuration(effect) => self.told.push((n, self.now, effect)),
+                Effect::Write(number, _) => self.parts[n].written(number),
+                _ => {}
+            }
+        }
+    }
+
+    pub fn found(&mut self, n: usize) -> Result<String, FoundingError> {
+        self.parts[n].found(self.now)
+    }
+
+    pub fn leader(&self, n: usize) -> Option<Name> {
+        self.parts[n].status(self.now).leader
+    }
+}
--- a/crates/releases/tests/common/mod.rs
+++ b/crates/releases/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Voters in virtual time, on a net that loses, doubles, delays and cuts, with disks that forget what wasn't synced.
 #![allow(dead_code)]
 
+use gradepin_config::change::{Commit, Revision};
 use gradepin_decisions::{Span, Time, after};
 use gradepin_releases::council::{Council, Durable, Effect, Found, VoterId};
 use gradepin_releases::record::{Command, Name, Outcome, Record};
@@ -36,6 +37,9 @@
     pub full: bool,
     pub stopped: bool,
     pub writes: u64,
+    /// Configuration commits that were told, and the revision that was to be made durable last.
+    pub commits: Vec<Arc<Commit>>,
+    pub asked_durable: Option<Revision>,
 }
 
 impl Voter {
@@ -116,6 +120,8 @@
             full: false,
             stopped: false,
             writes: 0,
+            commits: Vec::new(),
+            asked_durable: None,
         });
         self.voters.len() - 1
     }
@@ -179,6 +185,8 @@
                         self.told.insert((by, number), outcome);
                     }
                 }
+                Effect::Committed(commit) => self.voters[n].commits.push(commit),
+                Effect::MakeDurable(revision) => self.voters[n].asked_durable = Some(revision),
                 Effect::Note(_, text) => self.notes.push(format!("{}: {text}", name(n))),
             }
         }
--- a/crates/releases/tests/founding.rs
+++ b/crates/releases/tests/founding.rs
@@ -1,84 +1,11 @@
 //! Founding the consensus group is safe to ask for again: an answer is lost, a voter is heard late, settings differ.
 
-use gradepin_decisions::{Span, Time, after};
-use gradepin_releases::chair::{ChairSettings, Report};
-use gradepin_releases::council::Found;
-use gradepin_releases::founding::FoundingError;
-use gradepin_releases::part::{Effect, Part, PartSettings};
-use gradepin_releases::record::Name;
-use std::collections::BTreeSet;
-use std::sync::Arc;
-
-const TURN: Span = Span(10_000_000);
-const SECOND: Span = Span(1_000_000_000);
-const ALL: &[usize] = &[0, 1, 2];
+#[path = "common/fleet.rs"]
+mod fleet;
 
-fn name(n: usize) -> Name {
-    Arc::from(format!("n{n}"))
-}
-
-/// Servers that reach each other at once; writes are durable at once. Who is cut off neither sends nor receives.
-struct Fleet {
-    now: Time,
-    parts: Vec<Part>,
-    cut: BTreeSet<usize>,
-}
-
-impl Fleet {
-    /// Server `n` names these voters in its settings; the first three have a folder.
-    fn new(voters_of: &[&[usize]]) -> Self {
-        let now = Time(SECOND.0);
-        let part = |(n, voters): (usize, &&[usize])| {
-            let found = Found { id: 100 + n as u64, records: Vec::new() };
-            let set = PartSettings {
-                name: name(n),
-                life: 1,
-                zone: format!("z{n}"),
-                voters: voters.iter().copied().map(name).collect(),
-                folder: (n < 3).then_some(found),
-                chair: ChairSettings::default(),
-                waits: true,
-                seed: 5 + n as u64,
-            };
-            Part::new(set, now)
-        };
-        Self { now, parts: voters_of.iter().enumerate().map(part).collect(), cut: BTreeSet::new() }
-    }
-
-    fn run(&mut self, span: Span) {
-        let until = after(self.now, span);
-        while self.now < until {
-            self.now = after(self.now, TURN);
-            (0..self.parts.len()).for_each(|n| self.step(n));
-        }
-    }
-
-    fn step(&mut self, n: usize) {
-        let mut effects = Vec::new();
-        self.parts[n].tells(self.now, Report { zone: format!("z{n}"), ready: true, ..Report::default() });
-        self.parts[n].step(self.now, &mut effects);
-        for effect in effects {
-            match effect {
-                Effect::Send(to, bytes) => {
-                    let to = (0..self.parts.len()).find(|other| name(*other) == to).expect("a server");
-                    if !self.cut.contains(&n) && !self.cut.contains(&to) {
-                        self.parts[to].word(self.now, &name(n), 1, &bytes);
-                    }
-                }
-                Effect::Write(number, _) => self.parts[n].written(number),
-                _ => {}
-            }
-        }
-    }
-
-    fn found(&mut self, n: usize) -> Result<String, FoundingError> {
-        self.parts[n].found(self.now)
-    }
-
-    fn leader(&self, n: usize) -> Option<Name> {
-        self.parts[n].status(self.now).leader
-    }
-}
+use fleet::{ALL, Fleet, SECOND, name};
+use gradepin_decisions::Span;
+use gradepin_releases::founding::FoundingError;
 
 /// Whoever asked doesn't learn that it is founded and asks again: at once, at another voter, and when the group has long run.
 #[test]
--- /dev/null
+++ b/crates/releases/tests/requests.rs
@@ -0,0 +1,85 @@
+//! Requests for configuration changes from any server: each is answered once, within 2 s, whatever is cut off.
+
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use fleet::{ALL, Fleet, SECOND, name};
+use gradepin_config::change::{Change, Proposal, Revision, Transaction};
+use gradepin_decisions::{Customer, Span, Time};
+use gradepin_releases::configuration_log::{ConfigurationRequest, ProposalRefused};
+use gradepin_releases::part::ConfigurationEffect;
+use gradepin_releases::proposal_client::Answer;
+use std::sync::Arc;
+
+fn request(id: &str) -> ConfigurationRequest {
+    let tenant = Customer { name: id.into(), quota_rps: 1.0, portion: 0.1 };
+    let transaction = Transaction { changes: vec![Change::PutTenant(Arc::new(tenant))] };
+    let (request_id, author, reason) = (Arc::from(id), Arc::from("an operator"), Arc::from("a test"));
+    let proposal = Proposal { request_id, author, reason, expected: None, transaction };
+    ConfigurationRequest { proposal, seen: Revision(0), asked_at_ms: 0 }
+}
+
+/// Five servers, three of them voters of a group that runs, n0 its leader or not.
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(&[ALL; 5]);
+    fleet.run(SECOND);
+    fleet.found(0).expect("all are heard");
+    fleet.run(Span(8 * SECOND.0));
+    assert!(fleet.leader(0).is_some());
+    fleet.told.clear();
+    fleet
+}
+
+/// Hands it in, lets 2 s pass and gives the one answer.
+fn answer(fleet: &mut Fleet, server: usize, id: &str) -> Answer {
+    let (begin, ticket) = (fleet.now, fleet.now.0);
+    fleet.parts[server].request(begin, ticket, request(id)).expect("taken");
+    fleet.run(Span(5 * SECOND.0));
+    let answers: Vec<(Time, Answer)> = fleet
+        .told
+        .iter()
+        .filter_map(|(n, at, effect)| match effect {
+            ConfigurationEffect::Answered(answered) if *n == server && answered.ticket == ticket => {
+                Some((*at, answered.answer.clone()))
+            }
+            _ => None,
+        })
+        .collect();
+    assert_eq!(answers.len(), 1, "{answers:?}");
+    assert!(answers[0].0.0 - begin.0 <= 2 * SECOND.0, "late");
+    answers[0].1.clone()
+}
+
+#[test]
+fn any_server_hands_a_request_to_the_leader() {
+    let mut fleet = fleet();
+    for server in 0..5 {
+        assert_eq!(answer(&mut fleet, server, &format!("from {server}")), Ok(Revision(server as u64 + 1)));
+    }
+    assert_eq!(answer(&mut fleet, 4, "from 0"), Ok(Revision(1)), "the same id elsewhere");
+    let committed = |n: usize| {
+        let mine = fleet.told.iter().filter(|(of, ..)| *of == n);
+        mine.filter(|(.., effect)| matches!(effect, ConfigurationEffect::Committed(_))).count()
+    };
+    assert_eq!((0..5).map(committed).collect::<Vec<_>>(), [5, 5, 5, 0, 0], "on voters, once each");
+}
+
+/// Hard case 1: on the side without a quorum a change is refused with a reason; what a leader took there may still be committed
+/// and says so; afterwards the same id gives one revision.
+#[test]
+fn without_a_quorum_a_change_is_refused_within_two_seconds() {
+    let mut fleet = fleet();
+    let leader = (0..3).find(|n| fleet.leader(0) == Some(name(*n))).expect("a voter leads");
+    fleet.cut.extend((0..3).filter(|n| *n != leader));
+    assert_eq!(answer(&mut fleet, leader, "one"), Err(ProposalRefused::Unconfirmed));
+    assert_eq!(answer(&mut fleet, leader, "two"), Err(ProposalRefused::NoLeader));
+    assert_eq!(answer(&mut fleet, 4, "three"), Err(ProposalRefused::NoLeader));
+    fleet.cut = [0, 1, 2].into();
+    assert_eq!(answer(&mut fleet, 4, "four"), Err(ProposalRefused::NoVoter));
+    fleet.cut.clear();
+    fleet.run(Span(8 * SECOND.0));
+    let first = answer(&mut fleet, 3, "one").expect("a quorum");
+    assert_eq!(answer(&mut fleet, 4, "one"), Ok(first));
+    let order = fleet.parts[0].configuration_order().expect("a voter").history().count();
+    assert_eq!(order as u64, first.0, "and nothing of what was refused");
+}
