--- a/crates/kit/src/scale/fleet/requests.rs
+++ b/crates/kit/src/scale/fleet/requests.rs
@@ -127,8 +127,8 @@
         let Some(body) = pool.exact(number.to_string().as_bytes()) else { return };
         let call = Call {
             id: RequestId::new(&format!("{:016x}", self.rng.next_u64())),
-            class,
-            tenant: (tenants > 0).then(|| self.last_request as usize % tenants),
+            class: class.into(),
+            tenant: (tenants > 0).then(|| (self.last_request as usize % tenants).into()),
             caller: self.name,
             t0: moment.unix_ms,
             budget: deadline.0 / 1_000_000,
--- a/crates/kit/src/scale/fleet/requests/tests.rs
+++ b/crates/kit/src/scale/fleet/requests/tests.rs
@@ -22,6 +22,7 @@
 fn requests_come_at_their_rate_and_runs_end_once() {
     let settings = Config::parse(SETTINGS).unwrap().settings;
     let pool = Pool::new(8);
+    let (_, classes, _) = settings.clone().split();
     let mut requests = Requests::new(3, 11, 200.0, 20.0, moment(0).now);
     let (mut inputs, mut arrived, mut ended) = (Vec::new(), 0, 0);
     // Turns of uneven length up to ten seconds.
@@ -30,9 +31,10 @@
         for input in std::mem::take(&mut inputs) {
             match input {
                 Input::Call(_, _, call) => {
-                    assert_eq!(call.token.is_some(), call.class == 0, "keyed classes have a token");
+                    assert_eq!(call.token.is_some(), call.class.slot() == 0, "keyed classes have a token");
                     let body = Arc::new(call.body);
-                    let begin = Effect::Begin(LINK, call.id, call.class, body);
+                    let class = Arc::clone(&classes[call.class.slot()]);
+                    let begin = Effect::Begin(LINK, call.id, class, body);
                     requests.take(moment(ms).now, begin, &mut inputs);
                 }
                 Input::Complete { notice, .. } => {
--- a/crates/releases/src/controller/requests.rs
+++ b/crates/releases/src/controller/requests.rs
@@ -110,6 +110,8 @@
                     Outcome::Done => Ok("done".to_string()),
                     Outcome::Permit(epoch, _) => Ok(format!("permit {epoch}")),
                     Outcome::Refused(why) => Err(why.to_string()),
+                    Outcome::Revision(revision) => Ok(format!("revision {revision}")),
+                    Outcome::NotCommitted(why) => Err(why.to_string()),
                 };
                 self.effects.push(ControllerEffect::OrderReply { ticket, reply: OrderReply::Done(result) });
             }
@@ -120,7 +122,9 @@
                         self.reply_to_begin(now, at, record, epoch, &target)
                     }
                     (Outcome::Permit(epoch, _), None) => PermitReply::Reserved(epoch),
-                    (Outcome::Done, _) => PermitReply::Ended,
+                    (Outcome::Done | Outcome::Revision(_) | Outcome::NotCommitted(_), _) => {
+                        PermitReply::Ended
+                    }
                 };
                 self.reply(&name, number, reply);
             }
--- a/crates/releases/src/lib.rs
+++ b/crates/releases/src/lib.rs
@@ -3,6 +3,9 @@
 //! - [`record`]: the replicated state: roster, permits with their epochs; changed by the log's commands alone.
 //! - [`release`]: the release in it: plan, batches, where each server stands, the rollback.
 //! - [`council`]: one voter, on the `raft` library: what must be durable before what leaves, and when it may vote.
+//! - [`configuration_log`]: the order of configuration changes: revisions, request ids, history.
+//! - [`proposal_client`]: requests for such changes, from any server to the leader.
+//! - [`replicated_snapshot`]: the encoding of the replicated state in snapshots.
 //! - [`founding`]: the voters that the group begins with, the same for everybody who asks.
 //! - [`messages`]: what servers say to each other about permits, rollouts and orders.
 //! - [`controller`]: what the leader does: permits, operators' orders, the rollout.
@@ -13,12 +16,15 @@
 //! The invariant that all of it keeps: agreed outages plus those that are known to have happened never pass the most that
 //! the settings allow, whatever is cut, paused, killed or restarted. The argument is in `docs/design/releases.md`.
 
+pub mod configuration_log;
 pub mod controller;
 pub mod council;
 pub mod founding;
 pub mod messages;
 pub mod permit_client;
+pub mod proposal_client;
 pub mod record;
 pub mod release;
+pub mod replicated_snapshot;
 pub mod rollback;
 pub mod server_agent;
--- a/crates/releases/src/server_agent.rs
+++ b/crates/releases/src/server_agent.rs
@@ -1,13 +1,19 @@
 //! One server's part in what the fleet agrees on: its own asks and turns, and where its settings make it a voter, its vote and
 //! its controller. Words to other servers go out as bytes by name; who said what came in is the fleet's tag's to prove.
 
+use crate::configuration_log::{
+    ConfigurationRequest, ConfigurationSettings, ProposalRefused, ReplicatedConfiguration,
+};
 use crate::controller::{Controller, ControllerEffect, ControllerSettings};
-use crate::council::{Council, Durable, Effect as Voted, Found, VoterId};
+use crate::council::{Council, Durable, Effect as Voted, Found, NotTaken, Taken, VoterId};
 use crate::founding::{self, Founding, FoundingError, FoundingStep, ReportedVoter};
 use crate::messages::{Order, OrderReply, PermitAction, PermitReply, PermitRequest, Report, Turn};
 use crate::permit_client::{ClientEvent, OutgoingRequest, PermitClient, WaitingRequest};
+use crate::proposal_client::{Answered, Outgoing, ProposalClient, VoterAnswer, Waiter, Waiters};
 use crate::record::{Name, Record, Target};
 use crate::release::Kind;
+use gradepin_config::change::{Commit, Revision};
+use gradepin_config::configuration::Configuration;
 use gradepin_decisions::{Span, Time, after, secs};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -49,6 +55,10 @@
     Look,
     /// See `Look`.
     Record(Box<Record>),
+    /// A request for a change of the configuration, on its way to the leader, and what a voter says to it.
+    ConfigurationRequest(u64, Box<ConfigurationRequest>),
+    /// See `ConfigurationRequest`.
+    ConfigurationReply(u64, VoterAnswer),
 }
 
 /// What an operator sets, and what the server knows of itself.
@@ -85,10 +95,24 @@
     Refused(String),
     /// This server may change by this turn, if that is still before the time.
     MayChange(Turn, Time),
+    /// About the configuration.
+    Configuration(ConfigurationEffect),
     /// Tell it in the log; whether it is bad.
     Note(bool, String),
 }
 
+/// What is to be done about the configuration.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ConfigurationEffect {
+    /// A commit, on voters only, in the order of revisions: to be applied and spread. One that is not newer than what the
+    /// server has is to be passed over.
+    Committed(Arc<Commit>),
+    /// The configuration is to be made durable at this revision or a later one, then [`ServerAgent::configuration_durable`] called.
+    MakeDurable(Revision),
+    /// What a request came to that was handed in here.
+    Answered(Answered),
+}
+
 /// What became of an operator's order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Became {
@@ -151,6 +175,10 @@
     given: VecDeque<(u64, Name, u64)>,
     given_no: u64,
     founding: Founding,
+    /// Whether changes of the configuration are committed by this group; requests that were handed in here; who waits here.
+    configuration: Option<ConfigurationSettings>,
+    requests: ProposalClient,
+    waiters: Waiters,
     effects: Vec<Effect>,
 }
 
@@ -175,6 +203,9 @@
             given: VecDeque::new(),
             given_no: 0,
             founding: Founding::new(&set.voters),
+            configuration: None,
+            requests: ProposalClient::default(),
+            waiters: Waiters::default(),
             effects: Vec::new(),
             set,
         }
@@ -350,6 +381,8 @@
                     self.send(from, &record);
                 }
             }
+            Message::ConfigurationRequest(ticket, request) => self.requested(now, from, ticket, &request),
+            Message::ConfigurationReply(ticket, answer) => self.request_answered(now, ticket, answer),
             Message::Record(record) => {
                 let newer = self.looked.as_ref().is_none_or(|(known, _)| record.index >= known.index);
                 if newer {
@@ -486,6 +519,7 @@
         }
         self.apply_controller_effects(now);
         self.put_orders(now);
+        self.put_requests(now);
         while let Some(OutgoingRequest { to, request }) = self.permit_client.step(now) {
             if to == self.set.name {
                 if let Some(council) = &mut self.council {
@@ -530,6 +564,11 @@
                     }
                 }
                 Voted::Applied { .. } => {}
+                Voted::Committed(commit) => self.committed(now, commit),
+                Voted::MakeDurable(revision) => {
+                    let effect = ConfigurationEffect::MakeDurable(revision);
+                    self.effects.push(Effect::Configuration(effect));
+                }
                 Voted::Note(bad, text) => self.effects.push(Effect::Note(bad, format!("council: {text}"))),
             }
         }
@@ -621,11 +660,127 @@
         let controller = if self.council.is_some() { self.controller.wake_at() } else { Time(u64::MAX) };
         let orders = self.orders.values().map(|under| under.next).min();
         let permit_client = self.permit_client.wake_at();
-        [Some(self.next_report), Some(self.next_look), orders, permit_client, Some(council), Some(controller)]
-            .into_iter()
-            .flatten()
-            .min()
-            .unwrap_or(Time(u64::MAX))
+        let requests = self.requests.wake_at();
+        [
+            requests,
+            Some(self.next_report),
+            Some(self.next_look),
+            orders,
+            permit_client,
+            Some(council),
+            Some(controller),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+        .unwrap_or(Time(u64::MAX))
+    }
+
+    /// With changes of the configuration committed by this group.
+    pub fn with_configuration(mut self, set: ConfigurationSettings) -> Self {
+        self.configuration = Some(set);
+        if let Some(council) = &mut self.council {
+            council.set_configuration(set);
+        }
+        self
+    }
+
+    /// Hands in a request for a change; [`ConfigurationEffect::Answered`] with the ticket tells within 2 s what it came to.
+    pub fn request(
+        &mut self,
+        now: Time,
+        ticket: u64,
+        request: ConfigurationRequest,
+    ) -> Result<(), ProposalRefused> {
+        if self.configuration.is_none() {
+            return Err(ProposalRefused::Off);
+        }
+        self.requests.ask(now, ticket, request)
+    }
+
+    /// The host has this content: from its durable copy, its start file or its peers. To be called at the start, and when
+    /// peers brought a newer one; what [`ConfigurationEffect::Committed`] told is known here already.
+    pub fn holds_configuration(&mut self, configuration: &Configuration) {
+        if let Some(council) = &mut self.council {
+            council.hold_configuration(configuration);
+        }
+    }
+
+    /// The host's durable copy has this revision.
+    pub fn configuration_durable(&mut self, revision: Revision) {
+        if let Some(council) = &mut self.council {
+            council.configuration_durable(revision);
+        }
+    }
+
+    /// The order of changes with its history, on a voter.
+    pub fn configuration_order(&self) -> Option<&ReplicatedConfiguration> {
+        let council = self.council.as_ref().filter(|council| council.is_founded());
+        council.map(|council| &council.record().configuration)
+    }
+
+    /// The content that this voter holds, if it does.
+    pub fn configuration(&self) -> Option<&Configuration> {
+        self.council.as_ref().and_then(Council::configuration)
+    }
+
+    fn put_requests(&mut self, now: Time) {
+        for Outgoing { to, ticket, request } in self.requests.due(now, &self.set.voters) {
+            if to == self.set.name {
+                self.requested(now, &to, ticket, &request);
+            } else {
+                self.send(&to, &Message::ConfigurationRequest(ticket, Box::new(request)));
+            }
+        }
+        let expired = self.requests.expired(now);
+        expired.into_iter().for_each(|answered| self.answer_request(answered));
+    }
+
+    /// A request came to this voter, its own or another server's.
+    fn requested(&mut self, now: Time, from: &Name, ticket: u64, request: &ConfigurationRequest) {
+        let answer = match (&mut self.council, self.configuration) {
+            (None, _) => VoterAnswer::Elsewhere(None),
+            (Some(_), None) => VoterAnswer::Over(Err(ProposalRefused::Off)),
+            (Some(council), Some(_)) => match council.request(request) {
+                Ok(Taken::Committed(revision)) => VoterAnswer::Over(Ok(revision)),
+                Ok(Taken::Proposed(_)) => {
+                    let request_id = request.proposal.request_id.clone();
+                    self.waiters.wait(Waiter { request_id, server: Arc::clone(from), ticket, since: now });
+                    VoterAnswer::Proposed
+                }
+                Err(NotTaken::Refused(why)) => VoterAnswer::Over(Err(why)),
+                Err(NotTaken::Elsewhere(leader)) => {
+                    let voters = &council.record().voters;
+                    VoterAnswer::Elsewhere(leader.and_then(|leader| voters.get(&leader).cloned()))
+                }
+            },
+        };
+        self.tell_request(now, from, ticket, answer);
+    }
+
+    fn tell_request(&mut self, now: Time, to: &Name, ticket: u64, answer: VoterAnswer) {
+        if *to == self.set.name {
+            self.request_answered(now, ticket, answer);
+        } else {
+            self.send(to, &Message::ConfigurationReply(ticket, answer));
+        }
+    }
+
+    fn request_answered(&mut self, now: Time, ticket: u64, answer: VoterAnswer) {
+        if let Some(answered) = self.requests.answered(now, ticket, answer, &self.set.voters) {
+            self.answer_request(answered);
+        }
+    }
+
+    fn answer_request(&mut self, answered: Answered) {
+        self.effects.push(Effect::Configuration(ConfigurationEffect::Answered(answered)));
+    }
+
+    fn committed(&mut self, now: Time, commit: Arc<Commit>) {
+        for waiter in self.waiters.committed(&commit.request_id) {
+            self.tell_request(now, &waiter.server, waiter.ticket, VoterAnswer::Over(Ok(commit.revision)));
+        }
+        self.effects.push(Effect::Configuration(ConfigurationEffect::Committed(commit)));
     }
 
     /// The fleet's agreements as they are known here.
