Give the server of scale connections places enough that none is closed for another

Cause: with 256 descriptors more than connections, the larger sizes passed seven eighths of the table, and what rested was closed. Change: an eighth of the table beside the connections, and the check of descriptors counts it. The sizes up to 9,000 were not run again.

--- a/crates/kit/src/scale/connections.rs
+++ b/crates/kit/src/scale/connections.rs
@@ -47,7 +47,7 @@
     let end = interrupt::flag()?;
     let sizes = args.options.sizes_or(&SIZES);
     let largest = sizes.last().copied().unwrap_or(0);
-    check_resources(largest + KEPT_BACK, MEMORY_NEEDED_MB)?;
+    check_resources(largest * 8 / 7 + KEPT_BACK, MEMORY_NEEDED_MB)?;
     let daemon = args.daemon.clone().map_or_else(fleet::daemon, Ok)?;
     let mut memory = Figure::new("connections.memory", "resident memory with so many", "MB")
         .within(Budget::at_most(MEMORY_MB, Claim::Holds));
@@ -59,7 +59,8 @@
     let bar = progress(sizes.len(), "connections");
     for size in sizes {
         bar.set_message(format!("{size} connections"));
-        let sockets = u32::try_from(size + KEPT_BACK)?;
+        // Past seven eighths of its table a server closes what rests for each newcomer.
+        let sockets = u32::try_from(size * 8 / 7 + KEPT_BACK)?;
         let wanted = Wanted { daemon: &daemon, tenants: TENANTS, sockets, seed: args.options.seed };
         let row = measure(&wanted, size, args.seconds, &end)?;
         memory.add(size, row.memory_mb);
