--- a/crates/config/src/dissemination/budget.rs
+++ b/crates/config/src/dissemination/budget.rs
@@ -36,6 +36,11 @@
         fits || large
     }
 
+    /// Gives back what was taken for something that came to less.
+    pub fn give_back(&mut self, bytes: usize) {
+        self.left = (self.left + bytes as f64).min(self.most);
+    }
+
     /// When so many bytes can be taken.
     pub fn ready_at(&self, bytes: usize, reserve: f64) -> Time {
         let missing = bytes as f64 + reserve * self.most - self.left;
--- a/crates/config/src/dissemination/machine.rs
+++ b/crates/config/src/dissemination/machine.rs
@@ -381,6 +381,7 @@
         let Some(transfer) = &mut self.transfer else { return };
         what(transfer);
         let bad = transfer.bad_sources();
+        self.outbox.request_unspent(transfer.unspent());
         let snapshot = transfer.finished(now);
         for name in bad {
             self.leave_out(now, &name, "its part of a snapshot failed a check");
--- a/crates/config/src/dissemination/outbox.rs
+++ b/crates/config/src/dissemination/outbox.rs
@@ -112,6 +112,11 @@
         self.requests.take(now, bytes, 0.0)
     }
 
+    /// Bytes that were asked for and that don't come.
+    pub fn request_unspent(&mut self, bytes: usize) {
+        self.requests.give_back(bytes);
+    }
+
     /// Something for the host.
     pub fn push(&mut self, effect: Effect) {
         self.effects.push(effect);
--- a/crates/config/src/dissemination/requests.rs
+++ b/crates/config/src/dissemination/requests.rs
@@ -44,7 +44,7 @@
     outstanding: Option<Outstanding>,
     behind_since: Option<Time>,
     jitter: Span,
-    failures: u32,
+    refusals: u32,
     next: Time,
 }
 
@@ -66,7 +66,7 @@
     /// The own revision grew.
     pub fn reached(&mut self, now: Time, own: Revision) {
         self.ahead.retain(|_, version| version.revision > own);
-        self.failures = 0;
+        self.refusals = 0;
         // Progress: those farther away are asked only after another pause.
         self.behind_since = if self.ahead.is_empty() { None } else { Some(now) };
     }
@@ -105,27 +105,31 @@
     /// The peer that was asked has no bytes left, or nothing to give.
     pub fn refused(&mut self, now: Time, from: &Name, settings: &DisseminationSettings) {
         if self.outstanding.as_ref().is_some_and(|request| request.to == *from) {
-            self.fail(now, settings);
+            self.fail(now);
+            let pause =
+                Span((settings.request_timeout.0 / 8) << self.refusals.min(6)).min(settings.most_backoff);
+            self.refusals += 1;
+            self.next = after(now, pause);
         }
     }
 
-    fn fail(&mut self, now: Time, settings: &DisseminationSettings) {
+    /// The peer that was asked comes last for a time. Without an answer the next one is asked at once: a datagram was lost,
+    /// most likely, and each request has to wait for its time. Only refusals, which tell that bytes are short, make for longer
+    /// and longer pauses.
+    fn fail(&mut self, now: Time) {
         let Some(request) = self.outstanding.take() else { return };
         self.failed.retain(|_, until| now < *until);
         if self.failed.len() < MOST_FAILED {
             self.failed.insert(request.to, after(now, FAILED_FOR));
         }
-        let pause = Span((settings.request_timeout.0 / 8) << self.failures.min(6)).min(settings.most_backoff);
-        self.failures += 1;
-        self.next = after(now, pause);
     }
 
     /// The request that ran out of time fails; true if there is one and it is still under way.
-    fn waits(&mut self, now: Time, settings: &DisseminationSettings) -> bool {
+    fn waits(&mut self, now: Time) -> bool {
         match &self.outstanding {
             Some(request) if now < request.until => true,
             Some(_) => {
-                self.fail(now, settings);
+                self.fail(now);
                 false
             }
             None => false,
@@ -151,7 +155,7 @@
         quarantine: &Quarantine,
         rng: &mut Pcg64Mcg,
     ) -> Option<Name> {
-        if self.waits(now, settings) || now < self.next {
+        if self.waits(now) || now < self.next {
             return None;
         }
         let since = self.behind_since?;
@@ -191,8 +195,7 @@
 
     /// A request was sent.
     pub fn sent(&mut self, now: Time, to: &Name, settings: &DisseminationSettings) {
-        let patience = Span(settings.request_timeout.0 << self.failures.min(2));
-        self.outstanding = Some(Outstanding { to: to.clone(), until: after(now, patience) });
+        self.outstanding = Some(Outstanding { to: to.clone(), until: after(now, settings.request_timeout) });
     }
 
     /// When [`Requests::choose`] may have something new to say.
--- a/crates/config/src/dissemination/settings.rs
+++ b/crates/config/src/dissemination/settings.rs
@@ -35,9 +35,9 @@
     pub region_part: u32,
     /// One advert of so many goes to another region also.
     pub far_part: u32,
-    /// An answer to a request is awaited for so long at first; doubled with each failure.
+    /// An answer to a request is awaited for so long.
     pub request_timeout: Span,
-    /// The longest pause after failures.
+    /// The longest pause after refusals.
     pub most_backoff: Span,
     /// A bad source is left out for so long at first; doubled each time.
     pub quarantine: Span,
--- a/crates/config/src/dissemination/transfer.rs
+++ b/crates/config/src/dissemination/transfer.rs
@@ -21,8 +21,12 @@
 const MS: u64 = 1_000_000;
 /// Peers that chunks are fetched from at a time.
 const SOURCES: usize = 6;
-/// Chunks asked of one source at a time: what is half received of one sender is bounded below this layer.
+/// Chunks asked of one source at a time, at the least: what is half received of one sender is bounded below this layer.
 const WINDOW: usize = 2;
+/// Where chunks are small more of them are asked at a time, so that one that is lost holds up little: these bytes' worth,
+const WINDOW_BYTES: usize = WINDOW * CHUNK_BYTES;
+/// and so many at the most.
+const MOST_WINDOW: usize = 32;
 /// Failures in a row after which a source is given up.
 const MOST_FAILURES: u32 = 3;
 /// Between questions for the digest of a revision.
@@ -37,7 +41,8 @@
 const REFILL_EVERY: Span = Span(500 * MS);
 /// Between steps while chunks are under way.
 const TICK: Span = Span(50 * MS);
-/// What a chunk is taken to cost before it is there, in bytes: the mean of a full table.
+/// What a chunk is taken to cost before it is there, in bytes: the mean of a full table. What it costs less is given back
+/// when the answer is there.
 const CHUNK_BYTES: usize = 6_500;
 /// The same for a manifest.
 const MANIFEST_BYTES: usize = 20_000;
@@ -95,6 +100,8 @@
     outdated: bool,
     next_refill: Time,
     progress_at: Time,
+    /// The mean length of a chunk, over the last ones.
+    chunk_bytes: usize,
 }
 
 #[derive(Debug)]
@@ -113,12 +120,13 @@
     next: Time,
     previous: Option<Assembly>,
     bad: Vec<Name>,
+    unspent: usize,
 }
 
 impl Transfer {
     /// Of a snapshot of this revision at the least.
     pub fn new(now: Time, least: Revision) -> Self {
-        Self { least, phase: Phase::Finding(None), next: now, previous: None, bad: Vec::new() }
+        Self { least, phase: Phase::Finding(None), next: now, previous: None, bad: Vec::new(), unspent: 0 }
     }
 
     /// Sources whose data failed a check since the last call.
@@ -126,6 +134,11 @@
         std::mem::take(&mut self.bad)
     }
 
+    /// Bytes of requests since the last call that the answers came to less than they were taken for.
+    pub fn unspent(&mut self) -> usize {
+        std::mem::take(&mut self.unspent)
+    }
+
     /// The least revision that is of use.
     pub fn least(&self) -> Revision {
         self.least
@@ -210,6 +223,7 @@
             outdated: false,
             next_refill: now,
             progress_at: now,
+            chunk_bytes: CHUNK_BYTES,
         }));
         self.next = now;
     }
@@ -220,6 +234,8 @@
         let expected = loading.outstanding.get(&number).is_some_and(|(asked, _)| asked == from);
         if expected {
             loading.outstanding.remove(&number);
+            self.unspent += CHUNK_BYTES.saturating_sub(bytes.len());
+            loading.chunk_bytes = (loading.chunk_bytes * 3 + bytes.len()) / 4;
         }
         match loading.assembly.add(number, bytes) {
             Ok(()) => {
@@ -243,6 +259,7 @@
         if let Phase::Loading(loading) = &mut self.phase {
             if loading.outstanding.get(&number).is_some_and(|(asked, _)| asked == from) {
                 loading.outstanding.remove(&number);
+                self.unspent += CHUNK_BYTES;
             }
             loading.absent.insert((from.clone(), number));
             loading.outdated |= *from == loading.origin;
@@ -318,7 +335,7 @@
             self.next = after(now, CONFIRM_EVERY);
             return Vec::new();
         };
-        let until = after(now, Span(2 * around.settings.request_timeout.0));
+        let until = after(now, around.settings.request_timeout);
         self.phase = Phase::Finding(Some((to.clone(), until)));
         self.next = until;
         let message = Message::FetchManifest(self.least);
@@ -409,10 +426,14 @@
         }
         self.next_refill = after(now, REFILL_EVERY);
         self.given_up.retain(|_, until| now < *until);
-        for name in around.peers.snapshot_peers(around.settings, rng) {
+        // Who served the manifest keeps its chunks; others have only those that no commit changed since.
+        let origin = self.origin.clone();
+        let others = around.peers.snapshot_peers(around.settings, rng);
+        for name in std::iter::once(origin).chain(others) {
             let known = self.sources.iter().any(|source| source.name == name);
             let out = around.quarantine.holds(now, &name) || self.given_up.contains_key(&name);
-            if self.sources.len() < SOURCES && !known && !out {
+            let room = self.sources.len() < SOURCES || name == self.origin;
+            if room && !known && !out {
                 self.sources.push(Source { name, failures: 0 });
             }
         }
@@ -428,7 +449,8 @@
         self.expire(now);
         self.refill(now, around, rng);
         let until = after(now, around.settings.request_timeout);
-        let window = if around.settings.selection == Selection::Voters { 2 * WINDOW } else { WINDOW };
+        let window = (WINDOW_BYTES / self.chunk_bytes.max(1)).clamp(WINDOW, MOST_WINDOW);
+        let window = if around.settings.selection == Selection::Voters { 2 * window } else { window };
         let mut requests = Vec::new();
         let missing: Vec<ChunkNumber> = self.assembly.missing().collect();
         for number in missing {
--- a/crates/model/tests/config.rs
+++ b/crates/model/tests/config.rs
@@ -88,7 +88,7 @@
     for seed in seeds(4) {
         let mut spec = spec(seed, 45.0, Kind::Burst);
         // Commits reach back less far than the newcomers need, so it takes snapshots.
-        spec.settings.kept.commits = 128;
+        spec.settings.kept.commits = 64;
         let outcome = play(&spec);
         assert_eq!(outcome.changes, 202);
         assert!(outcome.installed >= (SERVERS / 10) as u64, "seed {seed}: {}", outcome.installed);
