Bring committed revisions of classes, tenants and rules into force on every server

The parts of the configuration service existed apart, and no server read a config block. Now the reducer hosts dissemination over the cluster's posts (first byte 0xC0, which no consensus message begins with), hands it what the voters commit, and brings commits and whole states into force by apply_transaction, one transaction a step. The last good state is written by a thread of its own and found at the start. POST and GET /config/apply, GET /config/status, server_config_revision and server_config_age_seconds. SIGHUP passes over classes, tenants and rules there. Off without the block.

Not there: show, history, diff, rollback, the spread by revision in the status, canaries.

--- a/crates/core/src/admin.rs
+++ b/crates/core/src/admin.rs
@@ -4,6 +4,7 @@
 //! Owns no socket and speaks no HTTP: the shell makes calls of requests and responses of answers, and it answers on
 //! its own where the reducer is late.
 
+use crate::configuration::{ConfigurationAnswer, ConfigurationCall};
 use crate::tally::Stats;
 use gradepin_cluster::cluster::FleetView;
 use gradepin_decisions::Time;
@@ -28,6 +29,8 @@
     Ok,
     /// About what the fleet agrees on.
     Agreed(FleetCall),
+    /// About the committed configuration.
+    Configuration(ConfigurationCall),
 }
 
 /// What an operator asks of the fleet's agreements.
@@ -75,6 +78,8 @@
     Stats(Box<Stats>),
     /// About what the fleet agrees on.
     Agreed(FleetAnswer),
+    /// About the committed configuration.
+    Configuration(Box<ConfigurationAnswer>),
     /// The fleet as it is seen from here; none where servers don't talk to each other.
     Fleet(Option<Box<FleetView>>),
     /// The order is in force, and whether it changed anything.
@@ -134,7 +139,11 @@
         let changed = match call {
             AdminCall::Fail => self.failed_since.replace(self.failed_since.unwrap_or(now)).is_none(),
             AdminCall::Ok => self.failed_since.take().is_some(),
-            AdminCall::Health | AdminCall::Stats | AdminCall::Fleet | AdminCall::Agreed(_) => return None,
+            AdminCall::Health
+            | AdminCall::Stats
+            | AdminCall::Fleet
+            | AdminCall::Agreed(_)
+            | AdminCall::Configuration(_) => return None,
         };
         Some(AdminAnswer::Done { failed: self.failed_since.is_some(), changed })
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claims;
 pub mod classes;
 pub mod config;
+pub mod configuration;
 pub mod handover;
 pub mod keys;
 pub mod ledger;
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -2,6 +2,7 @@
 
 use crate::admin::{AdminAnswer, AdminCall, CallId};
 pub use crate::answer::{Answer, Misuse, UNKNOWN};
+use crate::configuration::{ConfigurationSave, ConfigurationWritten};
 use crate::ledger::{Batch, Recovered};
 use crate::pool::Buffer;
 use crate::records::{End, Print};
@@ -164,6 +165,8 @@
     CouncilWritten(u64),
     /// It couldn't be, and why; the folder was read anew and holds this.
     CouncilFailed(Box<Found>, String),
+    /// What became of a configuration that was to be written.
+    ConfigurationWritten(ConfigurationWritten),
     /// The digest of the settings in force, if they changed, and those that are staged.
     SettingsAre(Option<String>, Vec<String>),
     /// A step of this release could not be taken here, and why.
@@ -184,6 +187,8 @@
 /// What is to be done.
 #[derive(Debug)]
 pub enum Effect {
+    /// Make a configuration durable, where there is a folder for it.
+    SaveConfiguration(Box<ConfigurationSave>),
     /// Send an answer, with the free value if one is set.
     Answer(ConnId, SeqId, Answer, Option<f64>),
     /// Tell a connection that no more requests should come on it.
--- a/crates/core/src/reducer/agreed.rs
+++ b/crates/core/src/reducer/agreed.rs
@@ -26,7 +26,7 @@
 /// What the reducer holds of it.
 #[derive(Default)]
 pub(super) struct Agreed {
-    part: Option<Box<ServerAgent>>,
+    pub(super) part: Option<Box<ServerAgent>>,
     zone: String,
     program: String,
     settings: String,
@@ -193,8 +193,7 @@
                 self.log(Level::Info, format!("changing to {what} {version} by permit {}", turn.epoch));
                 self.effects.push(Effect::Change(Box::new(turn), until));
             }
-            // None comes while no settings turn the configuration service on.
-            Asked::Configuration(_) => {}
+            Asked::Configuration(effect) => self.configuration_agreed(effect),
             Asked::Note(bad, text) => {
                 self.log(if bad { Level::Warning } else { Level::Info }, text);
             }
--- a/crates/core/src/reducer/fleet.rs
+++ b/crates/core/src/reducer/fleet.rs
@@ -264,7 +264,9 @@
             match effect {
                 ClusterEffect::Send { to, datagram } => self.effects.push(Effect::Peer(to, datagram)),
                 ClusterEffect::Post { from, incarnation, content } => {
-                    self.agreed_word(&from, incarnation.0, &content);
+                    if !self.configuration_message(&from, &content) {
+                        self.agreed_word(&from, incarnation.0, &content);
+                    }
                 }
                 ClusterEffect::Log(severity, text) => {
                     let level = if severity == Severity::Warning { Level::Warning } else { Level::Info };
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -8,6 +8,8 @@
 mod calls;
 mod cells;
 mod claims;
+mod configuration;
+mod configuration_calls;
 mod connections;
 mod drain;
 mod fleet;
@@ -33,6 +35,7 @@
 use crate::tally::Tally;
 use crate::tenants::Tenants;
 use agreed::Agreed;
+use configuration::Committed;
 use connections::Connections;
 use drain::Drain;
 use fleet::Fleet;
@@ -72,6 +75,8 @@
     fleet: Fleet,
     /// Its part in what that fleet agrees on.
     agreed: Agreed,
+    /// Classes, tenants and rules by committed revisions, where that service is on.
+    committed: Committed,
     active: bool,
     hint: Option<f64>,
     registration: Registration,
@@ -127,6 +132,7 @@
             duties: Duties::default(),
             fleet: Fleet::default(),
             agreed: Agreed::default(),
+            committed: Committed::default(),
             active: false,
             hint: None,
             registration,
@@ -176,6 +182,7 @@
         self.fire();
         self.decide();
         self.agreed_step();
+        self.configuration_step();
         self.fleet_step();
         self.housekeeping();
         effects.append(&mut self.effects);
@@ -190,6 +197,7 @@
         let own =
             sooner(sooner(timer, self.drain.wake_at()), sooner(self.ledger.wake_at(), self.past.hope()));
         let own = sooner(sooner(own, self.fleet.wake_at(self.moment.now)), self.agreed.wake_at());
+        let own = self.configuration_wake_at(own);
         sooner(sooner(own, self.registration.wake_at(self.moment.now)), Some(self.duties.wake_at()))
     }
 
@@ -260,6 +268,7 @@
             }
             Input::CouncilWritten(number) => self.council_written(number),
             Input::CouncilFailed(found, why) => self.council_failed(*found, &why),
+            Input::ConfigurationWritten(written) => self.configuration_written(written),
             Input::SettingsAre(settings, staged) => self.settings_are(settings, staged),
             Input::ChangeFailed(release, why) => self.change_failed(release, why),
             Input::Registry(ticket, reply) => self.registration.reply(self.moment.now, ticket, reply),
--- a/crates/core/src/reducer/operators.rs
+++ b/crates/core/src/reducer/operators.rs
@@ -14,6 +14,10 @@
             let answer = AdminAnswer::Agreed(self.agreed_call(call));
             return self.effects.push(Effect::Admin(id, answer));
         }
+        if let AdminCall::Configuration(call) = call {
+            let answer = AdminAnswer::Configuration(Box::new(self.configuration_call(call)));
+            return self.effects.push(Effect::Admin(id, answer));
+        }
         let answer = match self.door.order(self.moment.now, &call) {
             Some(done) => {
                 if let AdminAnswer::Done { failed, changed: true } = done {
@@ -29,7 +33,8 @@
             None => {
                 let open = self.requests.owed();
                 let fleet = self.fleet.status(self.moment.now);
-                AdminAnswer::Stats(Box::new(Stats { fleet, ..self.tally.stats(open as u64) }))
+                let configuration = self.committed.figures(self.moment.now);
+                AdminAnswer::Stats(Box::new(Stats { fleet, configuration, ..self.tally.stats(open as u64) }))
             }
         };
         self.effects.push(Effect::Admin(id, answer));
--- a/crates/core/src/reducer/settings.rs
+++ b/crates/core/src/reducer/settings.rs
@@ -121,6 +121,11 @@
         Self { window, ..Self::default() }
     }
 
+    /// Classes, tenants and rules come from committed revisions.
+    pub(super) fn set_committed(&mut self) {
+        self.committed = true;
+    }
+
     /// Whether a file is being applied.
     pub(super) fn is_pending(&self) -> bool {
         self.pending.is_some()
@@ -130,7 +135,7 @@
 impl Reducer {
     /// Classes, tenants and rules come from committed revisions: a file that is read again changes all else.
     pub fn with_committed_settings(mut self) -> Self {
-        self.changes.committed = true;
+        self.changes.set_committed();
         self
     }
 
--- a/crates/core/src/tally.rs
+++ b/crates/core/src/tally.rs
@@ -5,6 +5,7 @@
 //! goes on from there. Not here: how the figures are written out, which is the shell's.
 
 use crate::answer::Answer;
+use crate::configuration::ConfigurationFigures;
 use gradepin_cluster::cluster::Status;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -41,6 +42,8 @@
     pub cfg_invalid: u64,
     /// What it knows of other servers and shares with them, where they talk to each other.
     pub fleet: Option<Box<Status>>,
+    /// The committed configuration, where that service is on.
+    pub configuration: Option<ConfigurationFigures>,
 }
 
 /// The counts as they run.
@@ -87,6 +90,7 @@
             cfg_accepted: self.cfg_accepted,
             cfg_invalid: self.cfg_invalid,
             fleet: None,
+            configuration: None,
         }
     }
 
--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -365,6 +365,7 @@
             AdminCall::Stats => "GET /stats",
             AdminCall::Fleet => "GET /fleet",
             AdminCall::Agreed(_) => "GET /fleet/status",
+            AdminCall::Configuration(_) => "GET /config/status",
             AdminCall::Fail => "POST /healthcheck/fail",
             AdminCall::Ok => "POST /healthcheck/ok",
         };
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -246,7 +246,7 @@
                 self.names.publish(edition, changes);
                 return;
             }
-            Effect::LongestWindow(_) => return,
+            Effect::LongestWindow(_) | Effect::SaveConfiguration(_) => return,
             Effect::Reloaded => {
                 let names: Vec<&str> = self.classes.values().map(String::as_str).collect();
                 let reloaded = format!("settings {}", names.join(" "));
--- a/crates/kit/src/fleet.rs
+++ b/crates/kit/src/fleet.rs
@@ -59,6 +59,8 @@
     pub peers: Option<PeersSpec>,
     /// And agree on who may be out.
     pub council: Option<CouncilSpec>,
+    /// Lines of the `config` block beside the folder, where classes, tenants and rules come from committed revisions.
+    pub configuration: Option<String>,
     /// Descriptors that each server may have.
     pub sockets: u32,
     /// Classes and tenants of the settings beside those of the brief, which no request names.
@@ -190,6 +192,7 @@
             registry_more: String::new(),
             peers: None,
             council: None,
+            configuration: None,
             sockets: 1024,
             unused: Unused::default(),
             folder: PathBuf::new(),
@@ -494,7 +497,11 @@
                     if spec.store { format!("store {{\n    path {path:?}\n}}\n") } else { String::new() };
                 let peers = spec.peers.as_ref().map(|peers| peers.settings(n, &spec.folder));
                 let council = spec.council.as_ref().map(|council| council.settings(n, &spec.folder));
-                let rest = peers.unwrap_or_default() + &council.unwrap_or_default();
+                let folder = spec.folder.join(format!("{name}.configuration")).display().to_string();
+                let service = spec.configuration.as_ref();
+                let service = service.map(|more| format!("config {{\n    folder {folder:?}\n{more}\n}}\n"));
+                let rest =
+                    peers.unwrap_or_default() + &council.unwrap_or_default() + &service.unwrap_or_default();
                 std::fs::write(own, registry + &scgi + &store + &rest)?;
             }
             let (log, daemon) = (spec.folder.join(format!("{name}.log")), spec.daemon.clone());
--- a/crates/node/src/admin/exposition.rs
+++ b/crates/node/src/admin/exposition.rs
@@ -21,8 +21,16 @@
 //! | `server_fleet_datagrams_total` | counter | `kind` (`sent`, `taken`, `withheld`) | datagrams between servers |
 //! | `server_fleet_dropped_total` | counter | `why` | datagrams that were not taken |
 //! | `server_fleet_sent_bytes_total` | counter | | bytes sent to other servers |
+//!
+//! Where the configuration service is on:
+//!
+//! | name | type | labels | what |
+//! | --- | --- | --- | --- |
+//! | `server_config_revision` | gauge | | the revision in force |
+//! | `server_config_age_seconds` | gauge | | since it was last confirmed as the newest one |
 
 use gradepin_cluster::cluster::Status;
+use gradepin_core::configuration::ConfigurationFigures;
 use gradepin_core::tally::Stats;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -67,12 +75,25 @@
     if let Some(fleet) = &stats.fleet {
         fleet_figures(&mut registry, fleet);
     }
+    if let Some(configuration) = &stats.configuration {
+        configuration_figures(&mut registry, configuration);
+    }
     let mut text = String::new();
     // Writing to a String does not fail.
     let _ = encode(&mut text, &registry);
     text
 }
 
+/// How the committed configuration stands here.
+fn configuration_figures(registry: &mut Registry, figures: &ConfigurationFigures) {
+    let revision = Gauge::<i64>::default();
+    revision.set(i64::try_from(figures.revision).unwrap_or(i64::MAX));
+    registry.register("config_revision", "The revision of the configuration in force", revision);
+    let age = Gauge::<f64, AtomicU64>::default();
+    age.set(figures.age_s);
+    registry.register("config_age_seconds", "Since it was last confirmed as the newest one", age);
+}
+
 /// What this server knows of the others and shares with them.
 fn fleet_figures(registry: &mut Registry, fleet: &Status) {
     let gauge = |value: f64| {
@@ -141,6 +162,7 @@
             cfg_accepted: 2,
             cfg_invalid: 1,
             fleet: None,
+            configuration: None,
         };
         let text = text(&stats);
         let lines: Vec<&str> = text.lines().filter(|line| !line.starts_with('#')).collect();
--- a/crates/node/src/admin/http.rs
+++ b/crates/node/src/admin/http.rs
@@ -1,7 +1,10 @@
 //! The door's HTTP/1.1, one call a connection: a request head cut with `httparse`, the call it names, and the
 //! bytes of a response. Reads and writes nothing itself.
 
+use super::configuration;
+use gradepin_config::admin::{Refusal, query};
 use gradepin_core::admin::{AdminCall, FleetCall};
+use gradepin_core::configuration::ConfigurationCall;
 
 /// Bytes of a request head at the most; more is a malformed request.
 pub const HEAD_MOST: usize = 8 * 1024;
@@ -52,6 +55,9 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         409 => "Conflict",
+        410 => "Gone",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
         408 => "Request Timeout",
         413 => "Content Too Large",
         503 => "Service Unavailable",
@@ -66,6 +72,8 @@
     Plain(AdminCall),
     /// An order for the fleet's council, as JSON.
     Order,
+    /// A change of the committed configuration, as JSON.
+    ConfigurationApply,
     /// Settings to be staged, as a whole configuration.
     Stage,
 }
@@ -153,6 +161,15 @@
         }
         "/fleet/order" => (Ok(Called::Order), "GET, POST"),
         "/fleet/stage" => (Ok(Called::Stage), "POST"),
+        "/config/apply" if method == "GET" => {
+            let bad =
+                |e: query::BadQuery| configuration::refused(&Refusal::BadCall { reason: e.to_string() });
+            let id = query::request_id(query).map_err(bad);
+            let call = |id| Called::Plain(AdminCall::Configuration(ConfigurationCall::Became(id)));
+            (id.map(call), "GET, POST")
+        }
+        "/config/apply" => (Ok(Called::ConfigurationApply), "GET, POST"),
+        "/config/status" => (plain(AdminCall::Configuration(ConfigurationCall::Status)), "GET, HEAD"),
         "/fleet/found" => (agreed(FleetCall::Found), "POST"),
         "/fleet/leave" => (agreed(FleetCall::Leave), "POST"),
         "/fleet/stay" => (agreed(FleetCall::Stay), "POST"),
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -7,13 +7,16 @@
 //! place to a newcomer once [`MOST_CALLERS`] are in. What the calls mean is the reducer's ([`gradepin_core::admin`]).
 
 mod agreements;
+mod configuration;
 mod exposition;
 mod fleet;
 pub mod http;
 
 use crate::change::Stage;
 use crossbeam_channel::{Receiver, Sender, bounded};
+use gradepin_config::admin::Refusal;
 use gradepin_core::admin::{AdminAnswer, AdminCall, CallId, FleetCall};
+use gradepin_core::configuration::ConfigurationCall;
 use gradepin_core::messages::Input;
 use http::{BODY_MOST, Called, Head, Response};
 use slog::{Logger, info, warn};
@@ -166,6 +169,10 @@
             Ok(order) => ask(shared, AdminCall::Agreed(FleetCall::Order(Box::new(order)))),
             Err(e) => Response::text(400, format!("expected an order as JSON: {e}\n")),
         },
+        Ok(Called::ConfigurationApply) => match serde_json::from_slice(&body) {
+            Ok(request) => ask(shared, AdminCall::Configuration(ConfigurationCall::Apply(Box::new(request)))),
+            Err(e) => configuration::refused(&Refusal::BadCall { reason: e.to_string() }),
+        },
         Ok(Called::Stage) => stage(shared, &body),
         Err(response) => response,
     };
@@ -184,7 +191,7 @@
         bytes.extend_from_slice(&chunk[..n]);
     };
     // Most bodies have no use; they are read so that the close resets nothing.
-    let uses = matches!(head.call, Ok(Called::Order | Called::Stage));
+    let uses = matches!(head.call, Ok(Called::Order | Called::Stage | Called::ConfigurationApply));
     let mut body = bytes.split_off(head.len.min(bytes.len()));
     let mut length = body.len().min(BODY_MOST);
     while length < head.body {
@@ -265,6 +272,7 @@
             response.content_type = "application/json";
             response
         }
+        AdminAnswer::Configuration(answer) => configuration::response(&answer),
         AdminAnswer::Agreed(answer) => agreements::response(&answer),
         AdminAnswer::Fleet(None) => Response::text(404, "this server takes no part in a fleet\n"),
         AdminAnswer::Done { failed: true, .. } => Response::text(200, "draining\n"),
--- /dev/null
+++ b/crates/node/src/configuration_writer/tests.rs
@@ -0,0 +1,106 @@
+//! The writer on a disk that hangs, and on one that is full.
+
+use super::*;
+use crossbeam_channel::{Receiver, unbounded};
+use gradepin_config::{Change, Configuration, Revision, Transaction};
+use gradepin_decisions::{Customer, Effect, Profile, Settings, Span};
+use gradepin_store::sim::{Fault, SimDisk};
+
+/// A wait that only ends a test which would hang.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+fn base() -> Configuration {
+    let class = Profile {
+        name: "c".into(),
+        promise: Span(1),
+        deadline: Span(2),
+        effect: Effect::Repeatable,
+        late_value: 0.0,
+        window: Span(0),
+        worth: 1.0,
+        aim_stretch: 0.0,
+    };
+    let settings = Settings { profiles: vec![class], ..Settings::default() };
+    Configuration::from_settings(&settings).expect("a valid base")
+}
+
+fn next(state: &mut Configuration) -> Arc<Commit> {
+    let revision = state.revision().next();
+    let tenant = Customer { name: format!("t{revision}"), quota_rps: 1.0, portion: 0.0 };
+    let commit = Commit {
+        revision,
+        author: "ada".into(),
+        reason: "test".into(),
+        request_id: "r".into(),
+        proposed_at_ms: 0,
+        transaction: Transaction { changes: vec![Change::PutTenant(Arc::new(tenant))] },
+    };
+    state.apply(&commit).expect("valid");
+    Arc::new(commit)
+}
+
+fn start(disk: &SimDisk) -> (ConfigurationWriter, Receiver<ConfigurationWritten>) {
+    let (sender, told) = unbounded();
+    let (store, _) = ConfigurationStore::open(Box::new(disk.clone())).expect("a folder");
+    let retry = Duration::from_millis(1);
+    let writer = ConfigurationWriter::start(store, retry, move |written| {
+        let _ = sender.send(written);
+    });
+    (writer.expect("a thread"), told)
+}
+
+/// Waits until a revision is told as durable.
+fn until(told: &Receiver<ConfigurationWritten>, revision: Revision) -> Vec<ConfigurationWritten> {
+    let mut all = Vec::new();
+    while all.last() != Some(&ConfigurationWritten::Durable(revision)) {
+        all.push(told.recv_timeout(PATIENCE).expect("a word from the writer"));
+    }
+    all
+}
+
+fn found(disk: &SimDisk) -> Option<Configuration> {
+    let disk = SimDisk::with(disk.files().killed(), 0);
+    ConfigurationStore::open(Box::new(disk)).expect("a folder").1.state
+}
+
+#[test]
+fn nobody_waits_for_a_disk_that_hangs() {
+    let disk = SimDisk::new(1);
+    let (writer, told) = start(&disk);
+    let mut state = base();
+    writer.hand_in(Snapshot::of(&state), None);
+    until(&told, Revision(0));
+    // The gate is closed until all is handed in: a writer that made its caller wait would never come to open it.
+    disk.fail(Fault::SyncHangs);
+    for _ in 0..2 * MAX_COMMITS + 3 {
+        let commit = next(&mut state);
+        writer.hand_in(Snapshot::of(&state), Some(commit));
+    }
+    assert!(writer.shared.pending().commits.len() <= MAX_COMMITS);
+    disk.fail(Fault::None);
+    until(&told, state.revision());
+    assert_eq!(found(&disk).map(|found| found.version()), Some(state.version()));
+}
+
+#[test]
+fn a_full_disk_is_told_once_and_tried_again() {
+    let disk = SimDisk::new(2);
+    let (writer, told) = start(&disk);
+    let mut state = base();
+    writer.hand_in(Snapshot::of(&state), None);
+    until(&told, Revision(0));
+    let held = disk.lengths().iter().map(|(_, length)| length).sum();
+    disk.fail(Fault::Full(held));
+    let commit = next(&mut state);
+    writer.hand_in(Snapshot::of(&state), Some(commit));
+    let why = told.recv_timeout(PATIENCE).expect("a word from the writer");
+    assert!(matches!(why, ConfigurationWritten::Failed(_)), "{why:?}");
+    assert_eq!(found(&disk).map(|found| found.revision()), Some(Revision(0)), "the state before");
+    disk.fail(Fault::None);
+    let all = until(&told, Revision(1));
+    assert!(all.len() <= 2, "each reason once: {all:?}");
+    let commit = next(&mut state);
+    writer.hand_in(Snapshot::of(&state), Some(commit));
+    drop(writer);
+    assert_eq!(found(&disk).map(|found| found.version()), Some(state.version()), "written at the end");
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -4,8 +4,11 @@
 use crate::change::Stage;
 use crate::claims::Claims;
 use crate::clock::Clock;
+use crate::configuration_service::{self, ConfigurationService, ConfigurationStartError};
 use crate::control::Control;
 use crate::council::CouncilFolder;
+pub use crate::fleet_start::fleet_settings;
+use crate::fleet_start::part_settings;
 use crate::fronts::scgi::Scgi;
 use crate::fronts::scgi::routes::{BadRoute, Routes};
 use crate::fronts::thrift::Thrift;
@@ -16,29 +19,25 @@
 use crate::registry::Registry;
 use crate::reload::{Parties, Reloads};
 use crate::settings::cluster::{self, KeysError};
-use crate::settings::{CouncilSettings, FleetSettings, Live, Own};
+use crate::settings::{Live, Own};
 use crate::shared_ledger::SharedLedger;
 use crate::signals::Signals;
 use crate::store::{self, Store};
 use crossbeam_channel::{Sender, bounded, never, select};
 use gradepin_cluster::authentication::Keys;
-use gradepin_cluster::cluster::{Cluster, ClusterSettings};
-use gradepin_cluster::peer::{Incarnation, MAX_NAME_BYTES, Peer};
+use gradepin_cluster::cluster::Cluster;
+use gradepin_cluster::peer::MAX_NAME_BYTES;
 use gradepin_core::config::{Config, ConfigError};
 use gradepin_core::ledger::Ledger;
 use gradepin_core::messages::{Effect, Input};
 use gradepin_core::pool::{Pool, SIZE};
-use gradepin_core::reducer::{Reducer, cell_names, lent_share};
+use gradepin_core::reducer::{Reducer, cell_names};
 use gradepin_core::registration::Registration;
 use gradepin_decisions::{Below, Settings, Span};
 use gradepin_registry::membership::Membership;
-use gradepin_releases::controller::ControllerSettings;
-use gradepin_releases::council::Found;
-use gradepin_releases::record::Limits;
-use gradepin_releases::server_agent::{AgentSettings, ServerAgent};
+use gradepin_releases::server_agent::ServerAgent;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use slog::{Level, Logger, error, info, warn};
-use std::collections::BTreeMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -82,6 +81,9 @@
     /// A voter has no disk.
     #[error("{0} is a voter of the council, and its settings name no folder for it")]
     Voter(String),
+    /// The configuration service can't start.
+    #[error(transparent)]
+    Configuration(#[from] ConfigurationStartError),
     /// What was handed over can't be used.
     #[error(transparent)]
     Handed(#[from] HandedError),
@@ -126,6 +128,14 @@
     }
     config.admin_addr = handed.admin_addr.or(config.admin_addr);
     config.lends = own.cluster.as_ref().is_some_and(|set| set.leases.is_some());
+    // The second process of an upgrade takes no part in the fleet, so nobody would tell it of changes.
+    let service_set = own.configuration.as_ref().filter(|_| handed.accept_fd.is_none());
+    if service_set.is_none() && own.configuration.is_some() {
+        warn!(log, "on an inherited listener the configuration service is off, and the start file holds");
+    }
+    let service = service_set
+        .map(|set| ConfigurationService::open(set, own.council.as_ref(), &mut config, log))
+        .transpose()?;
     let names = cell_names(&config.settings);
     let store_limits = own.store.as_ref().map(|set| set.limits(&config));
     let window = longest_window(&config.settings);
@@ -224,15 +234,25 @@
                 let part = part_settings(set, names, own_life.clone(), found, seed);
                 let in_force =
                     stage.as_ref().map(|stage| stage.in_force()).transpose().map_err(failed("stage"))?;
-                let (part, zone) = (ServerAgent::new(part, clock.read().now), own_life.zone.to_string());
+                let zone = own_life.zone.to_string();
+                let mut part = ServerAgent::new(part, clock.read().now);
+                if let Some(set) = service_set {
+                    part = part.with_configuration(configuration_service::order_settings(set));
+                }
                 let (version, settings) = (files.version.clone(), in_force.unwrap_or_default());
                 reducer = reducer.with_part(part, zone, version, settings);
+                if let (Some(service), Some(service_set)) = (&service, service_set) {
+                    let start = service.start(service_set, set, &own_life, seed);
+                    reducer = reducer.with_configuration(start, clock.read().now);
+                }
             }
             let peers = Peers::start(set.listen, Arc::clone(keys), letters_in, clock, log.clone());
             Some(peers.map_err(failed(&format!("the fleet's address {}", set.listen)))?)
         }
         _ => None,
     };
+    let writer = service.map(|service| service.writer(urgently.clone())).transpose();
+    let writer = writer.map_err(failed("the writer of the configuration"))?.flatten();
     let letters = if peers.is_some() { letters } else { never() };
     let (reloaded, is_reloaded) = bounded(1);
     let parties = Parties { files, scgi, keys, live: live.clone(), inputs: urgently.clone() };
@@ -294,6 +314,11 @@
                         peers.send(to, &datagram);
                     }
                 }
+                Effect::SaveConfiguration(save) => {
+                    if let Some(writer) = &writer {
+                        writer.hand_in(save.state, save.commit);
+                    }
+                }
                 Effect::Council(generation, number, records) => {
                     if let Some((folder, _)) = &council {
                         folder.write(generation, number, records);
@@ -441,72 +466,3 @@
 fn read(keys: &SharedKeys) -> Keys {
     keys.read().unwrap_or_else(PoisonError::into_inner).clone()
 }
-
-/// This server's part in what the fleet agrees on.
-fn part_settings(
-    set: &CouncilSettings,
-    names: BTreeMap<u32, String>,
-    own: Peer,
-    folder: Option<Found>,
-    seed: u64,
-) -> AgentSettings {
-    let any = u32::MAX;
-    let all = set.limits.services.keys().map(|name| (Arc::clone(name), any)).collect();
-    let limits = if set.plain {
-        Limits { fleet: any, zone: any, zones: any, services: all }
-    } else {
-        set.limits.clone()
-    };
-    let controller = ControllerSettings {
-        limits,
-        stabilization: set.steady,
-        fresh_for: set.fresh,
-        ignore_limits: set.plain,
-        cell_names: names,
-        ..ControllerSettings::default()
-    };
-    AgentSettings {
-        name: own.name,
-        life: own.incarnation.0,
-        zone: own.zone.to_string(),
-        voters: set.voters.clone(),
-        folder,
-        controller,
-        waits: set.waits,
-        seed: seed ^ own.incarnation.0,
-    }
-}
-
-/// What this server is in the fleet, in the life that begins. Also for those who host a reducer elsewhere.
-pub fn fleet_settings(
-    set: &FleetSettings,
-    config: &Config,
-    keys: Keys,
-    clock: Clock,
-    seed: u64,
-) -> Result<ClusterSettings, StartError> {
-    if config.name.len() > MAX_NAME_BYTES {
-        return Err(StartError::Name(config.name.clone()));
-    }
-    // The system's own randomness: a seed may stand in a file that outlives a life.
-    let random = RandomState::new().build_hasher().finish();
-    let own = Peer {
-        name: Arc::from(config.name.as_str()),
-        incarnation: Incarnation::starting(clock.read().unix_ms, random),
-        address: set.advertise,
-        zone: Arc::from(set.zone.as_str()),
-    };
-    Ok(ClusterSettings {
-        own,
-        seeds: set.seeds.clone(),
-        keys,
-        failure_detection: set.failure_detection.clone(),
-        max_bytes_per_second: set.max_bytes_per_second,
-        servers: config.settings.servers as usize,
-        share: set.leases.as_ref().and_then(|_| lent_share(&config.settings)),
-        leases: set.lease_settings(config.settings.specifics.linger),
-        probes_per_second: set.probes_per_second,
-        retry_ratio: set.retry_ratio,
-        seed: seed ^ random,
-    })
-}
--- /dev/null
+++ b/crates/node/src/settings/configuration/tests.rs
@@ -0,0 +1,52 @@
+//! The `config` block, right and wrong.
+
+use super::*;
+use crate::settings::Own;
+
+fn file(config: &str) -> String {
+    format!(
+        "cluster {{\nlisten \"127.0.0.1:7\"\nseed \"127.0.0.1:7\"\nkey-file \"k\"\nzone \"a\"\n}}\n\
+         council {{\nvoter \"x\"\nvoter \"y\"\nvoter \"z\"\nfolder \"/d/council\"\n}}\n\
+         store {{\npath \"/d/store\"\n}}\nconfig {{\n{config}\n}}"
+    )
+}
+
+fn problems(text: &str) -> Vec<String> {
+    Own::parse(text).map_or_else(|all| all.iter().map(ToString::to_string).collect(), |_| Vec::new())
+}
+
+#[test]
+fn a_block_is_read_and_an_empty_one_has_defaults() {
+    let own = Own::parse(&file("")).expect("defaults");
+    let set = own.configuration.expect("a block");
+    assert_eq!((set.folder.as_ref(), set.stale_after, set.history), (None, STALE_AFTER, 1_024));
+    assert_eq!(set.region("a"), "a");
+    let text = "folder \"/d/config\"\nstale-after-ms 5000\nhistory 64\nbytes-per-second 8000\n\
+                region \"north\" { zone \"a\"; zone \"b\"; }\nregion \"south\" { zone \"c\"; }";
+    let own = Own::parse(&file(text)).expect("a whole block");
+    let set = own.configuration.expect("a block");
+    assert_eq!((set.stale_after, set.history, set.bytes_per_second), (Span(5_000 * MS), 64, 8_000));
+    assert_eq!((set.region("a"), set.region("b"), set.region("c")), ("north", "north", "south"));
+    assert_eq!(Own::parse("").map(|own| own.configuration), Ok(None));
+}
+
+#[test]
+fn what_it_cannot_work_with_is_told() {
+    for (config, expected) in [
+        ("history 3", "expected history from 16 to 65536"),
+        ("bytes-per-second 10", "expected bytes-per-second from 4000"),
+        ("stale-after-ms 0", "expected stale-after-ms from 1000"),
+        ("folder \"/d/council\"", "expected config's folder to be its own"),
+        ("folder \"/d/store\"", "expected config's folder to be its own"),
+        ("region \"north\"", "expected a zone in the region"),
+        ("region \"north\" { zone \"a\"; zone \"a\"; }", "the same zone twice"),
+        ("region \"n\" { zone \"a\"; }\nregion \"n\" { zone \"b\"; }", "the same region twice"),
+        ("region \"n\" { zone \"b\"; }", "no region has the zone 'a'"),
+        ("regions", "an unknown node 'regions'"),
+    ] {
+        let found = problems(&file(config));
+        assert!(found.len() == 1 && found[0].contains(expected), "{config}: {found:?}");
+    }
+    let found = problems("config {\n}");
+    assert!(found.len() == 1 && found[0].contains("expected a cluster and a council"), "{found:?}");
+}
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -4,6 +4,7 @@
 //! column, and a file with any of them is not used.
 
 pub mod cluster;
+mod configuration;
 mod council;
 mod live;
 mod reader;
@@ -12,6 +13,7 @@
 pub mod transaction;
 
 pub use cluster::FleetSettings;
+pub use configuration::ConfigurationSettings;
 pub use council::CouncilSettings;
 pub use live::Live;
 pub use scgi::{Headers, Route, ScgiSettings};
@@ -76,6 +78,8 @@
     pub cluster: Option<FleetSettings>,
     /// What that fleet agrees on, where it does.
     pub council: Option<CouncilSettings>,
+    /// The configuration service, where classes, tenants and rules come from committed revisions.
+    pub configuration: Option<ConfigurationSettings>,
     /// Names of an earlier version that the file still has, for the log and for `check`.
     pub warnings: Vec<Problem>,
 }
@@ -178,6 +182,8 @@
             if own.council.is_some() && !root.has("cluster") {
                 root.problem("expected a cluster beside the council: its servers talk by that");
             }
+            own.configuration = root.block("config").map(configuration::read);
+            own.check_configuration(&root);
             root.end();
         }
         own.warnings = problems.warnings();
@@ -186,6 +192,30 @@
     }
 }
 
+impl Own {
+    /// Whether the configuration service fits what stands beside it.
+    fn check_configuration(&self, root: &Block<'_>) {
+        let Some(configuration) = &self.configuration else { return };
+        if !root.has("cluster") || !root.has("council") {
+            root.problem(
+                "expected a cluster and a council beside the config: they spread and commit changes",
+            );
+        }
+        let council = self.council.as_ref().and_then(|council| council.folder.as_ref());
+        let store = self.store.as_ref().map(|store| &store.path);
+        let folder = configuration.folder.as_ref();
+        if folder.is_some() && (folder == council || folder == store) {
+            root.problem("expected config's folder to be its own");
+        }
+        let zone = self.cluster.as_ref().map(|cluster| &cluster.zone).filter(|zone| !zone.is_empty());
+        if let Some(zone) = zone.filter(|zone| !configuration.regions.contains_key(*zone))
+            && !configuration.regions.is_empty()
+        {
+            root.problem(&format!("no region has the zone '{zone}' that this server is in"));
+        }
+    }
+}
+
 /// Reads a registry's settings; none if something that has no default is missing, and then that is a problem.
 fn registry(mut block: Block<'_>) -> Option<RegistrySettings> {
     let zone = block.word("zone");
--- a/crates/releases/tests/common/fleet.rs
+++ b/crates/releases/tests/common/fleet.rs
@@ -74,6 +74,8 @@
         for effect in effects {
             match effect {
                 Effect::Send(to, bytes) => {
+                    // Other services mark their messages by a first byte of 0x80 and above.
+                    assert!(bytes[0] < 0x80, "a consensus message began with {:#x}", bytes[0]);
                     let to = (0..self.parts.len()).find(|other| name(*other) == to).expect("a server");
                     if !self.cut.contains(&n) && !self.cut.contains(&to) {
                         self.parts[to].word(self.now, &name(n), 1, &bytes);
