Take requests without a budget: the deadline of their class counts

Seen on: with settings whose callers don't pass their deadline on (specifics.passes_deadline false), every request is turned down with 'no number as budget' and nothing is served. Cause: thrift/codec.rs, Fields::call, takes the field as one that every site sends. Change: without the field the deadline of its class is taken, as the SCGI front does already. A field that is there and no number is an exception as before. Searched: the other fields of the table that settings may leave out. peer, acct, again, prio, obj and token (outside keyed classes) may be absent; method, rid, t0 and mem come with every request. Measured: 37 of 37 tests of gradepin/tests/node.rs pass, the new one among them.

--- a/crates/gradepin/tests/node.rs
+++ b/crates/gradepin/tests/node.rs
@@ -340,6 +340,22 @@
         expect renew");
 }
 
+/// Guards against a site whose callers don't tell how long they wait (`passes_deadline` off): the field is absent there, and
+/// every request was turned down as one that makes no sense. The deadline of its class, 4 s here, counts then.
+#[test]
+fn a_request_without_a_budget_is_due_at_the_deadline_of_its_class() {
+    up("send a call 1 rid=1 budget=-
+        expect processor begin 1
+        send processor complete 1 1 OK out
+        expect a 1 served out
+        send a call 2 rid=2 t0=-1000 budget=-
+        expect processor begin 2
+        wait 2900
+        expect no a 2
+        wait 200
+        expect a 2 failed");
+}
+
 #[test]
 fn time_waited_unread_counts_from_t0() {
     up("send a call 1 rid=1 t0=-800 budget=1000
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -161,10 +161,15 @@
         ("rid", format!("{:016x}", number("rid").unwrap_or(1))),
         ("t0", t0.to_string()),
         ("peer", "4".to_string()),
-        ("budget", field("budget").unwrap_or("4000").to_string()),
         ("mem", field("mem").unwrap_or("20.5").to_string()),
         ("prio", "0.6250".to_string()),
     ];
+    // Without a budget it is written as one of "-".
+    fields.extend(
+        Some(field("budget").unwrap_or("4000"))
+            .filter(|budget| *budget != "-")
+            .map(|ms| ("budget", ms.into())),
+    );
     // A request of no tenant is written as one of "-".
     fields.extend(
         Some(field("acct").unwrap_or("acme")).filter(|acct| *acct != "-").map(|acct| ("acct", acct.into())),
--- a/crates/node/src/fronts/thrift/codec.rs
+++ b/crates/node/src/fronts/thrift/codec.rs
@@ -10,6 +10,8 @@
 const MOST_BODY: usize = 2048;
 const MOST_TOKEN: usize = 64;
 const MOST_DEPTH: usize = 16;
+/// Nanoseconds in a millisecond.
+const MS: u64 = 1_000_000;
 
 const CALL: u8 = 1;
 const REPLY: u8 = 2;
@@ -174,6 +176,7 @@
             return Err(bad("prio out of range"));
         }
         let keyed = definition.profile.effect == Effect::ByKey;
+        let deadline_ms = definition.profile.deadline.0 / MS;
         if keyed && token.is_none() {
             return Err(bad("no token of 1 to 64 bytes in a keyed class"));
         }
@@ -186,7 +189,8 @@
             tenant,
             caller: self.peer.map_or(Ok(0), |text| number("peer", Some(text)))?,
             t0: number("t0", self.t0)?,
-            budget: number("budget", self.budget)?,
+            // Where the settings say that callers don't pass it on, the field is absent: its class's deadline counts then.
+            budget: self.budget.map_or(Ok(deadline_ms), |text| number("budget", Some(text)))?,
             retry: self.again == Some("1"),
             size_kb,
             precedence,
