Treat a processor that restarts cold as cold

Its counterpart, a restart that comes back warm during a warm-up, went on with the cold one's limit ("10: it goes on as a cold one").

Root cause: crates/core/src/reducer/link.rs, link_up: the module is told of warmth (just_started, and the start it counts from) at the first greeting alone. A later greeting with a younger processor only ended its runs (restarted); the module kept the warmth of the processor before, and set_rest carries just_started over for good. The registration was told of the restart each time (processor_up), the module was not.

Change: Controller::cores_started says when the cores started and whether cold; Controller::new and link_up call it.

Also looked at: a link that falls and comes again during the warm-up, a server that finds a cold processor of some age, and one greeted as older than its cold time: kept, and held by a test now. Handover and recovery start a reducer without a controller, which goes by its first greeting.

--- a/crates/core/src/reducer/link.rs
+++ b/crates/core/src/reducer/link.rs
@@ -96,6 +96,10 @@
         if !first && before(now, age) > after(self.link.heard, LEAST_RESTART) {
             // It has started since it was last heard. A mere pause of the machine makes the greeting old, not young.
             self.restarted();
+            if let Some(controller) = &mut self.controller {
+                // Guards against runs for a warm processor on one that begins cold: those make it fall over.
+                controller.cores_started(cold, before(now, age));
+            }
         }
         self.link.heard = now;
         self.link.number = Some(number);
--- /dev/null
+++ b/crates/core/tests/slow_start.rs
@@ -0,0 +1,201 @@
+//! What a server begins while its processor is cold: within what the settings say that such a processor survives, whenever
+//! it started.
+
+#[path = "../../decisions/tests/common/mod.rs"]
+mod common;
+
+use gradepin_core::config::Config;
+use gradepin_core::messages::{Call, Effect, Input, RunEnd};
+use gradepin_core::moment::Moment;
+use gradepin_core::pool::Pool;
+use gradepin_core::reducer::Reducer;
+use gradepin_core::registration::Registration;
+use gradepin_decisions::{RequestId, Span, Time};
+use serde_json::json;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+const MS: u64 = 1_000_000;
+const TICK_MS: u64 = 10;
+/// A run waits for the disk most of the time, so that the cores look idle and the running limit grows.
+const RUN_MS: u64 = 400;
+/// Between the end of a processor and the greeting of the next, beside that one's age.
+const DOWN_MS: u64 = 300;
+/// From `common::base`: cores, the crowd a core that a warm server survives, the least speed, and the time until warm.
+const CORES: f64 = 4.0;
+const TIP: f64 = 4.0;
+const COLD_SHARE: f64 = 0.25;
+const COLD_MS: u64 = 10_000;
+
+/// A reducer and its processor, in steps of virtual time.
+struct Server {
+    reducer: Reducer,
+    pool: Arc<Pool>,
+    now_ms: u64,
+    /// The processor's start, and whether that was cold.
+    started_ms: u64,
+    cold: bool,
+    link: u64,
+    notices: u64,
+    sent: u64,
+    runs: VecDeque<(u64, RequestId)>,
+    /// The most that ran at once, and by how much at the worst that was more than a processor of its age survives.
+    most: usize,
+    excess: f64,
+}
+
+impl Server {
+    fn new() -> Self {
+        let mut settings = common::base();
+        settings["specifics"]["below"] = json!("off");
+        settings["specifics"]["memory_kb"] = json!(400_000.0);
+        settings["specifics"]["gauges"] = json!(["core_use", "on_cores"]);
+        let address = "127.0.0.1:1";
+        let config = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
+            "stop_ms": 2000, "limits": {"cores": 1.0, "sockets": 128}, "settings": settings});
+        let config = Config::parse(&config.to_string()).expect("a whole configuration");
+        let settings = Arc::new(config.settings.clone());
+        let reducer = Reducer::new(&config, settings, Registration::default()).expect("whole");
+        let mut server = Self {
+            reducer,
+            pool: Pool::new(64),
+            now_ms: 100_000,
+            started_ms: 0,
+            cold: false,
+            link: 0,
+            notices: 0,
+            sent: 0,
+            runs: VecDeque::new(),
+            most: 0,
+            excess: 0.0,
+        };
+        server.step(vec![Input::Opened(1)]);
+        server
+    }
+
+    /// A processor that started so long ago greets; runs of one before it are gone.
+    fn processor_starts(&mut self, cold: bool, age_ms: u64) {
+        self.runs.clear();
+        self.now_ms += DOWN_MS + age_ms.min(1_000);
+        (self.started_ms, self.cold, self.notices) = (self.now_ms - age_ms, cold, 0);
+        self.greets();
+    }
+
+    /// The link falls, and the processor greets on another.
+    fn greets(&mut self) {
+        self.link += 1;
+        let age = Span((self.now_ms - self.started_ms) * MS);
+        let up = Input::LinkUp { link: self.link, cold: self.cold, age };
+        let inputs = if self.link > 1 { vec![Input::LinkDown, up] } else { vec![up] };
+        self.step(inputs);
+    }
+
+    /// What the processor survives at its age: the wire page's rule 4, with the slowest warming that it allows.
+    fn survives(&self) -> f64 {
+        let warm = ((self.now_ms - self.started_ms) as f64 / COLD_MS as f64).min(1.0);
+        let share = if self.cold { COLD_SHARE + (1.0 - COLD_SHARE) * warm } else { 1.0 };
+        (1.0 + (TIP - 1.0) * share) * CORES
+    }
+
+    fn step(&mut self, mut inputs: Vec<Input>) {
+        while !inputs.is_empty() || self.reducer.wake_at().is_some_and(|at| at.0 <= self.now_ms * MS) {
+            let mut effects = Vec::new();
+            let moment = Moment { now: Time(self.now_ms * MS), unix_ms: self.now_ms };
+            self.reducer.step(moment, inputs.drain(..), &mut effects);
+            for effect in effects {
+                match effect {
+                    Effect::Begin(link, id, ..) if link == self.link => {
+                        self.runs.push_back((self.now_ms, id));
+                        self.most = self.most.max(self.runs.len());
+                        self.excess = self.excess.max(self.runs.len() as f64 - self.survives());
+                    }
+                    Effect::Usage(_, tag) => inputs.push(Input::Used(tag, vec![0.5, 1.0])),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// Some time under more requests than it can run.
+    fn busy(&mut self, ms: u64) {
+        let end = self.now_ms + ms;
+        while self.now_ms < end {
+            self.now_ms += TICK_MS;
+            let mut inputs = Vec::new();
+            while self.runs.front().is_some_and(|(since, _)| since + RUN_MS <= self.now_ms) {
+                let Some((since, id)) = self.runs.pop_front() else { break };
+                self.notices += 1;
+                let (notice, took) = (self.notices, Span((self.now_ms - since) * MS));
+                let result = self.pool.copy(b"out").expect("it fits");
+                inputs.push(Input::Complete { notice, id, end: RunEnd::Ok, took, result });
+            }
+            self.sent += 1;
+            let call = Call {
+                id: RequestId::new(&format!("{:016x}", self.sent)),
+                class: 0.into(),
+                tenant: None,
+                caller: 1,
+                t0: self.now_ms,
+                budget: 4_000,
+                retry: false,
+                size_kb: 1.0,
+                precedence: 0.5,
+                token: None,
+                has_key: false,
+                body: self.pool.copy(b"in").expect("it fits"),
+            };
+            inputs.push(Input::Call(1, self.sent as i32, Box::new(call)));
+            self.step(inputs);
+        }
+    }
+}
+
+/// Guards against a processor that is taken to be warm because the one before it was: it started again beside a server that
+/// went on, and falls over with what a warm one survives.
+#[test]
+fn a_processor_that_restarts_cold_gets_what_a_cold_one_survives() {
+    let mut server = Server::new();
+    server.processor_starts(true, 0);
+    server.busy(COLD_MS + 4_000);
+    assert!(server.excess <= 0.0, "{} over at the first start", server.excess);
+    assert!(
+        server.most as f64 > (1.0 + (TIP - 1.0) * COLD_SHARE) * CORES,
+        "{}: it never ran much",
+        server.most
+    );
+    server.most = 0;
+    server.processor_starts(true, 20);
+    server.busy(COLD_MS + 4_000);
+    assert!(server.excess <= 0.0, "{:.1} runs more than a cold processor survives", server.excess);
+    assert!(server.most > 10, "{}: it never got warm", server.most);
+}
+
+/// Guards against a server that stays careful for ever: the processor that comes after a cold one may be warm.
+#[test]
+fn a_processor_that_restarts_warm_gets_what_a_warm_one_survives() {
+    let mut server = Server::new();
+    server.processor_starts(true, 0);
+    server.busy(1_000);
+    server.processor_starts(false, 20);
+    server.most = 0;
+    server.busy(4_000);
+    assert!(server.excess <= 0.0, "{} over", server.excess);
+    assert!(server.most > 10, "{}: it goes on as a cold one", server.most);
+}
+
+/// Guards the age that counts: a link that falls and comes again while the processor warms makes it neither colder nor
+/// warmer, and a server that finds a cold processor goes by that one's age.
+#[test]
+fn a_link_that_falls_during_the_warm_up_changes_nothing() {
+    for (age_ms, falls) in [(0, 0), (0, 3), (6_000, 0), (6_000, 2), (60_000, 1)] {
+        let mut server = Server::new();
+        server.processor_starts(true, age_ms);
+        for _ in 0..=falls {
+            server.busy(2_000);
+            server.greets();
+        }
+        assert!(server.excess <= 0.0, "age {age_ms}, {falls} falls: {} over", server.excess);
+        let warm = age_ms >= COLD_MS;
+        assert!(!warm || server.most > 10, "age {age_ms}: {} at the most", server.most);
+    }
+}
--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -192,19 +192,13 @@
         set.specifics.n_cores = set.specifics.n_cores.max(1);
         let cores = f64::from(set.specifics.n_cores);
         let (set, classes, tenants) = set.split();
+        let shared = set.specifics.below == Below::Shared;
         let mut new = Self {
             rng: Some(Pcg64Mcg::seed_from_u64(seed)),
             now,
-            born: now,
             limit: cores,
             crowd: cores,
-            call_limit: if set.specifics.below == Below::Shared {
-                (set.specifics.calls_out / 2.0).max(1.0)
-            } else {
-                cores
-            },
-            // Until its answers reach callers, a cold worker gets all that they think a warm one takes.
-            accept: if set.specifics.just_started { set.rules.cold_share } else { 1.0 },
+            call_limit: if shared { (set.specifics.calls_out / 2.0).max(1.0) } else { cores },
             signalled: -1.0,
             pace: CALL_PACE[1],
             idle_part: IDLE_LEAST,
@@ -213,6 +207,7 @@
             set,
             ..Self::default()
         };
+        new.cores_started(new.set.specifics.just_started, now);
         classes.into_iter().enumerate().for_each(|(slot, class)| new.put_class(slot, class));
         tenants.iter().enumerate().for_each(|(slot, tenant)| new.put_tenant(slot, tenant.quota_rps, true));
         new
@@ -240,6 +235,13 @@
         self.tenants[slot] = (quota_rps, if another { asked.min(2.0 * FORGOTTEN) } else { asked });
     }
 
+    /// The cores started then, cold or not: with the worker, or again beside one that goes on.
+    pub fn cores_started(&mut self, cold: bool, at: Time) {
+        (self.set.specifics.just_started, self.born) = (cold, at);
+        // Until its answers reach callers, a cold worker gets all that they think a warm one takes.
+        self.accept = if cold { self.set.rules.cold_share } else { 1.0 };
+    }
+
     /// All settings but classes and tenants.
     pub fn set_rest(&mut self, mut rest: Settings) {
         rest.specifics.n_cores = rest.specifics.n_cores.max(1);
@@ -601,8 +603,7 @@
         }
         let class = &mut self.classes[t.class];
         let core = (secs(took) - t.call_s).max(1e-4);
-        class.seen += 1.0;
-        class.idle = 0.0;
+        (class.seen, class.idle) = (class.seen + 1.0, 0.0);
         let w = RUN_WEIGHT.max(1.0 / class.seen);
         class.core_s += w * (core - class.core_s);
         class.lat_s += w * (secs(took) - class.lat_s);
