Check the budget of a cold server at every event of the fleet model

The operators' term (N, plus 2 x root of N + 2; under 30, 3 x root of N + 3) stands in one function, account::slow_start::budget, and Rules checks it at each begin and end of a run on a cold server: at once within the budget, in the mean of the span within N.

It also skipped the first span of a server's life, which is when it is coldest; the mean now counts from the start. Warm servers are checked as before, and in their first span too.

Seeded defect: a node that runs as many cold as a warm server survives breaks both, and neither without a cold start.

--- a/crates/model/src/account/mod.rs
+++ b/crates/model/src/account/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod rules;
 pub mod service;
+pub mod slow_start;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/model/src/account/rules.rs
+++ b/crates/model/src/account/rules.rs
@@ -2,8 +2,9 @@
 //! a safe drain, no fall-over. A broken one is told with its time, its server and its request.
 
 use super::Ms;
+use super::slow_start::{MeanOver, budget, survived};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 
 /// The figures of the rules.
 #[derive(Debug, Clone, PartialEq)]
@@ -63,6 +64,25 @@
     /// Too much ran for too long, or the memory was full.
     #[error("fall-over: {0}")]
     Fell(String),
+    /// A cold server was given more at once than its budget.
+    #[error("slow start: {runs} runs at once, the budget is {most}")]
+    SlowStart {
+        /// How many.
+        runs: u32,
+        /// The whole part of the budget.
+        most: u32,
+    },
+}
+
+/// What cold servers had on their cores, beside what they may have there.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+pub struct SlowStart {
+    /// Events at which a cold server was looked at.
+    pub events: u64,
+    /// The most runs at once, as a part of the budget then.
+    pub most_at_once: f64,
+    /// The most in the mean of the span, as a part of what is survived then.
+    pub most_mean: f64,
 }
 
 /// A breach with its place in the day.
@@ -86,7 +106,7 @@
     key: Option<(u64, Ms)>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Machine {
     cores: f64,
     memory_kb: f64,
@@ -94,8 +114,7 @@
     warmth: f64,
     notice: Option<Ms>,
     running: u32,
-    /// Since when so many ran, oldest first, over a span.
-    course: VecDeque<(Ms, u32)>,
+    course: MeanOver,
 }
 
 /// What was told so far.
@@ -110,6 +129,7 @@
     dues: BTreeMap<(Ms, Try), ()>,
     /// When a key ran last at a server, and its window.
     ran: HashMap<(Server, u64), (Ms, Ms)>,
+    slow_start: SlowStart,
     broken: Vec<Broken>,
 }
 
@@ -123,6 +143,7 @@
             over: HashMap::new(),
             dues: BTreeMap::new(),
             ran: HashMap::new(),
+            slow_start: SlowStart::default(),
             broken: Vec::new(),
         }
     }
@@ -132,13 +153,20 @@
         &self.broken
     }
 
+    /// What cold servers had so far.
+    pub fn slow_start(&self) -> SlowStart {
+        self.slow_start
+    }
+
     fn breach(&mut self, at: Ms, server: Server, request: Option<Try>, breach: Breach) {
         self.broken.push(Broken { at, server, request, breach });
     }
 
     /// A server has started.
     pub fn started(&mut self, server: Server, cores: f64, memory_kb: f64) {
-        self.machines.insert(server, Machine { cores, memory_kb, warmth: 1.0, ..Machine::default() });
+        let course = MeanOver::new(self.figures.span_ms);
+        let machine = Machine { cores, memory_kb, warmth: 1.0, notice: None, running: 0, course };
+        self.machines.insert(server, machine);
     }
 
     /// How warm it is, from 0 to 1.
@@ -232,32 +260,31 @@
         let (span, tip) = (self.figures.span_ms, self.figures.tip);
         let Some(machine) = self.machines.get_mut(&server) else { return };
         machine.running = machine.running.saturating_add_signed(change);
-        machine.course.push_back((at, machine.running));
-        while machine.course.get(1).is_some_and(|(since, _)| *since + span <= at) {
-            machine.course.pop_front();
-        }
-        // The mean over the span that ends now, once a whole one has passed.
-        let from = at.saturating_sub(span);
-        let tip = tip * machine.warmth;
-        let whole = machine.course.front().is_some_and(|(since, _)| *since <= from) && span > 0;
-        let until = machine.course.iter().skip(1).map(|(since, _)| *since).chain([at]);
-        let sum: f64 = machine
-            .course
-            .iter()
-            .zip(until)
-            .map(|((since, running), until)| {
-                f64::from(*running) * (until - (*since).max(from).min(until)) as f64
-            })
-            .sum();
-        let mean = sum / span.max(1) as f64 / machine.cores.max(1e-9);
-        if whole && mean > tip {
+        machine.course.set(at, f64::from(machine.running));
+        let (runs, mean) = (machine.running, machine.course.mean(at));
+        let most = survived(machine.cores, tip, machine.warmth);
+        let (cold, cores) = (machine.warmth < 1.0, machine.cores.max(1e-9));
+        let fell = mean > most;
+        if fell {
             machine.course.clear();
-            self.breach(
-                at,
-                server,
-                None,
-                Breach::Fell(format!("{mean:.1} running a core in the mean of {span} ms")),
-            );
+        }
+        if cold {
+            self.looked_at_cold(server, at, runs, most);
+            self.slow_start.most_mean = self.slow_start.most_mean.max(mean / most);
+        }
+        if fell {
+            let text = format!("{:.1} running a core in the mean of {span} ms", mean / cores);
+            self.breach(at, server, None, Breach::Fell(text));
+        }
+    }
+
+    /// The budget of a server in slow start, at each event there.
+    fn looked_at_cold(&mut self, server: Server, at: Ms, runs: u32, allowed: f64) {
+        let most = budget(allowed);
+        self.slow_start.events += 1;
+        self.slow_start.most_at_once = self.slow_start.most_at_once.max(f64::from(runs) / most);
+        if f64::from(runs) > most {
+            self.breach(at, server, None, Breach::SlowStart { runs, most: most as u32 });
         }
     }
 
--- a/crates/model/src/world/watch.rs
+++ b/crates/model/src/world/watch.rs
@@ -1,7 +1,7 @@
 //! What is kept of a day beside the account: the course of each second, counts, and the stories of tries.
 
 use super::{Event, Got, MS, S, World};
-use crate::account::rules::Broken;
+use crate::account::rules::{Broken, SlowStart};
 use crate::account::service::{Report, Sum};
 use crate::day::Day;
 use crate::queue::{At, Queue};
@@ -112,6 +112,9 @@
     pub report: Report,
     /// Rules that were broken.
     pub broken: Vec<Broken>,
+    /// What cold servers were given, beside their budget.
+    #[serde(default)]
+    pub slow_start: SlowStart,
     /// Events that were played.
     pub events: u64,
     /// Totals of the whole day.
@@ -212,6 +215,7 @@
             seed: self.day.seed,
             report: self.service.report(),
             broken: self.rules.broken().to_vec(),
+            slow_start: self.rules.slow_start(),
             events: self.events,
             total: self.watch.total,
             retries: self.watch.retries,
--- a/crates/model/tests/common/mod.rs
+++ b/crates/model/tests/common/mod.rs
@@ -70,6 +70,20 @@
     RunsInDrain,
     /// Everything at once.
     Crowds,
+    /// As many at once as a warm server survives, warm or cold.
+    KnowsNoCold,
+}
+
+impl Fault {
+    /// How many it has open at the most, or of one that knows no cold, how many it runs. A sound one waits for no crowd.
+    fn most_open(self) -> usize {
+        match self {
+            Self::Crowds => usize::MAX,
+            // Six cores with eight a core, less what the module leaves free as well.
+            Self::KnowsNoCold => 40,
+            _ => 9,
+        }
+    }
 }
 
 /// A node that runs whatever comes and keeps nothing but what it must to answer; with one fault.
@@ -77,6 +91,8 @@
     fault: Fault,
     open: HashMap<RequestId, (u64, i32)>,
     ran: HashMap<String, RequestId>,
+    /// Runs, also those that nobody waits for.
+    running: usize,
     count: u64,
     next_report: Time,
 }
@@ -88,6 +104,7 @@
                 fault,
                 open: HashMap::new(),
                 ran: HashMap::new(),
+                running: 0,
                 count: 0,
                 next_report: Time(0),
             })
@@ -110,11 +127,12 @@
                         effects.push(Self::refuse(conn, seq));
                         continue;
                     }
-                    // A sound one waits for no crowd; this one only where that is its fault.
-                    if self.open.len() >= 9 && self.fault != Fault::Crowds {
+                    let open = if self.fault == Fault::KnowsNoCold { self.running } else { self.open.len() };
+                    if open >= self.fault.most_open() {
                         effects.push(Self::refuse(conn, seq));
                         continue;
                     }
+                    self.running += 1;
                     self.ran.insert(token, call.id.clone());
                     self.open.insert(call.id.clone(), (conn, seq));
                     effects.push(Effect::Begin(
@@ -125,6 +143,7 @@
                     ));
                 }
                 Input::Complete { id, result, .. } => {
+                    self.running -= 1;
                     let Some((conn, seq)) = self.open.remove(&id) else { continue };
                     self.count += 1;
                     let odd = self.count.is_multiple_of(20);
--- a/crates/model/tests/days.rs
+++ b/crates/model/tests/days.rs
@@ -137,7 +137,7 @@
     let mut day = match fault {
         // One server, which the second try must come back to.
         Fault::RunsAgain | Fault::TurnsAway => usual("0.9", "1"),
-        Fault::Crowds => usual("8", "4"),
+        Fault::Crowds | Fault::KnowsNoCold => usual("8", "4"),
         Fault::Forgets | Fault::Repeats | Fault::RunsInDrain => usual("0.5", "4"),
     };
     match fault {
