Keep small shares of the dependency while its calls hang

Root cause, crates/decisions/src/choice.rs: (1) gate and call_result: the time spent in the span had the linger of calls given up only while they lingered; 0.2 s a call was forgotten long before the span was over. (2) remove: a call whose run ended while it was out was not counted at all once its linger was over. (3) gate: a call was allowed while half of the budget was spent, whatever it may take; below a budget of some half a second one more passed it. (4) Where one call that is given up takes more than the whole budget, first calls of all servers came within a third of the shortest aim, and later ones were spaced by what calls take that go well.

Change: a call that is over counts with its linger until the span has passed that; one is made only if, given up, it still fits; where none fits, each is spaced at random as if it were to be given up, the first one too.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -526,9 +526,8 @@
             State::Gate(..) | State::Calling(_) => {
                 self.at_calls -= 1;
                 self.at_gate.retain(|&s| s != seq);
-                if let State::Calling(_) = t.state {
-                    self.calls_out -= 1;
-                    self.lingering.push_back(after(self.now, self.set.specifics.linger));
+                if let State::Calling(since) = t.state {
+                    self.call_over(since, true);
                 }
                 self.kb -= t.kb * self.set.specifics.run_factor;
             }
@@ -631,15 +630,10 @@
 
     fn call_result(&mut self, id: &RequestId, outcome: Outcome, took: Span, out: &mut Vec<Action>) {
         let Some(&seq) = self.seqs.get(id) else { return };
+        let Some(State::Calling(since)) = self.tries.get(&seq).map(|t| t.state) else { return };
+        self.call_over(since, matches!(outcome, Outcome::Expired | Outcome::Dropped));
         let Some(t) = self.tries.get_mut(&seq) else { return };
-        let State::Calling(since) = t.state else { return };
-        self.calls_out -= 1;
         t.call_s += left(since, self.now).max(0.0);
-        self.call_log.push_back((after(self.now, self.set.specifics.share_span), left(since, self.now)));
-        self.call_spent += left(since, self.now);
-        if matches!(outcome, Outcome::Expired | Outcome::Dropped) {
-            self.lingering.push_back(after(self.now, self.set.specifics.linger));
-        }
         if outcome == Outcome::Delivered {
             t.state = State::Running;
             t.call_fails = 0;
@@ -668,6 +662,16 @@
         }
     }
 
+    /// A call is over. One given up stays in the dependency's hands for a while, which counts as long.
+    fn call_over(&mut self, since: Time, given_up: bool) {
+        let linger = if given_up { self.set.specifics.linger } else { Span(0) };
+        let (gone, took) = (after(self.now, linger), left(since, self.now) + secs(linger));
+        self.calls_out -= 1;
+        self.lingering.extend(given_up.then_some(gone));
+        self.call_log.push_back((after(gone, self.set.specifics.share_span), took));
+        self.call_spent += took;
+    }
+
     /// Calls in hand grow while calls take about their floor and shrink when they slow down.
     fn learn_call(&mut self, took: f64) {
         self.call_s = if self.call_s == 0.0 { took } else { self.call_s + 0.2 * (took - self.call_s) };
@@ -708,9 +712,7 @@
 
     /// Makes the calls that may be made, best worth first; goes on without where waiting would cost the aim.
     fn gate(&mut self, out: &mut Vec<Action>) {
-        while self.lingering.front().is_some_and(|&until| until <= self.now) {
-            self.lingering.pop_front();
-        }
+        self.lingering.retain(|&until| until > self.now);
         while self.call_log.front().is_some_and(|&(until, _)| until <= self.now) {
             self.call_spent -= self.call_log.pop_front().map_or(0.0, |(_, took)| took);
         }
@@ -724,8 +726,7 @@
             let aim_left = left(self.now, t.aim) - class.core_s * 0.5;
             let skip = self.skip_worth(t.class) > 0.0;
             let turn = 1.0 + place as f64 / self.call_limit;
-            let down = self.call_failing >= 3 && t.call_fails > 0;
-            let waited = left(since, self.now);
+            let (waited, down) = (left(since, self.now), self.call_failing >= 3 && t.call_fails > 0);
             if skip
                 && (down || (aim_left < turn * self.call_s * 1.2 && (aim_left > 0.0 || waited > self.call_s)))
             {
@@ -737,21 +738,21 @@
             // The told share rounds down: 1.2 lets one call out, or a full fleet would pass what is survived.
             let room = (self.calls_out + self.lingering.len() + 1) as f64 <= self.call_limit.max(1.0);
             // Below a share of one call, the mean over the span is kept by what calls may still take in it.
-            let (small, budget) = (self.small_share(), secs(self.set.specifics.share_span) * share);
-            let linger = secs(self.set.specifics.linger);
-            let spent = self.call_spent + self.lingering.len() as f64 * linger;
+            let (small, linger) = (self.small_share(), secs(self.set.specifics.linger));
+            let budget = secs(self.set.specifics.share_span) * share;
             let longest = (budget / 2.0 - linger).max(budget / 8.0);
-            // Before any came back, one may take the longest it may; the first ones of all who hear of a
-            // dependency's start are spread, or they come together.
-            let unknown = small && self.calls_seen == 0;
-            let (usual, part) =
-                if unknown { (longest + linger, share) } else { (self.call_s, share * self.pace) };
-            let gap = usual / part.max(1e-6);
+            let cost = longest + linger;
+            // Before any came back, one may take the longest it may, always where that is over the budget;
+            // the first ones of all who hear of a dependency's start are spread, or they come together.
+            let (unknown, tiny) = (small && self.calls_seen == 0, small && cost > budget);
+            let usual = if unknown || tiny { cost } else { self.call_s };
+            let gap = usual / (share * if unknown && !tiny { 1.0 } else { self.pace }).max(1e-6);
             if unknown && self.next_call == Time(0) {
-                self.next_call = after(self.now, span(CALL_FIRST * self.shortest_aim * dice));
+                let first = if tiny { gap } else { CALL_FIRST * self.shortest_aim };
+                self.next_call = after(self.now, span(first * dice));
             }
-            if small && spent > budget / 2.0 {
-                // At random again, or all that ran out of budget together call together when it is back.
+            if small && self.call_spent > (budget - cost).min(budget / 2.0).max(1e-6) {
+                // One more given up must fit. At random, or all call together once their budgets are back.
                 self.next_call = after(self.now, span(gap * dice));
             }
             let paced = small && self.now < self.next_call;
