Space calls anew when the share of the dependency changes

Root cause: crates/decisions/src/choice.rs, gate: a call spaces the next one by its share (gap = usual / part.max(1e-6)). While the share is one call or more that doesn't bind; after a reload to less than one it does.

Change: set_rest lets the next call be spaced anew where the share differs.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -247,6 +247,9 @@
         rest.specifics.n_cores = rest.specifics.n_cores.max(1);
         // Whether it began cold was learnt at its start, not told by the file.
         rest.specifics.just_started = self.set.specifics.just_started;
+        // Calls are spaced by their share: one that was nothing for a moment would silence them for days.
+        let same = rest.specifics.calls_out == self.set.specifics.calls_out;
+        self.next_call = if same { self.next_call } else { Time(0) };
         self.set = rest;
     }
 
@@ -537,10 +540,7 @@
 
     /// Answers everything whose caller stops waiting, whatever it is doing.
     fn expire(&mut self, out: &mut Vec<Action>) {
-        while let Some(&(due, seq)) = self.dues.first() {
-            if due > self.now {
-                break;
-            }
+        while let Some(&(_, seq)) = self.dues.first().filter(|(due, _)| *due <= self.now) {
             self.dues.pop_first();
             match self.tries.get(&seq).map(|t| t.state) {
                 Some(State::Held) => self.refuse(seq, out),
--- a/crates/decisions/tests/shares.rs
+++ b/crates/decisions/tests/shares.rs
@@ -34,6 +34,11 @@
         settings(set)
     }
 
+    /// As a reload, or a lease, tells another share.
+    fn reshare(&mut self, share: f64) {
+        self.module.set_rest(Self::settings(share).split().0);
+    }
+
     /// Some time in which a call that is made takes so long.
     fn busy(&mut self, ms: u64, takes_ms: u64) {
         for _ in 0..ms / STEP_MS {
@@ -112,3 +117,21 @@
         }
     }
 }
+
+/// Guards against a server that calls no more: a share that was nothing for a moment, as leases begin with, spaced the next
+/// call by days, which counted once a reload told a share below one call.
+#[test]
+fn a_share_of_nothing_for_a_moment_spaces_no_later_call() {
+    let mut server = Server::new(3.0);
+    server.reshare(0.0);
+    server.busy(400, 20);
+    server.reshare(3.0);
+    server.busy(2_000, 20);
+    assert!(server.held.len() > 20, "{} calls", server.held.len());
+    let before = server.held.len();
+    server.reshare(0.0);
+    server.busy(400, 20);
+    server.reshare(0.4);
+    server.busy(10_000, 20);
+    assert!(server.held.len() > before + 20, "{} calls more", server.held.len() - before);
+}
