Draw courses of restarts, falling links and rules for a cold processor

crates/core/tests/slow_start.rs: 80 seeds of ten turns each (a processor starts again cold or warm, young or older; the link falls; cold, cold_share and tip_multiple are committed anew, with 0, 1 and values near the edges; 1 to 16 cores), and at each begin no more runs than are survived.

--- a/crates/core/tests/slow_start.rs
+++ b/crates/core/tests/slow_start.rs
@@ -4,6 +4,7 @@
 #[path = "../../decisions/tests/common/mod.rs"]
 mod common;
 
+use gradepin_config::change::{Change, Rule, Transaction};
 use gradepin_core::config::Config;
 use gradepin_core::messages::{Call, Effect, Input, RunEnd};
 use gradepin_core::moment::Moment;
@@ -11,6 +12,8 @@
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
 use gradepin_decisions::{RequestId, Span, Time};
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{Rng, SeedableRng};
 use serde_json::json;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -21,14 +24,34 @@
 const RUN_MS: u64 = 400;
 /// Between the end of a processor and the greeting of the next, beside that one's age.
 const DOWN_MS: u64 = 300;
-/// From `common::base`: cores, the crowd a core that a warm server survives, the least speed, and the time until warm.
-const CORES: f64 = 4.0;
-const TIP: f64 = 4.0;
-const COLD_SHARE: f64 = 0.25;
-const COLD_MS: u64 = 10_000;
+/// Seeds of the drawn courses.
+const SEEDS: u64 = 80;
+
+/// What the settings say of a cold server.
+#[derive(Debug, Clone, Copy)]
+struct Cold {
+    cores: u32,
+    /// Runs a core that a warm server survives, the least share of its speed, and the time until it is warm.
+    tip: f64,
+    share: f64,
+    ms: u64,
+}
+
+/// Those of `common::base`.
+const USUAL: Cold = Cold { cores: 4, tip: 4.0, share: 0.25, ms: 10_000 };
+
+impl Cold {
+    /// What a processor survives at an age: the wire page's rule 4, with the slowest warming that it allows.
+    fn survives(&self, cold: bool, age_ms: u64) -> f64 {
+        let warm = if self.ms == 0 { 1.0 } else { (age_ms as f64 / self.ms as f64).min(1.0) };
+        let share = if cold { self.share + (1.0 - self.share) * warm } else { 1.0 };
+        (1.0 + (self.tip - 1.0) * share) * f64::from(self.cores)
+    }
+}
 
 /// A reducer and its processor, in steps of virtual time.
 struct Server {
+    set: Cold,
     reducer: Reducer,
     pool: Arc<Pool>,
     now_ms: u64,
@@ -45,8 +68,12 @@
 }
 
 impl Server {
-    fn new() -> Self {
+    fn new(set: Cold) -> Self {
         let mut settings = common::base();
+        settings["rules"]["tip_multiple"] = json!(set.tip);
+        settings["rules"]["cold_share"] = json!(set.share);
+        settings["rules"]["cold"] = json!(set.ms * MS);
+        settings["specifics"]["n_cores"] = json!(set.cores);
         settings["specifics"]["below"] = json!("off");
         settings["specifics"]["memory_kb"] = json!(400_000.0);
         settings["specifics"]["gauges"] = json!(["core_use", "on_cores"]);
@@ -57,6 +84,7 @@
         let settings = Arc::new(config.settings.clone());
         let reducer = Reducer::new(&config, settings, Registration::default()).expect("whole");
         let mut server = Self {
+            set,
             reducer,
             pool: Pool::new(64),
             now_ms: 100_000,
@@ -90,11 +118,21 @@
         self.step(inputs);
     }
 
-    /// What the processor survives at its age: the wire page's rule 4, with the slowest warming that it allows.
+    /// What the processor survives at its age.
     fn survives(&self) -> f64 {
-        let warm = ((self.now_ms - self.started_ms) as f64 / COLD_MS as f64).min(1.0);
-        let share = if self.cold { COLD_SHARE + (1.0 - COLD_SHARE) * warm } else { 1.0 };
-        (1.0 + (TIP - 1.0) * share) * CORES
+        self.set.survives(self.cold, self.now_ms - self.started_ms)
+    }
+
+    /// Other rules are committed.
+    fn commit(&mut self, set: Cold) {
+        self.set = Cold { cores: self.set.cores, ..set };
+        let rules = [Rule::TipMultiple(set.tip), Rule::ColdShare(set.share), Rule::Cold(Span(set.ms * MS))];
+        let changes = rules.into_iter().map(Change::PutRule).collect();
+        self.reducer.apply_transaction(&Transaction { changes }).expect("rules that make sense");
+    }
+
+    fn runs(&self, id: &RequestId) -> bool {
+        self.runs.iter().any(|(_, run)| run == id)
     }
 
     fn step(&mut self, mut inputs: Vec<Input>) {
@@ -104,7 +142,8 @@
             self.reducer.step(moment, inputs.drain(..), &mut effects);
             for effect in effects {
                 match effect {
-                    Effect::Begin(link, id, ..) if link == self.link => {
+                    // For a request that runs already nothing happens.
+                    Effect::Begin(link, id, ..) if link == self.link && !self.runs(&id) => {
                         self.runs.push_back((self.now_ms, id));
                         self.most = self.most.max(self.runs.len());
                         self.excess = self.excess.max(self.runs.len() as f64 - self.survives());
@@ -154,18 +193,14 @@
 /// went on, and falls over with what a warm one survives.
 #[test]
 fn a_processor_that_restarts_cold_gets_what_a_cold_one_survives() {
-    let mut server = Server::new();
+    let mut server = Server::new(USUAL);
     server.processor_starts(true, 0);
-    server.busy(COLD_MS + 4_000);
+    server.busy(USUAL.ms + 4_000);
     assert!(server.excess <= 0.0, "{} over at the first start", server.excess);
-    assert!(
-        server.most as f64 > (1.0 + (TIP - 1.0) * COLD_SHARE) * CORES,
-        "{}: it never ran much",
-        server.most
-    );
+    assert!(server.most as f64 > USUAL.survives(true, 0), "{}: it never ran much", server.most);
     server.most = 0;
     server.processor_starts(true, 20);
-    server.busy(COLD_MS + 4_000);
+    server.busy(USUAL.ms + 4_000);
     assert!(server.excess <= 0.0, "{:.1} runs more than a cold processor survives", server.excess);
     assert!(server.most > 10, "{}: it never got warm", server.most);
 }
@@ -173,7 +208,7 @@
 /// Guards against a server that stays careful for ever: the processor that comes after a cold one may be warm.
 #[test]
 fn a_processor_that_restarts_warm_gets_what_a_warm_one_survives() {
-    let mut server = Server::new();
+    let mut server = Server::new(USUAL);
     server.processor_starts(true, 0);
     server.busy(1_000);
     server.processor_starts(false, 20);
@@ -188,14 +223,62 @@
 #[test]
 fn a_link_that_falls_during_the_warm_up_changes_nothing() {
     for (age_ms, falls) in [(0, 0), (0, 3), (6_000, 0), (6_000, 2), (60_000, 1)] {
-        let mut server = Server::new();
+        let mut server = Server::new(USUAL);
         server.processor_starts(true, age_ms);
         for _ in 0..=falls {
             server.busy(2_000);
             server.greets();
         }
         assert!(server.excess <= 0.0, "age {age_ms}, {falls} falls: {} over", server.excess);
-        let warm = age_ms >= COLD_MS;
+        let warm = age_ms >= USUAL.ms;
         assert!(!warm || server.most > 10, "age {age_ms}: {} at the most", server.most);
     }
 }
+
+fn drawn(rng: &mut Pcg64Mcg) -> Cold {
+    let mut one = |of: &[f64]| of[(rng.next_u64() % of.len() as u64) as usize];
+    Cold {
+        cores: one(&[1.0, 2.0, 6.0, 16.0]) as u32,
+        tip: one(&[1.0, 1.05, 2.0, 4.0, 12.0]),
+        share: one(&[0.0, 0.01, 0.21, 0.5, 1.0]),
+        ms: one(&[0.0, 1.0, 800.0, 5_000.0, 60_000.0]) as u64,
+    }
+}
+
+/// Guards rule 4 on drawn courses: processors that restart cold or warm, old or new, links that fall, and rules that are
+/// committed during the warm-up, with settings at their edges. At each begin of a run no more run than are survived.
+#[test]
+fn no_course_of_restarts_and_rules_runs_more_than_is_survived() {
+    let first = std::env::var("SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(1);
+    println!("SEED={first}, and the {SEEDS} from there on");
+    for seed in first..first + SEEDS {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut server = Server::new(drawn(&mut rng));
+        let mut course = vec![format!("{:?}", server.set)];
+        let mut begun = 0;
+        for turn in 0..10 {
+            let what = if turn == 0 { 0 } else { rng.next_u64() % 4 };
+            match what {
+                0 | 1 => {
+                    let (cold, age_ms) =
+                        (!rng.next_u64().is_multiple_of(4), [0, 40, 700][rng.next_u64() as usize % 3]);
+                    course.push(format!("starts, cold {cold}, {age_ms} ms ago"));
+                    server.processor_starts(cold, age_ms);
+                }
+                2 => {
+                    course.push("the link falls".into());
+                    server.greets();
+                }
+                _ => {
+                    let set = drawn(&mut rng);
+                    course.push(format!("committed: {set:?}"));
+                    server.commit(set);
+                }
+            }
+            server.busy(100 + rng.next_u64() % 1_500);
+            begun += server.notices;
+            assert!(server.excess <= 1e-9, "SEED={seed}: {:.2} over, after {course:#?}", server.excess);
+        }
+        assert!(begun > 0, "SEED={seed}: nothing ever ran, after {course:#?}");
+    }
+}
