Drop absurd times of sending, and count no more than was asked for as borrowed

Cause: the time of sending in a header was cast to i64 and subtracted whatever it said, and its difference multiplied in u64; a granted amount was stored as the lender said it, and amounts are summed in u32. One datagram ended the process in a debug build; a release build went on with a wrapped clock offset, or with slots that nobody has.

Change: a time of sending past 285 years is content that can't be read; the difference is multiplied with saturation. A request keeps what it asked for, and a grant counts as that at the most, as a lender that keeps to the protocol never gives more.

--- a/crates/cluster/src/leases/borrower.rs
+++ b/crates/cluster/src/leases/borrower.rs
@@ -40,6 +40,8 @@
     lender: Arc<str>,
     number: u64,
     round: u32,
+    /// What was asked for, in thousandths of a slot.
+    amount: u32,
     sent_at: Time,
 }
 
@@ -139,7 +141,7 @@
             lease.round += 1;
             let (number, round, amount) = (lease.number, lease.round, lease.amount);
             let lender = Arc::clone(&lease.lender);
-            self.pending.push(PendingRequest { lender, number, round, sent_at: now });
+            self.pending.push(PendingRequest { lender, number, round, amount, sent_at: now });
             let message = LeaseMessage::Request { number, round, amount };
             out.push(OutgoingLeaseMessage { to: Arc::clone(&lease.lender), message });
         }
@@ -177,7 +179,7 @@
             self.last_number += 1;
             let number = self.last_number;
             let lender = Arc::clone(&offer.name);
-            self.pending.push(PendingRequest { lender, number, round: 0, sent_at: now });
+            self.pending.push(PendingRequest { lender, number, round: 0, amount, sent_at: now });
             let message = LeaseMessage::Request { number, round: 0, amount };
             out.push(OutgoingLeaseMessage { to: Arc::clone(&offer.name), message });
         }
@@ -201,6 +203,8 @@
         });
         let Some(place) = place else { return };
         let request = self.pending.swap_remove(place);
+        // No lender that keeps to the protocol grants more than it was asked for, and what is borrowed is summed up.
+        let amount = amount.min(request.amount);
         // From when it was asked, and no longer than the own settings say.
         let until = after(request.sent_at, duration.min(self.settings.duration));
         if until <= now {
@@ -208,7 +212,6 @@
         }
         match self.borrowed.iter_mut().find(|lease| lease.number == number) {
             Some(lease) => {
-                // It was asked for as it is; less than that is no grant of a lender that keeps to the protocol.
                 lease.amount = lease.amount.min(amount);
                 lease.until = until;
             }
--- a/crates/cluster/src/replay_window.rs
+++ b/crates/cluster/src/replay_window.rs
@@ -23,6 +23,9 @@
 const BASELINE_SPAN: Span = Span(10_000 * MS);
 /// If everything is too late for so long, the way has grown longer, or the sender's clock has stood still.
 const REBASE_AFTER: Span = Span(20_000 * MS);
+/// The greatest time of sending that is taken, in microseconds: 285 years. No process runs for so long, and differences of
+/// times up to it fit their type, whatever a sender says.
+const MAX_SENT_US: u64 = 1 << 53;
 /// Senders remembered; with more, the one that was silent for longest goes.
 const MAX_SENDERS: usize = 8_192;
 
@@ -59,6 +62,9 @@
 impl ReplayWindow {
     /// Whether a datagram is taken, and how much later it came than a quick one would have.
     pub fn check(&mut self, now: Time, header: &Header<'_>) -> Result<Span, DropReason> {
+        if header.sent_us > MAX_SENT_US {
+            return Err(DropReason::Content);
+        }
         let offset_us = (now.0 / 1_000) as i64 - header.sent_us as i64;
         let new_sender = || Sender {
             incarnation: header.incarnation,
@@ -174,7 +180,7 @@
     }
 
     fn delay_beyond_baseline(&self, offset_us: i64) -> Span {
-        Span((offset_us - self.baseline_us) as u64 * 1_000)
+        Span(((offset_us - self.baseline_us) as u64).saturating_mul(1_000))
     }
 }
 
