Have a leader that is taken out of the council give way, before it ends its process

With an entry proposed behind it the process ends: "called `Option::unwrap()` on a `None` value", raft-0.7.0/src/raft.rs:943.

Cause: Council::apply (council.rs) applied the removal and left the library's role as it was. The library goes on as a leader that is no member ("TODO: step down", raft.rs:2676), sends heartbeats, drops proposals, and looks up its own progress with the next entry that is acknowledged. An operator's order for the leader's own disk is all it takes.

Change: a leader that is no member once the change is applied becomes a follower. It can't be elected, the others miss it within 1 to 2 s and elect one of theirs. Ruled out: forbidding the order at the leader, as it moves with the lead and the order is valid.

A follower that is taken out, and one that starts again after it, never campaign.

--- a/crates/releases/src/council.rs
+++ b/crates/releases/src/council.rs
@@ -5,6 +5,7 @@
 //! what stands behind a [`Effect::Write`] never depends on it, what does is held back until [`Council::written`].
 
 mod configuration;
+mod log;
 
 pub use configuration::{NotTaken, Taken};
 
@@ -13,13 +14,12 @@
 use configuration::Content;
 use gradepin_config::change::{Commit, Revision};
 use gradepin_decisions::{Span, Time, after};
+use log::{Log, snapshot};
 use protobuf::Message as _;
 use raft::eraftpb::{
-    ConfChange, ConfChangeType, ConfState, Entry, EntryType, HardState, Message, MessageType,
+    ConfChange, ConfChangeType, ConfState, Entry, EntryType, Message, MessageType, Snapshot,
 };
-use raft::eraftpb::{Snapshot, SnapshotMetadata};
-use raft::storage::{GetEntriesContext, RaftState};
-use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole, Storage, StorageError};
+use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -35,9 +35,8 @@
 /// A voter that starts waits for so long to hear a leader, or all others, before it votes: longer than any leader takes to be
 /// heard, or to be elected by the others.
 pub const QUIET: Span = Span(3_000 * MS);
-/// Entries since the last snapshot that make the next one; the last few stay for voters that are a little behind.
+/// Entries since the last snapshot that make the next one.
 const SNAPSHOT_EVERY: u64 = 128;
-const KEPT_BEHIND: u64 = 32;
 /// Entries since the last snapshot that make the next one though the configuration isn't durable here yet.
 const SNAPSHOT_AT_LATEST: u64 = 4 * SNAPSHOT_EVERY;
 /// Ticks after which a snapshot that its receiver hasn't acknowledged is sent again: it goes in many datagrams.
@@ -148,112 +147,6 @@
     Busy,
 }
 
-/// The library's view of what is durable or will be before anything depends on it.
-#[derive(Debug, Clone, Default)]
-struct Log {
-    hard: HardState,
-    conf: ConfState,
-    snapshot: Snapshot,
-    /// What lies right before the first entry here.
-    before: (u64, u64),
-    entries: Vec<Entry>,
-}
-
-impl Log {
-    fn last(&self) -> u64 {
-        self.entries.last().map_or(self.before.0, |entry| entry.index)
-    }
-
-    fn append(&mut self, entries: &[Entry]) {
-        let Some(first) = entries.first() else { return };
-        let keep = first.index.saturating_sub(self.before.0 + 1) as usize;
-        self.entries.truncate(keep);
-        self.entries.extend_from_slice(entries);
-    }
-
-    fn restore(&mut self, snapshot: Snapshot) {
-        let meta = snapshot.get_metadata();
-        self.before = (meta.index, meta.term);
-        self.conf = meta.get_conf_state().clone();
-        self.entries.clear();
-        self.snapshot = snapshot;
-    }
-
-    /// Takes a snapshot at an entry that was applied; entries that a slow voter may still need stay.
-    fn compact(&mut self, index: u64, data: Vec<u8>) {
-        let term = self.term(index).unwrap_or(self.before.1);
-        self.snapshot = snapshot(index, term, self.conf.clone(), data);
-        let behind = index.saturating_sub(KEPT_BEHIND);
-        if behind > self.before.0
-            && let Ok(term) = self.term(behind)
-        {
-            self.entries.drain(..(behind - self.before.0) as usize);
-            self.before = (behind, term);
-        }
-    }
-}
-
-fn snapshot(index: u64, term: u64, conf: ConfState, data: Vec<u8>) -> Snapshot {
-    let mut meta = SnapshotMetadata::default();
-    meta.set_conf_state(conf);
-    (meta.index, meta.term) = (index, term);
-    let mut snapshot = Snapshot::default();
-    snapshot.set_metadata(meta);
-    snapshot.set_data(data.into());
-    snapshot
-}
-
-impl Storage for Log {
-    fn initial_state(&self) -> raft::Result<RaftState> {
-        Ok(RaftState::new(self.hard.clone(), self.conf.clone()))
-    }
-
-    fn entries(
-        &self,
-        low: u64,
-        high: u64,
-        max: impl Into<Option<u64>>,
-        _context: GetEntriesContext,
-    ) -> raft::Result<Vec<Entry>> {
-        if low <= self.before.0 {
-            return Err(raft::Error::Store(StorageError::Compacted));
-        }
-        if high > self.last() + 1 {
-            return Err(raft::Error::Store(StorageError::Unavailable));
-        }
-        let place = |index: u64| (index - self.before.0 - 1) as usize;
-        let mut entries = self.entries[place(low)..place(high)].to_vec();
-        raft::util::limit_size(&mut entries, max.into());
-        Ok(entries)
-    }
-
-    fn term(&self, index: u64) -> raft::Result<u64> {
-        if index == self.before.0 {
-            return Ok(self.before.1);
-        }
-        if index < self.before.0 {
-            return Err(raft::Error::Store(StorageError::Compacted));
-        }
-        let entry = self.entries.get((index - self.before.0 - 1) as usize);
-        entry.map(|entry| entry.term).ok_or(raft::Error::Store(StorageError::Unavailable))
-    }
-
-    fn first_index(&self) -> raft::Result<u64> {
-        Ok(self.before.0 + 1)
-    }
-
-    fn last_index(&self) -> raft::Result<u64> {
-        Ok(self.last())
-    }
-
-    fn snapshot(&self, request_index: u64, _to: u64) -> raft::Result<Snapshot> {
-        if self.snapshot.get_metadata().index < request_index {
-            return Err(raft::Error::Store(StorageError::SnapshotTemporarilyUnavailable));
-        }
-        Ok(self.snapshot.clone())
-    }
-}
-
 /// What a voter founds the council with: the same on each.
 pub fn founding(voters: &BTreeMap<VoterId, Name>) -> Vec<Durable> {
     let record = Record { index: 1, voters: voters.clone(), ..Record::default() };
@@ -799,6 +692,7 @@
             if let Ok(conf) = node.apply_conf_change(&change) {
                 // A new voter takes no snapshot that doesn't know it.
                 self.changed = true;
+                step_down_if_removed(node, &conf);
                 node.mut_store().conf = conf;
                 let id = change.node_id;
                 let text = if change.get_change_type() == ConfChangeType::AddNode {
@@ -816,6 +710,16 @@
     }
 }
 
+/// A leader that is no member any more gives way. The library leaves it the lead: it would take no proposal and yet be heard
+/// by the others, who elect nobody meanwhile; and it looks itself up among the members with the next entry that is
+/// acknowledged, and ends the process.
+fn step_down_if_removed(node: &mut RawNode<Log>, conf: &ConfState) {
+    let raft = &mut node.raft;
+    if raft.state == StateRole::Leader && !conf.voters.contains(&raft.id) {
+        raft.become_follower(raft.term, raft::INVALID_ID);
+    }
+}
+
 fn durable(snapshot: &Snapshot) -> Durable {
     let meta = snapshot.get_metadata();
     Durable::Snapshot {
--- a/crates/releases/tests/common/mod.rs
+++ b/crates/releases/tests/common/mod.rs
@@ -66,6 +66,10 @@
     pub doubled: f64,
     pub slow_ms: u64,
     pub sync_ms: u64,
+    /// What is longer doesn't get through.
+    pub longest: usize,
+    /// What was sent, if it is kept: to which voter, from whom, what.
+    pub sent: Option<Vec<(usize, VoterId, Vec<u8>)>>,
     /// What was applied by whom, by index: the same everywhere, for ever.
     pub applied: BTreeMap<u64, (VoterId, u64)>,
     /// What proposers were told came of their numbers.
@@ -89,6 +93,8 @@
             doubled: 0.0,
             slow_ms: 5,
             sync_ms: 3,
+            longest: usize::MAX,
+            sent: None,
             applied: BTreeMap::new(),
             told: BTreeMap::new(),
             notes: Vec::new(),
@@ -194,6 +200,12 @@
 
     fn send(&mut self, from: usize, to: VoterId, bytes: Vec<u8>) {
         let Some(to) = self.voters.iter().position(|voter| voter.id == to) else { return };
+        if bytes.len() > self.longest {
+            return;
+        }
+        if let Some(sent) = &mut self.sent {
+            sent.push((to, self.voters[from].id, bytes.clone()));
+        }
         let copies = if self.chance(self.doubled) { 2 } else { 1 };
         for _ in 0..copies {
             let late = 1 + self.draw(self.slow_ms);
--- /dev/null
+++ b/crates/releases/tests/leader_leaves.rs
@@ -0,0 +1,33 @@
+//! A leader that is taken out of the council by an operator's order: it ends at once, whatever it still has under way, and the
+//! others go on without it.
+
+mod common;
+
+use common::{World, enrol};
+use gradepin_releases::record::Outcome;
+
+/// Guards the leader's process, and the council: entries behind its own removal become durable after it is no member any more.
+#[test]
+fn a_leader_that_is_taken_out_with_entries_under_way_gives_way_to_another() {
+    for later in 0..30 {
+        let mut world = World::new(3, 11);
+        let old = world.led(6_000).expect("a leader");
+        world.run(500);
+        let id = world.voters[old].id;
+        world.council(old).change(id, None).expect("one change");
+        // What is proposed behind it, at any moment until the removal is agreed on.
+        for ms in 0..30 {
+            if ms == later {
+                let _ = world.propose(enrol(1));
+            }
+            world.run(5);
+        }
+        world.run(10_000);
+        let new = world.leader().expect("another leads");
+        assert_ne!(new, old, "proposed after {later} turns");
+        let ticket = world.propose(enrol(2)).expect("it takes proposals");
+        world.run(1_000);
+        assert_eq!(world.told.get(&ticket), Some(&Outcome::Done), "proposed after {later} turns");
+        assert!(!world.record(new).voters.contains_key(&id));
+    }
+}
