Keep messages of the council's log that no voter sends from the library

Failure as seen on by odd_messages_of_the_log_end_no_voter (crates/releases/tests/odd_words.rs): messages of voters with fields changed, as from a server with the fleet's key and a damaged disk or another version, end the process.

Cause: Council::raft (council.rs) handed every message that parsed to RawNode::step, but for one check of heartbeats, and the library takes its peers for its own kind. That check went by the term, so a heartbeat of term 0 passed it by too.

What is late or of an earlier term is the library's to refuse, as before.

--- a/crates/releases/src/council.rs
+++ b/crates/releases/src/council.rs
@@ -5,6 +5,7 @@
 //! what stands behind a [`Effect::Write`] never depends on it, what does is held back until [`Council::written`].
 
 mod configuration;
+mod intake;
 mod log;
 
 pub use configuration::{NotTaken, Taken};
@@ -458,6 +459,9 @@
             self.begin(Log::default());
         }
         let Some(node) = &mut self.node else { return };
+        if !intake::is_sound(&node.raft, &message) {
+            return;
+        }
         let asks = matches!(
             kind,
             MessageType::MsgRequestVote | MessageType::MsgRequestPreVote | MessageType::MsgTimeoutNow
@@ -481,7 +485,7 @@
             self.trust = Trust::Whole;
             self.heard = Some(now);
         }
-        // What is stale or strange is the library's to refuse.
+        // What is stale is the library's to refuse.
         let _ = node.step(message);
     }
 
