Take a plan's times as endless where they don't fit, and refuse commands no message can carry

Failure as seen on by crates/releases/tests/odd_orders.rs: - a_plan_with_endless_times_ends_no_leader: "attempt to multiply with overflow", controller/rollout.rs:259 (287 and 362 hold the same product of the other times; not seen alone). An order to release with a pause of u64::MAX ms is valid (Plan::check), is agreed on, and ends the leader; as it is in the record, the next one that leads too. A release build goes on with a wrapped pause. - a_command_too_long_to_be_sent_is_refused_and_the_council_goes_on, with the refusal left out: after a reason of 260,000 bytes every proposal is refused as busy ("it is taken", line 82), for as long as its leader lives.

Cause: milliseconds of the plan were multiplied where they are used; Council::propose (council.rs) took entries of any length, while a message between servers holds 259 kB at the most and is dropped by its sender beyond (gradepin_cluster::fragments::split). Such an entry is acknowledged by nobody, the leader is heard, and the library takes no more than 64 kB that isn't agreed on.

Change: Plan::ready, Plan::steady and Wave::pause saturate. A command past 199,999 bytes is refused with a reason of its own. The reason of a server's failed step, which its report tells, is cut at 200 bytes before it becomes part of the record, as reasons of acts are.

Searched for the same shape: all products with MS in crates/releases, cluster, config, registry, core and node: the others are of constants, of u32 figures, or saturate. Other entries of the log: changes of the configuration are bounded at 32 kB, names at 200 bytes when they are applied.

Measured: all tests of the crate pass.

--- a/crates/releases/src/controller/requests.rs
+++ b/crates/releases/src/controller/requests.rs
@@ -31,7 +31,7 @@
         if let Err(why) = self.proposals.propose(now, council, command, waiter) {
             let leader = match why {
                 Refused::Elsewhere(id) => council.record().voters.get(&id).cloned(),
-                Refused::Busy | Refused::Leaderless | Refused::NoVoter => None,
+                Refused::Busy | Refused::Leaderless | Refused::NoVoter | Refused::Long => None,
             };
             self.reply(from, number, PermitReply::Redirect(leader));
         }
--- a/crates/releases/src/controller/rollout.rs
+++ b/crates/releases/src/controller/rollout.rs
@@ -7,8 +7,8 @@
 use super::servers::{HeardServer, ServerTable};
 use super::{Context, ControllerEffect, KeyedCommand, MS};
 use crate::messages::{Report, Turn};
-use crate::record::{Command, Name, Permit, Purpose, Record, Stage, Target};
-use crate::release::{Release, ReleaseOrder, Server, State, Step};
+use crate::record::{Command, MOST_TEXT, Name, Permit, Purpose, Record, Stage, Target};
+use crate::release::{Release, ReleaseOrder, Server, State, Step, Wave};
 use crate::rollback::Watch;
 use gradepin_decisions::{Span, Time, after};
 use std::collections::BTreeMap;
@@ -255,8 +255,8 @@
             return;
         }
         let since = *self.batch_whole_since.get_or_insert(now);
-        let pause_ms = release.plan.waves.get(release.wave as usize).map_or(0, |wave| wave.pause_ms);
-        if now >= after(since, Span(pause_ms * MS)) {
+        let pause = release.plan.waves.get(release.wave as usize).map_or(Span(0), Wave::pause);
+        if now >= after(since, pause) {
             self.batch_whole_since = None;
             out.order("wave", ReleaseOrder::Wave { number, wave: release.wave + 1 });
         }
@@ -284,7 +284,7 @@
     let wanted = if forward { &plan.version } else { &server.before };
     let heard = context.servers.get_fresh(now, name);
     let has_wanted = heard.is_some_and(|heard| heard.report.version(plan.kind) == wanted);
-    if has_wanted && context.servers.is_stable(now, name, Span(plan.steady_ms * MS)) {
+    if has_wanted && context.servers.is_stable(now, name, plan.steady()) {
         out.server_stepped(release.number, name, if forward { Step::New } else { Step::Back });
         return Progress::GoesOn;
     }
@@ -350,7 +350,8 @@
 ) -> Option<String> {
     let reported = heard.and_then(|heard| heard.report.failed.as_ref());
     if let Some((_, why)) = reported.filter(|(of, _)| *of == release.number) {
-        return Some(why.clone());
+        // In the record as in the acts: a reason of any length would be an entry that no message can carry.
+        return Some(why[..why.floor_char_boundary(MOST_TEXT)].to_string());
     }
     if permit.stage != Stage::Begun {
         return None;
@@ -358,9 +359,8 @@
     if incarnations > MAX_INCARNATIONS {
         return Some("its process ends again and again".into());
     }
-    let ready_ms = release.plan.ready_ms;
-    let is_late = context.now >= after(since, Span(ready_ms * MS));
-    is_late.then(|| format!("not ready within {ready_ms} ms"))
+    let is_late = context.now >= after(since, release.plan.ready());
+    is_late.then(|| format!("not ready within {} ms", release.plan.ready_ms))
 }
 
 /// Whether more is gone than one server, which nobody agreed on: all of its zone, or several of the fleet. It may have lost
--- a/crates/releases/src/council.rs
+++ b/crates/releases/src/council.rs
@@ -45,6 +45,9 @@
 /// Bytes of entries in one message, beyond the first entry; and bytes that are not agreed on yet.
 const MESSAGE_BYTES: u64 = 900;
 const UNCOMMITTED_BYTES: u64 = 64 * 1024;
+/// The longest command, encoded. What others are told of it has to fit into one message between servers (259 kB): an entry
+/// that can't be sent is acknowledged by nobody, and nothing behind it is agreed on while its leader is heard.
+const MOST_COMMAND: usize = 199_999;
 /// Turns of the clock made up for at the most, after a process was stopped.
 const MOST_TICKS: u64 = 5;
 
@@ -146,6 +149,9 @@
     /// Too much waits to be agreed on, or a change of the council isn't through yet.
     #[error("too much waits to be agreed on")]
     Busy,
+    /// The command is longer than an entry may be.
+    #[error("expected a command of at most {MOST_COMMAND} bytes")]
+    Long,
 }
 
 /// What a voter founds the council with: the same on each.
@@ -377,6 +383,9 @@
     pub fn propose(&mut self, number: u64, command: Command) -> Result<(), Refused> {
         let by = self.id;
         let data = postcard::to_stdvec(&Proposal { by, number, command }).unwrap_or_default();
+        if data.len() > MOST_COMMAND {
+            return Err(Refused::Long);
+        }
         self.leading()?.propose(Vec::new(), data).map_err(|_| Refused::Busy)
     }
 
--- a/crates/releases/src/release.rs
+++ b/crates/releases/src/release.rs
@@ -5,11 +5,13 @@
 //! another goes on where the record stands.
 
 use crate::record::{MOST_TEXT, Name, Outcome, Purpose, Record, Stage, Target, Why};
+use gradepin_decisions::Span;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
 
+const MS: u64 = 1_000_000;
 /// Waves of a plan at the most.
 pub const MOST_WAVES: usize = 32;
 
@@ -31,6 +33,18 @@
     pub pause_ms: u64,
 }
 
+impl Wave {
+    /// How long is looked after it.
+    pub fn pause(&self) -> Span {
+        millis(self.pause_ms)
+    }
+}
+
+/// A time of a plan. One that doesn't fit is as good as endless.
+fn millis(ms: u64) -> Span {
+    Span(ms.saturating_mul(MS))
+}
+
 /// What is to be released, and how.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
@@ -55,6 +69,16 @@
 }
 
 impl Plan {
+    /// How long a changed server may take to be ready.
+    pub fn ready(&self) -> Span {
+        millis(self.ready_ms)
+    }
+
+    /// How long it must have been ready to count.
+    pub fn steady(&self) -> Span {
+        millis(self.steady_ms)
+    }
+
     /// What is wrong with it, if something is.
     pub fn check(&self) -> Result<(), String> {
         let texts = [&self.name, &self.version];
--- a/crates/releases/tests/common/fleet.rs
+++ b/crates/releases/tests/common/fleet.rs
@@ -27,6 +27,8 @@
     pub now: Time,
     pub parts: Vec<ServerAgent>,
     pub cut: BTreeSet<usize>,
+    /// The program of each server; a turn changes it at once.
+    pub programs: Vec<String>,
     /// What servers were told about the configuration.
     pub told: Vec<(usize, Time, ConfigurationEffect)>,
 }
@@ -55,6 +57,7 @@
             now,
             parts: voters_of.iter().enumerate().map(part).collect(),
             cut: BTreeSet::new(),
+            programs: vec![String::new(); voters_of.len()],
             told: Vec::new(),
         }
     }
@@ -69,7 +72,9 @@
 
     fn step(&mut self, n: usize) {
         let mut effects = Vec::new();
-        self.parts[n].tells(self.now, Report { zone: format!("z{n}"), ready: true, ..Report::default() });
+        let program = self.programs[n].clone();
+        let report = Report { zone: format!("z{n}"), ready: true, program, ..Report::default() };
+        self.parts[n].tells(self.now, report);
         self.parts[n].step(self.now, &mut effects);
         for effect in effects {
             match effect {
@@ -83,6 +88,7 @@
                 }
                 Effect::Configuration(effect) => self.told.push((n, self.now, effect)),
                 Effect::Write(number, _) => self.parts[n].written(number),
+                Effect::MayChange(turn, _) => self.programs[n] = turn.version,
                 _ => {}
             }
         }
--- /dev/null
+++ b/crates/releases/tests/odd_orders.rs
@@ -0,0 +1,89 @@
+//! Orders with figures and texts at their ends: whatever an operator says, the voters go on and agree on what comes next.
+
+#[path = "common/mod.rs"]
+mod common;
+#[path = "common/fleet.rs"]
+mod fleet;
+
+use common::{World, enrol, name};
+use fleet::{ALL, Fleet, SECOND};
+use gradepin_decisions::Span;
+use gradepin_releases::council::Refused;
+use gradepin_releases::messages::Order;
+use gradepin_releases::record::{Command, Outcome};
+use gradepin_releases::release::{Kind, Plan, Wave};
+use gradepin_releases::server_agent::Became;
+use std::sync::Arc;
+
+/// What one message between servers may hold (`gradepin_cluster::fragments::MAX_MESSAGE_BYTES`).
+const LONGEST_MESSAGE: usize = 259_000;
+
+fn plan(pause_ms: u64, ready_ms: u64, steady_ms: u64) -> Plan {
+    let waves = [0.0, 1.0].map(|share| Wave { share, pause_ms }).into();
+    Plan {
+        name: "odd".into(),
+        kind: Kind::Program,
+        version: "v2".into(),
+        waves,
+        zone_by_zone: false,
+        ready_ms,
+        steady_ms,
+        worse: 0.1,
+        goes_back: true,
+    }
+}
+
+/// Guards every voter that leads against a plan with times that don't fit their type in nanoseconds: it is in the record, so the
+/// next one that leads meets it too.
+#[test]
+fn a_plan_with_endless_times_ends_no_leader() {
+    for (pause_ms, ready_ms, steady_ms) in [
+        (u64::MAX, 1_000, 100),
+        (0, u64::MAX, 100),
+        (0, 1_000, u64::MAX),
+        (u64::MAX / 1_000_000 + 1, 1_000, 100),
+    ] {
+        let mut fleet = Fleet::new(&[ALL; 3]);
+        fleet.run(SECOND);
+        fleet.found(0).expect("all are heard");
+        fleet.run(Span(8 * SECOND.0));
+        let start = Order::Start { plan: Box::new(plan(pause_ms, ready_ms, steady_ms)), by: "ada".into() };
+        let now = fleet.now;
+        fleet.parts[1].order(now, 1, start).expect("there is room");
+        fleet.run(Span(20 * SECOND.0));
+        assert_eq!(
+            fleet.parts[1].became(1),
+            Became::Over(Ok("done".into())),
+            "{pause_ms} {ready_ms} {steady_ms}"
+        );
+        let changed = fleet.programs.iter().filter(|program| *program == "v2").count();
+        let all = if pause_ms == 0 && steady_ms == 100 { 3 } else { 1 };
+        assert_eq!(changed, all, "{pause_ms} {ready_ms} {steady_ms}");
+    }
+}
+
+/// Guards the council against an entry that no message can carry: no other voter could acknowledge it, and nothing behind it
+/// would ever be agreed on.
+#[test]
+fn a_command_too_long_to_be_sent_is_refused_and_the_council_goes_on() {
+    let mut world = World::new(3, 6);
+    world.longest = LONGEST_MESSAGE;
+    world.led(6_000).expect("a leader");
+    world.run(500);
+    let strike = |bytes: usize| {
+        let why = "x".repeat(bytes);
+        Command::Strike { name: name(7), by: Arc::from("ada"), why }
+    };
+    let leader = world.leader().expect("it leads");
+    for bytes in [200_000, 260_000, 1 << 20] {
+        assert_eq!(world.council(leader).propose(900, strike(bytes)), Err(Refused::Long), "{bytes} bytes");
+    }
+    for (n, bytes) in [10_000, 100_000, 199_000].into_iter().enumerate() {
+        let ticket = world.propose(strike(bytes)).expect("it is taken");
+        world.run(1_000);
+        assert!(world.told.contains_key(&ticket), "{bytes} bytes");
+        let ticket = world.propose(enrol(n)).expect("it is taken");
+        world.run(1_000);
+        assert_eq!(world.told.get(&ticket), Some(&Outcome::Done), "behind {bytes} bytes");
+    }
+}
