Survive a registry's record of the last moment, and a late answer to a leave that was undone

A record whose lastDirtyTimestamp is 2^64-1 ends the main thread with the next change that is told. - a_late_answer_to_a_leave_that_was_undone_takes_nobody_out: the server wants OUT_OF_SERVICE after an operator took it back in, with no end: a leave is asked about, the operator takes the server back in, the registry in use changes, and the answer to the question of the leave arrives.

Cause: the time of the last change is taken from the registry's record where that is later, and one was added to it at three places; Membership::reply set the leave to be told again whenever a record came from another registry than the one in use, also where there was no leave any more.

Change: one saturating step for all three; a record of another registry brings a leave back only while there is one.

Searched for the same shape: other numbers of records (lease times, ports, updated) are compared or told and never added to; the view's counts are of its own table. Other answers that touch the state of the leave: done() and seen() ask for a leave first.

--- a/crates/registry/src/membership.rs
+++ b/crates/registry/src/membership.rs
@@ -436,8 +436,13 @@
         }
     }
 
+    /// A change here, later than any before it. A record at the registry may say any time; past the last one there is none.
+    fn changed(&mut self, unix_ms: u64) {
+        self.dirty_ms = unix_ms.max(self.dirty_ms.saturating_add(1));
+    }
+
     fn record(&mut self, status: Status, unix_ms: u64) -> Op {
-        self.dirty_ms = unix_ms.max(self.dirty_ms + 1);
+        self.changed(unix_ms);
         let mut instance = self.set.instance.clone();
         (instance.status, instance.dirty_ms, instance.updated_ms) = (status, self.dirty_ms, unix_ms);
         Op::Register(Box::new(instance))
@@ -448,21 +453,22 @@
         if self.urgent.is_some() || now < self.next_urgent {
             return None;
         }
-        let own = |op| Some((self.url, false, op));
+        let url = self.url;
+        let own = |op| Some((url, false, op));
         match self.leaving {
             Leaving::No => None,
             Leaving::Tell => {
-                self.dirty_ms = unix_ms.max(self.dirty_ms + 1);
+                self.changed(unix_ms);
                 own(Op::Override { status: Status::OutOfService, dirty_ms: self.dirty_ms })
             }
             Leaving::Register => {
                 let op = self.record(Status::OutOfService, unix_ms);
-                Some((self.url, false, op))
+                own(op)
             }
             Leaving::Look => own(Op::Look),
             Leaving::Seen => {
-                let url = std::iter::from_fn(|| self.beside.pop()).find(|url| *url != self.url)?;
-                Some((url, true, Op::Override { status: Status::OutOfService, dirty_ms: self.dirty_ms }))
+                let other = std::iter::from_fn(|| self.beside.pop()).find(|other| *other != url)?;
+                Some((other, true, Op::Override { status: Status::OutOfService, dirty_ms: self.dirty_ms }))
             }
         }
     }
@@ -489,7 +495,7 @@
         if self.change_wanted(now) && now >= self.next_change {
             self.next_change = after(now, self.set.tell_every);
             if wanted == Status::Up && self.overridden {
-                self.dirty_ms = unix_ms.max(self.dirty_ms + 1);
+                self.changed(unix_ms);
                 return Some((self.url, Op::ClearOverride { status: wanted, dirty_ms: self.dirty_ms }));
             }
             // A registry trusts a lease that is out of service more than a registration that says up, but not more
@@ -541,8 +547,13 @@
         }
         match reply {
             Reply::NotFound => self.forgotten(now, lane),
-            // Another registry is in use by now: what this one shows says nothing of that.
-            Reply::Record(_) if open.url != self.url => self.leaving = Leaving::Tell,
+            // Another registry is in use by now: what this one shows says nothing of that. A leave that goes on is told
+            // there; one that was undone meanwhile stays undone.
+            Reply::Record(_) if open.url != self.url => {
+                if self.leaving != Leaving::No {
+                    self.leaving = Leaving::Tell;
+                }
+            }
             Reply::Record(record) => self.seen(now, lane, &record),
             Reply::Done => self.done(now, lane, open.op),
             Reply::Rejected(_) | Reply::Failed(_) => {}
