Give up a call whose time is up wherever it waits for a slot, so that the main thread rests

Failure as seen on by a_call_that_runs_out_of_its_time_behind_another_is_given_up_at_once (crates/gradepin/tests/fleet.rs, the reducer in virtual time): "the reducer never rests", virtually.rs: the next turn is asked for at a time that is past, 1,000 times in one moment. In the daemon the main thread spins until the call before it has a slot or runs out itself, up to the deadline of its class.

Cause: Fleet::wake_at (core/reducer/fleet.rs) takes the least time of all calls that wait for a slot; Reducer::calls_out looked at the first one alone and stopped where that has to wait. Where servers lend slots, calls of different deadlines wait behind each other as soon as slots were lent that the module hasn't heard of yet.

Change: calls whose time is up are taken out wherever they stand before the first one is looked at, and the module hears of each at once, as before of the first.

Measured: the tests of fleet.rs and calls.rs and those of the core's library pass.

--- a/crates/core/src/reducer/fleet.rs
+++ b/crates/core/src/reducer/fleet.rs
@@ -201,11 +201,11 @@
     /// Makes the calls that have a slot now; those whose time is up, or that the ledger can't take, never leave.
     pub(super) fn calls_out(&mut self) {
         let now = self.moment.now;
+        self.give_up_overdue_calls();
         while let Some(first) = self.fleet.waiting.front() {
             let still = self.requests.get(&first.id).is_some_and(|open| open.call.is_some());
-            let over = first.until <= now;
             let Some(cluster) = &mut self.fleet.cluster else { return };
-            let decision = if still && !over { cluster.call(now) } else { CallDecision::Rejected };
+            let decision = if still { cluster.call(now) } else { CallDecision::Rejected };
             if decision == CallDecision::Wait {
                 break;
             }
@@ -227,6 +227,25 @@
         self.tell_waiting();
     }
 
+    /// Gives up the calls whose time is up, wherever they wait. A time that stays behind while one before it waits longer would
+    /// be the next turn again and again ([`Fleet::wake_at`]).
+    fn give_up_overdue_calls(&mut self) {
+        let now = self.moment.now;
+        let mut overdue = Vec::new();
+        self.fleet.waiting.retain(|waiting| {
+            let is_over = waiting.until <= now;
+            if is_over {
+                overdue.push(waiting.id.clone());
+            }
+            !is_over
+        });
+        for id in overdue {
+            if self.requests.get(&id).is_some_and(|open| open.call.is_some()) {
+                self.called(&id, Outcome::Shed, None);
+            }
+        }
+    }
+
     fn tell_waiting(&mut self) {
         let requests = &self.requests;
         // One whose call the module gave up waits for no slot, though its run may go on.
--- a/crates/gradepin/tests/fleet.rs
+++ b/crates/gradepin/tests/fleet.rs
@@ -96,6 +96,49 @@
     );
 }
 
+/// Guards the main thread, and the run: a call whose time is up behind one that waits longer is given up then. It would ask for a
+/// turn at a time that is past, again and again, until the one before it has its slot.
+#[test]
+fn a_call_that_runs_out_of_its_time_behind_another_is_given_up_at_once() {
+    let mut stage = Virtually::lending(|config| {
+        calling(config);
+        config["settings"]["specifics"]["calls_out"] = json!(16.0);
+    });
+    play(&mut stage, "wait 5000");
+    // The module hears of the slots that are left every 20 ms: it has heard of the first lease, and not yet of the second.
+    stage.asked_to_lend(1, 100);
+    stage.asked_to_lend(2, 11_000);
+    for run in 1..=8 {
+        let budget = if run < 7 { 4_000 } else { 300 };
+        play(
+            &mut stage,
+            &format!(
+                "send c{run} call {run} rid={run} method=claim token=t{run} budget={budget} body=b{run}
+                 expect processor begin {run} claim
+                 send processor ask {run} {run} entry{run}"
+            ),
+        );
+    }
+    play(
+        &mut stage,
+        "expect ledger call 1 entry1
+         expect ledger call 2 entry2
+         expect ledger call 3 entry3
+         expect ledger call 4 entry4
+         expect ledger call 5 entry5
+         expect no ledger call
+         wait 290
+         expect no log a call to the ledger
+         wait 20
+         expect log a call to the ledger for 0000000000000007 ended Shed
+         expect log a call to the ledger for 0000000000000008 ended Shed
+         expect no log a call to the ledger
+         send ledger 1 200 done
+         expect processor answer 1 done
+         expect ledger call 6 entry6",
+    );
+}
+
 /// Guards leases against the Unix clock: they go by time that passed, so a clock that jumps an hour either way, while calls are
 /// out, frees nothing and holds nothing back.
 #[test]
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -1,8 +1,8 @@
 //! A stage with no sockets and no real time: the reducer alone, with the clients' codec before it.
 
 use super::{Stage, begins, changed, config, thrift};
-use gradepin_cluster::authentication::Keys;
-use gradepin_cluster::cluster::{Cluster, ClusterSettings};
+use gradepin_cluster::authentication::{Header, Keys};
+use gradepin_cluster::cluster::{Cluster, ClusterSettings, Envelope, MessageKind};
 use gradepin_cluster::leases::LeaseSettings;
 use gradepin_cluster::members::FailureDetection;
 use gradepin_cluster::peer::{Incarnation, Peer};
@@ -106,6 +106,21 @@
         stage
     }
 
+    /// Another server, of whom nothing else is known, asks the one that lends for so many thousandths of a slot.
+    pub fn asked_to_lend(&mut self, number: u8, amount: u16) {
+        let keys = Keys::of([9; 32]);
+        let (to, sent_us) = (Incarnation(5), self.ms * 1_000);
+        let header =
+            Header { name: "n2", incarnation: Incarnation(6), to, number: u64::from(number), sent_us };
+        // As in `cluster/tests/wire.rs`: a request, its number, its round and an amount of two bytes.
+        let [low, high] = [(amount & 0x7f) as u8 | 0x80, (amount >> 7) as u8];
+        let body = [MessageKind::Lease.byte(), 0, number, 0, low, high];
+        let envelope = Envelope::open(&keys, &keys.authenticate(&header, &body)).expect("it has the key");
+        assert!(envelope.lease_message().is_some(), "{envelope:?}");
+        self.waiting.push(Input::Envelope(Box::new(envelope)));
+        self.settle();
+    }
+
     /// A server whose configuration differs in something.
     pub fn with(change: impl FnOnce(&mut serde_json::Value)) -> Self {
         Self::built(change, Registration::default())
