Read no state of the configuration that nobody could have set, or that has no next revision

A manifest with revision 2^64-1 from the only peer that is known, or from a voter that nobody contradicts, ends the main thread; a release build wraps to revision 0.

Change: Chunk::decode and Manifest::check, which peers' messages and files both go through, hold classes, tenants and rules to what holds for any entry whatever way it came: names of classes are one word, times above 0, figures are numbers. That is no more than a start file is held to, so what a start file may say and a change may not (a deadline under its target) is read as before. Revisions past 2^62 are none.

--- a/crates/config/src/chunk.rs
+++ b/crates/config/src/chunk.rs
@@ -5,6 +5,7 @@
 
 use crate::change::{ClassDefinition, Name};
 use crate::digest::{Digest, Entry};
+use crate::validation;
 use gradepin_decisions::Customer;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -109,6 +110,9 @@
     /// An entry is of another chunk, twice, or not in the canonical order.
     #[error("expected entries of this chunk in canonical order, got '{0}'")]
     Order(Name),
+    /// An entry that no start file and no change could have set.
+    #[error("expected names of one word and figures that are numbers, got '{0}'")]
+    Entry(Name),
     /// The entries are not those that the manifest names.
     #[error("expected digest {expected}, got {came}")]
     Digest {
@@ -159,6 +163,14 @@
             if ChunkNumber::of(&place.1) != number || last.as_ref().is_some_and(|last| *last >= place) {
                 return Err(ChunkError::Order(place.1.into()));
             }
+            let may_hold = match &entry {
+                Entry::Class(class) => validation::may_hold_class(class),
+                Entry::Tenant(tenant) => validation::may_hold_tenant(tenant),
+                Entry::Rule(_) => false,
+            };
+            if !may_hold {
+                return Err(ChunkError::Entry(place.1.into()));
+            }
             match entry {
                 Entry::Class(class) => chunk.classes.0.push(class),
                 Entry::Tenant(tenant) => chunk.tenants.0.push(tenant),
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -9,9 +9,14 @@
 use crate::configuration::Configuration;
 use crate::digest::{Digest, Version};
 use crate::rules::RuleSet;
+use crate::validation;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
+/// The last revision that a state may have: no group of voters gets there, and there is one after each. Nothing but this bound
+/// holds a state that comes whole to it, as its digest is of its entries.
+const MAX_REVISION: Revision = Revision(1 << 62);
+
 /// The digest of one chunk.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChunkDigest {
@@ -41,6 +46,12 @@
     /// The numbers of chunks are out of range, not ascending, or rules stand twice.
     #[error("expected each chunk and rule once and in order")]
     Order,
+    /// A rule that no start file and no change could have set.
+    #[error("expected rules whose figures are numbers, got {0}")]
+    Rule(&'static str),
+    /// No state has this revision.
+    #[error("expected a revision that a group of voters gets to, got {0}")]
+    Revision(Revision),
     /// The parts do not sum to the whole.
     #[error("expected digest {expected}, got {came}")]
     Digest {
@@ -141,6 +152,12 @@
         if !ascending || !in_range || rules.iter().count() != self.rules.len() {
             return Err(SnapshotError::Order);
         }
+        if let Some(rule) = self.rules.iter().find(|rule| !validation::may_hold_rule(rule)) {
+            return Err(SnapshotError::Rule(rule.name()));
+        }
+        if self.version.revision > MAX_REVISION {
+            return Err(SnapshotError::Revision(self.version.revision));
+        }
         let came = self.chunks.iter().fold(rules.digest(), |sum, chunk| sum.plus(chunk.digest));
         let expected = self.version.digest;
         if came == expected { Ok(()) } else { Err(SnapshotError::Digest { expected, came }) }
--- a/crates/config/src/validation.rs
+++ b/crates/config/src/validation.rs
@@ -66,6 +66,36 @@
     text("request_id", &proposal.request_id, MAX_TEXT_BYTES)
 }
 
+/// Whether a class may stand in a state, whatever way it came: named by one word, as a line to the processor needs it, with
+/// times above 0 and figures that are numbers. A start file is held to the same, a change to more.
+pub(crate) fn may_hold_class(class: &ClassDefinition) -> bool {
+    let ClassDefinition { profile, skip_worth, .. } = class;
+    let figures = [profile.late_value, profile.worth, profile.aim_stretch, *skip_worth];
+    is_word(&profile.name)
+        && profile.promise.0 > 0
+        && profile.deadline.0 > 0
+        && figures.into_iter().all(f64::is_finite)
+}
+
+/// The same for a tenant.
+pub(crate) fn may_hold_tenant(tenant: &Customer) -> bool {
+    tenant.quota_rps.is_finite() && tenant.portion.is_finite()
+}
+
+/// The same for a rule.
+pub(crate) fn may_hold_rule(rule: &Rule) -> bool {
+    match rule {
+        Rule::AnswerSlack(_) | Rule::Cold(_) | Rule::DrainGrace(_) | Rule::Fall(_) => true,
+        Rule::ColdShare(figure) | Rule::OverShareWorth(figure) | Rule::TipMultiple(figure) => {
+            figure.is_finite()
+        }
+    }
+}
+
+fn is_word(name: &str) -> bool {
+    !name.is_empty() && !name.contains(|c: char| c.is_whitespace() || c.is_control())
+}
+
 /// A transaction against a state.
 pub(crate) fn transaction(state: &Configuration, transaction: &Transaction) -> Checked {
     let changes = &transaction.changes;
--- a/crates/config/tests/parts.rs
+++ b/crates/config/tests/parts.rs
@@ -6,7 +6,8 @@
 use gradepin_config::chunk::{ChunkError, ChunkNumber};
 use gradepin_config::log::Gap;
 use gradepin_config::snapshot::SnapshotError;
-use gradepin_config::{Assembly, CommitLog, Configuration, LogLimits, Revision, Snapshot};
+use gradepin_config::{Assembly, ClassDefinition, CommitLog, Configuration, LogLimits, Revision, Snapshot};
+use gradepin_decisions::{Customer, Span};
 use std::sync::Arc;
 
 fn some(first_promise: u64) -> Snapshot {
@@ -109,3 +110,45 @@
     log.restart(Revision(90));
     assert_eq!((log.base(), log.last(), log.bytes()), (Revision(90), Revision(90), 0));
 }
+
+/// Guards the line to the processor, which names a class as one word, and the arithmetic of the module: whatever a peer or a
+/// file brings, a state that no start file and no change could have made is not read.
+#[test]
+fn a_snapshot_with_entries_that_nobody_could_have_set_is_not_read() {
+    let good = class("c", 10);
+    let with = |change: fn(&mut ClassDefinition)| {
+        let mut class = good.clone();
+        change(&mut class);
+        settings(&[class], &[tenant("t", 0.5)])
+    };
+    let mut bad = vec![
+        with(|class| class.profile.name = "a b".into()),
+        with(|class| class.profile.name = "a\nbegin 0000000000000001 c 0".into()),
+        with(|class| class.profile.name = "\u{7f}".into()),
+        with(|class| class.profile.name = String::new()),
+        with(|class| class.profile.promise = Span(0)),
+        with(|class| class.profile.deadline = Span(0)),
+        with(|class| class.profile.worth = f64::NAN),
+        with(|class| class.profile.late_value = f64::INFINITY),
+        with(|class| class.profile.aim_stretch = f64::NEG_INFINITY),
+        with(|class| class.skip_worth = f64::NAN),
+    ];
+    let mut other = settings(std::slice::from_ref(&good), &[tenant("t", f64::NAN)]);
+    bad.push(other.clone());
+    other.customers = vec![Customer { quota_rps: f64::INFINITY, ..tenant("t", 0.5) }];
+    bad.push(other.clone());
+    other.customers = Vec::new();
+    other.rules.cold_share = f64::NAN;
+    bad.push(other.clone());
+    (other.rules.cold_share, other.rules.tip_multiple) = (0.5, f64::INFINITY);
+    bad.push(other);
+    for settings in bad {
+        let snapshot =
+            Snapshot::of(&Configuration::from_settings(&settings).expect("counted, not looked at"));
+        assert!(Snapshot::decode(&snapshot.encode()).is_err(), "{settings:?}");
+    }
+    // What a start file may say and a change may not is read.
+    let odd = with(|class| class.profile.deadline = Span(1));
+    let snapshot = Snapshot::of(&Configuration::from_settings(&odd).expect("valid"));
+    assert!(Snapshot::decode(&snapshot.encode()).is_ok());
+}
