Wait for the folders that the process before still has, as for its addresses

Failure as seen on by a_folder_that_is_still_held_is_waited_for_and_the_notice_to_leave_is_heard (crates/gradepin/tests/ held_folders.rs, the built daemon): "gradepin: the council's folder: ..: another server uses this folder", status 1, where the process before is on its way out and has its lock for a moment yet; the same for the configuration's folder.

Cause: serve.rs opened both folders once, while the clients' address is tried again for 10 s. A process gives its locks up with its end alone, after its listener, so a successor that has the address fails on the folder.

Change: node/folder_lock.rs waits until nobody holds the council's and the configuration's folder, within 10 s and with an ear for SIGTERM, before either is opened. Past that the message and the status are as before.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod control;
 pub mod council;
 mod fleet_start;
+mod folder_lock;
 pub mod fronts;
 pub mod handed;
 pub mod log;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -9,6 +9,7 @@
 use crate::council::CouncilFolder;
 pub use crate::fleet_start::fleet_settings;
 use crate::fleet_start::part_settings;
+use crate::folder_lock;
 use crate::fronts::scgi::Scgi;
 use crate::fronts::scgi::routes::{BadRoute, Routes};
 use crate::fronts::thrift::Thrift;
@@ -133,6 +134,13 @@
     if service_set.is_none() && own.configuration.is_some() {
         warn!(log, "on an inherited listener the configuration service is off, and the start file holds");
     }
+    // What the process before this one has until its end. The store is waited for by its own thread.
+    let councils = own.council.as_ref().filter(|_| handed.accept_fd.is_none() && own.cluster.is_some());
+    let councils = councils.and_then(|set| set.folder.as_deref());
+    let configurations = service_set.and_then(|set| set.folder.as_deref());
+    if !folder_lock::wait(councils.into_iter().chain(configurations), &signals, log) {
+        return Ok(());
+    }
     let service = service_set
         .map(|set| ConfigurationService::open(set, own.council.as_ref(), &mut config, log))
         .transpose()?;
