Take the ledger's linger as endless where it doesn't fit, in the times that leases are held

Failure as seen on by a_ledger_that_goes_on_for_ever_and_shares_without_bound_end_no_start (crates/cluster/tests/ odd_content.rs): "attempt to add with overflow", leases/settings.rs:45, at the start of a server whose file has a specifics.linger near the end of its range and whose own settings lend slots. A release build holds back what it lent for a wrapped time, less than it lent it for. In leases/settings.rs:54 the same product overflows from a linger of 25 h on, with the greatest drift (by reading).

Cause: the linger is the platform's figure and bounded by nothing; the times were added in u64 before they were widened.

Change: both times are computed in u128 and are endless past u64.

Searched for the same shape: the other times of LeaseSettings and FailureDetection come from our own settings, each within a range (settings/cluster.rs); shares are clamped, also where they are no number; the fleet's size and the rate of probes are floating point.

Measured: 75 settings, 50 turns each; all tests of the crate pass.

--- a/crates/cluster/src/leases/settings.rs
+++ b/crates/cluster/src/leases/settings.rs
@@ -41,16 +41,17 @@
         if self.ignore_expiry {
             return self.duration;
         }
-        let whole = u128::from(self.duration.0 + self.max_call.0 + self.upstream_linger.0);
+        let parts = [self.duration, self.max_call, self.upstream_linger];
+        let whole: u128 = parts.into_iter().map(|part| u128::from(part.0)).sum();
         let fast = 1_000_000 + self.max_drift_ppm;
         let slow = 1_000_000 - self.max_drift_ppm.min(999_999);
-        Span((whole * u128::from(fast)).div_ceil(u128::from(slow)) as u64)
+        nanos((whole * u128::from(fast)).div_ceil(u128::from(slow)))
     }
 
     /// How long an abandoned call holds its slot here, by a clock that may be fast.
     pub(super) fn linger(&self) -> Span {
-        let linger = self.upstream_linger.0;
-        Span(linger + linger * self.max_drift_ppm / 1_000_000 + 1)
+        let linger = u128::from(self.upstream_linger.0);
+        nanos(linger + linger * u128::from(self.max_drift_ppm) / 1_000_000 + 1)
     }
 
     /// The duration as it is written into a grant, in ms.
@@ -58,3 +59,8 @@
         (self.duration.0 / MS) as u32
     }
 }
+
+/// A span; one that doesn't fit is as good as endless. The platform's file may tell of an upstream that goes on for any time.
+fn nanos(nanos: u128) -> Span {
+    Span(u64::try_from(nanos).unwrap_or(u64::MAX))
+}
--- a/crates/cluster/tests/common/mod.rs
+++ b/crates/cluster/tests/common/mod.rs
@@ -14,6 +14,16 @@
 
 /// A server of two, with a slot budget of its own and a budget of repeats.
 pub fn cluster(n: u16, incarnation: u64, now: Time) -> Cluster {
+    cluster_that(n, incarnation, now, |_| ())
+}
+
+/// The same with settings that differ in something.
+pub fn cluster_that(
+    n: u16,
+    incarnation: u64,
+    now: Time,
+    change: impl FnOnce(&mut ClusterSettings),
+) -> Cluster {
     let address = SocketAddr::from(([127, 0, 0, 1], n));
     let own = Peer {
         name: Arc::from(format!("n{n}")),
@@ -21,7 +31,7 @@
         address,
         zone: Arc::from("z"),
     };
-    let settings = ClusterSettings {
+    let mut settings = ClusterSettings {
         own,
         seeds: vec![SocketAddr::from(([127, 0, 0, 1], 1))],
         keys: Keys::of([3; 32]),
@@ -34,6 +44,7 @@
         retry_ratio: Some(0.2),
         seed: u64::from(n),
     };
+    change(&mut settings);
     Cluster::new(settings, now)
 }
 
--- a/crates/cluster/tests/odd_content.rs
+++ b/crates/cluster/tests/odd_content.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{MS, Two, cluster};
+use common::{MS, Two, cluster, cluster_that};
 use gradepin_cluster::authentication::{Header, Keys};
 use gradepin_cluster::cluster::{Cluster, Effect, Envelope, MessageKind};
 use gradepin_cluster::leases::LeaseMessage;
@@ -90,6 +90,32 @@
     server.step(now, &mut Vec::new());
 }
 
+/// Guards a start with the times and shares that the platform's file may hold: it bounds none of them.
+#[test]
+fn a_ledger_that_goes_on_for_ever_and_shares_without_bound_end_no_start() {
+    for linger in [0, MS, u64::MAX / 1_000_000, u64::MAX / 2, u64::MAX] {
+        for share in [0.0, 1e300, f64::INFINITY, f64::NAN, 4.5] {
+            for max_drift_ppm in [0, 10_000, 200_000] {
+                let mut now = Time(1_000 * MS);
+                let mut server = cluster_that(1, 10, now, |settings| {
+                    settings.share = Some(share);
+                    settings.leases.upstream_linger = Span(linger);
+                    settings.leases.max_drift_ppm = max_drift_ppm;
+                    settings.servers = usize::MAX;
+                    settings.probes_per_second = f64::MIN_POSITIVE;
+                });
+                for _ in 0..50 {
+                    now = after(now, Span(100 * MS));
+                    server.set_waiting(now, 1_000);
+                    let _ = server.call(now);
+                    server.called(now, Outcome::Expired, Span(u64::MAX));
+                    turn(&mut server, now);
+                }
+            }
+        }
+    }
+}
+
 /// One of the values at which arithmetic goes wrong.
 fn end(rng: &mut Pcg64Mcg) -> u64 {
     let ends = [0, 1, u64::MAX, u64::MAX - 1, 1 << 63, (1 << 63) - 1, u64::from(u32::MAX), 1 << 53];
