Remove the council's segment that could not be written, so that a full disk doesn't fill with them

Cause: CouncilLog::begin (store/src/council.rs) returned the error and left the file that it had made.

Change: the file goes with the error, as in ConfigurationStore::save. That can bring nothing back: what failed counts as not written, a crash that undoes the removal leaves records that nobody acted on, and the next segment takes a name that is durable before its bytes.

Searched for the same shape: ConfigurationStore (removes it already, by its own test).

--- a/crates/store/src/council.rs
+++ b/crates/store/src/council.rs
@@ -227,12 +227,14 @@
     fn begin(&mut self, records: &[Durable]) -> Result<(), CouncilError> {
         let number = self.next;
         self.next += 1;
-        let name = name_of(number);
-        let mut segment = self.disk.create(&name).map_err(disk(&name))?;
-        let mut bytes = head(number, self.id);
-        bytes.extend(frame(number, 0, records)?);
-        segment.append(&bytes).map_err(disk(&name))?;
-        segment.sync().map_err(disk(&name))?;
+        let segment = match self.write_segment(number, records) {
+            Ok(segment) => segment,
+            Err(error) => {
+                // It is tried again for as long as the disk fails: what each try leaves would fill the folder.
+                let _ = self.disk.remove(&name_of(number));
+                return Err(error);
+            }
+        };
         let before = self.active.replace(Active { number, place: 1, segment });
         self.old.extend(before.map(|active| active.number));
         // One that can't be removed is passed over by a reading, as a later one counts.
@@ -241,6 +243,17 @@
         }
         Ok(())
     }
+
+    /// A new segment with these records, durable.
+    fn write_segment(&mut self, number: u64, records: &[Durable]) -> Result<Box<dyn Segment>, CouncilError> {
+        let name = name_of(number);
+        let mut bytes = head(number, self.id);
+        bytes.extend(frame(number, 0, records)?);
+        let mut segment = self.disk.create(&name).map_err(disk(&name))?;
+        segment.append(&bytes).map_err(disk(&name))?;
+        segment.sync().map_err(disk(&name))?;
+        Ok(segment)
+    }
 }
 
 /// The identity that the folder was made with; none if it was torn while it was made.
