Remove a segment of the keyed runs' log whose head could not be written

Failure as seen on by a_disk_that_is_full_for_long_leaves_no_file_for_each_try (crates/store/tests/full.rs): "0 bytes of room: 101 files": each try to write all anew on a full disk makes a segment, fails at its head and leaves the file, which this life knows nothing of any more.

Cause: Log::begin (store/src/log.rs), the same mistake as in the council's segments.

Change: the file goes with the error. What fails behind the head was sealed and expired before already.

Measured: the test passes with room for nothing, a part of a head, and a head alone; all tests of the crate pass.

--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -249,7 +249,12 @@
         let number = self.next;
         self.next += 1;
         let mut segment = self.disk.create(&name_of(number))?;
-        segment.append(&frame::encode_head(Head { number, life: self.life, salt: self.salt }))?;
+        let head = frame::encode_head(Head { number, life: self.life, salt: self.salt });
+        if let Err(error) = segment.append(&head) {
+            // Without a head it holds nothing, and it is tried again for as long as the disk fails.
+            let _ = self.disk.remove(&name_of(number));
+            return Err(error.into());
+        }
         self.active = Some(Active { number, segment, bytes: HEAD as u64, place: 0, over_ms: 0 });
         Ok(())
     }
