Try to take the last voter out of a council

the_last_voter_cannot_be_taken_out (crates/releases/tests/leader_leaves.rs): councils of one and of three, each leader taken out in its turn.

--- a/crates/releases/tests/leader_leaves.rs
+++ b/crates/releases/tests/leader_leaves.rs
@@ -31,3 +31,23 @@
         assert!(!world.record(new).voters.contains_key(&id));
     }
 }
+
+/// Guards a council of one: its last voter can't be taken out, and goes on.
+#[test]
+fn the_last_voter_cannot_be_taken_out() {
+    for count in [1, 3] {
+        let mut world = World::new(count, 5);
+        for _ in 0..count + 2 {
+            let leader = world.led(10_000).expect("somebody leads");
+            world.run(500);
+            let id = world.voters[leader].id;
+            let _ = world.council(leader).change(id, None);
+            world.run(3_000);
+        }
+        let last = world.led(10_000).expect("the last one leads");
+        let ticket = world.propose(enrol(1)).expect("it takes proposals");
+        world.run(1_000);
+        assert_eq!(world.told.get(&ticket), Some(&Outcome::Done), "of {count}");
+        assert_eq!(world.record(last).voters.len(), 1, "of {count}");
+    }
+}
