Pass over remarks of any length instead of ending the link to the processor

Failure as seen on: crates/gradepin/tests/link.rs, a_remark_of_any_length_leaves_the_link_as_it_is, 'the server ended the link' at a remark of 70,000 bytes; the link was made again, the processor told the same remark behind each hello, and no request was served any more. requests_and_results_stay_whole_whatever_becomes_of_the_link failed so too: 'no ["a 1"]'.

Cause: crates/node/src/processor.rs, read: a line that doesn't fit the one pooled buffer of 4,608 bytes was an error, and its number was not counted as read.

Change: processor/lines.rs owns what came and cuts it; a remark longer than the buffer is passed over as it comes, and counts as read at its end. Parsing moved there unchanged.

--- /dev/null
+++ b/crates/gradepin/tests/link.rs
@@ -0,0 +1,282 @@
+//! The link to the processor, byte by byte, with the real program between a client and a scripted processor: what the
+//! longest lines, cuts at every byte and other processors do to it. Each run that begins is held against what the client
+//! sent, each result that is served against what the processor made for that request.
+
+mod scenario;
+use scenario::scripted::{Command, Link, Scripted};
+use scenario::sockets::Sockets;
+use scenario::{Stage, play, thrift};
+use std::collections::BTreeMap;
+use std::thread;
+
+/// Longest body and result that the protocol allows.
+const MOST_BODY: usize = 2048;
+const MOST_RESULT: usize = 4096;
+
+/// A call of the client `a`, with its number as its id too and a body of any bytes.
+fn call(stage: &mut Sockets, seq: i32, body: &[u8]) {
+    let fields = [
+        ("method", "read".to_string()),
+        ("rid", format!("{seq:016x}")),
+        ("t0", stage.unix_ms().to_string()),
+        ("peer", "4".to_string()),
+        ("acct", "acme".to_string()),
+        ("budget", "60000".to_string()),
+        ("mem", "1".to_string()),
+        ("prio", "0.5".to_string()),
+    ];
+    stage.client("a", &thrift::call(seq, &fields, body), false);
+}
+
+/// The result that a call of the client `a` is served with; anything else fails the test.
+fn result(stage: &mut Sockets, seq: i32) -> String {
+    let event = stage.take_any(&[&format!("a {seq}")]);
+    let served =
+        event.strip_prefix(&format!("a {seq} served")).unwrap_or_else(|| panic!("not served: {event}"));
+    let whole = served.rfind(" hint=").map_or(served, |hint| &served[..hint]);
+    whole.strip_prefix(' ').unwrap_or(whole).to_string()
+}
+
+/// The request that runs here has this body and class; its id.
+fn begins(link: &mut Link, seq: i32, body: &[u8]) -> String {
+    let begun = link.begin();
+    assert_eq!(begun, (format!("{seq:016x}"), "read".to_string(), body.to_vec()), "call {seq}");
+    begun.0
+}
+
+/// Guards against a link that falls over a long remark, and over the same remark again after each hello: no run was
+/// begun any more. Remarks of each length about a buffer's, of many buffers, and whose line end comes in two pieces.
+#[test]
+fn a_remark_of_any_length_leaves_the_link_as_it_is() {
+    let processor = Scripted::new();
+    let mut stage = processor.server("remarks", |_| ());
+    let (mut link, _) = processor.greet();
+    play(&mut stage, "expect control Ready");
+    let lengths = [0, 1, 4_000, 70_000].into_iter().chain(4_590..4_610);
+    for (n, length) in (1..).zip(lengths) {
+        let remark = [format!("remark {} ", 2 * n - 1).as_bytes(), &vec![b'x'; length], b"\r"].concat();
+        assert!(link.send(&remark), "{length}");
+        // Its line end comes by itself, and only once what came before was most likely read.
+        thread::yield_now();
+        assert!(link.send(b"\n"), "{length}");
+        call(&mut stage, n, b"in");
+        let id = begins(&mut link, n, b"in");
+        link.tell(&format!("complete {} {id} OK 5.125", 2 * n), b"out");
+        assert_eq!(result(&mut stage, n), "out");
+    }
+    link.cut(false);
+    let (_, last) = processor.greet();
+    assert_eq!(last, 48, "remarks are notices that were read");
+}
+
+/// Numbers that a seed gives, the same on each machine.
+struct Draws(u64);
+
+impl Draws {
+    fn below(&mut self, bound: usize) -> usize {
+        // The generator of Steele, Lea and Flood (SplitMix64).
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        usize::try_from((z ^ (z >> 31)) >> 33).expect("31 bits") % bound
+    }
+
+    fn chance(&mut self, of: usize) -> bool {
+        self.below(of) == 0
+    }
+
+    /// A length up to the bound, and often one of both ends.
+    fn length(&mut self, most: usize) -> usize {
+        [0, most, self.below(most + 1), self.below(60)][self.below(4)]
+    }
+
+    /// Text that looks much like lines of the link.
+    fn text(&mut self, length: usize) -> Vec<u8> {
+        let words = [
+            "\r\n",
+            " ",
+            "complete 1 0000000000000001 OK 5 0\r\n\r\n",
+            "begin",
+            "hello 0\r\n",
+            "0",
+            "usage x\r\n",
+        ];
+        let mut text = Vec::new();
+        while text.len() < length {
+            text.extend_from_slice(words[self.below(words.len())].as_bytes());
+        }
+        text.truncate(length);
+        text
+    }
+}
+
+/// What a processor knows: the runs it was asked for, with the result that each has, and the notices it keeps.
+#[derive(Default)]
+struct Machine {
+    /// By id: the class, the body and the result.
+    runs: BTreeMap<String, (String, Vec<u8>, Vec<u8>)>,
+    /// Those whose end was not told.
+    open: Vec<String>,
+    notices: Vec<Vec<u8>>,
+}
+
+impl Machine {
+    /// Takes a command; a run that it has is not begun again.
+    fn take(&mut self, command: Command, draws: &mut Draws) {
+        let Command::Begin { id, class, body } = command else { panic!("no run: {command:?}") };
+        if let Some((known_class, known_body, _)) = self.runs.get(&id) {
+            assert_eq!((known_class, known_body), (&class, &body), "{id} came with something else");
+            return;
+        }
+        let length = draws.length(MOST_RESULT);
+        let result = draws.text(length);
+        self.open.push(id.clone());
+        self.runs.insert(id, (class, body, result));
+    }
+
+    /// The next notice: mostly the end of a run, else one of which nothing may follow.
+    fn notice(&mut self, draws: &mut Draws) -> Vec<u8> {
+        let n = self.notices.len() + 1;
+        let notice = match draws.below(8) {
+            0 => [format!("remark {n} ").as_bytes(), &vec![b'x'; draws.length(10_000)], b"\r\n"].concat(),
+            1 => format!("complete {n} ffffffffffffffff OK 1.5 4\r\nnone\r\n").into_bytes(),
+            _ => {
+                let id = self.open.swap_remove(draws.below(self.open.len()));
+                let result = &self.runs[&id].2;
+                let line = format!("complete {n} {id} OK {}.25 {}\r\n", draws.below(90), result.len());
+                [line.as_bytes(), result, b"\r\n"].concat()
+            }
+        };
+        self.notices.push(notice.clone());
+        notice
+    }
+
+    /// Greets on the server's next link and tells what it did not read, which may be cut again.
+    fn link(&self, processor: &Scripted, draws: &mut Draws) -> Link {
+        loop {
+            let (mut link, last) = processor.greet();
+            let last = usize::try_from(last).expect("a number");
+            assert!(last <= self.notices.len(), "notice {last} was never told");
+            let mut unread = self.notices[last..].concat();
+            let cut = !unread.is_empty() && draws.chance(3);
+            if cut {
+                unread.truncate(draws.below(unread.len()));
+            }
+            link.send(&unread);
+            if !cut {
+                return link;
+            }
+            link.cut(draws.chance(2));
+        }
+    }
+}
+
+/// Guards against runs lost, run with another's body or served with another's result because the link fell in the midst
+/// of commands and notices, was slow to be read or told things twice.
+#[test]
+fn requests_and_results_stay_whole_whatever_becomes_of_the_link() {
+    for seed in 1..=2 {
+        played(seed, 25);
+    }
+}
+
+fn played(seed: u64, rounds: usize) {
+    let (mut draws, processor, mut machine) = (Draws(seed), Scripted::new(), Machine::default());
+    let mut stage = processor.server(&format!("drawn-{seed}"), |_| ());
+    let mut link = machine.link(&processor, &mut draws);
+    play(&mut stage, "expect control Ready");
+    let mut sent = 0;
+    for round in 0..rounds {
+        let first = sent + 1;
+        let mut bodies = BTreeMap::new();
+        for _ in 0..=draws.below(3) {
+            sent += 1;
+            let length = draws.length(MOST_BODY);
+            let body = draws.text(length);
+            call(&mut stage, sent, &body);
+            bodies.insert(format!("{sent:016x}"), body);
+        }
+        let at = format!("seed {seed}, round {round}");
+        let mut told = 0;
+        while told < bodies.len() {
+            let begun = bodies.keys().filter(|id| machine.runs.contains_key(*id)).count();
+            if draws.chance(5) {
+                link.cut(draws.chance(2));
+                link = machine.link(&processor, &mut draws);
+            } else if begun < bodies.len() || machine.open.is_empty() {
+                let command = link.order().unwrap_or_else(|| panic!("{at}: the server ended the link"));
+                machine.take(command, &mut draws);
+            } else {
+                let notice = machine.notice(&mut draws);
+                told = bodies.len() - machine.open.len();
+                let whole = if draws.chance(3) { draws.below(notice.len()) } else { notice.len() };
+                link.send(&notice[..whole]);
+                if whole < notice.len() {
+                    link.cut(draws.chance(2));
+                    link = machine.link(&processor, &mut draws);
+                } else if draws.chance(4) {
+                    link.send(&machine.notices[draws.below(machine.notices.len())]);
+                }
+            }
+        }
+        for seq in first..=sent {
+            let id = format!("{seq:016x}");
+            let (class, body, made) = &machine.runs[&id];
+            assert!(class == "read" && *body == bodies[&id], "{at}: {id} ran with something else");
+            assert!(result(&mut stage, seq).as_bytes() == made, "{at}: {id} was served with something else");
+        }
+    }
+}
+
+/// Guards against a run lost, doubled or changed because the link was cut in the midst of its command or of its end, at
+/// whichever byte, and against a notice that is read twice.
+#[test]
+fn a_link_cut_at_any_byte_of_a_command_or_a_notice_costs_no_request_its_result() {
+    let processor = Scripted::new();
+    let mut stage = processor.server("cuts", |_| ());
+    let (mut link, _) = processor.greet();
+    play(&mut stage, "expect control Ready");
+    let (body, made) = (b"in\r\nusage 7\r\n", b"out\r\ncomplete 9 0000000000000001 OK 1 0\r\n\r\n");
+    let command =
+        |seq: i32| [format!("begin {seq:016x} read {}\r\n", body.len()).as_bytes(), body, b"\r\n"].concat();
+    for cut in 0..=command(1).len() {
+        let seq = 1 + i32::try_from(cut).expect("a number");
+        call(&mut stage, seq, body);
+        // Questions come before it, never in its midst.
+        link.questions();
+        let came = link.bytes(cut);
+        assert_eq!(came, command(seq)[..cut]);
+        link.cut(cut % 2 == 0);
+        let (next, last) = processor.greet();
+        assert_eq!(last, u64::try_from(seq).expect("a number") - 1);
+        link = next;
+        let id = begins(&mut link, seq, body);
+        link.tell(&format!("complete {seq} {id} OK 5.125"), made);
+        assert_eq!(result(&mut stage, seq).as_bytes(), made, "{cut}");
+    }
+    let first = 2 + command(1).len();
+    let notice = |n: usize| {
+        let line = format!("complete {n} {n:016x} OK 5.125 {}\r\n", made.len());
+        [line.as_bytes(), made, b"\r\n"].concat()
+    };
+    for cut in 0..=notice(first).len() {
+        let n = first + cut;
+        let seq = i32::try_from(n).expect("a number");
+        call(&mut stage, seq, body);
+        begins(&mut link, seq, body);
+        link.send(&notice(n)[..cut]);
+        let whole = cut == notice(n).len();
+        if whole {
+            assert_eq!(result(&mut stage, seq).as_bytes(), made);
+        }
+        link.cut(false);
+        let (next, last) = processor.greet();
+        assert_eq!(last, u64::try_from(if whole { n } else { n - 1 }).expect("a number"), "{cut}");
+        link = next;
+        if !whole {
+            link.send(&notice(n));
+            assert_eq!(result(&mut stage, seq).as_bytes(), made, "{cut}");
+        }
+    }
+}
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -40,6 +40,7 @@
 
 #[path = "../../../decisions/tests/common/mod.rs"]
 pub mod common;
+pub mod scripted;
 pub mod sockets;
 pub mod thrift;
 pub mod virtually;
--- a/crates/node/src/processor.rs
+++ b/crates/node/src/processor.rs
@@ -1,10 +1,13 @@
 //! The processor: lines over one link that is made again whenever it falls.
 
+mod lines;
+
 use crate::outgoing::Outgoing;
 use crossbeam_channel::{Receiver, Sender, bounded};
-use gradepin_core::messages::{Input, LEAST_RESTART, RunEnd};
+use gradepin_core::messages::{Input, LEAST_RESTART};
 use gradepin_core::pool::{Buffer, Pool, SIZE};
-use gradepin_decisions::{RequestId, Span, span};
+use gradepin_decisions::{RequestId, Span};
+use lines::{Line, Lines};
 use rustix::io::Errno;
 use slog::{Logger, info, warn};
 use std::io;
@@ -15,7 +18,6 @@
 use std::time::{Duration, Instant};
 
 const STACK: usize = 64 * 1024;
-const MOST_RESULT: usize = 4096;
 /// Between tries to connect; doubled with each link that brought nothing, up to a bound.
 const RETRY: Duration = Duration::from_millis(20);
 const MOST_RETRY: Duration = Duration::from_secs(1);
@@ -254,11 +256,9 @@
     inputs: &Sender<Input>,
     pool: &Arc<Pool>,
 ) -> io::Result<()> {
-    let mut buffer = pool.take();
+    let mut lines = Lines::new(pool);
     loop {
-        let mut used = 0;
-        while let Some((len, line)) = parse(&buffer[used..], pool)? {
-            used += len;
+        while let Some(line) = lines.next()? {
             let input = match line {
                 Line::Hi(cold, age) => {
                     let same = progress.same(age);
@@ -289,98 +289,14 @@
             progress.heard = Some(Instant::now());
             inputs.send(input).map_err(|_| io::Error::other("the server has ended"))?;
         }
-        buffer.consume(used);
-        if buffer.space().is_empty() {
-            return Err(bad(&buffer));
-        }
-        match rustix::io::read(&out.stream, buffer.space()) {
+        match rustix::io::read(&out.stream, lines.space()?) {
             Ok(0) => return Ok(()),
-            Ok(len) => buffer.filled(len),
+            Ok(len) => lines.filled(len),
             Err(Errno::INTR) => {}
             Err(e) => return Err(e.into()),
         }
     }
 }
 
-/// A line from the processor.
-#[derive(Debug)]
-enum Line {
-    Hi(bool, Span),
-    Complete(u64, RequestId, RunEnd, Span, Buffer),
-    Ask(u64, RequestId, Buffer),
-    Used(u64, Vec<f64>),
-    Reject(RequestId),
-    Remark(u64),
-    Nothing,
-}
-
-fn bad(line: &[u8]) -> io::Error {
-    let text = String::from_utf8_lossy(&line[..line.len().min(80)]).into_owned();
-    io::Error::new(io::ErrorKind::InvalidData, format!("expected a line of the processor, got '{text}'"))
-}
-
-/// The first line with the bytes that follow it, and the length of it all; none while it isn't whole.
-fn parse(bytes: &[u8], pool: &Arc<Pool>) -> io::Result<Option<(usize, Line)>> {
-    let Some(end) = bytes.windows(2).position(|two| two == b"\r\n") else { return Ok(None) };
-    let line = &bytes[..end];
-    if let Some(remark) = line.strip_prefix(b"remark ") {
-        // Its text may be anything. Guards against a link that falls again and again over the same remark.
-        let digits = remark.split(|&b| b == b' ').next().unwrap_or_default();
-        let notice = std::str::from_utf8(digits).ok().and_then(|digits| digits.parse().ok());
-        return Ok(Some((end + 2, Line::Remark(notice.ok_or_else(|| bad(line))?))));
-    }
-    let text = std::str::from_utf8(line).map_err(|_| bad(line))?;
-    let words: Vec<&str> = text.split(' ').collect();
-    let number = |text: &str| text.parse::<u64>().map_err(|_| bad(line));
-    // Times come with a decimal point as well as without: a reader of whole numbers lost every notice.
-    let millis = |text: &str| match text.parse::<f64>() {
-        Ok(ms) if ms >= 0.0 && ms.is_finite() => Ok(span(ms / 1e3)),
-        _ => Err(bad(line)),
-    };
-    let mut whole = end + 2;
-    // What follows a line that ends in a length, and the length of the whole.
-    let mut body = |len: &str| -> io::Result<Option<Buffer>> {
-        let len = usize::try_from(number(len)?).unwrap_or(usize::MAX);
-        if len > MOST_RESULT {
-            return Err(bad(line));
-        }
-        let Some(rest) = bytes.get(whole..whole + len + 2) else { return Ok(None) };
-        let (body, tail) = rest.split_at(len);
-        if tail != b"\r\n" {
-            return Err(bad(line));
-        }
-        whole += len + 2;
-        pool.copy(body).map(Some).ok_or_else(|| bad(line))
-    };
-    let line = match words[..] {
-        ["hi", state @ ("COLD" | "WARM"), ms] => Line::Hi(state == "COLD", millis(ms)?),
-        ["complete", n, id, ended, ms, len] => {
-            let ended = match ended {
-                "OK" => RunEnd::Ok,
-                "ERROR" => RunEnd::Error,
-                "STOPPED" => RunEnd::Stopped,
-                "MOOT" => RunEnd::Moot,
-                _ => return Err(bad(line)),
-            };
-            let (n, took) = (number(n)?, millis(ms)?);
-            let Some(result) = body(len)? else { return Ok(None) };
-            Line::Complete(n, RequestId::new(id), ended, took, result)
-        }
-        ["ask", n, id, len] => {
-            let n = number(n)?;
-            let Some(call) = body(len)? else { return Ok(None) };
-            Line::Ask(n, RequestId::new(id), call)
-        }
-        ["used", tag, ref values @ ..] => {
-            let values: Result<Vec<f64>, _> = values.iter().map(|value| value.parse()).collect();
-            Line::Used(number(tag)?, values.map_err(|_| bad(line))?)
-        }
-        ["reject", "begin", id] => Line::Reject(RequestId::new(id)),
-        ["reject", ..] => Line::Nothing,
-        _ => return Err(bad(line)),
-    };
-    Ok(Some((whole, line)))
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/node/src/processor/lines/tests.rs
@@ -0,0 +1,46 @@
+use super::*;
+
+/// All lines of these bytes, which come in pieces of so many.
+fn lines(bytes: &[u8], piece: usize) -> io::Result<Vec<Line>> {
+    let (mut lines, mut all) = (Lines::new(&Pool::new(1)), Vec::new());
+    let mut left = bytes;
+    while !left.is_empty() {
+        let space = lines.space()?;
+        let len = left.len().min(space.len()).min(piece);
+        space[..len].copy_from_slice(&left[..len]);
+        lines.filled(len);
+        left = &left[len..];
+        while let Some(line) = lines.next()? {
+            all.push(line);
+        }
+    }
+    Ok(all)
+}
+
+/// Guards against a link that falls again and again over the text of a remark.
+#[test]
+fn a_remark_may_hold_anything() {
+    let parsed = parse(b"remark 7 \xff\xfe 12\r\nused 1 0.5\r\n", &Pool::new(1)).expect("a remark");
+    assert!(matches!(parsed, Some((16, Line::Remark(7)))), "{parsed:?}");
+    assert!(parse(b"remark x \r\n", &Pool::new(1)).is_err());
+}
+
+/// Guards against a remark of any length, in pieces of any size, that ends the link or takes the line behind it along.
+#[test]
+fn a_remark_may_be_of_any_length() {
+    for length in (0..3).chain(4_595..4_612).chain([9_200, 70_000]) {
+        for piece in [113, 4_607, 4_608, usize::MAX] {
+            let text = "\rx".repeat(length / 2 + 1);
+            let bytes = format!("remark 7 {}\r\nreject begin r1\r\n", &text[..length]);
+            let lines = lines(bytes.as_bytes(), piece).unwrap_or_else(|e| panic!("{length} by {piece}: {e}"));
+            assert!(
+                matches!(&lines[..], [Line::Remark(7), Line::Reject(_)]),
+                "{length} by {piece}: {lines:?}"
+            );
+        }
+    }
+    // Nothing else may be so long, and a remark has its number.
+    for start in ["remark seven ", "remark ", "used 1 "] {
+        assert!(lines(format!("{start}{}\r\n", "9".repeat(5_000)).as_bytes(), 100).is_err(), "{start}");
+    }
+}
--- a/crates/node/src/processor/tests.rs
+++ b/crates/node/src/processor/tests.rs
@@ -9,11 +9,3 @@
     assert_eq!(next_pause(MOST_RETRY, false, STOOD), RETRY);
     assert_eq!(next_pause(MOST_RETRY, true, young), RETRY);
 }
-
-/// Guards against a link that falls again and again over the text of a remark.
-#[test]
-fn a_remark_may_hold_anything() {
-    let parsed = parse(b"remark 7 \xff\xfe 12\r\nused 1 0.5\r\n", &Pool::new(1)).expect("a remark");
-    assert!(matches!(parsed, Some((16, Line::Remark(7)))), "{parsed:?}");
-    assert!(parse(b"remark x \r\n", &Pool::new(1)).is_err());
-}
