Send commands to the processor that are longer than a buffer in several

Failure as seen on: crates/gradepin/tests/link.rs, a_reply_of_any_length_that_is_taken_reaches_its_run_unchanged, '4577: no answer': a reply of the shared dependency of 4,577 bytes, where up to 4,608 are taken, ended the link in place of reaching its run.

Cause: crates/node/src/processor.rs, Link::command: a command had to fit one pooled buffer with its line ('answer ID 4577' and two line ends are 32 bytes more than the reply), and the link was shut where it did not.

Change: a command takes as many buffers as it needs; they leave in order, as all do.

--- a/crates/gradepin/tests/link.rs
+++ b/crates/gradepin/tests/link.rs
@@ -6,7 +6,10 @@
 use scenario::scripted::{Command, Link, Scripted};
 use scenario::sockets::Sockets;
 use scenario::{Stage, play, thrift};
+use serde_json::json;
 use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 
 /// Longest body and result that the protocol allows.
@@ -69,6 +72,63 @@
     assert_eq!(last, 48, "remarks are notices that were read");
 }
 
+/// A shared dependency that answers each call with so many bytes, by the length that the call's body tells.
+fn dependency() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            thread::spawn(move || serve_calls(socket));
+        }
+    });
+    address
+}
+
+fn serve_calls(socket: TcpStream) {
+    let mut writes = socket.try_clone().expect("a clone");
+    let mut reads = BufReader::new(socket);
+    let (mut line, mut length) = (String::new(), 0);
+    while reads.read_line(&mut line).is_ok_and(|len| len > 0) {
+        if let Some(told) = line.to_lowercase().strip_prefix("content-length: ") {
+            length = told.trim().parse().expect("a length");
+        }
+        if line == "\r\n" {
+            let mut body = vec![0; length];
+            reads.read_exact(&mut body).expect("a body");
+            let reply = vec![b'r'; String::from_utf8(body).expect("a number").parse().expect("a number")];
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", reply.len());
+            let _ = writes.write_all(&[head.as_bytes(), &reply].concat());
+        }
+        line.clear();
+    }
+}
+
+/// Guards against a link that falls over a command longer than a buffer, and over the same command again on each link
+/// after it: a reply that the shared dependency made as long as it may be, with its line.
+#[test]
+fn a_reply_of_any_length_that_is_taken_reaches_its_run_unchanged() {
+    let (processor, dependency) = (Scripted::new(), dependency());
+    let mut stage = processor.server("replies", |config| {
+        config["ledger"] = json!(dependency);
+        config["settings"]["specifics"]["below"] = json!("shared");
+        config["settings"]["specifics"]["calls_by_class"] = json!([true, true]);
+        config["settings"]["specifics"]["calls_out"] = json!(4.0);
+    });
+    let (mut link, _) = processor.greet();
+    play(&mut stage, "expect control Ready");
+    for (n, length) in (1..).zip([0, 1, MOST_RESULT, 4_570, 4_574, 4_575, 4_576, 4_577, 4_607, 4_608]) {
+        call(&mut stage, n, b"in");
+        let id = begins(&mut link, n, b"in");
+        link.tell(&format!("ask {} {id}", 2 * n - 1), length.to_string().as_bytes());
+        let Some(Command::Answer { id: answered, reply }) = link.order() else {
+            panic!("{length}: no answer")
+        };
+        assert_eq!((&answered, reply), (&id, vec![b'r'; length]), "{length}");
+        link.tell(&format!("complete {} {id} OK 5.125", 2 * n), b"out");
+        assert_eq!(result(&mut stage, n), "out");
+    }
+}
+
 /// Numbers that a seed gives, the same on each machine.
 struct Draws(u64);
 
--- a/crates/node/src/processor.rs
+++ b/crates/node/src/processor.rs
@@ -54,15 +54,25 @@
 impl Link {
     /// Adds a command to what leaves with the step. Commands of one step share a write: a write and a wake of a
     /// writing thread for each took a quarter of the server's CPU.
+    ///
+    /// What is longer than a buffer takes several, which leave one behind the other. Guards against a link that is ended
+    /// over such a command: it would be sent again on each link after that, and end all of them.
     fn command(&mut self, pool: &Arc<Pool>, parts: &[&[u8]]) {
         let len: usize = parts.iter().map(|part| part.len()).sum();
         if self.batch.as_ref().is_some_and(|batch| batch.len() + len > SIZE) {
             self.flush();
         }
-        let batch = self.batch.get_or_insert_with(|| pool.take());
-        if !parts.iter().all(|part| batch.extend(part)) {
-            // No front takes a body so long; half a command must not stay on the link.
-            self.out.shut();
+        for part in parts {
+            let mut left = *part;
+            while !left.is_empty() {
+                let batch = self.batch.get_or_insert_with(|| pool.take());
+                let (now, later) = left.split_at(left.len().min(SIZE - batch.len()));
+                batch.extend(now);
+                left = later;
+                if !left.is_empty() {
+                    self.flush();
+                }
+            }
         }
     }
 
