Tell another processor from the one before when its end was read late

Failure as seen on: crates/gradepin/tests/link.rs, a_processor_that_restarts_while_the_server_is_behind_is_served_on: the server, stopped while the processor told its last word, ended and another one started, went on with 'hello 4' ('left: 4, right: 0'). The new processor's notices begin at 1, so its first four results were dropped as known: those requests hang until they are due.

Cause: crates/node/src/processor.rs, Progress::same, and crates/core/src/reducer/link.rs, link_up, each compared the processor's age with the time since the last word was READ, by clocks of their own (the thread's, and the step's, which is later still). Words that wait in the socket while the server is behind make the last word look newer than the other processor's start. Where the two differed the thread said hello 0 and the reducer kept its last number, or the other way round.

Change: core/known_processor.rs decides it once. A greeting is written after its link began to be made and before it is read, which bounds the start from both sides; a processor is another one where its earliest start is past the latest one of the processor before (a second for clocks that are apart), or by the rule until now. The shell tells it as Input::ProcessorRestarted before LinkUp; the reducer no longer guesses. A greeting or word read late makes no other processor, unless the greeting is read later than that one had been up, as until now.

Past::processor_up compares a start with the begin of this process, not with what was read; nothing found there.

Ruled out: runs of the old processor are failed once, and what was never begun with them.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod configuration;
 pub mod handover;
 pub mod keys;
+pub mod known_processor;
 pub mod ledger;
 pub mod messages;
 pub mod moment;
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -94,6 +94,9 @@
     },
     /// The link has ended.
     LinkDown,
+    /// The processor that greets is another one than before: nothing of that one's runs any more, and notices begin at 1
+    /// again. Its [`Input::LinkUp`] follows, on this link or on a later one.
+    ProcessorRestarted,
     /// A run is over: the number of the notice, the request, its end, the time it took and the result.
     Complete {
         /// Number of the notice.
--- a/crates/core/src/reducer/link.rs
+++ b/crates/core/src/reducer/link.rs
@@ -93,10 +93,6 @@
         }
         // It started with this process or after it: nothing of an earlier life runs there.
         self.past.processor_up(now, before(now, age), LEAST_RESTART);
-        if !first && before(now, age) > after(self.link.heard, LEAST_RESTART) {
-            // It has started since it was last heard. A mere pause of the machine makes the greeting old, not young.
-            self.restarted();
-        }
         self.link.heard = now;
         self.link.number = Some(number);
         self.link.open_since = None;
@@ -109,7 +105,8 @@
         }
     }
 
-    /// Another processor: what ran on the one before has no end to wait for, and notices begin at 1 again.
+    /// Another processor: what ran on the one before has no end to wait for, and notices begin at 1 again. It is the shell
+    /// that says so, which goes by the same word for its hello: two answers to one question lost every result.
     pub(super) fn restarted(&mut self) {
         self.log(Level::Warning, "the processor has restarted; its runs are lost".into());
         self.link.last_notice = 0;
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -232,6 +232,7 @@
                 self.registration.processor_silent(self.moment.now);
                 self.link.down();
             }
+            Input::ProcessorRestarted => self.restarted(),
             Input::Complete { notice, id, end, took, result } => {
                 if self.link.notice(notice, self.moment.now) {
                     self.complete(&id, end, took, result);
--- a/crates/gradepin/tests/link.rs
+++ b/crates/gradepin/tests/link.rs
@@ -11,6 +11,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread;
+use std::time::Instant;
 
 /// Longest body and result that the protocol allows.
 const MOST_BODY: usize = 2048;
@@ -340,3 +341,36 @@
         }
     }
 }
+
+/// Guards against a server that takes another processor for the one before because it read the last words of that late: all
+/// that the new one told was taken for known, and no request got its result until it had told as many notices as the old one.
+#[test]
+fn a_processor_that_restarts_while_the_server_is_behind_is_served_on() {
+    let processor = Scripted::new();
+    let mut stage = processor.server("restart-late", |_| ());
+    let (mut link, _) = processor.greet();
+    play(&mut stage, "expect control Ready");
+    for seq in 1..=3 {
+        call(&mut stage, seq, b"in");
+        let id = begins(&mut link, seq, b"in");
+        link.tell(&format!("complete {seq} {id} OK 5.125"), b"out");
+        assert_eq!(result(&mut stage, seq), "out");
+    }
+    call(&mut stage, 4, b"lost");
+    begins(&mut link, 4, b"lost");
+    // What it says last, its end and the start of another all come before the server reads any of it.
+    play(&mut stage, "freeze");
+    link.send(b"remark 4 the last\r\n");
+    link.cut(false);
+    let another = Instant::now();
+    play(&mut stage, "thaw");
+    let (_link, last) = processor.greet_as(|| another.elapsed());
+    assert_eq!(last, 4);
+    let (mut link, last) = processor.greet_as(|| another.elapsed());
+    assert_eq!(last, 0, "the notices of another processor begin at 1");
+    play(&mut stage, "expect a 4 failed");
+    call(&mut stage, 5, b"in");
+    let id = begins(&mut link, 5, b"in");
+    link.tell(&format!("complete 1 {id} OK 5.125"), b"new");
+    assert_eq!(result(&mut stage, 5), "new");
+}
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -9,6 +9,7 @@
 use gradepin_core::admin::AdminCall;
 use gradepin_core::config::Config;
 use gradepin_core::keys::End;
+use gradepin_core::known_processor::KnownProcessor;
 use gradepin_core::messages::{Claim, ConnId, Effect, Input, NameChange, RunEnd};
 use gradepin_core::moment::Moment;
 use gradepin_core::pool::Pool;
@@ -41,6 +42,9 @@
     events: Vec<String>,
     muted: bool,
     link: u64,
+    known: KnownProcessor,
+    /// When the server began to make the link that the processor greets on next; now, if none has ended.
+    connecting: Option<Time>,
     calls: u64,
     /// Whether a file that can be used was told and is not in force yet.
     reloading: bool,
@@ -132,6 +136,8 @@
             events: Vec::new(),
             muted: false,
             link: 0,
+            known: KnownProcessor::default(),
+            connecting: None,
             calls: 0,
             reloading: false,
         }
@@ -215,6 +221,7 @@
             }
             Effect::Usage(_, tag) => {
                 if !self.muted {
+                    self.known.told(Time(self.ms * MS));
                     self.waiting.push(Input::Used(tag, vec![0.5, 2.0, 0.1, 9.0]));
                 }
                 return;
@@ -290,6 +297,10 @@
             ["hi", state, ms] => {
                 self.link += 1;
                 let age = Span(ms.parse::<u64>().expect("ms") * MS);
+                let (now, connecting) = (Time(self.ms * MS), self.connecting.take());
+                if self.known.greets(connecting.unwrap_or(now), now, age) {
+                    self.waiting.push(Input::ProcessorRestarted);
+                }
                 Input::LinkUp { link: self.link, cold: state == "COLD", age }
             }
             ["complete", n, rid, end, ref result @ ..] => Input::Complete {
@@ -314,6 +325,7 @@
             ["unmute"] => return self.muted = false,
             _ => panic!("no line of the processor: {line}"),
         };
+        self.known.told(Time(self.ms * MS));
         self.waiting.push(input);
         self.settle();
     }
@@ -400,7 +412,9 @@
 
     fn close(&mut self, peer: &str) {
         let input = if peer == "processor" { Input::LinkDown } else { Input::Closed(self.conn(peer)) };
-        if peer != "processor" {
+        if peer == "processor" {
+            self.connecting = Some(Time(self.ms * MS));
+        } else {
             self.events.push(format!("{peer} closed"));
         }
         self.waiting.push(input);
--- a/crates/node/src/processor.rs
+++ b/crates/node/src/processor.rs
@@ -4,9 +4,10 @@
 
 use crate::outgoing::Outgoing;
 use crossbeam_channel::{Receiver, Sender, bounded};
-use gradepin_core::messages::{Input, LEAST_RESTART};
+use gradepin_core::known_processor::KnownProcessor;
+use gradepin_core::messages::Input;
 use gradepin_core::pool::{Buffer, Pool, SIZE};
-use gradepin_decisions::{RequestId, Span};
+use gradepin_decisions::{RequestId, Span, Time};
 use lines::{Line, Lines};
 use rustix::io::Errno;
 use slog::{Logger, info, warn};
@@ -27,21 +28,67 @@
 const WRITE_PATIENCE: Duration = Duration::from_secs(5);
 
 /// What is known of the processor across links.
-#[derive(Default)]
 struct Progress {
+    /// The last notice that was read on this link or before, as its hello says.
     last_notice: u64,
-    /// When it last told anything.
-    heard: Option<Instant>,
+    /// The last one that was read before all were to be told again; none while they are not.
+    before_retelling: u64,
+    known: KnownProcessor,
+    /// Times are counted from here, and from [`ORIGIN`].
+    began: Instant,
 }
 
+/// The time at which this process began. It leaves room before that for a processor that started long ago.
+const ORIGIN: u64 = 1 << 62;
+
 impl Progress {
-    /// Whether a processor of this age is the one that told the notices so far: another one has started since
-    /// that was last heard. Its start as such tells nothing: a machine's pause makes the greeting old.
-    fn same(&self, age: Span) -> bool {
-        self.heard.is_none_or(|heard| {
-            u128::from(age.0.saturating_add(LEAST_RESTART.0)) >= heard.elapsed().as_nanos()
-        })
+    fn new() -> Self {
+        let (known, began) = (KnownProcessor::default(), Instant::now());
+        Self { last_notice: 0, before_retelling: 0, known, began }
+    }
+
+    fn now(&self) -> Time {
+        Time(ORIGIN.saturating_add(u64::try_from(self.began.elapsed().as_nanos()).unwrap_or(u64::MAX)))
+    }
+
+    /// The number that the next link begins with.
+    fn hello(&mut self, retell: bool) -> u64 {
+        if retell {
+            self.before_retelling = std::mem::take(&mut self.last_notice);
+        }
+        self.last_notice
     }
+
+    /// A notice was read.
+    fn read(&mut self, notice: u64) {
+        self.last_notice = self.last_notice.max(notice);
+    }
+
+    /// A link has ended. Where the retelling was cut short, what was read before it has been read all the same.
+    fn ended(&mut self) {
+        let before = std::mem::take(&mut self.before_retelling);
+        self.read(before);
+    }
+
+    /// A processor greets on a link that began to be made then; what is to be told of it.
+    fn greeted(&mut self, connecting: Time, age: Span) -> Greeted {
+        if !self.known.greets(connecting, self.now(), age) {
+            return Greeted::Known;
+        }
+        self.before_retelling = 0;
+        if std::mem::take(&mut self.last_notice) == 0 { Greeted::Another } else { Greeted::AnotherUnread }
+    }
+}
+
+/// Who greets on a link.
+#[derive(Debug, PartialEq, Eq)]
+enum Greeted {
+    /// The processor that told the notices so far, or the first.
+    Known,
+    /// Another one, which tells all its notices on this link.
+    Another,
+    /// Another one, which was greeted with a number of the one before: it leaves notices out on this link.
+    AnotherUnread,
 }
 
 /// The link in use: its number, its socket, and the commands of this step.
@@ -193,22 +240,18 @@
     pool: &Arc<Pool>,
     log: &Logger,
 ) {
-    let mut progress = Progress::default();
+    let mut progress = Progress::new();
     let mut pause = RETRY;
     for number in 1.. {
         let locked = || target.lock().unwrap_or_else(PoisonError::into_inner);
-        let (socket, address) = loop {
-            let address = locked().address;
+        let (socket, address, connecting) = loop {
+            let (address, connecting) = (locked().address, progress.now());
             match TcpStream::connect_timeout(&address, CONNECT_PATIENCE) {
-                Ok(socket) => break (socket, address),
+                Ok(socket) => break (socket, address, connecting),
                 Err(_) => drop(hurries.recv_timeout(RETRY)),
             }
         };
-        let known = progress.last_notice;
-        if retell.swap(false, Ordering::SeqCst) {
-            progress.last_notice = 0;
-        }
-        let (before, since) = (progress.last_notice, Instant::now());
+        let (before, since) = (progress.hello(retell.swap(false, Ordering::SeqCst)), Instant::now());
         let ended = start(socket, before, pool).and_then(|out| {
             let mut target = locked();
             if target.address != address {
@@ -216,7 +259,7 @@
             }
             target.link = Some(Link { number, out: Arc::clone(&out), batch: None });
             drop(target);
-            let ended = read(number, &out, &mut progress, inputs, pool);
+            let ended = read(&Made { number, connecting }, &out, &mut progress, inputs, pool);
             out.shut();
             ended
         });
@@ -232,9 +275,7 @@
         if inputs.send(Input::LinkDown).is_err() {
             return;
         }
-        // Where the retelling was cut short, what was read before it has been read all the same.
-        progress.last_notice =
-            if before < known { progress.last_notice.max(known) } else { progress.last_notice };
+        progress.ended();
         pause = next_pause(pause, progress.last_notice != before, since.elapsed());
         if !moved {
             let _ = hurries.recv_timeout(pause);
@@ -248,6 +289,10 @@
     if brought || stood >= STOOD { RETRY } else { (pause * 2).min(MOST_RETRY) }
 }
 
+fn tell(inputs: &Sender<Input>, input: Input) -> io::Result<()> {
+    inputs.send(input).map_err(|_| io::Error::other("the server has ended"))
+}
+
 /// Says hello.
 fn start(socket: TcpStream, last_notice: u64, pool: &Arc<Pool>) -> io::Result<Arc<Outgoing>> {
     socket.set_nodelay(true)?;
@@ -259,8 +304,14 @@
     Ok(out)
 }
 
-fn read(
+/// A link that stands: its number, and when it began to be made.
+struct Made {
     number: u64,
+    connecting: Time,
+}
+
+fn read(
+    made: &Made,
     out: &Outgoing,
     progress: &mut Progress,
     inputs: &Sender<Input>,
@@ -271,33 +322,33 @@
         while let Some(line) = lines.next()? {
             let input = match line {
                 Line::Hi(cold, age) => {
-                    let same = progress.same(age);
-                    progress.heard = Some(Instant::now());
-                    if !same && progress.last_notice > 0 {
-                        // Its notices begin at 1 again, and it was greeted with a later number.
-                        progress.last_notice = 0;
+                    let greeted = progress.greeted(made.connecting, age);
+                    if greeted != Greeted::Known {
+                        tell(inputs, Input::ProcessorRestarted)?;
+                    }
+                    if greeted == Greeted::AnotherUnread {
                         return Err(io::Error::other("the processor has restarted"));
                     }
-                    Input::LinkUp { link: number, cold, age }
+                    Input::LinkUp { link: made.number, cold, age }
                 }
                 Line::Complete(notice, id, end, took, result) => {
-                    progress.last_notice = notice.max(progress.last_notice);
+                    progress.read(notice);
                     Input::Complete { notice, id, end, took, result }
                 }
                 Line::Ask(notice, id, body) => {
-                    progress.last_notice = notice.max(progress.last_notice);
+                    progress.read(notice);
                     Input::Ask { notice, id, body }
                 }
                 Line::Used(tag, values) => Input::Used(tag, values),
                 Line::Reject(id) => Input::Rejected(id),
                 Line::Remark(notice) => {
-                    progress.last_notice = notice.max(progress.last_notice);
+                    progress.read(notice);
                     continue;
                 }
                 Line::Nothing => continue,
             };
-            progress.heard = Some(Instant::now());
-            inputs.send(input).map_err(|_| io::Error::other("the server has ended"))?;
+            progress.known.told(progress.now());
+            tell(inputs, input)?;
         }
         match rustix::io::read(&out.stream, lines.space()?) {
             Ok(0) => return Ok(()),
--- a/crates/node/src/processor/tests.rs
+++ b/crates/node/src/processor/tests.rs
@@ -61,7 +61,7 @@
     processor.begin(1, &RequestId::new("late"), "c", b"never flushed");
     drop(first);
     let mut second = accepted(&listener);
-    while !processor.target.lock().unwrap().link.as_ref().is_some_and(|link| link.number == 2) {
+    while processor.target.lock().unwrap().link.as_ref().is_none_or(|link| link.number != 2) {
         thread::yield_now();
     }
     processor.begin(1, &RequestId::new("late"), "c", b"of the link before");
@@ -71,3 +71,31 @@
     second.read_exact(&mut came).unwrap();
     assert_eq!(&came, b"usage 7\r\n");
 }
+
+/// Guards against results lost of a processor that takes the place of another while that one was to tell all again: it
+/// was greeted with a number of the one before.
+#[test]
+fn a_retelling_that_another_processor_answers_leaves_no_number_of_the_one_before() {
+    let up = Span(10_000_000_000);
+    for another in [false, true] {
+        let mut progress = Progress::new();
+        assert_eq!(progress.greeted(progress.now(), up), Greeted::Known);
+        progress.read(40);
+        progress.ended();
+        assert_eq!(progress.hello(true), 0);
+        let (age, expected, last) = match another {
+            true => (Span(0), Greeted::Another, 3),
+            false => (Span(up.0 * 2), Greeted::Known, 40),
+        };
+        assert_eq!(progress.greeted(progress.now(), age), expected);
+        progress.read(3);
+        progress.ended();
+        assert_eq!(progress.hello(false), last);
+    }
+    let mut progress = Progress::new();
+    assert_eq!(progress.greeted(progress.now(), up), Greeted::Known);
+    progress.read(40);
+    assert_eq!(progress.greeted(progress.now(), Span(0)), Greeted::AnotherUnread);
+    progress.ended();
+    assert_eq!(progress.hello(false), 0);
+}
