Answer a repeat from the run it waits for, and forget it when it leaves

Cause: crates/core/src/keys.rs. Tries that wait for a run were noted by rid under the token, not under the run, and stayed there when they were answered or their callers left (join, ended). So a rid that came again with another request was answered as the repeat it had been (reducer/runs.rs, settle and never_ran; reducer/claims.rs, ran_elsewhere), and a token whose run was replaced past its window, by a request with another body, handed the old run's waiters to the new one.

The end of a replaced run is no longer told to the store or to the other process of an upgrade as that of the token's last run. The tests of keys.rs are in a file of their own, unchanged.

The same shape searched for: sets of ids that outlive their request. Link's unproven and replies are looked up in the books when used and cleared at each end (link.rs, ended); the fleet's waiting calls are checked for an open call (fleet.rs, calls_out); ledger and claims go by running requests (mod.rs, Persisted; claims.rs, told).

--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -46,8 +46,8 @@
     /// The try that holds the entry, and until when.
     holder: Option<(RequestId, Time)>,
     run: Option<Run>,
-    /// Tries to be answered from the run.
-    waiters: Vec<RequestId>,
+    /// Runs before that one, begun again past their window, that go on and that tries wait for yet.
+    replaced: Vec<Run>,
     /// Of the body and the class of its tries.
     print: Print,
 }
@@ -60,6 +60,8 @@
     /// The end of its window here.
     closes: Time,
     end: Option<End>,
+    /// Tries to be answered from it; each is open.
+    waiters: Vec<RequestId>,
     /// What its kept result takes, and the number of the keeping.
     kept: Option<(usize, u64)>,
 }
@@ -158,11 +160,15 @@
     pub fn began(&mut self, token: &Arc<str>, print: Print, id: &RequestId, closes_ms: u64, moment: Moment) {
         let left = Span(closes_ms.saturating_sub(moment.unix_ms).saturating_mul(MS));
         let closes = after(moment.now, left);
-        let run = Run { id: id.clone(), closes_ms, closes, end: None, kept: None };
+        let run = Run { id: id.clone(), closes_ms, closes, end: None, waiters: Vec::new(), kept: None };
         let record = self.entry(token, after(closes, READ_LATE));
         record.print = print;
         let before = record.run.replace(run);
-        self.drop_result(before);
+        match before {
+            // Guards against tries that have the end of another request's run, because their token came again.
+            Some(before) if !before.waiters.is_empty() => record.replaced.push(before),
+            _ => self.drop_result(before),
+        }
     }
 
     fn drop_result(&mut self, run: Option<Run>) {
@@ -196,8 +202,12 @@
     pub fn ended(&mut self, token: &Arc<str>, id: &RequestId, end: Option<End>) -> Vec<RequestId> {
         let (most, keepings) = (self.most, self.keepings + 1);
         let Some(record) = self.get_mut(token) else { return Vec::new() };
+        if let Some(place) = record.replaced.iter().position(|run| run.id == *id) {
+            // Nobody can ask for it any more.
+            return record.replaced.swap_remove(place).waiters;
+        }
         let Some(run) = record.run.as_mut().filter(|run| run.id == *id) else { return Vec::new() };
-        let waiters = std::mem::take(&mut record.waiters);
+        let waiters = std::mem::take(&mut run.waiters);
         let Some(end) = end else {
             record.run = None;
             return waiters;
@@ -230,14 +240,29 @@
 
     /// What a repeat is answered with; none if its run still goes on, and then it waits for that.
     pub fn join(&mut self, token: &str, id: &RequestId) -> Option<End> {
-        let Some(record) = self.get_mut(token) else { return Some(End::Failed) };
-        let Some(run) = &record.run else { return Some(End::Failed) };
+        let run = self.get_mut(token).and_then(|record| record.run.as_mut());
+        let Some(run) = run else { return Some(End::Failed) };
         if run.end.is_none() {
-            record.waiters.push(id.clone());
+            run.waiters.push(id.clone());
         }
         run.end.clone()
     }
 
+    /// A try is open no more, and waits for no run. Guards against a later request under its id that would have the end of
+    /// a run it never asked for.
+    pub fn leave(&mut self, token: &str, id: &RequestId) {
+        if let Some(record) = self.get_mut(token) {
+            for run in record.run.iter_mut().chain(&mut record.replaced) {
+                run.waiters.retain(|waiter| waiter != id);
+            }
+        }
+    }
+
+    /// Whether another run was begun under the token since this one.
+    pub fn is_replaced(&self, token: &str, id: &RequestId) -> bool {
+        self.get(token).and_then(|record| record.run.as_ref()).is_some_and(|run| run.id != *id)
+    }
+
     /// The token of a run of an earlier life whose end was unknown until now.
     pub fn learned(&mut self, id: &RequestId) -> Option<Arc<str>> {
         self.unknown.remove(id)
@@ -289,9 +314,10 @@
             record.holder.take_if(|(_, until)| *until <= now);
             // Guards against runs whose end never comes: kept for good, they would fill the memory.
             let gone = record.run.take_if(|run| run.over() <= now);
+            record.replaced.retain(|run| run.over() > now);
             let holder = record.holder.as_ref().map(|(_, until)| *until);
-            let run = record.run.as_ref().map(Run::over);
-            let look = [holder, run].into_iter().flatten().min();
+            let runs = record.run.iter().chain(&record.replaced).map(Run::over);
+            let look = holder.into_iter().chain(runs).min();
             match look {
                 Some(look) => self.due.insert(look, token),
                 None => drop(part.remove(&token)),
@@ -314,99 +340,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::pool::Pool;
-
-    fn at(ms: u64) -> Moment {
-        Moment { now: Time(ms * MS), unix_ms: 1_000_000 + ms }
-    }
-
-    fn run(keys: &mut Keys, n: usize, end: Option<End>) {
-        let (token, id) = (Arc::from(format!("t{n}")), RequestId::new(&format!("r{n}")));
-        keys.remember(&token, 0, &id, Time(9));
-        keys.began(&token, 0, &id, 1_009_000, at(0));
-        if end.is_some() {
-            keys.ended(&token, &id, end);
-        }
-    }
-
-    fn sweep(keys: &mut Keys, now: Time) {
-        while keys.sweep(now) {}
-    }
-
-    /// Guards against runs whose end never comes: their records stayed for good.
-    #[test]
-    fn nothing_is_kept_for_ever() {
-        let mut keys = Keys::new(10_000);
-        run(&mut keys, 1, None);
-        run(&mut keys, 2, Pool::new(0).exact(b"out").map(|result| End::Served(Arc::new(result))));
-        let late = after(Time(9_000 * MS), Span(READ_LATE.0 + crate::wheel::TICK.0));
-        sweep(&mut keys, late);
-        assert!(keys.len() == 1 && keys.bytes == 0 && keys.kept.is_empty());
-        sweep(&mut keys, after(late, ENDLESS));
-        assert!(keys.is_empty() && keys.parts.iter().all(HashMap::is_empty));
-    }
-
-    /// Guards against kept results that fill the memory. The oldest goes, and its repeats fail.
-    #[test]
-    fn results_take_no_more_than_they_may() {
-        let mut keys = Keys::new(2 * (1000 + BESIDE));
-        for n in 1..=3 {
-            run(&mut keys, n, Pool::new(0).exact(&[7; 1000]).map(|result| End::Served(Arc::new(result))));
-        }
-        assert!(keys.bytes <= keys.most);
-        let mut join = |n: usize| keys.join(&format!("t{n}"), &RequestId::new("again"));
-        assert!(matches!(join(1), Some(End::Failed)));
-        assert!(matches!(join(3), Some(End::Served(result)) if result.len() == 1000));
-    }
-
-    /// Guards against a window that a set clock shortens: a run of an earlier life is found for what was left of its
-    /// window, though the Unix clock says now that it is long past, or far ahead.
-    #[test]
-    fn a_restored_window_goes_by_the_time_that_was_left() {
-        let past = |n: u64, end| Past {
-            token: format!("t{n}"),
-            print: n,
-            id: format!("{n:016x}"),
-            left: Span(8_000 * MS),
-            end,
-        };
-        for unix_ms in [5, 1_000_000, 9_000_000_000] {
-            let (mut keys, pool) = (Keys::new(10_000), Pool::new(0));
-            let moment = Moment { now: Time(77 * MS), unix_ms };
-            keys.restore(past(1, PastEnd::Served(b"out".to_vec())), moment, &pool);
-            keys.restore(past(2, PastEnd::None), moment, &pool);
-            assert!(keys.ran("t1", unix_ms + 7_999) && !keys.ran("t1", unix_ms + 8_000));
-            assert!(matches!(keys.join("t1", &RequestId::new("x")), Some(End::Served(_))));
-            assert!(keys.join("t2", &RequestId::new("y")).is_none(), "the processor may still tell");
-            assert_eq!(keys.give_up(), [RequestId::new("y")]);
-            assert!(matches!(keys.join("t2", &RequestId::new("z")), Some(End::Unknown)));
-        }
-    }
-
-    /// Guards against a run that is left out when all is written anew, whatever its token: it would run again after a crash.
-    #[test]
-    fn all_that_is_known_is_told() {
-        let mut keys = Keys::new(10_000);
-        run(&mut keys, 1, Some(End::Failed));
-        keys.began(&Arc::from(""), 0, &RequestId::new("r"), 1_009_000, at(0));
-        let told: Vec<_> = keys.all_known(Time(0)).into_iter().map(|known| known.token).collect();
-        assert_eq!(told, [Arc::from(""), Arc::from("t1")]);
-    }
-
-    /// Guards against a sweep that looks at everything: a million keys, of which few are due, cost it no more looks.
-    #[test]
-    fn a_sweep_is_bounded() {
-        let mut keys = Keys::new(10_000);
-        for n in 0..100_000 {
-            run(&mut keys, n, Some(End::Failed));
-        }
-        let late = after(Time(9_000 * MS), Span(READ_LATE.0 + crate::wheel::TICK.0));
-        let mut sweeps = 1;
-        while keys.sweep(late) {
-            sweeps += 1;
-        }
-        assert!(keys.is_empty() && sweeps >= 100_000 / SWEEP, "{sweeps}");
-    }
-}
+mod tests;
--- a/crates/core/src/reducer/runs.rs
+++ b/crates/core/src/reducer/runs.rs
@@ -68,18 +68,27 @@
 
     /// A keyed run has its end, or with none never was: it is kept and written, and its repeats are answered.
     pub(super) fn settle(&mut self, token: &Arc<str>, id: &RequestId, end: Option<End>) {
+        let replaced = self.keys.is_replaced(token, id);
         let waiters = self.keys.ended(token, id, end.clone());
-        self.claim_ended(token, end.clone());
-        if end.is_none() {
+        if !replaced {
+            self.told_end(token, id, end.clone());
+        }
+        for waiter in waiters {
+            self.joined(&waiter, end.clone().unwrap_or(End::Failed));
+        }
+    }
+
+    /// The last run of a token has its end: the other process of an upgrade and the store are to know.
+    fn told_end(&mut self, token: &Arc<str>, id: &RequestId, end: Option<End>) {
+        let void = end.is_none();
+        self.claim_ended(token, end);
+        if void {
             self.ledger.void(token, id);
         } else if self.ledger.is_on()
             && let Some(known) = self.keys.known(token, self.moment.now)
         {
             self.ledger.end(known);
         }
-        for waiter in waiters {
-            self.joined(&waiter, end.clone().unwrap_or(End::Failed));
-        }
     }
 
     /// A run that the module began will not be: its intent is not durable. It and its repeats are turned away at once.
