Give the reply to a call only to the run that waits for that call

Failure as seen on: crates/gradepin/tests/calls.rs, a_rid_that_comes_again_is_not_given_the_reply_to_its_call_before, 'expect no processor answer 1: came, in [.. "processor answer 1 of-one"]': the reply that the dependency made for the call of one request went to the run of another one with its rid, while that one's own call was out.

Cause: a call to the shared dependency was known by its request's id alone, from Effect::Call to Input::Called (crates/core/src/reducer/calls.rs, called; crates/node/src/shared_ledger.rs, carry). A call outlives its request where the run was stopped, and the id can come again.

Change: each call has a number that is never used again; its end is taken by the run that waits for just that number.

The same mistake beside it: a fleet's slots were kept by the id too, so two calls out under one id freed one slot (reducer/fleet.rs); two_calls_out_under_one_rid_free_two_slots, with the slots kept by the id: 'the call form-15 never leaves'. Searched further: claims keep their request in the books until they are told; a store's intent may come back for a run that ended with a restart, and repeats at most a begin.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -20,6 +20,9 @@
 /// Names a client connection; never used again.
 pub type ConnId = u64;
 
+/// Names a call to the ledger; never used again. A request may make several, and its id may come again.
+pub type CallNumber = u64;
+
 /// Names a request on its connection.
 pub type SeqId = i32;
 
@@ -123,6 +126,8 @@
     Called {
         /// For which request.
         id: RequestId,
+        /// Which call.
+        number: CallNumber,
         /// How it ended.
         outcome: Outcome,
         /// The reply's body, on `Delivered`.
@@ -203,9 +208,9 @@
     CloseResting(ConnId, u64),
     /// Run a request: on which link, its id, its class and its body.
     Begin(u64, RequestId, Arc<ClassDefinition>, Arc<Buffer>),
-    /// Call the ledger for a request: its id, the body, how long to wait for the reply, and the time after which it must
+    /// Call the ledger for a request: its id, the number of the call, the body, how long to wait for the reply, and the time after which it must
     /// not leave here any more, if there is one.
-    Call(RequestId, Arc<Buffer>, Span, Option<Time>),
+    Call(RequestId, CallNumber, Arc<Buffer>, Span, Option<Time>),
     /// Give a run on a link the reply to its call.
     Reply(u64, RequestId, Arc<Buffer>),
     /// Stop a run on a link.
--- a/crates/core/src/reducer/calls.rs
+++ b/crates/core/src/reducer/calls.rs
@@ -3,7 +3,7 @@
 //! body and the time it went out; how many are out at once is the module's to say.
 
 use super::{MS, Reducer};
-use crate::messages::Effect;
+use crate::messages::{CallNumber, Effect};
 use crate::pool::Buffer;
 use gradepin_decisions::{Event, Outcome, RequestId, Span, Time};
 use slog::Level;
@@ -16,7 +16,7 @@
         self.link.replied(id);
         let Some(open) = self.requests.get_mut(id) else { return };
         open.call = Some(Arc::new(body));
-        open.call_since = None;
+        (open.call_since, open.call_number) = (None, None);
         self.fleet_asks(id, true);
         self.events.push(Event::ReadyToCall(id.clone()));
     }
@@ -37,27 +37,49 @@
         }
     }
 
-    /// A call leaves, with so much time for its reply; past a time it must not leave any more.
-    pub(super) fn make_call(&mut self, id: &RequestId, timeout: Span, leaves: Option<Time>) {
+    /// A call leaves, with so much time for its reply; past a time it must not leave any more. Its number.
+    pub(super) fn make_call(&mut self, id: &RequestId, timeout: Span, leaves: Option<Time>) -> CallNumber {
         let now = self.moment.now;
+        self.calls += 1;
+        let number = self.calls;
         let body = self.requests.get_mut(id).and_then(|open| {
             // What it takes is the ledger's time, not the wait for a slot: the module goes by it.
-            open.call_since = Some(now);
+            (open.call_since, open.call_number) = (Some(now), Some(number));
             open.call.clone()
         });
         if let Some(body) = body {
-            self.effects.push(Effect::Call(id.clone(), body, timeout, leaves));
+            self.effects.push(Effect::Call(id.clone(), number, body, timeout, leaves));
         }
+        number
     }
 
-    /// A call ended. Its reply goes to the run; the module hears how it went.
-    pub(super) fn called(&mut self, id: &RequestId, outcome: Outcome, reply: Option<Buffer>) {
-        let now = self.moment.now;
-        let since = self.requests.get_mut(id).and_then(|open| open.call_since.take());
-        let took = Span(now.0.saturating_sub(since.unwrap_or(now).0));
+    /// A call that was out ended.
+    pub(super) fn called(
+        &mut self,
+        id: &RequestId,
+        number: CallNumber,
+        outcome: Outcome,
+        reply: Option<Buffer>,
+    ) {
         // Its slot is free, whatever became of the request meanwhile.
-        self.fleet_called(id, outcome);
-        let Some(open) = self.requests.get_mut(id).filter(|_| since.is_some()) else { return };
+        self.fleet_called(number, outcome);
+        self.call_ended(id, Some(number), outcome, reply);
+    }
+
+    /// A call ended, or with no number never left. Its reply goes to the run that waits for this call; the module hears how
+    /// it went. Guards against the reply to a request's call that goes to another one under the same id.
+    pub(super) fn call_ended(
+        &mut self,
+        id: &RequestId,
+        number: Option<CallNumber>,
+        outcome: Outcome,
+        reply: Option<Buffer>,
+    ) {
+        let now = self.moment.now;
+        let Some(open) = self.requests.get_mut(id).filter(|open| open.call_number == number) else { return };
+        let Some(since) = open.call_since.take() else { return };
+        open.call_number = None;
+        let took = Span(now.0.saturating_sub(since.0));
         if outcome != Outcome::Delivered {
             let text =
                 format!("a call to the ledger for {} ended {outcome:?} after {} ms", id.0, took.0 / MS);
--- a/crates/core/src/reducer/fleet.rs
+++ b/crates/core/src/reducer/fleet.rs
@@ -7,7 +7,7 @@
 use super::cells::Cells;
 use super::{MS, Reducer};
 use crate::classes::Classes;
-use crate::messages::{Effect, sooner};
+use crate::messages::{CallNumber, Effect, sooner};
 use gradepin_cluster::authentication::{DropReason, Keys};
 use gradepin_cluster::cluster::{
     CallDecision, Cluster, Effect as ClusterEffect, Envelope, FleetView, Severity, Status,
@@ -41,7 +41,7 @@
     cluster: Option<Box<Cluster>>,
     waiting: VecDeque<Waiting>,
     /// Requests whose calls hold a slot, and since when.
-    slots: HashMap<RequestId, Time>,
+    slots: HashMap<CallNumber, Time>,
     /// Runs that asked for a call which the module has not made yet.
     asking: HashSet<RequestId>,
     /// What a run of each class takes, as seen here.
@@ -212,15 +212,15 @@
             let Some(Waiting { id, timeout, until }) = self.fleet.waiting.pop_front() else { return };
             match decision {
                 CallDecision::Proceed(slot) => {
-                    self.fleet.slots.insert(id.clone(), now);
                     let left = Span(until.0 - now.0).min(timeout);
                     let (left, leaves) = match slot {
                         Slot::Own => (left, None),
                         Slot::Borrowed { until, max_call } => (left.min(max_call), Some(until)),
                     };
-                    self.make_call(&id, left, leaves);
+                    let number = self.make_call(&id, left, leaves);
+                    self.fleet.slots.insert(number, now);
                 }
-                CallDecision::Rejected if still => self.called(&id, Outcome::Shed, None),
+                CallDecision::Rejected if still => self.call_ended(&id, None, Outcome::Shed, None),
                 CallDecision::Rejected | CallDecision::Wait => {}
             }
         }
@@ -240,8 +240,8 @@
 
     /// A call has ended; its slot, if it had one, is free. What it took counts from the slot: the ledger has no part in the
     /// wait for one.
-    pub(super) fn fleet_called(&mut self, id: &RequestId, outcome: Outcome) {
-        if let Some(since) = self.fleet.slots.remove(id)
+    pub(super) fn fleet_called(&mut self, number: CallNumber, outcome: Outcome) {
+        if let Some(since) = self.fleet.slots.remove(&number)
             && let Some(cluster) = &mut self.fleet.cluster
         {
             let now = self.moment.now;
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -28,7 +28,7 @@
 use crate::handover::Handover;
 use crate::keys::{End, Keys};
 use crate::ledger::Ledger;
-use crate::messages::{Answer, Effect, Input, RunEnd, sooner};
+use crate::messages::{Answer, CallNumber, Effect, Input, RunEnd, sooner};
 use crate::moment::Moment;
 use crate::pool::Pool;
 use crate::registration::Registration;
@@ -84,6 +84,8 @@
     classes: Classes,
     tenants: Tenants,
     changes: Changes,
+    /// Calls to the ledger made so far.
+    calls: CallNumber,
     /// The drain that operators order at their door, and the figures they scrape.
     door: Door,
     tally: Tally,
@@ -139,6 +141,7 @@
             classes,
             tenants: Tenants::new(tenants),
             changes: Changes::starting(window),
+            calls: 0,
             door: Door::default(),
             tally: Tally::default(),
             events: Vec::new(),
@@ -245,7 +248,7 @@
                     self.asks(&id, body);
                 }
             }
-            Input::Called { id, outcome, reply } => self.called(&id, outcome, reply),
+            Input::Called { id, number, outcome, reply } => self.called(&id, number, outcome, reply),
             Input::Claimed(id, claim) => self.claimed(&id, claim),
             Input::Used(tag, values) => {
                 self.link.heard = self.moment.now;
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -5,7 +5,7 @@
 use super::{MS, Reducer};
 use crate::config::Config;
 use crate::keys::{End, Print};
-use crate::messages::{Answer, Call, ConnId, Effect, Misuse, SeqId};
+use crate::messages::{Answer, Call, CallNumber, ConnId, Effect, Misuse, SeqId};
 use crate::pool::Buffer;
 use gradepin_decisions::{Event, Outcome, Request, RequestId, Span, Time};
 use siphasher::sip::SipHasher13;
@@ -54,9 +54,10 @@
     /// Whether it is the first try of its caller.
     pub(super) first: bool,
     pub(super) body: Arc<Buffer>,
-    /// The call its run waits for, and since when that call is out.
+    /// The call its run waits for, since when that call is to be made or out, and its number once it is out.
     pub(super) call: Option<Arc<Buffer>>,
     pub(super) call_since: Option<Time>,
+    pub(super) call_number: Option<CallNumber>,
 }
 
 impl Open {
@@ -260,6 +261,7 @@
             body: Arc::new(call.body),
             call: None,
             call_since: None,
+            call_number: None,
         };
         self.requests.body_bytes += open.body.len() + BESIDE;
         self.classes.acquire(class);
--- a/crates/gradepin/tests/calls.rs
+++ b/crates/gradepin/tests/calls.rs
@@ -190,3 +190,27 @@
         );
     }
 }
+
+#[test]
+fn a_rid_that_comes_again_is_not_given_the_reply_to_its_call_before() {
+    // Guards against a reply that the dependency made for another request: a call may be out yet when its run is stopped
+    // and its rid comes again, with a call of its own.
+    play(
+        &mut stage(),
+        "send a call 1 rid=1 body=one
+         expect processor begin 1 read one
+         send processor ask 1 1 form-one
+         expect ledger call 1 form-one
+         send processor complete 2 1 STOPPED
+         expect a 1 failed
+         send a call 2 rid=1 body=two
+         expect processor begin 1 read two
+         send processor ask 3 1 form-two
+         wait 300
+         expect ledger call 1 form-two
+         send ledger 1 200 of-one
+         expect no processor answer 1
+         send ledger 1 200 of-two
+         expect processor answer 1 of-two",
+    );
+}
--- a/crates/gradepin/tests/fleet.rs
+++ b/crates/gradepin/tests/fleet.rs
@@ -135,3 +135,51 @@
     let refused = events.iter().filter(|event| event.contains("refused backoff=1000")).count();
     assert!((20..60).contains(&refused), "{refused} of 60 repeats beside no first try");
 }
+
+/// Waits for the call with this body to leave; the module and the fleet may hold it back for a while.
+fn leaves(stage: &mut Virtually, body: &str) {
+    let left = (0..200).any(|_| {
+        stage.wait(20);
+        stage.take(&format!("ledger call 1 {body}")).is_ok()
+    });
+    assert!(left, "the call {body} never leaves");
+}
+
+/// Guards against slots that are never free again: of two calls out under one id, one was given up with its run.
+#[test]
+fn two_calls_out_under_one_rid_free_two_slots() {
+    let mut stage = stage();
+    for n in 0..8 {
+        let [first, second, third, fourth] = [1, 2, 3, 4].map(|k| 4 * n + k);
+        play(
+            &mut stage,
+            &format!(
+                "send a call {first} rid=1 body=one
+                 expect processor begin 1 read one
+                 send processor ask {first} 1 form-{first}"
+            ),
+        );
+        leaves(&mut stage, &format!("form-{first}"));
+        play(
+            &mut stage,
+            &format!(
+                "send processor complete {second} 1 STOPPED
+                 expect a {first} failed
+                 send a call {second} rid=1 body=two
+                 expect processor begin 1 read two
+                 send processor ask {third} 1 form-{third}"
+            ),
+        );
+        leaves(&mut stage, &format!("form-{third}"));
+        play(
+            &mut stage,
+            &format!(
+                "send ledger 1 200 of-{first}
+                 send ledger 1 200 of-{third}
+                 expect processor answer 1 of-{third}
+                 send processor complete {fourth} 1 OK out
+                 expect a {second} served out"
+            ),
+        );
+    }
+}
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -10,7 +10,7 @@
 use gradepin_core::config::Config;
 use gradepin_core::keys::End;
 use gradepin_core::known_processor::KnownProcessor;
-use gradepin_core::messages::{Claim, ConnId, Effect, Input, NameChange, RunEnd};
+use gradepin_core::messages::{CallNumber, Claim, ConnId, Effect, Input, NameChange, RunEnd};
 use gradepin_core::moment::Moment;
 use gradepin_core::pool::Pool;
 use gradepin_core::reducer::{Reducer, lent_share};
@@ -48,6 +48,8 @@
     /// When the server began to make the link that the processor greets on next; now, if none has ended.
     connecting: Option<Time>,
     calls: u64,
+    /// Calls to the ledger that are out, in the order in which they left.
+    calls_out: Vec<(RequestId, CallNumber)>,
     /// Whether a file that can be used was told and is not in force yet.
     reloading: bool,
 }
@@ -142,6 +144,7 @@
             known: KnownProcessor::default(),
             connecting: None,
             calls: 0,
+            calls_out: Vec::new(),
             reloading: false,
         }
     }
@@ -211,7 +214,8 @@
                 let class = &class.profile.name;
                 format!("processor begin {id} {class} {}", String::from_utf8_lossy(&body))
             }
-            Effect::Call(id, body, limit, _) => {
+            Effect::Call(id, number, body, limit, _) => {
+                self.calls_out.push((id.clone(), number));
                 let id = u64::from_str_radix(&id.0, 16).expect("hex");
                 format!("ledger call {id} {} {}", String::from_utf8_lossy(&body), limit.0 / MS)
             }
@@ -399,7 +403,10 @@
         let reply = (outcome == Outcome::Delivered)
             .then(|| self.pool.copy(reply.join(" ").as_bytes()).expect("fits"));
         let id = RequestId::new(&format!("{:016x}", rid.parse::<u64>().expect("a number")));
-        self.waiting.push(Input::Called { id, outcome, reply });
+        // The call for it that left first; one that none left for is told of all the same.
+        let out = self.calls_out.iter().position(|(known, _)| *known == id);
+        let number = out.map_or(0, |place| self.calls_out.remove(place).1);
+        self.waiting.push(Input::Called { id, number, outcome, reply });
         self.settle();
     }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -303,9 +303,10 @@
                     processor.begin(link, &id, &class.profile.name, &body);
                 }
                 Effect::Usage(link, tag) => processor.usage(link, tag),
-                Effect::Call(id, body, limit, leaves) => {
+                Effect::Call(id, number, body, limit, leaves) => {
                     let call = ledger.as_ref();
-                    let call = call.map(|l| l.call(id, &body, limit, leaves.map(|at| clock.instant(at))));
+                    let call =
+                        call.map(|l| l.call((id, number), &body, limit, leaves.map(|at| clock.instant(at))));
                     // In its own queue: this thread must not wait for itself.
                     arrived.extend(call.and_then(Result::err));
                 }
--- a/crates/node/src/shared_ledger.rs
+++ b/crates/node/src/shared_ledger.rs
@@ -11,7 +11,7 @@
 //! | a connection that broke during the call | `Dropped` |
 
 use crossbeam_channel::{Receiver, Sender, bounded};
-use gradepin_core::messages::Input;
+use gradepin_core::messages::{CallNumber, Input};
 use gradepin_core::pool::{Buffer, Pool, SIZE};
 use gradepin_decisions::{Outcome, RequestId, Span};
 use slog::{Logger, warn};
@@ -35,6 +35,7 @@
 /// A call as the threads take it.
 struct Call {
     id: RequestId,
+    number: CallNumber,
     body: Arc<Vec<u8>>,
     limit: Duration,
     until: Instant,
@@ -86,22 +87,23 @@
         *self.url.write().unwrap_or_else(PoisonError::into_inner) = url(address);
     }
 
-    /// Makes a call for a request; never blocks. Where it finds no room, its end is given back at once: put into the
+    /// Makes a call, for a request and under a number; never blocks. Where it finds no room, its end is given back at once: put into the
     /// queue of inputs, a full one, it would have the thread that empties that queue wait for itself.
     /// `leaves` is the time after which it must not leave here any more: a lease that it goes by is over then.
     pub fn call(
         &self,
-        id: RequestId,
+        (id, number): (RequestId, CallNumber),
         body: &[u8],
         limit: Span,
         leaves: Option<Instant>,
     ) -> Result<(), Input> {
         let limit = Duration::from_nanos(limit.0);
         let until = Instant::now() + limit;
-        let call = Call { id, body: Arc::new(body.to_vec()), limit, until, leaves };
+        let call = Call { id, number, body: Arc::new(body.to_vec()), limit, until, leaves };
         self.calls.try_send(call).map_err(|unsent| {
             warn!(self.log, "a call to the ledger found no room; it is turned away unmade");
-            Input::Called { id: unsent.into_inner().id, outcome: Outcome::Shed, reply: None }
+            let Call { id, number, .. } = unsent.into_inner();
+            Input::Called { id, number, outcome: Outcome::Shed, reply: None }
         })
     }
 }
@@ -122,7 +124,7 @@
             Some(_) if call.leaves.is_some_and(|leaves| Instant::now() >= leaves) => (Outcome::Shed, None),
             Some(left) => exchange(agent, &url, &call, left, pool),
         };
-        if inputs.send(Input::Called { id: call.id, outcome, reply }).is_err() {
+        if inputs.send(Input::Called { id: call.id, number: call.number, outcome, reply }).is_err() {
             return;
         }
     }
--- a/crates/node/src/shared_ledger/tests.rs
+++ b/crates/node/src/shared_ledger/tests.rs
@@ -38,7 +38,9 @@
     let log = Logger::root(slog::Discard, slog::o!());
     let ledger = SharedLedger::start(address, 4, inputs, pool, log).unwrap();
     assert!(
-        ledger.call(RequestId::new("00000000000000a1"), b"form", Span(limit_ms * 1_000_000), None).is_ok()
+        ledger
+            .call((RequestId::new("00000000000000a1"), 1), b"form", Span(limit_ms * 1_000_000), None)
+            .is_ok()
     );
     match came.recv_timeout(Duration::from_secs(10)).unwrap() {
         Input::Called { outcome, reply, .. } => (outcome, reply.map(|reply| reply.to_vec())),
@@ -99,7 +101,7 @@
     let (told, tells) = bounded(1);
     thread::spawn(move || {
         let turned_away = (0..QUEUE + 4 + 1).filter_map(|n| {
-            ledger.call(RequestId::new(&format!("{n:016x}")), b"form", Span(60_000_000_000), None).err()
+            ledger.call((RequestId::new(&format!("{n:016x}")), 1), b"form", Span(60_000_000_000), None).err()
         });
         let all = turned_away.collect::<Vec<_>>();
         told.send(all).unwrap();
@@ -135,7 +137,7 @@
     let ledger = SharedLedger::start(address, 4, inputs, Pool::new(4), log).unwrap();
     for n in 0..2 {
         let id = RequestId::new(&format!("{n:016x}"));
-        assert!(ledger.call(id, b"form", Span(10_000_000_000), None).is_ok());
+        assert!(ledger.call((id, n), b"form", Span(10_000_000_000), None).is_ok());
         let came = came.recv_timeout(Duration::from_secs(10)).unwrap();
         assert!(matches!(came, Input::Called { outcome: Outcome::Delivered, .. }), "call {n}");
         closes.recv_timeout(Duration::from_secs(10)).unwrap();
