Hold calls to the shared dependency against replies that are cut or spoilt

No fault was found: shared_ledger/tests.rs, each_call_ends_once_whatever_comes_back, passes on the code as it is. A reply cut at each of its bytes, and 400 replies with bytes changed, left out, doubled or put in (seed 11; chunked, an interim 103, a compressed refusal among them): each call ends once, a cut one as Dropped with nothing for its run, and all threads take calls after that.

--- a/crates/node/src/shared_ledger/tests.rs
+++ b/crates/node/src/shared_ledger/tests.rs
@@ -143,3 +143,97 @@
         closes.recv_timeout(Duration::from_secs(10)).unwrap();
     }
 }
+
+/// Numbers that a seed gives, the same on each machine.
+struct Draws(u64);
+
+impl Draws {
+    fn below(&mut self, bound: usize) -> usize {
+        // Knuth's generator (MMIX); the high bits are the good ones.
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) as usize % bound
+    }
+}
+
+/// A reply with some bytes of it changed, left out, doubled or put in.
+fn spoilt(whole: &[u8], draws: &mut Draws) -> Vec<u8> {
+    let mut reply = whole.to_vec();
+    for _ in 0..=draws.below(4) {
+        let at = draws.below(reply.len().max(1));
+        match draws.below(5) {
+            0 if !reply.is_empty() => reply[at] = draws.below(256) as u8,
+            1 if !reply.is_empty() => drop(reply.remove(at)),
+            2 => reply.insert(at, b"\r\n :0f;\0\xff"[draws.below(9)]),
+            3 => reply.truncate(at.max(1)),
+            _ => reply.extend_from_slice(&whole[at % whole.len()..]),
+        }
+    }
+    reply
+}
+
+/// Guards against a call that never ends, ends twice or takes its thread along, and against a reply cut short that is taken
+/// for a whole one, whatever the ledger sends and wherever that breaks off.
+#[test]
+fn each_call_ends_once_whatever_comes_back() {
+    let whole: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-A: b\r\n\r\nhello\r\n\r\nyou",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n\r\n\r\nyou\r\n0\r\n\r\n",
+        b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.1 503 Busy\r\nX-Untouched: 1\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\nbye",
+    ];
+    let (seed, mut replies) = (11, Vec::new());
+    let mut draws = Draws(seed);
+    replies.extend((0..whole[0].len()).map(|cut| whole[0][..cut].to_vec()));
+    let cuts = replies.len();
+    replies.extend((0..400).map(|n| spoilt(whole[n % 4], &mut draws)));
+    replies.extend((0..8).map(|_| whole[0].to_vec()));
+    let (count, sent) = (replies.len(), replies.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for socket in listener.incoming() {
+            let (mut socket, replies) = (socket.unwrap(), replies.clone());
+            thread::spawn(move || {
+                let (mut head, mut byte) = (Vec::new(), [0]);
+                while !head.ends_with(b"\r\n\r\nform") && socket.read(&mut byte).unwrap_or(0) == 1 {
+                    head.push(byte[0]);
+                }
+                let text = String::from_utf8_lossy(&head).to_lowercase();
+                if let Some((_, id)) = text.split_once("x-txn-ref: ") {
+                    let _ = socket.write_all(&replies[usize::from_str_radix(&id[..16], 16).unwrap()]);
+                }
+            });
+        }
+    });
+    let (inputs, came) = bounded(count);
+    let log = Logger::root(slog::Discard, slog::o!());
+    let ledger = SharedLedger::start(address, 4, inputs, Pool::new(4), log).unwrap();
+    let mut ends = vec![None; count];
+    for n in 0..count {
+        let id = RequestId::new(&format!("{n:016x}"));
+        // In time, however slow the machine: no verdict here hangs on how long a call takes.
+        assert!(ledger.call((id, n as u64), b"form", Span(60_000_000_000), None).is_ok(), "seed {seed}, {n}");
+        let Input::Called { number, outcome, reply, .. } =
+            came.recv_timeout(Duration::from_secs(30)).unwrap_or_else(|_| {
+                panic!(
+                    "seed {seed}: call {n} never ends, answered with {:?}",
+                    String::from_utf8_lossy(&sent[n])
+                )
+            })
+        else {
+            panic!("another input");
+        };
+        assert_eq!(number, n as u64, "seed {seed}");
+        assert_eq!(reply.is_some(), outcome == Outcome::Delivered, "seed {seed}, {n}");
+        let end = (outcome, reply.map(|reply| reply.to_vec()));
+        assert!(ends[n].replace(end).is_none(), "seed {seed}: call {n} ended twice");
+    }
+    assert!(came.try_recv().is_err(), "a call ended twice");
+    for (n, end) in ends.iter().flatten().enumerate() {
+        if n < cuts {
+            assert_eq!(*end, (Outcome::Dropped, None), "cut at byte {n}");
+        } else if n >= count - 8 {
+            assert_eq!(*end, (Outcome::Delivered, Some(b"hello\r\n\r\nyou".to_vec())), "a thread is gone");
+        }
+    }
+}
