Let no keyed request run again that a reject may not have kept from running

Cause: crates/core/src/reducer/mod.rs, Input::Rejected: each reject counted as proof that the run never was, and settle gave its token free.

Change: reducer/runs.rs, rejected: only where the begin was sent once and may still be unread is the run void; else it has failed, which keeps its token. A reject in its place, before the answer to a question behind it, lets another try run as before (in the test). Searched for the same: MOOT is a notice of its own number and follows no other end of its run; intents that are not durable and claims that are not given come before any begin; a restart of the processor ends its runs as failed.

--- a/crates/core/src/reducer/link.rs
+++ b/crates/core/src/reducer/link.rs
@@ -54,6 +54,11 @@
         self.number.filter(|_| self.settles.is_none())
     }
 
+    /// Whether a run's begin may not have arrived.
+    pub(super) fn is_unproven(&self, id: &RequestId) -> bool {
+        self.unproven.iter().any(|(unproven, _)| unproven == id)
+    }
+
     /// A run has ended: nothing of it is still to arrive.
     pub(super) fn ended(&mut self, id: &RequestId) {
         self.unproven.retain(|(unproven, _)| unproven != id);
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -28,7 +28,7 @@
 use crate::handover::Handover;
 use crate::keys::{End, Keys};
 use crate::ledger::Ledger;
-use crate::messages::{Answer, CallNumber, Effect, Input, RunEnd, sooner};
+use crate::messages::{Answer, CallNumber, Effect, Input, sooner};
 use crate::moment::Moment;
 use crate::pool::Pool;
 use crate::registration::Registration;
@@ -254,10 +254,7 @@
                 self.link.heard = self.moment.now;
                 self.used(tag, &values);
             }
-            Input::Rejected(id) => {
-                self.log(Level::Error, format!("the processor rejected the run of {}", id.0));
-                self.ended(&id, RunEnd::Moot, Span(0), None);
-            }
+            Input::Rejected(id) => self.rejected(&id),
             Input::Paced(conn, pause) => self.conns.paced(conn, after(self.moment.now, pause)),
             Input::Terminate => self.terminate(),
             Input::NotAccepting => self.drain.handover.stopped(),
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -54,6 +54,8 @@
     /// Whether it is the first try of its caller.
     pub(super) first: bool,
     pub(super) body: Arc<Buffer>,
+    /// Times that its run was asked for.
+    pub(super) begins: u32,
     /// The call its run waits for, since when that call is to be made or out, and its number once it is out.
     pub(super) call: Option<Arc<Buffer>>,
     pub(super) call_since: Option<Time>,
@@ -259,6 +261,7 @@
             state: State::Held,
             owed: true,
             body: Arc::new(call.body),
+            begins: 0,
             call: None,
             call_since: None,
             call_number: None,
--- a/crates/core/src/reducer/runs.rs
+++ b/crates/core/src/reducer/runs.rs
@@ -8,6 +8,7 @@
 use crate::messages::{Answer, Effect, RunEnd};
 use crate::pool::Buffer;
 use gradepin_decisions::{Event, Outcome, RequestId, Span};
+use slog::Level;
 use std::sync::Arc;
 
 impl Reducer {
@@ -44,9 +45,21 @@
             self.tally.relayed();
             let class = Arc::clone(self.classes.get(open.class));
             self.effects.push(Effect::Begin(link, id.clone(), class, Arc::clone(&open.body)));
+            if let Some(open) = self.requests.get_mut(id) {
+                open.begins = open.begins.saturating_add(1);
+            }
         }
     }
 
+    /// A begin was not carried out. Where it was the only one, and nothing tells that it was read before, its run never
+    /// was. Guards against an effect twice: any other may have begun, and must not run again under its token.
+    pub(super) fn rejected(&mut self, id: &RequestId) {
+        self.log(Level::Error, format!("the processor rejected the run of {}", id.0));
+        let once = self.requests.running(id).is_some_and(|open| open.begins == 1);
+        let end = if once && self.link.is_unproven(id) { RunEnd::Moot } else { RunEnd::Error };
+        self.ended(id, end, Span(0), None);
+    }
+
     pub(super) fn complete(&mut self, id: &RequestId, end: RunEnd, took: Span, result: Buffer) {
         let result = Arc::new(result);
         if !self.requests.contains(id) {
--- a/crates/gradepin/tests/repeats.rs
+++ b/crates/gradepin/tests/repeats.rs
@@ -91,3 +91,44 @@
          expect d 1 served others",
     );
 }
+
+#[test]
+fn a_reject_makes_no_run_that_may_have_begun_run_again() {
+    // Guards against an effect twice: a run that the processor is known to have read, or was asked for twice, counted as
+    // never begun when a reject came for its id, and the next try under its token ran beside it.
+    for begun in [
+        "send a call 1 rid=1 method=claim token=t
+         expect processor begin 1
+         wait 300",
+        "send processor mute
+         send a call 1 rid=1 method=claim token=t
+         expect processor begin 1
+         close processor
+         send processor unmute
+         send processor hi WARM 1000
+         expect processor begin 1",
+    ] {
+        play(
+            &mut Virtually::up(),
+            &format!(
+                "{begun}
+                 send processor reject 1
+                 expect a 1 failed
+                 send b call 1 rid=2 method=claim token=t again=1
+                 expect b 1 failed
+                 expect no processor begin"
+            ),
+        );
+    }
+    // One that was asked for once, with no answer since, never began: another try may.
+    play(
+        &mut Virtually::up(),
+        "send processor mute
+         send a call 1 rid=1 method=claim token=t
+         expect processor begin 1
+         send processor reject 1
+         expect a 1 failed
+         send b call 1 rid=2 method=claim token=t again=1
+         expect processor begin 2",
+    );
+}
