Keep the link where the processor tells a gauge that is no number, or none

Failure as seen on: crates/gradepin/tests/link.rs, gauges_that_are_not_told_leave_the_link_as_it_is, 'gauges" ": expected a question or a run, got None': where settings name no gauges, an answer 'used 1 ' with nothing behind its last space ended the link, and so did the answer on each link after that. The same code turned away '-' and any other word that is no number.

Change: processor/lines.rs: such a gauge is not told, and the module goes by its own books. Searched for the same: all other words of the processor's lines are needed for what they tell, and a line without them is an error still.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -133,7 +133,7 @@
         /// The reply's body, on `Delivered`.
         reply: Option<Buffer>,
     },
-    /// The gauges in the order of the settings, asked for under this number.
+    /// The gauges in the order of the settings, asked for under this number; no number where one is not told.
     Used(u64, Vec<f64>),
     /// Whose the run of a keyed request is, where two processes of an upgrade share them.
     Claimed(RequestId, Claim),
--- a/crates/gradepin/tests/link.rs
+++ b/crates/gradepin/tests/link.rs
@@ -374,3 +374,35 @@
     link.tell(&format!("complete 1 {id} OK 5.125"), b"new");
     assert_eq!(result(&mut stage, 5), "new");
 }
+
+/// Guards against settings that name no gauges, or others than the processor has: its answers ended the link, and came
+/// again on each one after that.
+#[test]
+fn gauges_that_are_not_told_leave_the_link_as_it_is() {
+    for (n, (gauges, values)) in
+        (1..).zip([(json!([]), ""), (json!([]), " "), (json!(["links", "core_use"]), " - nan")])
+    {
+        let processor = Scripted::new();
+        let mut stage = processor
+            .server(&format!("gauges-{n}"), |config| config["settings"]["specifics"]["gauges"] = gauges);
+        let (mut link, _) = processor.greet();
+        play(&mut stage, "expect control Ready");
+        for seq in 1..=3 {
+            call(&mut stage, seq, b"in");
+            let (mut asked, mut id) = (0, None);
+            while asked < 2 || id.is_none() {
+                match link.command() {
+                    Some(Command::Usage(tag)) => {
+                        link.send(format!("used {tag}{values}\r\n").as_bytes());
+                        asked += 1;
+                    }
+                    Some(Command::Begin { id: begun, .. }) => id = Some(begun),
+                    other => panic!("gauges{values:?}: expected a question or a run, got {other:?}"),
+                }
+            }
+            let id = id.expect("a run");
+            link.tell(&format!("complete {seq} {id} OK 5.125"), b"out");
+            assert_eq!(result(&mut stage, seq), "out");
+        }
+    }
+}
--- a/crates/node/src/processor/lines.rs
+++ b/crates/node/src/processor/lines.rs
@@ -70,7 +70,7 @@
     Complete(u64, RequestId, RunEnd, Span, Buffer),
     /// A run waits for a call: number of the notice, request and body.
     Ask(u64, RequestId, Buffer),
-    /// The gauges, and the question they answer.
+    /// The gauges, NaN where one is not told, and the question they answer.
     Used(u64, Vec<f64>),
     /// A run was not begun.
     Reject(RequestId),
@@ -147,8 +147,10 @@
             Line::Ask(n, RequestId::new(id), call)
         }
         ["used", tag, ref values @ ..] => {
-            let values: Result<Vec<f64>, _> = values.iter().map(|value| value.parse()).collect();
-            Line::Used(number(tag)?, values.map_err(|_| bad(line))?)
+            // One that is no number is not told; the module goes by its own books for it. Guards against a link that falls
+            // over each answer, where the settings name gauges that this processor doesn't have, or none at all.
+            let values = values.iter().map(|value| value.parse().unwrap_or(f64::NAN));
+            Line::Used(number(tag)?, values.collect())
         }
         ["reject", "begin", id] => Line::Reject(RequestId::new(id)),
         ["reject", ..] => Line::Nothing,
