Hold greetings that come late, twice or behind notices against the answers

Requests are turned away and health is bad until the first greeting; a notice before a greeting and once more behind it is applied once; rejects of unknown ids and an answer to no question do nothing.

--- a/crates/gradepin/tests/link.rs
+++ b/crates/gradepin/tests/link.rs
@@ -406,3 +406,33 @@
         }
     }
 }
+
+/// Guards against a server that waits for its processor with requests unanswered, and against runs lost or doubled where a
+/// greeting comes late, comes twice or comes behind what it should come before.
+#[test]
+fn a_greeting_may_be_late_and_may_come_again() {
+    let processor = Scripted::new();
+    let mut stage = processor.server("greetings", |_| ());
+    let mut link = processor.accept();
+    assert_eq!(link.command(), Some(Command::Hello(0)));
+    play(&mut stage, "send h health 1\nexpect h 1 bad\nsend a call 1 rid=1 budget=60000\nexpect a 1 refused");
+    let greeting = || format!("hi COLD {}\r\n", processor.age().as_millis()).into_bytes();
+    link.send(&greeting());
+    play(&mut stage, "expect control Ready");
+    call(&mut stage, 2, b"in");
+    let id = begins(&mut link, 2, b"in");
+    link.send(&greeting());
+    link.send(b"reject begin ffffffffffffffff\r\nreject interrupt x\r\nused 999999 9 9 9 9\r\n");
+    link.cut(false);
+    // Its notice comes before the greeting of this link, and once more behind it.
+    let mut link = processor.accept();
+    assert_eq!(link.command(), Some(Command::Hello(0)));
+    let notice = format!("complete 1 {id} OK 5.125 3\r\nout\r\n").into_bytes();
+    link.send(&[&notice[..], &greeting(), &notice, &greeting()].concat());
+    assert_eq!(result(&mut stage, 2), "out");
+    call(&mut stage, 3, b"next");
+    let id = begins(&mut link, 3, b"next");
+    link.tell(&format!("complete 2 {id} OK 5.125"), b"");
+    assert_eq!(result(&mut stage, 3), "");
+    play(&mut stage, "expect no a 2\nexpect no a 3");
+}
--- a/crates/gradepin/tests/scenario/scripted.rs
+++ b/crates/gradepin/tests/scenario/scripted.rs
@@ -71,7 +71,12 @@
     /// The server's next link, greeted by the processor that was there from the first; and the number of the last
     /// notice that the server read.
     pub fn greet(&self) -> (Link, u64) {
-        self.greet_as(|| UP + self.began.elapsed())
+        self.greet_as(|| self.age())
+    }
+
+    /// How long ago that processor started.
+    pub fn age(&self) -> Duration {
+        UP + self.began.elapsed()
     }
 
     /// The same by one that says that it started so long ago.
