--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -20,6 +20,9 @@
 /// Names a client connection; never used again.
 pub type ConnId = u64;
 
+/// Names a call to the ledger; never used again. A request may make several, and its id may come again.
+pub type CallNumber = u64;
+
 /// Names a request on its connection.
 pub type SeqId = i32;
 
@@ -94,6 +97,9 @@
     },
     /// The link has ended.
     LinkDown,
+    /// The processor that greets is another one than before: nothing of that one's runs any more, and notices begin at 1
+    /// again. Its [`Input::LinkUp`] follows, on this link or on a later one.
+    ProcessorRestarted,
     /// A run is over: the number of the notice, the request, its end, the time it took and the result.
     Complete {
         /// Number of the notice.
@@ -120,12 +126,14 @@
     Called {
         /// For which request.
         id: RequestId,
+        /// Which call.
+        number: CallNumber,
         /// How it ended.
         outcome: Outcome,
         /// The reply's body, on `Delivered`.
         reply: Option<Buffer>,
     },
-    /// The gauges in the order of the settings, asked for under this number.
+    /// The gauges in the order of the settings, asked for under this number; no number where one is not told.
     Used(u64, Vec<f64>),
     /// Whose the run of a keyed request is, where two processes of an upgrade share them.
     Claimed(RequestId, Claim),
@@ -200,9 +208,9 @@
     CloseResting(ConnId, u64),
     /// Run a request: on which link, its id, its class and its body.
     Begin(u64, RequestId, Arc<ClassDefinition>, Arc<Buffer>),
-    /// Call the ledger for a request: its id, the body, how long to wait for the reply, and the time after which it must
+    /// Call the ledger for a request: its id, the number of the call, the body, how long to wait for the reply, and the time after which it must
     /// not leave here any more, if there is one.
-    Call(RequestId, Arc<Buffer>, Span, Option<Time>),
+    Call(RequestId, CallNumber, Arc<Buffer>, Span, Option<Time>),
     /// Give a run on a link the reply to its call.
     Reply(u64, RequestId, Arc<Buffer>),
     /// Stop a run on a link.
--- a/crates/core/src/reducer/runs.rs
+++ b/crates/core/src/reducer/runs.rs
@@ -8,6 +8,7 @@
 use crate::messages::{Answer, Effect, RunEnd};
 use crate::pool::Buffer;
 use gradepin_decisions::{Event, Outcome, RequestId, Span};
+use slog::Level;
 use std::sync::Arc;
 
 impl Reducer {
@@ -44,9 +45,21 @@
             self.tally.relayed();
             let class = Arc::clone(self.classes.get(open.class));
             self.effects.push(Effect::Begin(link, id.clone(), class, Arc::clone(&open.body)));
+            if let Some(open) = self.requests.get_mut(id) {
+                open.begins = open.begins.saturating_add(1);
+            }
         }
     }
 
+    /// A begin was not carried out. Where it was the only one, and nothing tells that it was read before, its run never
+    /// was. Guards against an effect twice: any other may have begun, and must not run again under its token.
+    pub(super) fn rejected(&mut self, id: &RequestId) {
+        self.log(Level::Error, format!("the processor rejected the run of {}", id.0));
+        let once = self.requests.running(id).is_some_and(|open| open.begins == 1);
+        let end = if once && self.link.is_unproven(id) { RunEnd::Moot } else { RunEnd::Error };
+        self.ended(id, end, Span(0), None);
+    }
+
     pub(super) fn complete(&mut self, id: &RequestId, end: RunEnd, took: Span, result: Buffer) {
         let result = Arc::new(result);
         if !self.requests.contains(id) {
@@ -68,18 +81,27 @@
 
     /// A keyed run has its end, or with none never was: it is kept and written, and its repeats are answered.
     pub(super) fn settle(&mut self, token: &Arc<str>, id: &RequestId, end: Option<End>) {
+        let replaced = self.keys.is_replaced(token, id);
         let waiters = self.keys.ended(token, id, end.clone());
-        self.claim_ended(token, end.clone());
-        if end.is_none() {
+        if !replaced {
+            self.told_end(token, id, end.clone());
+        }
+        for waiter in waiters {
+            self.joined(&waiter, end.clone().unwrap_or(End::Failed));
+        }
+    }
+
+    /// The last run of a token has its end: the other process of an upgrade and the store are to know.
+    fn told_end(&mut self, token: &Arc<str>, id: &RequestId, end: Option<End>) {
+        let void = end.is_none();
+        self.claim_ended(token, end);
+        if void {
             self.ledger.void(token, id);
         } else if self.ledger.is_on()
             && let Some(known) = self.keys.known(token, self.moment.now)
         {
             self.ledger.end(known);
         }
-        for waiter in waiters {
-            self.joined(&waiter, end.clone().unwrap_or(End::Failed));
-        }
     }
 
     /// A run that the module began will not be: its intent is not durable. It and its repeats are turned away at once.
@@ -121,8 +143,10 @@
             self.answer_end(id, answer.clone());
         }
         self.events.push(Event::Completed { id: id.clone(), outcome, took });
-        if outcome != Outcome::Revoked || !self.requests.get(id).is_some_and(|open| open.owed) {
-            self.forget(id);
+        match self.requests.get_mut(id) {
+            // The module answers it. Guards against one that stays in the books for good, as if its run were to end yet.
+            Some(open) if outcome == Outcome::Revoked && open.owed => open.state = State::Stopped,
+            _ => self.forget(id),
         }
         if let Some(token) = token {
             self.settle(&token, id, kept);
--- a/crates/core/tests/slow_start.rs
+++ b/crates/core/tests/slow_start.rs
@@ -106,15 +106,22 @@
         self.runs.clear();
         self.now_ms += DOWN_MS + age_ms.min(1_000);
         (self.started_ms, self.cold, self.notices) = (self.now_ms - age_ms, cold, 0);
-        self.greets();
+        self.greets_as(self.link > 0);
     }
 
     /// The link falls, and the processor greets on another.
     fn greets(&mut self) {
+        self.greets_as(false);
+    }
+
+    /// The same; whether the shell finds that it is another processor than the one before.
+    fn greets_as(&mut self, another: bool) {
         self.link += 1;
         let age = Span((self.now_ms - self.started_ms) * MS);
-        let up = Input::LinkUp { link: self.link, cold: self.cold, age };
-        let inputs = if self.link > 1 { vec![Input::LinkDown, up] } else { vec![up] };
+        let mut inputs = Vec::new();
+        inputs.extend((self.link > 1).then_some(Input::LinkDown));
+        inputs.extend(another.then_some(Input::ProcessorRestarted));
+        inputs.push(Input::LinkUp { link: self.link, cold: self.cold, age });
         self.step(inputs);
     }
 
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -9,7 +9,8 @@
 use gradepin_core::admin::AdminCall;
 use gradepin_core::config::Config;
 use gradepin_core::keys::End;
-use gradepin_core::messages::{Claim, ConnId, Effect, Input, NameChange, RunEnd};
+use gradepin_core::known_processor::KnownProcessor;
+use gradepin_core::messages::{CallNumber, Claim, ConnId, Effect, Input, NameChange, RunEnd};
 use gradepin_core::moment::Moment;
 use gradepin_core::pool::Pool;
 use gradepin_core::reducer::{Reducer, lent_share};
@@ -40,8 +41,15 @@
     waiting: Vec<Input>,
     events: Vec<String>,
     muted: bool,
+    /// Whether inputs wait for others to come with them.
+    held: bool,
     link: u64,
+    known: KnownProcessor,
+    /// When the server began to make the link that the processor greets on next; now, if none has ended.
+    connecting: Option<Time>,
     calls: u64,
+    /// Calls to the ledger that are out, in the order in which they left.
+    calls_out: Vec<(RequestId, CallNumber)>,
     /// Whether a file that can be used was told and is not in force yet.
     reloading: bool,
 }
@@ -146,8 +154,12 @@
             waiting: Vec::new(),
             events: Vec::new(),
             muted: false,
+            held: false,
             link: 0,
+            known: KnownProcessor::default(),
+            connecting: None,
             calls: 0,
+            calls_out: Vec::new(),
             reloading: false,
         }
     }
@@ -157,6 +169,14 @@
         self.unix_off_ms += ms;
     }
 
+    /// Plays these lines of a scenario so that all their inputs come in one step.
+    pub fn in_one_step(&mut self, text: &str) {
+        self.held = true;
+        super::play(self, text);
+        self.held = false;
+        self.settle();
+    }
+
     fn conn(&mut self, name: &str) -> ConnId {
         let place = self.conns.iter().position(|known| known == name).unwrap_or_else(|| {
             self.conns.push(name.to_string());
@@ -168,6 +188,9 @@
 
     /// Steps until nothing more happens at this moment.
     fn settle(&mut self) {
+        if self.held {
+            return;
+        }
         for _ in 0..1000 {
             let moment =
                 Moment { now: Time(self.ms * MS), unix_ms: self.ms.saturating_add_signed(self.unix_off_ms) };
@@ -206,7 +229,8 @@
                 let class = &class.profile.name;
                 format!("processor begin {id} {class} {}", String::from_utf8_lossy(&body))
             }
-            Effect::Call(id, body, limit, _) => {
+            Effect::Call(id, number, body, limit, _) => {
+                self.calls_out.push((id.clone(), number));
                 let id = u64::from_str_radix(&id.0, 16).expect("hex");
                 format!("ledger call {id} {} {}", String::from_utf8_lossy(&body), limit.0 / MS)
             }
@@ -230,6 +254,7 @@
             }
             Effect::Usage(_, tag) => {
                 if !self.muted {
+                    self.known.told(Time(self.ms * MS));
                     self.waiting.push(Input::Used(tag, vec![0.5, 2.0, 0.1, 9.0]));
                 }
                 return;
@@ -305,6 +330,10 @@
             ["hi", state, ms] => {
                 self.link += 1;
                 let age = Span(ms.parse::<u64>().expect("ms") * MS);
+                let (now, connecting) = (Time(self.ms * MS), self.connecting.take());
+                if self.known.greets(connecting.unwrap_or(now), now, age) {
+                    self.waiting.push(Input::ProcessorRestarted);
+                }
                 Input::LinkUp { link: self.link, cold: state == "COLD", age }
             }
             ["complete", n, rid, end, ref result @ ..] => Input::Complete {
@@ -329,6 +358,7 @@
             ["unmute"] => return self.muted = false,
             _ => panic!("no line of the processor: {line}"),
         };
+        self.known.told(Time(self.ms * MS));
         self.waiting.push(input);
         self.settle();
     }
@@ -388,7 +418,10 @@
         let reply = (outcome == Outcome::Delivered)
             .then(|| self.pool.copy(reply.join(" ").as_bytes()).expect("fits"));
         let id = RequestId::new(&format!("{:016x}", rid.parse::<u64>().expect("a number")));
-        self.waiting.push(Input::Called { id, outcome, reply });
+        // The call for it that left first; one that none left for is told of all the same.
+        let out = self.calls_out.iter().position(|(known, _)| *known == id);
+        let number = out.map_or(0, |place| self.calls_out.remove(place).1);
+        self.waiting.push(Input::Called { id, number, outcome, reply });
         self.settle();
     }
 
@@ -415,7 +448,9 @@
 
     fn close(&mut self, peer: &str) {
         let input = if peer == "processor" { Input::LinkDown } else { Input::Closed(self.conn(peer)) };
-        if peer != "processor" {
+        if peer == "processor" {
+            self.connecting = Some(Time(self.ms * MS));
+        } else {
             self.events.push(format!("{peer} closed"));
         }
         self.waiting.push(input);
