Parse settings files in a bounded stack, whatever they hold

Failure as seen on (release build, reload::own_settings_of_any_shape_are_taken_or_turned_down): a process that had started with a settings file ended at SIGHUP with "thread 'reload' has overflowed its stack / fatal runtime error: stack overflow, aborting" (SIGABRT). At the start the same took more (a banner of 30,000 stars, 1,300 levels) and ended in an abort, not in status 1 with a message.

Root cause: the kdl crate's parser calls itself for each level of nesting, for each '*', '/' and run of others in a block comment (commented_block), and behind each error it recovers from (document). node/src/settings/reader.rs handed it any text, on the reload thread with 256 KiB of stack (node/src/reload.rs, STACK).

Change: settings::kdl_text scans the text first: block comments are blanked byte for byte, nesting is bounded by 16, a '}' that closes nothing and a comment without an end are told with line and column, and a text is of 64 KiB at the most. What is left is parsed on a thread whose stack grows with the length of the text: errors that the parser recovers from take up to 577 bytes a byte (measured, release), 4 KiB are given.

Same shape elsewhere: gradepin release (src/fleet.rs) and the kit's experiments parsed KDL directly, and go by the same function now. JSON: serde_json bounds nesting at 128, and no type read on a small thread (configuration on reload, orders and configuration changes at the admin endpoint) nests values without a type; arrays and objects nested 50,000 to 200,000 deep in each place of these ended nothing (release build).

--- a/crates/gradepin/src/fleet.rs
+++ b/crates/gradepin/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::admin_client;
 use clap::{Args, Subcommand};
+use gradepin_node::settings::kdl_text;
 use gradepin_releases::messages::Order;
 use gradepin_releases::record::{Name, Target};
 use gradepin_releases::release::{Kind, Plan, ReleaseOrder, Wave};
@@ -271,7 +272,8 @@
 /// Reads the text of a plan: a node `release` with a name, and in it `program` or `settings` with the version, a `wave` for each
 /// wave, and what else differs from the usual.
 fn parse(text: &str) -> Result<Plan> {
-    let document = KdlDocument::parse(text)?;
+    let document = kdl_text::document(text)
+        .map_err(|problems| problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))?;
     let [node] = document.nodes() else { return Err("expected one release".into()) };
     if node.name().value() != "release" {
         return Err(format!("expected a release, got {}", node.name().value()).into());
--- /dev/null
+++ b/crates/gradepin/tests/program/mod.rs
@@ -0,0 +1,86 @@
+//! The program alone, with nobody at its links: its log, its signals and its end. Waits are upper bounds.
+#![allow(dead_code)]
+
+use crate::scenario::{self, sockets};
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A program with a folder of its own, and the configuration in it.
+pub struct Program {
+    child: Option<Child>,
+    folder: PathBuf,
+    lines: Receiver<String>,
+    seen: Vec<String>,
+}
+
+impl Program {
+    /// A folder with a configuration that differs in something; it is not started yet.
+    pub fn prepared(name: &str, change: impl FnOnce(&mut Value)) -> Self {
+        let folder = std::env::temp_dir().join(format!("gradepin-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let mut config = scenario::config(&sockets::own_address(), "127.0.0.1:9", "127.0.0.1:9");
+        change(&mut config);
+        std::fs::write(folder.join("config.json"), config.to_string()).expect("a file");
+        Self { child: None, folder, lines: channel().1, seen: Vec::new() }
+    }
+
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    pub fn config(&self) -> PathBuf {
+        self.folder.join("config.json")
+    }
+
+    /// Starts it, with more arguments.
+    pub fn run(&mut self, arguments: &[&str]) {
+        let mut program = Command::new(env!("CARGO_BIN_EXE_gradepin"));
+        program.arg("serve").args(arguments).env("GW_CONFIG", self.config()).stderr(Stdio::piped());
+        let mut child = program.spawn().expect("the program starts");
+        let stderr = BufReader::new(child.stderr.take().expect("a pipe"));
+        let (sender, lines) = channel();
+        thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
+        (self.child, self.lines) = (Some(child), lines);
+    }
+
+    /// Waits for a line that holds these words, behind those found before.
+    pub fn line(&mut self, words: &str) -> String {
+        loop {
+            let line = self.lines.recv_timeout(PATIENCE);
+            let Ok(line) = line else {
+                let end = self.child.as_mut().map(|child| child.try_wait());
+                panic!("no '{words}' in {:?}, {end:?}", self.seen);
+            };
+            self.seen.push(line.clone());
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        sockets::kill(self.child.as_ref().expect("it runs"), name);
+    }
+
+    /// Waits for its end; its status.
+    pub fn end(&mut self) -> Option<i32> {
+        self.child.as_mut().expect("it runs").wait().expect("a program").code()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- a/crates/gradepin/tests/reload.rs
+++ b/crates/gradepin/tests/reload.rs
@@ -1,6 +1,8 @@
 //! New settings at SIGHUP: classes added and dropped while requests are open, and files that are turned down whole.
 
+mod program;
 mod scenario;
+use program::Program;
 use scenario::play;
 use scenario::sockets::Sockets;
 use scenario::virtually::Virtually;
@@ -152,3 +154,34 @@
          expect no processor begin",
     );
 }
+
+/// Guards against a process that ends because of what its own settings hold when they are read again: the parser called
+/// itself for each star of a banner, each level of nesting and each error, and took the stack of a small thread.
+#[test]
+fn own_settings_of_any_shape_are_taken_or_turned_down() {
+    const PLAIN: &str = "leave {\n    hold-ms 100\n}\n";
+    let mut program = Program::prepared("kdl", |_| ());
+    let file = program.folder().join("own.kdl");
+    std::fs::write(&file, PLAIN).expect("a file");
+    program.run(&["--settings", file.to_str().expect("a path")]);
+    program.line("serving");
+    let banner = format!("/*{}\n * Taken from http://127.0.0.1/a/b/c\n */\n{PLAIN}", "*".repeat(20_000));
+    std::fs::write(&file, banner).expect("a file");
+    program.signal("HUP");
+    program.line("reloaded: ");
+    for (wrong, told) in [
+        ("a {".repeat(5_000), "line 1, column 51: expected blocks within 16"),
+        (format!("/* {PLAIN}"), "line 1, column 1: expected the end of this comment"),
+        ("}".repeat(5_000), "line 1, column 1: expected no '}'"),
+        (scenario::config("127.0.0.1:1", "127.0.0.1:9", "127.0.0.1:9").to_string(), "own.kdl: line 1, "),
+        (") = ".repeat(5_000), "own.kdl: line 1, "),
+    ] {
+        std::fs::write(&file, wrong).expect("a file");
+        program.signal("HUP");
+        let line = program.line("turned down");
+        assert!(line.contains(told), "{line}");
+    }
+    std::fs::write(&file, PLAIN).expect("a file");
+    program.signal("HUP");
+    program.line("reloaded: ");
+}
--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -6,7 +6,8 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
-use std::path::PathBuf;
+use std::os::fd::AsRawFd;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -50,9 +51,25 @@
 
     /// The same, with so many descriptors and a configuration that differs in something.
     pub fn with(name: &str, descriptors: usize, change: impl FnOnce(&mut serde_json::Value)) -> Self {
-        // An address of its own for each program: a port that was only free a moment ago may be taken.
-        let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-        let address = format!("127.{}.{}.{n}:18443", 64 + (pid >> 8) % 64, pid % 256);
+        Self::launched(name, &own_address(), descriptors, &[], change)
+    }
+
+    /// On a listener that it inherits, which has an address of [`own_address`], with this folder as `$TMPDIR`.
+    pub fn handed(name: &str, listener: &TcpListener, folder: &Path) -> Self {
+        let address = listener.local_addr().expect("an address").to_string();
+        let fd = listener.as_raw_fd().to_string();
+        let variables = [("GW_ACCEPT_FD", fd.as_str()), ("TMPDIR", folder.to_str().expect("a path"))];
+        Self::launched(name, &address, 1024, &variables, |_| ())
+    }
+
+    fn launched(
+        name: &str,
+        address: &str,
+        descriptors: usize,
+        variables: &[(&str, &str)],
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> Self {
+        let address = address.to_string();
         let (sender, receiver) = channel();
         let link = Arc::new(Mutex::new(None));
         let started = Instant::now();
@@ -68,7 +85,7 @@
         let limited = format!("ulimit -n {descriptors} && exec \"$0\" serve");
         let mut program = Command::new("/bin/sh");
         let program = program.args(["-c", &limited, env!("CARGO_BIN_EXE_gradepin")]);
-        let program = program.env("GW_CONFIG", &file).stderr(Stdio::null());
+        let program = program.env("GW_CONFIG", &file).envs(variables.iter().copied()).stderr(Stdio::null());
         let program = program.spawn().expect("the program starts");
         let (conns, gates, held_back) = (HashMap::new(), HashMap::new(), Vec::new());
         let events = Vec::new();
@@ -205,6 +222,12 @@
     }
 }
 
+/// An address of its own for each program: a port that was only free a moment ago may be taken. The next port is free too.
+pub fn own_address() -> String {
+    let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    format!("127.{}.{}.{n}:18443", 64 + (pid >> 8) % 64, pid % 256)
+}
+
 /// A processor and a control plane whose events bear a mark, and the configuration that names them.
 fn parties(
     mark: &str,
--- a/crates/kit/src/model/experiment.rs
+++ b/crates/kit/src/model/experiment.rs
@@ -1,6 +1,7 @@
 //! What is tried, as a KDL file says it: a base, a grid of settings, seeds.
 
 use super::{BadPlan, Plan};
+use gradepin_node::settings::kdl_text;
 use kdl::{KdlDocument, KdlNode, KdlValue};
 use siphasher::sip::SipHasher13;
 use std::hash::Hasher;
@@ -61,8 +62,8 @@
 impl Experiment {
     /// Reads a file's text.
     pub fn parse(text: &str) -> Result<Self, BadExperiment> {
-        let document: KdlDocument = text.parse().map_err(|error: kdl::KdlError| {
-            let told: Vec<String> = error.diagnostics.iter().map(ToString::to_string).collect();
+        let document = kdl_text::document(text).map_err(|problems| {
+            let told: Vec<String> = problems.iter().map(ToString::to_string).collect();
             BadExperiment::Kdl(told.join("; "))
         })?;
         let odd = |expected, got: &str| BadExperiment::Node { expected, got: format!("'{got}'") };
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -6,6 +6,7 @@
 pub mod cluster;
 mod configuration;
 mod council;
+pub mod kdl_text;
 mod live;
 mod reader;
 mod scgi;
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -1,8 +1,8 @@
 //! Takes a KDL document apart, and keeps what is wrong with it.
 
-use super::Problem;
+use super::{Problem, kdl_text};
 use gradepin_decisions::Span;
-use kdl::{KdlDocument, KdlNode, KdlValue};
+use kdl::{KdlNode, KdlValue};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -50,14 +50,8 @@
     fn placed(&self, mut found: Vec<(usize, String)>) -> Vec<Problem> {
         found.sort();
         found.dedup();
-        let place = |offset: usize| {
-            let before = self.text.get(..offset.min(self.text.len())).unwrap_or(self.text);
-            let line = before.matches('\n').count() + 1;
-            let column = before.rsplit('\n').next().unwrap_or("").chars().count() + 1;
-            (line, column)
-        };
         let told = found.into_iter().map(|(offset, what)| {
-            let (line, column) = place(offset);
+            let (line, column) = kdl_text::place(self.text, offset);
             Problem { line, column, what }
         });
         told.collect()
@@ -87,16 +81,10 @@
 impl<'p> Block<'p> {
     /// The whole document; none if it is no KDL.
     pub fn document(text: &str, problems: &'p Problems<'p>) -> Option<Self> {
-        match KdlDocument::parse(text) {
+        match kdl_text::parse(text) {
             Ok(document) => Some(Self::of(document.nodes().to_vec(), 0, problems)),
-            Err(error) => {
-                for one in &error.diagnostics {
-                    let what = one.message.clone().or(one.label.clone()).unwrap_or("expected KDL".into());
-                    problems.add(one.span.offset(), what);
-                }
-                if error.diagnostics.is_empty() {
-                    problems.add(0, "expected KDL");
-                }
+            Err(faults) => {
+                faults.into_iter().for_each(|fault| problems.add(fault.offset, fault.what));
                 None
             }
         }
