Start whatever signals come, addresses are held or $TMPDIR holds

1. starts::a_signal_while_the_configuration_is_read_ends_nothing_and_is_not_lost: SIGHUP, SIGUSR1 or SIGUSR2 while the first configuration was still being read ended the process by the signal (wait status 1, no line in the log). Root cause: signals were registered in node/src/serve.rs:128, after Files::load in gradepin/src/main.rs:120. They are taken before any file is read now; what came early is carried out once the process serves.

2. starts::each_address_that_is_still_held_is_waited_for: "the operators' door on 127.0.0.1:36621: Address already in use (os error 98)", status 1. A process on its way out gives up the clients' address up to 1.5 s before its end (Effect::StopAccepting in core/src/reducer/drain.rs), the operators' and the fleet's addresses with its end; only the clients' was tried again (node/src/serve.rs, listen). Now all are, within the same 10 s and with an ear for SIGTERM: the admin endpoint, the fleet's UDP address, SCGI addresses and paths (node/src/held.rs). The clients' address is taken last, so that whoever connects there is served at once.

3. starts::a_start_whose_folder_cannot_be_used_serves_all_but_keyed_requests, claims::tests::a_folder_that_cannot_be_used_..: on an inherited listener "the folder of keyed runs in $TMPDIR: File exists / Not a directory / expected eight bytes in the file 'salt'", status 1, so with a full, read-only or foreign $TMPDIR no upgrade came up. Root cause: Claims::start opened the folder as a condition of the start. Now the thread tries again every 500 ms; until then a keyed request is refused as never run (the design's rule for claims that can't be made) and all else is served. The salt of the prints is told by Input::RunsShared then, as a store's is by Input::Recovered.

4. claims::tests::the_end_waits_for_no_room_in_a_queue_that_nobody_empties: Claims::close joined the thread while the receiver of the urgent queue still stood and nobody read it, so a thread that waited for room in it was never done and the process hung in its exit (timeout after 20 s without the change). The receiver ends first now.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -151,6 +151,9 @@
     Admin(CallId, AdminCall),
     /// The store was opened, and this is what it held.
     Recovered(Box<Recovered>),
+    /// The folder in which the two processes of an upgrade claim keyed runs can be used from now on; this salt keys the
+    /// prints of both.
+    RunsShared(u64),
     /// All batches for the store up to this one are durable.
     Persisted(u64),
     /// What was written up to this batch can't be relied on, and why. With no batch: the store can't be opened.
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -153,10 +153,12 @@
         self
     }
 
-    /// For a process that shares its keyed runs with the other one of an upgrade; this salt keys the prints of both. Not
-    /// beside a store, which has one owner and a salt of its own.
-    pub fn sharing_runs(mut self, salt: u64) -> Self {
-        (self.claims, self.past.salt) = (Claims::shared(), salt);
+    /// For a process that shares its keyed runs with the other one of an upgrade; this salt keys the prints of both, and is
+    /// told later ([`Input::RunsShared`]) where they can't be shared yet. Not beside a store, which has one owner and a salt
+    /// of its own.
+    pub fn sharing_runs(mut self, salt: Option<u64>) -> Self {
+        self.claims = Claims::shared();
+        self.past.salt = salt.unwrap_or(self.past.salt);
         self
     }
 
@@ -246,6 +248,10 @@
             }
             Input::Called { id, outcome, reply } => self.called(&id, outcome, reply),
             Input::Claimed(id, claim) => self.claimed(&id, claim),
+            Input::RunsShared(salt) => {
+                self.past.salt = salt;
+                self.log(Level::Info, "keyed runs are shared from now on".into());
+            }
             Input::Used(tag, values) => {
                 self.link.heard = self.moment.now;
                 self.used(tag, &values);
--- a/crates/gradepin/src/main.rs
+++ b/crates/gradepin/src/main.rs
@@ -117,6 +117,8 @@
 fn run(command: Command) -> Result<bool, Box<dyn Error>> {
     match command {
         Command::Serve { files, log_format } => {
+            // Before a file is read, which takes its time: until then each signal ends the process.
+            let signals = serve::signals()?;
             let (config, own, files) = files.load()?;
             let format = match log_format {
                 Format::Text => LogFormat::Text,
@@ -124,7 +126,7 @@
             };
             let handed = Handed::from_env()?;
             let log = log::root(&config.name, format);
-            serve::serve(config, own, files, handed, &log)?;
+            serve::serve(config, own, files, handed, signals, &log)?;
             Ok(true)
         }
         Command::Check { files } => {
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -76,7 +76,7 @@
     /// One that shares its keyed runs with the process after it too.
     pub fn sharing() -> Self {
         let mut stage = Self::new();
-        stage.reducer = std::mem::replace(&mut stage.reducer, Self::new().reducer).sharing_runs(7);
+        stage.reducer = std::mem::replace(&mut stage.reducer, Self::new().reducer).sharing_runs(Some(7));
         stage.processor("hi WARM 0");
         stage
     }
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -75,14 +75,13 @@
 }
 
 impl Admin {
-    /// Listens on the address and serves from now on; calls go to the reducer as inputs.
+    /// Serves callers of the listener from now on; calls go to the reducer as inputs.
     pub fn start(
-        address: SocketAddr,
+        listener: TcpListener,
         inputs: Sender<Input>,
         stage: Option<Arc<Stage>>,
         log: Logger,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             inputs,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -32,16 +32,15 @@
 pub type SharedKeys = Arc<RwLock<Keys>>;
 
 impl Peers {
-    /// Listens, and hands in what has a good tag. The queue of `inputs` is the fleet's own: what finds no room there is
+    /// Reads the socket, and hands in what has a good tag. The queue of `inputs` is the fleet's own: what finds no room there is
     /// dropped, so that no flood of datagrams holds back anything else.
     pub fn start(
-        listen: SocketAddr,
+        socket: UdpSocket,
         keys: SharedKeys,
         inputs: Sender<Input>,
         clock: Clock,
         log: Logger,
     ) -> io::Result<Self> {
-        let socket = UdpSocket::bind(listen)?;
         let reads = socket.try_clone()?;
         reads.set_read_timeout(Some(TELL))?;
         let receive = move || receive(&reads, &keys, &inputs, clock);
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::admin::Admin;
 use crate::change::Stage;
-use crate::claims::Claims;
+use crate::claims::{Claims, Place};
 use crate::clock::Clock;
 use crate::configuration_service::{self, ConfigurationService, ConfigurationStartError};
 use crate::control::Control;
@@ -14,6 +14,7 @@
 use crate::fronts::thrift::Thrift;
 use crate::fronts::{Front, Fronts, Listener};
 use crate::handed::{self, Handed, HandedError};
+use crate::held::Held;
 use crate::peers::{Peers, SharedKeys};
 use crate::processor::Processor;
 use crate::registry::Registry;
@@ -39,12 +40,11 @@
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
 use slog::{Level, Logger, error, info, warn};
 use std::hash::{BuildHasher, Hasher, RandomState};
-use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::sync::{Arc, PoisonError, RwLock};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Inputs from clients that may wait for the reducer; more hold their readers back. It is short, so that one who
 /// sends at full speed delays the others by little.
@@ -58,9 +58,6 @@
 const POOL_PART: usize = 16;
 /// How long a start waits for the store to be read before it serves all else; requests wait in the sockets meanwhile.
 const STORE_PATIENCE: Duration = Duration::from_millis(500);
-/// How long an address may be held by another process, which may be on its way out, and how often it is tried again.
-const HELD_PATIENCE: Duration = Duration::from_secs(10);
-const HELD_AGAIN: Duration = Duration::from_millis(50);
 const SIGNAL_STACK: usize = 64 * 1024;
 
 /// Why a server can't start.
@@ -108,21 +105,31 @@
     pub version: String,
 }
 
+impl StartError {
+    /// What the system denies.
+    fn system(what: &str) -> impl FnOnce(std::io::Error) -> Self {
+        let what = what.to_string();
+        move |why| Self::System { what, why }
+    }
+}
+
+/// From here on signals are taken and not acted on by the system: a notice to leave that comes in the middle of a start is
+/// taken as one and ends nothing that already waits in a socket, and an order to read the files again, or to go out of
+/// service, ends no process that is still reading them for the first time.
+pub fn signals() -> Result<Signals, StartError> {
+    Signals::new(&[SIGTERM, SIGHUP, SIGUSR1, SIGUSR2]).map_err(StartError::system("signals"))
+}
+
 /// Serves until the process is told to leave and its time is up.
 pub fn serve(
     mut config: Config,
     own: Own,
     files: Files,
     handed: Handed,
+    signals: Signals,
     log: &Logger,
 ) -> Result<(), StartError> {
-    let failed = |what: &str| {
-        let what = what.to_string();
-        move |why| StartError::System { what, why }
-    };
-    // Before anything listens: a notice to leave that comes in the middle of a start is taken as one, and ends nothing
-    // that already waits in a socket.
-    let signals = Signals::new(&[SIGTERM, SIGHUP, SIGUSR1, SIGUSR2]).map_err(failed("signals"))?;
+    let failed = StartError::system;
     for warning in &own.warnings {
         warn!(log, "an old name in the settings: {}", warning);
     }
@@ -164,21 +171,47 @@
     let shared_folder = handed.shared_folder.as_ref().filter(|_| own.store.is_none());
     let claims = shared_folder.map(|folder| {
         let folder = folder.join(format!("gradepin.{}.keys", config.name));
-        let memory = config.memory(1);
-        Claims::start(folder, seed, memory, window, urgently.clone(), Arc::clone(&pool), log.clone())
+        let place = Place { folder, seed, memory: config.memory(1) };
+        Claims::start(place, window, urgently.clone(), Arc::clone(&pool), log.clone())
     });
-    let claims = claims.transpose().map_err(failed("the folder of keyed runs in $TMPDIR"))?;
+    let claims = claims.transpose().map_err(failed("the thread of keyed runs"))?;
     if let Some(claims) = &claims {
         reducer = reducer.sharing_runs(claims.salt());
     } else if handed.accept_fd.is_some() && own.store.is_none() {
         warn!(log, "no $TMPDIR: keyed runs are not shared with the other process of an upgrade");
     }
+    // Before the clients' addresses, which the process before this one gives up first: whoever connects there is served at
+    // once.
+    let held = Held::new(&signals, log);
+    let door = match config.admin_addr {
+        Some(address) => {
+            match held.taken(&format!("the operators' door on {address}"), || TcpListener::bind(address))? {
+                Some(listener) => Some(listener),
+                None => return Ok(()),
+            }
+        }
+        None => None,
+    };
+    // The second process of an upgrade has the name and the address of the first one.
+    let fleet = own.cluster.as_ref().filter(|_| handed.accept_fd.is_none());
+    if fleet.is_none() && own.cluster.is_some() {
+        warn!(log, "on an inherited listener this server takes no part in the fleet");
+    }
+    let peers_socket = match fleet {
+        Some(set) => match held
+            .taken(&format!("the fleet's address {}", set.listen), || UdpSocket::bind(set.listen))?
+        {
+            Some(socket) => Some(socket),
+            None => return Ok(()),
+        },
+        None => None,
+    };
     let mut control = Control::new(&config.name, config.listen, config.control).map_err(failed("control"))?;
     let thrift: Arc<dyn Front> = Arc::new(Thrift::new(live.clone()));
     let listener = match handed.accept_fd {
         // The platform holds it, and the process before this one may still accept on it.
         Some(fd) => Listener::Shared(handed::listener(fd)?),
-        None => match listen(config.listen, &signals, log)? {
+        None => match held.tcp(config.listen)? {
             Some(listener) => listener,
             None => return Ok(()),
         },
@@ -190,21 +223,16 @@
     let scgi = scgi.map(|routes| Arc::new(Scgi::new(routes, seed)));
     if let (Some(front), Some(set)) = (&scgi, &own.scgi) {
         for &address in &set.listen {
-            let Some(listener) = listen(address, &signals, log)? else { return Ok(()) };
+            let Some(listener) = held.tcp(address)? else { return Ok(()) };
             listeners.push((Arc::clone(front) as Arc<dyn Front>, listener));
         }
         for path in &set.unix {
-            let listener =
-                Listener::unix(path).map_err(failed(&format!("listening on {}", path.display())))?;
+            let what = format!("listening on {}", path.display());
+            let Some(listener) = held.taken(&what, || Listener::unix(path))? else { return Ok(()) };
             listeners.push((Arc::clone(front) as Arc<dyn Front>, listener));
         }
     }
     let (letters_in, letters) = bounded(LETTERS);
-    // The second process of an upgrade has the name and the address of the first one.
-    let fleet = own.cluster.as_ref().filter(|_| handed.accept_fd.is_none());
-    if fleet.is_none() && own.cluster.is_some() {
-        warn!(log, "on an inherited listener this server takes no part in the fleet");
-    }
     let agrees = own.council.as_ref().filter(|_| fleet.is_some());
     let stage = agrees.and_then(|set| set.stage.clone().map(|folder| (folder, set.replace.clone())));
     let stage = stage.map(|(folder, replace)| {
@@ -224,8 +252,8 @@
     }
     let keys = fleet.map(|set| cluster::keys(&set.key_file)).transpose()?;
     let keys = keys.map(|keys| Arc::new(RwLock::new(keys)));
-    let peers = match (fleet, &keys) {
-        (Some(set), Some(keys)) => {
+    let peers = match (fleet, &keys, peers_socket) {
+        (Some(set), Some(keys), Some(socket)) => {
             let settings = fleet_settings(set, &config, read(keys), clock, seed)?;
             let own_life = settings.own.clone();
             reducer = reducer.with_cluster(Cluster::new(settings, clock.read().now));
@@ -246,8 +274,8 @@
                     reducer = reducer.with_configuration(start, clock.read().now);
                 }
             }
-            let peers = Peers::start(set.listen, Arc::clone(keys), letters_in, clock, log.clone());
-            Some(peers.map_err(failed(&format!("the fleet's address {}", set.listen)))?)
+            let peers = Peers::start(socket, Arc::clone(keys), letters_in, clock, log.clone());
+            Some(peers.map_err(failed("the fleet's thread"))?)
         }
         _ => None,
     };
@@ -267,11 +295,8 @@
         // Mostly it takes some milliseconds, and then no keyed request has to be refused for it.
         arrived.extend(urgent.recv_timeout(STORE_PATIENCE).ok());
     }
-    let admin = config.admin_addr.map(|address| {
-        let door = Admin::start(address, urgently.clone(), stage.clone(), log.clone());
-        door.map_err(failed(&format!("the operators' door on {address}")))
-    });
-    let admin = admin.transpose()?;
+    let admin = door.map(|door| Admin::start(door, urgently.clone(), stage.clone(), log.clone()));
+    let admin = admin.transpose().map_err(failed("the operators' door"))?;
     let fronts = Fronts::listen(listeners, config.connections(), inputs, Arc::clone(&pool), log.clone());
     let fronts = fronts.map_err(failed("reading"))?;
     let registry = own.registry.as_ref().map(|set| Registry::start(set, &id, &urgently, log));
@@ -389,7 +414,7 @@
                 Effect::Exit => {
                     info!(log, "leaving");
                     if let Some(claims) = claims {
-                        claims.close();
+                        claims.close(urgent);
                     }
                     return Ok(());
                 }
@@ -416,29 +441,6 @@
     settings.profiles.iter().map(|profile| profile.window).max().unwrap_or_default()
 }
 
-/// Listens on an address; where another process still holds it, tries again until its time is up. None if the notice to
-/// leave came meanwhile.
-fn listen(address: SocketAddr, signals: &Signals, log: &Logger) -> Result<Option<Listener>, StartError> {
-    let start = Instant::now();
-    let mut told = false;
-    loop {
-        match Listener::tcp(address) {
-            Ok(listener) => return Ok(Some(listener)),
-            Err(_) if signals.is_pending(SIGTERM) => {
-                info!(log, "told to leave before anything was served"; "listen" => %address);
-                return Ok(None);
-            }
-            Err(e) if e.kind() == ErrorKind::AddrInUse && start.elapsed() < HELD_PATIENCE => {
-                if !std::mem::replace(&mut told, true) {
-                    warn!(log, "another process holds the address, and it is tried again"; "listen" => %address);
-                }
-                thread::sleep(HELD_AGAIN);
-            }
-            Err(why) => return Err(StartError::System { what: format!("listening on {address}"), why }),
-        }
-    }
-}
-
 /// SIGTERM becomes the notice to leave, SIGUSR1 an operator's order to go out of service and then leave, SIGUSR2 the
 /// order to come back from that. SIGHUP has the configuration read again.
 fn watch_signals(mut signals: Signals, reloads: Reloads, inputs: Sender<Input>) -> std::io::Result<()> {
