Take one descriptor for each caller at the admin endpoint

Failure as seen on (admin::callers_take_no_more_descriptors_than_are_kept_back_for_them, release build): with every client's place taken and 32 callers who sent half a request, "caller 21: Connection reset by peer": closed unanswered, and no descriptor was left for a new link or a file to be read.

Root cause: node/src/admin/mod.rs:126 kept a second descriptor of each caller (try_clone) to be able to cut it off, while core/src/config.rs keeps back 33 for the listener and 32 callers. 32 callers took 65, and the process reached its limit.

Change: the caller's thread and the list share the socket by an Arc.

Same shape searched: try_clone in node: the fleet's socket (one, counted in the 32 kept back), the processor's link (one at a time, the same), signals' pipe (four writers, the same). None is by connection.

--- a/crates/gradepin/tests/admin.rs
+++ b/crates/gradepin/tests/admin.rs
@@ -172,3 +172,35 @@
         assert!(response.is_empty() || response.starts_with("HTTP/1.1 408 "), "{response}");
     }
 }
+
+/// Guards against a door whose callers take more descriptors than are kept back for them: beside clients that hold every
+/// place, callers were dropped unanswered, and so was whatever else needed a descriptor, such as a new link.
+#[test]
+fn callers_take_no_more_descriptors_than_are_kept_back_for_them() {
+    const CALLERS: usize = 32;
+    let mut stage = Sockets::with("door-descriptors", 128, |_| ());
+    play(
+        &mut stage,
+        "expect processor hello 0\nexpect control Ready\nsend admin health\nexpect admin 200 ready",
+    );
+    for n in 0..150 {
+        play(&mut stage, &format!("open i{n}"));
+    }
+    let address: std::net::SocketAddr = stage.address().parse().unwrap();
+    let admin = std::net::SocketAddr::new(address.ip(), address.port() + 1).to_string();
+    let slow: Vec<TcpStream> = (0..CALLERS)
+        .map(|_| {
+            let mut socket = TcpStream::connect(&admin).expect("the door listens");
+            socket.write_all(b"GET /stats HTTP/1.1\r\nHost: a").expect("the door reads");
+            socket
+        })
+        .collect();
+    for (n, mut socket) in slow.into_iter().enumerate() {
+        let mut response = String::new();
+        socket.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        let read = socket.read_to_string(&mut response);
+        assert!(read.is_ok() && response.starts_with("HTTP/1.1 408 "), "caller {n}: {read:?} {response}");
+    }
+    assert!(stage.descriptors() <= 128);
+    play(&mut stage, "send admin health\nexpect admin 200 ready");
+}
--- a/crates/node/src/admin/mod.rs
+++ b/crates/node/src/admin/mod.rs
@@ -39,10 +39,11 @@
 /// Stack of each thread: the buffer is on the heap.
 const STACK: usize = 64 * 1024;
 
-/// A caller being served: its socket, so that it can be cut off, and whether its request is whole.
+/// A caller being served: its socket, shared with its thread so that it takes one descriptor and can be cut off, and
+/// whether its request is whole.
 struct Caller {
     number: u64,
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     whole: Arc<AtomicBool>,
 }
 
@@ -124,7 +125,7 @@
         };
         let number = shared.next.fetch_add(1, Ordering::Relaxed);
         let whole = Arc::new(AtomicBool::new(false));
-        let Ok(kept) = stream.try_clone() else { continue };
+        let stream = Arc::new(stream);
         {
             let mut callers = shared.callers();
             if callers.len() >= MOST_CALLERS {
@@ -134,16 +135,16 @@
                     Some(oldest) => drop(callers.remove(oldest).stream.shutdown(Shutdown::Both)),
                     None => {
                         drop(callers);
-                        respond(stream, &Response::text(503, "too many calls at once\n"), false);
+                        respond(&stream, &Response::text(503, "too many calls at once\n"), false);
                         continue;
                     }
                 }
             }
-            callers.push(Caller { number, stream: kept, whole: Arc::clone(&whole) });
+            callers.push(Caller { number, stream: Arc::clone(&stream), whole: Arc::clone(&whole) });
         }
-        let door = Arc::clone(shared);
+        let (door, served) = (Arc::clone(shared), Arc::clone(&stream));
         let serve = move || {
-            serve(stream, &whole, &door);
+            serve(&served, &whole, &door);
             door.callers().retain(|caller| caller.number != number);
         };
         if let Err(e) = thread::Builder::new().name("admin-call".into()).stack_size(STACK).spawn(serve) {
@@ -154,9 +155,9 @@
 }
 
 /// One connection: a request, its answer, the end.
-fn serve(mut stream: TcpStream, whole: &AtomicBool, shared: &Shared) {
+fn serve(stream: &TcpStream, whole: &AtomicBool, shared: &Shared) {
     let until = Instant::now() + READ_PATIENCE;
-    let (head, body) = match read(&mut stream, until) {
+    let (head, body) = match read(stream, until) {
         Ok(read) => read,
         Err(Some(response)) => return respond(stream, &response, false),
         Err(None) => return,
@@ -179,7 +180,7 @@
 }
 
 /// Reads a whole request, its body too; what to answer instead, if anything.
-fn read(stream: &mut TcpStream, until: Instant) -> Result<(Head, Vec<u8>), Option<Response>> {
+fn read(stream: &TcpStream, until: Instant) -> Result<(Head, Vec<u8>), Option<Response>> {
     let mut bytes = Vec::with_capacity(1024);
     let mut chunk = [0_u8; 1024];
     let head = loop {
@@ -222,7 +223,7 @@
 }
 
 /// Some bytes before the time is up; at the end of the connection or an error nothing is owed.
-fn read_some(stream: &mut TcpStream, until: Instant, chunk: &mut [u8]) -> Result<usize, Option<Response>> {
+fn read_some(mut stream: &TcpStream, until: Instant, chunk: &mut [u8]) -> Result<usize, Option<Response>> {
     let late = || Some(Response::text(408, format!("expected a whole request within {READ_PATIENCE:?}\n")));
     loop {
         let left =
@@ -280,7 +281,7 @@
 }
 
 /// Writes the response and ends the connection once the caller has it.
-fn respond(mut stream: TcpStream, response: &Response, head_only: bool) {
+fn respond(mut stream: &TcpStream, response: &Response, head_only: bool) {
     let _ = stream.set_write_timeout(Some(READ_PATIENCE));
     if stream.write_all(&response.bytes(head_only)).is_err() {
         return;
