End by no limit on the size of files, and with status 1 where nobody reads why

Failures as seen on (starts::a_log_that_nobody_takes_ends_nothing): with a limit on the size of files (ulimit -f) the process ended by SIGXFSZ as soon as its log, on a file, reached it (wait status 25, no message). And where the reader of standard error was gone, an invalid configuration ended with "failed printing to stderr" and status 101, not 1.

Root causes: nothing took SIGXFSZ, whose default action ends the process with a core; any write past the limit sends it (log, claims, store, staged settings). eprintln! in gradepin/src/main.rs panics on EPIPE.

Change: SIGXFSZ is taken with the other signals, so that such a write fails with EFBIG, which each writer handles as it does a full disk; the message is written with writeln! and its result left.

Same shape searched: eprintln! stands nowhere else in the daemon; println! only in commands that serve nothing. SIGPIPE is ignored by the runtime. The log's thread takes EPIPE and EFBIG without a word (ignore_res).

Also: the TERM case of the test of early signals goes by the status; the last line of the log may be lost at the exit.

--- a/crates/gradepin/src/main.rs
+++ b/crates/gradepin/src/main.rs
@@ -17,6 +17,7 @@
 use gradepin_node::{config as configuration, serve};
 use rustix::process::{Pid, Signal, kill_process};
 use std::error::Error;
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use store::StoreCommand;
@@ -204,7 +205,8 @@
         Ok(false) => ExitCode::FAILURE,
         Err(message) => {
             for line in message.to_string().lines() {
-                eprintln!("gradepin: {line}");
+                // The status counts where nobody reads the message: `eprintln!` would panic.
+                let _ = writeln!(std::io::stderr(), "gradepin: {line}");
             }
             let status = message.downcast_ref::<ConfigError>().map(ConfigError::exit_status);
             status.map_or(ExitCode::FAILURE, ExitCode::from)
--- a/crates/gradepin/tests/program/mod.rs
+++ b/crates/gradepin/tests/program/mod.rs
@@ -50,6 +50,13 @@
         (self.child, self.lines) = (Some(child), lines);
     }
 
+    /// Has the shell do something first and then become the program, with its log in another place.
+    pub fn shell(&mut self, first: &str, log: Stdio) {
+        let mut shell = Command::new("/bin/sh");
+        shell.args(["-c", &format!("{first} && exec \"$0\" serve"), env!("CARGO_BIN_EXE_gradepin")]);
+        self.child = Some(shell.env("GW_CONFIG", self.config()).stderr(log).spawn().expect("it starts"));
+    }
+
     /// Waits for a line that holds these words, behind those found before.
     pub fn line(&mut self, words: &str) -> String {
         loop {
--- a/crates/gradepin/tests/starts.rs
+++ b/crates/gradepin/tests/starts.rs
@@ -13,7 +13,7 @@
 use std::os::unix::net::UnixListener;
 use std::process::Command;
 use std::sync::mpsc::channel;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -21,7 +21,7 @@
 /// them for the first time; and against an order lost so. The configuration comes through a pipe that holds the start.
 #[test]
 fn a_signal_while_the_configuration_is_read_ends_nothing_and_is_not_lost() {
-    for (signal, told) in [("HUP", "reloaded: "), ("USR1", "taken out of service"), ("TERM", "leaving")] {
+    for (signal, told) in [("HUP", "reloaded: "), ("USR1", "taken out of service"), ("TERM", "serving")] {
         let mut program =
             Program::prepared(&format!("early-{signal}"), |config| config["stop_ms"] = 0.into());
         let (path, text) = (program.config(), std::fs::read(program.config()).expect("a file"));
@@ -40,6 +40,9 @@
         let _ = pipe.write_all(&text);
         drop(pipe);
         program.line(told);
+        if signal == "TERM" {
+            assert_eq!(program.end(), Some(0), "the notice to leave is taken once it serves");
+        }
     }
 }
 
@@ -131,3 +134,42 @@
     let _ = std::fs::remove_dir_all(folder);
     assert!(served, "a thousand were refused");
 }
+
+/// Guards against a process that ends as its log reaches the limit on the size of files, and against one whose invalid
+/// configuration ends in a panic, because nobody reads the message, and not in status 1.
+#[test]
+fn a_log_that_nobody_takes_ends_nothing() {
+    let mut program = Program::prepared("log", |_| ());
+    let log = program.folder().join("log");
+    // The shell's blocks are of 512 bytes or more.
+    program.shell("ulimit -f 2", std::fs::File::create(&log).expect("a file").into());
+    let start = Instant::now();
+    let refused = |program: &mut Program| {
+        std::fs::write(program.config(), "{").expect("a file");
+        program.signal("HUP");
+        std::thread::sleep(Duration::from_millis(5));
+    };
+    let mut size = 0;
+    // Until a line no longer finds room; the first signals may come before the program takes any.
+    while !std::fs::read_to_string(&log).expect("a file").contains("serving") {
+        assert!(start.elapsed() < PATIENCE, "it never serves");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    for _ in 0..400 {
+        refused(&mut program);
+        let now = std::fs::metadata(&log).expect("a file").len();
+        if now >= 1024 && now == std::mem::replace(&mut size, now) {
+            break;
+        }
+    }
+    refused(&mut program);
+    program.signal("TERM");
+    assert_eq!(program.end(), Some(0));
+
+    let mut program = Program::prepared("unread", |_| ());
+    std::fs::write(program.config(), "{").expect("a file");
+    let (reader, writer) = std::io::pipe().expect("a pipe");
+    drop(reader);
+    program.shell("true", writer.into());
+    assert_eq!(program.end(), Some(1));
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -37,7 +37,7 @@
 use gradepin_decisions::{Below, Settings, Span};
 use gradepin_registry::membership::Membership;
 use gradepin_releases::server_agent::ServerAgent;
-use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2, SIGXFSZ};
 use slog::{Level, Logger, error, info, warn};
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::{TcpListener, UdpSocket};
@@ -115,8 +115,10 @@
 
 /// From here on signals are taken and not acted on by the system: a notice to leave that comes in the middle of a start is
 /// taken as one and ends nothing that already waits in a socket, and an order to read the files again, or to go out of
-/// service, ends no process that is still reading them for the first time.
+/// service, ends no process that is still reading them for the first time. A write past the limit on the size of files, of
+/// the log for one, fails as a write to a full disk does, and ends no process.
 pub fn signals() -> Result<Signals, StartError> {
+    signal_hook::flag::register(SIGXFSZ, Arc::default()).map_err(StartError::system("signals"))?;
     Signals::new(&[SIGTERM, SIGHUP, SIGUSR1, SIGUSR2]).map_err(StartError::system("signals"))
 }
 
