Take no file with the last number for one of a store's

On the server that panic ends the thread 'store' and nobody notices: each keyed request is refused for good. A release build wraps to number 0, which stands before all that was kept.

Root cause: the number after the last file's was taken by `+ 1`, whoever made that file. Writers count from 0, so numbers from 2^63 on are nobody's now, in the one place that reads numbers of names (framing::number_of, of which log.rs and council.rs had copies). Lives and windows are added saturating beside it.

Same shape searched: `+ 1` on what a file tells, in all of crates/store: a head's life, the sum of a frame's clock and window (recovery.rs:135); both need a check sum that holds, and are saturating now.

--- a/crates/store/src/council.rs
+++ b/crates/store/src/council.rs
@@ -79,8 +79,7 @@
 }
 
 fn number_of(name: &str) -> Option<u64> {
-    let digits = name.strip_suffix(SUFFIX).filter(|digits| digits.len() == 16)?;
-    u64::from_str_radix(digits, 16).ok()
+    crate::framing::number_of(name, SUFFIX)
 }
 
 fn sealed(mut bytes: Vec<u8>) -> Vec<u8> {
--- a/crates/store/src/framing.rs
+++ b/crates/store/src/framing.rs
@@ -15,10 +15,13 @@
     bytes.split_last_chunk::<4>().is_some_and(|(bytes, crc)| crc32fast::hash(bytes).to_le_bytes() == *crc)
 }
 
+/// Numbers of files from here on are nobody's: writers count up from 0, and one more must follow each.
+const NUMBERS: u64 = 1 << 63;
+
 /// The number of a file by its name: 16 hex digits and the suffix.
 pub fn number_of(name: &str, suffix: &str) -> Option<u64> {
     let digits = name.strip_suffix(suffix).filter(|digits| digits.len() == 16)?;
-    u64::from_str_radix(digits, 16).ok()
+    u64::from_str_radix(digits, 16).ok().filter(|number| *number < NUMBERS)
 }
 
 /// The crc of a part of a frame, which counts nowhere else.
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -7,6 +7,7 @@
 
 use crate::disk::{Disk, Segment};
 use crate::frame::{self, BadHead, Batch, HEAD, Head, MOST_PAYLOAD, Stored};
+use crate::framing;
 use crate::recovery::{Found, Reading};
 use gradepin_core::keys::READ_LATE;
 use gradepin_core::ledger::Record;
@@ -126,8 +127,7 @@
 
 /// The number of a segment with this name, if it is one.
 pub fn number_of(name: &str) -> Option<u64> {
-    let digits = name.strip_suffix(SUFFIX).filter(|digits| digits.len() == 16)?;
-    u64::from_str_radix(digits, 16).ok()
+    framing::number_of(name, SUFFIX)
 }
 
 /// Reads all segments of a folder in their order; nothing is changed.
@@ -158,7 +158,7 @@
     /// prints if this is the first.
     pub fn open(mut disk: Box<dyn Disk>, limits: Limits, salt: u64) -> Result<(Self, Found), OpenError> {
         let reading = read(&mut *disk, &limits)?;
-        let life = reading.last_life().map_or(0, |life| life + 1);
+        let life = reading.last_life().map_or(0, |life| life.saturating_add(1));
         let salt = reading.salt().unwrap_or(salt);
         let next = reading.segments().iter().map(|segment| segment.number + 1).max().unwrap_or(0);
         let (mut sealed, mut over) = (VecDeque::new(), Vec::new());
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -9,6 +9,7 @@
 use gradepin_core::ledger::{Past, PastEnd, Recovered};
 use gradepin_decisions::Span;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::ops::Bound;
 
 const MS: u64 = 1_000_000;
 
@@ -136,7 +137,8 @@
             seen.records += batch.records.len() as u64;
             seen.last_mono_ms = seen.last_mono_ms.max(batch.mono_ms);
             for record in &batch.records {
-                seen.longest_end_ms = seen.longest_end_ms.max(batch.mono_ms + record.left_ms().unwrap_or(0));
+                seen.longest_end_ms =
+                    seen.longest_end_ms.max(batch.mono_ms.saturating_add(record.left_ms().unwrap_or(0)));
                 seen.anew |= *record == Stored::Anew;
                 self.record(head, batch.mono_ms, record);
             }
@@ -306,7 +308,10 @@
 /// either. Now is the last moment that any life is known to have seen.
 fn left(clocks: &BTreeMap<u64, u64>, life: u64, end_ms: u64) -> Option<Span> {
     let own = clocks.get(&life).copied().unwrap_or(0);
-    let now = clocks.range(life + 1..).map(|(_, last)| *last).fold(own, u64::saturating_add);
+    let now = clocks
+        .range((Bound::Excluded(life), Bound::Unbounded))
+        .map(|(_, last)| *last)
+        .fold(own, u64::saturating_add);
     let late = end_ms.saturating_add(READ_LATE.0 / MS);
     (now < late).then(|| Span(end_ms.saturating_sub(now).saturating_mul(MS)))
 }
