Have a folder of keyed runs for servers of every name

Failure as seen on: on an inherited listener a server with a name of 251 bytes didn't start ("the folder of keyed runs in $TMPDIR: File name too long"), one called `a/b` or `../../x` had its folder in another folder, `x.keys`, shared with whoever is called so, and one with more steps up outside of $TMPDIR. The new test claims::tests::a_folder_is_had_for_every_name fails with the name taken as it is: "a/b: left gradepin.a".

Root cause: node/src/serve.rs:168 made the folder's name of the server's, which may hold any printable character at any length.

Change: a name of more than 64 bytes, or with other than letters, digits, '.', '-' and '_', is told by its digest. All others keep their folder, so that both versions of an upgrade have one.

Same shape searched: the server's name in other paths: staged settings go by digests, the store and the council by the operators' own paths; none.

--- a/crates/node/src/claims/folder.rs
+++ b/crates/node/src/claims/folder.rs
@@ -22,6 +22,9 @@
 const OPEN_MODE: u32 = 0o600;
 const ENDED_MODE: u32 = 0o400;
 
+/// Bytes of a server's name at the most that stand in the folder's name as they are.
+const MAX_PLAIN_NAME: usize = 64;
+
 /// Where the claims are, and whose.
 #[derive(Debug, Clone)]
 pub struct Place {
@@ -33,6 +36,21 @@
     pub memory: usize,
 }
 
+impl Place {
+    /// For a server of this name, below a folder that both processes have. A name that is no plain file name, or too long
+    /// for one, is told by its digest: the folder of a server called `../n1` would stand elsewhere, and one of 250 bytes
+    /// could not be made, so that no keyed run would ever be claimed.
+    pub fn new(shared: &Path, name: &str, seed: u64, memory: usize) -> Self {
+        let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+        let name = if name.len() <= MAX_PLAIN_NAME && name.bytes().all(plain) {
+            name.to_string()
+        } else {
+            blake3::hash(name.as_bytes()).to_hex().to_string()
+        };
+        Self { folder: shared.join(format!("gradepin.{name}.keys")), seed, memory }
+    }
+}
+
 /// The folder, and what of it is this process's own.
 pub(super) struct Files {
     folder: PathBuf,
--- a/crates/node/src/claims/tests.rs
+++ b/crates/node/src/claims/tests.rs
@@ -146,3 +146,22 @@
     assert!(matches!(told.recv_timeout(PATIENCE), Ok(Input::RunsShared(1))));
     assert!(matches!(asked(2), Input::Claimed(_, Claim::Ours)));
 }
+
+/// Guards against a server whose keyed requests are all refused in an upgrade, or claimed outside of the folder, because of
+/// what it is called: each name that a configuration may have has a folder of its own, in the shared one.
+#[test]
+fn a_folder_is_had_for_every_name() {
+    let shared = Folder::new();
+    let names = ["n1", "a/b", "a/c", "../n1", "/", "..", ".", "%s", &"x".repeat(251), &"x".repeat(252)];
+    let mut folders: Vec<PathBuf> = Vec::new();
+    for name in names {
+        let place = Place::new(&shared.0, name, 1, MEMORY);
+        let mut files = Files::open(&place, WINDOW, Pool::new(4)).expect(name);
+        assert_eq!(told(&mut files, "t", 7), "ours", "{name}");
+        assert_eq!(place.folder.parent(), Some(shared.0.as_path()), "{name}");
+        assert!(!folders.contains(&place.folder), "{name}");
+        folders.push(place.folder);
+    }
+    assert_eq!(fs::read_dir(&shared.0).expect("it stands").count(), names.len());
+    assert!(folders[0].ends_with("gradepin.n1.keys"), "the two versions of an upgrade have one folder");
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -172,8 +172,7 @@
     // A store does it alone: it has one owner, and a process refuses keyed requests until it has taken it over.
     let shared_folder = handed.shared_folder.as_ref().filter(|_| own.store.is_none());
     let claims = shared_folder.map(|folder| {
-        let folder = folder.join(format!("gradepin.{}.keys", config.name));
-        let place = Place { folder, seed, memory: config.memory(1) };
+        let place = Place::new(folder, &config.name, seed, config.memory(1));
         Claims::start(place, window, urgently.clone(), Arc::clone(&pool), log.clone())
     });
     let claims = claims.transpose().map_err(failed("the thread of keyed runs"))?;
