Report to a control plane of another address family

Failure as seen on (control::tests::reports_reach_a_control_plane_of_another_family): "it leaves: Network is unreachable"; with the daemon on 127.x and `control` at [::1], "a report could not be sent: Address family not supported by protocol" every 400 ms and no datagram: the server is on nobody's list, for good.

Root cause: node/src/control.rs:19 bound the socket for reports to the host that the server listens on, whatever the family of the address that they go to, and a move (retarget) kept it.

Change: the socket is of the family of the control plane's address, and is made again where a move changes that. A system without the family still starts.

Same shape searched: other sockets bound by one address and used towards another: the fleet's (bound and advertised by one setting); the processor's link and calls to the ledger connect without a bind.

Measured: the test passes (debug build, a machine with IPv6 loopback).

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,12 +1,13 @@
 //! The control plane: reports over UDP that get no answer.
 
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
 
 /// Reports this server's state.
 #[derive(Debug)]
 pub struct Control {
     socket: UdpSocket,
+    from: IpAddr,
     to: SocketAddr,
     name: String,
 }
@@ -14,14 +15,17 @@
 impl Control {
     /// Reports under a name, to an address, from the host that the server listens on.
     pub fn new(name: &str, from: SocketAddr, to: SocketAddr) -> io::Result<Self> {
-        let any = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
-        let socket = UdpSocket::bind((from.ip(), 0)).or_else(|_| UdpSocket::bind(any))?;
-        socket.set_nonblocking(true)?;
-        Ok(Self { socket, to, name: name.to_string() })
+        let from = from.ip();
+        Ok(Self { socket: socket(from, to)?, from, to, name: name.to_string() })
     }
 
     /// Reports to another address from now on.
     pub fn retarget(&mut self, to: SocketAddr) {
+        if to.is_ipv4() != self.to.is_ipv4()
+            && let Ok(socket) = socket(self.from, to)
+        {
+            self.socket = socket;
+        }
         self.to = to;
     }
 
@@ -31,3 +35,18 @@
         self.socket.send_to(format!("lease {} {state}", self.name).as_bytes(), self.to).map(drop)
     }
 }
+
+/// A socket for reports to an address. Guards against one of another family than that, from which no report ever leaves: the
+/// server would be on nobody's list. Where the system has no such family, reports fail and the server serves.
+fn socket(from: IpAddr, to: SocketAddr) -> io::Result<UdpSocket> {
+    let any = if to.is_ipv4() { Ipv4Addr::UNSPECIFIED.into() } else { Ipv6Addr::UNSPECIFIED.into() };
+    let own = if from.is_ipv4() == to.is_ipv4() { from } else { any };
+    let socket = UdpSocket::bind((own, 0))
+        .or_else(|_| UdpSocket::bind((any, 0)))
+        .or_else(|_| UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0)))?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
+#[cfg(test)]
+mod tests;
