Hear each signal though the write of its waking byte was interrupted

The process serves on and never drains or reads its files: it hangs until SIGKILL, with what it was owed.

Root cause: node/src/signals.rs:49 waited for a byte of the self-pipe alone. The handler (signal_hook's low_level::pipe::wake) writes it once and ignores errors, so one EINTR loses the byte, and the flag is looked at only when the next signal comes. A read that ended with EAGAIN ended the thread, and every signal after it was lost.

Change: the thread polls the pipe for 200 ms at the most and looks at the flags then, whatever came; EINTR and EAGAIN end nothing.

Ruled out: the reducer's side (Input::Terminate is sent by a queue, which loses nothing), the bounded queue of reloads (a full one holds files that are read later), SIGHUP and SIGTERM at once.

Same shape searched: other waits that one lost wake would make endless: pipe, eventfd and waker in crates/node (none beside this one; the reader goes by epoll on its sockets with a time limit, all else by crossbeam's queues and condition variables, which wait by futex).

--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -3,12 +3,17 @@
 //! A pipe and not `signal_hook::iterator`, whose self-pipe is a pair of Unix sockets: platforms that allow sockets of
 //! TCP and UDP alone refuse those, and the server would not start.
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::io::Errno;
 use signal_hook::low_level::pipe;
 use std::io::{self, PipeReader, Read};
 use std::os::raw::c_int;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+/// Flags are looked at so often though nothing came through the pipe. Guards against a signal that is never told: its handler may
+/// not try again where the system interrupts its write, and its byte is lost.
+const LOOK_AGAIN: Timespec = Timespec { tv_sec: 0, tv_nsec: 200_000_000 };
 /// Bytes read from the pipe at a time; what is more stays for the next read, and flags tell all the same.
 const DRAIN: usize = 64;
 
@@ -42,13 +47,7 @@
     /// twice meanwhile is told once.
     pub fn wait(&mut self) -> io::Result<Vec<c_int>> {
         loop {
-            let mut bytes = [0_u8; DRAIN];
-            match self.pipe.read(&mut bytes) {
-                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Ok(_) => {}
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
+            self.drain_pipe()?;
             // The pipe is read before the flags, so that a signal that comes in between wakes the next wait.
             let came: Vec<c_int> = self
                 .flags
@@ -61,6 +60,23 @@
             }
         }
     }
+
+    /// Waits for a byte for so long at the most, and takes what there is.
+    fn drain_pipe(&mut self) -> io::Result<()> {
+        let mut pipe = [PollFd::new(&self.pipe, PollFlags::IN)];
+        match poll(&mut pipe, Some(&LOOK_AGAIN)) {
+            Ok(0) | Err(Errno::INTR | Errno::AGAIN) => return Ok(()),
+            Ok(_) => {}
+            Err(e) => return Err(e.into()),
+        }
+        let mut bytes = [0_u8; DRAIN];
+        match self.pipe.read(&mut bytes) {
+            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(_) => Ok(()),
+            Err(e) if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::WouldBlock) => Ok(()),
+            Err(e) => Err(e),
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/node/src/signals/tests.rs
+++ b/crates/node/src/signals/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use signal_hook::consts::{SIGUSR1, SIGUSR2};
+use signal_hook::consts::{SIGUSR1, SIGUSR2, SIGWINCH};
 use signal_hook::low_level::raise;
 
 /// Guards the reload and the planned leave: a signal that comes is told, one that didn't is not, and one that came
@@ -18,6 +18,18 @@
     assert_eq!(came, vec![SIGUSR1, SIGUSR2]);
 }
 
+/// Guards against a process that never hears its notice to leave: the handler's write of the waking byte was interrupted, as
+/// fault injection does to it, so that only the flag tells of the signal.
+#[test]
+fn a_signal_whose_byte_was_lost_is_told_all_the_same() {
+    // One that no other test here raises.
+    let mut signals = Signals::new(&[SIGWINCH]).unwrap();
+    signals.flags[0].1.store(true, Ordering::SeqCst);
+    let (sender, told) = std::sync::mpsc::channel();
+    std::thread::spawn(move || sender.send(signals.wait().unwrap()));
+    assert_eq!(told.recv_timeout(std::time::Duration::from_secs(20)).expect("it is told"), vec![SIGWINCH]);
+}
+
 /// Guards the start on platforms that refuse Unix sockets: what is opened for signals is pipes, no socket.
 #[test]
 fn signals_take_no_socket() {
