--- a/crates/gradepin/src/main.rs
+++ b/crates/gradepin/src/main.rs
@@ -17,6 +17,7 @@
 use gradepin_node::{config as configuration, serve};
 use rustix::process::{Pid, Signal, kill_process};
 use std::error::Error;
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use store::StoreCommand;
@@ -117,6 +118,8 @@
 fn run(command: Command) -> Result<bool, Box<dyn Error>> {
     match command {
         Command::Serve { files, log_format } => {
+            // Before a file is read, which takes its time: until then each signal ends the process.
+            let signals = serve::signals()?;
             let (config, own, files) = files.load()?;
             let format = match log_format {
                 Format::Text => LogFormat::Text,
@@ -124,7 +127,7 @@
             };
             let handed = Handed::from_env()?;
             let log = log::root(&config.name, format);
-            serve::serve(config, own, files, handed, &log)?;
+            serve::serve(config, own, files, handed, signals, &log)?;
             Ok(true)
         }
         Command::Check { files } => {
@@ -202,7 +205,8 @@
         Ok(false) => ExitCode::FAILURE,
         Err(message) => {
             for line in message.to_string().lines() {
-                eprintln!("gradepin: {line}");
+                // The status counts where nobody reads the message: `eprintln!` would panic.
+                let _ = writeln!(std::io::stderr(), "gradepin: {line}");
             }
             let status = message.downcast_ref::<ConfigError>().map(ConfigError::exit_status);
             status.map_or(ExitCode::FAILURE, ExitCode::from)
