Take whole numbers of settings in either JSON form, and tell where a file is wrong

A customer whose tool writes 4000000000.0 or 4e9 for a time, a count or a limit (JSON has one kind of number), or a limit with a part below one, had a server that ended at its start with status 1. - config::tests::what_is_wrong_is_told_with_its_place: `expected a configuration: invalid type: string "soon", expected u64 at line 1 column 245`: no key was named, in a file that is one line for a platform's writer.

Cause: `Span`, the counts of crates/decisions/src/interface.rs (servers, tier, clients_total, n_cores) and stop_ms, sockets and memory_mb of crates/core/src/config.rs were read as integers of serde's own, which take no float whatever its value.

Change: one visitor (decisions/src/numbers.rs) for all of them. Times and limits drop what is below a unit, counts must be whole; negative ones and those past the type are refused with what was expected. The binary forms of stores and datagrams are read as before. core/src/config/place.rs finds the keys that lead to the place that the parser names.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,6 +1,9 @@
 //! The configuration of one tile server, as JSON. Reading the file is the shell's.
 
+mod place;
+
 use crate::classes::{self, NamesError};
+use gradepin_decisions::numbers::whole_part;
 use gradepin_decisions::{BadSettings, Below, Settings};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -23,6 +26,7 @@
     /// Sixteen hex digits for random numbers, new with each start.
     pub seed: String,
     /// Milliseconds from the notice to leave to the stop.
+    #[serde(deserialize_with = "whole_part")]
     pub stop_ms: u64,
     /// Where operators call: health, figures and drains, over HTTP. None: there is no such door.
     #[serde(default)]
@@ -40,9 +44,10 @@
 #[derive(Debug, Clone, Deserialize)]
 pub struct Limits {
     /// Descriptors.
+    #[serde(deserialize_with = "whole_part")]
     pub sockets: usize,
     /// Memory of the process.
-    #[serde(default = "some_memory")]
+    #[serde(default = "some_memory", deserialize_with = "whole_part")]
     pub memory_mb: u64,
 }
 
@@ -71,9 +76,14 @@
 /// Why a configuration can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
-    /// It is no JSON, or not of the form.
-    #[error("expected a configuration: {0}")]
-    Form(#[from] serde_json::Error),
+    /// It is no JSON, or not of the form: where, and what is wrong there.
+    #[error("expected a configuration: {path}: {why}")]
+    Form {
+        /// The keys that lead there.
+        path: String,
+        /// What was expected, and what stands there.
+        why: serde_json::Error,
+    },
     /// The name can't stand in a report.
     #[error("expected a name of printable characters, got '{0}'")]
     Name(String),
@@ -108,7 +118,8 @@
 impl Config {
     /// Reads and checks the text of a file.
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
-        let config: Self = serde_json::from_str(text)?;
+        let config: Self = serde_json::from_str(text)
+            .map_err(|why| ConfigError::Form { path: place::path(text, why.line(), why.column()), why })?;
         config.check()?;
         Ok(config)
     }
--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -38,3 +38,83 @@
     let lending = Config { lends: true, ..calling(4.0, 1024) };
     assert_eq!(lending.calls(), 24);
 }
+
+/// Guards against a customer whose tool writes whole numbers with a point, or with an exponent: its server didn't start.
+#[test]
+fn numbers_are_taken_in_either_form() {
+    let text = r#"{"name": "n", "listen": "127.0.0.1:1", "processor": "127.0.0.1:2", "control": "127.0.0.1:3", "seed": "1",
+        "stop_ms": 3200.0, "limits": {"cores": 0.5, "sockets": 5.12e2, "memory_mb": 96.5}, "settings": {"granularity": 2e6,
+        "servers": 10.0, "tier": 0.0, "customers": [{"name": "t", "quota_rps": 66, "portion": 1}],
+        "profiles": [{"name": "a", "promise": 1600000000.0, "deadline": 4e9, "effect": "by_key", "window": 12075000000.5,
+        "worth": 1}], "limits": {"max_retry_after": 1E9, "retry_after": true},
+        "rules": {"fall": 1.5e9, "tip_multiple": 8, "drain_grace": 0.0, "cold_share": 1},
+        "specifics": {"n_cores": 6.0, "clients_total": 3e0, "memory_kb": 8346, "run_factor": 8}}}"#;
+    let config = Config::parse(text).unwrap();
+    assert_eq!((config.stop_ms, config.limits.sockets, config.limits.memory_mb), (3200, 512, 96));
+    let settings = &config.settings;
+    let profile = &settings.profiles[0];
+    assert_eq!((profile.deadline.0, profile.window.0), (4_000_000_000, 12_075_000_000));
+    assert_eq!((settings.granularity.0, settings.rules.fall.0), (2_000_000, 1_500_000_000));
+    assert_eq!((settings.servers, settings.specifics.n_cores, settings.specifics.clients_total), (10, 6, 3));
+}
+
+/// Guards whoever looks for the mistake in a file of hundreds of classes: the keys that lead there, what was expected and
+/// what stands there are told.
+#[test]
+fn what_is_wrong_is_told_with_its_place() {
+    let good = json!({
+        "name": "n", "listen": "127.0.0.1:1", "processor": "127.0.0.1:2", "control": "127.0.0.1:3", "seed": "1",
+        "stop_ms": 1, "limits": {"sockets": 512}, "settings": {"granularity": 1,
+            "profiles": [{"name": "a", "promise": 1, "deadline": 1, "effect": "once", "worth": 1.0},
+                {"name": "b\\\"{[", "promise": 1, "deadline": 1, "effect": "once", "worth": 1.0}],
+            "rules": {"fall": 1, "tip_multiple": 1.0, "drain_grace": 1},
+            "specifics": {"n_cores": 1, "memory_kb": 1.0, "run_factor": 1.0}}
+    });
+    let wrong = |pointer: &str, value: Value| {
+        let mut changed = good.clone();
+        let (object, key) = pointer.rsplit_once('/').unwrap();
+        let object = changed.pointer_mut(object).unwrap().as_object_mut().unwrap();
+        if value.is_null() {
+            drop(object.remove(key))
+        } else {
+            drop(object.insert(key.into(), value))
+        }
+        // In lines and without: the place is the same.
+        let told = Config::parse(&changed.to_string()).unwrap_err().to_string();
+        let lines = Config::parse(&serde_json::to_string_pretty(&changed).unwrap()).unwrap_err().to_string();
+        let without = |text: &str| text.split(" at line ").next().unwrap().to_string();
+        assert_eq!(without(&told), without(&lines));
+        told
+    };
+    for (pointer, value, parts) in [
+        (
+            "/settings/profiles/1/deadline",
+            json!("soon"),
+            ["settings.profiles[1].deadline: ", "\"soon\"", "expected a number"],
+        ),
+        ("/settings/profiles/1/deadline", json!(-5), ["settings.profiles[1].deadline: ", "`-5`", "from 0"]),
+        ("/settings/rules/fall", Value::Null, ["settings.rules: ", "missing field", "`fall`"]),
+        ("/settings/rules/fall", json!(true), ["settings.rules.fall: ", "`true`", "expected a number"]),
+        (
+            "/settings/specifics/n_cores",
+            json!(1.5),
+            ["settings.specifics.n_cores: ", "1.5", "a whole number"],
+        ),
+        ("/settings/specifics/n_cores", json!(0), ["specifics.n_cores", "above 0", "got 0"]),
+        (
+            "/settings/profiles/0/effect",
+            json!("twice"),
+            ["settings.profiles[0].effect: ", "`twice`", "expected one of"],
+        ),
+        ("/limits/sockets", json!(12), ["limits.sockets", "128 or more", "got 12"]),
+        ("/listen", json!("here"), ["listen: ", "invalid socket address", ""]),
+        ("/stop_ms", Value::Null, ["the top: ", "missing field", "`stop_ms`"]),
+    ] {
+        let told = wrong(pointer, value);
+        assert!(parts.iter().all(|part| told.contains(part)), "{pointer}: {told}");
+    }
+    for text in ["", "{", "[1, 2", "{\"name\": \"n\", \"sto", "\u{feff}{}", "nonsense"] {
+        let told = Config::parse(text).unwrap_err().to_string();
+        assert!(told.starts_with("expected a configuration: "), "{told}");
+    }
+}
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -1,5 +1,6 @@
 //! The types that cross the border of the decision module: settings, events, actions, ids and times.
 
+use crate::numbers::whole as whole_number;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -8,7 +9,7 @@
 pub struct Time(pub u64);
 
 /// A length of time in nanoseconds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize)]
 #[serde(transparent)]
 pub struct Span(pub u64);
 
@@ -57,9 +58,9 @@
     /// The shortest gap between batches.
     pub granularity: Span,
     /// Workers of this tier at this start.
-    #[serde(default = "one")]
+    #[serde(default = "one", deserialize_with = "whole_number")]
     pub servers: u32,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole_number")]
     pub tier: u32,
     pub profiles: Vec<Profile>,
     #[serde(default)]
@@ -354,7 +355,7 @@
     pub calls_out: f64,
     #[serde(default)]
     pub class_skip_worth: Vec<f64>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole_number")]
     pub clients_total: u32,
     /// How long a read's answer may serve others.
     #[serde(default)]
@@ -378,6 +379,7 @@
     #[serde(default)]
     pub list_follows: bool,
     pub memory_kb: f64,
+    #[serde(deserialize_with = "whole_number")]
     pub n_cores: u32,
     #[serde(default)]
     pub passes_deadline: bool,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod choice;
 mod interface;
+pub mod numbers;
 
 pub use choice::{Controller, throttling};
 pub use interface::*;
