Book the module's memory anew at a reload, and bound the stretch of an aim

Seen on, tests written first: - memory_is_booked_anew_when_its_sizes_change: `assertion left == right failed: 0 kB a key, 1 a run, left: ["fills"], right: []`. After a reload that changes kb_per_key or run_factor the module took off another figure for each key and run that ended than it had put on. With smaller ones the rest stayed for good, and a server with nothing open turned requests away for ever; with larger ones the books went below 0 and the memory would have been overfilled. - an_aim_stretches_to_the_deadline_at_the_most: `panicked at crates/decisions/src/choice.rs:302:28: attempt to add with overflow`, with an aim_stretch whose product with a hint of work passes what a time holds.

Cause: `remove`, `drop_key` and `start` book by the settings of the moment, and `set_rest` replaced those alone; `promise + span(stretch)` was a bare sum of two values that the settings give.

Change: `set_rest` books all that is open and kept at the new sizes (`Try::booked`), the one place that knows what a try takes in which state. The sum saturates.

Searched for the same, what is entered by one setting and taken out by another: calls that linger and calls of the averaging span were kept until the end by the old spans; after a reload from hours to seconds a share below one call stayed spent for hours, so both now end by the new spans at the latest. Windows of keys go by entry; the fleet's quotas are told anew. The other sums of times in the module saturate or are of floats.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -89,6 +89,14 @@
     call_fails: u32,
 }
 
+impl Try {
+    /// The memory that it takes as it stands.
+    fn booked(&self, set: &Settings) -> f64 {
+        let held = matches!(self.state, State::Held | State::Joined);
+        if held { self.kb } else { self.kb * set.specifics.run_factor }
+    }
+}
+
 /// What is learnt of the class in a slot; `counts` is 0 where the slot is free.
 #[derive(Debug, Default)]
 struct Class {
@@ -190,7 +198,7 @@
     /// A controller for a worker that starts now.
     pub fn new(mut set: Settings, seed: u64, now: Time) -> Self {
         set.specifics.n_cores = set.specifics.n_cores.max(1);
-        let cores = f64::from(set.specifics.n_cores);
+        let (cores, shared) = (f64::from(set.specifics.n_cores), set.specifics.below == Below::Shared);
         let (set, classes, tenants) = set.split();
         let mut new = Self {
             rng: Some(Pcg64Mcg::seed_from_u64(seed)),
@@ -198,11 +206,7 @@
             born: now,
             limit: cores,
             crowd: cores,
-            call_limit: if set.specifics.below == Below::Shared {
-                (set.specifics.calls_out / 2.0).max(1.0)
-            } else {
-                cores
-            },
+            call_limit: if shared { (set.specifics.calls_out / 2.0).max(1.0) } else { cores },
             // Until its answers reach callers, a cold worker gets all that they think a warm one takes.
             accept: if set.specifics.just_started { set.rules.cold_share } else { 1.0 },
             signalled: -1.0,
@@ -246,6 +250,12 @@
         // Whether it began cold was learnt at its start, not told by the file.
         rest.specifics.just_started = self.set.specifics.just_started;
         self.set = rest;
+        // Booked anew, or what ends takes off another figure than was put on, and the rest stays for good.
+        let (now, told) = (self.now, &self.set.specifics);
+        let tries: f64 = self.tries.values().map(|t| t.booked(&self.set)).sum();
+        self.kb = tries + self.keys.len() as f64 * told.kb_per_key;
+        self.lingering.iter_mut().for_each(|until| *until = after(now, told.linger).min(*until));
+        self.call_log.iter_mut().for_each(|call| call.0 = after(now, told.share_span).min(call.0));
     }
 
     /// Takes in all events of a batch, then decides once. Events of requests it doesn't know change nothing.
@@ -299,7 +309,7 @@
         let due = told.unwrap_or(after(arrived, profile.deadline));
         let due = self.leaving.map_or(due, |(_, stop)| due.min(stop)).max(self.now);
         let stretch = r.work.map_or(0.0, |w| secs(w) * profile.aim_stretch);
-        let promise = Span((profile.promise.0 + span(stretch).0).min(profile.deadline.0));
+        let promise = Span(profile.promise.0.saturating_add(span(stretch).0).min(profile.deadline.0));
         let patience = left(arrived, told.unwrap_or(due)) / secs(profile.deadline);
         let age = span(secs(profile.deadline) * self.age(r, patience));
         let aim = before(after(arrived, promise), age).min(due);
@@ -511,16 +521,11 @@
         let t = self.tries.remove(&seq)?;
         self.seqs.remove(&t.id);
         self.dues.remove(&(t.due, seq));
+        self.kb -= t.booked(&self.set);
         match t.state {
-            State::Held => {
-                self.held.retain(|&s| s != seq);
-                self.kb -= t.kb;
-            }
-            State::Joined => self.kb -= t.kb,
-            State::Running => {
-                self.on_core -= 1;
-                self.kb -= t.kb * self.set.specifics.run_factor;
-            }
+            State::Held => self.held.retain(|&s| s != seq),
+            State::Joined => {}
+            State::Running => self.on_core -= 1,
             State::Gate(..) | State::Calling(_) => {
                 self.at_calls -= 1;
                 self.at_gate.retain(|&s| s != seq);
@@ -528,7 +533,6 @@
                     self.calls_out -= 1;
                     self.lingering.push_back(after(self.now, self.set.specifics.linger));
                 }
-                self.kb -= t.kb * self.set.specifics.run_factor;
             }
         }
         Some(t)
@@ -1017,12 +1021,9 @@
             self.unwell = unwell;
             out.push(Action::ReportHealth { shallow: true, active: !unwell });
         }
-        let open = if self.leaving.is_some() || self.stalled {
-            0.0
-        } else {
-            // Reading itself takes a while: up to the part at which all is well, nothing waits for the runs.
-            (1.0 - (unread - UNREAD_WELL) / (UNREAD_UNWELL - UNREAD_WELL)).clamp(0.05, 1.0)
-        };
+        // Reading itself takes a while: up to the part at which all is well, nothing waits for the runs.
+        let read = (1.0 - (unread - UNREAD_WELL) / (UNREAD_UNWELL - UNREAD_WELL)).clamp(0.05, 1.0);
+        let open = if self.leaving.is_some() || self.stalled { 0.0 } else { read };
         let room = open * self.limit * (1.0 + WINDOW_AIM * promise / mean.max(1e-3));
         let value = match self.set.specifics.advert {
             Advert::Off => return,
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -955,3 +955,53 @@
     assert_eq!(course(1.0), 0.0);
     assert!(course(9.0) > 0.3, "beside a crowd they do count");
 }
+
+/// Guards against a server that turns all away for good, or takes more than its memory holds, because a file that was read
+/// again books the keys and runs that it has at another size: what ends must take off what was put on.
+#[test]
+fn memory_is_booked_anew_when_its_sizes_change() {
+    for (key_kb, run_factor) in [(0.0, 1.0), (0.1, 8.0), (25.0, 1.5)] {
+        let mut value = base();
+        value["profiles"][1]["window"] = json!(3_000 * MS);
+        value["specifics"]["memory_kb"] = json!(2_000.0);
+        value["specifics"]["kb_per_key"] = json!(25.0);
+        let mut c = started(value.clone());
+        for n in 0..40 {
+            let taken = arrive(&mut c, n, vec![claim(&format!("k{n}"), None)]);
+            assert_eq!(refused(&taken), Vec::<&str>::new(), "claim {n}");
+            let end =
+                Event::Completed { id: id(&format!("k{n}")), outcome: Outcome::Delivered, took: Span(MS) };
+            at(&mut c, n, vec![end]);
+        }
+        arrive(&mut c, 40, vec![read("runs")]);
+        value["specifics"]["kb_per_key"] = json!(key_kb);
+        value["specifics"]["run_factor"] = json!(run_factor);
+        value["profiles"] = json!([]);
+        c.set_rest(settings(value));
+        at(
+            &mut c,
+            50,
+            vec![Event::Completed { id: id("runs"), outcome: Outcome::Delivered, took: Span(MS) }],
+        );
+        // All windows are past: the whole memory is free, and no more than that.
+        for n in 0..40 {
+            at(&mut c, 4_000 + 100 * n, vec![timer(0.0)]);
+        }
+        let fills = Request { size_kb: 900.0, ..read("fills") };
+        let out = arrive(&mut c, 8_010, vec![fills]);
+        assert_eq!(refused(&out), Vec::<&str>::new(), "{key_kb} kB a key, {run_factor} a run");
+        let too_much = Request { size_kb: 1_100.0, ..read("too much") };
+        let out = arrive(&mut c, 8_011, vec![too_much]);
+        assert!(refused(&out).contains(&"too much"), "{key_kb} kB a key, {run_factor} a run");
+    }
+}
+
+/// Guards the time that an aim may stretch to: figures as long as the settings allow.
+#[test]
+fn an_aim_stretches_to_the_deadline_at_the_most() {
+    let mut value = base();
+    value["profiles"][0]["aim_stretch"] = json!(1e300);
+    let mut c = started(value);
+    let long = Request { work: Some(Span(50 * MS)), ..read("r") };
+    assert_eq!(processed(&arrive(&mut c, 1, vec![long])), ["r"]);
+}
