Serve wherever the settings speak of calls below, with a ledger or without

Seen on, tests written first: - without_a_ledger_all_is_served_but_the_calls: `line 1: expect processor hello 0: there is only []`. With specifics.below "shared" and no `ledger`, or "tier", the start was refused with status 1. A server that began with below "off" never called the ledger after a reload to "shared": the effect `Call` was dropped where no ledger had been started (crates/node/src/serve.rs, `call.and_then(Result::err)` of none), no end was ever told, and each run waited at its call until its caller gave up. The same happened to any run that asked for a call where the settings name none.

Change: no value of `below` is refused. A call that has no ledger to go to ends at once as one that was never made (DialFailed), so the module goes by it as for a ledger that refuses connections. A reload that is the first to ask for calls starts the ledger's threads, four at the most, as the descriptors kept back at the start hold no more.

Searched for the same, effects that are dropped where a part was not started: Registry, Persist, Claim, Council, Peer and SaveConfiguration go with parts that a reload doesn't switch on, and whose reducers are off then; Change tells its end.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -19,8 +19,8 @@
     pub processor: SocketAddr,
     /// Where the control plane takes reports.
     pub control: SocketAddr,
-    /// Where the ledger, the dependency that all servers share, takes calls over HTTP; where the settings have
-    /// `specifics.below` "shared", it is needed.
+    /// Where the ledger, the dependency that all servers share, takes calls over HTTP. Without it a call that a run asks
+    /// for can't be made, as at a deployment whose processor makes them itself.
     #[serde(default)]
     pub ledger: Option<SocketAddr>,
     /// Sixteen hex digits for random numbers, new with each start.
@@ -105,14 +105,6 @@
     /// A class can't be named in a line to the processor.
     #[error("expected names of classes without spaces, got '{0}'")]
     Class(String),
-    /// The module would make calls that nobody takes.
-    #[error(
-        "expected 'ledger' in the configuration: specifics.below is 'shared', and calls go to the ledger"
-    )]
-    NoLedger,
-    /// The module would call a tier of servers, which the protocol has no words for.
-    #[error("expected specifics.below 'off' or 'shared', got 'tier': the protocol has no calls to a tier")]
-    Tier,
 }
 
 impl Config {
@@ -143,12 +135,6 @@
         if let Some(class) = self.settings.profiles.iter().find(|profile| spaced(&profile.name)) {
             return Err(ConfigError::Class(class.name.clone()));
         }
-        match self.settings.specifics.below {
-            Below::Off => {}
-            Below::Shared if self.ledger.is_none() => return Err(ConfigError::NoLedger),
-            Below::Shared => {}
-            Below::Tier => return Err(ConfigError::Tier),
-        }
         Ok(())
     }
 
--- a/crates/core/src/reducer/settings.rs
+++ b/crates/core/src/reducer/settings.rs
@@ -8,9 +8,10 @@
 use crate::messages::{Effect, NameChange};
 use crate::reload::Reload;
 use gradepin_config::change::{Change, MAX_CLASSES, MAX_TENANTS, Name, Rule, Transaction};
-use gradepin_decisions::{ClassDefinition, Customer, Settings, Span};
+use gradepin_decisions::{Below, ClassDefinition, Customer, Settings, Span};
 use slog::Level;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Changes of a file that one step applies; 100 changes at once took 0.9 ms in a debug build, at 10,000 classes and 110,000
@@ -358,6 +359,7 @@
     fn reloaded(&mut self, reload: Reload, applied: &Applied) {
         let mut config = reload.config;
         self.tally.reloaded(true);
+        let called = self.settings.specifics.below == Below::Shared;
         let mut rest = std::mem::take(&mut config.settings);
         if self.changes.committed {
             rest.rules = self.settings.rules.clone();
@@ -376,7 +378,9 @@
         if config.control != self.config.control {
             self.effects.push(Effect::Control(config.control));
         }
-        if let Some(ledger) = config.ledger.filter(|ledger| Some(*ledger) != self.config.ledger) {
+        let calls = self.settings.specifics.below == Below::Shared;
+        let moved = |ledger: &SocketAddr| Some(*ledger) != self.config.ledger || (calls && !called);
+        if let Some(ledger) = config.ledger.filter(moved) {
             // Calls out to the old address end there; new ones go to the new.
             self.effects.push(Effect::Ledger(ledger));
             self.config.ledger = Some(ledger);
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -119,7 +119,7 @@
 }
 
 /// The text of a configuration file after a change of some kind to the one in force. `retuned` keeps `read` with a
-/// longer deadline, drops `claim` and adds `view`; `unkeyed` has `claim` safe to repeat, and `rekeyed` keyed again with a
+/// longer deadline, drops `claim` and adds `view`; `calling` has runs call the ledger; `unkeyed` has `claim` safe to repeat, and `rekeyed` keyed again with a
 /// short window; the others are broken in one way each and must be turned down.
 pub fn changed(config: &Value, how: &str) -> String {
     let mut config = config.clone();
@@ -137,6 +137,7 @@
             config["settings"]["profiles"][1]["effect"] = json!("by_key");
             config["settings"]["profiles"][1]["window"] = json!(2_000_000_000_u64);
         }
+        "calling" => config["settings"]["specifics"]["below"] = json!("shared"),
         "empty" => return String::new(),
         "cut" => {
             let text = config.to_string();
--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -303,6 +303,14 @@
                 drop(events.send(format!("{name} begin {id} {class} {body}")));
                 Ok(())
             }
+            ["answer", id, len] => {
+                let mut reply = vec![0; len.parse::<usize>().expect("a length") + 2];
+                reads.read_exact(&mut reply).expect("a reply");
+                let id = u64::from_str_radix(id, 16).expect("hex");
+                let reply = String::from_utf8_lossy(&reply[..reply.len() - 2]).into_owned();
+                drop(events.send(format!("{name} answer {id} {reply}")));
+                Ok(())
+            }
             _ => panic!("no command: {line}"),
         };
         line.clear();
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -33,7 +33,7 @@
 use gradepin_core::pool::{Pool, SIZE};
 use gradepin_core::reducer::{Reducer, cell_names};
 use gradepin_core::registration::Registration;
-use gradepin_decisions::{Below, Settings, Span};
+use gradepin_decisions::{Below, Outcome, Settings, Span};
 use gradepin_registry::membership::Membership;
 use gradepin_releases::server_agent::ServerAgent;
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1, SIGUSR2};
@@ -62,6 +62,9 @@
 const HELD_PATIENCE: Duration = Duration::from_secs(10);
 const HELD_AGAIN: Duration = Duration::from_millis(50);
 const SIGNAL_STACK: usize = 64 * 1024;
+/// Calls to the ledger at a time where a reload was the first to ask for any: what was kept back at the start has room for
+/// no more descriptors.
+const LATE_CALLS: usize = 4;
 
 /// Why a server can't start.
 #[derive(Debug, thiserror::Error)]
@@ -276,12 +279,13 @@
     let fronts = fronts.map_err(failed("reading"))?;
     let registry = own.registry.as_ref().map(|set| Registry::start(set, &id, &urgently, log));
     let registry = registry.transpose().map_err(failed("registry"))?;
-    let ledger = config.ledger.filter(|_| settings.specifics.below == Below::Shared).map(|address| {
-        let most = config.calls();
-        let ledger = SharedLedger::start(address, most, urgently.clone(), Arc::clone(&pool), log.clone());
-        ledger.map_err(failed("ledger"))
-    });
-    let ledger = ledger.transpose()?;
+    let (calls_end, buffers) = (urgently.clone(), Arc::clone(&pool));
+    let calls_to = |address, most| {
+        SharedLedger::start(address, most, calls_end.clone(), Arc::clone(&buffers), log.clone())
+    };
+    let ledger = config.ledger.filter(|_| settings.specifics.below == Below::Shared);
+    let ledger = ledger.map(|address| calls_to(address, config.calls()).map_err(failed("ledger")));
+    let mut ledger = ledger.transpose()?;
     let changes = urgently.clone();
     if let Some(stage) = &stage {
         arrived.push(Input::SettingsAre(None, stage.staged()));
@@ -304,10 +308,15 @@
                 }
                 Effect::Usage(link, tag) => processor.usage(link, tag),
                 Effect::Call(id, body, limit, leaves) => {
-                    let call = ledger.as_ref();
-                    let call = call.map(|l| l.call(id, &body, limit, leaves.map(|at| clock.instant(at))));
+                    let ended = match &ledger {
+                        Some(ledger) => {
+                            ledger.call(id, &body, limit, leaves.map(|at| clock.instant(at))).err()
+                        }
+                        // Nobody would tell its end, and the run would wait for that until its caller gives up.
+                        None => Some(Input::Called { id, outcome: Outcome::DialFailed, reply: None }),
+                    };
                     // In its own queue: this thread must not wait for itself.
-                    arrived.extend(call.and_then(Result::err));
+                    arrived.extend(ended);
                 }
                 Effect::Peer(to, datagram) => {
                     if let Some(peers) = &peers {
@@ -340,11 +349,13 @@
                 Effect::Renew(link) => processor.renew(link),
                 Effect::Processor(address) => processor.retarget(address),
                 Effect::Control(address) => control.retarget(address),
-                Effect::Ledger(address) => {
-                    if let Some(ledger) = &ledger {
-                        ledger.retarget(address);
-                    }
-                }
+                Effect::Ledger(address) => match &ledger {
+                    Some(ledger) => ledger.retarget(address),
+                    None => match calls_to(address, LATE_CALLS) {
+                        Ok(started) => ledger = Some(started),
+                        Err(e) => error!(log, "no calls can be made to the ledger"; "error" => %e),
+                    },
+                },
                 Effect::Report(ready) => {
                     if let Err(e) = control.report(ready) {
                         info!(log, "a report could not be sent"; "error" => %e);
