Bound names of classes and tenants to what a message holds

Seen with a 2,000-byte name of a class and one of a tenant: the server started, and closed the connection of a request with a body of 2 KiB under sequence number 0 (`a frame over the size limit`), so the request was read and had no answer (every_customers_server_starts_serves_reloads_and_leaves: `one answer to what was sent`).

Cause: nothing bounds a name in the settings, and a message of a client proxy is at most 4,604 bytes (crates/node/src/fronts/thrift/codec.rs, `frame`).

Change: names of classes and tenants are at most 1,024 bytes (`LONGEST_NAME`), checked at the start and at a reload, with what was expected and what came: one of each, the longest body and all other fields at their longest fit.

--- a/crates/core/src/classes.rs
+++ b/crates/core/src/classes.rs
@@ -22,6 +22,9 @@
 /// How long requests of a dropped class are still taken: client proxies use new settings 1.2 s after a reload,
 /// and some that were on their way come later.
 pub const DROP_GRACE: Span = Span(2_500_000_000);
+/// The longest name of a class or tenant, in bytes: one of each fits into a message beside the longest body and all other
+/// fields at their longest. Guards against requests of a class that can't be read.
+pub const LONGEST_NAME: usize = 1_024;
 /// Slots at the most: besides all classes in force, as many that are dropped and still referred to.
 pub const MOST_SLOTS: usize = 2 * MAX_CLASSES;
 
@@ -36,6 +39,16 @@
         /// The name.
         name: String,
     },
+    /// A name leaves no room for the longest body in a message of a client proxy.
+    #[error("expected names of at most {LONGEST_NAME} bytes in settings.{what}, got {came} in '{start}..'")]
+    TooLong {
+        /// Of classes or tenants.
+        what: &'static str,
+        /// What it begins with.
+        start: String,
+        /// How long it is.
+        came: usize,
+    },
     /// More are named than may be in force at a time.
     #[error("expected at most {most} of settings.{what}, got {came}")]
     TooMany {
@@ -318,6 +331,10 @@
     }
     let mut seen = std::collections::HashSet::with_capacity(came);
     for name in names {
+        if name.len() > LONGEST_NAME {
+            let start = name.chars().take(40).collect();
+            return Err(NamesError::TooLong { what, start, came: name.len() });
+        }
         if !seen.insert(name) {
             return Err(NamesError::Twice { what, name: name.to_string() });
         }
--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -113,6 +113,12 @@
         let told = wrong(pointer, value);
         assert!(parts.iter().all(|part| told.contains(part)), "{pointer}: {told}");
     }
+    let long = |pointer: &str| wrong(pointer, json!("x".repeat(1_025)));
+    let told = long("/settings/profiles/0/name");
+    assert!(
+        told.contains("settings.profiles") && told.contains("1024 bytes") && told.contains("1025"),
+        "{told}"
+    );
     for text in ["", "{", "[1, 2", "{\"name\": \"n\", \"sto", "\u{feff}{}", "nonsense"] {
         let told = Config::parse(text).unwrap_err().to_string();
         assert!(told.starts_with("expected a configuration: "), "{told}");
