Refuse a cold share that is none, which made advice below 0 of it

Seen before the change: a_cold_share_is_a_share: `-0.25 is taken, and told as Some(-0.23)` (rules.cold_share on a cold server with the advert "share_of"), and `1.5 is taken, and told as Some(1.0)`.

Cause: `Settings::check` (crates/decisions/src/interface.rs) looked at figures that must be above 0 alone, and `Controller::new` takes the share as what it accepts.

Change: the check names the share with its range and what came. Searched for the same: other figures that reach callers are clamped (`open`, the window's room) or times of the settings; the shares of late and left-out worth only order requests.

--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -84,10 +84,12 @@
 
 /// A setting that the module can't work with.
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
-#[error("expected settings: {name} above 0, got {value}")]
+#[error("expected settings: {name} {range}, got {value}")]
 pub struct BadSettings {
     /// Which one.
     pub name: &'static str,
+    /// What it may be.
+    pub range: &'static str,
     /// What was told.
     pub value: f64,
 }
@@ -96,13 +98,19 @@
     /// Whether the module can work with these; if not, why.
     pub fn check(&self) -> Result<(), BadSettings> {
         let positive = |name: &'static str, value: f64| {
-            if value > 0.0 && value.is_finite() { Ok(()) } else { Err(BadSettings { name, value }) }
+            let good = value > 0.0 && value.is_finite();
+            if good { Ok(()) } else { Err(BadSettings { name, range: "above 0", value }) }
         };
         positive("number of profiles", self.profiles.len() as f64)?;
         positive("specifics.n_cores", f64::from(self.specifics.n_cores))?;
         positive("specifics.memory_kb", self.specifics.memory_kb)?;
         positive("specifics.run_factor", self.specifics.run_factor)?;
         positive("rules.tip_multiple", self.rules.tip_multiple)?;
+        // Past 1 the module would say less than nothing to callers.
+        let (name, value) = ("rules.cold_share", self.rules.cold_share);
+        if !(0.0..=1.0).contains(&value) {
+            return Err(BadSettings { name, range: "from 0 to 1", value });
+        }
         for profile in &self.profiles {
             positive("profiles[].deadline", profile.deadline.0 as f64)?;
             positive("profiles[].promise", profile.promise.0 as f64)?;
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -2,7 +2,9 @@
 
 mod common;
 use common::*;
-use gradepin_decisions::{Action, Event, Gauges, Outcome, Request, Span, Time, throttling};
+use gradepin_decisions::{
+    Action, Controller, Event, Gauges, Outcome, Request, Settings, Span, Time, throttling,
+};
 use serde_json::json;
 
 fn done(name: &str, outcome: Outcome) -> Event {
@@ -1005,3 +1007,29 @@
     let long = Request { work: Some(Span(50 * MS)), ..read("r") };
     assert_eq!(processed(&arrive(&mut c, 1, vec![long])), ["r"]);
 }
+
+/// Guards callers against a value below 0, which a share of the speed that is none made of the advice.
+#[test]
+fn a_cold_share_is_a_share() {
+    for (share, good) in [(0.0, true), (1.0, true), (-0.25, false), (1.5, false)] {
+        let mut value = base();
+        value["rules"]["cold_share"] = json!(share);
+        value["specifics"]["advert"] = json!("share_of");
+        value["specifics"]["just_started"] = json!(true);
+        let set = settings(value);
+        match set.check() {
+            Ok(()) => assert!(good, "{share} is taken, and told as {:?}", first_signal(set)),
+            Err(why) => {
+                let expected = format!("expected settings: rules.cold_share from 0 to 1, got {share}");
+                assert_eq!((good, why.to_string()), (false, expected));
+            }
+        }
+    }
+}
+
+/// What a server tells callers first.
+fn first_signal(set: Settings) -> Option<f64> {
+    let mut out = Vec::new();
+    Controller::new(set, 11, Time(0)).handle(Time(0), &[], &mut out);
+    out.iter().find_map(|action| if let Action::Signal(value) = action { Some(*value) } else { None })
+}
