--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -6,6 +6,9 @@
 const EVENTS: [&str; 7] =
     ["req", "left", "completed", "ready_to_call", "call_result", "sigterm", "deadline_hit"];
 
+/// The shortest time that the wire has for idle connections; below it, 0 stands for the longest.
+const SHORTEST_IDLE: Span = Span(10_000_000);
+
 /// Whether this is an event kind that we know; others are skipped.
 pub fn is_event(op: &str) -> bool {
     EVENTS.contains(&op)
@@ -153,7 +156,10 @@
             writeln!(out, "report_health {name} {} {}", u8::from(*shallow), u8::from(*active))
         }
         Action::Signal(amount) => writeln!(out, "signal {name} {amount}"),
-        Action::IdleLimit(span) => writeln!(out, "idle_limit {name} {}", span.0),
+        Action::IdleLimit(span) => {
+            let told = if *span < SHORTEST_IDLE { Span(0) } else { *span };
+            writeln!(out, "idle_limit {name} {}", told.0)
+        }
         Action::Remind(time) => writeln!(out, "remind {name} {} t", time.0),
         Action::Emit(text) => writeln!(out, "emit {name} {text}"),
     };
