--- a/crates/gradepin/tests/customers/main.rs
+++ b/crates/gradepin/tests/customers/main.rs
@@ -47,13 +47,19 @@
 #[test]
 fn every_customers_requests_get_one_answer_through_reloads_and_drain() {
     let drawn = (proptest::collection::vec(config(ADDRESSES), 1..4), any::<u64>());
+    let counts = std::cell::Cell::new([0, 0]);
     let played = runs(150).run(&drawn, |(configs, seed): (Vec<Value>, u64)| {
-        World::play(&configs, seed);
+        let [begun, served] = World::play(&configs, seed);
+        counts.set([counts.get()[0] + begun, counts.get()[1] + served]);
         Ok(())
     });
     if let Err(why) = played {
         panic!("{why}");
     }
+    // Guards against settings of which hardly any server takes anything: nothing would be looked at.
+    let [begun, served] = counts.get();
+    println!("{begun} runs begun, {served} results served");
+    assert!(begun > 500 && served > 300, "{begun} runs begun, {served} results served");
 }
 
 /// The same with the program itself, between sockets: it starts, serves, is told of another customer's file while requests
--- a/crates/gradepin/tests/customers/world.rs
+++ b/crates/gradepin/tests/customers/world.rs
@@ -73,14 +73,16 @@
     mute: bool,
     reloading: bool,
     left: bool,
+    /// Runs begun and results served, for who asks whether anything happened.
+    counts: [u64; 2],
     /// Steps at this instant, and since the start of a second.
     at_once: u32,
     second: (u64, u32),
 }
 
 impl World {
-    /// Serves the first customer, then each of the others, and drains.
-    pub fn play(configs: &[Value], seed: u64) {
+    /// Serves the first customer, then each of the others, and drains; runs begun and results served.
+    pub fn play(configs: &[Value], seed: u64) -> [u64; 2] {
         let parsed = |value: &Value| Config::parse(&value.to_string()).expect("a valid configuration");
         let mut world = Self::new(parsed(&configs[0]), seed);
         let early = world.below(3) == 0;
@@ -94,6 +96,7 @@
             world.traffic(1_500);
         }
         world.drain();
+        world.counts
     }
 
     fn new(config: Config, seed: u64) -> Self {
@@ -120,6 +123,7 @@
             mute: false,
             reloading: false,
             left: false,
+            counts: [0, 0],
             at_once: 0,
             second: (0, 0),
         };
@@ -206,6 +210,7 @@
                     id.0
                 );
                 if let Answer::Served(result) = &answer {
+                    self.counts[1] += 1;
                     assert_eq!(&result[..], &sent.body[..], "{} was served another's result", id.0);
                 }
             }
@@ -246,6 +251,7 @@
             let window_ms = profile.window.0.div_ceil(MS);
             self.ran.push(Ran { id: id.clone(), class, token, t0, window_ms });
         }
+        self.counts[0] += 1;
         self.running.push(id.clone());
     }
 
