--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -92,8 +92,8 @@
 impl Try {
     /// The memory that it takes as it stands.
     fn booked(&self, set: &Settings) -> f64 {
-        let held = matches!(self.state, State::Held | State::Joined);
-        if held { self.kb } else { self.kb * set.specifics.run_factor }
+        self.kb
+            * if matches!(self.state, State::Held | State::Joined) { 1.0 } else { set.specifics.run_factor }
     }
 }
 
@@ -251,11 +251,11 @@
         rest.specifics.just_started = self.set.specifics.just_started;
         self.set = rest;
         // Booked anew, or what ends takes off another figure than was put on, and the rest stays for good.
-        let (now, told) = (self.now, &self.set.specifics);
+        let (told, gone) = (&self.set.specifics, after(self.now, self.set.specifics.linger));
         let tries: f64 = self.tries.values().map(|t| t.booked(&self.set)).sum();
         self.kb = tries + self.keys.len() as f64 * told.kb_per_key;
-        self.lingering.iter_mut().for_each(|until| *until = after(now, told.linger).min(*until));
-        self.call_log.iter_mut().for_each(|call| call.0 = after(now, told.share_span).min(call.0));
+        self.lingering.iter_mut().for_each(|until| *until = gone.min(*until));
+        self.call_log.iter_mut().for_each(|call| call.0 = after(gone, told.share_span).min(call.0));
     }
 
     /// Takes in all events of a batch, then decides once. Events of requests it doesn't know change nothing.
@@ -523,8 +523,7 @@
         self.dues.remove(&(t.due, seq));
         self.kb -= t.booked(&self.set);
         match t.state {
-            State::Held => self.held.retain(|&s| s != seq),
-            State::Joined => {}
+            State::Held | State::Joined => self.held.retain(|&s| s != seq),
             State::Running => self.on_core -= 1,
             State::Gate(..) | State::Calling(_) => {
                 self.at_calls -= 1;
@@ -916,9 +915,7 @@
         self.call_s -= CALL_RETURN * (self.call_s - self.call_floor_s).max(0.0);
         self.call_floor_s *= CALL_FLOOR_DRIFT;
         let keep = (-secs(PERIOD) / MEMORY_OF_COUNTS_S).exp();
-        self.arrivals *= keep;
-        self.retries *= keep;
-        self.refusals *= keep;
+        [&mut self.arrivals, &mut self.retries, &mut self.refusals].into_iter().for_each(|n| *n *= keep);
         let (classes, tenants) = (&mut self.classes, &mut self.tenants);
         self.recent_classes.retain(|&slot| {
             let class = &mut classes[slot];
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -998,6 +998,43 @@
     }
 }
 
+/// Guards against calls that are not made for hours after a file that was read again has them linger, and be averaged, for
+/// seconds: those of before go by the new times.
+#[test]
+fn calls_of_before_linger_no_longer_than_the_settings_say() {
+    let mut value = base();
+    value["specifics"]["calls_out"] = json!(0.4);
+    value["specifics"]["linger"] = json!(600_000 * MS);
+    value["specifics"]["share_span"] = json!(3_600_000 * MS);
+    let mut c = started(value.clone());
+    // The first calls of a fleet are spread over a part of the aim.
+    arrive(&mut c, 1_000, vec![read("first")]);
+    at(&mut c, 1_010, vec![Event::ReadyToCall(id("first"))]);
+    let called = (0..50).any(|n| asked(&at(&mut c, 1_020 + 20 * n, vec![]), "first"));
+    assert!(called, "no first call");
+    let expired = Event::CallResult { id: id("first"), outcome: Outcome::Expired, took: Span(500 * MS) };
+    at(&mut c, 4_100, vec![expired, done("first", Outcome::AppError)]);
+    value["specifics"]["linger"] = json!(200 * MS);
+    value["specifics"]["share_span"] = json!(5_000 * MS);
+    value["profiles"] = json!([]);
+    c.set_rest(settings(value));
+    // Whatever pace the call before has set: a minute has room for the next one.
+    let asks = |c: &mut _, n: u64| {
+        let (name, ms) = (format!("r{n}"), 5_000 + 1_000 * n);
+        arrive(c, ms, vec![read(&name)]);
+        at(c, ms + 1, vec![Event::ReadyToCall(id(&name))]);
+        let called = (0..40).any(|step| asked(&at(c, ms + 2 + 20 * step, vec![timer(0.0)]), &name));
+        at(c, ms + 900, vec![done(&name, Outcome::AppError)]);
+        called
+    };
+    assert!((0..60).any(|n| asks(&mut c, n)), "no call in a minute");
+}
+
+/// Whether a call is made for a request.
+fn asked(out: &[Action], name: &str) -> bool {
+    out.iter().any(|action| matches!(action, Action::AskBelow { id, .. } if *id.0 == *name))
+}
+
 /// Guards the time that an aim may stretch to: figures as long as the settings allow.
 #[test]
 fn an_aim_stretches_to_the_deadline_at_the_most() {
