Read files again faster than they are in force, before the processor is up, and up to the drain

The drawn courses reload once before the processor greets, drain while a file is being applied, and the program is told of files that change faster than they are applied; no file is turned down, and each request has its one answer.

--- a/crates/gradepin/tests/customers/main.rs
+++ b/crates/gradepin/tests/customers/main.rs
@@ -74,6 +74,14 @@
         process.requests(&first);
         process.reloaded(1);
         process.requests(&second);
+        // Faster than files are in force: each is read whole, and none while the one before is being applied.
+        for n in 0..12 {
+            process.reload(if n % 2 == 0 { &first } else { &second }, exponents);
+            if n % 4 == 3 {
+                process.requests(&first);
+                process.requests(&second);
+            }
+        }
         process.leave();
         Ok(())
     });
--- a/crates/gradepin/tests/customers/process.rs
+++ b/crates/gradepin/tests/customers/process.rs
@@ -90,7 +90,10 @@
         config["processor"] = json!(self.parties[0]);
         config["control"] = json!(self.parties[1]);
         config["stop_ms"] = json!(1_000);
-        std::fs::write(&self.file, text(&config, exponents)).expect("a file for the configuration");
+        // Whole or not at all: the server may read it at any instant.
+        let draft = self.file.with_extension("draft");
+        std::fs::write(&draft, text(&config, exponents)).expect("a file for the configuration");
+        std::fs::rename(draft, &self.file).expect("a file for the configuration");
     }
 
     /// `gradepin check` takes the file too.
@@ -200,6 +203,7 @@
         };
         let told = self.told();
         assert!(status.success() && !told.contains("panicked"), "{status}: {told}");
+        assert!(!told.contains("turned down"), "{told}");
     }
 }
 
--- a/crates/gradepin/tests/customers/world.rs
+++ b/crates/gradepin/tests/customers/world.rs
@@ -85,15 +85,20 @@
     pub fn play(configs: &[Value], seed: u64) -> [u64; 2] {
         let parsed = |value: &Value| Config::parse(&value.to_string()).expect("a valid configuration");
         let mut world = Self::new(parsed(&configs[0]), seed);
-        let early = world.below(3) == 0;
-        if early {
+        // The processor may come up much later, with another file in force by then.
+        if world.below(3) == 0 {
             world.traffic(200);
+            if let Some(config) = configs.get(1) {
+                world.reload(parsed(config));
+                world.traffic(50);
+            }
         }
         world.link_up();
         world.traffic(1_500);
         for config in &configs[1..] {
             world.reload(parsed(config));
-            world.traffic(1_500);
+            let ms = [0, 30, 1_500, 4_000][world.below(4) as usize];
+            world.traffic(ms);
         }
         world.drain();
         world.counts
@@ -269,6 +274,11 @@
     }
 
     fn reload(&mut self, config: Config) {
+        // A file is compared once the one before is in force.
+        while self.reloading {
+            self.act();
+            self.step();
+        }
         self.known(&config);
         self.ran.clear();
         self.reloading = true;
