--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -124,3 +124,28 @@
         assert!(told.starts_with("expected a configuration: "), "{told}");
     }
 }
+
+/// Guards the thread that reads files again: whatever byte of a file is missing or another, it is told and ends nothing.
+#[test]
+fn any_spoilt_file_is_told() {
+    let good = json!({
+        "name": "n", "listen": "127.0.0.1:1", "processor": "127.0.0.1:2", "control": "127.0.0.1:3", "seed": "1",
+        "stop_ms": 1, "limits": {"sockets": 512}, "settings": {"granularity": 1,
+            "profiles": [{"name": "ä\\\"", "promise": 1, "deadline": 1, "effect": "once", "worth": 1.0}],
+            "rules": {"fall": 1, "tip_multiple": 1.0, "drain_grace": 1},
+            "specifics": {"n_cores": 1, "memory_kb": 1.0, "run_factor": 1.0}}
+    });
+    for text in [good.to_string(), serde_json::to_string_pretty(&good).unwrap()] {
+        for at in (0..text.len()).filter(|at| text.is_char_boundary(*at)) {
+            let told = Config::parse(&text[..at]).unwrap_err().to_string();
+            assert!(told.starts_with("expected a configuration: "), "cut at {at}: {told}");
+            let rest = text[at..].chars().next().map_or("", |first| &text[at + first.len_utf8()..]);
+            for other in ["", "\"", "{", "}", "[", "]", ",", ":", "\\", "\n", "0", "-", "ä"] {
+                let spoilt = format!("{}{other}{rest}", &text[..at]);
+                if let Err(why) = Config::parse(&spoilt) {
+                    assert!(why.to_string().starts_with("expected"), "{other:?} at {at}: {why}");
+                }
+            }
+        }
+    }
+}
