--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -89,6 +89,14 @@
     call_fails: u32,
 }
 
+impl Try {
+    /// The memory that it takes as it stands.
+    fn booked(&self, set: &Settings) -> f64 {
+        self.kb
+            * if matches!(self.state, State::Held | State::Joined) { 1.0 } else { set.specifics.run_factor }
+    }
+}
+
 /// What is learnt of the class in a slot; `counts` is 0 where the slot is free.
 #[derive(Debug, Default)]
 struct Class {
@@ -190,9 +198,8 @@
     /// A controller for a worker that starts now.
     pub fn new(mut set: Settings, seed: u64, now: Time) -> Self {
         set.specifics.n_cores = set.specifics.n_cores.max(1);
-        let cores = f64::from(set.specifics.n_cores);
+        let (cores, shared) = (f64::from(set.specifics.n_cores), set.specifics.below == Below::Shared);
         let (set, classes, tenants) = set.split();
-        let shared = set.specifics.below == Below::Shared;
         let mut new = Self {
             rng: Some(Pcg64Mcg::seed_from_u64(seed)),
             now,
@@ -251,6 +258,12 @@
         let same = rest.specifics.calls_out == self.set.specifics.calls_out;
         self.next_call = if same { self.next_call } else { Time(0) };
         self.set = rest;
+        // Booked anew, or what ends takes off another figure than was put on, and the rest stays for good.
+        let (told, gone) = (&self.set.specifics, after(self.now, self.set.specifics.linger));
+        let tries: f64 = self.tries.values().map(|t| t.booked(&self.set)).sum();
+        self.kb = tries + self.keys.len() as f64 * told.kb_per_key;
+        self.lingering.iter_mut().for_each(|until| *until = gone.min(*until));
+        self.call_log.iter_mut().for_each(|call| call.0 = after(gone, told.share_span).min(call.0));
     }
 
     /// Takes in all events of a batch, then decides once. Events of requests it doesn't know change nothing.
@@ -304,7 +317,7 @@
         let due = told.unwrap_or(after(arrived, profile.deadline));
         let due = self.leaving.map_or(due, |(_, stop)| due.min(stop)).max(self.now);
         let stretch = r.work.map_or(0.0, |w| secs(w) * profile.aim_stretch);
-        let promise = Span((profile.promise.0 + span(stretch).0).min(profile.deadline.0));
+        let promise = Span(profile.promise.0.saturating_add(span(stretch).0).min(profile.deadline.0));
         let patience = left(arrived, told.unwrap_or(due)) / secs(profile.deadline);
         let age = span(secs(profile.deadline) * self.age(r, patience));
         let aim = before(after(arrived, promise), age).min(due);
@@ -516,23 +529,16 @@
         let t = self.tries.remove(&seq)?;
         self.seqs.remove(&t.id);
         self.dues.remove(&(t.due, seq));
+        self.kb -= t.booked(&self.set);
         match t.state {
-            State::Held => {
-                self.held.retain(|&s| s != seq);
-                self.kb -= t.kb;
-            }
-            State::Joined => self.kb -= t.kb,
-            State::Running => {
-                self.on_core -= 1;
-                self.kb -= t.kb * self.set.specifics.run_factor;
-            }
+            State::Held | State::Joined => self.held.retain(|&s| s != seq),
+            State::Running => self.on_core -= 1,
             State::Gate(..) | State::Calling(_) => {
                 self.at_calls -= 1;
                 self.at_gate.retain(|&s| s != seq);
                 if let State::Calling(since) = t.state {
                     self.call_over(since, true);
                 }
-                self.kb -= t.kb * self.set.specifics.run_factor;
             }
         }
         Some(t)
@@ -914,9 +920,7 @@
         self.call_s -= CALL_RETURN * (self.call_s - self.call_floor_s).max(0.0);
         self.call_floor_s *= CALL_FLOOR_DRIFT;
         let keep = (-secs(PERIOD) / MEMORY_OF_COUNTS_S).exp();
-        self.arrivals *= keep;
-        self.retries *= keep;
-        self.refusals *= keep;
+        [&mut self.arrivals, &mut self.retries, &mut self.refusals].into_iter().for_each(|n| *n *= keep);
         let (classes, tenants) = (&mut self.classes, &mut self.tenants);
         self.recent_classes.retain(|&slot| {
             let class = &mut classes[slot];
@@ -1019,12 +1023,9 @@
             self.unwell = unwell;
             out.push(Action::ReportHealth { shallow: true, active: !unwell });
         }
-        let open = if self.leaving.is_some() || self.stalled {
-            0.0
-        } else {
-            // Reading itself takes a while: up to the part at which all is well, nothing waits for the runs.
-            (1.0 - (unread - UNREAD_WELL) / (UNREAD_UNWELL - UNREAD_WELL)).clamp(0.05, 1.0)
-        };
+        // Reading itself takes a while: up to the part at which all is well, nothing waits for the runs.
+        let read = (1.0 - (unread - UNREAD_WELL) / (UNREAD_UNWELL - UNREAD_WELL)).clamp(0.05, 1.0);
+        let open = if self.leaving.is_some() || self.stalled { 0.0 } else { read };
         let room = open * self.limit * (1.0 + WINDOW_AIM * promise / mean.max(1e-3));
         let value = match self.set.specifics.advert {
             Advert::Off => return,
