Answer a repeat from the run of its own token, though its rid came again

Failure as seen on: crates/gradepin/tests/clients.rs, a_repeat_whose_rid_comes_again_is_answered_from_the_run_of_its_own_token: "line 10: expect no d 1: came, in [.. \"d 1 served ONE\"]": request d of token u got the result of token t's run. Its twin a_repeat_whose_rid_runs_for_another_token_by_now_keeps_its_run: "c 1 refused" though it runs, and its result was then nobody's. crates/core/tests/again.rs, a_request_keeps_its_place_though_one_with_its_id_left_in_its_batch: no answer at all.

Root cause: a key's record keeps its waiting repeats by rid (core/src/keys.rs, Record::waiters), and a repeat whose caller left, or that was answered otherwise, stayed there (reducer/requests.rs, forget). A client that sends the rid again, for whatever request, takes the place: joined() answers it from the other token's run if it waits too, never_ran() refuses and forgets it whatever it does. And a waiter that never_ran() forgets stayed in Requests::left, so that the end of the step forgot whichever request had the rid by then, which nobody answered.

Change: whoever leaves the books leaves the record's waiters (Keys::leave) and the list of those that left.

Searched for the same shape, ids kept past their request: keys' holders (released by the module when a try leaves), Link::unproven and replies (taken out with the run), Connection::open (taken out with the answer or the cancel), claims.rs and keeping.rs (the waiters of the same record). Claims::waiting keeps the id of a run that ends otherwise (the processor restarted) until its claim is told: read, not reproduced.

--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -46,7 +46,7 @@
     /// The try that holds the entry, and until when.
     holder: Option<(RequestId, Time)>,
     run: Option<Run>,
-    /// Tries to be answered from the run.
+    /// Tries to be answered from the run; each is open and joined to it.
     waiters: Vec<RequestId>,
     /// Of the body and the class of its tries.
     print: Print,
@@ -238,6 +238,14 @@
         run.end.clone()
     }
 
+    /// A repeat waits no longer for the run of its token. Guards against its id: that may come again for another token,
+    /// and the request would be answered from this one's run.
+    pub fn leave(&mut self, token: &str, id: &RequestId) {
+        if let Some(record) = self.get_mut(token) {
+            record.waiters.retain(|waiter| waiter != id);
+        }
+    }
+
     /// The token of a run of an earlier life whose end was unknown until now.
     pub fn learned(&mut self, id: &RequestId) -> Option<Arc<str>> {
         self.unknown.remove(id)
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -129,6 +129,8 @@
     /// Takes a request out of the books.
     fn remove(&mut self, id: &RequestId) -> Option<Open> {
         let open = self.open.remove(id)?;
+        // Its id may come again in this batch, and that request's caller waits.
+        self.left.retain(|left| left != id);
         self.body_bytes -= open.body.len() + BESIDE;
         Some(open)
     }
@@ -268,6 +270,9 @@
     /// Takes a request out of the books; nothing of it refers to its class and its tenant any more.
     pub(super) fn forget(&mut self, id: &RequestId) {
         if let Some(open) = self.requests.remove(id) {
+            if let (State::Joined(_), Some(token)) = (open.state, &open.token) {
+                self.keys.leave(token, id);
+            }
             self.classes.release(open.class);
             open.tenant.into_iter().for_each(|tenant| self.tenants.release(tenant));
         }
--- /dev/null
+++ b/crates/core/tests/again.rs
@@ -0,0 +1,86 @@
+//! Ids that come again in the very batch in which the request that had them before leaves the books.
+
+#[path = "../../decisions/tests/common/mod.rs"]
+mod common;
+
+use gradepin_core::config::Config;
+use gradepin_core::messages::{Answer, Call, Claim, Effect, Input};
+use gradepin_core::moment::Moment;
+use gradepin_core::pool::Pool;
+use gradepin_core::reducer::Reducer;
+use gradepin_core::registration::Registration;
+use gradepin_decisions::{RequestId, Span, Time};
+use serde_json::json;
+use std::sync::Arc;
+
+const MS: u64 = 1_000_000;
+/// The class of the settings that is keyed.
+const KEYED: usize = 1;
+
+/// A server that shares its keyed runs with another one, so that a run that was begun may yet never run.
+fn reducer() -> Reducer {
+    let mut settings = common::base();
+    settings["specifics"]["below"] = json!("off");
+    let address = "127.0.0.1:1";
+    let config = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
+        "stop_ms": 2000, "limits": {"cores": 1.0, "sockets": 128}, "settings": settings});
+    let config = Config::parse(&config.to_string()).expect("a whole configuration");
+    let settings = Arc::new(config.settings.clone());
+    Reducer::new(&config, settings, Registration::default()).expect("whole").sharing_runs(7)
+}
+
+fn step(reducer: &mut Reducer, ms: u64, inputs: Vec<Input>) -> Vec<Effect> {
+    let mut effects = Vec::new();
+    reducer.step(Moment { now: Time(ms * MS), unix_ms: ms }, inputs, &mut effects);
+    effects
+}
+
+fn keyed(conn: u64, seq: i32, rid: u64, token: &str, ms: u64, retry: bool) -> Input {
+    let call = Call {
+        id: RequestId::new(&format!("{rid:016x}")),
+        class: KEYED.into(),
+        tenant: None,
+        caller: conn,
+        t0: ms,
+        budget: 3_000,
+        retry,
+        size_kb: 1.0,
+        precedence: 0.5,
+        token: Some(Arc::from(token)),
+        has_key: false,
+        body: Pool::new(0).exact(b"body").expect("fits"),
+    };
+    Input::Call(conn, seq, Box::new(call))
+}
+
+/// Guards against a request that nobody answers: its id was that of a repeat that left in the same batch, and it was
+/// forgotten in the place of that one.
+#[test]
+fn a_request_keeps_its_place_though_one_with_its_id_left_in_its_batch() {
+    let mut reducer = reducer();
+    let begun = vec![
+        Input::LinkUp { link: 1, cold: false, age: Span(0) },
+        Input::Opened(1),
+        Input::Opened(2),
+        keyed(1, 1, 1, "t", 9_000, false),
+    ];
+    step(&mut reducer, 9_000, begun);
+    step(&mut reducer, 9_010, vec![keyed(2, 1, 2, "t", 9_010, true)]);
+    let again = vec![
+        Input::Cancel(2, 1),
+        Input::Claimed(RequestId::new(&format!("{:016x}", 1)), Claim::Unsure),
+        keyed(2, 2, 2, "u", 9_020, false),
+    ];
+    let mut effects = step(&mut reducer, 9_020, again);
+    let claimed =
+        effects.iter().any(|effect| matches!(effect, Effect::Claim(_, token, ..) if &**token == "u"));
+    assert!(claimed, "it is to run: {effects:?}");
+    effects.extend(step(
+        &mut reducer,
+        9_030,
+        vec![Input::Claimed(RequestId::new(&format!("{:016x}", 2)), Claim::Unsure)],
+    ));
+    let answers =
+        effects.iter().filter(|effect| matches!(effect, Effect::Answer(2, 2, Answer::Refused { .. }, _)));
+    assert_eq!(answers.count(), 1, "{effects:?}");
+}
