Give no second answer under the number of an open request

Failure as seen on: crates/gradepin/tests/clients.rs, what_makes_no_sense_under_an_open_number_takes_nobodys_answer: "line 4: expect no a 1: came, in [.. \"a 1 invalid unknown method\"]", and the request's own answer came later under the same number. The same for a health check and for a call with another rid that makes no sense.

Root cause: that a number came twice was looked at in Reducer::call alone (core/src/reducer/requests.rs); Input::Invalid and Input::Health were answered under whatever number they came. Change: came_twice() holds for all three; as before the first keeps its answer and the connection is closed once it has it. Searched: a cancel names another message's number and is owed nothing; the exception for what is no message goes out under 0. Result: the test passes, and a_reused_seqid_closes_the_connection.. as before.

--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -213,6 +213,11 @@
         {
             self.conns.took(*conn);
         }
+        if let Input::Call(conn, seq, _) | Input::Invalid(conn, seq, ..) | Input::Health(conn, seq) = &input
+            && self.came_twice(*conn, *seq)
+        {
+            return;
+        }
         match input {
             Input::Opened(conn) => self.opened(conn),
             Input::Ended(conn) => self.input_ended(conn),
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -137,14 +137,21 @@
 }
 
 impl Reducer {
+    /// Whether a message that is owed an answer came under the number of an open request. Two answers under one number
+    /// could not be told apart: the first keeps its own, and nothing more is taken.
+    pub(super) fn came_twice(&mut self, conn: ConnId, seq: SeqId) -> bool {
+        let connection = self.conns.touch(conn, self.moment.now);
+        if !connection.is_some_and(|connection| connection.open.contains_key(&seq)) {
+            return false;
+        }
+        self.log(Level::Warning, format!("closing connection {conn}: request {seq} came twice"));
+        self.conns.refuse(conn);
+        self.ask_to_drain(conn);
+        true
+    }
+
     pub(super) fn call(&mut self, conn: ConnId, seq: SeqId, mut call: Call) {
         let Some(connection) = self.conns.touch(conn, self.moment.now) else { return };
-        if connection.open.contains_key(&seq) {
-            // Two answers under one number could not be told apart: the first keeps its own, and nothing more is taken.
-            self.log(Level::Warning, format!("closing connection {conn}: request {seq} came twice"));
-            self.conns.refuse(conn);
-            return self.ask_to_drain(conn);
-        }
         let (opened, paced, open) = (connection.opened, connection.paced, connection.open.len());
         let refused = connection.refused;
         let Some(class) = self.classes.resolve(call.class) else {
--- a/crates/gradepin/tests/clients.rs
+++ b/crates/gradepin/tests/clients.rs
@@ -46,3 +46,24 @@
          expect c 1 served TWO",
     );
 }
+
+#[test]
+fn what_makes_no_sense_under_an_open_number_takes_nobodys_answer() {
+    // Guards against two answers under one number: the client would take the first for that of its open request.
+    for twice in ["call 1 method=novelty", "health 1", "call 1 method=novelty rid=7"] {
+        play(
+            &mut Virtually::up(),
+            &format!(
+                "send a call 1 rid=1
+                 expect processor begin 1
+                 send a {twice}
+                 expect no a 1
+                 expect a draining
+                 send processor complete 1 1 OK out
+                 expect a 1 served out
+                 expect no a 1
+                 expect a closed"
+            ),
+        );
+    }
+}
