Lose no request to a read cut short or to the instant of a late close

Two causes in the reader, each seen on:

A connection hung for good with requests unread. fronts/reader/tests.rs, a_read_that_is_cut_short_leaves_nothing_behind: "left: [1], right: [1, 2]"; at the process, crates/gradepin/tests/clients.rs, requests_behind_a_read_that_is_cut_short_are_answered: no answer to the last request within 20 s. Root cause: Reading::turn (fronts/reader.rs, "a read that didn't fill its room has emptied the socket") rested after a short read, and events are edge-triggered. The system cuts a read short at an urgent mark, and whatever stands between may too. Change: only WOULDBLOCK, or the end, counts as emptied; the second read is in the same turn.

A request was read and thrown away and its connection closed with no answer: it came in the instant in which the connection was found late (2 s without a message, 5 s within one, 250 ms in a spare place). fronts/reader/tests.rs, a_request_that_comes_in_the_instant_of_lateness_is_passed_on: "left: [], right: [1]", both where it came after the last look at the sockets and where it came before the main thread closed. Root cause: end_late gave up on bytes that were there unread, and set the intake to be thrown away while the close was still on its way through two queues. Change: lateness is told (Input::Late) and nothing is thrown away; the reducer has the connection closed once it is owed nothing (Effect::CloseLate), which the connection does under its lock and only while no byte is unread and no message was passed on since, as it does for resting ones; half a message doesn't hold it. A message that is whole by then is served.

Searched for the first: nothing else in the crates uses epoll, and all other readers block (grep for epoll, recv and read); writes go on until WOULDBLOCK. Searched for the second: closing for room, idle, drain and hand-over go through close_resting, which looks under the lock; a frame that makes no sense is the peer's own end; a SCGI connection ends with its one answer.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -73,6 +73,8 @@
     /// Nothing more comes from it: its peer has shut its half, or sent what is no message. All that came before was
     /// passed on, and is owed its answers.
     Ended(ConnId),
+    /// It has not said a whole message in its time. It is closed once it is owed nothing, unless one comes before that.
+    Late(ConnId),
     /// It is over, or can't be used any more.
     Closed(ConnId),
     /// A request.
@@ -198,6 +200,8 @@
     /// Close a connection if nothing is under way on it: no more than so many of its messages were passed on, and
     /// nothing waits unread.
     CloseResting(ConnId, u64),
+    /// The same for one that is late; half a message doesn't hold it.
+    CloseLate(ConnId, u64),
     /// Run a request: on which link, its id, its class and its body.
     Begin(u64, RequestId, Arc<ClassDefinition>, Arc<Buffer>),
     /// Call the ledger for a request: its id, the body, how long to wait for the reply, and the time after which it must
--- a/crates/core/src/reducer/connections.rs
+++ b/crates/core/src/reducer/connections.rs
@@ -32,6 +32,8 @@
     ended: bool,
     /// Nothing more is taken from it; the same holds once nothing of it is under way.
     pub(super) refused: bool,
+    /// No message of it was whole in its time, and none has come since.
+    late: bool,
     /// Messages taken in from it.
     taken: u64,
     /// Until when nothing was read from it, the last time that its pace held it back.
@@ -91,6 +93,7 @@
     pub(super) fn took(&mut self, conn: ConnId) {
         if let Some(connection) = self.table.get_mut(&conn) {
             connection.taken += 1;
+            connection.late = false;
         }
     }
 
@@ -205,11 +208,22 @@
         self.close_if_over(conn);
     }
 
+    /// A connection said no whole message in its time: it is closed once it is owed nothing, unless one comes yet.
+    pub(super) fn late(&mut self, conn: ConnId) {
+        if let Some(connection) = self.conns.table.get_mut(&conn) {
+            connection.late = true;
+            self.close_if_over(conn);
+        }
+    }
+
     /// Closes a connection from which nothing more is to come, once it is owed nothing.
     pub(super) fn close_if_over(&mut self, conn: ConnId) {
         match self.conns.table.get(&conn) {
             Some(connection) if !connection.open.is_empty() => {}
             Some(connection) if connection.ended => self.effects.push(Effect::Close(conn)),
+            Some(connection) if connection.late => {
+                self.effects.push(Effect::CloseLate(conn, connection.taken));
+            }
             // What is on its way from it yet is answered first.
             Some(connection) if connection.refused => self.close_resting(conn),
             _ => {}
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -221,6 +221,7 @@
         match input {
             Input::Opened(conn) => self.opened(conn),
             Input::Ended(conn) => self.input_ended(conn),
+            Input::Late(conn) => self.late(conn),
             Input::Closed(conn) => self.closed(conn),
             Input::Call(conn, seq, call) => self.call(conn, seq, *call),
             Input::Invalid(conn, seq, misuse, why) => self.invalid(conn, seq, None, misuse, why),
--- a/crates/gradepin/tests/clients.rs
+++ b/crates/gradepin/tests/clients.rs
@@ -67,3 +67,115 @@
         );
     }
 }
+
+#[test]
+fn half_a_message_that_is_late_ends_its_connection_once_what_is_open_is_answered() {
+    play(
+        &mut Virtually::up(),
+        "send a call 1 rid=1
+         expect processor begin 1
+         late a
+         expect no a closed
+         send processor complete 1 1 OK out
+         expect a 1 served out
+         expect a closed
+         send b call 1 rid=2
+         expect processor begin 2
+         late b
+         send b call 2 rid=3
+         expect processor begin 3
+         send processor complete 2 2 OK two
+         send processor complete 3 3 OK three
+         expect b 1 served two
+         expect b 2 served three
+         expect no b closed
+         open c
+         late c
+         expect c closed",
+    );
+}
+
+mod sockets {
+    //! Bytes that are all there before the program reads the first of them: an inherited listener takes them.
+
+    use super::scenario::{config, thrift};
+    use rustix::io::{FdFlags, fcntl_setfd};
+    use rustix::net::{SendFlags, send};
+    use std::io::{Read, Write};
+    use std::net::{SocketAddr, TcpListener, TcpStream};
+    use std::os::fd::AsRawFd;
+    use std::process::{Child, Command, Stdio};
+    use std::time::{Duration, Instant};
+
+    /// Far above what anything takes.
+    const PATIENCE: Duration = Duration::from_secs(20);
+
+    struct Process(Child);
+
+    impl Drop for Process {
+        fn drop(&mut self) {
+            let _ = self.0.kill();
+            let _ = self.0.wait();
+        }
+    }
+
+    /// Starts the program on the listener, with a processor that never greets.
+    fn start(listener: &TcpListener, processor: &TcpListener, name: &str) -> Process {
+        let listen = listener.local_addr().expect("an address").to_string();
+        let processor = processor.local_addr().expect("an address").to_string();
+        let file = std::env::temp_dir().join(format!("gradepin-{}-{name}.json", std::process::id()));
+        std::fs::write(&file, config(&listen, &processor, "127.0.0.1:9").to_string()).expect("a file");
+        fcntl_setfd(listener, FdFlags::empty()).expect("inheritable");
+        let mut program = Command::new(env!("CARGO_BIN_EXE_gradepin"));
+        program.arg("serve").env("GW_CONFIG", &file).env("GW_ACCEPT_FD", listener.as_raw_fd().to_string());
+        Process(program.stderr(Stdio::null()).spawn().expect("the program starts"))
+    }
+
+    /// Waits until so many bytes of a peer wait to be read, as /proc/net/tcp tells.
+    fn arrived(peer: &TcpStream, bytes: usize) {
+        let word = |address: SocketAddr| format!(":{:04X}", address.port());
+        let server = word(peer.peer_addr().expect("an address"));
+        let client = word(peer.local_addr().expect("an address"));
+        let unread = || {
+            let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
+            let mut lines = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+            let line = lines.find(|words| words[1].ends_with(&server) && words[2].ends_with(&client));
+            let queues = line.map(|words| words[4].to_string()).unwrap_or_default();
+            queues.split_once(':').map_or(0, |(_, unread)| usize::from_str_radix(unread, 16).expect("hex"))
+        };
+        let start = Instant::now();
+        while unread() < bytes {
+            assert!(start.elapsed() < PATIENCE, "{} of {bytes} bytes came", unread());
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// The next answer.
+    fn event(peer: &mut TcpStream) -> String {
+        peer.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        let mut prefix = [0; 4];
+        peer.read_exact(&mut prefix).expect("a frame");
+        let mut frame = vec![0; u32::from_be_bytes(prefix) as usize];
+        peer.read_exact(&mut frame).expect("a whole frame");
+        thrift::event(&frame)
+    }
+
+    #[test]
+    fn requests_behind_a_read_that_is_cut_short_are_answered() {
+        // Guards against a connection that hangs with requests unread. The system cuts a read short at an urgent mark. That
+        // comes behind more than one read takes, so that what is told of a new connection's bytes is told by then.
+        const BEFORE: i32 = 400;
+        let [listener, processor] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port"));
+        let mut peer = TcpStream::connect(listener.local_addr().expect("an address")).expect("it is taken");
+        let before: Vec<u8> = (1..=BEFORE).flat_map(thrift::health).collect();
+        peer.write_all(&before).expect("taken");
+        send(&peer, b"!", SendFlags::OOB).expect("taken");
+        let last = thrift::health(BEFORE + 1);
+        peer.write_all(&last).expect("taken");
+        arrived(&peer, before.len() + 1 + last.len());
+        let _program = start(&listener, &processor, "cut-short");
+        for seq in 1..=BEFORE + 1 {
+            assert_eq!(event(&mut peer), format!("{seq} bad"));
+        }
+    }
+}
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -23,6 +23,7 @@
 //!   asked for as `claim RID TOKEN`, its end told as `claim-ended TOKEN served|failed|void`.
 //! - `open CONN`: a connection opens, and nothing is sent on it.
 //! - `close CONN` and `close processor`: a peer ends its connection, both ways at once.
+//! - `late CONN`: the reader found that no message of it is whole in its time; on the virtual stage alone.
 //! - `half-close CONN`: it sends nothing more, and still reads. `reset CONN`: it is gone, and what is unread with it; on
 //!   sockets alone, as are the next three.
 //! - `hold CONN` reads nothing of a connection that is not open yet, until `release CONN`. `flood CONN COUNT health` and
@@ -72,6 +73,9 @@
     fn open(&mut self, conn: &str);
     fn close(&mut self, peer: &str);
     fn half_close(&mut self, conn: &str);
+    fn late(&mut self, conn: &str) {
+        panic!("this stage's reader finds by itself what is late: {conn}");
+    }
     fn reset(&mut self, conn: &str) {
         panic!("this stage resets no connection: {conn}");
     }
@@ -243,6 +247,7 @@
             ["freeze"] => stage.freeze(true),
             ["thaw"] => stage.freeze(false),
             ["half-close", conn] => stage.half_close(conn),
+            ["late", conn] => stage.late(conn),
             ["reset", conn] => stage.reset(conn),
             ["hold", conn] => stage.hold(conn, true),
             ["release", conn] => stage.hold(conn, false),
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -181,7 +181,7 @@
                 self.waiting.push(Input::NotAccepting);
                 "stop accepting".to_string()
             }
-            Effect::CloseResting(conn, _) | Effect::Close(conn) => {
+            Effect::CloseResting(conn, _) | Effect::CloseLate(conn, _) | Effect::Close(conn) => {
                 // Its peer ends it too, as peers do.
                 self.waiting.push(Input::Closed(conn));
                 format!("{} closed", name(conn))
@@ -407,6 +407,12 @@
         self.settle();
     }
 
+    fn late(&mut self, conn: &str) {
+        let conn = self.conn(conn);
+        self.waiting.push(Input::Late(conn));
+        self.settle();
+    }
+
     fn half_close(&mut self, conn: &str) {
         let conn = self.conn(conn);
         self.waiting.push(Input::Ended(conn));
--- a/crates/kit/src/scale/fleet/requests.rs
+++ b/crates/kit/src/scale/fleet/requests.rs
@@ -105,7 +105,7 @@
                 let gauges = vec![CORE_USE, self.runs.len() as f64, HEAP_SHARE, 0.0];
                 inputs.push(Input::Used(tag, gauges));
             }
-            Effect::Close(conn) | Effect::CloseResting(conn, _) => {
+            Effect::Close(conn) | Effect::CloseResting(conn, _) | Effect::CloseLate(conn, _) => {
                 self.conn.take_if(|open| *open == conn);
                 inputs.push(Input::Closed(conn));
             }
--- a/crates/node/src/fronts/conn.rs
+++ b/crates/node/src/fronts/conn.rs
@@ -43,17 +43,35 @@
     Dead,
 }
 
+/// What the reader has of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reads {
+    /// It has its turn: it may have anything.
+    Turn,
+    /// It waits for the rest of a message.
+    Part,
+    /// It has nothing, and waits for more.
+    Nothing,
+}
+
+/// A close that is carried out once the reader waits and nothing is unread, unless another message is passed on before.
+struct Wish {
+    /// Messages passed on by then.
+    passed: u64,
+    /// Whether half a message is too late, and holds it no longer.
+    late: bool,
+}
+
 struct Life {
     stage: Stage,
     /// Frames that the socket didn't take, in order.
     waiting: VecDeque<Buffer>,
     /// Since when it takes nothing of them.
     stalled: Option<Instant>,
-    /// Messages passed on, and whether the reader has nothing of it and waits for more.
+    /// Messages passed on.
     passed: u64,
-    rests: bool,
-    /// To be closed when it rests, unless more than so many messages were passed on by then.
-    closes_at_rest: Option<u64>,
+    reads: Reads,
+    closes_at_rest: Option<Wish>,
 }
 
 impl Life {
@@ -74,19 +92,23 @@
         }
     }
 
-    /// Closes it as was wished, if nothing is under way: no message more was passed on, the reader has nothing, and
-    /// nothing is unread. What comes after this look is never read, and its sender sees the end instead.
+    /// Closes it as was wished, if nothing is under way: no message more was passed on, the reader has nothing, or what
+    /// is late, and nothing is unread. What comes after this look is never read, and its sender sees the end instead.
     fn close_at_rest(&mut self, socket: &OwnedFd) {
-        let Some(taken) = self.closes_at_rest else { return };
-        if self.passed != taken {
+        let Some(wish) = &self.closes_at_rest else { return };
+        if self.passed != wish.passed {
             self.closes_at_rest = None;
-        } else if self.rests {
-            let flags = RecvFlags::DONTWAIT | RecvFlags::PEEK;
-            // Where there is something, the reader is told of it, and rests again after that.
-            if recv(socket, &mut [0_u8; 1][..], flags) == Err(Errno::WOULDBLOCK) {
-                self.closes_at_rest = None;
-                self.close(socket);
-            }
+            return;
+        }
+        let waits = match self.reads {
+            Reads::Turn => false,
+            Reads::Part => wish.late,
+            Reads::Nothing => true,
+        };
+        // Where there is something, the reader is told of it, and waits again after that.
+        if waits && is_drained(socket) {
+            self.closes_at_rest = None;
+            self.close(socket);
         }
     }
 
@@ -113,6 +135,12 @@
     }
 }
 
+/// Whether nothing of what the peer sent is unread. Its end is told by a read.
+fn is_drained(socket: &OwnedFd) -> bool {
+    let flags = RecvFlags::DONTWAIT | RecvFlags::PEEK;
+    recv(socket, &mut [0_u8; 1][..], flags) == Err(Errno::WOULDBLOCK)
+}
+
 /// A connection, as its reader and the main thread have it. It counts as long as either does.
 pub(super) struct Conn {
     pub(super) socket: OwnedFd,
@@ -132,7 +160,7 @@
             waiting: VecDeque::new(),
             stalled: None,
             passed: 0,
-            rests: true,
+            reads: Reads::Nothing,
             closes_at_rest: None,
         };
         let (life, spent) = (Mutex::new(life), AtomicUsize::new(0));
@@ -173,17 +201,31 @@
     /// A turn of the reader begins, before anything leaves the socket: from here on the connection doesn't rest.
     pub(super) fn turn(&self) -> Stage {
         let mut life = self.life();
-        life.rests = false;
+        life.reads = Reads::Turn;
         life.stage
     }
 
     /// The reader has nothing of it and waits for more.
     pub(super) fn rest(&self) {
+        self.waits(Reads::Nothing);
+    }
+
+    /// The reader has a part of a message and waits for more.
+    pub(super) fn rest_in_message(&self) {
+        self.waits(Reads::Part);
+    }
+
+    fn waits(&self, reads: Reads) {
         let mut life = self.life();
-        life.rests = true;
+        life.reads = reads;
         life.close_at_rest(&self.socket);
     }
 
+    /// Whether nothing of what the peer sent is unread.
+    pub(super) fn is_drained(&self) -> bool {
+        is_drained(&self.socket)
+    }
+
     /// How many frames the peer has left unread.
     pub(super) fn unread(&self) -> usize {
         self.life().waiting.len()
@@ -207,7 +249,18 @@
     /// that comes while the reader's turn is about to end, and is forgotten.
     pub(super) fn close_resting(&self, taken: u64) {
         let mut life = self.life();
-        life.closes_at_rest = Some(taken);
+        // A wish to close what is late goes further.
+        if !life.closes_at_rest.as_ref().is_some_and(|wish| wish.late && wish.passed == taken) {
+            life.closes_at_rest = Some(Wish { passed: taken, late: false });
+        }
+        life.close_at_rest(&self.socket);
+    }
+
+    /// The same, though a part of a message is here that is late. Guards against a message that becomes whole in the
+    /// instant in which it is found late: it is passed on, and never read only to be thrown away.
+    pub(super) fn close_late(&self, taken: u64) {
+        let mut life = self.life();
+        life.closes_at_rest = Some(Wish { passed: taken, late: true });
         life.close_at_rest(&self.socket);
     }
 
--- a/crates/node/src/fronts/conn/tests.rs
+++ b/crates/node/src/fronts/conn/tests.rs
@@ -145,3 +145,38 @@
     conn.close();
     assert!(!conn.is_overdue(start) && conn.is_overdue(Instant::now() + LINGER));
 }
+
+/// Guards against a message that becomes whole in the instant in which it is found late, and is thrown away unanswered; and
+/// against half a message that holds its place for good.
+#[test]
+fn a_late_connection_is_closed_though_half_a_message_is_here_but_with_no_byte_unread() {
+    for resting_too in [false, true] {
+        let (conn, mut peer) = pair();
+        peer.write_all(b"half").unwrap();
+        arrived(&conn);
+        conn.turn();
+        recv(&conn.socket, &mut [0_u8; 4][..], RecvFlags::empty()).unwrap();
+        conn.close_late(0);
+        assert!(is_open(&conn), "the reader has it in hand");
+        peer.write_all(b"m").unwrap();
+        arrived(&conn);
+        conn.rest_in_message();
+        assert!(is_open(&conn), "a byte is unread");
+        if resting_too {
+            conn.close_resting(0);
+        }
+        conn.turn();
+        recv(&conn.socket, &mut [0_u8; 1][..], RecvFlags::empty()).unwrap();
+        conn.rest_in_message();
+        assert!(matches!(conn.life().stage, Stage::Lingering(_)), "{resting_too}");
+    }
+    let (conn, _peer) = pair();
+    conn.turn();
+    conn.rest_in_message();
+    conn.close_resting(0);
+    assert!(is_open(&conn), "half a message holds it, unless it is late");
+    assert!(conn.pass());
+    conn.close_late(0);
+    conn.rest();
+    assert!(is_open(&conn), "a message was passed on since");
+}
--- a/crates/node/src/fronts/mod.rs
+++ b/crates/node/src/fronts/mod.rs
@@ -12,6 +12,7 @@
 mod conn;
 mod pace;
 mod reader;
+mod reading;
 pub mod scgi;
 pub mod thrift;
 
@@ -262,6 +263,13 @@
         }
     }
 
+    /// Closes a connection that said no whole message in its time, on the same terms; half a message doesn't hold it.
+    pub fn close_late(&self, conn: ConnId, taken: u64) {
+        if let Some(conn) = self.handle(conn) {
+            conn.close_late(taken);
+        }
+    }
+
     /// Closes a connection once all is written; its reader reports the end when the peer has ended its half too.
     pub fn close(&self, conn: ConnId) {
         if let Some(conn) = self.handle(conn) {
--- a/crates/node/src/fronts/reader.rs
+++ b/crates/node/src/fronts/reader.rs
@@ -1,15 +1,14 @@
-//! Accepts connections and reads them all, each in its turn: bytes become frames, frames become inputs.
+//! Accepts connections and gives each its turn to be read, and ends those that are late.
+//! Not here: what a turn does ([`super::reading`]).
 
-use super::conn::Stage;
-use super::pace::{Pace, Worth};
-use super::{Conn, Cut, Cutter, Front, Listener, MOST_UNREAD, Patience, Shared};
+use super::pace::Pace;
+use super::reading::{Intake, Reading, Turn};
+use super::{Conn, Front, Listener, MOST_UNREAD, Shared};
 use gradepin_core::config::SPARE_PLACES;
 use gradepin_core::messages::{ConnId, Input};
-use gradepin_core::pool::Buffer;
 use gradepin_decisions::Span;
 use rustix::event::{Timespec, epoll};
 use rustix::io::Errno;
-use rustix::net::{RecvFlags, recv};
 use slog::{info, warn};
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, ErrorKind};
@@ -28,67 +27,13 @@
 const EVENTS: usize = 128;
 /// Connections accepted from one listener before the next has its turn.
 const AT_ONCE: usize = 16;
-/// What is read and thrown away of a peer whose bytes are no messages, or whose connection is being closed. More stays
-/// unread, and then holds its sender back.
-const MOST_DISCARDED: usize = 256 * 1024;
-/// Of it in one turn.
-const DISCARDED_AT_ONCE: usize = 8;
+/// What a peer is told that began a message and didn't end it in its time.
+const TOO_LATE: &str = "no whole frame in its time";
 /// How long a connection in a spare place may take for its one message.
 const SPARE_PATIENCE: Duration = Duration::from_millis(250);
 /// A front beside the first has this part of the places: one connection for each request uses many.
 const BESIDE_PART: usize = 2;
 
-/// What becomes of the bytes of a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Intake {
-    /// They are cut into messages, and these are passed on.
-    Open,
-    /// They are thrown away: what came before made no sense, or came too late. What is owed is answered yet.
-    Discarded,
-    /// There are none any more: the peer has shut its half. What is owed is answered yet.
-    Ended,
-}
-
-/// A connection being read.
-struct Reading {
-    socket: Arc<Conn>,
-    /// What came of frames that are not whole, or not passed on.
-    buffer: Option<Buffer>,
-    cutter: Box<dyn Cutter>,
-    patience: Patience,
-    intake: Intake,
-    /// Whether anything came.
-    begun: bool,
-    /// Both halves are shut, as the system tells.
-    gone: bool,
-    /// Its peer's half is; the end is yet to be read.
-    half_gone: bool,
-    /// When the frame begun, or the first one, must be whole; none between later frames.
-    until: Option<Instant>,
-    pace: Pace,
-    /// Whether its turn is to come: there may be something to read.
-    ready: bool,
-    /// Whether that waits until its peer has read some of its answers.
-    held: bool,
-    discarded: usize,
-}
-
-/// What a turn ended with.
-enum Turn {
-    /// Nothing is left to read.
-    Rest,
-    /// There may be more.
-    More,
-    /// It has sent too much of what is turned away.
-    Pause(Duration),
-    /// Its peer leaves too many answers unread.
-    Held,
-    /// Nothing more of it is passed on; what is owed is answered yet. Why, if the peer did wrong.
-    Ended(Option<String>),
-    /// It can't be used any more.
-    Gone(Option<io::Error>),
-}
-
 /// A listener and what its connections are; its number among the sockets is its place.
 struct Door {
     /// None once accepting has stopped.
@@ -188,7 +133,6 @@
         let Some(reading) = self.readings.get_mut(&conn) else { return };
         let gone = flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR);
         reading.gone |= gone;
-        reading.half_gone |= flags.contains(epoll::EventFlags::RDHUP);
         if flags.contains(epoll::EventFlags::OUT) {
             let waits = reading.socket.flush();
             if reading.held && waits < MOST_UNREAD {
@@ -314,8 +258,8 @@
             intake: Intake::Open,
             begun: false,
             gone: false,
-            half_gone: false,
             until,
+            late: false,
             pace,
             ready: true,
             held: false,
@@ -363,6 +307,22 @@
         self.shared.inputs.send(Input::Ended(conn)).is_ok()
     }
 
+    /// A connection said no whole message in its time. What comes yet is read on: it is closed in an instant in which
+    /// nothing is unread, so that no request is read and thrown away.
+    fn late(&mut self, conn: ConnId) {
+        let Some(reading) = self.readings.get_mut(&conn) else { return };
+        if !reading.socket.is_drained() {
+            // It came after the last look at the sockets, and its turn is next.
+            return;
+        }
+        reading.late = true;
+        info!(self.shared.log, "a client's connection can't go on"; "conn" => conn, "reason" => TOO_LATE);
+        // One that began no message is told nothing either.
+        let told = reading.in_message().then(|| reading.socket.front.malformed(TOO_LATE, &self.shared.pool));
+        told.flatten().into_iter().for_each(|frame| reading.socket.send(frame));
+        let _ = self.shared.inputs.send(Input::Late(conn));
+    }
+
     /// A connection is over.
     fn gone(&mut self, conn: ConnId, reason: Option<io::Error>) -> bool {
         if let Some(reason) = reason {
@@ -378,24 +338,24 @@
         self.shared.inputs.send(Input::Closed(conn)).is_ok()
     }
 
-    /// Ends what should have sent a whole frame by now, what takes nothing of its answers, and what doesn't end its half.
-    /// What has a turn to come is not late with a frame: its bytes are here.
+    /// Ends what takes nothing of its answers and what doesn't end its half, and tells what should have sent a whole frame
+    /// by now: it is closed if nothing is owed to it and unread on it. What has a turn to come is not late with a frame:
+    /// its bytes are here.
     fn end_late(&mut self, now: Instant) {
-        let late = |reading: &Reading| !reading.ready && reading.until.is_some_and(|until| until <= now);
-        let (mut ended, mut gone) = (Vec::new(), Vec::new());
+        let (mut late, mut gone) = (Vec::new(), Vec::new());
         for (&conn, reading) in &self.readings {
             let both = reading.intake == Intake::Ended && reading.socket.lingers_since().is_some();
             if both || reading.socket.is_overdue(now) {
                 gone.push(conn);
-            } else if reading.intake == Intake::Open && late(reading) {
-                ended.push(conn);
+            } else if reading.is_late(now) {
+                late.push(conn);
             }
         }
         for conn in gone {
             self.gone(conn, None);
         }
-        for conn in ended {
-            self.ended(conn, Some("no whole frame in its time".into()));
+        for conn in late {
+            self.late(conn);
         }
     }
 
@@ -414,144 +374,5 @@
     Ok(epoll::add(epoll, socket, epoll::EventData::new_u64(number), flags)?)
 }
 
-impl Reading {
-    /// Passes on the frames that are here, reads once, and passes on what came.
-    fn turn(&mut self, conn: ConnId, shared: &Shared) -> io::Result<Turn> {
-        match self.socket.turn() {
-            Stage::Dead => return Ok(Turn::Gone(None)),
-            Stage::Open if self.intake == Intake::Open => {}
-            // What comes after the last message can only be thrown away.
-            _ => return self.discard(shared),
-        }
-        let mut buffer = self.buffer.take().unwrap_or_else(|| shared.pool.take());
-        if !buffer.is_empty()
-            && let Some(turn) = self.pass_on(conn, &mut buffer, shared)
-        {
-            self.buffer = Some(buffer);
-            return Ok(turn);
-        }
-        let room = buffer.space().len();
-        match recv(&self.socket.socket, buffer.space(), RecvFlags::DONTWAIT) {
-            // Half a frame that nothing follows is no message: what was whole before it is owed all the same.
-            Ok((0, _)) => Ok(Turn::Ended(None)),
-            Ok((len, _)) => {
-                buffer.filled(len);
-                if let Some(turn) = self.pass_on(conn, &mut buffer, shared) {
-                    self.buffer = Some(buffer);
-                    return Ok(turn);
-                }
-                // A read that didn't fill its room has emptied the socket, and whatever comes later, its end too, is
-                // told of anew (epoll(7), on edge-triggered stream sockets). Another read to hear that was an eighth of
-                // the reader's CPU. An end already told of is not told again, and needs that read.
-                if len < room && !self.gone && !self.half_gone {
-                    Ok(self.rest(buffer))
-                } else {
-                    self.buffer = Some(buffer);
-                    Ok(Turn::More)
-                }
-            }
-            Err(Errno::INTR) => {
-                self.buffer = Some(buffer);
-                Ok(Turn::More)
-            }
-            Err(Errno::WOULDBLOCK) => Ok(self.rest(buffer)),
-            Err(e) => Err(e.into()),
-        }
-    }
-
-    /// Nothing is left in the socket.
-    fn rest(&mut self, buffer: Buffer) -> Turn {
-        self.buffer = (!buffer.is_empty()).then_some(buffer);
-        if self.buffer.is_none() && !self.cutter.begun() {
-            self.socket.rest();
-        }
-        Turn::Rest
-    }
-
-    /// Reads and throws away, up to the peer's end.
-    fn discard(&mut self, shared: &Shared) -> io::Result<Turn> {
-        self.buffer = None;
-        let mut buffer = shared.pool.take();
-        for _ in 0..DISCARDED_AT_ONCE {
-            if self.intake == Intake::Ended || self.discarded >= MOST_DISCARDED {
-                break;
-            }
-            match recv(&self.socket.socket, buffer.space(), RecvFlags::DONTWAIT) {
-                Ok((0, _)) => self.intake = Intake::Ended,
-                Ok((len, _)) => self.discarded += len,
-                Err(Errno::INTR) => {}
-                Err(Errno::WOULDBLOCK) => return Ok(if self.gone { Turn::Gone(None) } else { Turn::Rest }),
-                Err(e) => return Err(e.into()),
-            }
-        }
-        let ended = self.intake == Intake::Ended;
-        if self.gone || (ended && self.socket.lingers_since().is_some()) {
-            return Ok(Turn::Gone(None));
-        }
-        // A peer that goes on past the bound is left waiting, until all is written and its time is up.
-        Ok(if ended || self.discarded >= MOST_DISCARDED { Turn::Rest } else { Turn::More })
-    }
-
-    /// Passes on the whole messages of a buffer; a turn that ends with them, if one does.
-    fn pass_on(&mut self, conn: ConnId, buffer: &mut Buffer, shared: &Shared) -> Option<Turn> {
-        let (mut used, mut whole, mut ends) = (0, false, None);
-        while ends.is_none() && used < buffer.len() {
-            if self.socket.unread() >= MOST_UNREAD {
-                return self.passed(buffer, used, whole, Some(Turn::Held));
-            }
-            let (len, cut) = match self.cutter.cut(&buffer[used..], &shared.pool) {
-                Ok(Some(cut)) => cut,
-                Ok(None) => break,
-                Err(wrong) => return Some(Turn::Ended(Some(wrong.0.into()))),
-            };
-            used += len;
-            let mut spent = 1;
-            let input = match cut {
-                Cut::Call(seq, call) => Some(Input::Call(conn, seq, call)),
-                Cut::Health(seq) => Some(Input::Health(conn, seq)),
-                Cut::Invalid(seq, misuse, why) => Some(Input::Invalid(conn, seq, misuse, why)),
-                Cut::Cancel(seq) => Some(Input::Cancel(conn, seq)),
-                Cut::Nothing => continue,
-                Cut::Nonsense => {
-                    spent += Worth::Nonsense.cost();
-                    None
-                }
-            };
-            whole = true;
-            if let Some(input) = input {
-                // In the instant of a close it is thrown away, and its sender sees the end instead of an answer.
-                if !self.socket.pass() {
-                    return Some(Turn::More);
-                }
-                if shared.inputs.send(input).is_err() {
-                    return Some(Turn::Gone(None));
-                }
-            }
-            spent += self.socket.spent.swap(0, Ordering::Relaxed);
-            ends = self.pace.spend(spent, Instant::now()).map(Turn::Pause);
-        }
-        self.passed(buffer, used, whole, ends)
-    }
-
-    /// So many bytes of the buffer were used, and whether a message ended among them.
-    fn passed(&mut self, buffer: &mut Buffer, used: usize, whole: bool, turn: Option<Turn>) -> Option<Turn> {
-        let came = !buffer.is_empty();
-        buffer.consume(used);
-        let (now, rest) = (Instant::now(), !buffer.is_empty() || self.cutter.begun());
-        if came && !self.begun {
-            self.begun = true;
-            if self.patience.first_byte_only {
-                self.until = Some(now + self.patience.whole);
-            }
-        }
-        if whole {
-            self.until = rest.then(|| now + self.patience.whole);
-        } else if rest && self.until.is_none() {
-            self.until = Some(now + self.patience.whole);
-        }
-        turn
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/fronts/reader/tests.rs
+++ b/crates/node/src/fronts/reader/tests.rs
@@ -3,7 +3,9 @@
 use crate::settings::Live;
 use crossbeam_channel::{Receiver, unbounded};
 use gradepin_core::pool::Pool;
+use rustix::net::{SendFlags, send};
 use slog::Logger;
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::AtomicBool;
 
@@ -61,3 +63,93 @@
     let inputs: Vec<Input> = came.try_iter().collect();
     assert!(matches!(inputs[..], [Input::Closed(2), Input::Opened(_)]), "{inputs:?}");
 }
+
+/// A health check as a client proxy frames it.
+fn health(seq: i32) -> Vec<u8> {
+    let head = [&[0x80, 1, 0, 1][..], &6_u32.to_be_bytes(), b"health", &seq.to_be_bytes()].concat();
+    let message = [&head[..], &[2, 0, 1, 0, 0]].concat();
+    [&(message.len() as u32).to_be_bytes()[..], &message].concat()
+}
+
+/// Bytes that the system has for the server's end of a connection and that were not read, as /proc/net/tcp tells.
+fn unread(peer: &TcpStream) -> usize {
+    let word = |address: SocketAddr| format!(":{:04X}", address.port());
+    let (server, client) = (word(peer.peer_addr().unwrap()), word(peer.local_addr().unwrap()));
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let line = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let mut line = line.filter(|words| words[1].ends_with(&server) && words[2].ends_with(&client));
+    let words = line.next().expect("the connection stands");
+    usize::from_str_radix(words[4].split_once(':').unwrap().1, 16).unwrap()
+}
+
+/// Waits until so many bytes of a peer are there to be read.
+fn arrived(peer: &TcpStream, bytes: usize) {
+    let start = Instant::now();
+    while unread(peer) < bytes {
+        assert!(start.elapsed() < Duration::from_secs(20), "{} of {bytes} bytes came", unread(peer));
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Has all turns that are to come now, as the reader's loop has them, until none is left.
+fn all_turns(reader: &mut Reader) {
+    reader.accept();
+    loop {
+        let mut events = Vec::with_capacity(EVENTS);
+        let none = Timespec { tv_sec: 0, tv_nsec: 0 };
+        epoll::wait(&reader.epoll, rustix::buffer::spare_capacity(&mut events), Some(&none)).unwrap();
+        for event in &events {
+            reader.wake(event.data.u64(), event.flags);
+        }
+        if reader.turns.is_empty() {
+            return;
+        }
+        while let Some(conn) = reader.turns.pop_front() {
+            assert!(reader.turn(conn));
+        }
+    }
+}
+
+fn health_checks(came: &Receiver<Input>) -> Vec<i32> {
+    came.try_iter()
+        .filter_map(|input| if let Input::Health(_, seq) = input { Some(seq) } else { None })
+        .collect()
+}
+
+/// Guards against a connection that hangs with requests unread: a read may be cut short though more is there, as it is
+/// before an urgent mark, and of what is there already nothing is told anew.
+#[test]
+fn a_read_that_is_cut_short_leaves_nothing_behind() {
+    let (mut reader, address, came) = reader(4, false);
+    let mut peer = TcpStream::connect(address).unwrap();
+    peer.write_all(&health(1)).unwrap();
+    send(&peer, b"!", SendFlags::OOB).unwrap();
+    peer.write_all(&health(2)).unwrap();
+    arrived(&peer, 2 * health(1).len() + 1);
+    all_turns(&mut reader);
+    assert_eq!(health_checks(&came), [1, 2]);
+}
+
+/// Guards against a request that is read, thrown away and closed with no answer, since it came in the instant in which
+/// its connection was found late: after the last look at the sockets, and before the close.
+#[test]
+fn a_request_that_comes_in_the_instant_of_lateness_is_passed_on() {
+    for before_the_look in [true, false] {
+        let (mut reader, address, came) = reader(4, false);
+        let mut peer = TcpStream::connect(address).unwrap();
+        all_turns(&mut reader);
+        let late = Instant::now() + Duration::from_secs(3);
+        if before_the_look {
+            peer.write_all(&health(1)).unwrap();
+            arrived(&peer, health(1).len());
+        }
+        reader.end_late(late);
+        if !before_the_look {
+            // The main thread has not closed it yet.
+            peer.write_all(&health(1)).unwrap();
+            arrived(&peer, health(1).len());
+        }
+        all_turns(&mut reader);
+        assert_eq!(health_checks(&came), [1], "{before_the_look}");
+    }
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -299,6 +299,7 @@
                 Effect::StopAccepting => fronts.stop_accepting(),
                 Effect::Close(conn) => fronts.close(conn),
                 Effect::CloseResting(conn, taken) => fronts.close_resting(conn, taken),
+                Effect::CloseLate(conn, taken) => fronts.close_late(conn, taken),
                 Effect::Begin(link, id, class, body) => {
                     processor.begin(link, &id, &class.profile.name, &body);
                 }
