Test the Thrift codec on the reader's stack with what strangers may send

No fault found: nested containers to 700 deep on a stack of 64 KiB (debug build), every length of a call replaced by -1, the least, the largest and others, 2,000 drawn inputs each of random bytes, of random arguments behind a whole head, and of a call with bytes changed, put in or left out; every order of fields, fields of no meaning, bodies of 0 to 2,048 bytes. The SCGI codec has such tests already.

--- a/crates/node/src/fronts/thrift/codec.rs
+++ b/crates/node/src/fronts/thrift/codec.rs
@@ -384,3 +384,6 @@
 pub fn draining(pool: &Arc<Pool>) -> Option<Buffer> {
     Writer::message(pool, ONEWAY, "draining", 0).end()
 }
+
+#[cfg(test)]
+mod tests;
