Forget a request whose run was stopped, once it is answered

Root cause: Reducer::ended (core/src/reducer/runs.rs) keeps a request whose run ended STOPPED while its caller still waits, so that the module can answer it, but left it in State::Running; finish (requests.rs) forgets only what doesn't run, since a notice is to come, and none comes any more. Its body, its class and tenant and its rid stayed in the books. The processor ends a run so at a call of a request that it takes for over, which the server may hear of later than the notice. Change: such a request is in State::Stopped, and is forgotten with its answer, or when its caller leaves.

Searched for the same shape, what stays in Requests past its last event: never_ran, ran_elsewhere, restarted, rejected, joined, and held ones that left are forgotten in the step.

--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -31,6 +31,8 @@
     /// Waits for another try's run, since a time.
     Joined(Time),
     Running,
+    /// Its run was stopped, and the module has yet to answer it.
+    Stopped,
 }
 
 /// A request that is open or runs.
--- a/crates/core/src/reducer/runs.rs
+++ b/crates/core/src/reducer/runs.rs
@@ -121,8 +121,10 @@
             self.answer_end(id, answer.clone());
         }
         self.events.push(Event::Completed { id: id.clone(), outcome, took });
-        if outcome != Outcome::Revoked || !self.requests.get(id).is_some_and(|open| open.owed) {
-            self.forget(id);
+        match self.requests.get_mut(id) {
+            // No notice comes after this one: it leaves the books with its answer.
+            Some(open) if outcome == Outcome::Revoked && open.owed => open.state = State::Stopped,
+            _ => self.forget(id),
         }
         if let Some(token) = token {
             self.settle(&token, id, kept);
--- a/crates/gradepin/tests/clients.rs
+++ b/crates/gradepin/tests/clients.rs
@@ -95,6 +95,34 @@
     );
 }
 
+#[test]
+fn a_request_whose_run_was_stopped_leaves_the_books_with_its_answer() {
+    // Guards against books that fill: a run that the processor stopped while its caller still waited, as it does at a call
+    // of one that it takes for over, was answered and kept for good, with its body, until all that came was refused.
+    let mut stage = Virtually::with(|config| config["limits"]["memory_mb"] = 16.into());
+    play(&mut stage, "send processor hi WARM 0");
+    let body = "x".repeat(2000);
+    // Those of 1,500 take more than a quarter of the memory.
+    for n in 1..=1500 {
+        play(
+            &mut stage,
+            &format!(
+                "send a call {n} rid={n} mem=0.5 body={body}
+                 expect processor begin {n}
+                 send processor complete {n} {n} STOPPED
+                 expect a {n} failed"
+            ),
+        );
+    }
+    play(
+        &mut stage,
+        "send a call 2001 rid=1500
+         expect processor begin 1500
+         send admin stats
+         expect admin 200 server_open_requests 1",
+    );
+}
+
 mod sockets {
     //! Bytes that are all there before the program reads the first of them: an inherited listener takes them.
 
