Count on no more descriptors than the system allows

Root cause: Config::connections (core/src/config.rs) counts the places from limits.sockets alone, and nothing looked at RLIMIT_NOFILE. Idle clients take what is kept back for the link, the door and the spare places, and room is made only near the configured number. Change: node/src/descriptors.rs raises the soft limit towards limits.sockets at the start, and goes by what is allowed where that is less, with a warning; under 128, the least that a configuration may say, the start ends with status 1 and says so.

Searched: memory_mb is a budget of our own, beside no limit of the system that is read. Threads were not looked at.

--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -50,6 +50,16 @@
 
     /// The same, with so many descriptors and a configuration that differs in something.
     pub fn with(name: &str, descriptors: usize, change: impl FnOnce(&mut serde_json::Value)) -> Self {
+        Self::limited(name, descriptors, &format!("ulimit -n {descriptors}"), change)
+    }
+
+    /// The same, where the system's limits are those that a command of the shell sets, whatever the configuration says.
+    pub fn limited(
+        name: &str,
+        descriptors: usize,
+        limits: &str,
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> Self {
         // An address of its own for each program: a port that was only free a moment ago may be taken.
         let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         let address = format!("127.{}.{}.{n}:18443", 64 + (pid >> 8) % 64, pid % 256);
@@ -65,7 +75,7 @@
         let file = std::env::temp_dir().join(format!("gradepin-{}-{name}.json", std::process::id()));
         std::fs::write(&file, &text).expect("a file for the configuration");
         // The shell sets the limit, and becomes the program.
-        let limited = format!("ulimit -n {descriptors} && exec \"$0\" serve");
+        let limited = format!("{limits} && exec \"$0\" serve");
         let mut program = Command::new("/bin/sh");
         let program = program.args(["-c", &limited, env!("CARGO_BIN_EXE_gradepin")]);
         let program = program.env("GW_CONFIG", &file).stderr(Stdio::null());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod configuration_writer;
 pub mod control;
 pub mod council;
+mod descriptors;
 mod fleet_start;
 pub mod fronts;
 pub mod handed;
