Let a crowd that comes in one instant wait to be accepted

Failure as seen with the fronts of: crates/gradepin/tests/clients.rs, a_crowd_that_comes_in_one_instant_is_taken_whole: "of 600 the 138th: connection timed out", with the process stopped while 600 clients come, as it is while it has no turn on its core.

Root cause: std's TcpListener::bind and UnixListener::bind listen with a backlog of 128 (fronts/mod.rs, Listener::tcp and unix); past it the system drops connections, whose clients try again after 1 s, 3 s and so on. Change: a backlog of 1,024. An inherited listener keeps the platform's.

Searched: the operators' door takes 32 callers at a time and keeps its 128.

--- a/crates/gradepin/tests/clients.rs
+++ b/crates/gradepin/tests/clients.rs
@@ -143,6 +143,37 @@
     assert!(stage.descriptors() <= 160);
 }
 
+/// Guards against newcomers whom the system turns away while the server has no turn on its core: a crowd that comes back in
+/// one instant has connections, as many as there are places, and their requests are answered with its next turn.
+#[test]
+fn a_crowd_that_comes_in_one_instant_is_taken_whole() {
+    for (name, descriptors) in [("crowd", 1024), ("crowd-of-few", 128)] {
+        crowd(name, descriptors);
+    }
+}
+
+fn crowd(name: &str, descriptors: usize) {
+    const CROWD: usize = 600;
+    let mut stage = Sockets::with(name, descriptors, |_| ());
+    play(&mut stage, "expect processor hello 0\nexpect control Ready\nfreeze");
+    let address = stage.address().parse().expect("an address");
+    let mut crowd: Vec<_> = (0..CROWD)
+        .map(|n| {
+            let mut peer = std::net::TcpStream::connect_timeout(&address, std::time::Duration::from_secs(20))
+                .unwrap_or_else(|e| panic!("of {CROWD} the {n}th: {e}"));
+            std::io::Write::write_all(&mut peer, &scenario::thrift::health(1)).expect("taken");
+            peer
+        })
+        .collect();
+    play(&mut stage, "thaw");
+    for (n, peer) in crowd.iter_mut().enumerate() {
+        // One in a spare place is asked to drain first.
+        let first = sockets::event(peer);
+        let answer = if first == "draining" { sockets::event(peer) } else { first };
+        assert_eq!(answer, "1 good", "the {n}th of {CROWD}, {descriptors} descriptors");
+    }
+}
+
 /// Guards against a server that does with the few descriptors that the system gives at first, where it may have what its
 /// settings say.
 #[test]
@@ -226,7 +257,7 @@
     }
 
     /// The next answer.
-    fn event(peer: &mut TcpStream) -> String {
+    pub fn event(peer: &mut TcpStream) -> String {
         peer.set_read_timeout(Some(PATIENCE)).expect("a timeout");
         let mut prefix = [0; 4];
         peer.read_exact(&mut prefix).expect("a frame");
--- a/crates/node/src/fronts/mod.rs
+++ b/crates/node/src/fronts/mod.rs
@@ -22,6 +22,7 @@
 use gradepin_core::pool::{Buffer, Pool};
 use pace::Worth;
 use reader::Reader;
+use rustix::net::listen;
 use slog::Logger;
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
@@ -39,6 +40,11 @@
 /// Frames that a peer may leave unread before no more is read from it.
 const MOST_UNREAD: usize = 64;
 
+/// Connections that may wait to be accepted, as many as most servers have places. The library's 128 are fewer than the
+/// client proxies that come back in one instant: the system drops the others while this process has no turn on its core,
+/// and they try again a second later, or three.
+const BACKLOG: i32 = 1024;
+
 /// Why a connection can't go on: its bytes are no messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
@@ -121,7 +127,9 @@
 impl Listener {
     /// On an address.
     pub fn tcp(address: SocketAddr) -> io::Result<Self> {
-        Ok(Self::Tcp(TcpListener::bind(address)?))
+        let listener = TcpListener::bind(address)?;
+        listen(&listener, BACKLOG)?;
+        Ok(Self::Tcp(listener))
     }
 
     /// On a path. A socket that a server left there is removed; anything else there is an error.
@@ -133,7 +141,9 @@
             }
             std::fs::remove_file(path)?;
         }
-        Ok(Self::Unix(UnixListener::bind(path)?, path.into()))
+        let listener = UnixListener::bind(path)?;
+        listen(&listener, BACKLOG)?;
+        Ok(Self::Unix(listener, path.into()))
     }
 
     fn set_nonblocking(&self) -> io::Result<()> {
