Try a write again that was denied for want of memory, and not of room

Failure as seen with the reader before this: fronts/reader/tests.rs, a_write_that_was_denied_is_tried_again: "it waits yet".

Root cause: Life::write (fronts/conn.rs) takes NOBUFS and NOMEM for a full socket and leaves what waits to the event that tells of room. Events are edge-triggered, and none follows where the socket was not full; WRITE_PATIENCE then ended the connection. Change: what is stalled is tried again with each look at what is late, every 100 ms; a connection whose peer takes nothing ends as before. A late connection on which bytes are found is given its turn and doesn't wait for an event either.

Searched: the processor's and the peers' writes are not by epoll. A read that is denied so (EAGAIN with bytes there) has no such look: the kernel knows none, and a look at each connection would cost a system call for each.

--- a/crates/node/src/fronts/conn.rs
+++ b/crates/node/src/fronts/conn.rs
@@ -279,6 +279,19 @@
         }
     }
 
+    /// A write was denied, and what waits has not moved since.
+    pub(super) fn is_stalled(&self) -> bool {
+        self.life().stalled.is_some()
+    }
+
+    /// A write of a frame is denied, as where the system has no memory for it.
+    #[cfg(test)]
+    pub(super) fn deny(&self, frame: Buffer) {
+        let mut life = self.life();
+        life.waiting.push_back(frame);
+        life.stalled = Some(Instant::now());
+    }
+
     /// Since when it lingers, if it does.
     pub(super) fn lingers_since(&self) -> Option<Instant> {
         match self.life().stage {
--- a/crates/node/src/fronts/reader.rs
+++ b/crates/node/src/fronts/reader.rs
@@ -134,14 +134,9 @@
         let gone = flags.intersects(epoll::EventFlags::HUP | epoll::EventFlags::ERR);
         reading.gone |= gone;
         if flags.contains(epoll::EventFlags::OUT) {
-            let waits = reading.socket.flush();
-            if reading.held && waits < MOST_UNREAD {
-                // What it sent meanwhile waited for its own peer, not for this server.
-                let _ = self.shared.inputs.send(Input::Paced(conn, Span(0)));
-                reading.held = false;
-                self.turns.push_back(conn);
-            }
+            self.write_on(conn);
         }
+        let Some(reading) = self.readings.get_mut(&conn) else { return };
         if gone && std::mem::take(&mut reading.held) {
             self.turns.push_back(conn);
         }
@@ -152,6 +147,18 @@
         }
     }
 
+    /// Writes what waits on a connection, which is read on once little waits.
+    fn write_on(&mut self, conn: ConnId) {
+        let Some(reading) = self.readings.get_mut(&conn) else { return };
+        let waits = reading.socket.flush();
+        if reading.held && waits < MOST_UNREAD {
+            // What it sent meanwhile waited for its own peer, not for this server.
+            let _ = self.shared.inputs.send(Input::Paced(conn, Span(0)));
+            reading.held = false;
+            self.turns.push_back(conn);
+        }
+    }
+
     /// Accepts what waits, as far as there is room, some of each listener in its turn.
     fn accept(&mut self) {
         if !self.shared.accepting.load(Ordering::SeqCst) {
@@ -312,8 +319,9 @@
     fn late(&mut self, conn: ConnId) {
         let Some(reading) = self.readings.get_mut(&conn) else { return };
         if !reading.socket.is_drained() {
-            // It came after the last look at the sockets, and its turn is next.
-            return;
+            // It came after the last look at the sockets, and is read next.
+            reading.ready = true;
+            return self.turns.push_back(conn);
         }
         reading.late = true;
         info!(self.shared.log, "a client's connection can't go on"; "conn" => conn, "reason" => TOO_LATE);
@@ -338,10 +346,15 @@
         self.shared.inputs.send(Input::Closed(conn)).is_ok()
     }
 
-    /// Ends what takes nothing of its answers and what doesn't end its half, and tells what should have sent a whole frame
-    /// by now: it is closed if nothing is owed to it and unread on it. What has a turn to come is not late with a frame:
-    /// its bytes are here.
+    /// Tries denied writes again, ends what takes nothing of its answers and what doesn't end its half, and tells what
+    /// should have sent a whole frame by now: it is closed if nothing is owed to it and unread on it. What has a turn to
+    /// come is not late with a frame: its bytes are here.
     fn end_late(&mut self, now: Instant) {
+        // A write that was denied for want of memory, and not of room, is followed by no event.
+        let stalled = self.readings.iter().filter(|(_, reading)| reading.socket.is_stalled());
+        for conn in stalled.map(|(&conn, _)| conn).collect::<Vec<_>>() {
+            self.write_on(conn);
+        }
         let (mut late, mut gone) = (Vec::new(), Vec::new());
         for (&conn, reading) in &self.readings {
             let both = reading.intake == Intake::Ended && reading.socket.lingers_since().is_some();
--- a/crates/node/src/fronts/reader/tests.rs
+++ b/crates/node/src/fronts/reader/tests.rs
@@ -5,7 +5,7 @@
 use gradepin_core::pool::Pool;
 use rustix::net::{SendFlags, send};
 use slog::Logger;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::AtomicBool;
 
@@ -153,3 +153,21 @@
         assert_eq!(health_checks(&came), [1], "{before_the_look}");
     }
 }
+
+/// Guards against answers that wait for room that nobody tells of: a write that was denied for want of memory, and not of
+/// room, is followed by no event, and its peer was ended 5 s later.
+#[test]
+fn a_write_that_was_denied_is_tried_again() {
+    let (mut reader, address, _came) = reader(4, false);
+    let mut peer = TcpStream::connect(address).unwrap();
+    all_turns(&mut reader);
+    let socket = Arc::clone(&reader.readings[&1].socket);
+    socket.deny(reader.shared.pool.copy(b"answer").unwrap());
+    all_turns(&mut reader);
+    reader.end_late(Instant::now());
+    assert!(!socket.is_stalled() && socket.unread() == 0, "it waits yet");
+    peer.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let mut answer = [0; 6];
+    peer.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"answer");
+}
