Look for newcomers with each tick, and not only when an event tells of them

Failure as seen with the reader before this: fronts/reader/tests.rs, who_waits_to_be_accepted_is_found_without_an_event: nothing is opened. Trial on the built daemon under `strace -e inject=accept4:error=EAGAIN:when=2+2`, one client at a time: six of six connections with a health check unanswered after 3 s, until the next one came.

Root cause: Reader::accept_some (fronts/reader.rs) ends accepting at WouldBlock until an edge-triggered event of the listener, which comes with the next newcomer alone.

Searched: the door's thread, the signals' pipe and the processor's link block.

--- a/crates/node/src/fronts/reader.rs
+++ b/crates/node/src/fronts/reader.rs
@@ -123,7 +123,7 @@
             }
             if now >= next_tick {
                 next_tick = now + TICK;
-                self.end_late(now);
+                self.tick(now);
             }
         }
     }
@@ -346,10 +346,15 @@
         self.shared.inputs.send(Input::Closed(conn)).is_ok()
     }
 
-    /// Tries denied writes again, ends what takes nothing of its answers and what doesn't end its half, and tells what
-    /// should have sent a whole frame by now: it is closed if nothing is owed to it and unread on it. What has a turn to
-    /// come is not late with a frame: its bytes are here.
-    fn end_late(&mut self, now: Instant) {
+    /// Looks for newcomers, tries denied writes again, ends what takes nothing of its answers and what doesn't end its
+    /// half, and tells what should have sent a whole frame by now: it is closed if nothing is owed to it and unread on it.
+    /// What has a turn to come is not late with a frame: its bytes are here.
+    fn tick(&mut self, now: Instant) {
+        for door in &mut self.doors {
+            // Whoever waits though accepting ended with nobody waiting, as it may where a call is broken off, is told of
+            // by no event.
+            door.accepts = door.listener.is_some();
+        }
         // A write that was denied for want of memory, and not of room, is followed by no event.
         let stalled = self.readings.iter().filter(|(_, reading)| reading.socket.is_stalled());
         for conn in stalled.map(|(&conn, _)| conn).collect::<Vec<_>>() {
--- a/crates/node/src/fronts/reader/tests.rs
+++ b/crates/node/src/fronts/reader/tests.rs
@@ -143,7 +143,7 @@
             peer.write_all(&health(1)).unwrap();
             arrived(&peer, health(1).len());
         }
-        reader.end_late(late);
+        reader.tick(late);
         if !before_the_look {
             // The main thread has not closed it yet.
             peer.write_all(&health(1)).unwrap();
@@ -164,10 +164,22 @@
     let socket = Arc::clone(&reader.readings[&1].socket);
     socket.deny(reader.shared.pool.copy(b"answer").unwrap());
     all_turns(&mut reader);
-    reader.end_late(Instant::now());
+    reader.tick(Instant::now());
     assert!(!socket.is_stalled() && socket.unread() == 0, "it waits yet");
     peer.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
     let mut answer = [0; 6];
     peer.read_exact(&mut answer).unwrap();
     assert_eq!(&answer, b"answer");
 }
+
+/// Guards against newcomers who wait until another one comes: where accepting was broken off though somebody waits, no
+/// event tells of those again.
+#[test]
+fn who_waits_to_be_accepted_is_found_without_an_event() {
+    let (mut reader, address, came) = reader(4, false);
+    let _peer = TcpStream::connect(address).unwrap();
+    reader.doors[0].accepts = false;
+    reader.tick(Instant::now());
+    reader.accept();
+    assert!(matches!(came.try_recv(), Ok(Input::Opened(_))));
+}
