Listen once, go by what descriptors there are, and look for newcomers each second

UnixListener::bind of std already has the system's own bound, so the unix listener is std's again. - Under fewer descriptors than 128 the start does not end with status 1 any more: it is no fault of the configuration, and a server can do with 96.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -55,9 +55,7 @@
 
 /// Descriptors kept back for the listener, the link, reports, signals, standard streams and the spare places.
 const RESERVED_SOCKETS: usize = 32;
-/// Least descriptors that the process can do with.
-pub const LEAST_SOCKETS: usize = 4 * RESERVED_SOCKETS;
-/// Of those kept back, places for connections that come while all others are taken: each has one exchange, a health check or a
+/// Of those, places for connections that come while all others are taken: each has one exchange, a health check or a
 /// refusal, and is closed. Guards against peers that fill all places for as long as they like.
 pub const SPARE_PLACES: usize = 8;
 /// Kept back beside those where there is a door for operators: its listener and its callers.
@@ -80,7 +78,7 @@
     #[error("expected a name of printable characters, got '{0}'")]
     Name(String),
     /// Too few descriptors.
-    #[error("expected limits.sockets of {LEAST_SOCKETS} or more, got {0}")]
+    #[error("expected limits.sockets of {least} or more, got {0}", least = 4 * RESERVED_SOCKETS)]
     Sockets(usize),
     /// Too little memory.
     #[error("expected limits.memory_mb of {LEAST_MEMORY_MB} or more, got {0}")]
@@ -120,7 +118,7 @@
         if !word(&self.name) {
             return Err(ConfigError::Name(self.name.clone()));
         }
-        if self.limits.sockets < LEAST_SOCKETS {
+        if self.limits.sockets < 4 * RESERVED_SOCKETS {
             return Err(ConfigError::Sockets(self.limits.sockets));
         }
         if self.limits.memory_mb < LEAST_MEMORY_MB {
--- a/crates/node/src/descriptors.rs
+++ b/crates/node/src/descriptors.rs
@@ -4,26 +4,22 @@
 //! them. Where the system allows fewer, idle clients would take those too: then nobody is accepted any more, no fallen
 //! link is made again, and no operator is answered.
 
-use crate::serve::StartError;
-use gradepin_core::config::{LEAST_SOCKETS, Limits};
+use gradepin_core::config::Limits;
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use slog::{Logger, warn};
 
+/// What is kept back, the operators' callers and calls to the ledger included, and some places for clients: a server goes
+/// by no fewer, whatever the system allows.
+const LEAST: usize = 96;
+
 /// Has the system allow as many as the configuration says, as far as it does, and goes by what it allows.
-pub fn settle(limits: &mut Limits, log: &Logger) -> Result<(), StartError> {
-    let wanted = u64::try_from(limits.sockets).unwrap_or(u64::MAX);
-    let allowed = raise(wanted);
-    if allowed >= wanted {
-        return Ok(());
-    }
-    let allowed = usize::try_from(allowed).unwrap_or(usize::MAX);
-    if allowed < LEAST_SOCKETS {
-        return Err(StartError::Descriptors(allowed));
+pub fn settle(limits: &mut Limits, log: &Logger) {
+    let allowed = usize::try_from(raise(limits.sockets as u64)).unwrap_or(usize::MAX);
+    if allowed < limits.sockets {
+        warn!(log, "the system allows fewer descriptors than limits.sockets, and the server goes by that";
+            "allowed" => allowed, "configured" => limits.sockets);
+        limits.sockets = allowed.max(LEAST);
     }
-    warn!(log, "the system allows fewer descriptors than limits.sockets, and the server goes by that";
-        "allowed" => allowed, "configured" => limits.sockets);
-    limits.sockets = allowed;
-    Ok(())
 }
 
 /// Raises the soft limit towards this number, as far as the hard one lets it; says what is allowed then.
--- a/crates/node/src/fronts/mod.rs
+++ b/crates/node/src/fronts/mod.rs
@@ -22,7 +22,8 @@
 use gradepin_core::pool::{Buffer, Pool};
 use pace::Worth;
 use reader::Reader;
-use rustix::net::listen;
+use rustix::net::sockopt::set_socket_reuseaddr;
+use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, listen, socket_with};
 use slog::Logger;
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
@@ -127,9 +128,13 @@
 impl Listener {
     /// On an address.
     pub fn tcp(address: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
+        let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let listener = socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+        // As the library's own, but for the backlog: connections of a process before this one may linger in the system.
+        set_socket_reuseaddr(&listener, true)?;
+        bind(&listener, &address)?;
         listen(&listener, BACKLOG)?;
-        Ok(Self::Tcp(listener))
+        Ok(Self::Tcp(listener.into()))
     }
 
     /// On a path. A socket that a server left there is removed; anything else there is an error.
@@ -141,9 +146,7 @@
             }
             std::fs::remove_file(path)?;
         }
-        let listener = UnixListener::bind(path)?;
-        listen(&listener, BACKLOG)?;
-        Ok(Self::Unix(listener, path.into()))
+        Ok(Self::Unix(UnixListener::bind(path)?, path.into()))
     }
 
     fn set_nonblocking(&self) -> io::Result<()> {
--- a/crates/node/src/fronts/reader.rs
+++ b/crates/node/src/fronts/reader.rs
@@ -19,6 +19,8 @@
 
 /// Between looks at what is late, and the longest wait for sockets.
 const TICK: Duration = Duration::from_millis(100);
+/// Between looks for newcomers of whom no event told.
+const LOOK: Duration = Duration::from_secs(1);
 /// Before accepting is tried again where there was no room.
 const PAUSE: Duration = Duration::from_millis(5);
 /// Before it is tried again where the system had no descriptor or no memory for it.
@@ -58,6 +60,7 @@
     turns: VecDeque<ConnId>,
     /// Connections that have no turn until a time.
     paused: HashMap<ConnId, Instant>,
+    next_look: Instant,
 }
 
 impl Reader {
@@ -73,8 +76,8 @@
             doors.push(Door { listener, front, most, count, accepts: true, pauses: None });
         }
         let next = doors.len() as ConnId;
-        let (readings, turns) = (HashMap::new(), VecDeque::new());
-        Ok(Self { epoll, doors, most, next, shared, readings, turns, paused: HashMap::new() })
+        let (readings, turns, paused) = (HashMap::new(), VecDeque::new(), HashMap::new());
+        Ok(Self { epoll, doors, most, next, shared, readings, turns, paused, next_look: Instant::now() })
     }
 
     /// Reads until the server ends.
@@ -350,10 +353,11 @@
     /// half, and tells what should have sent a whole frame by now: it is closed if nothing is owed to it and unread on it.
     /// What has a turn to come is not late with a frame: its bytes are here.
     fn tick(&mut self, now: Instant) {
-        for door in &mut self.doors {
+        if now >= self.next_look {
+            self.next_look = now + LOOK;
             // Whoever waits though accepting ended with nobody waiting, as it may where a call is broken off, is told of
             // by no event.
-            door.accepts = door.listener.is_some();
+            self.doors.iter_mut().for_each(|door| door.accepts = door.listener.is_some());
         }
         // A write that was denied for want of memory, and not of room, is followed by no event.
         let stalled = self.readings.iter().filter(|(_, reading)| reading.socket.is_stalled());
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -28,7 +28,7 @@
 use gradepin_cluster::authentication::Keys;
 use gradepin_cluster::cluster::Cluster;
 use gradepin_cluster::peer::MAX_NAME_BYTES;
-use gradepin_core::config::{Config, ConfigError, LEAST_SOCKETS};
+use gradepin_core::config::{Config, ConfigError};
 use gradepin_core::ledger::Ledger;
 use gradepin_core::messages::{Effect, Input};
 use gradepin_core::pool::{Pool, SIZE};
@@ -85,11 +85,6 @@
     /// The configuration service can't start.
     #[error(transparent)]
     Configuration(#[from] ConfigurationStartError),
-    /// The system allows too few descriptors.
-    #[error(
-        "expected the system to allow {LEAST_SOCKETS} descriptors or more (ulimit -n, for limits.sockets), got {0}"
-    )]
-    Descriptors(usize),
     /// What was handed over can't be used.
     #[error(transparent)]
     Handed(#[from] HandedError),
@@ -129,7 +124,7 @@
     // Before anything listens: a notice to leave that comes in the middle of a start is taken as one, and ends nothing
     // that already waits in a socket.
     let signals = Signals::new(&[SIGTERM, SIGHUP, SIGUSR1, SIGUSR2]).map_err(failed("signals"))?;
-    descriptors::settle(&mut config.limits, log)?;
+    descriptors::settle(&mut config.limits, log);
     for warning in &own.warnings {
         warn!(log, "an old name in the settings: {}", warning);
     }
