End as many lingering connections for a newcomer as it takes for its place

Root cause: Reader::accept_some ended one lingering connection for a newcomer where all places are taken, while a newcomer in a spare place leaves itself and, by room made for it, another one to linger. For as long as more came than the linger of 1 s lets go, the table was full of connections that only linger, and all were turned away. It shows with peers that don't close when they see the end. Change: lingering connections are ended until there is a place that is no spare one.

The stage of the socket tests sets TCP_NODELAY on its clients. A trace (strace) shows the second piece of each call held back by the client's system until the delayed acknowledgement of the first, so that the order of two clients was that of two timers a few ms apart.

--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -115,6 +115,9 @@
                 }
                 thread::sleep(Duration::from_millis(5));
             };
+            // As client proxies have it: a message is whole when it was written, and what is written after it on another
+            // connection comes after it.
+            socket.set_nodelay(true).expect("a socket");
             let (mut reads, events) = (socket.try_clone().expect("a clone"), self.sender.clone());
             let conn = name.to_string();
             let (gate, held) = channel::<()>();
--- a/crates/node/src/fronts/reader.rs
+++ b/crates/node/src/fronts/reader.rs
@@ -207,7 +207,7 @@
             return false;
         }
         for _ in 0..AT_ONCE {
-            let all: usize = self.doors.iter().map(|door| door.count.load(Ordering::Relaxed)).sum();
+            let all = self.connections();
             let door = &mut self.doors[place];
             if !door.accepts {
                 return false;
@@ -225,8 +225,8 @@
                     door.pauses = None;
                     let conn = self.next;
                     self.next += 1;
-                    // The same; where none lingers, the newcomer has a spare place.
-                    let spare = full && !self.end_lingering();
+                    // The same; where too few linger, the newcomer has a spare place.
+                    let spare = full && !self.frees_place();
                     if let Err(e) = self.open(conn, place, stream, spare) {
                         warn!(self.shared.log, "a connection could not be served"; "error" => %e);
                     }
@@ -381,6 +381,22 @@
         }
     }
 
+    /// Connections that stand.
+    fn connections(&self) -> usize {
+        self.doors.iter().map(|door| door.count.load(Ordering::Relaxed)).sum()
+    }
+
+    /// Ends lingering connections until there is a place that is no spare one; whether there is. Guards against newcomers
+    /// who are turned away for as long as many come, since each leaves one more that lingers than it ends.
+    fn frees_place(&mut self) -> bool {
+        while self.connections() >= self.most {
+            if !self.end_lingering() {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Ends the connection that has lingered longest, if one does.
     fn end_lingering(&mut self) -> bool {
         let since = |(&conn, reading): (&ConnId, &Reading)| Some((reading.socket.lingers_since()?, conn));
