--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -218,9 +218,15 @@
         {
             self.conns.took(*conn);
         }
+        if let Input::Call(conn, seq, _) | Input::Invalid(conn, seq, ..) | Input::Health(conn, seq) = &input
+            && self.came_twice(*conn, *seq)
+        {
+            return;
+        }
         match input {
             Input::Opened(conn) => self.opened(conn),
             Input::Ended(conn) => self.input_ended(conn),
+            Input::Late(conn) => self.late(conn),
             Input::Closed(conn) => self.closed(conn),
             Input::Call(conn, seq, call) => self.call(conn, seq, *call),
             Input::Invalid(conn, seq, misuse, why) => self.invalid(conn, seq, None, misuse, why),
--- a/crates/gradepin/tests/scenario/sockets.rs
+++ b/crates/gradepin/tests/scenario/sockets.rs
@@ -51,7 +51,18 @@
 
     /// The same, with so many descriptors and a configuration that differs in something.
     pub fn with(name: &str, descriptors: usize, change: impl FnOnce(&mut serde_json::Value)) -> Self {
-        Self::launched(name, &own_address(), descriptors, &[], change)
+        let limit = format!("ulimit -n {descriptors}");
+        Self::launched(name, &own_address(), descriptors, &limit, &[], change)
+    }
+
+    /// The same, where the system's limits are those that a command of the shell sets, whatever the configuration says.
+    pub fn limited(
+        name: &str,
+        descriptors: usize,
+        limits: &str,
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> Self {
+        Self::launched(name, &own_address(), descriptors, limits, &[], change)
     }
 
     /// On a listener that it inherits, which has an address of [`own_address`], with this folder as `$TMPDIR`.
@@ -59,13 +70,14 @@
         let address = listener.local_addr().expect("an address").to_string();
         let fd = listener.as_raw_fd().to_string();
         let variables = [("GW_ACCEPT_FD", fd.as_str()), ("TMPDIR", folder.to_str().expect("a path"))];
-        Self::launched(name, &address, 1024, &variables, |_| ())
+        Self::launched(name, &address, 1024, "ulimit -n 1024", &variables, |_| ())
     }
 
     fn launched(
         name: &str,
         address: &str,
         descriptors: usize,
+        limits: &str,
         variables: &[(&str, &str)],
         change: impl FnOnce(&mut serde_json::Value),
     ) -> Self {
@@ -82,7 +94,7 @@
         let file = std::env::temp_dir().join(format!("gradepin-{}-{name}.json", std::process::id()));
         std::fs::write(&file, &text).expect("a file for the configuration");
         // The shell sets the limit, and becomes the program.
-        let limited = format!("ulimit -n {descriptors} && exec \"$0\" serve");
+        let limited = format!("{limits} && exec \"$0\" serve");
         let mut program = Command::new("/bin/sh");
         let program = program.args(["-c", &limited, env!("CARGO_BIN_EXE_gradepin")]);
         let program = program.env("GW_CONFIG", &file).envs(variables.iter().copied()).stderr(Stdio::null());
@@ -122,6 +134,9 @@
                 }
                 thread::sleep(Duration::from_millis(5));
             };
+            // As client proxies have it: a message is whole when it was written, and what is written after it on another
+            // connection comes after it.
+            socket.set_nodelay(true).expect("a socket");
             let (mut reads, events) = (socket.try_clone().expect("a clone"), self.sender.clone());
             let conn = name.to_string();
             let (gate, held) = channel::<()>();
--- a/crates/node/src/fronts/mod.rs
+++ b/crates/node/src/fronts/mod.rs
@@ -12,6 +12,7 @@
 mod conn;
 mod pace;
 mod reader;
+mod reading;
 pub mod scgi;
 pub mod thrift;
 
@@ -21,6 +22,8 @@
 use gradepin_core::pool::{Buffer, Pool};
 use pace::Worth;
 use reader::Reader;
+use rustix::net::sockopt::set_socket_reuseaddr;
+use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, listen, socket_with};
 use slog::Logger;
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
@@ -38,6 +41,11 @@
 /// Frames that a peer may leave unread before no more is read from it.
 const MOST_UNREAD: usize = 64;
 
+/// Connections that may wait to be accepted, as many as most servers have places. The library's 128 are fewer than the
+/// client proxies that come back in one instant: the system drops the others while this process has no turn on its core,
+/// and they try again a second later, or three.
+const BACKLOG: i32 = 1024;
+
 /// Why a connection can't go on: its bytes are no messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
@@ -120,7 +128,13 @@
 impl Listener {
     /// On an address.
     pub fn tcp(address: SocketAddr) -> io::Result<Self> {
-        Ok(Self::Tcp(TcpListener::bind(address)?))
+        let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let listener = socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+        // As the library's own, but for the backlog: connections of a process before this one may linger in the system.
+        set_socket_reuseaddr(&listener, true)?;
+        bind(&listener, &address)?;
+        listen(&listener, BACKLOG)?;
+        Ok(Self::Tcp(listener.into()))
     }
 
     /// On a path. A socket that a server left there is removed; anything else there is an error.
@@ -262,6 +276,13 @@
         }
     }
 
+    /// Closes a connection that said no whole message in its time, on the same terms; half a message doesn't hold it.
+    pub fn close_late(&self, conn: ConnId, taken: u64) {
+        if let Some(conn) = self.handle(conn) {
+            conn.close_late(taken);
+        }
+    }
+
     /// Closes a connection once all is written; its reader reports the end when the peer has ended its half too.
     pub fn close(&self, conn: ConnId) {
         if let Some(conn) = self.handle(conn) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod configuration_writer;
 pub mod control;
 pub mod council;
+mod descriptors;
 mod fleet_start;
 mod folder_lock;
 pub mod fronts;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -7,6 +7,7 @@
 use crate::configuration_service::{self, ConfigurationService, ConfigurationStartError};
 use crate::control::Control;
 use crate::council::CouncilFolder;
+use crate::descriptors;
 pub use crate::fleet_start::fleet_settings;
 use crate::fleet_start::part_settings;
 use crate::folder_lock;
@@ -136,6 +137,7 @@
     log: &Logger,
 ) -> Result<(), StartError> {
     let failed = StartError::system;
+    descriptors::settle(&mut config.limits, log);
     for warning in &own.warnings {
         warn!(log, "an old name in the settings: {}", warning);
     }
@@ -337,6 +339,7 @@
                 Effect::StopAccepting => fronts.stop_accepting(),
                 Effect::Close(conn) => fronts.close(conn),
                 Effect::CloseResting(conn, taken) => fronts.close_resting(conn, taken),
+                Effect::CloseLate(conn, taken) => fronts.close_late(conn, taken),
                 Effect::Begin(link, id, class, body) => {
                     processor.begin(link, &id, &class.profile.name, &body);
                 }
