--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -20,6 +20,9 @@
 /// Names a client connection; never used again.
 pub type ConnId = u64;
 
+/// Names a call to the ledger; never used again. A request may make several, and its id may come again.
+pub type CallNumber = u64;
+
 /// Names a request on its connection.
 pub type SeqId = i32;
 
@@ -73,6 +76,8 @@
     /// Nothing more comes from it: its peer has shut its half, or sent what is no message. All that came before was
     /// passed on, and is owed its answers.
     Ended(ConnId),
+    /// It has not said a whole message in its time. It is closed once it is owed nothing, unless one comes before that.
+    Late(ConnId),
     /// It is over, or can't be used any more.
     Closed(ConnId),
     /// A request.
@@ -94,6 +99,9 @@
     },
     /// The link has ended.
     LinkDown,
+    /// The processor that greets is another one than before: nothing of that one's runs any more, and notices begin at 1
+    /// again. Its [`Input::LinkUp`] follows, on this link or on a later one.
+    ProcessorRestarted,
     /// A run is over: the number of the notice, the request, its end, the time it took and the result.
     Complete {
         /// Number of the notice.
@@ -120,12 +128,14 @@
     Called {
         /// For which request.
         id: RequestId,
+        /// Which call.
+        number: CallNumber,
         /// How it ended.
         outcome: Outcome,
         /// The reply's body, on `Delivered`.
         reply: Option<Buffer>,
     },
-    /// The gauges in the order of the settings, asked for under this number.
+    /// The gauges in the order of the settings, asked for under this number; no number where one is not told.
     Used(u64, Vec<f64>),
     /// Whose the run of a keyed request is, where two processes of an upgrade share them.
     Claimed(RequestId, Claim),
@@ -151,6 +161,9 @@
     Admin(CallId, AdminCall),
     /// The store was opened, and this is what it held.
     Recovered(Box<Recovered>),
+    /// The folder in which the two processes of an upgrade claim keyed runs can be used from now on; this salt keys the
+    /// prints of both.
+    RunsShared(u64),
     /// All batches for the store up to this one are durable.
     Persisted(u64),
     /// What was written up to this batch can't be relied on, and why. With no batch: the store can't be opened.
@@ -198,11 +211,13 @@
     /// Close a connection if nothing is under way on it: no more than so many of its messages were passed on, and
     /// nothing waits unread.
     CloseResting(ConnId, u64),
+    /// The same for one that is late; half a message doesn't hold it.
+    CloseLate(ConnId, u64),
     /// Run a request: on which link, its id, its class and its body.
     Begin(u64, RequestId, Arc<ClassDefinition>, Arc<Buffer>),
-    /// Call the ledger for a request: its id, the body, how long to wait for the reply, and the time after which it must
+    /// Call the ledger for a request: its id, the number of the call, the body, how long to wait for the reply, and the time after which it must
     /// not leave here any more, if there is one.
-    Call(RequestId, Arc<Buffer>, Span, Option<Time>),
+    Call(RequestId, CallNumber, Arc<Buffer>, Span, Option<Time>),
     /// Give a run on a link the reply to its call.
     Reply(u64, RequestId, Arc<Buffer>),
     /// Stop a run on a link.
--- a/crates/core/src/reducer/fleet.rs
+++ b/crates/core/src/reducer/fleet.rs
@@ -7,7 +7,7 @@
 use super::cells::Cells;
 use super::{MS, Reducer};
 use crate::classes::Classes;
-use crate::messages::{Effect, sooner};
+use crate::messages::{CallNumber, Effect, sooner};
 use gradepin_cluster::authentication::{DropReason, Keys};
 use gradepin_cluster::cluster::{
     CallDecision, Cluster, Effect as ClusterEffect, Envelope, FleetView, Severity, Status,
@@ -41,7 +41,7 @@
     cluster: Option<Box<Cluster>>,
     waiting: VecDeque<Waiting>,
     /// Requests whose calls hold a slot, and since when.
-    slots: HashMap<RequestId, Time>,
+    slots: HashMap<CallNumber, Time>,
     /// Runs that asked for a call which the module has not made yet.
     asking: HashSet<RequestId>,
     /// What a run of each class takes, as seen here.
@@ -201,32 +201,51 @@
     /// Makes the calls that have a slot now; those whose time is up, or that the ledger can't take, never leave.
     pub(super) fn calls_out(&mut self) {
         let now = self.moment.now;
+        self.give_up_overdue_calls();
         while let Some(first) = self.fleet.waiting.front() {
             let still = self.requests.get(&first.id).is_some_and(|open| open.call.is_some());
-            let over = first.until <= now;
             let Some(cluster) = &mut self.fleet.cluster else { return };
-            let decision = if still && !over { cluster.call(now) } else { CallDecision::Rejected };
+            let decision = if still { cluster.call(now) } else { CallDecision::Rejected };
             if decision == CallDecision::Wait {
                 break;
             }
             let Some(Waiting { id, timeout, until }) = self.fleet.waiting.pop_front() else { return };
             match decision {
                 CallDecision::Proceed(slot) => {
-                    self.fleet.slots.insert(id.clone(), now);
                     let left = Span(until.0 - now.0).min(timeout);
                     let (left, leaves) = match slot {
                         Slot::Own => (left, None),
                         Slot::Borrowed { until, max_call } => (left.min(max_call), Some(until)),
                     };
-                    self.make_call(&id, left, leaves);
+                    let number = self.make_call(&id, left, leaves);
+                    self.fleet.slots.insert(number, now);
                 }
-                CallDecision::Rejected if still => self.called(&id, Outcome::Shed, None),
+                CallDecision::Rejected if still => self.call_ended(&id, None, Outcome::Shed, None),
                 CallDecision::Rejected | CallDecision::Wait => {}
             }
         }
         self.tell_waiting();
     }
 
+    /// Gives up the calls whose time is up, wherever they wait. A time that stays behind while one before it waits longer would
+    /// be the next turn again and again ([`Fleet::wake_at`]).
+    fn give_up_overdue_calls(&mut self) {
+        let now = self.moment.now;
+        let mut overdue = Vec::new();
+        self.fleet.waiting.retain(|waiting| {
+            let is_over = waiting.until <= now;
+            if is_over {
+                overdue.push(waiting.id.clone());
+            }
+            !is_over
+        });
+        for id in overdue {
+            if self.requests.get(&id).is_some_and(|open| open.call.is_some()) {
+                self.call_ended(&id, None, Outcome::Shed, None);
+            }
+        }
+    }
+
     fn tell_waiting(&mut self) {
         let requests = &self.requests;
         // One whose call the module gave up waits for no slot, though its run may go on.
@@ -240,8 +259,8 @@
 
     /// A call has ended; its slot, if it had one, is free. What it took counts from the slot: the ledger has no part in the
     /// wait for one.
-    pub(super) fn fleet_called(&mut self, id: &RequestId, outcome: Outcome) {
-        if let Some(since) = self.fleet.slots.remove(id)
+    pub(super) fn fleet_called(&mut self, number: CallNumber, outcome: Outcome) {
+        if let Some(since) = self.fleet.slots.remove(&number)
             && let Some(cluster) = &mut self.fleet.cluster
         {
             let now = self.moment.now;
--- a/crates/core/src/reducer/link.rs
+++ b/crates/core/src/reducer/link.rs
@@ -25,6 +25,8 @@
     /// When the processor last told anything.
     pub(super) heard: Time,
     pub(super) last_notice: u64,
+    /// Whether another processor than the one before was told of, and its greeting hasn't been taken in yet.
+    is_another: bool,
     /// Questions asked so far, and when the open one was.
     pub(super) asked: u64,
     pub(super) open_since: Option<Time>,
@@ -54,6 +56,11 @@
         self.number.filter(|_| self.settles.is_none())
     }
 
+    /// Whether a run's begin may not have arrived.
+    pub(super) fn is_unproven(&self, id: &RequestId) -> bool {
+        self.unproven.iter().any(|(unproven, _)| unproven == id)
+    }
+
     /// A run has ended: nothing of it is still to arrive.
     pub(super) fn ended(&mut self, id: &RequestId) {
         self.unproven.retain(|(unproven, _)| unproven != id);
@@ -93,9 +100,11 @@
         }
         // It started with this process or after it: nothing of an earlier life runs there.
         self.past.processor_up(now, before(now, age), LEAST_RESTART);
-        if !first && before(now, age) > after(self.link.heard, LEAST_RESTART) {
-            // It has started since it was last heard. A mere pause of the machine makes the greeting old, not young.
-            self.restarted();
+        if std::mem::take(&mut self.link.is_another)
+            && let Some(controller) = self.controller.as_mut().filter(|_| !first)
+        {
+            // Guards against runs for a warm processor on one that begins cold: those make it fall over.
+            controller.cores_started(cold, before(now, age));
         }
         self.link.heard = now;
         self.link.number = Some(number);
@@ -109,10 +118,12 @@
         }
     }
 
-    /// Another processor: what ran on the one before has no end to wait for, and notices begin at 1 again.
+    /// Another processor: what ran on the one before has no end to wait for, and notices begin at 1 again. It is the shell
+    /// that says so, which goes by the same word for its hello: two answers to one question lost every result.
     pub(super) fn restarted(&mut self) {
         self.log(Level::Warning, "the processor has restarted; its runs are lost".into());
         self.link.last_notice = 0;
+        self.link.is_another = true;
         for id in self.requests.all_running() {
             self.ended(&id, RunEnd::Error, Span(0), None);
         }
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -28,7 +28,7 @@
 use crate::handover::Handover;
 use crate::keys::{End, Keys};
 use crate::ledger::Ledger;
-use crate::messages::{Answer, Effect, Input, RunEnd, sooner};
+use crate::messages::{Answer, CallNumber, Effect, Input, sooner};
 use crate::moment::Moment;
 use crate::pool::Pool;
 use crate::registration::Registration;
@@ -84,6 +84,8 @@
     classes: Classes,
     tenants: Tenants,
     changes: Changes,
+    /// Calls to the ledger made so far.
+    calls: CallNumber,
     /// The drain that operators order at their door, and the figures they scrape.
     door: Door,
     tally: Tally,
@@ -139,6 +141,7 @@
             classes,
             tenants: Tenants::new(tenants),
             changes: Changes::starting(window),
+            calls: 0,
             door: Door::default(),
             tally: Tally::default(),
             events: Vec::new(),
@@ -153,10 +156,12 @@
         self
     }
 
-    /// For a process that shares its keyed runs with the other one of an upgrade; this salt keys the prints of both. Not
-    /// beside a store, which has one owner and a salt of its own.
-    pub fn sharing_runs(mut self, salt: u64) -> Self {
-        (self.claims, self.past.salt) = (Claims::shared(), salt);
+    /// For a process that shares its keyed runs with the other one of an upgrade; this salt keys the prints of both, and is
+    /// told later ([`Input::RunsShared`]) where they can't be shared yet. Not beside a store, which has one owner and a salt
+    /// of its own.
+    pub fn sharing_runs(mut self, salt: Option<u64>) -> Self {
+        self.claims = Claims::shared();
+        self.past.salt = salt.unwrap_or(self.past.salt);
         self
     }
 
@@ -213,9 +218,15 @@
         {
             self.conns.took(*conn);
         }
+        if let Input::Call(conn, seq, _) | Input::Invalid(conn, seq, ..) | Input::Health(conn, seq) = &input
+            && self.came_twice(*conn, *seq)
+        {
+            return;
+        }
         match input {
             Input::Opened(conn) => self.opened(conn),
             Input::Ended(conn) => self.input_ended(conn),
+            Input::Late(conn) => self.late(conn),
             Input::Closed(conn) => self.closed(conn),
             Input::Call(conn, seq, call) => self.call(conn, seq, *call),
             Input::Invalid(conn, seq, misuse, why) => self.invalid(conn, seq, None, misuse, why),
@@ -232,6 +243,7 @@
                 self.registration.processor_silent(self.moment.now);
                 self.link.down();
             }
+            Input::ProcessorRestarted => self.restarted(),
             Input::Complete { notice, id, end, took, result } => {
                 if self.link.notice(notice, self.moment.now) {
                     self.complete(&id, end, took, result);
@@ -244,16 +256,17 @@
                     self.asks(&id, body);
                 }
             }
-            Input::Called { id, outcome, reply } => self.called(&id, outcome, reply),
+            Input::Called { id, number, outcome, reply } => self.called(&id, number, outcome, reply),
             Input::Claimed(id, claim) => self.claimed(&id, claim),
+            Input::RunsShared(salt) => {
+                self.past.salt = salt;
+                self.log(Level::Info, "keyed runs are shared from now on".into());
+            }
             Input::Used(tag, values) => {
                 self.link.heard = self.moment.now;
                 self.used(tag, &values);
             }
-            Input::Rejected(id) => {
-                self.log(Level::Error, format!("the processor rejected the run of {}", id.0));
-                self.ended(&id, RunEnd::Moot, Span(0), None);
-            }
+            Input::Rejected(id) => self.rejected(&id),
             Input::Paced(conn, pause) => self.conns.paced(conn, after(self.moment.now, pause)),
             Input::Terminate => self.terminate(),
             Input::NotAccepting => self.drain.handover.stopped(),
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -5,7 +5,7 @@
 use super::{MS, Reducer};
 use crate::config::Config;
 use crate::keys::{End, Print};
-use crate::messages::{Answer, Call, ConnId, Effect, Misuse, SeqId};
+use crate::messages::{Answer, Call, CallNumber, ConnId, Effect, Misuse, SeqId};
 use crate::pool::Buffer;
 use gradepin_decisions::{Event, Outcome, Request, RequestId, Span, Time};
 use siphasher::sip::SipHasher13;
@@ -31,6 +31,8 @@
     /// Waits for another try's run, since a time.
     Joined(Time),
     Running,
+    /// Its run was stopped, and its answer is still owed: no notice of it is to come.
+    Stopped,
 }
 
 /// A request that is open or runs.
@@ -52,9 +54,12 @@
     /// Whether it is the first try of its caller.
     pub(super) first: bool,
     pub(super) body: Arc<Buffer>,
-    /// The call its run waits for, and since when that call is out.
+    /// Times that its run was asked for.
+    pub(super) begins: u32,
+    /// The call its run waits for, since when that call is to be made or out, and its number once it is out.
     pub(super) call: Option<Arc<Buffer>>,
     pub(super) call_since: Option<Time>,
+    pub(super) call_number: Option<CallNumber>,
 }
 
 impl Open {
@@ -129,20 +134,29 @@
     /// Takes a request out of the books.
     fn remove(&mut self, id: &RequestId) -> Option<Open> {
         let open = self.open.remove(id)?;
+        // Its id may come again in this batch, and that request's caller waits.
+        self.left.retain(|left| left != id);
         self.body_bytes -= open.body.len() + BESIDE;
         Some(open)
     }
 }
 
 impl Reducer {
+    /// Whether a message that is owed an answer came under the number of an open request. Two answers under one number
+    /// could not be told apart: the first keeps its own, and nothing more is taken.
+    pub(super) fn came_twice(&mut self, conn: ConnId, seq: SeqId) -> bool {
+        let connection = self.conns.touch(conn, self.moment.now);
+        if !connection.is_some_and(|connection| connection.open.contains_key(&seq)) {
+            return false;
+        }
+        self.log(Level::Warning, format!("closing connection {conn}: request {seq} came twice"));
+        self.conns.refuse(conn);
+        self.ask_to_drain(conn);
+        true
+    }
+
     pub(super) fn call(&mut self, conn: ConnId, seq: SeqId, mut call: Call) {
         let Some(connection) = self.conns.touch(conn, self.moment.now) else { return };
-        if connection.open.contains_key(&seq) {
-            // Two answers under one number could not be told apart: the first keeps its own, and nothing more is taken.
-            self.log(Level::Warning, format!("closing connection {conn}: request {seq} came twice"));
-            self.conns.refuse(conn);
-            return self.ask_to_drain(conn);
-        }
         let (opened, paced, open) = (connection.opened, connection.paced, connection.open.len());
         let refused = connection.refused;
         let Some(class) = self.classes.resolve(call.class) else {
@@ -256,8 +270,10 @@
             state: State::Held,
             owed: true,
             body: Arc::new(call.body),
+            begins: 0,
             call: None,
             call_since: None,
+            call_number: None,
         };
         self.requests.body_bytes += open.body.len() + BESIDE;
         self.classes.acquire(class);
@@ -268,6 +284,9 @@
     /// Takes a request out of the books; nothing of it refers to its class and its tenant any more.
     pub(super) fn forget(&mut self, id: &RequestId) {
         if let Some(open) = self.requests.remove(id) {
+            if let (State::Joined(_), Some(token)) = (open.state, &open.token) {
+                self.keys.leave(token, id);
+            }
             self.classes.release(open.class);
             open.tenant.into_iter().for_each(|tenant| self.tenants.release(tenant));
         }
--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -89,6 +89,14 @@
     call_fails: u32,
 }
 
+impl Try {
+    /// The memory that it takes as it stands.
+    fn booked(&self, set: &Settings) -> f64 {
+        self.kb
+            * if matches!(self.state, State::Held | State::Joined) { 1.0 } else { set.specifics.run_factor }
+    }
+}
+
 /// What is learnt of the class in a slot; `counts` is 0 where the slot is free.
 #[derive(Debug, Default)]
 struct Class {
@@ -190,21 +198,14 @@
     /// A controller for a worker that starts now.
     pub fn new(mut set: Settings, seed: u64, now: Time) -> Self {
         set.specifics.n_cores = set.specifics.n_cores.max(1);
-        let cores = f64::from(set.specifics.n_cores);
+        let (cores, shared) = (f64::from(set.specifics.n_cores), set.specifics.below == Below::Shared);
         let (set, classes, tenants) = set.split();
         let mut new = Self {
             rng: Some(Pcg64Mcg::seed_from_u64(seed)),
             now,
-            born: now,
             limit: cores,
             crowd: cores,
-            call_limit: if set.specifics.below == Below::Shared {
-                (set.specifics.calls_out / 2.0).max(1.0)
-            } else {
-                cores
-            },
-            // Until its answers reach callers, a cold worker gets all that they think a warm one takes.
-            accept: if set.specifics.just_started { set.rules.cold_share } else { 1.0 },
+            call_limit: if shared { (set.specifics.calls_out / 2.0).max(1.0) } else { cores },
             signalled: -1.0,
             pace: CALL_PACE[1],
             idle_part: IDLE_LEAST,
@@ -213,6 +214,7 @@
             set,
             ..Self::default()
         };
+        new.cores_started(new.set.specifics.just_started, now);
         classes.into_iter().enumerate().for_each(|(slot, class)| new.put_class(slot, class));
         tenants.iter().enumerate().for_each(|(slot, tenant)| new.put_tenant(slot, tenant.quota_rps, true));
         new
@@ -240,12 +242,28 @@
         self.tenants[slot] = (quota_rps, if another { asked.min(2.0 * FORGOTTEN) } else { asked });
     }
 
+    /// The cores started then, cold or not: with the worker, or again beside one that goes on.
+    pub fn cores_started(&mut self, cold: bool, at: Time) {
+        (self.set.specifics.just_started, self.born) = (cold, at);
+        // Until its answers reach callers, a cold worker gets all that they think a warm one takes.
+        self.accept = if cold { self.set.rules.cold_share } else { 1.0 };
+    }
+
     /// All settings but classes and tenants.
     pub fn set_rest(&mut self, mut rest: Settings) {
         rest.specifics.n_cores = rest.specifics.n_cores.max(1);
         // Whether it began cold was learnt at its start, not told by the file.
         rest.specifics.just_started = self.set.specifics.just_started;
+        // Calls are spaced by their share: one that was nothing for a moment would silence them for days.
+        let same = rest.specifics.calls_out == self.set.specifics.calls_out;
+        self.next_call = if same { self.next_call } else { Time(0) };
         self.set = rest;
+        // Booked anew, or what ends takes off another figure than was put on, and the rest stays for good.
+        let (told, gone) = (&self.set.specifics, after(self.now, self.set.specifics.linger));
+        let tries: f64 = self.tries.values().map(|t| t.booked(&self.set)).sum();
+        self.kb = tries + self.keys.len() as f64 * told.kb_per_key;
+        self.lingering.iter_mut().for_each(|until| *until = gone.min(*until));
+        self.call_log.iter_mut().for_each(|call| call.0 = after(gone, told.share_span).min(call.0));
     }
 
     /// Takes in all events of a batch, then decides once. Events of requests it doesn't know change nothing.
@@ -299,7 +317,7 @@
         let due = told.unwrap_or(after(arrived, profile.deadline));
         let due = self.leaving.map_or(due, |(_, stop)| due.min(stop)).max(self.now);
         let stretch = r.work.map_or(0.0, |w| secs(w) * profile.aim_stretch);
-        let promise = Span((profile.promise.0 + span(stretch).0).min(profile.deadline.0));
+        let promise = Span(profile.promise.0.saturating_add(span(stretch).0).min(profile.deadline.0));
         let patience = left(arrived, told.unwrap_or(due)) / secs(profile.deadline);
         let age = span(secs(profile.deadline) * self.age(r, patience));
         let aim = before(after(arrived, promise), age).min(due);
@@ -511,24 +529,16 @@
         let t = self.tries.remove(&seq)?;
         self.seqs.remove(&t.id);
         self.dues.remove(&(t.due, seq));
+        self.kb -= t.booked(&self.set);
         match t.state {
-            State::Held => {
-                self.held.retain(|&s| s != seq);
-                self.kb -= t.kb;
-            }
-            State::Joined => self.kb -= t.kb,
-            State::Running => {
-                self.on_core -= 1;
-                self.kb -= t.kb * self.set.specifics.run_factor;
-            }
+            State::Held | State::Joined => self.held.retain(|&s| s != seq),
+            State::Running => self.on_core -= 1,
             State::Gate(..) | State::Calling(_) => {
                 self.at_calls -= 1;
                 self.at_gate.retain(|&s| s != seq);
-                if let State::Calling(_) = t.state {
-                    self.calls_out -= 1;
-                    self.lingering.push_back(after(self.now, self.set.specifics.linger));
+                if let State::Calling(since) = t.state {
+                    self.call_over(since, true);
                 }
-                self.kb -= t.kb * self.set.specifics.run_factor;
             }
         }
         Some(t)
@@ -536,10 +546,7 @@
 
     /// Answers everything whose caller stops waiting, whatever it is doing.
     fn expire(&mut self, out: &mut Vec<Action>) {
-        while let Some(&(due, seq)) = self.dues.first() {
-            if due > self.now {
-                break;
-            }
+        while let Some(&(_, seq)) = self.dues.first().filter(|(due, _)| *due <= self.now) {
             self.dues.pop_first();
             match self.tries.get(&seq).map(|t| t.state) {
                 Some(State::Held) => self.refuse(seq, out),
@@ -601,8 +608,7 @@
         }
         let class = &mut self.classes[t.class];
         let core = (secs(took) - t.call_s).max(1e-4);
-        class.seen += 1.0;
-        class.idle = 0.0;
+        (class.seen, class.idle) = (class.seen + 1.0, 0.0);
         let w = RUN_WEIGHT.max(1.0 / class.seen);
         class.core_s += w * (core - class.core_s);
         class.lat_s += w * (secs(took) - class.lat_s);
@@ -630,15 +636,10 @@
 
     fn call_result(&mut self, id: &RequestId, outcome: Outcome, took: Span, out: &mut Vec<Action>) {
         let Some(&seq) = self.seqs.get(id) else { return };
+        let Some(State::Calling(since)) = self.tries.get(&seq).map(|t| t.state) else { return };
+        self.call_over(since, matches!(outcome, Outcome::Expired | Outcome::Dropped));
         let Some(t) = self.tries.get_mut(&seq) else { return };
-        let State::Calling(since) = t.state else { return };
-        self.calls_out -= 1;
         t.call_s += left(since, self.now).max(0.0);
-        self.call_log.push_back((after(self.now, self.set.specifics.share_span), left(since, self.now)));
-        self.call_spent += left(since, self.now);
-        if matches!(outcome, Outcome::Expired | Outcome::Dropped) {
-            self.lingering.push_back(after(self.now, self.set.specifics.linger));
-        }
         if outcome == Outcome::Delivered {
             t.state = State::Running;
             t.call_fails = 0;
@@ -667,6 +668,16 @@
         }
     }
 
+    /// A call is over. One given up stays in the dependency's hands for a while, which counts as long.
+    fn call_over(&mut self, since: Time, given_up: bool) {
+        let linger = if given_up { self.set.specifics.linger } else { Span(0) };
+        let (gone, took) = (after(self.now, linger), left(since, self.now) + secs(linger));
+        self.calls_out -= 1;
+        self.lingering.extend(given_up.then_some(gone));
+        self.call_log.push_back((after(gone, self.set.specifics.share_span), took));
+        self.call_spent += took;
+    }
+
     /// Calls in hand grow while calls take about their floor and shrink when they slow down.
     fn learn_call(&mut self, took: f64) {
         self.call_s = if self.call_s == 0.0 { took } else { self.call_s + 0.2 * (took - self.call_s) };
@@ -707,9 +718,7 @@
 
     /// Makes the calls that may be made, best worth first; goes on without where waiting would cost the aim.
     fn gate(&mut self, out: &mut Vec<Action>) {
-        while self.lingering.front().is_some_and(|&until| until <= self.now) {
-            self.lingering.pop_front();
-        }
+        self.lingering.retain(|&until| until > self.now);
         while self.call_log.front().is_some_and(|&(until, _)| until <= self.now) {
             self.call_spent -= self.call_log.pop_front().map_or(0.0, |(_, took)| took);
         }
@@ -723,8 +732,7 @@
             let aim_left = left(self.now, t.aim) - class.core_s * 0.5;
             let skip = self.skip_worth(t.class) > 0.0;
             let turn = 1.0 + place as f64 / self.call_limit;
-            let down = self.call_failing >= 3 && t.call_fails > 0;
-            let waited = left(since, self.now);
+            let (waited, down) = (left(since, self.now), self.call_failing >= 3 && t.call_fails > 0);
             if skip
                 && (down || (aim_left < turn * self.call_s * 1.2 && (aim_left > 0.0 || waited > self.call_s)))
             {
@@ -736,21 +744,21 @@
             // The told share rounds down: 1.2 lets one call out, or a full fleet would pass what is survived.
             let room = (self.calls_out + self.lingering.len() + 1) as f64 <= self.call_limit.max(1.0);
             // Below a share of one call, the mean over the span is kept by what calls may still take in it.
-            let (small, budget) = (self.small_share(), secs(self.set.specifics.share_span) * share);
-            let linger = secs(self.set.specifics.linger);
-            let spent = self.call_spent + self.lingering.len() as f64 * linger;
+            let (small, linger) = (self.small_share(), secs(self.set.specifics.linger));
+            let budget = secs(self.set.specifics.share_span) * share;
             let longest = (budget / 2.0 - linger).max(budget / 8.0);
-            // Before any came back, one may take the longest it may; the first ones of all who hear of a
-            // dependency's start are spread, or they come together.
-            let unknown = small && self.calls_seen == 0;
-            let (usual, part) =
-                if unknown { (longest + linger, share) } else { (self.call_s, share * self.pace) };
-            let gap = usual / part.max(1e-6);
+            let cost = longest + linger;
+            // Before any came back, one may take the longest it may, always where that is over the budget;
+            // the first ones of all who hear of a dependency's start are spread, or they come together.
+            let (unknown, tiny) = (small && self.calls_seen == 0, small && cost > budget);
+            let usual = if unknown || tiny { cost } else { self.call_s };
+            let gap = usual / (share * if unknown && !tiny { 1.0 } else { self.pace }).max(1e-6);
             if unknown && self.next_call == Time(0) {
-                self.next_call = after(self.now, span(CALL_FIRST * self.shortest_aim * dice));
+                let first = if tiny { gap } else { CALL_FIRST * self.shortest_aim };
+                self.next_call = after(self.now, span(first * dice));
             }
-            if small && spent > budget / 2.0 {
-                // At random again, or all that ran out of budget together call together when it is back.
+            if small && self.call_spent > (budget - cost).min(budget / 2.0).max(1e-6) {
+                // One more given up must fit. At random, or all call together once their budgets are back.
                 self.next_call = after(self.now, span(gap * dice));
             }
             let paced = small && self.now < self.next_call;
@@ -912,9 +920,7 @@
         self.call_s -= CALL_RETURN * (self.call_s - self.call_floor_s).max(0.0);
         self.call_floor_s *= CALL_FLOOR_DRIFT;
         let keep = (-secs(PERIOD) / MEMORY_OF_COUNTS_S).exp();
-        self.arrivals *= keep;
-        self.retries *= keep;
-        self.refusals *= keep;
+        [&mut self.arrivals, &mut self.retries, &mut self.refusals].into_iter().for_each(|n| *n *= keep);
         let (classes, tenants) = (&mut self.classes, &mut self.tenants);
         self.recent_classes.retain(|&slot| {
             let class = &mut classes[slot];
@@ -1017,12 +1023,9 @@
             self.unwell = unwell;
             out.push(Action::ReportHealth { shallow: true, active: !unwell });
         }
-        let open = if self.leaving.is_some() || self.stalled {
-            0.0
-        } else {
-            // Reading itself takes a while: up to the part at which all is well, nothing waits for the runs.
-            (1.0 - (unread - UNREAD_WELL) / (UNREAD_UNWELL - UNREAD_WELL)).clamp(0.05, 1.0)
-        };
+        // Reading itself takes a while: up to the part at which all is well, nothing waits for the runs.
+        let read = (1.0 - (unread - UNREAD_WELL) / (UNREAD_UNWELL - UNREAD_WELL)).clamp(0.05, 1.0);
+        let open = if self.leaving.is_some() || self.stalled { 0.0 } else { read };
         let room = open * self.limit * (1.0 + WINDOW_AIM * promise / mean.max(1e-3));
         let value = match self.set.specifics.advert {
             Advert::Off => return,
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -2,7 +2,9 @@
 
 mod common;
 use common::*;
-use gradepin_decisions::{Action, Event, Gauges, Outcome, Request, Span, Time, throttling};
+use gradepin_decisions::{
+    Action, Controller, Event, Gauges, Outcome, Request, Settings, Span, Time, throttling,
+};
 use serde_json::json;
 
 fn done(name: &str, outcome: Outcome) -> Event {
@@ -955,3 +957,116 @@
     assert_eq!(course(1.0), 0.0);
     assert!(course(9.0) > 0.3, "beside a crowd they do count");
 }
+
+/// Guards against a server that turns all away for good, or takes more than its memory holds, because a file that was read
+/// again books the keys and runs that it has at another size: what ends must take off what was put on.
+#[test]
+fn memory_is_booked_anew_when_its_sizes_change() {
+    for (key_kb, run_factor) in [(0.0, 1.0), (0.1, 8.0), (25.0, 1.5)] {
+        let mut value = base();
+        value["profiles"][1]["window"] = json!(3_000 * MS);
+        value["specifics"]["memory_kb"] = json!(2_000.0);
+        value["specifics"]["kb_per_key"] = json!(25.0);
+        let mut c = started(value.clone());
+        for n in 0..40 {
+            let taken = arrive(&mut c, n, vec![claim(&format!("k{n}"), None)]);
+            assert_eq!(refused(&taken), Vec::<&str>::new(), "claim {n}");
+            let end =
+                Event::Completed { id: id(&format!("k{n}")), outcome: Outcome::Delivered, took: Span(MS) };
+            at(&mut c, n, vec![end]);
+        }
+        arrive(&mut c, 40, vec![read("runs")]);
+        value["specifics"]["kb_per_key"] = json!(key_kb);
+        value["specifics"]["run_factor"] = json!(run_factor);
+        value["profiles"] = json!([]);
+        c.set_rest(settings(value));
+        at(
+            &mut c,
+            50,
+            vec![Event::Completed { id: id("runs"), outcome: Outcome::Delivered, took: Span(MS) }],
+        );
+        // All windows are past: the whole memory is free, and no more than that.
+        for n in 0..40 {
+            at(&mut c, 4_000 + 100 * n, vec![timer(0.0)]);
+        }
+        let fills = Request { size_kb: 900.0, ..read("fills") };
+        let out = arrive(&mut c, 8_010, vec![fills]);
+        assert_eq!(refused(&out), Vec::<&str>::new(), "{key_kb} kB a key, {run_factor} a run");
+        let too_much = Request { size_kb: 1_100.0, ..read("too much") };
+        let out = arrive(&mut c, 8_011, vec![too_much]);
+        assert!(refused(&out).contains(&"too much"), "{key_kb} kB a key, {run_factor} a run");
+    }
+}
+
+/// Guards against calls that are not made for hours after a file that was read again has them linger, and be averaged, for
+/// seconds: those of before go by the new times.
+#[test]
+fn calls_of_before_linger_no_longer_than_the_settings_say() {
+    let mut value = base();
+    value["specifics"]["calls_out"] = json!(0.4);
+    value["specifics"]["linger"] = json!(600_000 * MS);
+    value["specifics"]["share_span"] = json!(3_600_000 * MS);
+    let mut c = started(value.clone());
+    // The first calls of a fleet are spread over a part of the aim.
+    arrive(&mut c, 1_000, vec![read("first")]);
+    at(&mut c, 1_010, vec![Event::ReadyToCall(id("first"))]);
+    let called = (0..50).any(|n| asked(&at(&mut c, 1_020 + 20 * n, vec![]), "first"));
+    assert!(called, "no first call");
+    let expired = Event::CallResult { id: id("first"), outcome: Outcome::Expired, took: Span(500 * MS) };
+    at(&mut c, 4_100, vec![expired, done("first", Outcome::AppError)]);
+    value["specifics"]["linger"] = json!(200 * MS);
+    value["specifics"]["share_span"] = json!(5_000 * MS);
+    value["profiles"] = json!([]);
+    c.set_rest(settings(value));
+    // Whatever pace the call before has set: a minute has room for the next one.
+    let asks = |c: &mut _, n: u64| {
+        let (name, ms) = (format!("r{n}"), 5_000 + 1_000 * n);
+        arrive(c, ms, vec![read(&name)]);
+        at(c, ms + 1, vec![Event::ReadyToCall(id(&name))]);
+        let called = (0..40).any(|step| asked(&at(c, ms + 2 + 20 * step, vec![timer(0.0)]), &name));
+        at(c, ms + 900, vec![done(&name, Outcome::AppError)]);
+        called
+    };
+    assert!((0..60).any(|n| asks(&mut c, n)), "no call in a minute");
+}
+
+/// Whether a call is made for a request.
+fn asked(out: &[Action], name: &str) -> bool {
+    out.iter().any(|action| matches!(action, Action::AskBelow { id, .. } if *id.0 == *name))
+}
+
+/// Guards the time that an aim may stretch to: figures as long as the settings allow.
+#[test]
+fn an_aim_stretches_to_the_deadline_at_the_most() {
+    let mut value = base();
+    value["profiles"][0]["aim_stretch"] = json!(1e300);
+    let mut c = started(value);
+    let long = Request { work: Some(Span(50 * MS)), ..read("r") };
+    assert_eq!(processed(&arrive(&mut c, 1, vec![long])), ["r"]);
+}
+
+/// Guards callers against a value below 0, which a share of the speed that is none made of the advice.
+#[test]
+fn a_cold_share_is_a_share() {
+    for (share, good) in [(0.0, true), (1.0, true), (-0.25, false), (1.5, false)] {
+        let mut value = base();
+        value["rules"]["cold_share"] = json!(share);
+        value["specifics"]["advert"] = json!("share_of");
+        value["specifics"]["just_started"] = json!(true);
+        let set = settings(value);
+        match set.check() {
+            Ok(()) => assert!(good, "{share} is taken, and told as {:?}", first_signal(set)),
+            Err(why) => {
+                let expected = format!("expected settings: rules.cold_share from 0 to 1, got {share}");
+                assert_eq!((good, why.to_string()), (false, expected));
+            }
+        }
+    }
+}
+
+/// What a server tells callers first.
+fn first_signal(set: Settings) -> Option<f64> {
+    let mut out = Vec::new();
+    Controller::new(set, 11, Time(0)).handle(Time(0), &[], &mut out);
+    out.iter().find_map(|action| if let Action::Signal(value) = action { Some(*value) } else { None })
+}
--- a/crates/gradepin/tests/fleet.rs
+++ b/crates/gradepin/tests/fleet.rs
@@ -96,6 +96,49 @@
     );
 }
 
+/// Guards the main thread, and the run: a call whose time is up behind one that waits longer is given up then. It would ask for a
+/// turn at a time that is past, again and again, until the one before it has its slot.
+#[test]
+fn a_call_that_runs_out_of_its_time_behind_another_is_given_up_at_once() {
+    let mut stage = Virtually::lending(|config| {
+        calling(config);
+        config["settings"]["specifics"]["calls_out"] = json!(16.0);
+    });
+    play(&mut stage, "wait 5000");
+    // The module hears of the slots that are left every 20 ms: it has heard of the first lease, and not yet of the second.
+    stage.asked_to_lend(1, 100);
+    stage.asked_to_lend(2, 11_000);
+    for run in 1..=8 {
+        let budget = if run < 7 { 4_000 } else { 300 };
+        play(
+            &mut stage,
+            &format!(
+                "send c{run} call {run} rid={run} method=claim token=t{run} budget={budget} body=b{run}
+                 expect processor begin {run} claim
+                 send processor ask {run} {run} entry{run}"
+            ),
+        );
+    }
+    play(
+        &mut stage,
+        "expect ledger call 1 entry1
+         expect ledger call 2 entry2
+         expect ledger call 3 entry3
+         expect ledger call 4 entry4
+         expect ledger call 5 entry5
+         expect no ledger call
+         wait 290
+         expect no log a call to the ledger
+         wait 20
+         expect log a call to the ledger for 0000000000000007 ended Shed
+         expect log a call to the ledger for 0000000000000008 ended Shed
+         expect no log a call to the ledger
+         send ledger 1 200 done
+         expect processor answer 1 done
+         expect ledger call 6 entry6",
+    );
+}
+
 /// Guards leases against the Unix clock: they go by time that passed, so a clock that jumps an hour either way, while calls are
 /// out, frees nothing and holds nothing back.
 #[test]
@@ -135,3 +178,51 @@
     let refused = events.iter().filter(|event| event.contains("refused backoff=1000")).count();
     assert!((20..60).contains(&refused), "{refused} of 60 repeats beside no first try");
 }
+
+/// Waits for the call with this body to leave; the module and the fleet may hold it back for a while.
+fn leaves(stage: &mut Virtually, body: &str) {
+    let left = (0..200).any(|_| {
+        stage.wait(20);
+        stage.take(&format!("ledger call 1 {body}")).is_ok()
+    });
+    assert!(left, "the call {body} never leaves");
+}
+
+/// Guards against slots that are never free again: of two calls out under one id, one was given up with its run.
+#[test]
+fn two_calls_out_under_one_rid_free_two_slots() {
+    let mut stage = stage();
+    for n in 0..8 {
+        let [first, second, third, fourth] = [1, 2, 3, 4].map(|k| 4 * n + k);
+        play(
+            &mut stage,
+            &format!(
+                "send a call {first} rid=1 body=one
+                 expect processor begin 1 read one
+                 send processor ask {first} 1 form-{first}"
+            ),
+        );
+        leaves(&mut stage, &format!("form-{first}"));
+        play(
+            &mut stage,
+            &format!(
+                "send processor complete {second} 1 STOPPED
+                 expect a {first} failed
+                 send a call {second} rid=1 body=two
+                 expect processor begin 1 read two
+                 send processor ask {third} 1 form-{third}"
+            ),
+        );
+        leaves(&mut stage, &format!("form-{third}"));
+        play(
+            &mut stage,
+            &format!(
+                "send ledger 1 200 of-{first}
+                 send ledger 1 200 of-{third}
+                 expect processor answer 1 of-{third}
+                 send processor complete {fourth} 1 OK out
+                 expect a {second} served out"
+            ),
+        );
+    }
+}
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -23,6 +23,7 @@
 //!   asked for as `claim RID TOKEN`, its end told as `claim-ended TOKEN served|failed|void`.
 //! - `open CONN`: a connection opens, and nothing is sent on it.
 //! - `close CONN` and `close processor`: a peer ends its connection, both ways at once.
+//! - `late CONN`: the reader found that no message of it is whole in its time; on the virtual stage alone.
 //! - `half-close CONN`: it sends nothing more, and still reads. `reset CONN`: it is gone, and what is unread with it; on
 //!   sockets alone, as are the next three.
 //! - `hold CONN` reads nothing of a connection that is not open yet, until `release CONN`. `flood CONN COUNT health` and
@@ -40,6 +41,7 @@
 
 #[path = "../../../decisions/tests/common/mod.rs"]
 pub mod common;
+pub mod scripted;
 pub mod sockets;
 pub mod thrift;
 pub mod virtually;
@@ -72,6 +74,9 @@
     fn open(&mut self, conn: &str);
     fn close(&mut self, peer: &str);
     fn half_close(&mut self, conn: &str);
+    fn late(&mut self, conn: &str) {
+        panic!("this stage's reader finds by itself what is late: {conn}");
+    }
     fn reset(&mut self, conn: &str) {
         panic!("this stage resets no connection: {conn}");
     }
@@ -119,7 +124,7 @@
 }
 
 /// The text of a configuration file after a change of some kind to the one in force. `retuned` keeps `read` with a
-/// longer deadline, drops `claim` and adds `view`; `unkeyed` has `claim` safe to repeat, and `rekeyed` keyed again with a
+/// longer deadline, drops `claim` and adds `view`; `calling` has runs call the ledger; `unkeyed` has `claim` safe to repeat, and `rekeyed` keyed again with a
 /// short window; the others are broken in one way each and must be turned down.
 pub fn changed(config: &Value, how: &str) -> String {
     let mut config = config.clone();
@@ -137,6 +142,7 @@
             config["settings"]["profiles"][1]["effect"] = json!("by_key");
             config["settings"]["profiles"][1]["window"] = json!(2_000_000_000_u64);
         }
+        "calling" => config["settings"]["specifics"]["below"] = json!("shared"),
         "empty" => return String::new(),
         "cut" => {
             let text = config.to_string();
@@ -227,7 +233,9 @@
                 let line = format!("admin {}", words[3..].join(" "));
                 let found = (0..UNTIL_TRIES).any(|_| {
                     stage.admin(admin_call(call, &at));
-                    let found = stage.take(&line).is_ok();
+                    // The response is here by now: nothing to wait for.
+                    let came = stage.rest().iter().any(|event| begins(event, &line));
+                    let found = came && stage.take(&line).is_ok();
                     stage.wait(if found { 0 } else { 20 });
                     found
                 });
@@ -248,6 +256,7 @@
             ["freeze"] => stage.freeze(true),
             ["thaw"] => stage.freeze(false),
             ["half-close", conn] => stage.half_close(conn),
+            ["late", conn] => stage.late(conn),
             ["reset", conn] => stage.reset(conn),
             ["hold", conn] => stage.hold(conn, true),
             ["release", conn] => stage.hold(conn, false),
--- a/crates/gradepin/tests/scenario/virtually.rs
+++ b/crates/gradepin/tests/scenario/virtually.rs
@@ -1,15 +1,16 @@
 //! A stage with no sockets and no real time: the reducer alone, with the clients' codec before it.
 
 use super::{Stage, begins, changed, config, thrift};
-use gradepin_cluster::authentication::Keys;
-use gradepin_cluster::cluster::{Cluster, ClusterSettings};
+use gradepin_cluster::authentication::{Header, Keys};
+use gradepin_cluster::cluster::{Cluster, ClusterSettings, Envelope, MessageKind};
 use gradepin_cluster::leases::LeaseSettings;
 use gradepin_cluster::members::FailureDetection;
 use gradepin_cluster::peer::{Incarnation, Peer};
 use gradepin_core::admin::AdminCall;
 use gradepin_core::config::Config;
 use gradepin_core::keys::End;
-use gradepin_core::messages::{Claim, ConnId, Effect, Input, NameChange, RunEnd};
+use gradepin_core::known_processor::KnownProcessor;
+use gradepin_core::messages::{CallNumber, Claim, ConnId, Effect, Input, NameChange, RunEnd};
 use gradepin_core::moment::Moment;
 use gradepin_core::pool::Pool;
 use gradepin_core::reducer::{Reducer, lent_share};
@@ -40,8 +41,15 @@
     waiting: Vec<Input>,
     events: Vec<String>,
     muted: bool,
+    /// Whether inputs wait for others to come with them.
+    held: bool,
     link: u64,
+    known: KnownProcessor,
+    /// When the server began to make the link that the processor greets on next; now, if none has ended.
+    connecting: Option<Time>,
     calls: u64,
+    /// Calls to the ledger that are out, in the order in which they left.
+    calls_out: Vec<(RequestId, CallNumber)>,
     /// Whether a file that can be used was told and is not in force yet.
     reloading: bool,
 }
@@ -76,7 +84,7 @@
     /// One that shares its keyed runs with the process after it too.
     pub fn sharing() -> Self {
         let mut stage = Self::new();
-        stage.reducer = std::mem::replace(&mut stage.reducer, Self::new().reducer).sharing_runs(7);
+        stage.reducer = std::mem::replace(&mut stage.reducer, Self::new().reducer).sharing_runs(Some(7));
         stage.processor("hi WARM 0");
         stage
     }
@@ -106,6 +114,21 @@
         stage
     }
 
+    /// Another server, of whom nothing else is known, asks the one that lends for so many thousandths of a slot.
+    pub fn asked_to_lend(&mut self, number: u8, amount: u16) {
+        let keys = Keys::of([9; 32]);
+        let (to, sent_us) = (Incarnation(5), self.ms * 1_000);
+        let header =
+            Header { name: "n2", incarnation: Incarnation(6), to, number: u64::from(number), sent_us };
+        // As in `cluster/tests/wire.rs`: a request, its number, its round and an amount of two bytes.
+        let [low, high] = [(amount & 0x7f) as u8 | 0x80, (amount >> 7) as u8];
+        let body = [MessageKind::Lease.byte(), 0, number, 0, low, high];
+        let envelope = Envelope::open(&keys, &keys.authenticate(&header, &body)).expect("it has the key");
+        assert!(envelope.lease_message().is_some(), "{envelope:?}");
+        self.waiting.push(Input::Envelope(Box::new(envelope)));
+        self.settle();
+    }
+
     /// A server whose configuration differs in something.
     pub fn with(change: impl FnOnce(&mut serde_json::Value)) -> Self {
         Self::built(change, Registration::default())
@@ -131,8 +154,12 @@
             waiting: Vec::new(),
             events: Vec::new(),
             muted: false,
+            held: false,
             link: 0,
+            known: KnownProcessor::default(),
+            connecting: None,
             calls: 0,
+            calls_out: Vec::new(),
             reloading: false,
         }
     }
@@ -142,6 +169,14 @@
         self.unix_off_ms += ms;
     }
 
+    /// Plays these lines of a scenario so that all their inputs come in one step.
+    pub fn in_one_step(&mut self, text: &str) {
+        self.held = true;
+        super::play(self, text);
+        self.held = false;
+        self.settle();
+    }
+
     fn conn(&mut self, name: &str) -> ConnId {
         let place = self.conns.iter().position(|known| known == name).unwrap_or_else(|| {
             self.conns.push(name.to_string());
@@ -153,6 +188,9 @@
 
     /// Steps until nothing more happens at this moment.
     fn settle(&mut self) {
+        if self.held {
+            return;
+        }
         for _ in 0..1000 {
             let moment =
                 Moment { now: Time(self.ms * MS), unix_ms: self.ms.saturating_add_signed(self.unix_off_ms) };
@@ -181,7 +219,7 @@
                 self.waiting.push(Input::NotAccepting);
                 "stop accepting".to_string()
             }
-            Effect::CloseResting(conn, _) | Effect::Close(conn) => {
+            Effect::CloseResting(conn, _) | Effect::CloseLate(conn, _) | Effect::Close(conn) => {
                 // Its peer ends it too, as peers do.
                 self.waiting.push(Input::Closed(conn));
                 format!("{} closed", name(conn))
@@ -191,7 +229,8 @@
                 let class = &class.profile.name;
                 format!("processor begin {id} {class} {}", String::from_utf8_lossy(&body))
             }
-            Effect::Call(id, body, limit, _) => {
+            Effect::Call(id, number, body, limit, _) => {
+                self.calls_out.push((id.clone(), number));
                 let id = u64::from_str_radix(&id.0, 16).expect("hex");
                 format!("ledger call {id} {} {}", String::from_utf8_lossy(&body), limit.0 / MS)
             }
@@ -215,6 +254,7 @@
             }
             Effect::Usage(_, tag) => {
                 if !self.muted {
+                    self.known.told(Time(self.ms * MS));
                     self.waiting.push(Input::Used(tag, vec![0.5, 2.0, 0.1, 9.0]));
                 }
                 return;
@@ -290,6 +330,10 @@
             ["hi", state, ms] => {
                 self.link += 1;
                 let age = Span(ms.parse::<u64>().expect("ms") * MS);
+                let (now, connecting) = (Time(self.ms * MS), self.connecting.take());
+                if self.known.greets(connecting.unwrap_or(now), now, age) {
+                    self.waiting.push(Input::ProcessorRestarted);
+                }
                 Input::LinkUp { link: self.link, cold: state == "COLD", age }
             }
             ["complete", n, rid, end, ref result @ ..] => Input::Complete {
@@ -314,6 +358,7 @@
             ["unmute"] => return self.muted = false,
             _ => panic!("no line of the processor: {line}"),
         };
+        self.known.told(Time(self.ms * MS));
         self.waiting.push(input);
         self.settle();
     }
@@ -373,7 +418,10 @@
         let reply = (outcome == Outcome::Delivered)
             .then(|| self.pool.copy(reply.join(" ").as_bytes()).expect("fits"));
         let id = RequestId::new(&format!("{:016x}", rid.parse::<u64>().expect("a number")));
-        self.waiting.push(Input::Called { id, outcome, reply });
+        // The call for it that left first; one that none left for is told of all the same.
+        let out = self.calls_out.iter().position(|(known, _)| *known == id);
+        let number = out.map_or(0, |place| self.calls_out.remove(place).1);
+        self.waiting.push(Input::Called { id, number, outcome, reply });
         self.settle();
     }
 
@@ -400,13 +448,21 @@
 
     fn close(&mut self, peer: &str) {
         let input = if peer == "processor" { Input::LinkDown } else { Input::Closed(self.conn(peer)) };
-        if peer != "processor" {
+        if peer == "processor" {
+            self.connecting = Some(Time(self.ms * MS));
+        } else {
             self.events.push(format!("{peer} closed"));
         }
         self.waiting.push(input);
         self.settle();
     }
 
+    fn late(&mut self, conn: &str) {
+        let conn = self.conn(conn);
+        self.waiting.push(Input::Late(conn));
+        self.settle();
+    }
+
     fn half_close(&mut self, conn: &str) {
         let conn = self.conn(conn);
         self.waiting.push(Input::Ended(conn));
--- a/crates/node/src/processor.rs
+++ b/crates/node/src/processor.rs
@@ -1,10 +1,14 @@
 //! The processor: lines over one link that is made again whenever it falls.
 
+mod lines;
+
 use crate::outgoing::Outgoing;
 use crossbeam_channel::{Receiver, Sender, bounded};
-use gradepin_core::messages::{Input, LEAST_RESTART, RunEnd};
+use gradepin_core::known_processor::KnownProcessor;
+use gradepin_core::messages::Input;
 use gradepin_core::pool::{Buffer, Pool, SIZE};
-use gradepin_decisions::{RequestId, Span, span};
+use gradepin_decisions::{RequestId, Span, Time};
+use lines::{Line, Lines};
 use rustix::io::Errno;
 use slog::{Logger, info, warn};
 use std::io;
@@ -15,7 +19,6 @@
 use std::time::{Duration, Instant};
 
 const STACK: usize = 64 * 1024;
-const MOST_RESULT: usize = 4096;
 /// Between tries to connect; doubled with each link that brought nothing, up to a bound.
 const RETRY: Duration = Duration::from_millis(20);
 const MOST_RETRY: Duration = Duration::from_secs(1);
@@ -25,21 +28,67 @@
 const WRITE_PATIENCE: Duration = Duration::from_secs(5);
 
 /// What is known of the processor across links.
-#[derive(Default)]
 struct Progress {
+    /// The last notice that was read on this link or before, as its hello says.
     last_notice: u64,
-    /// When it last told anything.
-    heard: Option<Instant>,
+    /// The last one that was read before all were to be told again; none while they are not.
+    before_retelling: u64,
+    known: KnownProcessor,
+    /// Times are counted from here, and from [`ORIGIN`].
+    began: Instant,
 }
 
+/// The time at which this process began. It leaves room before that for a processor that started long ago.
+const ORIGIN: u64 = 1 << 62;
+
 impl Progress {
-    /// Whether a processor of this age is the one that told the notices so far: another one has started since
-    /// that was last heard. Its start as such tells nothing: a machine's pause makes the greeting old.
-    fn same(&self, age: Span) -> bool {
-        self.heard.is_none_or(|heard| {
-            u128::from(age.0.saturating_add(LEAST_RESTART.0)) >= heard.elapsed().as_nanos()
-        })
+    fn new() -> Self {
+        let (known, began) = (KnownProcessor::default(), Instant::now());
+        Self { last_notice: 0, before_retelling: 0, known, began }
+    }
+
+    fn now(&self) -> Time {
+        Time(ORIGIN.saturating_add(u64::try_from(self.began.elapsed().as_nanos()).unwrap_or(u64::MAX)))
+    }
+
+    /// The number that the next link begins with.
+    fn hello(&mut self, retell: bool) -> u64 {
+        if retell {
+            self.before_retelling = std::mem::take(&mut self.last_notice);
+        }
+        self.last_notice
+    }
+
+    /// A notice was read.
+    fn read(&mut self, notice: u64) {
+        self.last_notice = self.last_notice.max(notice);
+    }
+
+    /// A link has ended. Where the retelling was cut short, what was read before it has been read all the same.
+    fn ended(&mut self) {
+        let before = std::mem::take(&mut self.before_retelling);
+        self.read(before);
     }
+
+    /// A processor greets on a link that began to be made then; what is to be told of it.
+    fn greeted(&mut self, connecting: Time, age: Span) -> Greeted {
+        if !self.known.greets(connecting, self.now(), age) {
+            return Greeted::Known;
+        }
+        self.before_retelling = 0;
+        if std::mem::take(&mut self.last_notice) == 0 { Greeted::Another } else { Greeted::AnotherUnread }
+    }
+}
+
+/// Who greets on a link.
+#[derive(Debug, PartialEq, Eq)]
+enum Greeted {
+    /// The processor that told the notices so far, or the first.
+    Known,
+    /// Another one, which tells all its notices on this link.
+    Another,
+    /// Another one, which was greeted with a number of the one before: it leaves notices out on this link.
+    AnotherUnread,
 }
 
 /// The link in use: its number, its socket, and the commands of this step.
@@ -52,15 +101,25 @@
 impl Link {
     /// Adds a command to what leaves with the step. Commands of one step share a write: a write and a wake of a
     /// writing thread for each took a quarter of the server's CPU.
+    ///
+    /// What is longer than a buffer takes several, which leave one behind the other. Guards against a link that is ended
+    /// over such a command: it would be sent again on each link after that, and end all of them.
     fn command(&mut self, pool: &Arc<Pool>, parts: &[&[u8]]) {
         let len: usize = parts.iter().map(|part| part.len()).sum();
         if self.batch.as_ref().is_some_and(|batch| batch.len() + len > SIZE) {
             self.flush();
         }
-        let batch = self.batch.get_or_insert_with(|| pool.take());
-        if !parts.iter().all(|part| batch.extend(part)) {
-            // No front takes a body so long; half a command must not stay on the link.
-            self.out.shut();
+        for part in parts {
+            let mut left = *part;
+            while !left.is_empty() {
+                let batch = self.batch.get_or_insert_with(|| pool.take());
+                let (now, later) = left.split_at(left.len().min(SIZE - batch.len()));
+                batch.extend(now);
+                left = later;
+                if !left.is_empty() {
+                    self.flush();
+                }
+            }
         }
     }
 
@@ -181,22 +240,18 @@
     pool: &Arc<Pool>,
     log: &Logger,
 ) {
-    let mut progress = Progress::default();
+    let mut progress = Progress::new();
     let mut pause = RETRY;
     for number in 1.. {
         let locked = || target.lock().unwrap_or_else(PoisonError::into_inner);
-        let (socket, address) = loop {
-            let address = locked().address;
+        let (socket, address, connecting) = loop {
+            let (address, connecting) = (locked().address, progress.now());
             match TcpStream::connect_timeout(&address, CONNECT_PATIENCE) {
-                Ok(socket) => break (socket, address),
+                Ok(socket) => break (socket, address, connecting),
                 Err(_) => drop(hurries.recv_timeout(RETRY)),
             }
         };
-        let known = progress.last_notice;
-        if retell.swap(false, Ordering::SeqCst) {
-            progress.last_notice = 0;
-        }
-        let (before, since) = (progress.last_notice, Instant::now());
+        let (before, since) = (progress.hello(retell.swap(false, Ordering::SeqCst)), Instant::now());
         let ended = start(socket, before, pool).and_then(|out| {
             let mut target = locked();
             if target.address != address {
@@ -204,7 +259,7 @@
             }
             target.link = Some(Link { number, out: Arc::clone(&out), batch: None });
             drop(target);
-            let ended = read(number, &out, &mut progress, inputs, pool);
+            let ended = read(&Made { number, connecting }, &out, &mut progress, inputs, pool);
             out.shut();
             ended
         });
@@ -220,9 +275,7 @@
         if inputs.send(Input::LinkDown).is_err() {
             return;
         }
-        // Where the retelling was cut short, what was read before it has been read all the same.
-        progress.last_notice =
-            if before < known { progress.last_notice.max(known) } else { progress.last_notice };
+        progress.ended();
         pause = next_pause(pause, progress.last_notice != before, since.elapsed());
         if !moved {
             let _ = hurries.recv_timeout(pause);
@@ -236,6 +289,10 @@
     if brought || stood >= STOOD { RETRY } else { (pause * 2).min(MOST_RETRY) }
 }
 
+fn tell(inputs: &Sender<Input>, input: Input) -> io::Result<()> {
+    inputs.send(input).map_err(|_| io::Error::other("the server has ended"))
+}
+
 /// Says hello.
 fn start(socket: TcpStream, last_notice: u64, pool: &Arc<Pool>) -> io::Result<Arc<Outgoing>> {
     socket.set_nodelay(true)?;
@@ -247,140 +304,60 @@
     Ok(out)
 }
 
-fn read(
+/// A link that stands: its number, and when it began to be made.
+struct Made {
     number: u64,
+    connecting: Time,
+}
+
+fn read(
+    made: &Made,
     out: &Outgoing,
     progress: &mut Progress,
     inputs: &Sender<Input>,
     pool: &Arc<Pool>,
 ) -> io::Result<()> {
-    let mut buffer = pool.take();
+    let mut lines = Lines::new(pool);
     loop {
-        let mut used = 0;
-        while let Some((len, line)) = parse(&buffer[used..], pool)? {
-            used += len;
+        while let Some(line) = lines.next()? {
             let input = match line {
                 Line::Hi(cold, age) => {
-                    let same = progress.same(age);
-                    progress.heard = Some(Instant::now());
-                    if !same && progress.last_notice > 0 {
-                        // Its notices begin at 1 again, and it was greeted with a later number.
-                        progress.last_notice = 0;
+                    let greeted = progress.greeted(made.connecting, age);
+                    if greeted != Greeted::Known {
+                        tell(inputs, Input::ProcessorRestarted)?;
+                    }
+                    if greeted == Greeted::AnotherUnread {
                         return Err(io::Error::other("the processor has restarted"));
                     }
-                    Input::LinkUp { link: number, cold, age }
+                    Input::LinkUp { link: made.number, cold, age }
                 }
                 Line::Complete(notice, id, end, took, result) => {
-                    progress.last_notice = notice.max(progress.last_notice);
+                    progress.read(notice);
                     Input::Complete { notice, id, end, took, result }
                 }
                 Line::Ask(notice, id, body) => {
-                    progress.last_notice = notice.max(progress.last_notice);
+                    progress.read(notice);
                     Input::Ask { notice, id, body }
                 }
                 Line::Used(tag, values) => Input::Used(tag, values),
                 Line::Reject(id) => Input::Rejected(id),
                 Line::Remark(notice) => {
-                    progress.last_notice = notice.max(progress.last_notice);
+                    progress.read(notice);
                     continue;
                 }
                 Line::Nothing => continue,
             };
-            progress.heard = Some(Instant::now());
-            inputs.send(input).map_err(|_| io::Error::other("the server has ended"))?;
-        }
-        buffer.consume(used);
-        if buffer.space().is_empty() {
-            return Err(bad(&buffer));
+            progress.known.told(progress.now());
+            tell(inputs, input)?;
         }
-        match rustix::io::read(&out.stream, buffer.space()) {
+        match rustix::io::read(&out.stream, lines.space()?) {
             Ok(0) => return Ok(()),
-            Ok(len) => buffer.filled(len),
+            Ok(len) => lines.filled(len),
             Err(Errno::INTR) => {}
             Err(e) => return Err(e.into()),
         }
     }
 }
 
-/// A line from the processor.
-#[derive(Debug)]
-enum Line {
-    Hi(bool, Span),
-    Complete(u64, RequestId, RunEnd, Span, Buffer),
-    Ask(u64, RequestId, Buffer),
-    Used(u64, Vec<f64>),
-    Reject(RequestId),
-    Remark(u64),
-    Nothing,
-}
-
-fn bad(line: &[u8]) -> io::Error {
-    let text = String::from_utf8_lossy(&line[..line.len().min(80)]).into_owned();
-    io::Error::new(io::ErrorKind::InvalidData, format!("expected a line of the processor, got '{text}'"))
-}
-
-/// The first line with the bytes that follow it, and the length of it all; none while it isn't whole.
-fn parse(bytes: &[u8], pool: &Arc<Pool>) -> io::Result<Option<(usize, Line)>> {
-    let Some(end) = bytes.windows(2).position(|two| two == b"\r\n") else { return Ok(None) };
-    let line = &bytes[..end];
-    if let Some(remark) = line.strip_prefix(b"remark ") {
-        // Its text may be anything. Guards against a link that falls again and again over the same remark.
-        let digits = remark.split(|&b| b == b' ').next().unwrap_or_default();
-        let notice = std::str::from_utf8(digits).ok().and_then(|digits| digits.parse().ok());
-        return Ok(Some((end + 2, Line::Remark(notice.ok_or_else(|| bad(line))?))));
-    }
-    let text = std::str::from_utf8(line).map_err(|_| bad(line))?;
-    let words: Vec<&str> = text.split(' ').collect();
-    let number = |text: &str| text.parse::<u64>().map_err(|_| bad(line));
-    // Times come with a decimal point as well as without: a reader of whole numbers lost every notice.
-    let millis = |text: &str| match text.parse::<f64>() {
-        Ok(ms) if ms >= 0.0 && ms.is_finite() => Ok(span(ms / 1e3)),
-        _ => Err(bad(line)),
-    };
-    let mut whole = end + 2;
-    // What follows a line that ends in a length, and the length of the whole.
-    let mut body = |len: &str| -> io::Result<Option<Buffer>> {
-        let len = usize::try_from(number(len)?).unwrap_or(usize::MAX);
-        if len > MOST_RESULT {
-            return Err(bad(line));
-        }
-        let Some(rest) = bytes.get(whole..whole + len + 2) else { return Ok(None) };
-        let (body, tail) = rest.split_at(len);
-        if tail != b"\r\n" {
-            return Err(bad(line));
-        }
-        whole += len + 2;
-        pool.copy(body).map(Some).ok_or_else(|| bad(line))
-    };
-    let line = match words[..] {
-        ["hi", state @ ("COLD" | "WARM"), ms] => Line::Hi(state == "COLD", millis(ms)?),
-        ["complete", n, id, ended, ms, len] => {
-            let ended = match ended {
-                "OK" => RunEnd::Ok,
-                "ERROR" => RunEnd::Error,
-                "STOPPED" => RunEnd::Stopped,
-                "MOOT" => RunEnd::Moot,
-                _ => return Err(bad(line)),
-            };
-            let (n, took) = (number(n)?, millis(ms)?);
-            let Some(result) = body(len)? else { return Ok(None) };
-            Line::Complete(n, RequestId::new(id), ended, took, result)
-        }
-        ["ask", n, id, len] => {
-            let n = number(n)?;
-            let Some(call) = body(len)? else { return Ok(None) };
-            Line::Ask(n, RequestId::new(id), call)
-        }
-        ["used", tag, ref values @ ..] => {
-            let values: Result<Vec<f64>, _> = values.iter().map(|value| value.parse()).collect();
-            Line::Used(number(tag)?, values.map_err(|_| bad(line))?)
-        }
-        ["reject", "begin", id] => Line::Reject(RequestId::new(id)),
-        ["reject", ..] => Line::Nothing,
-        _ => return Err(bad(line)),
-    };
-    Ok(Some((whole, line)))
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/releases/src/council.rs
+++ b/crates/releases/src/council.rs
@@ -5,6 +5,8 @@
 //! what stands behind a [`Effect::Write`] never depends on it, what does is held back until [`Council::written`].
 
 mod configuration;
+mod intake;
+mod log;
 
 pub use configuration::{NotTaken, Taken};
 
@@ -13,13 +15,12 @@
 use configuration::Content;
 use gradepin_config::change::{Commit, Revision};
 use gradepin_decisions::{Span, Time, after};
+use log::{Log, snapshot};
 use protobuf::Message as _;
 use raft::eraftpb::{
-    ConfChange, ConfChangeType, ConfState, Entry, EntryType, HardState, Message, MessageType,
+    ConfChange, ConfChangeType, ConfState, Entry, EntryType, Message, MessageType, Snapshot,
 };
-use raft::eraftpb::{Snapshot, SnapshotMetadata};
-use raft::storage::{GetEntriesContext, RaftState};
-use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole, Storage, StorageError};
+use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -35,9 +36,8 @@
 /// A voter that starts waits for so long to hear a leader, or all others, before it votes: longer than any leader takes to be
 /// heard, or to be elected by the others.
 pub const QUIET: Span = Span(3_000 * MS);
-/// Entries since the last snapshot that make the next one; the last few stay for voters that are a little behind.
+/// Entries since the last snapshot that make the next one.
 const SNAPSHOT_EVERY: u64 = 128;
-const KEPT_BEHIND: u64 = 32;
 /// Entries since the last snapshot that make the next one though the configuration isn't durable here yet.
 const SNAPSHOT_AT_LATEST: u64 = 4 * SNAPSHOT_EVERY;
 /// Ticks after which a snapshot that its receiver hasn't acknowledged is sent again: it goes in many datagrams.
@@ -45,6 +45,9 @@
 /// Bytes of entries in one message, beyond the first entry; and bytes that are not agreed on yet.
 const MESSAGE_BYTES: u64 = 900;
 const UNCOMMITTED_BYTES: u64 = 64 * 1024;
+/// The longest command, encoded. What others are told of it has to fit into one message between servers (259 kB): an entry
+/// that can't be sent is acknowledged by nobody, and nothing behind it is agreed on while its leader is heard.
+const MOST_COMMAND: usize = 199_999;
 /// Turns of the clock made up for at the most, after a process was stopped.
 const MOST_TICKS: u64 = 5;
 
@@ -146,112 +149,9 @@
     /// Too much waits to be agreed on, or a change of the council isn't through yet.
     #[error("too much waits to be agreed on")]
     Busy,
-}
-
-/// The library's view of what is durable or will be before anything depends on it.
-#[derive(Debug, Clone, Default)]
-struct Log {
-    hard: HardState,
-    conf: ConfState,
-    snapshot: Snapshot,
-    /// What lies right before the first entry here.
-    before: (u64, u64),
-    entries: Vec<Entry>,
-}
-
-impl Log {
-    fn last(&self) -> u64 {
-        self.entries.last().map_or(self.before.0, |entry| entry.index)
-    }
-
-    fn append(&mut self, entries: &[Entry]) {
-        let Some(first) = entries.first() else { return };
-        let keep = first.index.saturating_sub(self.before.0 + 1) as usize;
-        self.entries.truncate(keep);
-        self.entries.extend_from_slice(entries);
-    }
-
-    fn restore(&mut self, snapshot: Snapshot) {
-        let meta = snapshot.get_metadata();
-        self.before = (meta.index, meta.term);
-        self.conf = meta.get_conf_state().clone();
-        self.entries.clear();
-        self.snapshot = snapshot;
-    }
-
-    /// Takes a snapshot at an entry that was applied; entries that a slow voter may still need stay.
-    fn compact(&mut self, index: u64, data: Vec<u8>) {
-        let term = self.term(index).unwrap_or(self.before.1);
-        self.snapshot = snapshot(index, term, self.conf.clone(), data);
-        let behind = index.saturating_sub(KEPT_BEHIND);
-        if behind > self.before.0
-            && let Ok(term) = self.term(behind)
-        {
-            self.entries.drain(..(behind - self.before.0) as usize);
-            self.before = (behind, term);
-        }
-    }
-}
-
-fn snapshot(index: u64, term: u64, conf: ConfState, data: Vec<u8>) -> Snapshot {
-    let mut meta = SnapshotMetadata::default();
-    meta.set_conf_state(conf);
-    (meta.index, meta.term) = (index, term);
-    let mut snapshot = Snapshot::default();
-    snapshot.set_metadata(meta);
-    snapshot.set_data(data.into());
-    snapshot
-}
-
-impl Storage for Log {
-    fn initial_state(&self) -> raft::Result<RaftState> {
-        Ok(RaftState::new(self.hard.clone(), self.conf.clone()))
-    }
-
-    fn entries(
-        &self,
-        low: u64,
-        high: u64,
-        max: impl Into<Option<u64>>,
-        _context: GetEntriesContext,
-    ) -> raft::Result<Vec<Entry>> {
-        if low <= self.before.0 {
-            return Err(raft::Error::Store(StorageError::Compacted));
-        }
-        if high > self.last() + 1 {
-            return Err(raft::Error::Store(StorageError::Unavailable));
-        }
-        let place = |index: u64| (index - self.before.0 - 1) as usize;
-        let mut entries = self.entries[place(low)..place(high)].to_vec();
-        raft::util::limit_size(&mut entries, max.into());
-        Ok(entries)
-    }
-
-    fn term(&self, index: u64) -> raft::Result<u64> {
-        if index == self.before.0 {
-            return Ok(self.before.1);
-        }
-        if index < self.before.0 {
-            return Err(raft::Error::Store(StorageError::Compacted));
-        }
-        let entry = self.entries.get((index - self.before.0 - 1) as usize);
-        entry.map(|entry| entry.term).ok_or(raft::Error::Store(StorageError::Unavailable))
-    }
-
-    fn first_index(&self) -> raft::Result<u64> {
-        Ok(self.before.0 + 1)
-    }
-
-    fn last_index(&self) -> raft::Result<u64> {
-        Ok(self.last())
-    }
-
-    fn snapshot(&self, request_index: u64, _to: u64) -> raft::Result<Snapshot> {
-        if self.snapshot.get_metadata().index < request_index {
-            return Err(raft::Error::Store(StorageError::SnapshotTemporarilyUnavailable));
-        }
-        Ok(self.snapshot.clone())
-    }
+    /// The command is longer than an entry may be.
+    #[error("expected a command of at most {MOST_COMMAND} bytes")]
+    Long,
 }
 
 /// What a voter founds the council with: the same on each.
@@ -354,7 +254,9 @@
 
     /// The council is founded here, with these voters: to be called on each of them, with the same, once.
     pub fn found(&mut self, voters: &BTreeMap<VoterId, Name>) -> Result<(), Refused> {
-        if self.node.is_some() || !voters.contains_key(&self.id) {
+        // A disk without an identity is nobody's: the library takes no such member, and what is founded is kept.
+        let has_nobody = voters.contains_key(&raft::INVALID_ID);
+        if self.node.is_some() || has_nobody || !voters.contains_key(&self.id) {
             return Err(Refused::NoVoter);
         }
         let records = founding(voters);
@@ -370,7 +272,10 @@
         for record in records {
             match record {
                 Durable::Snapshot { index, term, voters, data } => {
-                    self.record = replicated_snapshot::decode(&data).unwrap_or_default();
+                    let Some(record) = replicated_snapshot::decode(&data) else {
+                        return self.lose(format!("the state as of entry {index} on its disk can't be read"));
+                    };
+                    self.record = record;
                     let conf = ConfState { voters, ..ConfState::default() };
                     log.restore(snapshot(index, term, conf, data));
                 }
@@ -483,6 +388,9 @@
     pub fn propose(&mut self, number: u64, command: Command) -> Result<(), Refused> {
         let by = self.id;
         let data = postcard::to_stdvec(&Proposal { by, number, command }).unwrap_or_default();
+        if data.len() > MOST_COMMAND {
+            return Err(Refused::Long);
+        }
         self.leading()?.propose(Vec::new(), data).map_err(|_| Refused::Busy)
     }
 
@@ -565,6 +473,9 @@
             self.begin(Log::default());
         }
         let Some(node) = &mut self.node else { return };
+        if !intake::is_sound(&node.raft, &message) {
+            return;
+        }
         let asks = matches!(
             kind,
             MessageType::MsgRequestVote | MessageType::MsgRequestPreVote | MessageType::MsgTimeoutNow
@@ -588,7 +499,7 @@
             self.trust = Trust::Whole;
             self.heard = Some(now);
         }
-        // What is stale or strange is the library's to refuse.
+        // What is stale is the library's to refuse.
         let _ = node.step(message);
     }
 
@@ -706,7 +617,10 @@
             let taken = !ready.snapshot().is_empty();
             if taken {
                 let snapshot = ready.snapshot().clone();
-                self.record = replicated_snapshot::decode(snapshot.get_data()).unwrap_or_default();
+                // One that can't be read is never handed in.
+                if let Some(record) = replicated_snapshot::decode(snapshot.get_data()) {
+                    self.record = record;
+                }
                 self.content.restart(self.record.configuration.version());
                 records.push(durable(&snapshot));
                 node.mut_store().restore(snapshot);
@@ -799,6 +713,7 @@
             if let Ok(conf) = node.apply_conf_change(&change) {
                 // A new voter takes no snapshot that doesn't know it.
                 self.changed = true;
+                step_down_if_removed(node, &conf);
                 node.mut_store().conf = conf;
                 let id = change.node_id;
                 let text = if change.get_change_type() == ConfChangeType::AddNode {
@@ -816,6 +731,16 @@
     }
 }
 
+/// A leader that is no member any more gives way. The library leaves it the lead: it would take no proposal and yet be heard
+/// by the others, who elect nobody meanwhile; and it looks itself up among the members with the next entry that is
+/// acknowledged, and ends the process.
+fn step_down_if_removed(node: &mut RawNode<Log>, conf: &ConfState) {
+    let raft = &mut node.raft;
+    if raft.state == StateRole::Leader && !conf.voters.contains(&raft.id) {
+        raft.become_follower(raft.term, raft::INVALID_ID);
+    }
+}
+
 fn durable(snapshot: &Snapshot) -> Durable {
     let meta = snapshot.get_metadata();
     Durable::Snapshot {
--- a/crates/releases/tests/common/fleet.rs
+++ b/crates/releases/tests/common/fleet.rs
@@ -27,6 +27,10 @@
     pub now: Time,
     pub parts: Vec<ServerAgent>,
     pub cut: BTreeSet<usize>,
+    /// The program of each server; a turn changes it at once.
+    pub programs: Vec<String>,
+    /// What was sent, if it is kept: to whom, and what.
+    pub sent: Option<Vec<(usize, Vec<u8>)>>,
     /// What servers were told about the configuration.
     pub told: Vec<(usize, Time, ConfigurationEffect)>,
 }
@@ -55,6 +59,8 @@
             now,
             parts: voters_of.iter().enumerate().map(part).collect(),
             cut: BTreeSet::new(),
+            sent: None,
+            programs: vec![String::new(); voters_of.len()],
             told: Vec::new(),
         }
     }
@@ -67,22 +73,43 @@
         }
     }
 
+    /// Gives everybody turns at this moment until nobody wants another one.
+    pub fn settle(&mut self) {
+        for _ in 0..50 {
+            (0..self.parts.len()).for_each(|n| self.step(n));
+            if self.parts.iter().all(|part| part.wake_at() > self.now) {
+                return;
+            }
+        }
+        panic!("somebody wants a turn at {} again and again", self.now.0);
+    }
+
     fn step(&mut self, n: usize) {
         let mut effects = Vec::new();
-        self.parts[n].tells(self.now, Report { zone: format!("z{n}"), ready: true, ..Report::default() });
+        let program = self.programs[n].clone();
+        let report = Report { zone: format!("z{n}"), ready: true, program, ..Report::default() };
+        self.parts[n].tells(self.now, report);
         self.parts[n].step(self.now, &mut effects);
         for effect in effects {
             match effect {
                 Effect::Send(to, bytes) => {
                     // Other services mark their messages by a first byte of 0x80 and above.
                     assert!(bytes[0] < 0x80, "a consensus message began with {:#x}", bytes[0]);
-                    let to = (0..self.parts.len()).find(|other| name(*other) == to).expect("a server");
+                    // Odd words name servers that aren't there.
+                    let Some(to) = (0..self.parts.len()).find(|other| name(*other) == to) else {
+                        assert!(self.sent.is_some(), "expected a server, got {to}");
+                        continue;
+                    };
+                    if let Some(sent) = &mut self.sent {
+                        sent.push((to, bytes.clone()));
+                    }
                     if !self.cut.contains(&n) && !self.cut.contains(&to) {
                         self.parts[to].word(self.now, &name(n), 1, &bytes);
                     }
                 }
                 Effect::Configuration(effect) => self.told.push((n, self.now, effect)),
                 Effect::Write(number, _) => self.parts[n].written(number),
+                Effect::MayChange(turn, _) => self.programs[n] = turn.version,
                 _ => {}
             }
         }
