Add a drill of seeded faults against the real daemon, with four oracles

Each run is judged by four oracles in one place, by what the stand-ins sent and read: alive, answers, starts, provenance. A seeded defect for each shows that it can fail.

--- a/crates/kit/src/commands/drill.rs
+++ b/crates/kit/src/commands/drill.rs
@@ -1,8 +1,8 @@
 //! `gradepin-kit drill`: failures against real servers, a line a claim.
 
 use super::shared::daemon;
-use clap::{Args, Subcommand};
-use gradepin_kit::drill::{recovery, registry, release, scgi, shared};
+use clap::{Args, Subcommand, ValueEnum};
+use gradepin_kit::drill::{Verdict, faults, recovery, registry, release, scgi, shared};
 use std::error::Error;
 use std::path::PathBuf;
 
@@ -16,6 +16,8 @@
 /// Which failures are played.
 #[derive(Debug, Subcommand)]
 pub enum Drill {
+    /// Faults of clients, processor link, control plane, signals and files, alone and in pairs, with four oracles
+    Faults(FaultsArgs),
     /// Kills under load: saves run once, and stations that insist get their answers
     Recovery(RecoveryArgs),
     /// Servers that agree on who may be out: a release, and a bad one that stops and goes back, under load
@@ -28,6 +30,48 @@
     Registry(RegistryArgs),
 }
 
+/// Settings of `drill faults`.
+#[derive(Debug, Args)]
+pub struct FaultsArgs {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Seeds, one after another
+    #[arg(long, default_value_t = 1)]
+    pub seeds: u64,
+    /// Some of the faults and pairs, as in the tests
+    #[arg(long)]
+    pub small: bool,
+    /// Drawn pairs of faults; each fault is played alone too
+    #[arg(long)]
+    pub pairs: Option<usize>,
+    /// Only the case of this number
+    #[arg(long)]
+    pub only: Option<usize>,
+    /// Cases beside each other
+    #[arg(long, default_value_t = 3)]
+    pub beside: usize,
+    /// A fault of the drill itself, which the oracle of that name must see. Must fail
+    #[arg(long)]
+    pub defect: Option<DefectArg>,
+    /// The daemon's program, if it is not beside this one
+    #[arg(long)]
+    pub daemon: Option<PathBuf>,
+}
+
+/// Which oracle is to fail.
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub enum DefectArg {
+    /// A server is killed
+    Alive,
+    /// A client drops an answer
+    Answers,
+    /// Another process holds a server's address
+    Starts,
+    /// The processor tells another result than it made
+    Provenance,
+}
+
 /// Settings of `drill recovery`.
 #[derive(Debug, Args)]
 pub struct RecoveryArgs {
@@ -146,6 +190,7 @@
 /// Plays it, and says whether every claim was kept.
 pub fn run(args: DrillArgs) -> Result<bool, Box<dyn Error>> {
     match args.which {
+        Drill::Faults(args) => faults(args),
         Drill::Recovery(RecoveryArgs { seed, kills, plain, daemon: told }) => {
             Ok(recovery::run(&recovery::Drill { daemon: daemon(told)?, seed, kills, plain })?)
         }
@@ -171,3 +216,22 @@
     let drill = release::Drill { daemon, seed, servers, faults, plain, timed: true, load, quiet_s };
     Ok(release::run(&drill)?.kept()?)
 }
+
+fn faults(args: FaultsArgs) -> Result<bool, Box<dyn Error>> {
+    let FaultsArgs { seed: first, seeds, small, pairs, only, beside, defect, daemon: told } = args;
+    let daemon = daemon(told)?;
+    let size = if small { faults::plan::Size::SMALL } else { faults::plan::Size::FULL };
+    let size = faults::plan::Size { pairs: pairs.unwrap_or(size.pairs), ..size };
+    let defect = defect.map(|defect| match defect {
+        DefectArg::Alive => faults::Defect::Alive,
+        DefectArg::Answers => faults::Defect::Answers,
+        DefectArg::Starts => faults::Defect::Starts,
+        DefectArg::Provenance => faults::Defect::Provenance,
+    });
+    let mut verdict = Verdict::Kept;
+    for seed in first..first.saturating_add(seeds) {
+        let drill = faults::Drill { daemon: daemon.clone(), seed, size, only, beside, defect };
+        verdict = verdict.and(faults::run(&drill)?.verdict);
+    }
+    Ok(verdict.kept()?)
+}
--- /dev/null
+++ b/crates/kit/src/drill/faults/mod.rs
@@ -0,0 +1,256 @@
+//! Fault injection against the real daemon: seeded faults, each alone and in pairs, with stand-ins on loopback, and four
+//! oracles that hold for each run whatever was injected.
+//!
+//! - [`plan`]: the faults as types, and the schedule of a seed.
+//! - [`settings`], [`control`], [`processor`], [`client`], [`misuse`]: the configuration and the stand-ins.
+//! - [`record`]: what all of them sent and read.
+//! - [`server`], [`inject`], [`session`], [`starts`]: one server, one fault, one case, one start.
+//! - [`oracles`]: what is held, in one place.
+
+pub mod client;
+pub mod control;
+pub mod inject;
+pub mod misuse;
+pub mod oracles;
+pub mod plan;
+pub mod processor;
+pub mod random;
+pub mod record;
+pub mod server;
+pub mod session;
+pub mod settings;
+pub mod starts;
+pub mod threads;
+
+use super::{Claims, Verdict};
+use crate::fleet;
+use crate::rig::lag::{Bounds, LagMonitor};
+use oracles::{Failure, Late, Oracle};
+use plan::{Case, Size};
+use random::Random;
+use session::Outcome;
+use std::collections::BTreeMap;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+/// Within this a valid configuration serves.
+const STARTS_WITHIN: Duration = Duration::from_secs(10);
+/// Past this the machine was so late that times say nothing of the servers.
+const BOUNDS: Bounds =
+    Bounds { mean_beat: Duration::from_millis(4), latest_beat: Duration::from_millis(100), starved: 0.25 };
+/// Failures that are printed of one case.
+const SHOWN_FAILURES: usize = 4;
+
+static RUNS: AtomicUsize = AtomicUsize::new(0);
+
+/// A fault of the drill itself, which one oracle must see.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Defect {
+    /// A server is killed.
+    Alive,
+    /// A client drops an answer.
+    Answers,
+    /// Another process holds the address for good.
+    Starts,
+    /// The processor tells another result than it made.
+    Provenance,
+}
+
+/// What is drilled.
+#[derive(Debug, Clone)]
+pub struct Drill {
+    /// The daemon's program.
+    pub daemon: PathBuf,
+    /// For everything that is drawn.
+    pub seed: u64,
+    /// How much of the schedule.
+    pub size: Size,
+    /// Only the case of this number.
+    pub only: Option<usize>,
+    /// Cases beside each other.
+    pub beside: usize,
+    /// Something that one oracle must see.
+    pub defect: Option<Defect>,
+}
+
+/// What it came to.
+#[derive(Debug)]
+pub struct Report {
+    /// The claims together.
+    pub verdict: Verdict,
+    /// What was not held, with its case.
+    pub failures: Vec<(String, Failure)>,
+}
+
+impl Report {
+    /// Whether an oracle was held.
+    pub fn held(&self, oracle: Oracle) -> bool {
+        self.failures.iter().all(|(_, failure)| failure.oracle != oracle)
+    }
+}
+
+/// What all cases came to so far.
+#[derive(Debug, Default)]
+struct Tally {
+    failures: Vec<(String, Failure)>,
+    late: Late,
+    requests: usize,
+    runs: usize,
+    cases: usize,
+    starts: usize,
+    slowest_start: Duration,
+    /// Cases and failures by family.
+    families: BTreeMap<&'static str, [usize; 2]>,
+}
+
+/// Plays it, prints plan and claims, and says what it came to.
+pub fn run(drill: &Drill) -> io::Result<Report> {
+    // Runs may be beside each other in one process.
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let folder = fleet::folder(&format!("faults-{}-{run}", drill.seed))?;
+    let cases: Vec<Case> = match drill.defect {
+        // One quiet case: what fails then is the defect.
+        Some(_) => plan::schedule(drill.seed, drill.size).into_iter().take(1).collect(),
+        None => plan::schedule(drill.seed, drill.size),
+    };
+    let only = |case: &Case| drill.only.is_none_or(|only| only == case.number);
+    let cases: Vec<Case> = cases.into_iter().filter(only).collect();
+    println!("seed {}, {} cases", drill.seed, cases.len());
+    let monitor = LagMonitor::start()?;
+    let tally = Mutex::new(Tally::default());
+    play_cases(drill, &cases, &folder, &tally)?;
+    if drill.only.is_none() {
+        play_starts(drill, &folder, &tally)?;
+    }
+    let lag = monitor.lag();
+    drop(monitor);
+    let tally = tally.into_inner().unwrap_or_else(PoisonError::into_inner);
+    println!("machine: {}", lag.summary());
+    let claims = claim(&tally, Claims::on_machine(lag.past(&BOUNDS)));
+    if tally.failures.is_empty() {
+        fleet::remove(&folder);
+    } else {
+        println!("logs are in {}", folder.display());
+    }
+    Ok(Report { verdict: claims.verdict(), failures: tally.failures })
+}
+
+fn play_cases(drill: &Drill, cases: &[Case], folder: &Path, tally: &Mutex<Tally>) -> io::Result<()> {
+    let next = AtomicUsize::new(0);
+    let work = || -> io::Result<()> {
+        while let Some(case) = cases.get(next.fetch_add(1, Ordering::SeqCst)) {
+            let outcome =
+                session::play(case, drill, &folder.join(format!("case{}", case.number)), drill.defect)?;
+            tell(case, &outcome);
+            lock(tally).add(case, outcome);
+        }
+        Ok(())
+    };
+    beside(drill.beside, work)
+}
+
+/// The same work in so many threads.
+fn beside(count: usize, work: impl Fn() -> io::Result<()> + Sync) -> io::Result<()> {
+    thread::scope(|scope| {
+        let workers: Vec<_> = (0..count.max(1)).map(|_| scope.spawn(&work)).collect();
+        for worker in workers {
+            worker.join().map_err(|_| io::Error::other("a thread of the drill has panicked"))??;
+        }
+        Ok(())
+    })
+}
+
+fn play_starts(drill: &Drill, folder: &Path, tally: &Mutex<Tally>) -> io::Result<()> {
+    let starts = starts::starts(&mut Random::new(drill.seed, 6));
+    let held = drill.defect == Some(Defect::Starts);
+    let tried = if drill.defect.is_some() { 1 } else { starts.len() };
+    let next = AtomicUsize::new(0);
+    let work = || -> io::Result<()> {
+        loop {
+            let number = next.fetch_add(1, Ordering::SeqCst);
+            let Some(start) = starts.get(number).filter(|_| number < tried) else { return Ok(()) };
+            let started = starts::try_start(start, &drill.daemon, folder, number, held)?;
+            let failures = oracles::starts(&started);
+            failures.iter().for_each(|failure| println!("  {failure}"));
+            let mut tally = lock(tally);
+            tally.starts += 1;
+            tally.slowest_start = tally.slowest_start.max(started.served.unwrap_or_default());
+            tally.count("starts", !failures.is_empty());
+            tally.failures.extend(failures.into_iter().map(|failure| (started.what.clone(), failure)));
+        }
+    };
+    beside(drill.beside, work)
+}
+
+fn lock(tally: &Mutex<Tally>) -> std::sync::MutexGuard<'_, Tally> {
+    tally.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A line for each case, and what was not held in it.
+fn tell(case: &Case, outcome: &Outcome) {
+    let Outcome { requests, runs, failures, .. } = outcome;
+    let mut text = format!("  {case}: {requests} requests, {runs} runs, {} failures", failures.len());
+    for failure in failures.iter().take(SHOWN_FAILURES) {
+        text.push_str(&format!("\n    {failure}"));
+    }
+    println!("{text}");
+}
+
+impl Tally {
+    fn count(&mut self, family: &'static str, failed: bool) {
+        let [cases, failures] = self.families.entry(family).or_default();
+        *cases += 1;
+        *failures += usize::from(failed);
+    }
+
+    fn add(&mut self, case: &Case, outcome: Outcome) {
+        let failed = !outcome.failures.is_empty();
+        self.cases += 1;
+        match &case.faults[..] {
+            [] => self.count("endings", failed),
+            [fault] => self.count(fault.family(), failed),
+            _ if case.servers > 1 => self.count("pairs, a handful of servers", failed),
+            _ => self.count("pairs", failed),
+        }
+        self.requests += outcome.requests;
+        self.runs += outcome.runs;
+        self.slowest_start = self.slowest_start.max(outcome.slowest_start);
+        self.late.count += outcome.late.count;
+        self.late.most = self.late.most.max(outcome.late.most);
+        let named = |failure| (case.to_string(), failure);
+        self.failures.extend(outcome.failures.into_iter().map(named));
+    }
+}
+
+fn claim(tally: &Tally, mut claims: Claims) -> Claims {
+    for (family, [cases, failed]) in &tally.families {
+        println!("  {family}: {failed} of {cases} failed");
+    }
+    for oracle in Oracle::ALL {
+        let failed = tally.failures.iter().filter(|(_, failure)| failure.oracle == oracle).count();
+        let of = match oracle {
+            Oracle::Alive => format!("{} cases", tally.cases),
+            Oracle::Answers => format!("{} requests", tally.requests),
+            Oracle::Starts => format!("{} starts beside those of the cases", tally.starts),
+            Oracle::Provenance => format!("{} runs", tally.runs),
+        };
+        claims.claim(failed == 0, oracle.claim(), format!("{failed} failures, {of}"));
+    }
+    let Late { count, most } = tally.late;
+    claims.timed(
+        count == 0,
+        "answers by their due time",
+        format!("{count} late, by {} ms", most.as_millis()),
+    );
+    let slowest = tally.slowest_start;
+    claims.timed(
+        slowest <= STARTS_WITHIN,
+        "every start serves within 10 s",
+        format!("the slowest took {} ms", slowest.as_millis()),
+    );
+    claims
+}
--- /dev/null
+++ b/crates/kit/src/drill/faults/settings.rs
@@ -0,0 +1,93 @@
+//! The configuration of the servers under fault injection, and what a reload changes of it.
+
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const MS: u64 = 1_000_000;
+/// Safe to repeat; keyed; and one that must run once at the most.
+pub const READ: &str = "read";
+/// See [`READ`].
+pub const CLAIM: &str = "claim";
+/// See [`READ`].
+pub const PAY: &str = "pay";
+/// The classes that clients name.
+pub const CLASSES: [&str; 3] = [READ, CLAIM, PAY];
+/// How long a client waits, and a class at the most.
+pub const BUDGET: Duration = Duration::from_millis(3_000);
+const DEADLINE_MS: u64 = 4_000;
+/// By how much an answer may be late: the slack of the settings and that of the protocol page.
+pub const SLACK: Duration = Duration::from_millis(60 + 50);
+/// From SIGTERM to the kill.
+pub const STOP: Duration = Duration::from_millis(2_000);
+/// Descriptors of a server that idle clients are to fill.
+pub const FEW_SOCKETS: usize = 192;
+
+/// Where the stand-ins of a server are, and its own addresses.
+#[derive(Debug, Clone, Copy)]
+pub struct Addresses {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where operators call.
+    pub admin: SocketAddr,
+    /// The processor.
+    pub processor: SocketAddr,
+    /// The control plane.
+    pub control: SocketAddr,
+}
+
+/// Whether two runs for the same request are a fault.
+pub fn runs_once(class: &str) -> bool {
+    class != READ
+}
+
+fn class(name: &str, effect: &str, worth: f64) -> Value {
+    json!({"name": name, "promise": 1_000 * MS, "deadline": DEADLINE_MS * MS, "effect": effect, "late_value": 0.2,
+           "window": 9_000 * MS, "worth": worth})
+}
+
+/// The settings of the site.
+pub fn site() -> Value {
+    json!({
+        "granularity": 5 * MS,
+        "servers": 4,
+        "profiles": [class(READ, "repeatable", 1.0), class(CLAIM, "by_key", 3.0), class(PAY, "once", 2.0)],
+        "callers": {"marks_retry": true},
+        "customers": [{"name": "acme", "quota_rps": 10_000.0, "portion": 1.0}],
+        "limits": {"max_retry_after": 1_000 * MS, "retry_after": true},
+        "goal": {"whole": 0.7, "worst_class": 0.1, "worst_window": 0.2, "worst_tenant": 0.0},
+        "rules": {"answer_slack": 60 * MS, "cold": 10_000 * MS, "cold_share": 0.25, "drain_grace": 1_000 * MS,
+                  "fall": 1_500 * MS, "tip_multiple": 8.0},
+        "specifics": {"n_cores": 16, "memory_kb": 400_000.0, "run_factor": 4.0, "kb_per_key": 10.0, "below": "off",
+                      "share_span": 5_000 * MS, "linger": 200 * MS, "clients_total": 8, "passes_deadline": true,
+                      "gauges": ["core_use", "on_cores", "heap_share", "links"], "idle": 60_000 * MS,
+                      "heeded": 1_000 * MS, "tells_gone": true, "stop_mode": "off", "advert": "off"}
+    })
+}
+
+/// A whole configuration.
+pub fn configuration(name: &str, addresses: &Addresses, sockets: usize, seed: u64) -> Value {
+    json!({"name": name, "listen": addresses.listen, "processor": addresses.processor, "control": addresses.control,
+           "admin_addr": addresses.admin, "seed": format!("{seed:016x}"), "stop_ms": STOP.as_millis() as u64,
+           "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": site()})
+}
+
+/// The same with the classes in another order, one of them gone and a new one.
+pub fn retuned(configuration: &Value) -> Value {
+    let mut changed = configuration.clone();
+    changed["settings"]["profiles"] = json!([
+        class("view", "repeatable", 1.0),
+        class(CLAIM, "by_key", 2.0),
+        class(READ, "repeatable", 2.0)
+    ]);
+    changed
+}
+
+/// The same with other classes and another tenant alone.
+pub fn other_site(configuration: &Value) -> Value {
+    let mut changed = configuration.clone();
+    changed["settings"]["profiles"] =
+        json!([class("paivystys/1", "repeatable", 1.0), class("b", "once", 2.0)]);
+    changed["settings"]["customers"] = json!([{"name": "etelä", "quota_rps": 5.0, "portion": 1.0}]);
+    changed
+}
--- a/crates/kit/src/drill/mod.rs
+++ b/crates/kit/src/drill/mod.rs
@@ -1,5 +1,6 @@
 //! Drills: real processes on loopback, with faults, and claims that are kept or not.
 
+pub mod faults;
 pub mod recovery;
 pub mod registry;
 pub mod release;
--- a/crates/kit/src/drill/verdict.rs
+++ b/crates/kit/src/drill/verdict.rs
@@ -31,6 +31,15 @@
 }
 
 impl Verdict {
+    /// Of two runs together: broken if one is, and only kept if both are.
+    pub fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::NotKept, _) | (_, Self::NotKept) => Self::NotKept,
+            (Self::NotScored, _) | (_, Self::NotScored) => Self::NotScored,
+            (Self::Kept, Self::Kept) => Self::Kept,
+        }
+    }
+
     /// Whether it is kept, or the error of a run that isn't scored.
     pub fn kept(self) -> Result<bool, NotScored> {
         match self {
