Inject faults of the shared dependency, of peers' datagrams and of starts too

A request on a connection of a killed server is excused by when that connection was made: a client may write to one whose end it has not heard of yet.

--- a/crates/kit/src/drill/faults/mod.rs
+++ b/crates/kit/src/drill/faults/mod.rs
@@ -2,16 +2,18 @@
 //! oracles that hold for each run whatever was injected.
 //!
 //! - [`plan`]: the faults as types, and the schedule of a seed.
-//! - [`settings`], [`control`], [`processor`], [`client`], [`misuse`]: the configuration and the stand-ins.
+//! - [`settings`], [`control`], [`processor`], [`dependency`], [`peer`], [`client`], [`misuse`]: the configuration and the stand-ins.
 //! - [`record`]: what all of them sent and read.
 //! - [`server`], [`inject`], [`session`], [`starts`]: one server, one fault, one case, one start.
 //! - [`oracles`]: what is held, in one place.
 
 pub mod client;
 pub mod control;
+pub mod dependency;
 pub mod inject;
 pub mod misuse;
 pub mod oracles;
+pub mod peer;
 pub mod plan;
 pub mod processor;
 pub mod random;
--- a/crates/kit/src/drill/faults/plan.rs
+++ b/crates/kit/src/drill/faults/plan.rs
@@ -105,6 +105,44 @@
     Unknown,
 }
 
+/// What the shared dependency does with calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DependencyFault {
+    /// Takes no connection.
+    Refused,
+    /// Ends the connection within a reply, after so many bytes.
+    CutReply(usize),
+    /// Ends it with no reply.
+    CloseUnanswered,
+    /// Tells a length that is larger than the reply.
+    LengthTooLarge,
+    /// Or smaller.
+    LengthTooSmall,
+    /// Answers with bytes that are no HTTP.
+    Garbage,
+    /// Never answers.
+    Silent,
+    /// Answers with this status.
+    Status(u16),
+    /// Replies of this length.
+    ReplyLength(usize),
+    /// Replies one byte at a time.
+    ByteByByte,
+}
+
+/// Datagrams to the address that the server's peers use; so many.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DatagramFault {
+    /// Any bytes.
+    Garbage(usize),
+    /// Real ones cut at each length.
+    Cut(usize),
+    /// Real ones with one bit changed.
+    Flipped(usize),
+    /// Real ones sent back.
+    Replayed(usize),
+}
+
 /// What the control plane does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ControlFault {
@@ -112,6 +150,8 @@
     Refused(u64),
     /// It moves, and a reload names the new address.
     Moved,
+    /// The processor does so.
+    ProcessorMoved,
 }
 
 /// Signals and files.
@@ -123,6 +163,8 @@
     BadFile(BadFile),
     /// The process stands still for so many milliseconds.
     Pause(u64),
+    /// It stands still and goes on, so many times: its waits are interrupted.
+    Interrupts(usize),
     /// SIGKILL of server and processor, and a new start.
     Kill,
 }
@@ -164,6 +206,10 @@
     Client(ClientFault),
     /// Of the processor.
     Processor(ProcessorFault),
+    /// Of the shared dependency; the settings have it then.
+    Dependency(DependencyFault),
+    /// Of peers' datagrams; the settings have a cluster then.
+    Datagrams(DatagramFault),
     /// Of the control plane.
     Control(ControlFault),
     /// Of a signal or a file.
@@ -176,6 +222,8 @@
         match self {
             Self::Client(_) => "clients",
             Self::Processor(_) => "processor link",
+            Self::Dependency(_) => "shared dependency",
+            Self::Datagrams(_) => "peers' datagrams",
             Self::Control(_) => "control plane",
             Self::Signal(_) => "signals and files",
         }
@@ -187,6 +235,8 @@
         match self {
             Self::Client(fault) => write!(f, "client {fault:?}"),
             Self::Processor(fault) => write!(f, "processor {fault:?}"),
+            Self::Dependency(fault) => write!(f, "dependency {fault:?}"),
+            Self::Datagrams(fault) => write!(f, "datagrams {fault:?}"),
             Self::Control(fault) => write!(f, "control {fault:?}"),
             Self::Signal(fault) => write!(f, "signal {fault:?}"),
         }
@@ -210,6 +260,18 @@
     pub ends_after_ms: u64,
 }
 
+impl Case {
+    /// Whether runs of this case call the shared dependency.
+    pub fn calls_dependency(&self) -> bool {
+        self.faults.iter().any(|fault| matches!(fault, Fault::Dependency(_)))
+    }
+
+    /// Whether servers of this case have peers.
+    pub fn has_peers(&self) -> bool {
+        self.faults.iter().any(|fault| matches!(fault, Fault::Datagrams(_)))
+    }
+}
+
 impl Display for Case {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { number, servers, ending, ends_after_ms, .. } = self;
@@ -265,6 +327,9 @@
         let ending = random.one_of(&ENDINGS);
         add(&mut random, pair, ending, 1);
     }
+    // The operators' own: idle clients fill the descriptors while nobody takes reports, and processes start again.
+    let idle = vec![Fault::Client(ClientFault::IdleToTheLimit), Fault::Signal(SignalFault::Kill)];
+    add(&mut random, idle, Ending::Quiet, HANDFUL);
     for _ in 0..size.fleets {
         let pair = pair(&all, &mut random);
         add(&mut random, pair, Ending::Quiet, HANDFUL);
@@ -334,7 +399,32 @@
         P::ByteByByte,
     ];
     all.extend(processors.map(Fault::Processor));
-    let controls = [ControlFault::Refused(random.within(200..=900)), ControlFault::Moved];
+    let dependencies = [
+        DependencyFault::Refused,
+        DependencyFault::CutReply(random.count(1..=60)),
+        DependencyFault::CloseUnanswered,
+        DependencyFault::LengthTooLarge,
+        DependencyFault::LengthTooSmall,
+        DependencyFault::Garbage,
+        DependencyFault::Silent,
+        DependencyFault::Status(random.one_of(&[204, 301, 409, 500, 503, 504])),
+        DependencyFault::ReplyLength(0),
+        DependencyFault::ReplyLength(LARGEST_RESULT),
+        DependencyFault::ReplyLength(random.count(LARGEST_RESULT + 1..=4_560)),
+        DependencyFault::ReplyLength(random.count(4_561..=LARGEST_FRAME + 4)),
+        DependencyFault::ReplyLength(random.count(LARGEST_FRAME + 5..=70_000)),
+        DependencyFault::ByteByByte,
+    ];
+    all.extend(dependencies.map(Fault::Dependency));
+    let datagrams = [
+        DatagramFault::Garbage(random.count(200..=600)),
+        DatagramFault::Cut(random.count(200..=600)),
+        DatagramFault::Flipped(random.count(200..=600)),
+        DatagramFault::Replayed(random.count(200..=600)),
+    ];
+    all.extend(datagrams.map(Fault::Datagrams));
+    let controls =
+        [ControlFault::Refused(random.within(200..=900)), ControlFault::Moved, ControlFault::ProcessorMoved];
     all.extend(controls.map(Fault::Control));
     let signals = [
         SignalFault::HangupStorm(random.count(10..=60)),
@@ -344,6 +434,7 @@
         SignalFault::BadFile(BadFile::Word),
         SignalFault::BadFile(BadFile::OtherSite),
         SignalFault::Pause(random.within(200..=1_200)),
+        SignalFault::Interrupts(random.count(50..=200)),
         SignalFault::Kill,
     ];
     all.extend(signals.map(Fault::Signal));
--- a/crates/kit/src/drill/faults/record.rs
+++ b/crates/kit/src/drill/faults/record.rs
@@ -16,6 +16,8 @@
     pub body: Vec<u8>,
     /// The same for all tries of one keyed request.
     pub token: Option<String>,
+    /// When its connection was made.
+    pub connected: Instant,
     /// When its last byte was written; none while it is not whole.
     pub written: Option<Instant>,
     /// From then until an answer is due.
@@ -69,6 +71,15 @@
     pub result: Vec<u8>,
 }
 
+/// Bytes that were told for a request: a run's call, the dependency's reply, or what the processor read of it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Told {
+    /// The request.
+    pub rid: String,
+    /// The bytes.
+    pub bytes: Vec<u8>,
+}
+
 /// All of it.
 #[derive(Debug, Default)]
 pub struct Entries {
@@ -80,6 +91,14 @@
     pub commands: Vec<Command>,
     /// And what it made.
     pub made: Vec<Made>,
+    /// Calls that runs asked for, and what was read of replies to them.
+    pub asks: Vec<Told>,
+    /// See `asks`.
+    pub answered: Vec<Told>,
+    /// Calls that the dependency read, and its whole replies.
+    pub calls: Vec<Told>,
+    /// See `calls`.
+    pub replies: Vec<Told>,
     /// Datagrams that the control plane read.
     pub reports: Vec<Vec<u8>>,
     /// What nobody can have sent or asked for, in words.
@@ -111,9 +130,10 @@
         self.commands.iter().any(|command| command.rid == rid)
     }
 
-    /// Whether the server was killed while a request was open.
-    pub fn killed_since(&self, written: Instant) -> bool {
-        self.kills.iter().any(|at| *at >= written)
+    /// Whether the server was killed after a connection was made: what is written to it is not owed an answer then, also
+    /// where the client had not heard of the end yet.
+    pub fn killed_since(&self, connected: Instant) -> bool {
+        self.kills.iter().any(|at| *at >= connected)
     }
 }
 
--- a/crates/kit/src/drill/faults/session.rs
+++ b/crates/kit/src/drill/faults/session.rs
@@ -55,6 +55,8 @@
             name: &name,
             seed: case.seed.wrapping_add(n as u64),
             sockets: if fills { FEW_SOCKETS } else { SOCKETS },
+            calls: case.calls_dependency(),
+            peers: case.has_peers(),
             corrupts: defect == Some(Defect::Provenance),
         };
         let server = Server::start(&plan, &control)?;
@@ -179,6 +181,7 @@
     }
     let life = server.end().clone();
     outcome.failures.extend(oracles::alive(&life));
+    outcome.slowest_start = outcome.slowest_start.max(server.slowest_start);
     let entries = server.target.record.entries();
     let (failures, late) = oracles::answers(&server.target.name, &entries);
     outcome.failures.extend(failures);
