Split the drill's steady clients from its connections, and test its schedule

A seed draws the same schedule each time, with every family of faults; a case says how many answers were late.

--- a/crates/kit/src/drill/faults/client.rs
+++ b/crates/kit/src/drill/faults/client.rs
@@ -2,7 +2,7 @@
 
 use super::random::Random;
 use super::record::{Record, Request};
-use super::settings::{BUDGET, CLAIM, CLASSES, READ};
+use super::settings::{BUDGET, CLAIM, CLASSES};
 use super::threads;
 use crate::registry::server::unix_ms;
 use crate::thrift::{self, Answer, Message};
@@ -17,12 +17,9 @@
 /// How long anything may take before it counts as a hang: far past all that is due, so that no verdict rests on the machine.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 /// Between tries to connect, and looks at whether the case is over.
-const LOOK: Duration = Duration::from_millis(5);
+pub const LOOK: Duration = Duration::from_millis(5);
 /// How long a client waits for the end of a connection that it has ended.
 const END_PATIENCE: Duration = Duration::from_secs(2);
-/// Requests of a batch at the most, and the time between batches.
-const LARGEST_BATCH: usize = 4;
-const LONGEST_PAUSE_MS: u64 = 8;
 
 /// A server as its clients see it.
 #[derive(Debug, Clone)]
@@ -56,7 +53,8 @@
         self.leaving.load(Ordering::SeqCst)
     }
 
-    fn is_quiet(&self) -> bool {
+    /// Whether the load is to end.
+    pub fn is_quiet(&self) -> bool {
         self.quiet.load(Ordering::SeqCst) || self.is_leaving()
     }
 
@@ -207,6 +205,11 @@
         self.checks.values().all(Option::is_some)
     }
 
+    /// Whether the health checks were answered well.
+    pub fn is_good(&self) -> bool {
+        self.checks.values().all(|good| *good == Some(true))
+    }
+
     /// Writes bytes, whatever they are.
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
@@ -361,7 +364,7 @@
 
     /// Sends what crossed the end of this connection once more on a new one, as the protocol page has it: only what the
     /// server had not read, and only where it had asked for no more requests.
-    fn send_crossed_again(self, target: &Target) {
+    pub fn send_crossed_again(self, target: &Target) {
         let unanswered = self.unanswered();
         if !self.draining || unanswered.is_empty() {
             return;
@@ -399,110 +402,3 @@
     }
     body
 }
-
-/// Sends batch after batch until it is told to be quiet, and reads every answer.
-pub fn steady(target: &Target, seed: u64) {
-    let mut random = Random::new(seed, 3);
-    while !target.is_quiet() {
-        let Some(mut connection) = target.connect() else { return };
-        loop {
-            if target.is_quiet() {
-                connection.finish();
-                return;
-            }
-            let batch = batch(&mut connection, &mut random);
-            if connection.send(&batch).is_err() {
-                // Read what came before it broke.
-                while connection.read(Instant::now() + LOOK) == Came::Message {}
-                connection.send_crossed_again(target);
-                break;
-            }
-            match connection.wait_for_answers() {
-                Came::Message if connection.draining => {
-                    connection.finish();
-                    break;
-                }
-                Came::Message => {}
-                Came::End => {
-                    connection.send_crossed_again(target);
-                    break;
-                }
-                Came::Nothing => return,
-            }
-            thread::sleep(Duration::from_millis(random.within(0..=LONGEST_PAUSE_MS)));
-        }
-    }
-}
-
-fn batch(connection: &mut Connection, random: &mut Random) -> Vec<Prepared> {
-    let mut batch = Vec::new();
-    for _ in 0..random.count(1..=LARGEST_BATCH) {
-        let first = connection.prepare(random, &Special::default());
-        let place = first.place;
-        batch.push(first);
-        let keyed = connection.target.record.entries().requests[place].token.is_some();
-        if keyed && random.once_in(3) {
-            batch.push(connection.prepare(random, &Special { again: Some(place), ..Special::default() }));
-        }
-    }
-    batch
-}
-
-/// A health check on its own connection.
-pub fn health(target: &Target) -> Option<bool> {
-    let mut connection = target.connect()?;
-    let check = connection.prepare_check();
-    let sent = connection.write(&check);
-    let came = connection.wait_for_answers();
-    let answer = match (sent, came) {
-        (_, Came::Message) => Ok("answered".to_string()),
-        (Err(e), _) => Err(e.to_string()),
-        (_, Came::End) if target.is_leaving() => return None,
-        (_, Came::End) => Err("closed with no answer".to_string()),
-        (_, Came::Nothing) => Err(format!("no answer within the wait; threads\n{}", target.threads())),
-    };
-    let answered = answer.is_ok();
-    target.record.check("a health check", answer);
-    answered.then(|| connection.checks.values().all(|good| *good == Some(true)))
-}
-
-/// Whether requests are served again once all faults were taken back: asked for until one is. Guards against a server that
-/// turns everything away, or fails it in time, for ever.
-pub fn serves_again(target: &Target, seed: u64) {
-    let (start, mut random) = (Instant::now(), Random::new(seed, 7));
-    let special = Special { class: Some(READ), ..Special::default() };
-    while start.elapsed() < PATIENCE {
-        let Some(mut connection) = target.connect() else { return };
-        let prepared = connection.prepare(&mut random, &special);
-        if connection.send(std::slice::from_ref(&prepared)).is_ok() {
-            connection.wait_for_answers();
-        }
-        connection.finish();
-        let entries = target.record.entries();
-        let answers = &entries.requests[prepared.place].answers;
-        if answers.iter().any(|(_, answer)| matches!(answer, Answer::Served(..))) {
-            return;
-        }
-    }
-    let hang = target.threads();
-    target.record.check("any request after the faults", Err(format!("none is served; threads\n{hang}")));
-}
-
-/// An operator's call.
-pub fn admin(target: &Target, path: &str) {
-    let call = || -> io::Result<String> {
-        let mut stream = TcpStream::connect_timeout(&target.admin, PATIENCE)?;
-        stream.set_read_timeout(Some(PATIENCE))?;
-        stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes())?;
-        let mut text = String::new();
-        stream.read_to_string(&mut text)?;
-        Ok(text)
-    };
-    let answer = match call() {
-        Ok(text) if text.starts_with("HTTP/1.1 200 ") || text.starts_with("HTTP/1.1 503 not") => Ok(text),
-        Ok(text) if path == "/healthcheck" && text.starts_with("HTTP/1.1 503 ") => Ok(text),
-        Ok(text) => Err(format!("'{}'", text.lines().next().unwrap_or_default())),
-        Err(e) => Err(format!("{e}; threads\n{}", target.threads())),
-    };
-    target.record.check(&format!("the operators' call {path}"), answer);
-}
--- a/crates/kit/src/drill/faults/misuse.rs
+++ b/crates/kit/src/drill/faults/misuse.rs
@@ -1,9 +1,10 @@
 //! Clients that misbehave, each in one way. What they are owed all the same is written down like that of the others.
 
-use super::client::{Came, Connection, PATIENCE, Prepared, Special, Target, health};
+use super::client::{Came, Connection, PATIENCE, Prepared, Special, Target};
 use super::plan::{BadFrame, ClientFault, LARGEST_BODY, LARGEST_FRAME};
 use super::random::Random;
 use super::settings::{FEW_SOCKETS, READ};
+use super::traffic::health;
 use crate::thrift;
 use rustix::net::{AddressFamily, SendFlags, SocketType, connect, send, socket, sockopt};
 use std::net::{Shutdown, TcpStream};
--- a/crates/kit/src/drill/faults/mod.rs
+++ b/crates/kit/src/drill/faults/mod.rs
@@ -2,7 +2,7 @@
 //! oracles that hold for each run whatever was injected.
 //!
 //! - [`plan`]: the faults as types, and the schedule of a seed.
-//! - [`settings`], [`control`], [`processor`], [`dependency`], [`peer`], [`client`], [`misuse`]: the configuration and the stand-ins.
+//! - [`settings`], [`control`], [`processor`], [`dependency`], [`peer`], [`client`], [`traffic`], [`misuse`]: the configuration and the stand-ins.
 //! - [`record`]: what all of them sent and read.
 //! - [`server`], [`inject`], [`session`], [`starts`]: one server, one fault, one case, one start.
 //! - [`oracles`]: what is held, in one place.
@@ -23,6 +23,7 @@
 pub mod settings;
 pub mod starts;
 pub mod threads;
+pub mod traffic;
 
 use super::{Claims, Verdict};
 use crate::fleet;
@@ -196,6 +197,10 @@
 fn tell(case: &Case, outcome: &Outcome) {
     let Outcome { requests, runs, failures, .. } = outcome;
     let mut text = format!("  {case}: {requests} requests, {runs} runs, {} failures", failures.len());
+    if outcome.late.count > 0 {
+        let Late { count, most } = outcome.late;
+        text.push_str(&format!(", {count} late, by {} ms", most.as_millis()));
+    }
     for failure in failures.iter().take(SHOWN_FAILURES) {
         text.push_str(&format!("\n    {failure}"));
     }
--- a/crates/kit/src/drill/faults/server.rs
+++ b/crates/kit/src/drill/faults/server.rs
@@ -1,6 +1,6 @@
 //! One real server with its stand-ins: started, signalled, killed, and its end.
 
-use super::client::{PATIENCE, Target, health};
+use super::client::{PATIENCE, Target};
 use super::control::ControlPlane;
 use super::dependency::Dependency;
 use super::oracles::Life;
@@ -9,6 +9,7 @@
 use super::record::Record;
 use super::settings::{self, Addresses};
 use super::threads;
+use super::traffic::health;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use std::collections::BTreeSet;
--- a/crates/kit/src/drill/faults/session.rs
+++ b/crates/kit/src/drill/faults/session.rs
@@ -1,6 +1,6 @@
 //! Plays one case: fresh processes, steady load, faults at the same time, an ending, and then the oracles.
 
-use super::client::{Target, admin, health, serves_again, steady};
+use super::client::Target;
 use super::control::ControlPlane;
 use super::inject::{self, Victim};
 use super::misuse::HalfSent;
@@ -9,6 +9,7 @@
 use super::random::Random;
 use super::server::{Plan, Server};
 use super::settings::FEW_SOCKETS;
+use super::traffic::{admin, health, serves_again, steady};
 use super::{Defect, Drill};
 use rustix::process::Signal;
 use std::io;
--- a/crates/kit/src/drill/faults/starts.rs
+++ b/crates/kit/src/drill/faults/starts.rs
@@ -1,12 +1,13 @@
 //! Starts with configurations that are valid, and with such as are not.
 
-use super::client::{PATIENCE, Target, health};
+use super::client::{PATIENCE, Target};
 use super::oracles::Started;
 use super::random::Random;
 use super::record::Record;
 use super::server::{Files, next_address, spawn, wait};
 use super::settings::{self, Addresses};
 use super::threads;
+use super::traffic::health;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::fs;
--- a/crates/kit/tests/faults.rs
+++ b/crates/kit/tests/faults.rs
@@ -3,9 +3,10 @@
 
 use gradepin_kit::drill::Verdict;
 use gradepin_kit::drill::faults::oracles::Oracle;
-use gradepin_kit::drill::faults::plan::Size;
+use gradepin_kit::drill::faults::plan::{Size, schedule};
 use gradepin_kit::drill::faults::{Defect, Drill, Report, run};
 use gradepin_kit::fleet;
+use std::collections::BTreeSet;
 
 fn play(seed: u64, defect: Option<Defect>) -> Report {
     let daemon = fleet::daemon().expect("the daemon is built with the workspace's tests");
@@ -13,6 +14,18 @@
     run(&drill).expect("it is played")
 }
 
+/// Guards against a seed that doesn't say what was played, and against a family of faults that is left out.
+#[test]
+fn a_seed_draws_the_same_schedule_each_time_and_every_family() {
+    let cases = schedule(7, Size::FULL);
+    assert_eq!(cases, schedule(7, Size::FULL));
+    assert_ne!(cases, schedule(8, Size::FULL));
+    let alone = cases.iter().filter(|case| case.faults.len() == 1);
+    let families: BTreeSet<&str> = alone.map(|case| case.faults[0].family()).collect();
+    assert_eq!(families.len(), 6, "{families:?}");
+    assert!(cases.iter().any(|case| case.faults.len() == 2 && case.servers > 1));
+}
+
 #[test]
 fn the_small_form_holds_all_oracles() {
     for seed in [1, 2] {
