--- a/crates/kit/src/drill/faults/client.rs
+++ b/crates/kit/src/drill/faults/client.rs
@@ -62,10 +62,12 @@
     pub fn connect(&self) -> Option<Connection> {
         let start = Instant::now();
         loop {
+            // Before it is made: a server that is killed right after it must count as killed since.
+            let connected = Instant::now();
             match TcpStream::connect_timeout(&self.address, PATIENCE) {
                 Ok(stream) => {
                     let _ = stream.set_nodelay(true);
-                    return Some(Connection::new(stream, self.clone()));
+                    return Some(Connection::new(stream, self.clone(), connected));
                 }
                 Err(_) if self.is_leaving() => return None,
                 Err(e) if start.elapsed() > PATIENCE => {
@@ -133,10 +135,9 @@
 }
 
 impl Connection {
-    /// On a socket that is connected.
-    pub fn new(stream: TcpStream, target: Target) -> Self {
+    /// On a socket that was connected after this time.
+    pub fn new(stream: TcpStream, target: Target, connected: Instant) -> Self {
         let (open, checks, bytes) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
-        let connected = Instant::now();
         Self { stream, target, next: 1, open, checks, bytes, draining: false, ended: false, connected }
     }
 
@@ -210,6 +211,16 @@
         self.checks.values().all(|good| *good == Some(true))
     }
 
+    /// Whether its server was killed since it was made: then nothing is owed on it.
+    pub fn was_killed(&self) -> bool {
+        self.target.record.entries().killed_since(self.connected)
+    }
+
+    /// How long ago it was made.
+    pub fn age(&self) -> Duration {
+        self.connected.elapsed()
+    }
+
     /// Writes bytes, whatever they are.
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
--- a/crates/kit/src/drill/faults/misuse.rs
+++ b/crates/kit/src/drill/faults/misuse.rs
@@ -145,10 +145,11 @@
 fn narrow(target: &Target) -> Option<Connection> {
     let socket = socket(AddressFamily::INET, SocketType::STREAM, None).ok()?;
     sockopt::set_socket_recv_buffer_size(&socket, RECEIVE_BUFFER).ok()?;
+    let connected = Instant::now();
     connect(&socket, &target.address).ok()?;
     let stream = TcpStream::from(socket);
     stream.set_nodelay(true).ok()?;
-    Some(Connection::new(stream, target.clone()))
+    Some(Connection::new(stream, target.clone(), connected))
 }
 
 fn stop_reading(target: &Target, random: &mut Random, count: usize) {
--- a/crates/kit/src/drill/faults/mod.rs
+++ b/crates/kit/src/drill/faults/mod.rs
@@ -143,6 +143,9 @@
 }
 
 fn play_cases(drill: &Drill, cases: &[Case], folder: &Path, tally: &Mutex<Tally>) -> io::Result<()> {
+    // The longest first: else all wait for them in the end.
+    let mut cases: Vec<&Case> = cases.iter().collect();
+    cases.sort_by_key(|case| std::cmp::Reverse(case.servers));
     let next = AtomicUsize::new(0);
     let work = || -> io::Result<()> {
         while let Some(case) = cases.get(next.fetch_add(1, Ordering::SeqCst)) {
--- a/crates/kit/src/drill/faults/session.rs
+++ b/crates/kit/src/drill/faults/session.rs
@@ -93,6 +93,13 @@
         // With nothing open: only its end is to be seen.
         lock(&servers[0]).kill();
     }
+    // All are told before any is waited for: else their drains would follow one another.
+    for server in &servers {
+        let mut server = lock(server);
+        if !server.target.is_leaving() {
+            server.terminate();
+        }
+    }
     for server in &servers {
         judge(&mut lock(server), &mut outcome);
     }
@@ -177,9 +184,6 @@
 }
 
 fn judge(server: &mut Server, outcome: &mut Outcome) {
-    if !server.target.is_leaving() {
-        server.terminate();
-    }
     let life = server.end().clone();
     outcome.failures.extend(oracles::alive(&life));
     outcome.slowest_start = outcome.slowest_start.max(server.slowest_start);
--- a/crates/kit/src/drill/faults/traffic.rs
+++ b/crates/kit/src/drill/faults/traffic.rs
@@ -67,11 +67,14 @@
     let check = connection.prepare_check();
     let sent = connection.write(&check);
     let came = connection.wait_for_answers();
+    if came != Came::Message && connection.was_killed() {
+        return None;
+    }
     let answer = match (sent, came) {
         (_, Came::Message) => Ok("answered".to_string()),
         (Err(e), _) => Err(e.to_string()),
         (_, Came::End) if target.is_leaving() => return None,
-        (_, Came::End) => Err("closed with no answer".to_string()),
+        (_, Came::End) => Err(format!("closed with no answer, {:?} after it was made", connection.age())),
         (_, Came::Nothing) => Err(format!("no answer within the wait; threads\n{}", target.threads())),
     };
     let answered = answer.is_ok();
