--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration of one tile server, as JSON. Reading the file is the shell's.
 
+mod address;
 mod place;
 
 use crate::classes::{self, NamesError};
@@ -14,14 +15,17 @@
     /// Its name in the control plane's list.
     pub name: String,
     /// Where client proxies connect.
+    #[serde(deserialize_with = "address::required")]
     pub listen: SocketAddr,
     /// Where the processor listens.
+    #[serde(deserialize_with = "address::required")]
     pub processor: SocketAddr,
     /// Where the control plane takes reports.
+    #[serde(deserialize_with = "address::required")]
     pub control: SocketAddr,
     /// Where the ledger, the dependency that all servers share, takes calls over HTTP. Without it a call that a run asks
     /// for can't be made, as at a deployment whose processor makes them itself.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "address::optional")]
     pub ledger: Option<SocketAddr>,
     /// Sixteen hex digits for random numbers, new with each start.
     pub seed: String,
@@ -29,7 +33,7 @@
     #[serde(deserialize_with = "whole_part")]
     pub stop_ms: u64,
     /// Where operators call: health, figures and drains, over HTTP. None: there is no such door.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "address::optional")]
     pub admin_addr: Option<SocketAddr>,
     /// What the process may use.
     pub limits: Limits,
--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -93,6 +93,9 @@
             ["settings.profiles[1].deadline: ", "\"soon\"", "expected a number"],
         ),
         ("/settings/profiles/1/deadline", json!(-5), ["settings.profiles[1].deadline: ", "`-5`", "from 0"]),
+        ("/listen", json!("here"), ["listen: ", "expected an address and port", "got \"here\""]),
+        ("/ledger", json!("127.0.0.1"), ["ledger: ", "expected an address and port", "got \"127.0.0.1\""]),
+        ("/control", json!(7946), ["control: ", "expected a string", "`7946`"]),
         ("/settings/rules/fall", Value::Null, ["settings.rules: ", "missing field", "`fall`"]),
         ("/settings/rules/fall", json!(true), ["settings.rules.fall: ", "`true`", "expected a number"]),
         (
@@ -107,7 +110,6 @@
             ["settings.profiles[0].effect: ", "`twice`", "expected one of"],
         ),
         ("/limits/sockets", json!(12), ["limits.sockets", "128 or more", "got 12"]),
-        ("/listen", json!("here"), ["listen: ", "invalid socket address", ""]),
         ("/stop_ms", Value::Null, ["the top: ", "missing field", "`stop_ms`"]),
     ] {
         let told = wrong(pointer, value);
