--- a/crates/core/tests/again.rs
+++ b/crates/core/tests/again.rs
@@ -1,40 +1,16 @@
 //! Ids that come again in the very batch in which the request that had them before leaves the books.
 
-#[path = "../../decisions/tests/common/mod.rs"]
-mod common;
+mod support;
 
-use gradepin_core::config::Config;
 use gradepin_core::messages::{Answer, Call, Claim, Effect, Input};
-use gradepin_core::moment::Moment;
 use gradepin_core::pool::Pool;
-use gradepin_core::reducer::Reducer;
-use gradepin_core::registration::Registration;
-use gradepin_decisions::{RequestId, Span, Time};
-use serde_json::json;
+use gradepin_decisions::{RequestId, Span};
 use std::sync::Arc;
+use support::step;
 
-const MS: u64 = 1_000_000;
 /// The class of the settings that is keyed.
 const KEYED: usize = 1;
 
-/// A server that shares its keyed runs with another one, so that a run that was begun may yet never run.
-fn reducer() -> Reducer {
-    let mut settings = common::base();
-    settings["specifics"]["below"] = json!("off");
-    let address = "127.0.0.1:1";
-    let config = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
-        "stop_ms": 2000, "limits": {"cores": 1.0, "sockets": 128}, "settings": settings});
-    let config = Config::parse(&config.to_string()).expect("a whole configuration");
-    let settings = Arc::new(config.settings.clone());
-    Reducer::new(&config, settings, Registration::default()).expect("whole").sharing_runs(Some(7))
-}
-
-fn step(reducer: &mut Reducer, ms: u64, inputs: Vec<Input>) -> Vec<Effect> {
-    let mut effects = Vec::new();
-    reducer.step(Moment { now: Time(ms * MS), unix_ms: ms }, inputs, &mut effects);
-    effects
-}
-
 fn keyed(conn: u64, seq: i32, rid: u64, token: &str, ms: u64, retry: bool) -> Input {
     let call = Call {
         id: RequestId::new(&format!("{rid:016x}")),
@@ -57,7 +33,8 @@
 /// forgotten in the place of that one.
 #[test]
 fn a_request_keeps_its_place_though_one_with_its_id_left_in_its_batch() {
-    let mut reducer = reducer();
+    // It shares its keyed runs with another process, so that a run that was begun may yet never run.
+    let mut reducer = support::reducer().sharing_runs(Some(7));
     let begun = vec![
         Input::LinkUp { link: 1, cold: false, age: Span(0) },
         Input::Opened(1),
--- /dev/null
+++ b/crates/core/tests/support/mod.rs
@@ -0,0 +1,35 @@
+//! A reducer for tests: the settings of the module's tests, with no calls below, and steps of virtual time.
+
+#[path = "../../../decisions/tests/common/mod.rs"]
+mod common;
+
+use gradepin_core::config::Config;
+use gradepin_core::messages::{Effect, Input};
+use gradepin_core::moment::Moment;
+use gradepin_core::reducer::Reducer;
+use gradepin_core::registration::Registration;
+use gradepin_decisions::Time;
+use serde_json::json;
+use std::sync::Arc;
+
+/// Nanoseconds in a millisecond.
+pub const MS: u64 = 1_000_000;
+
+/// A server with 128 descriptors that has not heard of its processor yet.
+pub fn reducer() -> Reducer {
+    let mut settings = common::base();
+    settings["specifics"]["below"] = json!("off");
+    let address = "127.0.0.1:1";
+    let config = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
+        "stop_ms": 2000, "limits": {"cores": 1.0, "sockets": 128}, "settings": settings});
+    let config = Config::parse(&config.to_string()).expect("a whole configuration");
+    let settings = Arc::new(config.settings.clone());
+    Reducer::new(&config, settings, Registration::default()).expect("whole")
+}
+
+/// One step at so many milliseconds, by both clocks.
+pub fn step(reducer: &mut Reducer, ms: u64, inputs: Vec<Input>) -> Vec<Effect> {
+    let mut effects = Vec::new();
+    reducer.step(Moment { now: Time(ms * MS), unix_ms: ms }, inputs, &mut effects);
+    effects
+}
