Judge health checks of a killed server by when its process ended, as requests are

It is the drill's, not the server's. Cause: traffic.rs, health, asked whether the server was killed in the instant in which it saw the end. A kill returns before the process has ended; until then its listener takes connections, which are reset with it, and the drill knows of the end only once the process was waited for. Change: the check is written down with the time at which its connection was made, and the oracle judges it at the end of the case by all kills. Searched: requests are judged so already; operators' calls come after the faults.

--- a/crates/kit/src/drill/faults/client.rs
+++ b/crates/kit/src/drill/faults/client.rs
@@ -216,6 +216,11 @@
         self.target.record.entries().killed_since(self.connected)
     }
 
+    /// When it was made.
+    pub fn connected(&self) -> Instant {
+        self.connected
+    }
+
     /// How long ago it was made.
     pub fn age(&self) -> Duration {
         self.connected.elapsed()
--- a/crates/kit/src/drill/faults/oracles.rs
+++ b/crates/kit/src/drill/faults/oracles.rs
@@ -152,7 +152,10 @@
         }
     }
     for check in &entries.checks {
-        if let Err(why) = &check.answer {
+        let killed = check.connected.is_some_and(|connected| entries.killed_since(connected));
+        if let Err(why) = &check.answer
+            && !killed
+        {
             fail(format!("{name}: {} was not answered: {why}", check.what));
         }
     }
@@ -351,3 +354,6 @@
     }
     failures
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/kit/src/drill/faults/record.rs
+++ b/crates/kit/src/drill/faults/record.rs
@@ -41,6 +41,8 @@
     pub what: String,
     /// How it was answered; an error says how it was not.
     pub answer: Result<String, String>,
+    /// When its connection was made, where it had one of its own.
+    pub connected: Option<Instant>,
 }
 
 /// A run that the processor was told to begin.
@@ -154,6 +156,12 @@
 
     /// A check was answered, or was not.
     pub fn check(&self, what: &str, answer: Result<String, String>) {
-        self.entries().checks.push(Check { what: what.to_string(), answer });
+        self.entries().checks.push(Check { what: what.to_string(), answer, connected: None });
+    }
+
+    /// The same for one on a connection of its own, which was made then: whether the server was killed meanwhile is known only
+    /// once its process has ended, and that may be told after the connection's end.
+    pub fn check_on(&self, connected: Instant, what: &str, answer: Result<String, String>) {
+        self.entries().checks.push(Check { what: what.to_string(), answer, connected: Some(connected) });
     }
 }
--- a/crates/kit/src/drill/faults/traffic.rs
+++ b/crates/kit/src/drill/faults/traffic.rs
@@ -78,7 +78,7 @@
         (_, Came::Nothing) => Err(format!("no answer within the wait; threads\n{}", target.threads())),
     };
     let answered = answer.is_ok();
-    target.record.check("a health check", answer);
+    target.record.check_on(connection.connected(), "a health check", answer);
     answered.then(|| connection.is_good())
 }
 
