Tell a disk that stays full once, whatever file each try was to write

Failure as seen under load, twice: configuration_writer::tests::a_full_disk_is_told_once_and_tried_again, line 101, 'each reason once'; and a log line with each try for as long as a disk is full. Cause: node/configuration_writer.rs, write_all, compared the whole text of the failure with the one before, and that names the file, which is another one with each try. Change: ConfigurationStoreError::reason leaves the file out, and is what is compared; the text that is told has the file as before. Searched: store.rs and council.rs tell a failing disk by its state (refusing or not), not by a text. Measured: store's a_disk_that_stays_full_has_one_reason_whatever_file_was_to_be_written and the writer's tests pass.

--- a/crates/node/src/configuration_writer.rs
+++ b/crates/node/src/configuration_writer.rs
@@ -109,10 +109,10 @@
                 told(ConfigurationWritten::Durable(state.version().revision));
             }
             Err(error) => {
-                let why = error.to_string();
-                if why != last_failure {
-                    told(ConfigurationWritten::Failed(why.clone()));
-                    last_failure = why;
+                let reason = error.reason();
+                if reason != last_failure {
+                    told(ConfigurationWritten::Failed(error.to_string()));
+                    last_failure = reason;
                 }
                 if !put_back(shared, state, retry) {
                     return;
--- a/crates/store/src/configuration.rs
+++ b/crates/store/src/configuration.rs
@@ -51,6 +51,16 @@
     Long,
 }
 
+impl ConfigurationStoreError {
+    /// Why, without the file that it came with. Each try writes another file, and a disk that stays full is one failure.
+    pub fn reason(&self) -> String {
+        match self {
+            Self::Disk { why, .. } => why.to_string(),
+            Self::Order { .. } | Self::Long => self.to_string(),
+        }
+    }
+}
+
 fn disk(name: &str) -> impl FnOnce(io::Error) -> ConfigurationStoreError + '_ {
     move |why| ConfigurationStoreError::Disk { name: name.to_string(), why }
 }
--- a/crates/store/tests/configuration.rs
+++ b/crates/store/tests/configuration.rs
@@ -231,3 +231,15 @@
     assert_eq!(opened.commits, [commit(1)]);
     let _ = std::fs::remove_dir_all(&path);
 }
+
+/// Guards against a disk that stays full and is told of with each try: each writes another file, and that has no part in the
+/// reason.
+#[test]
+fn a_disk_that_stays_full_has_one_reason_whatever_file_was_to_be_written() {
+    let (mut store, _, disk) = open(Files::default(), 7);
+    disk.fail(Fault::Full(0));
+    let state = Snapshot::of(&base());
+    let failures: Vec<_> = (0..3).map(|_| store.save(&state).expect_err("a full disk")).collect();
+    assert_ne!(failures[0].to_string(), failures[1].to_string(), "another file each time");
+    assert!(failures.iter().all(|failure| failure.reason() == failures[0].reason()), "{failures:?}");
+}
