--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod council;
 mod descriptors;
 mod fleet_start;
-mod folder_lock;
 pub mod fronts;
 pub mod handed;
 mod held;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -10,7 +10,6 @@
 use crate::descriptors;
 pub use crate::fleet_start::fleet_settings;
 use crate::fleet_start::part_settings;
-use crate::folder_lock;
 use crate::fronts::scgi::Scgi;
 use crate::fronts::scgi::routes::{BadRoute, Routes};
 use crate::fronts::thrift::Thrift;
@@ -152,7 +151,7 @@
     let councils = own.council.as_ref().filter(|_| handed.accept_fd.is_none() && own.cluster.is_some());
     let councils = councils.and_then(|set| set.folder.as_deref());
     let configurations = service_set.and_then(|set| set.folder.as_deref());
-    if !folder_lock::wait(councils.into_iter().chain(configurations), &signals, log) {
+    if !Held::new(&signals, log).folders_are_free(councils.into_iter().chain(configurations)) {
         return Ok(());
     }
     let service = service_set
