--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -2,7 +2,7 @@
 //! client proxies over Thrift, and the platform that starts and signals the project's processes. Standard library only.
 #![allow(dead_code)]
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -270,7 +270,7 @@
     /// Runs that wait for a call, with what is left after it.
     at_call: HashMap<String, (Vec<u8>, Job)>,
     /// Requests that are over.
-    over: std::collections::HashSet<String>,
+    over: HashSet<String>,
 }
 
 /// One address of the processor, with notices of its own.
@@ -460,6 +460,8 @@
     linger: Duration,
     /// Begin and end of each call, with the server's port for the record.
     calls: Mutex<Vec<(Instant, Option<Instant>)>>,
+    /// Requests that are over: a call for one ends.
+    over: Mutex<HashSet<String>>,
     record: Record,
 }
 
@@ -471,6 +473,7 @@
             serving: Duration::from_millis(serving_ms),
             linger: Duration::from_millis(linger_ms),
             calls: Mutex::default(),
+            over: Mutex::default(),
             record: record.clone(),
         });
         let accepting = Arc::clone(&ledger);
@@ -516,20 +519,41 @@
             };
             self.record.line(format!("ledger begins the call of {id}"));
             // A call is given up by the close of its connection; it stays in the ledger's hands for a while.
-            let _ = socket.set_read_timeout(Some(self.serving));
-            let given_up = matches!(reads.fill_buf(), Ok([]));
+            let until = Instant::now() + self.serving;
+            let (mut given_up, mut run_ended) = (false, false);
+            while !given_up && !run_ended && Instant::now() < until {
+                let left = until.saturating_duration_since(Instant::now()).min(Duration::from_millis(10));
+                let _ = socket.set_read_timeout(Some(left.max(Duration::from_millis(1))));
+                given_up = matches!(reads.fill_buf(), Ok([]));
+                run_ended = self.over.lock().unwrap().contains(&id);
+            }
             if given_up {
                 thread::sleep(self.linger);
             }
             self.calls.lock().unwrap()[call].1 = Some(Instant::now());
-            self.record
-                .line(format!("ledger ends the call of {id}{}", if given_up { ", given up" } else { "" }));
-            if given_up || out.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone").is_err() {
+            let end = if given_up {
+                ", given up"
+            } else if run_ended {
+                ", its run has ended"
+            } else {
+                ""
+            };
+            self.record.line(format!("ledger ends the call of {id}{end}"));
+            let reply: &[u8] = match run_ended {
+                true => b"HTTP/1.1 504 Over\r\nContent-Length: 0\r\n\r\n",
+                false => b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone",
+            };
+            if given_up || out.write_all(reply).is_err() {
                 return;
             }
         }
     }
 
+    /// Notes that a request is answered or given up, so that its run ends at its call.
+    pub fn request_over(&self, id: &str) {
+        self.over.lock().unwrap().insert(id.to_string());
+    }
+
     /// The highest mean of the calls in its hands over a span, with the time of its end in s from `since`; and the
     /// highest number at a time.
     pub fn highest_mean(&self, span: Duration, since: Instant) -> (f64, f64, usize) {
