Log the first refusal of a shared key, the answers' due time and what an exit leaves

Change: three log lines. The first refusal of a keyed request while runs are shared says whether a run is known here and that nobody was asked; the shutdown notice says by when the admission module must have answered; the exit says how long before the stop it is, and what is left without an answer (a warning where anything is).

--- a/crates/core/src/reducer/admission_actions.rs
+++ b/crates/core/src/reducer/admission_actions.rs
@@ -33,6 +33,7 @@
         match action {
             Action::Run(id) => self.start_run(&id),
             Action::Reject { id, retry_after, is_final } => {
+                self.log_first_keyed_refusal(&id);
                 self.respond_and_release(&id, Response::Rejected { retry_after, no_failover: is_final });
             }
             Action::Fail(id) => self.fail_request(&id),
--- a/crates/core/src/reducer/drain.rs
+++ b/crates/core/src/reducer/drain.rs
@@ -117,7 +117,14 @@
         let now = self.timestamp.now;
         let margin = Span(MISSED_STOP_DELAY.0 + STOP_MARGIN.0);
         let end = self.drain.exit_at.map_or(now, |exit| time_before(exit, margin));
-        self.events.push(Event::ShutdownNotice(Span(end.0.saturating_sub(now.0))));
+        let time_left = Span(end.0.saturating_sub(now.0));
+        let stop_ms = self.drain.stop_after.0 / MS;
+        let text = format!(
+            "the stop is due {stop_ms} ms after the notice, all answers within {} ms",
+            time_left.0 / MS
+        );
+        self.log(Level::Info, text);
+        self.events.push(Event::ShutdownNotice(time_left));
     }
 
     /// Returns what keeps a process that hands over or closes down from exiting: requests that are owed a response, and
@@ -149,7 +156,21 @@
         };
         if self.drain.exit_at.take_if(|at| now >= *at || is_handed_over).is_some() {
             self.announce_departure();
+            self.log_exit();
             self.effects.push(Effect::Exit);
         }
     }
+
+    /// Logs what the process leaves behind at its exit, and when the platform would have stopped it.
+    fn log_exit(&mut self) {
+        let (owed, connections) = (self.requests.count_owed(), self.connections.len());
+        let stop_at = time_after(self.drain.notified_or(self.timestamp.now), self.drain.stop_after);
+        let early_ms = stop_at.0.saturating_sub(self.timestamp.now.0) / MS;
+        let level = if owed > 0 { Level::Warning } else { Level::Info };
+        let text = format!(
+            "exiting {early_ms} ms before the stop time; requests without an answer: {owed}, open connections: \
+             {connections}"
+        );
+        self.log(level, text);
+    }
 }
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -18,6 +18,7 @@
 mod open_requests;
 mod persistence;
 mod processor_link;
+mod refusals;
 mod request_intake;
 mod responses;
 mod run_claims;
@@ -78,6 +79,8 @@
     idempotency_log: IdempotencyLog,
     /// Runs that wait for their claims, if the two processes of an upgrade share keyed runs.
     pending_claims: PendingClaims,
+    /// Whether a refusal of a keyed attempt was logged; only the first one is logged.
+    keyed_refusal_logged: bool,
     recovery: Recovery,
     processor: ProcessorLink,
     drain: Drain,
@@ -166,6 +169,7 @@
             idempotency_table: IdempotencyTable::new(config.memory(RESULT_MEMORY_DIVISOR)),
             idempotency_log: IdempotencyLog::disabled(),
             pending_claims: PendingClaims::default(),
+            keyed_refusal_logged: false,
             recovery: Recovery::new(config.seed()?),
             processor: ProcessorLink::default(),
             drain: Drain::new(Span(config.stop_ms.saturating_mul(MS))),
