Ask the other process of an upgrade before a keyed request is refused

Cause: a step was missing between the two processes. One asks the other's record only by the claim before a start; whatever ends an attempt before that took its own table for the whole server's.

Change: core/src/reducer/refusals.rs is the one place that refuses a keyed attempt, for the admission module, for intake (no processor, connection limit, memory, retry budget) and after a claim. It answers from a run of this process, else looks the key up in the shared folder, which claims nothing and needs no room, and refuses only if no run is recorded. A run in progress, an unreadable record, 50 ms without an answer or 256 waiting look-ups fail the attempt, which promises nothing. RunClaim::Unknown is split: Unavailable (free, but the claim can't be made: refused) and Unknown (can't be told: failed); a process with full claims reads the other's run.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -8,7 +8,7 @@
 use crate::slots::Handle;
 pub use effect::{Effect, NameChange};
 use gradepin_admission::{RequestId, Span, Time};
-pub use input::{Input, RunClaim};
+pub use input::{Input, RecordedRun, RunClaim};
 use std::sync::Arc;
 
 /// Id of a client connection; never reused.
@@ -17,6 +17,9 @@
 /// Id of a call to the shared upstream; never reused. A request may make several calls, and a request id may be reused.
 pub type UpstreamCallId = u64;
 
+/// Number of a look-up of a keyed run; never reused.
+pub type LookupId = u64;
+
 /// Sequence number of a request, unique among the open requests of its connection.
 pub type SequenceId = i32;
 
--- a/crates/core/src/messages/effect.rs
+++ b/crates/core/src/messages/effect.rs
@@ -1,6 +1,6 @@
 //! Effects of the reducer.
 
-use super::{ConnectionId, Response, SequenceId, UpstreamCallId};
+use super::{ConnectionId, LookupId, Response, SequenceId, UpstreamCallId};
 use crate::admin::{AdminRequestId, AdminResponse};
 use crate::buffer_pool::Buffer;
 use crate::configuration::ConfigurationSave;
@@ -102,6 +102,16 @@
         /// Maximum time to wait for the outcome of the other process's run.
         timeout: Span,
     },
+    /// Look up whether a process of an upgrade has run an idempotency key, without claiming it. Answered by
+    /// [`super::Input::RunLookedUp`].
+    LookUpRun {
+        /// Number of the look-up, repeated in the answer.
+        lookup: LookupId,
+        /// Idempotency key of the request.
+        key: Arc<str>,
+        /// Fingerprint of the request's body and class.
+        fingerprint: Fingerprint,
+    },
     /// Release the claim of a run that ended or never started.
     ReleaseClaim {
         /// Idempotency key of the run.
--- a/crates/core/src/messages/input.rs
+++ b/crates/core/src/messages/input.rs
@@ -1,6 +1,6 @@
 //! Inputs of the reducer.
 
-use super::{ClientRequest, ConnectionId, RequestError, RunEnd, SequenceId, UpstreamCallId};
+use super::{ClientRequest, ConnectionId, LookupId, RequestError, RunEnd, SequenceId, UpstreamCallId};
 use crate::admin::{AdminRequest, AdminRequestId};
 use crate::buffer_pool::Buffer;
 use crate::configuration::ConfigurationSaveResult;
@@ -122,6 +122,13 @@
         /// Which process owns the run.
         claim: RunClaim,
     },
+    /// Reply to [`super::Effect::LookUpRun`].
+    RunLookedUp {
+        /// Number of the look-up.
+        lookup: LookupId,
+        /// What is recorded about the key.
+        run: RecordedRun,
+    },
     /// The shell could not start a run.
     RunNotStarted(RequestId),
     /// Reading from a connection is paused, as too many of its requests are rejected.
@@ -223,6 +230,21 @@
     Ours,
     /// The other process, whose run ended with this outcome.
     Ended(RunOutcome),
-    /// The owner can't be determined, so the run must not start.
+    /// No process, but this one can't claim it, so the run must not start.
+    Unavailable,
+    /// The owner can't be determined, so the run must not start, and it may have started elsewhere.
+    Unknown,
+}
+
+/// What the two processes of an upgrade have recorded about the run of an idempotency key.
+#[derive(Debug, Clone)]
+pub enum RecordedRun {
+    /// No process has started a run.
+    None,
+    /// A run is in progress.
+    InProgress,
+    /// A run ended with this outcome.
+    Ended(RunOutcome),
+    /// The record can't be read.
     Unknown,
 }
--- a/crates/core/src/reducer/admission_actions.rs
+++ b/crates/core/src/reducer/admission_actions.rs
@@ -5,6 +5,7 @@
 
 use super::Reducer;
 use super::open_requests::{OpenRequest, RequestState};
+use super::refusals::Refusal;
 use crate::idempotency_table::RunOutcome;
 use crate::messages::Response;
 use gradepin_admission::{Action, RequestId, Span, time_after};
@@ -33,8 +34,7 @@
         match action {
             Action::Run(id) => self.start_run(&id),
             Action::Reject { id, retry_after, is_final } => {
-                self.log_first_keyed_refusal(&id);
-                self.respond_and_release(&id, Response::Rejected { retry_after, no_failover: is_final });
+                self.refuse(&id, Refusal { retry_after, no_failover: is_final });
             }
             Action::Fail(id) => self.fail_request(&id),
             Action::RetainIdempotencyKey { id, retain_for } => self.retain_idempotency_key(&id, retain_for),
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -54,6 +54,7 @@
 use open_requests::OpenRequests;
 use persistence::Recovery;
 use processor_link::ProcessorLink;
+use refusals::PendingRefusals;
 use schedule::Schedule;
 use settings_changes::SettingsChanges;
 use slog::Level;
@@ -79,8 +80,8 @@
     idempotency_log: IdempotencyLog,
     /// Runs that wait for their claims, if the two processes of an upgrade share keyed runs.
     pending_claims: PendingClaims,
-    /// Whether a refusal of a keyed attempt was logged; only the first one is logged.
-    keyed_refusal_logged: bool,
+    /// Refusals that wait for the record of the other process's runs.
+    pending_refusals: PendingRefusals,
     recovery: Recovery,
     processor: ProcessorLink,
     drain: Drain,
@@ -169,7 +170,7 @@
             idempotency_table: IdempotencyTable::new(config.memory(RESULT_MEMORY_DIVISOR)),
             idempotency_log: IdempotencyLog::disabled(),
             pending_claims: PendingClaims::default(),
-            keyed_refusal_logged: false,
+            pending_refusals: PendingRefusals::default(),
             recovery: Recovery::new(config.seed()?),
             processor: ProcessorLink::default(),
             drain: Drain::new(Span(config.stop_ms.saturating_mul(MS))),
@@ -227,6 +228,7 @@
             self.input(input);
         }
         self.reload_step();
+        self.expire_refusals();
         self.fire_timers();
         self.decide();
         self.agreements_step();
@@ -245,6 +247,7 @@
         let due = [
             self.schedule.timer_due_at(now, self.processor.reading_since),
             self.drain.wake_at(),
+            self.pending_refusals.wake_at(),
             self.idempotency_log.wake_at(),
             self.recovery.wait_until(),
             self.cluster.wake_at(now),
@@ -302,6 +305,7 @@
                 self.upstream_call_ended(&id, call, outcome, reply);
             }
             Input::RunClaimed { id, claim } => self.run_claimed(&id, claim),
+            Input::RunLookedUp { lookup, run } => self.run_looked_up(lookup, run),
             Input::RunsShared { salt } => self.runs_shared(salt),
             Input::GaugesRead { number, values } => self.gauges_read(number, &values),
             Input::RunNotStarted(id) => self.run_not_started(&id),
--- a/crates/core/src/reducer/open_requests.rs
+++ b/crates/core/src/reducer/open_requests.rs
@@ -7,7 +7,7 @@
 use crate::buffer_pool::Buffer;
 use crate::config::Config;
 use crate::idempotency_table::Fingerprint;
-use crate::messages::{ConnectionId, SequenceId, UpstreamCallId};
+use crate::messages::{ConnectionId, LookupId, SequenceId, UpstreamCallId};
 use gradepin_admission::{RequestId, Time};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -29,6 +29,11 @@
     },
     /// The run was started.
     Running,
+    /// Rejected; the response waits for whether the other process of an upgrade has run the key.
+    Refused {
+        /// Number of the look-up.
+        lookup: LookupId,
+    },
     /// The run was stopped, but the response is still owed. The processor reports nothing more about the run.
     Stopped,
 }
--- a/crates/core/src/reducer/refusals.rs
+++ b/crates/core/src/reducer/refusals.rs
@@ -1,26 +1,198 @@
-//! Refusals of keyed attempts. A refusal promises that the attempt's operation never ran, which includes runs in the
-//! other process of an upgrade.
+//! Refusals of valid requests. A refusal promises that the operation never ran on this server, which during an upgrade
+//! is two processes. This is the only place that refuses a keyed attempt, for whatever reason.
+//!
+//! An attempt whose key has run in this process is answered from that run. If the process shares its keyed runs, it asks
+//! the other process's record before it refuses, and answers from the run found there; meanwhile the request is
+//! [`RequestState::Refused`]. An attempt that may have run fails, since a failure promises nothing.
 
-use super::Reducer;
-use gradepin_admission::RequestId;
+use super::open_requests::{OpenRequest, RequestState};
+use super::{MS, Reducer};
+use crate::idempotency_table::{Fingerprint, RunOutcome};
+use crate::messages::{Effect, LookupId, RecordedRun, Response};
+use gradepin_admission::{RequestId, Span, Time, time_after};
 use slog::Level;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// How long a refusal waits for the record of the other process's runs; afterwards the attempt fails. Shorter than the
+/// time by which the answer to an expired request may be late.
+const LOOKUP_TIMEOUT: Span = Span(50 * MS);
+/// Maximum number of refusals that wait; further attempts fail at once. Bounds the memory that clients can use with
+/// requests that exceed all other limits.
+const MAX_PENDING_REFUSALS: usize = 256;
+
+/// A refusal, and the advice that goes with it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Refusal {
+    /// How long the client should wait before it sends requests again; 0 for no advice.
+    pub(super) retry_after: Span,
+    /// Asks the client not to retry on another server.
+    pub(super) no_failover: bool,
+}
+
+impl Refusal {
+    /// A refusal that another server may lift.
+    pub(super) fn retry_after(retry_after: Span) -> Self {
+        Self { retry_after, no_failover: false }
+    }
+
+    pub(super) fn response(self) -> Response {
+        Response::Rejected { retry_after: self.retry_after, no_failover: self.no_failover }
+    }
+}
+
+/// A refusal that waits for a look-up.
+#[derive(Debug)]
+struct PendingRefusal {
+    id: RequestId,
+    refusal: Refusal,
+    answer_by: Time,
+}
+
+/// The refusals that wait for look-ups, in the order in which these were requested. Invariant: the request of each is
+/// open and [`RequestState::Refused`].
+#[derive(Debug, Default)]
+pub(super) struct PendingRefusals {
+    last_lookup: LookupId,
+    by_lookup: BTreeMap<LookupId, PendingRefusal>,
+    /// Whether an attempt that had run in the other process was logged; only the first one is logged.
+    run_logged: bool,
+}
+
+impl PendingRefusals {
+    fn has_capacity(&self) -> bool {
+        self.by_lookup.len() < MAX_PENDING_REFUSALS
+    }
+
+    fn add(&mut self, pending: PendingRefusal) -> LookupId {
+        self.last_lookup += 1;
+        self.by_lookup.insert(self.last_lookup, pending);
+        self.last_lookup
+    }
+
+    /// Removes the refusal of a request that is no longer open.
+    pub(super) fn remove(&mut self, lookup: LookupId) {
+        self.by_lookup.remove(&lookup);
+    }
+
+    /// Returns when the first refusal has waited too long.
+    pub(super) fn wake_at(&self) -> Option<Time> {
+        self.by_lookup.values().next().map(|pending| pending.answer_by)
+    }
+
+    fn first_overdue(&self, now: Time) -> Option<LookupId> {
+        let (lookup, pending) = self.by_lookup.first_key_value()?;
+        (pending.answer_by <= now).then_some(*lookup)
+    }
+}
 
 impl Reducer {
-    /// Logs the first refusal of a keyed attempt while the two processes of an upgrade share their keyed runs, with what
-    /// this process knows about the key.
-    pub(super) fn log_first_keyed_refusal(&mut self, id: &RequestId) {
-        if !self.pending_claims.is_enabled() || self.keyed_refusal_logged {
+    /// Refuses an open request that was not started, unless its operation has run.
+    pub(super) fn refuse(&mut self, id: &RequestId, refusal: Refusal) {
+        let Some(open) = self.requests.get(id).filter(|open| open.response_owed) else {
+            return self.respond_and_release(id, refusal.response());
+        };
+        let Some((key, fingerprint)) = open.key_and_fingerprint() else {
+            return self.respond_and_release(id, refusal.response());
+        };
+        let key = Arc::clone(key);
+        if let Some(outcome) = self.outcome_of_own_run(&key, fingerprint, open.arrived_unix_ms) {
+            self.respond_with_outcome(id, outcome);
+            self.forget_request(id);
+        } else if self.pending_claims.is_enabled() {
+            self.look_up_before_refusal(id, key, fingerprint, refusal);
+        } else {
+            self.respond_and_release(id, refusal.response());
+        }
+    }
+
+    /// Whether a keyed attempt may have run: in this process, or in another one whose record was not asked.
+    pub(super) fn may_have_run(&self, key: &str, arrived_unix_ms: u64) -> bool {
+        self.pending_claims.is_enabled() || self.idempotency_table.has_run(key, arrived_unix_ms)
+    }
+
+    /// Returns the outcome from which an attempt is answered if its key has run in this process: a failure while the
+    /// run is in progress or if its result is not retained.
+    fn outcome_of_own_run(
+        &self,
+        key: &Arc<str>,
+        fingerprint: Fingerprint,
+        arrived_unix_ms: u64,
+    ) -> Option<RunOutcome> {
+        if !self.idempotency_table.has_run(key, arrived_unix_ms) {
+            return None;
+        }
+        let run = self.idempotency_table.known_run(key, self.timestamp.now);
+        let outcome = run.filter(|run| run.fingerprint == fingerprint).and_then(|run| run.outcome);
+        Some(outcome.unwrap_or(RunOutcome::Failed))
+    }
+
+    fn look_up_before_refusal(
+        &mut self,
+        id: &RequestId,
+        key: Arc<str>,
+        fingerprint: Fingerprint,
+        refusal: Refusal,
+    ) {
+        if !self.pending_refusals.has_capacity() {
+            return self.answer_unrefused(id, RunOutcome::Failed);
+        }
+        let answer_by = time_after(self.timestamp.now, LOOKUP_TIMEOUT);
+        let lookup = self.pending_refusals.add(PendingRefusal { id: id.clone(), refusal, answer_by });
+        if let Some(open) = self.requests.get_mut(id) {
+            open.state = RequestState::Refused { lookup };
+        }
+        self.effects.push(Effect::LookUpRun { lookup, key, fingerprint });
+    }
+
+    /// Handles the shell's report of what the processes have recorded about a key.
+    pub(super) fn run_looked_up(&mut self, lookup: LookupId, run: RecordedRun) {
+        let Some(PendingRefusal { id, refusal, .. }) = self.pending_refusals.by_lookup.remove(&lookup) else {
             return;
+        };
+        match run {
+            RecordedRun::None => self.refuse_unless_run_here(&id, refusal),
+            RecordedRun::Ended(outcome) => self.answer_unrefused(&id, outcome),
+            RecordedRun::InProgress | RecordedRun::Unknown => self.answer_unrefused(&id, RunOutcome::Failed),
         }
-        let Some(open) = self.requests.get(id) else { return };
-        let Some(key) = &open.idempotency_key else { return };
-        let ran_here = self.idempotency_table.has_run(key, open.arrived_unix_ms);
-        self.keyed_refusal_logged = true;
-        let text = format!(
-            "refusing the keyed request {} as never run; known to have run here: {ran_here}; the other process of an \
-             upgrade was not asked. Further refusals are not logged",
-            id.0
-        );
-        self.log(Level::Info, text);
+    }
+
+    /// Refuses a request whose key the other process has not run. Another attempt may have started here meanwhile.
+    fn refuse_unless_run_here(&mut self, id: &RequestId, refusal: Refusal) {
+        let own_run = self.requests.get(id).and_then(|open| {
+            let (key, fingerprint) = open.key_and_fingerprint()?;
+            self.outcome_of_own_run(key, fingerprint, open.arrived_unix_ms)
+        });
+        match own_run {
+            Some(outcome) => self.answer_unrefused(id, outcome),
+            None => self.respond_and_release(id, refusal.response()),
+        }
+    }
+
+    /// Answers an attempt that must not be refused, because its operation ran or may have run.
+    fn answer_unrefused(&mut self, id: &RequestId, outcome: RunOutcome) {
+        if !std::mem::replace(&mut self.pending_refusals.run_logged, true) {
+            let text = format!(
+                "the keyed request {} is answered rather than refused, since it may have run in one of the processes \
+                 of the upgrade; further ones are not logged",
+                id.0
+            );
+            self.log(Level::Info, text);
+        }
+        self.respond_with_outcome(id, outcome);
+        self.forget_request(id);
+    }
+
+    /// Fails the requests whose look-ups take too long.
+    pub(super) fn expire_refusals(&mut self) {
+        while let Some(lookup) = self.pending_refusals.first_overdue(self.timestamp.now) {
+            self.run_looked_up(lookup, RecordedRun::Unknown);
+        }
+    }
+
+    /// Whether a refused request waits for a look-up.
+    pub(super) fn is_refused(&self, id: &RequestId) -> bool {
+        let state = self.requests.get(id).map(|open: &OpenRequest| open.state);
+        matches!(state, Some(RequestState::Refused { .. }))
     }
 }
--- a/crates/core/src/reducer/request_intake.rs
+++ b/crates/core/src/reducer/request_intake.rs
@@ -5,6 +5,7 @@
 //! admission module decides whether and when a valid request runs.
 
 use super::open_requests::{OpenRequest, RequestState};
+use super::refusals::Refusal;
 use super::{MS, Reducer};
 use crate::idempotency_table::Fingerprint;
 use crate::messages::{ClientRequest, ConnectionId, RequestError, SequenceId};
@@ -62,10 +63,9 @@
     rejects_requests: bool,
 }
 
-/// A request that passed validation.
+/// What validation found out about a request that passed it.
 #[derive(Debug)]
 struct ValidRequest {
-    request: ClientRequest,
     class: usize,
     tenant: Option<usize>,
     /// When the request reached the machine, in Unix milliseconds; never later than the current step.
@@ -107,7 +107,7 @@
         &mut self,
         connection: ConnectionId,
         sequence: SequenceId,
-        request: ClientRequest,
+        mut request: ClientRequest,
     ) {
         let Some(state) = self.connections.touch(connection, self.timestamp.now) else { return };
         let connection_state = IntakeConnection {
@@ -116,47 +116,82 @@
             open_requests: state.open.len(),
             rejects_requests: state.rejects_requests,
         };
-        match self.validate(connection_state, request) {
-            Ok(valid) => self.register(connection, sequence, valid),
+        match self.validate(connection_state, &mut request) {
+            Ok(valid) => self.register(connection, sequence, request, valid),
             Err(IntakeError::Invalid { class, error, text }) => {
                 self.reject_invalid(connection, sequence, class, error, text);
             }
             Err(IntakeError::Rejected { class, retry_after }) => {
-                self.reject(connection, sequence, class, retry_after);
+                self.refuse_at_intake(connection, sequence, class, request, retry_after);
             }
         }
     }
 
+    /// Refuses a valid request that can't be accepted now. A keyed one may have run, so it is registered as open, which
+    /// the admission module doesn't learn, and refused like any other.
+    fn refuse_at_intake(
+        &mut self,
+        connection: ConnectionId,
+        sequence: SequenceId,
+        class: usize,
+        request: ClientRequest,
+        retry_after: Span,
+    ) {
+        let arrived_unix_ms = request.arrived_unix_ms.min(self.timestamp.unix_ms);
+        let is_keyed = self.classes.profile(class).effect == Idempotency::Keyed;
+        let key = request.idempotency_key.as_ref().filter(|_| is_keyed);
+        if !key.is_some_and(|key| self.may_have_run(key, arrived_unix_ms)) {
+            return self.reject(connection, sequence, class, retry_after);
+        }
+        if self.requests.contains(&request.id) {
+            // Two open requests can't have one id, and a failure promises nothing.
+            return self.fail_unregistered(connection, sequence, class);
+        }
+        let id = request.id.clone();
+        let valid = ValidRequest {
+            class,
+            tenant: request.tenant.and_then(|tenant| self.tenants.resolve(tenant)),
+            arrived_unix_ms,
+            deadline_unix_ms: arrived_unix_ms.saturating_add(request.budget_ms),
+            queued_for: Span(0),
+            fingerprint: self.fingerprint_of(class, &request),
+            earlier: None,
+        };
+        self.add_open_request(connection, sequence, request, &valid);
+        self.refuse(&id, Refusal::retry_after(retry_after));
+    }
+
     /// Runs all checks in the order in which a client sees their errors.
     fn validate(
         &mut self,
         connection: IntakeConnection,
-        mut request: ClientRequest,
+        request: &mut ClientRequest,
     ) -> Result<ValidRequest, IntakeError> {
-        let class = self.resolve_class(&request)?;
+        let class = self.resolve_class(request)?;
         // If the slot was given to another tenant meanwhile, the request counts toward no tenant's quota.
         let tenant = request.tenant.and_then(|tenant| self.tenants.resolve(tenant));
         self.check_open_requests(connection, class)?;
         if self.classes.profile(class).effect != Idempotency::Keyed {
             request.idempotency_key = None;
         }
-        self.check_budget(class, &request)?;
-        self.check_id(class, &request)?;
+        self.check_budget(class, request)?;
+        self.check_id(class, request)?;
         if !request.retry {
             // Counted even if it is rejected below: the comparison of versions includes rejected requests.
             self.count_for_rollback(tenant, class, 1, 0);
         }
         if self.controller.is_none() {
-            // No processor has greeted yet, so there is no admission module and nothing has run.
+            // No processor has greeted yet, so there is no admission module. An earlier process, or the other one of an
+            // upgrade, may have run the request all the same.
             return Err(IntakeError::Rejected { class, retry_after: Span(0) });
         }
         // A request can't arrive after it is read. Guards against a time stamp in the future that would retain a key's
         // run forever.
         let arrived_unix_ms = request.arrived_unix_ms.min(self.timestamp.unix_ms);
-        self.drop_key_of_formerly_keyed_class(class, arrived_unix_ms, &mut request);
-        self.check_store(class, arrived_unix_ms, &request)?;
-        let fingerprint = self.fingerprint_of(class, &request);
-        let earlier = self.find_earlier_attempt(class, arrived_unix_ms, fingerprint, &request)?;
+        self.drop_key_of_formerly_keyed_class(class, arrived_unix_ms, request);
+        self.check_store(class, arrived_unix_ms, request)?;
+        let fingerprint = self.fingerprint_of(class, request);
+        let earlier = self.find_earlier_attempt(class, arrived_unix_ms, fingerprint, request)?;
         // A repeat of a known attempt is answered with that attempt's outcome and uses none of the cluster's retry
         // budget.
         let is_new_retry = request.retry && earlier.is_none();
@@ -169,7 +204,6 @@
             queued_for: self.queued_for(connection, arrived_unix_ms),
             fingerprint,
             earlier,
-            request,
         })
     }
 
@@ -299,36 +333,54 @@
     }
 
     /// Registers a valid request as open and passes it on to the admission module.
-    fn register(&mut self, connection: ConnectionId, sequence: SequenceId, valid: ValidRequest) {
-        let ValidRequest { request, class, tenant, arrived_unix_ms, deadline_unix_ms, .. } = valid;
-        let Some(state) = self.connections.get_mut(connection) else { return };
-        state.open.insert(sequence, request.id.clone());
+    fn register(
+        &mut self,
+        connection: ConnectionId,
+        sequence: SequenceId,
+        request: ClientRequest,
+        valid: ValidRequest,
+    ) {
         if let Some(key) = &request.idempotency_key {
             self.requests.note_key(key, &request.id);
         }
-        let expires_in_ms = deadline_unix_ms.saturating_sub(self.timestamp.unix_ms);
-        self.events.push(Event::Arrived(Request {
+        let expires_in_ms = valid.deadline_unix_ms.saturating_sub(self.timestamp.unix_ms);
+        let event = Event::Arrived(Request {
             id: request.id.clone(),
             expires_in: Some(Span(expires_in_ms.saturating_mul(MS))),
-            class,
+            class: valid.class,
             has_subject: request.has_subject,
             caller: request.client_proxy,
             work: None,
-            tenant,
+            tenant: valid.tenant,
             size_kb: request.size_kb,
             precedence: request.precedence,
             retry: request.retry,
             write: request.idempotency_key.is_some(),
-            earlier_attempt: valid.earlier,
+            earlier_attempt: valid.earlier.clone(),
             unread_for: valid.queued_for,
-        }));
+        });
+        if self.add_open_request(connection, sequence, request, &valid) {
+            self.events.push(event);
+        }
+    }
+
+    /// Adds a request to the open ones and to its connection. Returns false if the connection is gone.
+    fn add_open_request(
+        &mut self,
+        connection: ConnectionId,
+        sequence: SequenceId,
+        request: ClientRequest,
+        valid: &ValidRequest,
+    ) -> bool {
+        let Some(state) = self.connections.get_mut(connection) else { return false };
+        state.open.insert(sequence, request.id.clone());
         let open = OpenRequest {
             connection,
             sequence,
-            class,
-            tenant,
-            arrived_unix_ms,
-            deadline_unix_ms,
+            class: valid.class,
+            tenant: valid.tenant,
+            arrived_unix_ms: valid.arrived_unix_ms,
+            deadline_unix_ms: valid.deadline_unix_ms,
             idempotency_key: request.idempotency_key,
             fingerprint: valid.fingerprint,
             state: RequestState::Queued,
@@ -340,11 +392,12 @@
             upstream_call_since: None,
             upstream_call_id: None,
         };
-        self.classes.acquire(class);
-        if let Some(tenant) = tenant {
+        self.classes.acquire(valid.class);
+        if let Some(tenant) = valid.tenant {
             self.tenants.acquire(tenant);
         }
         self.requests.insert(request.id, open);
+        true
     }
 
     /// Returns the fingerprint of a keyed request's body and class. It is keyed with a salt so that no client can
--- a/crates/core/src/reducer/responses.rs
+++ b/crates/core/src/reducer/responses.rs
@@ -21,7 +21,7 @@
         self.close_if_done(connection);
     }
 
-    /// Rejects a request that was not passed on to the admission module.
+    /// Rejects a request that can't have run and was not passed on to the admission module.
     pub(super) fn reject(
         &mut self,
         connection: ConnectionId,
@@ -29,8 +29,23 @@
         class: usize,
         retry_after: Span,
     ) {
-        self.connections.touch_and_mark_idle(connection, self.timestamp.now);
         let response = Response::Rejected { retry_after, no_failover: false };
+        self.answer_unregistered(connection, sequence, class, response);
+    }
+
+    /// Fails a request that is not registered as open.
+    pub(super) fn fail_unregistered(&mut self, connection: ConnectionId, sequence: SequenceId, class: usize) {
+        self.answer_unregistered(connection, sequence, class, Response::Failed { timed_out: false });
+    }
+
+    fn answer_unregistered(
+        &mut self,
+        connection: ConnectionId,
+        sequence: SequenceId,
+        class: usize,
+        response: Response,
+    ) {
+        self.connections.touch_and_mark_idle(connection, self.timestamp.now);
         self.metrics.count_response(&self.classes.profile(class).name, &response);
         self.send_response(connection, sequence, response);
         self.close_if_done(connection);
@@ -72,6 +87,10 @@
 
     /// Notes that the caller of a request no longer waits for its response.
     pub(super) fn caller_gone(&mut self, id: &RequestId) {
+        if self.is_refused(id) {
+            // The admission module no longer knows the request.
+            return self.forget_request(id);
+        }
         if self.requests.abandon(id) {
             self.events.push(Event::CallerGone(id.clone()));
         }
@@ -141,6 +160,9 @@
         if let (RequestState::Joined { .. }, Some(key)) = (open.state, &open.idempotency_key) {
             self.idempotency_table.remove_waiter(key, id);
         }
+        if let RequestState::Refused { lookup } = open.state {
+            self.pending_refusals.remove(lookup);
+        }
         self.classes.release(open.class);
         if let Some(tenant) = open.tenant {
             self.tenants.release(tenant);
--- a/crates/core/src/reducer/run_claims.rs
+++ b/crates/core/src/reducer/run_claims.rs
@@ -36,7 +36,8 @@
         match claim {
             RunClaim::Ours => self.send_run(id),
             RunClaim::Ended(outcome) => self.complete_from_other_process(id, outcome),
-            RunClaim::Unknown => self.reject_unstarted_run(id),
+            RunClaim::Unavailable => self.reject_unstarted_run(id),
+            RunClaim::Unknown => self.fail_unstarted_run(id),
         }
     }
 
--- a/crates/core/src/reducer/runs.rs
+++ b/crates/core/src/reducer/runs.rs
@@ -5,6 +5,7 @@
 //! only once it is claimed by this process or its intent is durable.
 
 use super::open_requests::RequestState;
+use super::refusals::Refusal;
 use super::{MS, Reducer};
 use crate::buffer_pool::Buffer;
 use crate::idempotency_table::RunOutcome;
@@ -146,8 +147,19 @@
     }
 
     /// Rejects a request and its repeats if its run can't be sent to the processor, because its intent is not durable
-    /// or its claim failed.
+    /// or its key, which no process has run, can't be claimed.
     pub(super) fn reject_unstarted_run(&mut self, id: &RequestId) {
+        let refusal = Refusal::retry_after(self.store_retry_after());
+        self.end_unstarted_run(id, &refusal.response());
+    }
+
+    /// Fails a request and its repeats if its run can't be sent to the processor, because the other process of an
+    /// upgrade may have run its key.
+    pub(super) fn fail_unstarted_run(&mut self, id: &RequestId) {
+        self.end_unstarted_run(id, &Response::Failed { timed_out: self.is_past_deadline(id) });
+    }
+
+    fn end_unstarted_run(&mut self, id: &RequestId, response: &Response) {
         let Some(open) = self.requests.running(id) else { return };
         let mut waiting = Vec::new();
         if let Some(key) = open.idempotency_key.clone() {
@@ -155,8 +167,7 @@
             self.release_claim(&key, None);
         }
         for id in std::iter::once(id.clone()).chain(waiting) {
-            let retry_after = self.store_retry_after();
-            self.respond(&id, Response::Rejected { retry_after, no_failover: false });
+            self.respond(&id, response.clone());
             self.forget_request(&id);
             self.report_not_started(&id);
         }
--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -20,8 +20,11 @@
 //!   is an event `admin STATUS LINE`, such as `admin 503 not ready: drained` or `admin 200 server_relayed_total 1`.
 //! - `send ledger RID 200 REPLY`, `send ledger RID untouched|500|504|refused|broken`: the outcome of an upstream call. The
 //!   call is the event `ledger call RID BODY LIMIT_MS`; a reply that reaches the run is `processor answer RID REPLY`. [virtual]
-//! - `send claims RID ours|unsure|failed|served ..`: the outcome of claiming a keyed run that two processes of an upgrade
-//!   share. The claim is the event `claim RID TOKEN`, its release `claim-ended TOKEN served|failed|void`. [virtual]
+//! - `send claims RID ours|full|unsure|failed|served ..`: the outcome of claiming a keyed run that two processes of an
+//!   upgrade share; `full` is a free key that can't be claimed. The claim is the event `claim RID TOKEN`, its release
+//!   `claim-ended TOKEN served|failed|void`. [virtual]
+//! - `send lookups TOKEN none|running|unsure|failed|served ..`: what the two processes have recorded about a key, in answer to
+//!   its oldest look-up, which is the event `lookup TOKEN`. [virtual]
 //!
 //! Connections and links:
 //! - `open CONN`: opens a connection without sending. `close CONN`, `close processor`: the peer closes both directions.
@@ -73,10 +76,14 @@
     fn end_upstream_call(&mut self, line: &str) {
         panic!("this stage has no upstream: {line}");
     }
-    /// Resolves the claim of a keyed run: `RID ours|unsure|failed` or `RID served RESULT`.
+    /// Resolves the claim of a keyed run: `RID ours|full|unsure|failed` or `RID served RESULT`.
     fn resolve_claim(&mut self, line: &str) {
         panic!("this stage shares no keyed runs: {line}");
     }
+    /// Answers the oldest look-up of a key: `TOKEN none|running|unsure|failed` or `TOKEN served RESULT`.
+    fn resolve_lookup(&mut self, line: &str) {
+        panic!("this stage shares no keyed runs: {line}");
+    }
     fn open(&mut self, conn: &str);
     fn close(&mut self, peer: &str);
     fn half_close(&mut self, conn: &str);
@@ -216,6 +223,7 @@
             ["send", "processor", ..] => stage.send_processor_line(&words[2..].join(" ")),
             ["send", "ledger", ..] => stage.end_upstream_call(&words[2..].join(" ")),
             ["send", "claims", ..] => stage.resolve_claim(&words[2..].join(" ")),
+            ["send", "lookups", ..] => stage.resolve_lookup(&words[2..].join(" ")),
             ["send", "server", "TERM"] => stage.terminate(),
             ["send", "server", order @ ("OUT" | "IN")] => stage.set_out_of_service(order == "OUT"),
             ["send", "server", "HUP", how] => stage.reload(how),
--- a/crates/gradepin/tests/scenario/virtual_stage.rs
+++ b/crates/gradepin/tests/scenario/virtual_stage.rs
@@ -11,7 +11,9 @@
 use gradepin_core::buffer_pool::BufferPool;
 use gradepin_core::config::Config;
 use gradepin_core::idempotency_table::RunOutcome;
-use gradepin_core::messages::{ConnectionId, Effect, Input, NameChange, RunClaim, RunEnd, UpstreamCallId};
+use gradepin_core::messages::{
+    ConnectionId, Effect, Input, LookupId, NameChange, RecordedRun, RunClaim, RunEnd, UpstreamCallId,
+};
 use gradepin_core::processor_identity::ProcessorIdentity;
 use gradepin_core::reducer::{Reducer, lent_share};
 use gradepin_core::registration::Registration;
@@ -52,6 +54,8 @@
     admin_requests: u64,
     /// Upstream calls in flight, in the order in which they were sent.
     calls_out: Vec<(RequestId, UpstreamCallId)>,
+    /// Unanswered look-ups of keys, in the order in which they were requested.
+    lookups: Vec<(Arc<str>, LookupId)>,
     /// True while a valid configuration was submitted and is not active yet.
     reloading: bool,
 }
@@ -85,9 +89,15 @@
 
     /// Like [`Self::sharing_listener`], and it shares its keyed runs with the successor too.
     pub fn sharing_runs() -> Self {
+        let mut stage = Self::sharing_runs_without_processor();
+        stage.send_processor_line("hi WARM 0");
+        stage
+    }
+
+    /// Like [`Self::sharing_runs`], but its processor has not greeted yet.
+    pub fn sharing_runs_without_processor() -> Self {
         let mut stage = Self::new();
         stage.reducer = std::mem::replace(&mut stage.reducer, Self::new().reducer).sharing_runs(Some(7));
-        stage.send_processor_line("hi WARM 0");
         stage
     }
 
@@ -162,6 +172,7 @@
             connecting: None,
             admin_requests: 0,
             calls_out: Vec::new(),
+            lookups: Vec::new(),
             reloading: false,
         }
     }
@@ -247,6 +258,11 @@
             Effect::ClaimRun { id, key: token, .. } => {
                 format!("claim {} {token}", u64::from_str_radix(&id.0, 16).expect("hex"))
             }
+            Effect::LookUpRun { lookup, key: token, .. } => {
+                let event = format!("lookup {token}");
+                self.lookups.push((token, lookup));
+                event
+            }
             Effect::ReleaseClaim { key: token, outcome: end, .. } => {
                 let end = match end {
                     Some(RunOutcome::Served(_)) => "served",
@@ -451,6 +467,7 @@
         let result = || self.pool.copy(result.join(" ").as_bytes()).expect("fits");
         let claim = match whose {
             "ours" => RunClaim::Ours,
+            "full" => RunClaim::Unavailable,
             "unsure" => RunClaim::Unknown,
             "failed" => RunClaim::Ended(RunOutcome::Failed),
             "served" => RunClaim::Ended(RunOutcome::Served(Arc::new(result()))),
@@ -461,6 +478,24 @@
         self.settle();
     }
 
+    fn resolve_lookup(&mut self, line: &str) {
+        let words: Vec<&str> = line.split(' ').collect();
+        let [token, found, ref result @ ..] = words[..] else { panic!("not a look-up: {line}") };
+        let result = || self.pool.copy(result.join(" ").as_bytes()).expect("fits");
+        let run = match found {
+            "none" => RecordedRun::None,
+            "running" => RecordedRun::InProgress,
+            "unsure" => RecordedRun::Unknown,
+            "failed" => RecordedRun::Ended(RunOutcome::Failed),
+            "served" => RecordedRun::Ended(RunOutcome::Served(Arc::new(result()))),
+            _ => panic!("not a look-up: {line}"),
+        };
+        let index = self.lookups.iter().position(|(known, _)| **known == *token);
+        let (_, lookup) = self.lookups.remove(index.expect("a look-up of the key"));
+        self.pending_inputs.push(Input::RunLookedUp { lookup, run });
+        self.settle();
+    }
+
     fn open(&mut self, conn: &str) {
         self.conn(conn);
         self.settle();
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -21,12 +21,12 @@
 mod tests;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
-use folder::ClaimFolder;
 pub use folder::ClaimsSettings;
+use folder::{ClaimAttempt, ClaimFolder};
 use gradepin_admission::{RequestId, Span};
 use gradepin_core::buffer_pool::BufferPool;
 use gradepin_core::idempotency_table::{Fingerprint, RunOutcome};
-use gradepin_core::messages::{Input, RunClaim};
+use gradepin_core::messages::{Input, LookupId, RecordedRun, RunClaim};
 use slog::{Logger, warn};
 use std::io;
 use std::sync::Arc;
@@ -43,6 +43,7 @@
 
 enum Job {
     Claim(PendingClaim),
+    LookUp { lookup: LookupId, key: Arc<str>, fingerprint: Fingerprint },
     Release { key: Arc<str>, fingerprint: Fingerprint, outcome: Option<RunOutcome> },
     SetWindow(Duration),
 }
@@ -82,7 +83,7 @@
             let folder = match opened {
                 Ok(folder) => Some(folder),
                 Err(e) => {
-                    warn!(log, "can't use the folder of keyed runs; keyed requests are rejected until it can be used";
+                    warn!(log, "can't use the folder of keyed runs; keyed requests fail until it can be used";
                           "folder" => %settings.folder.display(), "error" => %e);
                     open_until_done(&settings, window, &pool, &queue, &inputs)
                 }
@@ -107,6 +108,11 @@
         let _ = self.jobs.send(Job::Claim(PendingClaim { id, key, fingerprint, deadline }));
     }
 
+    /// Looks up whether a process has run a key. [`Input::RunLookedUp`] follows.
+    pub fn look_up(&self, lookup: LookupId, key: Arc<str>, fingerprint: Fingerprint) {
+        let _ = self.jobs.send(Job::LookUp { lookup, key, fingerprint });
+    }
+
     /// Shares the outcome of a run that this process claimed; `None` if the run never started.
     pub fn release(&self, key: Arc<str>, fingerprint: Fingerprint, outcome: Option<RunOutcome>) {
         let _ = self.jobs.send(Job::Release { key, fingerprint, outcome });
@@ -141,6 +147,9 @@
             Ok(Job::Claim(PendingClaim { id, .. })) => {
                 inputs.send(Input::RunClaimed { id, claim: RunClaim::Unknown }).ok()?;
             }
+            Ok(Job::LookUp { lookup, .. }) => {
+                inputs.send(Input::RunLookedUp { lookup, run: RecordedRun::Unknown }).ok()?;
+            }
             // No claim was granted here that could be released.
             Ok(Job::Release { .. }) => {}
             Ok(Job::SetWindow(new)) => window = new,
@@ -214,6 +223,7 @@
                     self.waiting.push(claim);
                 }
             }
+            Job::LookUp { lookup, key, fingerprint } => self.look_up(lookup, &key, fingerprint),
             Job::Release { key, fingerprint, outcome } => {
                 if let Err(e) = self.folder.release(&key, fingerprint, outcome) {
                     warn!(self.log, "can't share the outcome of a keyed run; requests for it at the other process fail";
@@ -224,6 +234,14 @@
         }
     }
 
+    fn look_up(&mut self, lookup: LookupId, key: &str, fingerprint: Fingerprint) {
+        let run = self.folder.look_up(key, fingerprint).unwrap_or_else(|e| {
+            self.log_failure("look-up", &e);
+            RecordedRun::Unknown
+        });
+        let _ = self.inputs.send(Input::RunLookedUp { lookup, run });
+    }
+
     /// Retries all waiting claims.
     fn poll(&mut self) {
         let mut waiting = std::mem::take(&mut self.waiting);
@@ -236,9 +254,14 @@
     /// passed.
     fn is_answered(&mut self, pending: &PendingClaim) -> bool {
         let claim = match self.folder.claim(&pending.key, pending.fingerprint) {
-            Ok(Some(claim)) => claim,
-            Ok(None) if Instant::now() < pending.deadline => return false,
-            Ok(None) => RunClaim::Ended(RunOutcome::Failed),
+            Ok(ClaimAttempt::Claimed) => RunClaim::Ours,
+            Ok(ClaimAttempt::Ended(outcome)) => RunClaim::Ended(outcome),
+            Ok(ClaimAttempt::InProgress) if Instant::now() < pending.deadline => return false,
+            Ok(ClaimAttempt::InProgress) => RunClaim::Ended(RunOutcome::Failed),
+            Ok(ClaimAttempt::Unavailable(e)) => {
+                self.log_failure("claim", &e);
+                RunClaim::Unavailable
+            }
             Err(e) => {
                 self.log_failure("claim", &e);
                 RunClaim::Unknown
--- a/crates/node/src/claims/folder.rs
+++ b/crates/node/src/claims/folder.rs
@@ -4,7 +4,7 @@
 
 use gradepin_core::buffer_pool::{BUFFER_BYTES, BufferPool};
 use gradepin_core::idempotency_table::{Fingerprint, MAX_READ_DELAY, RunOutcome};
-use gradepin_core::messages::RunClaim;
+use gradepin_core::messages::RecordedRun;
 use siphasher::sip128::{Hasher128, SipHasher13};
 use std::collections::{HashMap, VecDeque};
 use std::fs::{self, File, OpenOptions, Permissions};
@@ -58,6 +58,19 @@
     }
 }
 
+/// Result of an attempt to claim a key.
+#[derive(Debug)]
+pub(super) enum ClaimAttempt {
+    /// The key is claimed by this process.
+    Claimed,
+    /// The other process's run is in progress, or its claim was just removed.
+    InProgress,
+    /// The other process's run ended with this outcome.
+    Ended(RunOutcome),
+    /// No process has claimed the key, and this one can't, for this reason.
+    Unavailable(io::Error),
+}
+
 /// A result that this process wrote.
 struct WrittenResult {
     file_name: String,
@@ -126,48 +139,69 @@
         format!("{:032x}", hasher.finish128().as_u128())
     }
 
-    /// Claims a key, or reads the other process's claim of it; `None` while the other process's run is in progress.
-    pub(super) fn claim(&mut self, key: &str, fingerprint: Fingerprint) -> io::Result<Option<RunClaim>> {
+    /// Claims a key, or reads the other process's claim of it, also if this process can make no claim.
+    pub(super) fn claim(&mut self, key: &str, fingerprint: Fingerprint) -> io::Result<ClaimAttempt> {
         let name = self.file_name(key);
         if self.own.contains_key(&name) {
             // The key ran here and its window has passed: otherwise the reducer would have answered with that outcome.
             self.forget(&name)?;
         }
-        if self.own.len() >= self.max_claims {
-            return Err(io::Error::other("the memory for claims of keyed runs is full"));
-        }
-        let path = self.folder.join(&name);
-        let made = OpenOptions::new().write(true).create_new(true).mode(OPEN_MODE).open(&path);
-        match made {
-            Ok(_) => {
+        let reason = match self.create(&name) {
+            Ok(()) => {
                 self.own.insert(name, SystemTime::now());
-                return Ok(Some(RunClaim::Ours));
+                return Ok(ClaimAttempt::Claimed);
             }
-            Err(e) if e.kind() == ErrorKind::AlreadyExists => {}
-            Err(e) => return Err(e),
+            Err(reason) => reason,
+        };
+        match self.read(&name, fingerprint)? {
+            RecordedRun::Ended(outcome) => Ok(ClaimAttempt::Ended(outcome)),
+            RecordedRun::InProgress => Ok(ClaimAttempt::InProgress),
+            // The run never started, and the file was just removed: the next attempt claims the key.
+            RecordedRun::None if reason.kind() == ErrorKind::AlreadyExists => Ok(ClaimAttempt::InProgress),
+            RecordedRun::None => Ok(ClaimAttempt::Unavailable(reason)),
+            RecordedRun::Unknown => Err(reason),
+        }
+    }
+
+    /// Creates the file of a claim, unless the claims of this process use their memory up.
+    fn create(&self, name: &str) -> io::Result<()> {
+        if self.own.len() >= self.max_claims {
+            return Err(io::Error::other("the memory for claims of keyed runs is full"));
         }
-        self.read_claim(&path, fingerprint)
+        let path = self.folder.join(name);
+        OpenOptions::new().write(true).create_new(true).mode(OPEN_MODE).open(path).map(drop)
     }
 
-    /// Reads another process's claim; `None` while its run is in progress.
-    fn read_claim(&self, path: &Path, fingerprint: Fingerprint) -> io::Result<Option<RunClaim>> {
-        let read = fs::metadata(path).and_then(|meta| Ok((meta, fs::read(path)?)));
+    /// Reads what the processes have recorded about the run of a key, without claiming it.
+    pub(super) fn look_up(&self, key: &str, fingerprint: Fingerprint) -> io::Result<RecordedRun> {
+        self.read(&self.file_name(key), fingerprint)
+    }
+
+    fn read(&self, name: &str, fingerprint: Fingerprint) -> io::Result<RecordedRun> {
+        let path = self.folder.join(name);
+        let read = fs::metadata(&path).and_then(|meta| Ok((meta, fs::read(&path)?)));
         let (meta, bytes) = match read {
             Ok(read) => read,
-            // The run never started, and the file was just removed: the next attempt claims the key.
-            Err(e) if e.kind() == ErrorKind::NotFound => return Ok(None),
+            Err(e) if e.kind() == ErrorKind::NotFound => return self.confirm_absence(),
             Err(e) => return Err(e),
         };
         let has_ended = meta.permissions().mode() & MODE_BITS == ENDED_MODE;
         let Some((written_fingerprint, result)) = bytes.split_first_chunk() else {
-            return Ok(has_ended.then_some(RunClaim::Ended(RunOutcome::Failed)));
+            let run =
+                if has_ended { RecordedRun::Ended(RunOutcome::Failed) } else { RecordedRun::InProgress };
+            return Ok(run);
         };
         // A client that knows another client's key must not get the result of that client's request.
         let is_same_request = Fingerprint::from_le_bytes(*written_fingerprint) == fingerprint;
         let is_usable = is_same_request && result.len() <= BUFFER_BYTES;
         let result = is_usable.then(|| self.pool.exact(result)).flatten();
         let outcome = result.map_or(RunOutcome::Failed, |result| RunOutcome::Served(Arc::new(result)));
-        Ok(Some(RunClaim::Ended(outcome)))
+        Ok(RecordedRun::Ended(outcome))
+    }
+
+    /// A file that is absent means that no process has started the run, unless the folder itself is gone.
+    fn confirm_absence(&self) -> io::Result<RecordedRun> {
+        fs::metadata(self.folder.join(SALT_FILE)).map(|_| RecordedRun::None)
     }
 
     /// Removes a claim of this process.
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -125,6 +125,9 @@
             Effect::ClaimRun { id, key, fingerprint, timeout } => {
                 if_present(&self.claims, |claims| claims.claim(id, key, fingerprint, timeout));
             }
+            Effect::LookUpRun { lookup, key, fingerprint } => {
+                if_present(&self.claims, |claims| claims.look_up(lookup, key, fingerprint));
+            }
             Effect::ReleaseClaim { key, fingerprint, outcome } => {
                 if_present(&self.claims, |claims| claims.release(key, fingerprint, outcome));
             }
