Derive the exit of a hand-over and the last answer from one set of stop times

Cause: the old process has to have answered before it goes, and nothing tied the two times together. The exit was due 150 ms before SIGKILL (handover.rs), the last answer 100 ms before it and 8 ms more by the module (reducer/drain.rs): 3,550 against 3,592 ms after SIGTERM.

Change: core/src/stop_times.rs derives answers due, latest end and stop, in this order, for a process that is stopped and for one that hands over; the answers are due 100 ms before the end, whichever it is. Margins take at most a quarter of the time left, so the order holds for a short stop_ms too. At its exit a process fails what is still owed: a process that was paused past both times gives up a queued keyed request and exits in one step, with its look-up unanswered. After SIGTERM with 3.7 s the last answer is due at 3,450 ms, later than the longest deadline of 3 s that the platform takes into account. A process that owns its listener keeps its times.

Why it works: the exit's time is the one from which the answers' time is taken, so neither can move alone.

--- a/crates/core/src/handover.rs
+++ b/crates/core/src/handover.rs
@@ -6,16 +6,14 @@
 //! remove the server from the list while the new process reports `Ready`. It asks its peers to drain their connections
 //! and answers all requests that it has read. Connections that have been idle for [`IDLE_AFTER_DRAIN`] since then are
 //! closed if the shell finds nothing unread on them. The process exits once the shell has stopped accepting (so that no
-//! accepted connection is unreported), no response is owed and no connection is left, but at the latest [`KILL_MARGIN`]
-//! before SIGKILL, which would reset all connections. The admission module drains as at any SIGTERM.
+//! accepted connection is unreported), no response is owed and no connection is left, but at the latest at the time in
+//! [`crate::stop_times`], by which the admission module has answered everything.
 
-use gradepin_admission::{Span, Time, time_after, time_before};
+use gradepin_admission::{Span, Time, time_after};
 
 /// Idle time after which a drained connection no longer keeps the process from exiting. Its client closes it once
 /// everything is answered, and resends a request that crossed the drain request within 50 ms.
 pub const IDLE_AFTER_DRAIN: Span = Span(300_000_000);
-/// How long before SIGKILL the process exits, whatever remains.
-pub const KILL_MARGIN: Span = Span(150_000_000);
 
 /// Work that keeps the old process from exiting.
 #[derive(Debug, Clone, Copy)]
@@ -29,15 +27,8 @@
 /// A hand-over in progress, or the close-down of a process that was not stopped in time.
 #[derive(Debug)]
 struct Progress {
-    /// When SIGKILL follows.
-    kill_at: Time,
-}
-
-impl Progress {
-    /// Returns when the process exits, whatever remains.
-    fn latest_exit(&self) -> Time {
-        time_before(self.kill_at, KILL_MARGIN)
-    }
+    /// When the process exits, whatever remains.
+    latest_exit: Time,
 }
 
 /// Whether the listening socket is shared with a successor, and the progress of the hand-over after SIGTERM.
@@ -60,23 +51,19 @@
         self.shared
     }
 
-    /// Handles SIGTERM, which SIGKILL follows after `stop`. Returns whether a hand-over begins, in which case no more
-    /// connections must be accepted.
-    pub fn begin(&mut self, now: Time, stop: Span) -> bool {
-        if !self.shared || self.progress.is_some() {
-            return false;
-        }
-        self.progress = Some(Progress { kill_at: time_after(now, stop) });
-        true
+    /// Handles SIGTERM, after which the process exits at `latest_exit`, whatever remains. Returns whether a hand-over
+    /// begins, in which case no more connections must be accepted.
+    pub fn begin(&mut self, latest_exit: Time) -> bool {
+        self.shared && self.close_down(latest_exit)
     }
 
     /// Starts the close-down of a process that owns its listening socket and was not stopped in time. It exits as after
-    /// a hand-over, within `timeout`. Returns false if a hand-over or close-down is already in progress.
-    pub fn close_down(&mut self, now: Time, timeout: Span) -> bool {
+    /// a hand-over. Returns false if a hand-over or close-down is already in progress.
+    pub fn close_down(&mut self, latest_exit: Time) -> bool {
         if self.progress.is_some() {
             return false;
         }
-        self.progress = Some(Progress { kill_at: time_after(time_after(now, timeout), KILL_MARGIN) });
+        self.progress = Some(Progress { latest_exit });
         true
     }
 
@@ -101,7 +88,7 @@
     pub fn may_exit(&self, now: Time, remaining: RemainingWork) -> bool {
         let Some(progress) = &self.progress else { return false };
         let is_done = self.accepting_stopped && remaining.open == 0 && remaining.connections == 0;
-        now >= progress.latest_exit() || is_done
+        now >= progress.latest_exit || is_done
     }
 
     /// Whether a hand-over or a close-down is in progress.
@@ -111,7 +98,7 @@
 
     /// Returns when the process exits at the latest, if a hand-over or a close-down is in progress.
     pub fn wake_at(&self) -> Option<Time> {
-        self.progress.as_ref().map(Progress::latest_exit)
+        self.progress.as_ref().map(|progress| progress.latest_exit)
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod request_metrics;
 pub mod response;
 pub mod slots;
+pub mod stop_times;
 pub mod tenants;
 pub mod timer_wheel;
 pub mod timestamp;
--- a/crates/core/src/reducer/drain.rs
+++ b/crates/core/src/reducer/drain.rs
@@ -6,13 +6,11 @@
 
 use super::{MS, Reducer};
 use crate::handover::{Handover, RemainingWork};
-use crate::messages::{Effect, earliest};
-use gradepin_admission::{Event, Span, Time, time_after, time_before};
+use crate::messages::{Effect, Response, earliest};
+use crate::stop_times::{Ending, StopTimes};
+use gradepin_admission::{Event, Span, Time, time_after};
 use slog::Level;
 
-/// The admission module must finish this long before the process is stopped, which leaves time for the shutdown notice
-/// and the last responses to arrive.
-const STOP_MARGIN: Span = Span(100 * MS);
 /// Delay after which a process that was not stopped when it was due to be closes down by itself.
 const MISSED_STOP_DELAY: Span = Span(2_000 * MS);
 /// Time limit of closing down: no more connections are accepted, received requests are answered, and idle connections
@@ -22,8 +20,8 @@
 /// Progress of the shutdown.
 #[derive(Debug)]
 pub(super) struct Drain {
-    /// When the shutdown notice arrived.
-    notified_at: Option<Time>,
+    /// The times of the shutdown, once its notice has arrived.
+    times: Option<StopTimes>,
     /// When the process closes down if it is not stopped; while it closes down, when it exits at the latest.
     exit_at: Option<Time>,
     /// Time from the notice to the stop of the process.
@@ -35,12 +33,12 @@
 impl Drain {
     /// Creates the state of a process that is stopped `stop_after` the notice.
     pub(super) fn new(stop_after: Span) -> Self {
-        Self { notified_at: None, exit_at: None, stop_after, handover: Handover::default() }
+        Self { times: None, exit_at: None, stop_after, handover: Handover::default() }
     }
 
     /// Whether the shutdown notice has arrived.
     pub(super) fn is_draining(&self) -> bool {
-        self.notified_at.is_some()
+        self.times.is_some()
     }
 
     /// Next time at which a step is due without input.
@@ -51,7 +49,7 @@
 
     /// When the shutdown notice arrived, or `now` if it has not.
     pub(super) fn notified_or(&self, now: Time) -> Time {
-        self.notified_at.unwrap_or(now)
+        self.times.map_or(now, |times| times.notified_at())
     }
 }
 
@@ -62,9 +60,11 @@
             return;
         }
         let now = self.timestamp.now;
-        self.drain.notified_at = Some(now);
-        self.drain.exit_at = Some(time_after(time_after(now, self.drain.stop_after), MISSED_STOP_DELAY));
-        if self.drain.handover.begin(now, self.drain.stop_after) {
+        let ending = if self.drain.handover.is_shared() { Ending::HandedOver } else { Ending::Stopped };
+        let times = StopTimes::new(now, self.drain.stop_after, ending);
+        self.drain.times = Some(times);
+        self.drain.exit_at = Some(time_after(times.stop_at(), MISSED_STOP_DELAY));
+        if self.drain.handover.begin(times.latest_end()) {
             self.effects.push(Effect::StopAccepting);
             self.log(
                 Level::Info,
@@ -112,17 +112,13 @@
         self.log(Level::Info, "taken back into service".into());
     }
 
-    /// Tells the admission module how much time it has to finish: [`STOP_MARGIN`] less than the time to the stop.
+    /// Tells the admission module by when it must have answered all requests.
     pub(super) fn notify_admission_of_shutdown(&mut self) {
+        let Some(times) = self.drain.times else { return };
         let now = self.timestamp.now;
-        let margin = Span(MISSED_STOP_DELAY.0 + STOP_MARGIN.0);
-        let end = self.drain.exit_at.map_or(now, |exit| time_before(exit, margin));
-        let time_left = Span(end.0.saturating_sub(now.0));
-        let stop_ms = self.drain.stop_after.0 / MS;
-        let text = format!(
-            "the stop is due {stop_ms} ms after the notice, all answers within {} ms",
-            time_left.0 / MS
-        );
+        let time_left = Span(times.answers_due_at().0.saturating_sub(now.0));
+        let stop_ms = times.stop_at().0.saturating_sub(now.0) / MS;
+        let text = format!("the stop is due in {stop_ms} ms, all answers in {} ms", time_left.0 / MS);
         self.log(Level::Info, text);
         self.events.push(Event::ShutdownNotice(time_left));
     }
@@ -145,8 +141,9 @@
     pub(super) fn exit_when_done(&mut self) {
         let now = self.timestamp.now;
         let is_due = self.drain.exit_at.is_some_and(|at| now >= at);
-        if is_due && self.drain.handover.close_down(now, CLOSE_DOWN_TIMEOUT) {
-            self.drain.exit_at = Some(time_after(now, CLOSE_DOWN_TIMEOUT));
+        let latest_exit = time_after(now, CLOSE_DOWN_TIMEOUT);
+        if is_due && self.drain.handover.close_down(latest_exit) {
+            self.drain.exit_at = Some(latest_exit);
             self.effects.push(Effect::StopAccepting);
             return;
         }
@@ -157,18 +154,27 @@
         if self.drain.exit_at.take_if(|at| now >= *at || is_handed_over).is_some() {
             self.announce_departure();
             self.log_exit();
+            self.fail_owed_requests();
             self.effects.push(Effect::Exit);
         }
     }
 
+    /// Fails all requests that are still owed a response at the exit. Guards against a request that is never answered
+    /// because the process was paused or busy when its answer was due.
+    fn fail_owed_requests(&mut self) {
+        for id in self.requests.owed_ids() {
+            self.respond(&id, Response::Failed { timed_out: self.is_past_deadline(&id) });
+        }
+    }
+
     /// Logs what the process leaves behind at its exit, and when the platform would have stopped it.
     fn log_exit(&mut self) {
         let (owed, connections) = (self.requests.count_owed(), self.connections.len());
-        let stop_at = time_after(self.drain.notified_or(self.timestamp.now), self.drain.stop_after);
+        let stop_at = self.drain.times.map_or(self.timestamp.now, |times| times.stop_at());
         let early_ms = stop_at.0.saturating_sub(self.timestamp.now.0) / MS;
         let level = if owed > 0 { Level::Warning } else { Level::Info };
         let text = format!(
-            "exiting {early_ms} ms before the stop time; requests without an answer: {owed}, open connections: \
+            "exiting {early_ms} ms before the stop time; requests that fail at the exit: {owed}, open connections: \
              {connections}"
         );
         self.log(level, text);
--- a/crates/core/src/reducer/open_requests.rs
+++ b/crates/core/src/reducer/open_requests.rs
@@ -152,6 +152,11 @@
         self.by_id.values().filter(|open| open.response_owed).count()
     }
 
+    /// Returns the ids of all requests that are owed a response, in sorted order.
+    pub(super) fn owed_ids(&self) -> BTreeSet<RequestId> {
+        self.by_id.iter().filter(|(_, open)| open.response_owed).map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns the queued request of this step that has this idempotency key, with its fingerprint. Connects two
     /// attempts that arrive in the same step, before the admission module can retain the first one's key.
     pub(super) fn attempt_of_this_step(&self, key: &str) -> Option<(RequestId, Fingerprint)> {
--- a/crates/gradepin/tests/scenario/virtual_stage.rs
+++ b/crates/gradepin/tests/scenario/virtual_stage.rs
@@ -101,6 +101,20 @@
         stage
     }
 
+    /// A server that shares its listener and its keyed runs with the other process of an upgrade.
+    pub fn in_upgrade() -> Self {
+        let mut stage = Self::sharing_runs_without_processor();
+        stage.reducer = std::mem::replace(&mut stage.reducer, Self::new().reducer).sharing_listener();
+        stage.send_processor_line("hi WARM 0");
+        stage
+    }
+
+    /// Time passes without a step, as if the process was stopped and continued.
+    pub fn pause_process(&mut self, ms: u64) {
+        self.now_ms += ms;
+        self.settle();
+    }
+
     /// A server that lends and borrows slots of the upstream, in a fleet where it hears no peer yet.
     pub fn lending(change: impl FnOnce(&mut serde_json::Value)) -> Self {
         let mut stage = Self::with(change);
--- a/crates/gradepin/tests/upgrade.rs
+++ b/crates/gradepin/tests/upgrade.rs
@@ -1,8 +1,8 @@
 //! Upgrades: two processes share an inherited listener, and the old one hands over at SIGTERM.
 
 mod scenario;
-use scenario::play;
 use scenario::virtual_stage::VirtualStage;
+use scenario::{Stage, play};
 
 #[test]
 fn the_old_process_stops_reporting_at_sigterm_and_exits_after_its_last_answer() {
@@ -46,19 +46,78 @@
 
 #[test]
 fn the_old_process_exits_before_sigkill_while_a_run_is_in_progress() {
-    // The stop time is 2 s after SIGTERM in this configuration; the process must exit before it.
+    // The stop time is 2 s after SIGTERM in this configuration; the process must answer and exit before it.
     play(
         &mut VirtualStage::sharing_listener(),
         "send a call 1 rid=1
          expect processor begin 1
          send server TERM
          wait 1800
+         expect a 1 failed
          expect no exit
          wait 60
          expect exit",
     );
 }
 
+#[test]
+fn the_old_process_answers_requests_in_every_state_before_its_exit() {
+    // Guards against requests that are read and never answered: the exit was due before the admission module had to have
+    // answered. Requests that run, wait for a claim, for another attempt, for a core or for a look-up are all answered.
+    let mut stage = VirtualStage::in_upgrade();
+    play(
+        &mut stage,
+        "send a call 1 rid=1
+         expect processor begin 1
+         send a call 2 rid=2 method=claim token=t
+         expect claim 2 t
+         send a call 3 rid=3 method=claim token=t
+         send a call 4 rid=4
+         send a call 5 rid=5
+         send a call 6 rid=6
+         send a call 7 rid=7 method=claim token=u
+         send server TERM
+         expect a draining
+         wait 1730
+         send a call 8 rid=8 method=claim token=v
+         expect lookup v
+         wait 70",
+    );
+    assert_answered(&mut stage, 1..=8);
+    play(&mut stage, "expect no exit\nwait 60\nexpect exit");
+}
+
+#[test]
+fn an_old_process_that_was_paused_past_its_exit_answers_before_it_exits() {
+    // Guards against an exit that comes first when a paused process finds its answers and its exit due at once: the
+    // queued keyed request is given up then, and its look-up can't be awaited.
+    let mut stage = VirtualStage::in_upgrade();
+    play(
+        &mut stage,
+        "send a call 1 rid=1
+         send a call 2 rid=2
+         send a call 3 rid=3
+         send a call 4 rid=4
+         send a call 5 rid=5 method=claim token=t
+         expect no claim
+         send server TERM",
+    );
+    stage.pause_process(1950);
+    assert_answered(&mut stage, 1..=5);
+    let events = stage.pending_events();
+    assert_eq!(events.last().map(String::as_str), Some("exit"), "{events:?}");
+}
+
+/// Takes the answers to requests on the connection `a`.
+fn assert_answered(stage: &mut VirtualStage, requests: std::ops::RangeInclusive<u32>) {
+    for request in requests {
+        let prefix = format!("a {request} ");
+        let events = stage.pending_events();
+        let answer = events.iter().find(|event| event.starts_with(&prefix));
+        assert!(answer.is_some(), "request {request} has no answer: {events:?}");
+    }
+}
+
 #[test]
 fn a_keyed_run_waits_for_its_claim_and_reports_its_end() {
     // Guards idempotency across an upgrade: no keyed run begins before it is claimed, the claim of a run that never
--- a/crates/gradepin/tests/upgrade_sockets.rs
+++ b/crates/gradepin/tests/upgrade_sockets.rs
@@ -267,6 +267,11 @@
 fn request(socket: &mut TcpStream, seq: u64, words: &str) -> String {
     let words = format!("{seq} {words}");
     socket.write_all(&call(&words.split(' ').collect::<Vec<_>>(), unix_ms())).expect("it takes bytes");
+    answer(socket)
+}
+
+/// Reads the next answer.
+fn answer(socket: &mut TcpStream) -> String {
     loop {
         let mut len = [0; 4];
         socket.read_exact(&mut len).expect("a frame");
@@ -348,3 +353,19 @@
     assert!(counts.iter().all(|proxy| proxy.connections >= 2), "some proxy did not reconnect: {counts:?}");
     assert_eq!((lost, answered), (0, sent), "{counts:?}");
 }
+
+#[test]
+fn the_old_process_answers_a_run_that_outlasts_the_stop() {
+    // Guards against a connection that ends without an answer: the old process would exit before its admission module
+    // had given up on what still runs.
+    let platform = Platform::new("outlasting", STOP * 2);
+    let mut old = platform.start_old();
+    let mut before = platform.connect();
+    before.write_all(&call(&["1", "rid=1", "body=tile"], unix_ms())).expect("it takes bytes");
+    let _new = platform.start_new();
+    terminate(&old);
+    assert_eq!(answer(&mut before), "1 failed");
+    let (took, status) = old.wait_for_exit();
+    assert!(status.success(), "the old process exited with {status:?}");
+    assert!(took < STOP, "the old process took {took:?} after its answer");
+}
