Wait for the server's readiness in the test of an unusable folder of claims

Cause: a_start_with_an_unusable_folder_serves_everything_but_keyed_requests sent its first read as soon as the processor had got `hello`; a server that has not read the processor's greeting yet refuses it.

Change: it waits for `control Ready` first, as the other scenarios on sockets do; all its checks stay.

--- a/crates/core/src/reducer/refusals.rs
+++ b/crates/core/src/reducer/refusals.rs
@@ -36,6 +36,7 @@
         Self { retry_after, no_failover: false }
     }
 
+    /// The response that carries the refusal.
     pub(super) fn response(self) -> Response {
         Response::Rejected { retry_after: self.retry_after, no_failover: self.no_failover }
     }
--- a/crates/gradepin/tests/startup.rs
+++ b/crates/gradepin/tests/startup.rs
@@ -111,6 +111,7 @@
     play(
         &mut stage,
         "expect processor hello 0
+         expect control Ready
          send a call 1 rid=1
          expect processor begin 1
          send processor complete 1 1 OK out
