Count why connections close and requests are refused, log what an exit leaves

Change: at its exit a process logs the requests that were read and not handled, with connection, sequence number and id. /stats has server_connections_closed_total, server_requests_refused_total (both by why), server_runs_repeated_total and server_callers_gone_total. Decisions are as before.

--- a/crates/core/src/reducer/admission_actions.rs
+++ b/crates/core/src/reducer/admission_actions.rs
@@ -7,6 +7,7 @@
 use super::open_requests::{OpenRequest, RequestState};
 use super::refusals::Refusal;
 use crate::idempotency_table::RunOutcome;
+use crate::lifecycle_counters::RefusalReason;
 use crate::messages::Response;
 use gradepin_admission::{Action, RequestId, Span, time_after};
 use slog::Level;
@@ -34,6 +35,7 @@
         match action {
             Action::Run(id) => self.start_run(&id),
             Action::Reject { id, retry_after, is_final } => {
+                self.metrics.lifecycle.count_refusal(RefusalReason::Admission);
                 self.refuse(&id, Refusal { retry_after, no_failover: is_final });
             }
             Action::Fail(id) => self.fail_request(&id),
--- a/crates/core/src/reducer/connections.rs
+++ b/crates/core/src/reducer/connections.rs
@@ -7,6 +7,7 @@
 
 use super::{MS, Reducer};
 use crate::idle_connections::{IdleConnections, IdleEntry};
+use crate::lifecycle_counters::CloseReason;
 use crate::messages::{ConnectionId, Effect, SequenceId};
 use crate::timer_wheel::{DueEntry, TimerWheel};
 use gradepin_admission::{RequestId, Span, Time, time_after};
@@ -53,6 +54,8 @@
     pub(super) throttled_until: Option<Time>,
     /// When the shell was last asked to close the connection if it is idle.
     closing_since: Option<Time>,
+    /// Why the shell was last asked to close the connection.
+    close_reason: Option<CloseReason>,
 }
 
 impl ConnectionState {
@@ -205,7 +208,7 @@
     /// Adds an accepted connection. If the table is almost full, an idle connection is evicted for it.
     pub(super) fn connection_opened(&mut self, connection: ConnectionId) {
         if let Some(idle) = self.connections.find_evictable(self.timestamp.now) {
-            self.close_if_idle(idle);
+            self.close_if_idle(idle, CloseReason::Evicted);
         }
         let uses_reserved_capacity = self.connections.len() >= self.connections.max_connections;
         self.connections.insert(connection, self.timestamp.now);
@@ -222,6 +225,9 @@
     /// Removes a connection that has ended. The callers of its requests no longer wait.
     pub(super) fn connection_closed(&mut self, connection: ConnectionId) {
         if let Some(state) = self.connections.table.remove(&connection) {
+            let counters = &mut self.metrics.lifecycle;
+            counters.count_close(state.close_reason.unwrap_or(CloseReason::Peer));
+            counters.callers_gone += state.open.len() as u64;
             for id in state.open.into_values().collect::<BTreeSet<_>>() {
                 self.caller_gone(&id);
             }
@@ -251,15 +257,21 @@
 
     /// Closes a connection that is half-closed, late or rejects requests, once no response is owed on it.
     pub(super) fn close_if_done(&mut self, connection: ConnectionId) {
-        match self.connections.table.get(&connection) {
+        match self.connections.table.get_mut(&connection) {
             Some(state) if !state.open.is_empty() => {}
-            Some(state) if state.is_half_closed => self.effects.push(Effect::CloseConnection(connection)),
+            Some(state) if state.is_half_closed => {
+                state.close_reason = Some(CloseReason::HalfClosed);
+                self.effects.push(Effect::CloseConnection(connection));
+            }
             Some(state) if state.is_late => {
+                state.close_reason = Some(CloseReason::MessageTimeout);
                 let messages_received = state.messages_received;
                 self.effects.push(Effect::CloseLateConnection { connection, messages_received });
             }
             // Messages that are still in transit are answered first.
-            Some(state) if state.rejects_requests => self.close_if_idle(connection),
+            Some(state) if state.rejects_requests => {
+                self.close_if_idle(connection, CloseReason::RejectsRequests);
+            }
             _ => {}
         }
     }
@@ -274,9 +286,10 @@
     }
 
     /// Has the shell close a connection if no message on it is in progress.
-    pub(super) fn close_if_idle(&mut self, connection: ConnectionId) {
+    pub(super) fn close_if_idle(&mut self, connection: ConnectionId, reason: CloseReason) {
         if let Some(state) = self.connections.table.get_mut(&connection) {
             state.closing_since = Some(self.timestamp.now);
+            state.close_reason = Some(reason);
             let messages_received = state.messages_received;
             self.effects.push(Effect::CloseIdleConnection { connection, messages_received });
         }
@@ -313,7 +326,7 @@
         match drained_at {
             None if is_idle => self.request_drain(connection),
             Some(drained_at) if is_idle && drained_at <= now && !self.drain.is_draining() => {
-                self.close_if_idle(connection);
+                self.close_if_idle(connection, CloseReason::IdleTimeout);
             }
             _ => {}
         }
--- a/crates/core/src/reducer/drain.rs
+++ b/crates/core/src/reducer/drain.rs
@@ -6,6 +6,7 @@
 
 use super::{MS, Reducer};
 use crate::handover::{Handover, RemainingWork};
+use crate::lifecycle_counters::CloseReason;
 use crate::messages::{Effect, Response, earliest};
 use crate::stop_times::{Ending, StopTimes};
 use gradepin_admission::{Event, Span, Time, time_after};
@@ -130,7 +131,7 @@
         let handover = &self.drain.handover;
         let may_close = |draining, last| handover.may_close_idle(now, draining, last);
         for connection in self.connections.idle_where(now, may_close) {
-            self.close_if_idle(connection);
+            self.close_if_idle(connection, CloseReason::Shutdown);
         }
         RemainingWork { open: self.requests.count_owed(), connections: self.connections.len() }
     }
--- a/crates/core/src/reducer/request_intake.rs
+++ b/crates/core/src/reducer/request_intake.rs
@@ -8,6 +8,7 @@
 use super::refusals::Refusal;
 use super::{MS, Reducer};
 use crate::idempotency_table::Fingerprint;
+use crate::lifecycle_counters::RefusalReason;
 use crate::messages::{ClientRequest, ConnectionId, RequestError, SequenceId};
 use gradepin_admission::{Event, Idempotency, Request, RequestId, Span, Time};
 use siphasher::sip::SipHasher13;
@@ -39,6 +40,8 @@
     Rejected {
         /// Slot of its class.
         class: usize,
+        /// Why it is refused.
+        reason: RefusalReason,
         /// Advised wait before a retry; 0 for no advice.
         retry_after: Span,
     },
@@ -121,7 +124,8 @@
             Err(IntakeError::Invalid { class, error, text }) => {
                 self.reject_invalid(connection, sequence, class, error, text);
             }
-            Err(IntakeError::Rejected { class, retry_after }) => {
+            Err(IntakeError::Rejected { class, reason, retry_after }) => {
+                self.metrics.lifecycle.count_refusal(reason);
                 self.refuse_at_intake(connection, sequence, class, request, retry_after);
             }
         }
@@ -183,7 +187,8 @@
         if self.controller.is_none() {
             // No processor has greeted yet, so there is no admission module. An earlier process, or the other one of an
             // upgrade, may have run the request all the same.
-            return Err(IntakeError::Rejected { class, retry_after: Span(0) });
+            let (reason, retry_after) = (RefusalReason::NoProcessor, Span(0));
+            return Err(IntakeError::Rejected { class, reason, retry_after });
         }
         // A request can't arrive after it is read. Guards against a time stamp in the future that would retain a key's
         // run forever.
@@ -226,7 +231,8 @@
         let has_capacity =
             connection.open_requests < MAX_OPEN_PER_CONNECTION && self.requests.has_body_capacity();
         if connection.rejects_requests || !has_capacity {
-            return Err(IntakeError::Rejected { class, retry_after: Span(0) });
+            let (reason, retry_after) = (RefusalReason::OpenRequestLimit, Span(0));
+            return Err(IntakeError::Rejected { class, reason, retry_after });
         }
         Ok(())
     }
@@ -276,7 +282,8 @@
             && !self.idempotency_table.has_run(key, arrived_unix_ms)
             && self.idempotency_log.retry_after(self.timestamp.now).is_some()
         {
-            return Err(IntakeError::Rejected { class, retry_after: self.store_retry_after() });
+            let retry_after = self.store_retry_after();
+            return Err(IntakeError::Rejected { class, reason: RefusalReason::Store, retry_after });
         }
         Ok(())
     }
@@ -314,7 +321,7 @@
         }
         let limits = &self.settings.limits;
         let retry_after = if limits.retry_after { limits.max_retry_after } else { Span(0) };
-        Err(IntakeError::Rejected { class, retry_after })
+        Err(IntakeError::Rejected { class, reason: RefusalReason::RetryBudget, retry_after })
     }
 
     /// Returns how long a request waited on this machine before it was read.
--- a/crates/core/src/reducer/runs.rs
+++ b/crates/core/src/reducer/runs.rs
@@ -77,6 +77,7 @@
         self.effects.push(Effect::StartRun { link, id: id.clone(), class, body: Arc::clone(&open.body) });
         if let Some(open) = self.requests.get_mut(id) {
             open.start_count = open.start_count.saturating_add(1);
+            self.metrics.lifecycle.runs_repeated += u64::from(open.start_count > 1);
         }
     }
 
--- a/crates/core/src/request_metrics.rs
+++ b/crates/core/src/request_metrics.rs
@@ -5,6 +5,7 @@
 //! if it is restored. The shell formats the text.
 
 use crate::configuration::ConfigurationMetrics;
+use crate::lifecycle_counters::LifecycleCounters;
 use crate::response::Response;
 use gradepin_cluster::cluster::ClusterStatus;
 use std::collections::BTreeMap;
@@ -40,6 +41,8 @@
     pub cfg_accepted: u64,
     /// Number of settings files rejected at a reload.
     pub cfg_invalid: u64,
+    /// What happened to connections and requests beside their responses.
+    pub lifecycle: LifecycleCounters,
     /// Metrics of the cluster; `None` without a cluster.
     pub fleet: Option<Box<ClusterStatus>>,
     /// Metrics of the committed configuration; `None` if the configuration service is not enabled.
@@ -53,6 +56,8 @@
     relayed: u64,
     cfg_accepted: u64,
     cfg_invalid: u64,
+    /// What happened to connections and requests beside their responses.
+    pub lifecycle: LifecycleCounters,
 }
 
 impl RequestMetrics {
@@ -91,6 +96,7 @@
             open,
             cfg_accepted: self.cfg_accepted,
             cfg_invalid: self.cfg_invalid,
+            lifecycle: self.lifecycle.clone(),
             fleet: None,
             configuration: None,
         }
--- a/crates/node/src/admin/exposition.rs
+++ b/crates/node/src/admin/exposition.rs
@@ -8,6 +8,10 @@
 //! | `server_open_requests` | gauge | | requests accepted and not answered yet |
 //! | `server_cfg_accepted_total` | counter | | configuration files accepted at SIGHUP |
 //! | `server_cfg_invalid_total` | counter | | configuration files rejected at SIGHUP |
+//! | `server_connections_closed_total` | counter | `why` | ends of client connections |
+//! | `server_requests_refused_total` | counter | `why` | refusals of valid requests |
+//! | `server_runs_repeated_total` | counter | | runs sent to the processor again after a lost link |
+//! | `server_callers_gone_total` | counter | | requests whose connection ended while a response was owed |
 //!
 //! In addition, for members of a fleet:
 //!
@@ -32,6 +36,7 @@
 
 use gradepin_cluster::cluster::ClusterStatus;
 use gradepin_core::configuration::ConfigurationMetrics;
+use gradepin_core::lifecycle_counters::{CloseReason, LifecycleCounters, RefusalReason};
 use gradepin_core::request_metrics::MetricsSnapshot;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -50,6 +55,7 @@
 pub(super) fn text(metrics: &MetricsSnapshot) -> String {
     let mut registry = Registry::with_prefix("server");
     register_requests(&mut registry, metrics);
+    register_lifecycle(&mut registry, &metrics.lifecycle);
     if let Some(fleet) = &metrics.fleet {
         register_fleet(&mut registry, fleet);
     }
@@ -101,6 +107,47 @@
     );
 }
 
+fn register_lifecycle(registry: &mut Registry, counters: &LifecycleCounters) {
+    let closed = Family::<Labels, Counter>::default();
+    for reason in CloseReason::ALL {
+        let labels = vec![("why", close_reason_label(reason).to_string())];
+        closed.get_or_create(&labels).inc_by(counters.closed(reason));
+    }
+    registry.register("connections_closed", "Client connections that ended", closed);
+    let refused = Family::<Labels, Counter>::default();
+    for reason in RefusalReason::ALL {
+        let labels = vec![("why", refusal_reason_label(reason).to_string())];
+        refused.get_or_create(&labels).inc_by(counters.refused(reason));
+    }
+    registry.register("requests_refused", "Valid requests that were refused", refused);
+    let repeated = counter(counters.runs_repeated);
+    registry.register("runs_repeated", "Runs handed to the processor again", repeated);
+    let gone = counter(counters.callers_gone);
+    registry.register("callers_gone", "Requests whose connection ended before their response", gone);
+}
+
+fn close_reason_label(reason: CloseReason) -> &'static str {
+    match reason {
+        CloseReason::Peer => "peer",
+        CloseReason::IdleTimeout => "idle",
+        CloseReason::Evicted => "evicted",
+        CloseReason::MessageTimeout => "message_timeout",
+        CloseReason::HalfClosed => "half_closed",
+        CloseReason::RejectsRequests => "rejects_requests",
+        CloseReason::Shutdown => "shutdown",
+    }
+}
+
+fn refusal_reason_label(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Admission => "admission",
+        RefusalReason::OpenRequestLimit => "open_requests",
+        RefusalReason::NoProcessor => "no_processor",
+        RefusalReason::Store => "store",
+        RefusalReason::RetryBudget => "retry_budget",
+    }
+}
+
 fn register_configuration(registry: &mut Registry, metrics: &ConfigurationMetrics) {
     let revision = integer_gauge(metrics.revision);
     registry.register("config_revision", "The revision of the configuration in force", revision);
--- a/crates/node/src/main_loop.rs
+++ b/crates/node/src/main_loop.rs
@@ -6,7 +6,7 @@
 use crate::queues::InputQueues;
 use gradepin_core::messages::{Effect, Input};
 use gradepin_core::reducer::Reducer;
-use slog::info;
+use slog::{info, warn};
 use std::time::Duration;
 
 /// The longest time between two steps of the reducer when it asks for no earlier one.
@@ -53,9 +53,20 @@
         Duration::from_nanos(wake_at.0.saturating_sub(now.0))
     }
 
+    /// Logs the requests that the reading thread has read and the reducer has not handled: they get no response.
+    fn log_unhandled_requests(&self) {
+        let inputs = self.queues.unhandled_client_inputs();
+        let requests: Vec<String> = inputs.iter().filter_map(describe_request).collect();
+        if !requests.is_empty() {
+            warn!(self.executor.log, "exiting with requests that were read and not handled; they get no response";
+                  "count" => requests.len(), "requests" => requests.join(", "));
+        }
+    }
+
     /// Shuts all parts down. Claims come first because the other process of an upgrade waits for the outcomes that they
     /// write. Their thread may be blocked on a full urgent queue, so they close that queue too.
     fn shut_down(self) {
+        self.log_unhandled_requests();
         let Self { mut executor, queues, .. } = self;
         info!(executor.log, "server shutting down: closing all parts, then the process exits");
         if let Some(claims) = executor.claims.take() {
@@ -64,3 +75,16 @@
         drop(executor);
     }
 }
+
+/// The connection, sequence number and id of a request; `None` for inputs that are owed no response.
+fn describe_request(input: &Input) -> Option<String> {
+    match input {
+        Input::Request { connection, sequence, request } => {
+            Some(format!("connection {connection} sequence {sequence} id {}", request.id.0))
+        }
+        Input::InvalidRequest { connection, sequence, .. } | Input::HealthCheck { connection, sequence } => {
+            Some(format!("connection {connection} sequence {sequence}"))
+        }
+        _ => None,
+    }
+}
--- a/crates/node/src/queues.rs
+++ b/crates/node/src/queues.rs
@@ -60,4 +60,10 @@
         arrived.extend(self.peer.try_iter().take(PEER_QUEUE_CAPACITY));
         arrived.extend(self.client.try_iter().take(CLIENT_QUEUE_CAPACITY));
     }
+
+    /// Removes and returns the client inputs that the reducer has not handled, at most the capacity of their queue. At
+    /// the exit of the process their requests are lost.
+    pub(crate) fn unhandled_client_inputs(&self) -> Vec<Input> {
+        self.client.try_iter().take(CLIENT_QUEUE_CAPACITY).collect()
+    }
 }
--- a/crates/node/tests/golden_edges/admin.rs
+++ b/crates/node/tests/golden_edges/admin.rs
@@ -25,6 +25,7 @@
 use gradepin_core::configuration::{
     ConfigurationAdminRequest, ConfigurationAdminResponse, ConfigurationMetrics,
 };
+use gradepin_core::lifecycle_counters::{CloseReason, LifecycleCounters, RefusalReason};
 use gradepin_core::request_metrics::{MetricsSnapshot, ResponseCounts};
 use gradepin_node::admin::http::{Response, parse_head};
 use gradepin_node::admin::response;
@@ -67,6 +68,14 @@
     }
 }
 
+fn lifecycle() -> LifecycleCounters {
+    let mut counters = LifecycleCounters::default();
+    CloseReason::ALL.into_iter().for_each(|reason| counters.count_close(reason));
+    RefusalReason::ALL.into_iter().for_each(|reason| counters.count_refusal(reason));
+    (counters.runs_repeated, counters.callers_gone) = (43, 44);
+    counters
+}
+
 fn stats() -> MetricsSnapshot {
     let counts = |n| ResponseCounts { fulfilled: n, throttled: n + 1, faulted: n + 2 };
     MetricsSnapshot {
@@ -75,6 +84,7 @@
         open: 38,
         cfg_accepted: 39,
         cfg_invalid: 40,
+        lifecycle: lifecycle(),
         fleet: Some(Box::new(fleet())),
         configuration: Some(ConfigurationMetrics { revision: 41, age_s: 42.5 }),
     }
