--- a/crates/gradepin/tests/scenario/mod.rs
+++ b/crates/gradepin/tests/scenario/mod.rs
@@ -138,7 +138,7 @@
 
 /// Text of a configuration file after one change to the active one. Valid changes: `retuned` keeps `read` with a
 /// longer deadline, drops `claim` and adds `view`; `calling` enables upstream calls; `unkeyed` makes `claim`
-/// repeatable; `rekeyed` makes it keyed again with a short window. Each of the others has one defect and must be
+/// repeatable; `rekeyed` makes it keyed again with a short window; `hurried` shortens all deadlines to 1 s. Each of the others has one defect and must be
 /// rejected.
 pub fn changed_config(config: &Value, how: &str) -> String {
     let mut config = config.clone();
@@ -151,6 +151,11 @@
             let read = config["settings"]["profiles"][0].clone();
             config["settings"]["profiles"] = json!([view, read]);
         }
+        "hurried" => {
+            for profile in config["settings"]["profiles"].as_array_mut().expect("classes") {
+                profile["deadline"] = json!(1_000_000_000_u64);
+            }
+        }
         "unkeyed" => config["settings"]["profiles"][1]["effect"] = json!("repeatable"),
         "rekeyed" => {
             config["settings"]["profiles"][1]["effect"] = json!("by_key");
--- a/crates/gradepin/tests/scenario/virtual_stage.rs
+++ b/crates/gradepin/tests/scenario/virtual_stage.rs
@@ -63,7 +63,12 @@
 impl VirtualStage {
     /// A server whose processor has greeted.
     pub fn ready() -> Self {
-        let mut stage = Self::new();
+        Self::with_processor(|_| ())
+    }
+
+    /// Like [`Self::ready`], with a modified configuration.
+    pub fn with_processor(change: impl FnOnce(&mut serde_json::Value)) -> Self {
+        let mut stage = Self::with(change);
         stage.send_processor_line("hi WARM 0");
         stage
     }
@@ -81,7 +86,12 @@
 
     /// A server that shares an inherited listener with its successor and whose processor has greeted.
     pub fn sharing_listener() -> Self {
-        let mut stage = Self::new();
+        Self::sharing_listener_with(|_| ())
+    }
+
+    /// Like [`Self::sharing_listener`], with a modified configuration.
+    pub fn sharing_listener_with(change: impl FnOnce(&mut serde_json::Value)) -> Self {
+        let mut stage = Self::with(change);
         stage.reducer = std::mem::replace(&mut stage.reducer, Self::new().reducer).sharing_listener();
         stage.send_processor_line("hi WARM 0");
         stage
