End reading before the exit of a process is decided, and answer what was read

Callers: their connections ended without an answer to requests that the server had read, during an upgrade.

Cause: nothing ordered the end of reading and the exit. The reducer decided the exit by what it knew to be owed, while the reading thread went on; what it read in between lay in a queue that nobody emptied. A process that was paused over its latest exit did so in its first step, with all that had arrived meanwhile.

Change: core/src/shutdown.rs is the one order of a shutdown: accepting ends, answers are due, connections are closed as they become idle; then reading ends and says so (Effect::StopReading, Input::StoppedReading, in the queue of the messages), then what is owed is answered, the answers are flushed, our half is shut, the rest is discarded until the peer's end or the stop. The last read takes throttled and unread clients too. A process that owns its listener takes the same steps before its stop, where it used to be cut off by SIGKILL. It works since each step waits for the report of the one before, and not for a margin.

Tests changed: they expected that a process stays 2 s past a stop that nobody enforces, or exits some ms later than it now does; they check the order answers, close, exit and the bound before the stop. One arrival after the grace moved from 1,900 to 1,700 ms, before the close. A frozen process now gets its stop time of 2 s, so that it freezes before the close.

--- a/crates/core/src/messages/effect.rs
+++ b/crates/core/src/messages/effect.rs
@@ -169,6 +169,9 @@
     /// Accept no more connections, as the process hands over its listening socket or closes down. Answered by
     /// [`super::Input::StoppedAccepting`].
     StopAccepting,
+    /// Read no more messages: read once more what has arrived on each connection, pass its messages on, and discard what
+    /// comes later. Answered by [`super::Input::StoppedReading`].
+    StopReading,
     /// Answer an operator's request.
     AnswerAdmin {
         /// Id of the request.
--- a/crates/core/src/messages/input.rs
+++ b/crates/core/src/messages/input.rs
@@ -142,6 +142,8 @@
     ShutdownNotice,
     /// The front ends accept no more connections, and have reported all that they accepted.
     StoppedAccepting,
+    /// The front ends read no more messages, and have passed on all that they read.
+    StoppedReading,
     /// An operator takes the server out of service. This is published first, and the drain starts once clients may
     /// know.
     TakeOutOfService,
--- a/crates/core/src/reducer/connections.rs
+++ b/crates/core/src/reducer/connections.rs
@@ -29,6 +29,14 @@
 /// Factor on the idle time of a connection that never sent a message.
 const SILENT_WEIGHT: u64 = 2;
 
+/// A request to the shell to close a connection if it is idle.
+#[derive(Debug)]
+struct RequestedClose {
+    since: Time,
+    /// Number of messages that had been received from the connection.
+    messages_received: u64,
+}
+
 /// The state of a client connection.
 #[derive(Debug, Default)]
 pub(super) struct ConnectionState {
@@ -52,16 +60,20 @@
     messages_received: u64,
     /// End of the latest period in which nothing was read because of throttling.
     pub(super) throttled_until: Option<Time>,
-    /// When the shell was last asked to close the connection if it is idle.
-    closing_since: Option<Time>,
+    /// The latest request to the shell to close the connection if it is idle.
+    closing: Option<RequestedClose>,
     /// Why the shell was last asked to close the connection.
     close_reason: Option<CloseReason>,
 }
 
 impl ConnectionState {
-    /// Whether the shell may still be carrying out a request to close the connection.
+    /// Whether the shell may still be carrying out a request to close the connection. It drops the request if another
+    /// message arrives.
     fn is_closing(&self, now: Time) -> bool {
-        self.closing_since.is_some_and(|since| now < time_after(since, CLOSE_TIMEOUT))
+        self.closing.as_ref().is_some_and(|closing| {
+            closing.messages_received == self.messages_received
+                && now < time_after(closing.since, CLOSE_TIMEOUT)
+        })
     }
 }
 
@@ -285,12 +297,20 @@
         }
     }
 
+    /// Has the shell close a connection from which no more messages come, after all that was sent on it.
+    pub(super) fn close_now(&mut self, connection: ConnectionId, reason: CloseReason) {
+        if let Some(state) = self.connections.table.get_mut(&connection) {
+            state.close_reason.get_or_insert(reason);
+            self.effects.push(Effect::CloseConnection(connection));
+        }
+    }
+
     /// Has the shell close a connection if no message on it is in progress.
     pub(super) fn close_if_idle(&mut self, connection: ConnectionId, reason: CloseReason) {
         if let Some(state) = self.connections.table.get_mut(&connection) {
-            state.closing_since = Some(self.timestamp.now);
-            state.close_reason = Some(reason);
             let messages_received = state.messages_received;
+            state.closing = Some(RequestedClose { since: self.timestamp.now, messages_received });
+            state.close_reason = Some(reason);
             self.effects.push(Effect::CloseIdleConnection { connection, messages_received });
         }
     }
--- a/crates/core/src/reducer/drain.rs
+++ b/crates/core/src/reducer/drain.rs
@@ -1,56 +1,40 @@
 //! Graceful shutdown: the shutdown notice, a shutdown planned by an operator, the hand-over of an upgrade, and the exit
 //! of the process.
 //!
-//! The admission module decides which requests still run during the drain; the rules of a hand-over are in
-//! [`crate::handover`].
+//! The admission module decides which requests still run during the drain; the order of the steps is in
+//! [`crate::shutdown`].
 
 use super::{MS, Reducer};
-use crate::handover::{Handover, RemainingWork};
 use crate::lifecycle_counters::CloseReason;
-use crate::messages::{Effect, Response, earliest};
-use crate::stop_times::{Ending, StopTimes};
-use gradepin_admission::{Event, Span, Time, time_after};
+use crate::messages::{Effect, Response};
+use crate::shutdown::{RemainingWork, Shutdown, ShutdownStep};
+use crate::stop_times::StopTimes;
+use gradepin_admission::{Event, Span, Time};
 use slog::Level;
 
-/// Delay after which a process that was not stopped when it was due to be closes down by itself.
-const MISSED_STOP_DELAY: Span = Span(2_000 * MS);
-/// Time limit of closing down: no more connections are accepted, received requests are answered, and idle connections
-/// are closed.
-const CLOSE_DOWN_TIMEOUT: Span = Span(1_500 * MS);
-
 /// Progress of the shutdown.
 #[derive(Debug)]
 pub(super) struct Drain {
-    /// The times of the shutdown, once its notice has arrived.
-    times: Option<StopTimes>,
-    /// When the process closes down if it is not stopped; while it closes down, when it exits at the latest.
-    exit_at: Option<Time>,
+    /// The steps of the shutdown.
+    pub(super) shutdown: Shutdown,
     /// Time from the notice to the stop of the process.
-    pub(super) stop_after: Span,
-    /// The hand-over to a successor, if the listening socket is shared with one.
-    pub(super) handover: Handover,
+    pub(super) configured_stop: Span,
 }
 
 impl Drain {
-    /// Creates the state of a process that is stopped `stop_after` the notice.
-    pub(super) fn new(stop_after: Span) -> Self {
-        Self { times: None, exit_at: None, stop_after, handover: Handover::default() }
+    /// Creates the state of a process that is stopped `configured_stop` after the notice.
+    pub(super) fn new(configured_stop: Span) -> Self {
+        Self { shutdown: Shutdown::default(), configured_stop }
     }
 
     /// Whether the shutdown notice has arrived.
     pub(super) fn is_draining(&self) -> bool {
-        self.times.is_some()
-    }
-
-    /// Next time at which a step is due without input.
-    pub(super) fn wake_at(&self) -> Option<Time> {
-        // Without `exit_at` the process either does not shut down or has exited, so the hand-over has nothing due.
-        earliest(self.exit_at, self.exit_at.and(self.handover.wake_at()))
+        self.shutdown.times().is_some()
     }
 
     /// When the shutdown notice arrived, or `now` if it has not.
     pub(super) fn notified_or(&self, now: Time) -> Time {
-        self.times.map_or(now, |times| times.notified_at())
+        self.shutdown.times().map_or(now, |times| times.notified_at())
     }
 }
 
@@ -61,12 +45,8 @@
             return;
         }
         let now = self.timestamp.now;
-        let ending = if self.drain.handover.is_shared() { Ending::HandedOver } else { Ending::Stopped };
-        let times = StopTimes::new(now, self.drain.stop_after, ending);
-        self.drain.times = Some(times);
-        self.drain.exit_at = Some(time_after(times.stop_at(), MISSED_STOP_DELAY));
-        if self.drain.handover.begin(times.latest_end()) {
-            self.effects.push(Effect::StopAccepting);
+        self.drain.shutdown.begin(StopTimes::new(now, self.drain.configured_stop));
+        if self.drain.shutdown.is_handing_over() {
             self.log(
                 Level::Info,
                 "handing over: the successor process accepts new connections from now on".into(),
@@ -115,7 +95,7 @@
 
     /// Tells the admission module by when it must have answered all requests.
     pub(super) fn notify_admission_of_shutdown(&mut self) {
-        let Some(times) = self.drain.times else { return };
+        let Some(times) = self.drain.shutdown.times() else { return };
         let now = self.timestamp.now;
         let time_left = Span(times.answers_due_at().0.saturating_sub(now.0));
         let stop_ms = times.stop_at().0.saturating_sub(now.0) / MS;
@@ -124,44 +104,58 @@
         self.events.push(Event::ShutdownNotice(time_left));
     }
 
-    /// Returns what keeps a process that hands over or closes down from exiting: requests that are owed a response, and
-    /// connections. Closes connections that have been idle since their peers were asked to drain them.
+    /// Returns what keeps the process from exiting, after closing the connections that may be closed because they are idle.
     fn remaining_work(&mut self) -> RemainingWork {
         let now = self.timestamp.now;
-        let handover = &self.drain.handover;
-        let may_close = |draining, last| handover.may_close_idle(now, draining, last);
+        let shutdown = &self.drain.shutdown;
+        let may_close = |draining, last| shutdown.may_close_idle(now, draining, last);
         for connection in self.connections.idle_where(now, may_close) {
             self.close_if_idle(connection, CloseReason::Shutdown);
         }
         RemainingWork { open: self.requests.count_owed(), connections: self.connections.len() }
     }
 
-    /// Exits once everything is handed over or the time is up. Before the time is up the process closes down, so that a
-    /// request that arrives at the last moment is answered and its connection closed normally, rather than reset by the
-    /// exit of the process.
-    pub(super) fn exit_when_done(&mut self) {
-        let now = self.timestamp.now;
-        let is_due = self.drain.exit_at.is_some_and(|at| now >= at);
-        let latest_exit = time_after(now, CLOSE_DOWN_TIMEOUT);
-        if is_due && self.drain.handover.close_down(latest_exit) {
-            self.drain.exit_at = Some(latest_exit);
-            self.effects.push(Effect::StopAccepting);
+    /// Takes the steps of the shutdown that are due.
+    pub(super) fn shutdown_step(&mut self) {
+        if !self.drain.is_draining() {
             return;
         }
-        let is_handed_over = self.drain.handover.is_under_way() && {
+        loop {
             let remaining = self.remaining_work();
-            self.drain.handover.may_exit(now, remaining)
-        };
-        if self.drain.exit_at.take_if(|at| now >= *at || is_handed_over).is_some() {
-            self.announce_departure();
-            self.log_exit();
-            self.fail_owed_requests();
-            self.effects.push(Effect::Exit);
+            match self.drain.shutdown.next_step(self.timestamp.now, remaining) {
+                None => return,
+                Some(ShutdownStep::StopAccepting) => self.effects.push(Effect::StopAccepting),
+                Some(ShutdownStep::StopReading) => self.effects.push(Effect::StopReading),
+                Some(ShutdownStep::CloseConnections) => self.close_all_connections(),
+                Some(ShutdownStep::Exit) => self.exit(),
+            }
         }
     }
 
-    /// Fails all requests that are still owed a response at the exit. Guards against a request that is never answered
-    /// because the process was paused or busy when its answer was due.
+    /// Closes all connections after their last answers. No more messages come from them.
+    fn close_all_connections(&mut self) {
+        let owed = self.requests.count_owed();
+        let connections = self.connections.len();
+        let level = if owed > 0 { Level::Warning } else { Level::Info };
+        let text = format!(
+            "reading has ended; requests that fail now: {owed}, connections that are closed: {connections}"
+        );
+        self.log(level, text);
+        self.fail_owed_requests();
+        for connection in self.connections.ids() {
+            self.close_now(connection, CloseReason::Shutdown);
+        }
+    }
+
+    fn exit(&mut self) {
+        self.announce_departure();
+        self.fail_owed_requests();
+        self.log_exit();
+        self.effects.push(Effect::Exit);
+    }
+
+    /// Fails all requests that are still owed a response. Guards against a request that is never answered because the
+    /// process was paused or busy when its answer was due.
     fn fail_owed_requests(&mut self) {
         for id in self.requests.owed_ids() {
             self.respond(&id, Response::Failed { timed_out: self.is_past_deadline(&id) });
@@ -170,14 +164,12 @@
 
     /// Logs what the process leaves behind at its exit, and when the platform would have stopped it.
     fn log_exit(&mut self) {
-        let (owed, connections) = (self.requests.count_owed(), self.connections.len());
-        let stop_at = self.drain.times.map_or(self.timestamp.now, |times| times.stop_at());
+        let stop_at = self.drain.shutdown.times().map_or(self.timestamp.now, |times| times.stop_at());
         let early_ms = stop_at.0.saturating_sub(self.timestamp.now.0) / MS;
-        let level = if owed > 0 { Level::Warning } else { Level::Info };
+        let connections = self.connections.len();
         let text = format!(
-            "exiting {early_ms} ms before the stop time; requests that fail at the exit: {owed}, open connections: \
-             {connections}"
+            "exiting {early_ms} ms before the stop time; connections that their peers have not closed: {connections}"
         );
-        self.log(level, text);
+        self.log(Level::Info, text);
     }
 }
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -32,13 +32,13 @@
 use crate::buffer_pool::BufferPool;
 use crate::classes::Classes;
 use crate::config::{Config, ConfigError};
-use crate::handover::Handover;
 use crate::idempotency_log::IdempotencyLog;
 use crate::idempotency_table::IdempotencyTable;
 use crate::messages::{ConnectionId, Effect, Input, SequenceId, UpstreamCallId, earliest};
 use crate::pending_claims::PendingClaims;
 use crate::registration::Registration;
 use crate::request_metrics::RequestMetrics;
+use crate::shutdown::Shutdown;
 use crate::tenants::Tenants;
 use crate::timestamp::Timestamp;
 use agreements::Agreements;
@@ -195,7 +195,7 @@
 
     /// Configures a process whose listening socket is inherited and shared with its successor in an upgrade.
     pub fn sharing_listener(mut self) -> Self {
-        self.drain.handover = Handover::shared();
+        self.drain.shutdown = Shutdown::sharing_listener();
         self
     }
 
@@ -246,7 +246,7 @@
         }
         let due = [
             self.schedule.timer_due_at(now, self.processor.reading_since),
-            self.drain.wake_at(),
+            self.drain.shutdown.wake_at(now),
             self.pending_refusals.wake_at(),
             self.idempotency_log.wake_at(),
             self.recovery.wait_until(),
@@ -310,7 +310,8 @@
             Input::GaugesRead { number, values } => self.gauges_read(number, &values),
             Input::RunNotStarted(id) => self.run_not_started(&id),
             Input::ShutdownNotice => self.begin_shutdown(),
-            Input::StoppedAccepting => self.drain.handover.accepting_stopped(),
+            Input::StoppedAccepting => self.drain.shutdown.accepting_stopped(now),
+            Input::StoppedReading => self.drain.shutdown.reading_stopped(now),
             Input::TakeOutOfService => self.operator_takes_out(),
             Input::ReturnToService => self.operator_returns(),
             Input::VoterStateWritten { number } => self.voter_state_written(number),
--- a/crates/core/src/reducer/schedule.rs
+++ b/crates/core/src/reducer/schedule.rs
@@ -100,12 +100,12 @@
         let grace_ends = time_after(self.drain.notified_or(now), self.settings.rules.drain_grace);
         let is_drained = self.drain.is_draining() && self.requests.is_empty() && now > grace_ends;
         self.registration.step(self.timestamp, is_drained, &mut self.effects);
-        self.exit_when_done();
+        self.shutdown_step();
     }
 
     fn report_readiness(&mut self) {
         let is_due = self.schedule.take_due_report(self.timestamp.now);
-        if is_due && self.controller.is_some() && self.drain.handover.reports_readiness() {
+        if is_due && self.controller.is_some() && self.drain.shutdown.reports_readiness() {
             let is_out_of_service =
                 self.registration.is_out_of_service() || self.operator_drain.draining_since().is_some();
             self.effects.push(Effect::ReportReadiness { ready: self.healthy && !is_out_of_service });
--- a/crates/core/src/reducer/settings_reload.rs
+++ b/crates/core/src/reducer/settings_reload.rs
@@ -110,7 +110,7 @@
         // The control plane may be a new one, which must learn of this server at once, whether or not it has the list
         // of the old one.
         self.report_change();
-        self.drain.stop_after = Span(config.stop_ms.saturating_mul(MS));
+        self.drain.configured_stop = Span(config.stop_ms.saturating_mul(MS));
         let (processor, control) = (config.processor, config.control);
         self.log(Level::Info, format!("reloaded: the processor is at {processor}, control at {control}"));
         (self.config.processor, self.config.control) = (processor, control);
--- a/crates/core/src/stop_times.rs
+++ b/crates/core/src/stop_times.rs
@@ -1,38 +1,28 @@
 //! The times before the platform stops a process. All of them are derived here from the time of the stop, so that they
-//! keep their order: the last answer, then the exit of a process that hands over, then SIGKILL.
+//! keep their order: the last answer, then the end of reading, then SIGKILL.
 
 use gradepin_admission::{Span, Time, time_after, time_before};
 
 const MS: u64 = 1_000_000;
-/// A process that hands over exits this long before SIGKILL, which would reset all its connections.
-const EXIT_MARGIN: Span = Span(150 * MS);
-/// Every request has its answer this long before the process ends, which leaves time for the last answers and the
-/// shutdown notice to arrive.
+/// A process ends reading this long before SIGKILL, which would reset all its connections.
+const CLOSE_MARGIN: Span = Span(150 * MS);
+/// Every request that was read until then has its answer this long before reading ends, so that connections are idle and
+/// can be closed one by one.
 const ANSWER_MARGIN: Span = Span(100 * MS);
 /// A margin takes at most this part of the time that is left, so that a short time to the stop is not used up by it.
 const MAX_MARGIN_DIVISOR: u64 = 4;
 
-/// How a process ends after its shutdown notice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ending {
-    /// The platform stops it; it serves what still arrives until then.
-    Stopped,
-    /// It exits by itself after it has handed over to its successor.
-    HandedOver,
-}
-
 /// The times of one shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopTimes {
     notified_at: Time,
     stop_at: Time,
-    ending: Ending,
 }
 
 impl StopTimes {
     /// Creates the times of a process that is stopped `stop_after` its shutdown notice, which arrived at `notified_at`.
-    pub fn new(notified_at: Time, stop_after: Span, ending: Ending) -> Self {
-        Self { notified_at, stop_at: time_after(notified_at, stop_after), ending }
+    pub fn new(notified_at: Time, stop_after: Span) -> Self {
+        Self { notified_at, stop_at: time_after(notified_at, stop_after) }
     }
 
     /// When the shutdown notice arrived.
@@ -45,17 +35,14 @@
         self.stop_at
     }
 
-    /// When the process ends, whatever remains: at the stop, or before it if it hands over.
-    pub fn latest_end(&self) -> Time {
-        match self.ending {
-            Ending::Stopped => self.stop_at,
-            Ending::HandedOver => self.before(self.stop_at, EXIT_MARGIN),
-        }
+    /// When the reading of connections ends that are in use until then; always before [`StopTimes::stop_at`].
+    pub fn reading_ends_at(&self) -> Time {
+        self.before(self.stop_at, CLOSE_MARGIN)
     }
 
-    /// Time by which every request must have its answer; always before [`StopTimes::latest_end`].
+    /// Time by which every request must have its answer; always before [`StopTimes::reading_ends_at`].
     pub fn answers_due_at(&self) -> Time {
-        self.before(self.latest_end(), ANSWER_MARGIN)
+        self.before(self.reading_ends_at(), ANSWER_MARGIN)
     }
 
     fn before(&self, end: Time, margin: Span) -> Time {
--- a/crates/gradepin/tests/connection_lifecycle.rs
+++ b/crates/gradepin/tests/connection_lifecycle.rs
@@ -264,7 +264,7 @@
 /// and the process exits.
 #[test]
 fn requests_that_arrive_with_the_exit_are_answered() {
-    let mut stage = SocketStage::with("instant-exit", 1024, |config| config["stop_ms"] = 100.into());
+    let mut stage = SocketStage::with("instant-exit", 1024, |config| config["stop_ms"] = 2000.into());
     play(
         &mut stage,
         "expect processor hello 0
--- a/crates/gradepin/tests/scenario/virtual_stage.rs
+++ b/crates/gradepin/tests/scenario/virtual_stage.rs
@@ -258,6 +258,11 @@
                 self.pending_inputs.push(Input::StoppedAccepting);
                 "stop accepting".to_string()
             }
+            Effect::StopReading => {
+                // As the reader does, after the messages it has read.
+                self.pending_inputs.push(Input::StoppedReading);
+                "stop reading".to_string()
+            }
             Effect::CloseIdleConnection { connection: conn, .. }
             | Effect::CloseLateConnection { connection: conn, .. }
             | Effect::CloseConnection(conn) => {
--- a/crates/gradepin/tests/upgrade.rs
+++ b/crates/gradepin/tests/upgrade.rs
@@ -46,18 +46,26 @@
 
 #[test]
 fn the_old_process_exits_before_sigkill_while_a_run_is_in_progress() {
-    // The stop time is 2 s after SIGTERM in this configuration; the process must answer and exit before it.
+    // The stop time is 2 s after SIGTERM in this configuration; the process must answer, close and exit before it.
+    let mut stage = VirtualStage::sharing_listener();
     play(
-        &mut VirtualStage::sharing_listener(),
+        &mut stage,
         "send a call 1 rid=1
          expect processor begin 1
          send server TERM
-         wait 1800
-         expect a 1 failed
+         wait 1700
+         expect no a 1
          expect no exit
-         wait 60
-         expect exit",
+         wait 160",
     );
+    assert_in_order(&mut stage, &["a 1 failed", "a closed", "exit"]);
+}
+
+/// Asserts that these events have occurred, in this order.
+fn assert_in_order(stage: &mut VirtualStage, wanted: &[&str]) {
+    let events = stage.pending_events();
+    let found: Vec<&str> = events.iter().map(String::as_str).filter(|event| wanted.contains(event)).collect();
+    assert_eq!(found, wanted, "{events:?}");
 }
 
 #[test]
@@ -81,10 +89,14 @@
          wait 1730
          send a call 8 rid=8 method=claim token=v
          expect lookup v
-         wait 70",
+         wait 130",
     );
     assert_answered(&mut stage, 1..=8);
-    play(&mut stage, "expect no exit\nwait 60\nexpect exit");
+    assert_in_order(&mut stage, &["a closed", "exit"]);
+    let events = stage.pending_events();
+    let closed = events.iter().position(|event| event == "a closed");
+    let last_answer = events.iter().rposition(|event| event.starts_with("a ") && event != "a closed");
+    assert!(last_answer < closed, "an answer after the close: {events:?}");
 }
 
 #[test]
--- a/crates/gradepin/tests/upgrade_refusals.rs
+++ b/crates/gradepin/tests/upgrade_refusals.rs
@@ -20,7 +20,7 @@
         "it arrived after the drain grace",
         "open b
          send server TERM
-         wait 1900
+         wait 1700
          send b call 1 rid=100 method=claim token=t",
     ),
     (
--- a/crates/gradepin/tests/virtual_scenarios.rs
+++ b/crates/gradepin/tests/virtual_scenarios.rs
@@ -427,7 +427,7 @@
 
 #[test]
 fn a_draining_server_answers_everything_and_starts_no_run_after_the_grace_period() {
-    // The grace period is 1 s and the stop time 2 s; nothing kills the process before that.
+    // The grace period is 1 s and the stop time 2 s; all is answered, closed and ended before that.
     play_ready(
         "send a call 1 rid=1 budget=4000
         expect processor begin 1
@@ -444,11 +444,12 @@
         expect b 1 refused
         expect no processor begin
         expect no a 1
-        wait 850
-        expect a 1 failed
-        wait 1000
+        wait 600
         expect no exit
-        wait 1100
+        wait 250
+        expect a 1 failed
+        expect a closed
+        expect b closed
         expect exit",
     );
 }
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -84,6 +84,7 @@
             }
             Effect::RequestDrain(connection) => self.frontend.request_drain(connection),
             Effect::StopAccepting => self.frontend.stop_accepting(),
+            Effect::StopReading => self.frontend.stop_reading(),
             Effect::CloseConnection(connection) => self.frontend.close(connection),
             Effect::CloseIdleConnection { connection, messages_received } => {
                 self.frontend.close_when_idle(connection, messages_received);
--- a/crates/node/src/frontend/connection_reader.rs
+++ b/crates/node/src/frontend/connection_reader.rs
@@ -24,6 +24,9 @@
 /// Reads per call while decoding. The second one detects that the socket is empty, which a read that doesn't fill its
 /// buffer doesn't prove.
 const MAX_READS: usize = 2;
+/// Calls of [`ConnectionReader::read`] in which what has arrived is read before reading ends. Enough for all requests that
+/// a client may have open on a connection, with the longest bodies.
+const MAX_FINAL_READS: usize = 64;
 /// Cost of reading one message, in tokens.
 const READ_COST: usize = 1;
 
@@ -89,6 +92,8 @@
     /// Whether reading is paused until the peer has read some of its responses.
     pub(super) is_write_blocked: bool,
     discarded_bytes: usize,
+    /// Unsent frames at which reading stops.
+    max_unsent_frames: usize,
 }
 
 impl ConnectionReader {
@@ -116,6 +121,7 @@
             is_scheduled: true,
             is_write_blocked: false,
             discarded_bytes: 0,
+            max_unsent_frames: MAX_UNSENT_FRAMES,
         }
     }
 
@@ -157,6 +163,30 @@
         Ok(ReadOutcome::MoreToRead)
     }
 
+    /// Reads and delivers what has arrived, before the reading of messages ends: also from a connection that is throttled
+    /// or leaves responses unread, since its requests must be answered before it is closed. Returns the last outcome.
+    ///
+    /// # Errors
+    /// If the socket fails; the connection is unusable.
+    pub(super) fn read_rest(&mut self, id: ConnectionId, shared: &Shared) -> io::Result<ReadOutcome> {
+        self.max_unsent_frames = usize::MAX;
+        for _ in 0..MAX_FINAL_READS {
+            match self.read(id, shared)? {
+                ReadOutcome::MoreToRead | ReadOutcome::Throttled(_) => {}
+                outcome => return Ok(outcome),
+            }
+        }
+        Ok(ReadOutcome::MoreToRead)
+    }
+
+    /// Has all further bytes discarded.
+    pub(super) fn discard_from_now_on(&mut self) {
+        self.is_write_blocked = false;
+        if self.intake == Intake::Decoding {
+            self.stop_decoding(true);
+        }
+    }
+
     /// Ends a read after the system reported that the socket is empty. A short read would not prove that: at an urgent
     /// mark, for example, it leaves bytes for which no further edge-triggered event arrives.
     fn wait_for_bytes(&mut self, buffer: Buffer) -> ReadOutcome {
@@ -246,7 +276,7 @@
     ) -> Option<ReadOutcome> {
         let (mut progress, mut outcome) = (DecodeProgress::default(), None);
         while outcome.is_none() && progress.consumed_bytes < buffer.len() {
-            if self.connection.unsent_frames() >= MAX_UNSENT_FRAMES {
+            if self.connection.unsent_frames() >= self.max_unsent_frames {
                 outcome = Some(ReadOutcome::WriteBlocked);
                 break;
             }
--- a/crates/node/src/frontend/event_loop.rs
+++ b/crates/node/src/frontend/event_loop.rs
@@ -24,6 +24,8 @@
 
 /// Interval between checks of timeouts, and the longest wait for events.
 const TICK: Duration = Duration::from_millis(100);
+/// Longest wait for events once accepting has stopped, so that the end of reading follows soon after it is asked for.
+const SHUTDOWN_TICK: Duration = Duration::from_millis(5);
 /// Interval between attempts to accept connections without an event.
 const ACCEPT_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Pause before accepting is retried after no slot was free.
@@ -50,6 +52,8 @@
     /// Connections without tokens, with the time at which each is read again.
     throttled: HashMap<ConnectionId, Instant>,
     next_accept_probe: Instant,
+    /// Whether no more messages are read.
+    reading_ended: bool,
 }
 
 impl EventLoop {
@@ -77,6 +81,7 @@
             scheduled: VecDeque::new(),
             throttled: HashMap::new(),
             next_accept_probe: Instant::now(),
+            reading_ended: false,
         })
     }
 
@@ -92,7 +97,7 @@
             self.accept();
             let now = Instant::now();
             self.resume_throttled(now);
-            if !self.read_scheduled() {
+            if !self.read_scheduled() || !self.end_reading_if_asked() {
                 return;
             }
             if now >= next_tick {
@@ -120,7 +125,8 @@
 
     /// How long to wait for events: at most [`TICK`].
     fn wait_timeout(&self) -> Duration {
-        let mut timeout = if self.scheduled.is_empty() { TICK } else { Duration::ZERO };
+        let longest = if self.acceptor.is_accepting() { TICK } else { SHUTDOWN_TICK };
+        let mut timeout = if self.scheduled.is_empty() { longest } else { Duration::ZERO };
         if self.acceptor.may_have_queued() {
             timeout = timeout.min(ACCEPT_RETRY_INTERVAL);
         }
@@ -194,9 +200,42 @@
         true
     }
 
+    /// Ends the reading of messages when the main thread asks for it. Returns false if the reducer accepts no more inputs.
+    fn end_reading_if_asked(&mut self) -> bool {
+        if self.reading_ended || !self.shared.stops.reading.load(Ordering::SeqCst) {
+            return true;
+        }
+        self.reading_ended = true;
+        // Connections that are accepted now are read too.
+        self.accept();
+        self.throttled.clear();
+        let ids: Vec<ConnectionId> = self.readers.keys().copied().collect();
+        let accepts_inputs = ids.into_iter().all(|id| self.read_rest(id));
+        // In the same queue as the messages, so that it arrives after all of them.
+        accepts_inputs && self.shared.inputs.send(Input::StoppedReading).is_ok()
+    }
+
+    /// Reads what has arrived on a connection, then discards what follows. Returns false if the reducer accepts no more
+    /// inputs.
+    fn read_rest(&mut self, id: ConnectionId) -> bool {
+        let Some(reader) = self.readers.get_mut(&id) else { return true };
+        let accepts_inputs = match reader.read_rest(id, &self.shared) {
+            Ok(ReadOutcome::HalfClosed { malformed }) => self.half_close(id, malformed),
+            Ok(ReadOutcome::Closed { error }) => self.remove(id, error),
+            Ok(_) => true,
+            Err(error) => self.remove(id, Some(error)),
+        };
+        if let Some(reader) = self.readers.get_mut(&id) {
+            reader.discard_from_now_on();
+            reader.is_scheduled = true;
+            self.scheduled.push_back(id);
+        }
+        accepts_inputs
+    }
+
     /// Accepts queued connections while slots are free, a batch from each listener in turn.
     fn accept(&mut self) {
-        if !self.shared.accepting.load(Ordering::SeqCst) {
+        if self.shared.stops.accepting.load(Ordering::SeqCst) {
             if self.acceptor.is_accepting() {
                 self.stop_accepting();
             }
--- a/crates/node/src/frontend/event_loop/tests.rs
+++ b/crates/node/src/frontend/event_loop/tests.rs
@@ -8,7 +8,6 @@
 use slog::Logger;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::AtomicBool;
 
 /// Creates an event loop that is not running; returns it with the address of its listener and the queue of its inputs.
 fn event_loop(max_connections: usize, shared: bool) -> (EventLoop, SocketAddr, Receiver<Input>) {
@@ -18,13 +17,8 @@
     let (inputs, received) = unbounded();
     let protocol: Arc<dyn Protocol> = Arc::new(Thrift::new(ActiveSettings::new(&Default::default())));
     let log = Logger::root(slog::Discard, slog::o!());
-    let shared = Shared {
-        connections: Arc::default(),
-        accepting: Arc::new(AtomicBool::new(true)),
-        inputs,
-        pool: BufferPool::new(4),
-        log,
-    };
+    let shared =
+        Shared { connections: Arc::default(), stops: Arc::default(), inputs, pool: BufferPool::new(4), log };
     (EventLoop::new(vec![(protocol, listener)], max_connections, shared).unwrap(), address, received)
 }
 
@@ -35,7 +29,7 @@
     for shared in [false, true] {
         let (mut event_loop, address, received) = event_loop(100, shared);
         let _peers: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(address).unwrap()).collect();
-        event_loop.shared.accepting.store(false, Ordering::SeqCst);
+        event_loop.shared.stops.accepting.store(true, Ordering::SeqCst);
         event_loop.accept();
         let inputs: Vec<Input> = received.try_iter().collect();
         let opened = inputs.iter().filter(|input| matches!(input, Input::ConnectionOpened(_))).count();
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -35,7 +35,7 @@
 use event_loop::EventLoop;
 use gradepin_core::buffer_pool::BufferPool;
 use gradepin_core::messages::{ConnectionId, Input, Response, SequenceId};
-use shared::{Connections, Shared};
+use shared::{Connections, Shared, StopRequests};
 use slog::Logger;
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -51,7 +51,7 @@
     pool: Arc<BufferPool>,
     /// Whether clients were asked to drain; some protocols state this in responses.
     draining: AtomicBool,
-    accepting: Arc<AtomicBool>,
+    stops: Arc<StopRequests>,
 }
 
 impl Frontend {
@@ -68,10 +68,10 @@
         log: Logger,
     ) -> io::Result<Self> {
         let connections = Arc::new(Connections::default());
-        let accepting = Arc::new(AtomicBool::new(true));
+        let stops = Arc::new(StopRequests::default());
         let shared = Shared {
             connections: Arc::clone(&connections),
-            accepting: Arc::clone(&accepting),
+            stops: Arc::clone(&stops),
             inputs,
             pool: Arc::clone(&pool),
             log,
@@ -79,14 +79,20 @@
         let mut event_loop = EventLoop::new(frontends, max_connections, shared)?;
         let reading_thread = thread::Builder::new().name("read".into()).stack_size(STACK_BYTES);
         reading_thread.spawn(move || event_loop.run())?;
-        Ok(Self { connections, pool, draining: AtomicBool::new(false), accepting })
+        Ok(Self { connections, pool, draining: AtomicBool::new(false), stops })
     }
 
     /// Stops accepting connections; accepted ones are still read and answered. Connections that are queued on an
     /// exclusive listener are accepted before it is closed; those queued on a shared listener are left to the other
     /// process.
     pub fn stop_accepting(&self) {
-        self.accepting.store(false, Ordering::SeqCst);
+        self.stops.accepting.store(true, Ordering::SeqCst);
+    }
+
+    /// Stops reading messages. What has arrived is read once more, and its messages become inputs; then
+    /// [`Input::StoppedReading`] follows, and later bytes are discarded.
+    pub fn stop_reading(&self) {
+        self.stops.reading.store(true, Ordering::SeqCst);
     }
 
     fn connection(&self, id: ConnectionId) -> Option<Arc<Connection>> {
--- a/crates/node/src/frontend/shared.rs
+++ b/crates/node/src/frontend/shared.rs
@@ -12,12 +12,21 @@
 /// The connections of all front ends, by id.
 pub(super) type Connections = Mutex<HashMap<ConnectionId, Arc<Connection>>>;
 
+/// What the main thread has asked the reading thread to stop. No request is ever withdrawn.
+#[derive(Debug, Default)]
+pub(super) struct StopRequests {
+    /// No more connections are accepted.
+    pub(super) accepting: AtomicBool,
+    /// No more messages are read.
+    pub(super) reading: AtomicBool,
+}
+
 /// Handles of the reading thread to the queue, pool, flag and connections of the server.
 pub(super) struct Shared {
     /// Open connections, also read by the main thread.
     pub(super) connections: Arc<Connections>,
-    /// Whether connections are still accepted; never becomes true again.
-    pub(super) accepting: Arc<AtomicBool>,
+    /// What the main thread has asked the reading thread to stop.
+    pub(super) stops: Arc<StopRequests>,
     /// The reducer's queue of client messages. It is bounded, so sending can block.
     pub(super) inputs: Sender<Input>,
     /// Buffers for received bytes.
