Derive the stop from the longest deadline, and bring it forward when it shortens

Callers: their requests were cut off by SIGKILL, where `stop_ms` says more than the platform waits.

Cause: all times of a shutdown came from `stop_ms` alone, once, at SIGTERM.

Change: stop_times.rs::time_to_stop takes the earlier of `stop_ms` and the longest deadline in force, of which 3 s count, plus 0.7 s. A reload or a committed configuration with shorter deadlines brings a stop in progress forward, in the shutdown's steps and in the admission module; a later one is ignored.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -203,16 +203,15 @@
         self.concurrency.set_ceiling(speed_share, &self.settings);
     }
 
-    /// Starts the graceful shutdown. All open requests get their response before the process is stopped.
+    /// Starts the graceful shutdown, or brings its stop forward. All open requests get their response before the process
+    /// is stopped.
     fn begin_drain(&mut self, time_to_stop: Span, out: &mut Vec<Action>) {
-        if self.drain.is_some() {
-            return;
-        }
-        let drain = Drain::new(self.now, time_to_stop, &self.settings);
-        self.drain = Some(drain);
-        out.push(Action::ReportHealth { shallow: true, active: false });
-        out.push(Action::Log(format!("draining, stop in {:.1} s", span_seconds(time_to_stop))));
+        let drain = Drain::new(self.now, time_to_stop, &self.settings).or_earlier(self.drain);
         self.requests.limit_deadlines(drain.answered_by());
+        if self.drain.replace(drain).is_none() {
+            out.push(Action::ReportHealth { shallow: true, active: false });
+            out.push(Action::Log(format!("draining, stop in {:.1} s", span_seconds(time_to_stop))));
+        }
     }
 
     fn is_draining(&self) -> bool {
--- a/crates/admission/src/drain.rs
+++ b/crates/admission/src/drain.rs
@@ -28,6 +28,14 @@
         }
     }
 
+    /// Applies the limits of a shutdown that is already in progress; only its stop may come earlier.
+    pub(crate) fn or_earlier(self, earlier: Option<Self>) -> Self {
+        earlier.map_or(self, |earlier| Self {
+            last_arrival: earlier.last_arrival.min(self.last_arrival),
+            answered_by: earlier.answered_by.min(self.answered_by),
+        })
+    }
+
     /// Whether a request that reached the machine at the given time may still run.
     pub(crate) fn allows_run(&self, arrived_at: Time) -> bool {
         arrived_at <= self.last_arrival
--- a/crates/core/src/classes.rs
+++ b/crates/core/src/classes.rs
@@ -213,6 +213,12 @@
         self.slots.iter().map(|filled| (filled.slot, self.get(filled.slot)))
     }
 
+    /// Returns the longest deadline of the classes in force; `None` if there are none.
+    pub fn longest_deadline(&self) -> Option<Span> {
+        let in_force = self.slots.iter().filter(|filled| filled.state.dropped_since.is_none());
+        in_force.map(|filled| filled.definition.profile.deadline).max()
+    }
+
     /// Returns the longest time for which an idempotency key may be repeated.
     pub fn longest_window(&self) -> Span {
         self.windows.keys().next_back().copied().unwrap_or_default()
--- a/crates/core/src/reducer/drain.rs
+++ b/crates/core/src/reducer/drain.rs
@@ -8,7 +8,7 @@
 use crate::lifecycle_counters::CloseReason;
 use crate::messages::{Effect, Response};
 use crate::shutdown::{RemainingWork, Shutdown, ShutdownStep};
-use crate::stop_times::StopTimes;
+use crate::stop_times::{StopTimes, time_to_stop};
 use gradepin_admission::{Event, Span, Time};
 use slog::Level;
 
@@ -17,12 +17,12 @@
 pub(super) struct Drain {
     /// The steps of the shutdown.
     pub(super) shutdown: Shutdown,
-    /// Time from the notice to the stop of the process.
+    /// Configured time from the notice to the stop of the process.
     pub(super) configured_stop: Span,
 }
 
 impl Drain {
-    /// Creates the state of a process that is stopped `configured_stop` after the notice.
+    /// Creates the state of a process that is stopped `configured_stop` after the notice at the latest.
     pub(super) fn new(configured_stop: Span) -> Self {
         Self { shutdown: Shutdown::default(), configured_stop }
     }
@@ -45,7 +45,7 @@
             return;
         }
         let now = self.timestamp.now;
-        self.drain.shutdown.begin(StopTimes::new(now, self.drain.configured_stop));
+        self.drain.shutdown.begin(StopTimes::new(now, self.time_to_stop()));
         if self.drain.shutdown.is_handing_over() {
             self.log(
                 Level::Info,
@@ -61,6 +61,19 @@
         }
     }
 
+    /// Returns the time from a shutdown notice to the stop of the process.
+    fn time_to_stop(&self) -> Span {
+        time_to_stop(self.drain.configured_stop, self.classes.longest_deadline())
+    }
+
+    /// Brings the stop of a shutdown in progress forward if settings with shorter deadlines are in force.
+    pub(super) fn bring_stop_forward(&mut self) {
+        let stop_after = self.time_to_stop();
+        if self.drain.shutdown.bring_forward(stop_after) && self.controller.is_some() {
+            self.notify_admission_of_shutdown();
+        }
+    }
+
     /// Takes the server out of service for an operator: at once, or once the consensus group has granted a permit.
     pub(super) fn operator_takes_out(&mut self) {
         if !self.request_permit_to_leave() {
--- a/crates/core/src/reducer/settings_changes.rs
+++ b/crates/core/src/reducer/settings_changes.rs
@@ -82,6 +82,7 @@
         }
         self.settings_changes.end_edition();
         self.publish_names();
+        self.bring_stop_forward();
         self.log_summary(&summary);
         Ok(summary)
     }
--- a/crates/core/src/reducer/settings_reload.rs
+++ b/crates/core/src/reducer/settings_reload.rs
@@ -111,6 +111,7 @@
         // of the old one.
         self.report_change();
         self.drain.configured_stop = Span(config.stop_ms.saturating_mul(MS));
+        self.bring_stop_forward();
         let (processor, control) = (config.processor, config.control);
         self.log(Level::Info, format!("reloaded: the processor is at {processor}, control at {control}"));
         (self.config.processor, self.config.control) = (processor, control);
--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -99,6 +99,11 @@
         self.times.get_or_insert(times);
     }
 
+    /// Brings the stop forward, to `stop_after` the notice. Returns whether it is earlier than before.
+    pub fn bring_forward(&mut self, stop_after: Span) -> bool {
+        self.times.as_mut().is_some_and(|times| times.bring_forward(stop_after))
+    }
+
     /// The times of the shutdown, once its notice has arrived.
     pub fn times(&self) -> Option<StopTimes> {
         self.times
--- a/crates/core/src/shutdown/tests.rs
+++ b/crates/core/src/shutdown/tests.rs
@@ -78,12 +78,14 @@
     assert_eq!(shutdown.next_step(at(4_850), BUSY), Some(ShutdownStep::Exit));
 }
 
-/// A second notice changes nothing.
+/// A second notice changes nothing; an earlier stop does.
 #[test]
-fn the_first_notice_counts() {
+fn the_first_notice_and_the_earliest_stop_count() {
     let mut shutdown = started(Shutdown::sharing_listener());
     shutdown.begin(StopTimes::new(at(500), Span(9_000 * MS)));
     assert_eq!(shutdown.times().map(|times| times.stop_at()), Some(at(4_000)));
+    assert!(shutdown.bring_forward(Span(1_700 * MS)) && !shutdown.bring_forward(Span(1_700 * MS)));
+    assert_eq!(shutdown.times().map(|times| times.stop_at()), Some(at(1_700)));
 }
 
 /// Guards requests that cross a close: in a hand-over a connection may be closed once it has been idle for the full time
--- a/crates/core/src/stop_times/tests.rs
+++ b/crates/core/src/stop_times/tests.rs
@@ -20,7 +20,26 @@
 /// is cut short.
 #[test]
 fn margins_are_within_what_the_platform_adds_to_the_longest_deadline() {
-    let (deadline, added) = (3_000 * MS, 700 * MS);
-    let times = StopTimes::new(Time(0), Span(deadline + added));
-    assert!(times.answers_due_at() >= Time(deadline));
+    for deadline_ms in [100, 300, 1_000, 3_000] {
+        let stop_after = time_to_stop(Span(60_000 * MS), Some(Span(deadline_ms * MS)));
+        assert_eq!(stop_after, Span((deadline_ms + 700) * MS));
+        let times = StopTimes::new(Time(0), stop_after);
+        assert!(times.answers_due_at() >= Time(deadline_ms * MS), "{deadline_ms} ms");
+    }
+}
+
+/// Guards against a stop that comes before the expected one: the platform waits for the longest deadline, 3 s at most, and
+/// a reload may shorten it.
+#[test]
+fn the_stop_is_the_earliest_that_the_platform_allows() {
+    let configured = Span(3_700 * MS);
+    for (deadline_ms, stop_ms) in [(300, 1_000), (1_000, 1_700), (3_000, 3_700), (5_800, 3_700)] {
+        assert_eq!(time_to_stop(configured, Some(Span(deadline_ms * MS))), Span(stop_ms * MS));
+    }
+    assert_eq!(time_to_stop(Span(500 * MS), Some(Span(1_000 * MS))), Span(500 * MS));
+    assert_eq!(time_to_stop(configured, None), configured);
+    let mut times = StopTimes::new(Time(MS), configured);
+    assert!(!times.bring_forward(Span(3_800 * MS)) && times.stop_at() == Time(3_701 * MS));
+    assert!(times.bring_forward(Span(1_700 * MS)) && times.stop_at() == Time(1_701 * MS));
+    assert_eq!(times.notified_at(), Time(MS));
 }
--- a/crates/node/src/frontend/event_loop/tests.rs
+++ b/crates/node/src/frontend/event_loop/tests.rs
@@ -181,3 +181,32 @@
     event_loop.accept();
     assert!(matches!(received.try_recv(), Ok(Input::ConnectionOpened(_))));
 }
+
+/// Guards against requests that are read and never answered at the end of the process: everything that has arrived is
+/// delivered before the end of reading is reported, also on a throttled connection, and nothing after that.
+#[test]
+fn delivers_what_has_arrived_before_it_reports_the_end_of_reading() {
+    let (mut event_loop, address, received) = event_loop(4, false);
+    let mut peer = TcpStream::connect(address).unwrap();
+    run_all_events(&mut event_loop);
+    let checks = 1..=200;
+    let messages: Vec<u8> = checks.clone().flat_map(health).collect();
+    peer.write_all(&messages).unwrap();
+    wait_until_unread(&peer, messages.len());
+    let mut unaccepted = TcpStream::connect(address).unwrap();
+    unaccepted.write_all(&health(201)).unwrap();
+    event_loop.throttled.insert(*event_loop.readers.keys().next().unwrap(), Instant::now());
+    event_loop.shared.stops.accepting.store(true, Ordering::SeqCst);
+    event_loop.shared.stops.reading.store(true, Ordering::SeqCst);
+    assert!(event_loop.end_reading_if_asked());
+    let inputs: Vec<Input> = received.try_iter().collect();
+    let delivered = inputs.iter().filter(|input| matches!(input, Input::HealthCheck { .. })).count();
+    assert_eq!(delivered, 201);
+    assert!(matches!(inputs.last(), Some(Input::StoppedReading)), "{:?}", inputs.last());
+    peer.write_all(&health(202)).unwrap();
+    wait_until_unread(&peer, health(202).len());
+    run_all_events(&mut event_loop);
+    assert!(event_loop.end_reading_if_asked());
+    assert!(received.is_empty(), "something was read after the end of reading");
+    assert_eq!(unread(&peer), 0, "it was discarded");
+}
