Measure the age of requests by real time when a wall clock is set

Callers: after a step of +1 h of the server's clock alone every request was refused, for good. A process that starts with such a clock refused all from the start.

Cause: the age of a request was the server's wall clock less the stamp of the client's, and windows of keys were compared in wall time. Nothing noticed that a clock was set.

Change: core/src/wall_clock.rs gives the reducer a reference time, which starts with the wall clock and runs on with the monotonic one; deadlines and windows live in it. A client's stamp is converted once, on arrival, by the clock that makes it closest to now: the server's own, one that it had before it was set, or one that a request has proved, which had expired before its connection existed. A step is logged and counted (server_clock_steps_total). The registry and the record of configuration changes still show the wall clock.

It works since a step changes neither the reference time nor the offset of clients that did not follow it. Left: the age of a request that waits longer than half of a step is taken for too small, so it is served late rather than refused.

--- a/crates/admission/src/controller.rs
+++ b/crates/admission/src/controller.rs
@@ -203,8 +203,8 @@
         self.concurrency.set_ceiling(speed_share, &self.settings);
     }
 
-    /// Starts the graceful shutdown, or brings its stop forward. All open requests get their response before the process
-    /// is stopped.
+    /// Starts the graceful shutdown, or brings its stop forward. All open requests get their response before
+    /// the process is stopped.
     fn begin_drain(&mut self, time_to_stop: Span, out: &mut Vec<Action>) {
         let drain = Drain::new(self.now, time_to_stop, &self.settings).or_earlier(self.drain);
         self.requests.limit_deadlines(drain.answered_by());
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod tenants;
 pub mod timer_wheel;
 pub mod timestamp;
+pub mod wall_clock;
--- a/crates/core/src/lifecycle_counters.rs
+++ b/crates/core/src/lifecycle_counters.rs
@@ -66,6 +66,8 @@
     pub runs_repeated: u64,
     /// Requests whose connection ended while a response was owed.
     pub callers_gone: u64,
+    /// How often the server's wall clock was set.
+    pub clock_steps: u64,
 }
 
 impl LifecycleCounters {
--- a/crates/core/src/reducer/configuration_admin.rs
+++ b/crates/core/src/reducer/configuration_admin.rs
@@ -186,7 +186,7 @@
     }
 
     fn propose(&mut self, request: ApplyRequest) -> Result<ApplyReply, AdminError> {
-        let (now, unix_ms) = (self.timestamp.now, self.timestamp.unix_ms);
+        let (now, unix_ms) = (self.timestamp.now, self.wall_unix_ms);
         let service = self.configuration.service.as_mut().ok_or(AdminError::Off)?;
         let agent = self.agreements.agent.as_mut().ok_or(AdminError::Off)?;
         let request_id = Arc::clone(&request.proposal.request_id);
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -41,6 +41,7 @@
 use crate::shutdown::Shutdown;
 use crate::tenants::Tenants;
 use crate::timestamp::Timestamp;
+use crate::wall_clock::WallClock;
 use agreements::Agreements;
 pub use apply_summary::{ApplyError, ApplySummary, NameList};
 use cluster::ClusterState;
@@ -72,8 +73,12 @@
     seed: u64,
     /// The admission module; `None` until the processor's first greeting.
     controller: Option<Controller>,
-    /// Time of the current step.
+    /// Time of the current step, with the reference time of `wall_clock`.
     timestamp: Timestamp,
+    /// Wall clock of the current step, in Unix milliseconds.
+    wall_unix_ms: u64,
+    /// The clocks that time stamps of clients refer to.
+    wall_clock: WallClock,
     requests: OpenRequests,
     connections: Connections,
     idempotency_table: IdempotencyTable,
@@ -165,6 +170,8 @@
             settings: Arc::new(settings),
             controller: None,
             timestamp: Timestamp::default(),
+            wall_unix_ms: 0,
+            wall_clock: WallClock::default(),
             requests: OpenRequests::new(config),
             connections: Connections::new(config.max_connections()),
             idempotency_table: IdempotencyTable::new(config.memory(RESULT_MEMORY_DIVISOR)),
@@ -222,7 +229,7 @@
         inputs: impl IntoIterator<Item = Input>,
         effects: &mut Vec<Effect>,
     ) {
-        self.timestamp = timestamp;
+        self.read_clocks(timestamp);
         self.recovery.record_first_step(timestamp.now);
         for input in inputs {
             self.input(input);
@@ -238,6 +245,19 @@
         effects.append(&mut self.effects);
     }
 
+    fn read_clocks(&mut self, reading: Timestamp) {
+        let step_ms = self.wall_clock.observe(reading);
+        self.wall_unix_ms = reading.unix_ms;
+        self.timestamp = Timestamp { now: reading.now, unix_ms: self.wall_clock.reference_ms() };
+        if let Some(step_ms) = step_ms {
+            self.metrics.lifecycle.clock_steps += 1;
+            self.log(
+                Level::Warning,
+                format!("the wall clock was set by {step_ms} ms; durations are not affected"),
+            );
+        }
+    }
+
     /// Next time at which [`Reducer::step`] must be called even without input.
     pub fn wake_at(&self) -> Option<Time> {
         let now = self.timestamp.now;
--- a/crates/core/src/reducer/request_intake.rs
+++ b/crates/core/src/reducer/request_intake.rs
@@ -18,6 +18,9 @@
 
 /// Maximum budget of a request, as a multiple of the deadline of its class.
 const MAX_BUDGET_DEADLINES: u64 = 2;
+/// Maximum time for which an expired request is sent, and its connection waits to be accepted. Also bounds how far the clock
+/// of a client may differ without being noticed.
+const MAX_SENDING_DELAY_MS: u64 = 1_000;
 /// Maximum time that the first requests of a connection may have waited unread before the connection was reported.
 const MAX_UNREAD_BEFORE_OPEN: Span = Span(100 * MS);
 /// Maximum number of open requests per connection. If more were left unread, they would hide cancellations and the
@@ -119,6 +122,7 @@
             open_requests: state.open.len(),
             rejects_requests: state.rejects_requests,
         };
+        self.convert_time_stamp(connection_state, &mut request);
         match self.validate(connection_state, &mut request) {
             Ok(valid) => self.register(connection, sequence, request, valid),
             Err(IntakeError::Invalid { class, error, text }) => {
@@ -131,6 +135,26 @@
         }
     }
 
+    /// Converts the client's time stamp to the reference time. A stamp in the future counts as now, or it would retain a
+    /// key's run forever. If the request had expired even before its connection existed, the client's clock differs from
+    /// all known ones.
+    fn convert_time_stamp(&mut self, connection: IntakeConnection, request: &mut ClientRequest) {
+        let stamp_ms = request.arrived_unix_ms;
+        request.arrived_unix_ms = self.wall_clock.to_reference(stamp_ms);
+        let age_ms = self.timestamp.unix_ms.saturating_sub(request.arrived_unix_ms);
+        let connected_ms = self.timestamp.now.0.saturating_sub(connection.opened.0) / MS;
+        let expired_ms = age_ms.saturating_sub(connected_ms).saturating_sub(request.budget_ms);
+        if expired_ms > MAX_SENDING_DELAY_MS {
+            let text = format!(
+                "the clock of client proxy {} differs by {age_ms} ms; its requests count as sent when they arrive",
+                request.client_proxy
+            );
+            self.log(Level::Warning, text);
+            self.wall_clock.learn(stamp_ms);
+            request.arrived_unix_ms = self.timestamp.unix_ms;
+        }
+    }
+
     /// Refuses a valid request that can't be accepted now. A keyed one may have run, so it is registered as open, which
     /// the admission module doesn't learn, and refused like any other.
     fn refuse_at_intake(
@@ -141,7 +165,7 @@
         request: ClientRequest,
         retry_after: Span,
     ) {
-        let arrived_unix_ms = request.arrived_unix_ms.min(self.timestamp.unix_ms);
+        let arrived_unix_ms = request.arrived_unix_ms;
         let is_keyed = self.classes.profile(class).effect == Idempotency::Keyed;
         let key = request.idempotency_key.as_ref().filter(|_| is_keyed);
         if !key.is_some_and(|key| self.may_have_run(key, arrived_unix_ms)) {
@@ -190,9 +214,7 @@
             let (reason, retry_after) = (RefusalReason::NoProcessor, Span(0));
             return Err(IntakeError::Rejected { class, reason, retry_after });
         }
-        // A request can't arrive after it is read. Guards against a time stamp in the future that would retain a key's
-        // run forever.
-        let arrived_unix_ms = request.arrived_unix_ms.min(self.timestamp.unix_ms);
+        let arrived_unix_ms = request.arrived_unix_ms;
         self.drop_key_of_formerly_keyed_class(class, arrived_unix_ms, request);
         self.check_store(class, arrived_unix_ms, request)?;
         let fingerprint = self.fingerprint_of(class, request);
--- a/crates/core/src/reducer/schedule.rs
+++ b/crates/core/src/reducer/schedule.rs
@@ -3,6 +3,7 @@
 use super::processor_link::MAX_GAUGES_WAIT;
 use super::{MS, Reducer};
 use crate::messages::Effect;
+use crate::timestamp::Timestamp;
 use gradepin_admission::{Span, Time, time_after};
 use std::collections::BTreeSet;
 
@@ -99,7 +100,8 @@
         }
         let grace_ends = time_after(self.drain.notified_or(now), self.settings.rules.drain_grace);
         let is_drained = self.drain.is_draining() && self.requests.is_empty() && now > grace_ends;
-        self.registration.step(self.timestamp, is_drained, &mut self.effects);
+        let wall = Timestamp { now, unix_ms: self.wall_unix_ms };
+        self.registration.step(wall, is_drained, &mut self.effects);
         self.shutdown_step();
     }
 
--- a/crates/core/src/timestamp.rs
+++ b/crates/core/src/timestamp.rs
@@ -7,6 +7,7 @@
 pub struct Timestamp {
     /// Monotonic clock, used by the admission module and all timers.
     pub now: Time,
-    /// Unix clock in milliseconds, used for the time stamps of requests.
+    /// Unix time in milliseconds: the wall clock in a reading of the shell, which may be set at any time. Inside the
+    /// reducer it is the reference time of [`crate::wall_clock`].
     pub unix_ms: u64,
 }
--- a/crates/node/src/admin/exposition.rs
+++ b/crates/node/src/admin/exposition.rs
@@ -12,6 +12,7 @@
 //! | `server_requests_refused_total` | counter | `why` | refusals of valid requests |
 //! | `server_runs_repeated_total` | counter | | runs sent to the processor again after a lost link |
 //! | `server_callers_gone_total` | counter | | requests whose connection ended while a response was owed |
+//! | `server_clock_steps_total` | counter | | how often the wall clock was set |
 //!
 //! In addition, for members of a fleet:
 //!
@@ -124,6 +125,7 @@
     registry.register("runs_repeated", "Runs handed to the processor again", repeated);
     let gone = counter(counters.callers_gone);
     registry.register("callers_gone", "Requests whose connection ended before their response", gone);
+    registry.register("clock_steps", "Steps of the wall clock", counter(counters.clock_steps));
 }
 
 fn close_reason_label(reason: CloseReason) -> &'static str {
