Age the claims of an upgrade by the monotonic clock

Callers: a keyed request could run a second time inside its window: the claim of its run was removed after the wall clock had been set by an hour. Not seen in service.

Cause: the clean-up compared the time of the file, and that of an own claim, with the wall clock.

Evidence: the new test sets the files' times an hour back, as a step of +1 h after them does; with the age taken from the wall clock, as before, the new process gets the key as its own.

Change: own claims are aged since they were made, those of another process since they were first seen, both by the monotonic clock, which a step doesn't touch. A claim of another process so lives at most one window and 30 s longer than before. Where upgrades follow each other faster than that, files of ended processes add up: beyond four times the own limit, those that have expired by the wall clock too are removed as before.

--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -31,7 +31,7 @@
 use std::io;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 const STACK_BYTES: usize = 64 * 1024;
 /// Interval between checks of the other process's claims for which requests wait here.
@@ -208,7 +208,7 @@
                 self.poll();
             }
             if self.last_cleanup.elapsed() >= CLEANUP_INTERVAL {
-                if let Err(e) = self.folder.clean_up(SystemTime::now()) {
+                if let Err(e) = self.folder.clean_up(Instant::now()) {
                     self.log_failure("cleanup", &e);
                 }
                 self.last_cleanup = Instant::now();
--- a/crates/node/src/claims/folder.rs
+++ b/crates/node/src/claims/folder.rs
@@ -13,7 +13,7 @@
 use std::os::unix::fs::{OpenOptionsExt, PermissionsExt};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Memory that an empty file uses.
 pub(super) const FILE_BYTES: usize = 1024;
@@ -21,6 +21,9 @@
 const PAGE_BYTES: usize = 4096;
 /// Claims use at most the memory divided by this number.
 pub(super) const CLAIMS_MEMORY_DIVISOR: usize = 16;
+/// Claims of other processes that are kept until their window has passed by the monotonic clock, as a multiple of the claims
+/// of this process. Beyond that, those that have expired by the wall clock are removed.
+const MAX_OTHER_CLAIMS_MULTIPLE: usize = 4;
 /// Results use at most the memory divided by this number.
 const RESULTS_MEMORY_DIVISOR: usize = 16;
 const OPEN_MODE: u32 = 0o600;
@@ -89,7 +92,10 @@
     /// The longest time during which a key may be repeated.
     pub(super) window: Duration,
     /// Claims of this process by file name, with the time of each.
-    pub(super) own: HashMap<String, SystemTime>,
+    pub(super) own: HashMap<String, Instant>,
+    /// Claims of other processes by file name, with the time at which each was first seen. Their files tell their age by
+    /// the wall clock only, which may have been set since.
+    others: HashMap<String, Instant>,
     max_claims: usize,
     /// Results of this process, oldest first.
     results: VecDeque<WrittenResult>,
@@ -122,13 +128,14 @@
             salt,
             window,
             own: HashMap::new(),
+            others: HashMap::new(),
             max_claims: memory / CLAIMS_MEMORY_DIVISOR / FILE_BYTES,
             results: VecDeque::new(),
             result_bytes: 0,
             max_result_bytes: memory / RESULTS_MEMORY_DIVISOR,
             pool,
         };
-        opened.clean_up(SystemTime::now())?;
+        opened.clean_up(Instant::now())?;
         Ok(opened)
     }
 
@@ -148,7 +155,7 @@
         }
         let reason = match self.create(&name) {
             Ok(()) => {
-                self.own.insert(name, SystemTime::now());
+                self.own.insert(name, Instant::now());
                 return Ok(ClaimAttempt::Claimed);
             }
             Err(reason) => reason,
@@ -258,11 +265,10 @@
     }
 
     /// Removes files whose window has passed, and ends the open claims of dead processes.
-    pub(super) fn clean_up(&mut self, now: SystemTime) -> io::Result<()> {
-        let retention = self.window + Duration::from_nanos(MAX_READ_DELAY.0);
-        let has_expired = |at: SystemTime| now.duration_since(at).is_ok_and(|age| age > retention);
+    pub(super) fn clean_up(&mut self, now: Instant) -> io::Result<()> {
         let mut is_alone = true;
         let mut open_claims = Vec::new();
+        let mut others = HashMap::new();
         for entry in fs::read_dir(&self.folder)? {
             let entry = entry?;
             let name = entry.file_name().to_string_lossy().into_owned();
@@ -274,15 +280,20 @@
                 continue;
             }
             let Ok(meta) = entry.metadata() else { continue };
-            let is_own = self.own.contains_key(&name);
-            let is_open = meta.len() == 0 && meta.permissions().mode() & MODE_BITS == OPEN_MODE;
-            let claimed_at = meta.modified()?;
-            if has_expired(*self.own.get(&name).unwrap_or(&claimed_at)) {
+            let claimed_at = self.own.get(&name).or_else(|| self.others.get(&name)).copied();
+            if self.has_expired(now, claimed_at.unwrap_or(now), meta.modified()?) {
                 self.forget(&name)?;
-            } else if is_open && !is_own {
+                continue;
+            }
+            if self.own.contains_key(&name) {
+                continue;
+            }
+            if meta.len() == 0 && meta.permissions().mode() & MODE_BITS == OPEN_MODE {
                 open_claims.push(entry.path());
             }
+            others.insert(name, claimed_at.unwrap_or(now));
         }
+        self.others = others;
         self.forget_removed_results();
         // The claims of a process that started meanwhile are not affected: it locked its `alive` file before it claimed
         // anything, so it was counted above.
@@ -292,6 +303,15 @@
         Ok(())
     }
 
+    /// Whether the window of a claim has passed since it was made or first seen. If there are too many claims of other
+    /// processes, the time of its file by the wall clock counts too.
+    fn has_expired(&self, now: Instant, claimed_at: Instant, modified: SystemTime) -> bool {
+        let retention = self.window + Duration::from_nanos(MAX_READ_DELAY.0);
+        let trusts_wall_clock = self.others.len() > self.max_claims * MAX_OTHER_CLAIMS_MULTIPLE;
+        let wall_age = || SystemTime::now().duration_since(modified).unwrap_or_default();
+        now.duration_since(claimed_at) > retention || (trusts_wall_clock && wall_age() > retention)
+    }
+
     /// Stops counting results whose claims were removed.
     fn forget_removed_results(&mut self) {
         while self.results.front().is_some_and(|oldest| !self.own.contains_key(&oldest.file_name)) {
--- a/crates/node/src/claims/tests.rs
+++ b/crates/node/src/claims/tests.rs
@@ -3,9 +3,10 @@
 use crossbeam_channel::bounded;
 use gradepin_core::idempotency_table::MAX_READ_DELAY;
 use slog::{Discard, o};
-use std::fs;
+use std::fs::{self, File};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::SystemTime;
 
 const WINDOW: Duration = Duration::from_secs(12);
 const MEMORY_BYTES: usize = 64 << 20;
@@ -107,13 +108,39 @@
     let folder = Folder::new();
     let (mut old, mut new) = (folder.process(1, MEMORY_BYTES), folder.process(2, MEMORY_BYTES));
     assert_eq!(claim(&mut old, "t", 7), "ours");
-    new.clean_up(SystemTime::now()).expect("cleaned up");
+    new.clean_up(Instant::now()).expect("cleaned up");
     assert_eq!(claim(&mut new, "t", 7), "in progress");
     drop(old);
-    new.clean_up(SystemTime::now()).expect("cleaned up");
+    new.clean_up(Instant::now()).expect("cleaned up");
     assert_eq!(claim(&mut new, "t", 7), "Ended(Failed)");
 }
 
+/// Guards against a second run inside the window of a key: claims were removed by the age of their files, which is wrong by
+/// what the wall clock was set.
+#[test]
+fn keeps_the_claims_of_another_process_whatever_the_wall_clock_says() {
+    let folder = Folder::new();
+    let mut old = folder.process(1, MEMORY_BYTES);
+    assert_eq!(claim(&mut old, "t", 7), "ours");
+    old.release("t", 7, served("done")).expect("written");
+    let hour = Duration::from_secs(3_600);
+    for modified in [SystemTime::now() - hour, SystemTime::now() + hour] {
+        for file in fs::read_dir(&folder.0).expect("a folder").flatten() {
+            // Times of files can be set by a reader, also those of files that nobody may write.
+            File::open(file.path()).and_then(|file| file.set_modified(modified)).expect("set");
+        }
+        let mut new = folder.process(2, MEMORY_BYTES);
+        assert_eq!(claim(&mut new, "t", 7), "done");
+        old.clean_up(Instant::now()).expect("cleaned up");
+        assert_eq!(claim(&mut new, "t", 7), "done");
+        let late = WINDOW + Duration::from_nanos(MAX_READ_DELAY.0) + Duration::from_secs(1);
+        if modified > SystemTime::now() {
+            new.clean_up(Instant::now() + late).expect("cleaned up");
+            assert_eq!(claim(&mut new, "t", 7), "ours", "its window has passed");
+        }
+    }
+}
+
 /// Guards against unbounded memory use: files are removed when no retry can ask for them any more, results are limited
 /// to their fraction of the memory, and claims beyond the limit are rejected.
 #[test]
@@ -136,9 +163,9 @@
     assert_eq!(claim(&mut new, "t0", 7), "Ended(Failed)", "the oldest results are dropped first");
     assert_eq!(claim(&mut new, &format!("t{}", max_claims - 1), 7).len(), 3_000);
     let late = Duration::from_nanos(MAX_READ_DELAY.0);
-    old.clean_up(SystemTime::now() + WINDOW + late - Duration::from_secs(1)).expect("cleaned up");
+    old.clean_up(Instant::now() + WINDOW + late - Duration::from_secs(1)).expect("cleaned up");
     assert_eq!(old.own.len(), max_claims);
-    old.clean_up(SystemTime::now() + WINDOW + late + Duration::from_secs(1)).expect("cleaned up");
+    old.clean_up(Instant::now() + WINDOW + late + Duration::from_secs(1)).expect("cleaned up");
     assert_eq!((old.own.len(), old.result_bytes), (0, 0));
     assert_eq!(claim(&mut new, "t0", 7), "ours");
 }
