Guard each response, run, close and the exit by one module that counts violations

Change: core/src/lifecycle_guard.rs follows each connection (open, reading ended, closing, closed) and each request (owed, answered, refused, given up) from what arrives and what is sent, apart from the reducer's tables. The reducer asks it before each response, start, close and the exit; a denial has a typed reason, is counted (server_invariant_violations_total), logged with connection, sequence number or id, and not carried out but for the exit.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 mod idle_connections;
 pub mod keyed_run;
 pub mod lifecycle_counters;
+pub mod lifecycle_guard;
 pub mod messages;
 pub mod pending_claims;
 pub mod processor_identity;
--- a/crates/core/src/lifecycle_counters.rs
+++ b/crates/core/src/lifecycle_counters.rs
@@ -68,6 +68,8 @@
     pub callers_gone: u64,
     /// How often the server's wall clock was set.
     pub clock_steps: u64,
+    /// Actions that violated an invariant of [`crate::lifecycle_guard`].
+    pub violations: u64,
 }
 
 impl LifecycleCounters {
--- a/crates/core/src/reducer/admin.rs
+++ b/crates/core/src/reducer/admin.rs
@@ -38,10 +38,12 @@
 
     fn metrics_snapshot(&self) -> MetricsSnapshot {
         let now = self.timestamp.now;
+        let mut snapshot = self.metrics.snapshot(self.requests.count_owed() as u64);
+        snapshot.lifecycle.violations = self.guard.violations();
         MetricsSnapshot {
             fleet: self.cluster.status(now),
             configuration: self.configuration.metrics(now),
-            ..self.metrics.snapshot(self.requests.count_owed() as u64)
+            ..snapshot
         }
     }
 
--- a/crates/core/src/reducer/connections.rs
+++ b/crates/core/src/reducer/connections.rs
@@ -8,6 +8,7 @@
 use super::{MS, Reducer};
 use crate::idle_connections::{IdleConnections, IdleEntry};
 use crate::lifecycle_counters::CloseReason;
+use crate::lifecycle_guard::CloseKind;
 use crate::messages::{ConnectionId, Effect, SequenceId};
 use crate::timer_wheel::{DueEntry, TimerWheel};
 use gradepin_admission::{RequestId, Span, Time, time_after};
@@ -224,6 +225,7 @@
         }
         let uses_reserved_capacity = self.connections.len() >= self.connections.max_connections;
         self.connections.insert(connection, self.timestamp.now);
+        self.guard.connection_opened(connection);
         if uses_reserved_capacity {
             // A reserved connection serves one exchange, a health check or a rejection, and is then free for the next
             // peer.
@@ -236,6 +238,7 @@
 
     /// Removes a connection that has ended. The callers of its requests no longer wait.
     pub(super) fn connection_closed(&mut self, connection: ConnectionId) {
+        self.guard.connection_closed(connection);
         if let Some(state) = self.connections.table.remove(&connection) {
             let counters = &mut self.metrics.lifecycle;
             counters.count_close(state.close_reason.unwrap_or(CloseReason::Peer));
@@ -252,6 +255,7 @@
     pub(super) fn connection_half_closed(&mut self, connection: ConnectionId) {
         let Some(state) = self.connections.table.get_mut(&connection) else { return };
         state.is_half_closed = true;
+        self.guard.reading_ended(connection);
         if !state.open.is_empty() {
             self.request_drain(connection);
         }
@@ -269,17 +273,10 @@
 
     /// Closes a connection that is half-closed, late or rejects requests, once no response is owed on it.
     pub(super) fn close_if_done(&mut self, connection: ConnectionId) {
-        match self.connections.table.get_mut(&connection) {
+        match self.connections.table.get(&connection) {
             Some(state) if !state.open.is_empty() => {}
-            Some(state) if state.is_half_closed => {
-                state.close_reason = Some(CloseReason::HalfClosed);
-                self.effects.push(Effect::CloseConnection(connection));
-            }
-            Some(state) if state.is_late => {
-                state.close_reason = Some(CloseReason::MessageTimeout);
-                let messages_received = state.messages_received;
-                self.effects.push(Effect::CloseLateConnection { connection, messages_received });
-            }
+            Some(state) if state.is_half_closed => self.close_now(connection, CloseReason::HalfClosed),
+            Some(state) if state.is_late => self.close_if_no_message_arrives(connection),
             // Messages that are still in transit are answered first.
             Some(state) if state.rejects_requests => {
                 self.close_if_idle(connection, CloseReason::RejectsRequests);
@@ -288,6 +285,19 @@
         }
     }
 
+    /// Has the shell close a late connection, unless a message of it is complete by then.
+    fn close_if_no_message_arrives(&mut self, connection: ConnectionId) {
+        let close = self.guard.close(connection, CloseKind::IfIdle);
+        if !self.is_allowed(close) {
+            return;
+        }
+        if let Some(state) = self.connections.table.get_mut(&connection) {
+            state.close_reason = Some(CloseReason::MessageTimeout);
+            let messages_received = state.messages_received;
+            self.effects.push(Effect::CloseLateConnection { connection, messages_received });
+        }
+    }
+
     /// Asks the peer of a connection to send no more requests on it, unless it was asked before.
     pub(super) fn request_drain(&mut self, connection: ConnectionId) {
         let state = self.connections.table.get_mut(&connection);
@@ -299,6 +309,10 @@
 
     /// Has the shell close a connection from which no more messages come, after all that was sent on it.
     pub(super) fn close_now(&mut self, connection: ConnectionId, reason: CloseReason) {
+        let close = self.guard.close(connection, CloseKind::AfterReading);
+        if !self.is_allowed(close) {
+            return;
+        }
         if let Some(state) = self.connections.table.get_mut(&connection) {
             state.close_reason.get_or_insert(reason);
             self.effects.push(Effect::CloseConnection(connection));
@@ -307,6 +321,10 @@
 
     /// Has the shell close a connection if no message on it is in progress.
     pub(super) fn close_if_idle(&mut self, connection: ConnectionId, reason: CloseReason) {
+        let close = self.guard.close(connection, CloseKind::IfIdle);
+        if !self.is_allowed(close) {
+            return;
+        }
         if let Some(state) = self.connections.table.get_mut(&connection) {
             let messages_received = state.messages_received;
             state.closing = Some(RequestedClose { since: self.timestamp.now, messages_received });
--- a/crates/core/src/reducer/drain.rs
+++ b/crates/core/src/reducer/drain.rs
@@ -145,6 +145,12 @@
         }
     }
 
+    /// Notes that the shell reads no more messages and has passed on every message that it read before.
+    pub(super) fn reading_stopped(&mut self) {
+        self.guard.all_reading_ended();
+        self.drain.shutdown.reading_stopped(self.timestamp.now);
+    }
+
     /// Closes all connections after their last answers. No more messages come from them.
     fn close_all_connections(&mut self) {
         let owed = self.requests.count_owed();
@@ -164,6 +170,8 @@
         self.announce_departure();
         self.fail_owed_requests();
         self.log_exit();
+        let exit = self.guard.exit();
+        self.is_allowed(exit);
         self.effects.push(Effect::Exit);
     }
 
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -34,6 +34,7 @@
 use crate::config::{Config, ConfigError};
 use crate::idempotency_log::IdempotencyLog;
 use crate::idempotency_table::IdempotencyTable;
+use crate::lifecycle_guard::{LifecycleGuard, Violation};
 use crate::messages::{ConnectionId, Effect, Input, SequenceId, UpstreamCallId, earliest};
 use crate::pending_claims::PendingClaims;
 use crate::registration::Registration;
@@ -109,6 +110,8 @@
     last_upstream_call: UpstreamCallId,
     operator_drain: OperatorDrain,
     metrics: RequestMetrics,
+    /// Checks each response, run, close and the exit.
+    guard: LifecycleGuard,
     /// Events for the admission module's next decision.
     events: Vec<Event>,
     /// Reused buffer of the admission module's actions; empty between steps.
@@ -194,6 +197,7 @@
             last_upstream_call: 0,
             operator_drain: OperatorDrain::default(),
             metrics: RequestMetrics::default(),
+            guard: LifecycleGuard::default(),
             events: Vec::new(),
             actions: Vec::new(),
             effects: Vec::new(),
@@ -288,7 +292,22 @@
     fn accept_message(&mut self, input: &Input) -> bool {
         let Some(message) = ClientMessage::of(input) else { return true };
         self.connections.message_received(message.connection);
-        !message.is_request || !self.reject_duplicate_sequence(message.connection, message.sequence)
+        if !message.is_request {
+            return true;
+        }
+        if self.reject_duplicate_sequence(message.connection, message.sequence) {
+            return false;
+        }
+        self.guard.message_read(message.connection, message.sequence);
+        true
+    }
+
+    /// Whether the guard allows an action. A denied one is logged.
+    fn is_allowed(&mut self, result: Result<(), Violation>) -> bool {
+        if let Err(violation) = &result {
+            self.log(Level::Error, format!("invariant violated: {violation}"));
+        }
+        result.is_ok()
     }
 
     fn input(&mut self, input: Input) {
@@ -331,7 +350,7 @@
             Input::RunNotStarted(id) => self.run_not_started(&id),
             Input::ShutdownNotice => self.begin_shutdown(),
             Input::StoppedAccepting => self.drain.shutdown.accepting_stopped(now),
-            Input::StoppedReading => self.drain.shutdown.reading_stopped(now),
+            Input::StoppedReading => self.reading_stopped(),
             Input::TakeOutOfService => self.operator_takes_out(),
             Input::ReturnToService => self.operator_returns(),
             Input::VoterStateWritten { number } => self.voter_state_written(number),
--- a/crates/core/src/reducer/request_intake.rs
+++ b/crates/core/src/reducer/request_intake.rs
@@ -425,6 +425,7 @@
         if let Some(tenant) = valid.tenant {
             self.tenants.acquire(tenant);
         }
+        self.guard.request_accepted(&request.id);
         self.requests.insert(request.id, open);
         true
     }
--- a/crates/core/src/reducer/responses.rs
+++ b/crates/core/src/reducer/responses.rs
@@ -75,6 +75,7 @@
     pub(super) fn cancel_request(&mut self, connection: ConnectionId, sequence: SequenceId) {
         let state = self.connections.touch(connection, self.timestamp.now);
         let id = state.and_then(|state| state.open.remove(&sequence));
+        self.guard.request_cancelled(connection, sequence);
         // Required even if no such request is open: otherwise the connection would never become idle, and could not be
         // evicted.
         self.connections.touch_and_mark_idle(connection, self.timestamp.now);
@@ -87,6 +88,7 @@
 
     /// Notes that the caller of a request no longer waits for its response.
     pub(super) fn caller_gone(&mut self, id: &RequestId) {
+        self.guard.caller_gone(id);
         if self.is_refused(id) {
             // The admission module no longer knows the request.
             return self.forget_request(id);
@@ -138,6 +140,7 @@
     pub(super) fn respond(&mut self, id: &RequestId, response: Response) {
         let Some(open) = self.requests.get_mut(id).filter(|open| open.response_owed) else { return };
         open.response_owed = false;
+        self.guard.request_answered(id, matches!(response, Response::Rejected { .. }));
         let (connection, sequence) = (open.connection, open.sequence);
         let (tenant, class) = (open.tenant, open.class);
         if open.is_first_attempt && matches!(response, Response::Served(_)) {
@@ -150,6 +153,10 @@
     }
 
     fn send_response(&mut self, connection: ConnectionId, sequence: SequenceId, response: Response) {
+        let send = self.guard.send_response(connection, sequence);
+        if !self.is_allowed(send) {
+            return;
+        }
         let capacity_hint = self.capacity_hint;
         self.effects.push(Effect::Respond { connection, sequence, response, capacity_hint });
     }
@@ -157,6 +164,7 @@
     /// Removes a request, and its references to its class, its tenant and the run that it waits for.
     pub(super) fn forget_request(&mut self, id: &RequestId) {
         let Some(open) = self.requests.remove(id) else { return };
+        self.guard.request_forgotten(id);
         if let (RequestState::Joined { .. }, Some(key)) = (open.state, &open.idempotency_key) {
             self.idempotency_table.remove_waiter(key, id);
         }
--- a/crates/core/src/reducer/runs.rs
+++ b/crates/core/src/reducer/runs.rs
@@ -69,6 +69,13 @@
 
     /// Sends a run to the processor, now or once there is a usable link.
     pub(super) fn send_run(&mut self, id: &RequestId) {
+        if !self.requests.contains(id) {
+            return;
+        }
+        let start = self.guard.start_run(id);
+        if !self.is_allowed(start) {
+            return;
+        }
         let Some(open) = self.requests.get(id) else { return };
         self.processor.add_unconfirmed_run(id.clone());
         let Some(link) = self.processor.usable_link() else { return };
--- a/crates/gradepin/tests/scenario/virtual_stage.rs
+++ b/crates/gradepin/tests/scenario/virtual_stage.rs
@@ -353,6 +353,7 @@
                 self.events.extend(lines.map(|line| format!("admin {status} {line}")));
                 return;
             }
+            Effect::Log { text, .. } if text.starts_with("invariant violated") => panic!("{text}"),
             Effect::Log { text, .. } if text.starts_with("a call to the ledger ") => format!("log {text}"),
             Effect::Log { .. } | Effect::SendPeerDatagram { .. } | Effect::WriteVoterState { .. } => return,
             Effect::StartRolloutStep { step: turn, .. } => format!("change {}", turn.version),
--- a/crates/node/src/admin/exposition.rs
+++ b/crates/node/src/admin/exposition.rs
@@ -12,6 +12,7 @@
 //! | `server_requests_refused_total` | counter | `why` | refusals of valid requests |
 //! | `server_runs_repeated_total` | counter | | runs sent to the processor again after a lost link |
 //! | `server_callers_gone_total` | counter | | requests whose connection ended while a response was owed |
+//! | `server_invariant_violations_total` | counter | | actions that violated an invariant; each is a defect |
 //! | `server_clock_steps_total` | counter | | how often the wall clock was set |
 //!
 //! In addition, for members of a fleet:
@@ -125,6 +126,8 @@
     registry.register("runs_repeated", "Runs handed to the processor again", repeated);
     let gone = counter(counters.callers_gone);
     registry.register("callers_gone", "Requests whose connection ended before their response", gone);
+    let violations = counter(counters.violations);
+    registry.register("invariant_violations", "Denied actions that are defects", violations);
     registry.register("clock_steps", "Steps of the wall clock", counter(counters.clock_steps));
 }
 
--- a/crates/node/src/admin/exposition/tests.rs
+++ b/crates/node/src/admin/exposition/tests.rs
@@ -7,7 +7,8 @@
     counters.count_close(CloseReason::Shutdown);
     counters.count_close(CloseReason::Shutdown);
     counters.count_refusal(RefusalReason::Store);
-    (counters.runs_repeated, counters.callers_gone, counters.clock_steps) = (3, 4, 5);
+    (counters.runs_repeated, counters.callers_gone) = (3, 4);
+    (counters.clock_steps, counters.violations) = (5, 6);
     counters
 }
 
@@ -49,9 +50,10 @@
         "server_runs_repeated_total 3",
         "server_callers_gone_total 4",
         "server_clock_steps_total 5",
+        "server_invariant_violations_total 6",
     ] {
         assert!(lines.contains(&line), "{line} is not in\n{text}");
     }
-    assert_eq!(lines.len(), 22, "{text}");
+    assert_eq!(lines.len(), 23, "{text}");
     assert!(text.ends_with("# EOF\n"));
 }
--- a/crates/node/tests/golden_edges/admin.rs
+++ b/crates/node/tests/golden_edges/admin.rs
@@ -72,7 +72,8 @@
     let mut counters = LifecycleCounters::default();
     CloseReason::ALL.into_iter().for_each(|reason| counters.count_close(reason));
     RefusalReason::ALL.into_iter().for_each(|reason| counters.count_refusal(reason));
-    (counters.runs_repeated, counters.callers_gone, counters.clock_steps) = (43, 44, 45);
+    (counters.runs_repeated, counters.callers_gone) = (43, 44);
+    (counters.clock_steps, counters.violations) = (45, 46);
     counters
 }
 
