--- a/crates/core/src/lifecycle_guard.rs
+++ b/crates/core/src/lifecycle_guard.rs
@@ -11,7 +11,7 @@
 
 use crate::messages::{ConnectionId, SequenceId};
 use gradepin_admission::RequestId;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Progress of a connection that is not fully closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -114,10 +114,10 @@
 }
 
 /// The guard of one process.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct LifecycleGuard {
-    connections: HashMap<ConnectionId, GuardedConnection>,
-    requests: HashMap<RequestId, RequestPhase>,
+    connections: BTreeMap<ConnectionId, GuardedConnection>,
+    requests: BTreeMap<RequestId, RequestPhase>,
     violations: u64,
 }
 
--- a/crates/core/src/reducer/drain.rs
+++ b/crates/core/src/reducer/drain.rs
@@ -148,7 +148,7 @@
     /// Notes that the shell reads no more messages and has passed on every message that it read before.
     pub(super) fn reading_stopped(&mut self) {
         self.guard.all_reading_ended();
-        self.drain.shutdown.reading_stopped(self.timestamp.now);
+        self.drain.shutdown.reading_stopped();
     }
 
     /// Closes all connections after their last answers. No more messages come from them.
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -349,7 +349,7 @@
             Input::GaugesRead { number, values } => self.gauges_read(number, &values),
             Input::RunNotStarted(id) => self.run_not_started(&id),
             Input::ShutdownNotice => self.begin_shutdown(),
-            Input::StoppedAccepting => self.drain.shutdown.accepting_stopped(now),
+            Input::StoppedAccepting => self.drain.shutdown.accepting_stopped(),
             Input::StoppedReading => self.reading_stopped(),
             Input::TakeOutOfService => self.operator_takes_out(),
             Input::ReturnToService => self.operator_returns(),
--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -24,8 +24,6 @@
 pub const IDLE_AFTER_DRAIN: Span = Span(300 * MS);
 /// Minimum time that peers have to close their halves before the process exits.
 const MIN_CLOSE_TIME: Span = Span(150 * MS);
-/// Maximum time in which the shell reports the end of accepting or reading, after which the process exits without it.
-const MAX_REPORT_TIME: Span = Span(1_000 * MS);
 
 /// Work that keeps the process from exiting.
 #[derive(Debug, Clone, Copy)]
@@ -37,30 +35,15 @@
 }
 
 /// Whether the shell still does something that a shutdown ends.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 enum Activity {
     /// It does.
     #[default]
     Running,
     /// It was asked to stop.
-    Stopping {
-        /// When it was asked.
-        since: Time,
-    },
+    Stopping,
     /// It has reported that it stopped, after everything that it did before.
-    Stopped {
-        /// When the report arrived.
-        since: Time,
-    },
-}
-
-impl Activity {
-    fn stopped_since(self) -> Option<Time> {
-        match self {
-            Self::Stopped { since } => Some(since),
-            Self::Running | Self::Stopping { .. } => None,
-        }
-    }
+    Stopped,
 }
 
 /// The next step of a shutdown.
@@ -77,14 +60,15 @@
 }
 
 /// The progress of a shutdown.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 pub struct Shutdown {
     shares_listener: bool,
     /// The times of the shutdown, once its notice has arrived.
     times: Option<StopTimes>,
     accepting: Activity,
     reading: Activity,
-    connections_closed: bool,
+    /// When the connections were closed that were in use until the end of reading.
+    connections_closed_at: Option<Time>,
     exited: bool,
 }
 
@@ -115,13 +99,13 @@
     }
 
     /// Notes that the shell accepts no more connections and has reported every connection that it accepted before.
-    pub fn accepting_stopped(&mut self, now: Time) {
-        self.accepting = Activity::Stopped { since: now };
+    pub fn accepting_stopped(&mut self) {
+        self.accepting = Activity::Stopped;
     }
 
     /// Notes that the shell reads no more messages and has passed on every message that it read before.
-    pub fn reading_stopped(&mut self, now: Time) {
-        self.reading = Activity::Stopped { since: now };
+    pub fn reading_stopped(&mut self) {
+        self.reading = Activity::Stopped;
     }
 
     /// Whether this process reports to the control plane.
@@ -145,7 +129,7 @@
         let times = self.times.filter(|_| !self.exited)?;
         if self.accepting == Activity::Running {
             let is_due = self.shares_listener || now >= times.answers_due_at();
-            return is_due.then(|| self.stop_accepting(now));
+            return is_due.then(|| self.stop_accepting());
         }
         if self.is_done(remaining) || self.exit_at().is_some_and(|at| now >= at) {
             self.exited = true;
@@ -153,35 +137,32 @@
         }
         match self.reading {
             Activity::Running if now >= times.reading_ends_at() => {
-                self.reading = Activity::Stopping { since: now };
+                self.reading = Activity::Stopping;
                 Some(ShutdownStep::StopReading)
             }
-            Activity::Stopped { .. } if !self.connections_closed => {
-                self.connections_closed = true;
+            Activity::Stopped if self.connections_closed_at.is_none() => {
+                self.connections_closed_at = Some(now);
                 Some(ShutdownStep::CloseConnections)
             }
             _ => None,
         }
     }
 
-    fn stop_accepting(&mut self, now: Time) -> ShutdownStep {
-        self.accepting = Activity::Stopping { since: now };
+    fn stop_accepting(&mut self) -> ShutdownStep {
+        self.accepting = Activity::Stopping;
         ShutdownStep::StopAccepting
     }
 
     /// Whether nothing is left that could be read or answered.
     fn is_done(&self, remaining: RemainingWork) -> bool {
-        self.accepting.stopped_since().is_some() && remaining.open == 0 && remaining.connections == 0
+        self.accepting == Activity::Stopped && remaining.open == 0 && remaining.connections == 0
     }
 
-    /// When the process exits, whatever remains; `None` until reading has ended or was to end.
+    /// When the process exits, whatever remains; `None` until all connections are closed, which waits for the end of reading.
+    /// There is no limit to that wait: it would pass in a process that is paused meanwhile, whose reading thread is paused
+    /// too.
     fn exit_at(&self) -> Option<Time> {
-        let stop_at = self.times?.stop_at();
-        match self.reading {
-            Activity::Running => None,
-            Activity::Stopping { since } => Some(stop_at.max(time_after(since, MAX_REPORT_TIME))),
-            Activity::Stopped { since } => Some(stop_at.max(time_after(since, MIN_CLOSE_TIME))),
-        }
+        Some(self.times?.stop_at().max(time_after(self.connections_closed_at?, MIN_CLOSE_TIME)))
     }
 
     /// Returns when the next step is due without input, if a shutdown is in progress.
@@ -190,7 +171,7 @@
         match self.reading {
             Activity::Running if now < times.answers_due_at() => Some(times.answers_due_at()),
             Activity::Running => Some(times.reading_ends_at()),
-            Activity::Stopping { .. } | Activity::Stopped { .. } => self.exit_at(),
+            Activity::Stopping | Activity::Stopped => self.exit_at(),
         }
     }
 }
--- a/crates/core/src/shutdown/tests.rs
+++ b/crates/core/src/shutdown/tests.rs
@@ -24,7 +24,7 @@
     assert!(!shutdown.reports_readiness() && shutdown.is_handing_over());
     assert_eq!(shutdown.next_step(at(1), DONE), Some(ShutdownStep::StopAccepting));
     assert_eq!(shutdown.next_step(at(2), DONE), None, "the shell has not reported that it stopped accepting");
-    shutdown.accepting_stopped(at(3));
+    shutdown.accepting_stopped();
     assert_eq!(shutdown.next_step(at(4), RemainingWork { open: 1, connections: 0 }), None);
     assert_eq!(shutdown.next_step(at(4), RemainingWork { open: 0, connections: 2 }), None);
     assert_eq!(shutdown.next_step(at(4), DONE), Some(ShutdownStep::Exit));
@@ -40,7 +40,7 @@
     assert_eq!(shutdown.wake_at(at(3_749)), Some(at(3_750)));
     assert_eq!(shutdown.next_step(at(3_750), DONE), Some(ShutdownStep::StopAccepting));
     assert!(!shutdown.reports_readiness());
-    shutdown.accepting_stopped(at(3_751));
+    shutdown.accepting_stopped();
     assert_eq!(shutdown.next_step(at(3_751), DONE), Some(ShutdownStep::Exit));
 }
 
@@ -56,8 +56,8 @@
             assert_eq!(shutdown.next_step(at(end), BUSY), Some(ShutdownStep::StopAccepting));
             assert_eq!(shutdown.next_step(at(end), BUSY), Some(ShutdownStep::StopReading));
             assert_eq!(shutdown.next_step(at(end + 149), BUSY), None);
-            shutdown.accepting_stopped(at(end + 149));
-            shutdown.reading_stopped(at(end + 149));
+            shutdown.accepting_stopped();
+            shutdown.reading_stopped();
             assert_eq!(shutdown.next_step(at(end + 149), BUSY), Some(ShutdownStep::CloseConnections));
             let last = at(end + 149 + 150).max(at(4_000));
             assert_eq!(shutdown.wake_at(at(end + 149)), Some(last));
@@ -67,15 +67,20 @@
     }
 }
 
-/// A shell that never reports the end of reading delays the exit by a limited time.
+/// Guards against an exit without the end of reading: a limit on the wait for its report passes in a process that is paused
+/// between the two, and so does its reading thread's time.
 #[test]
-fn the_exit_waits_a_limited_time_for_the_end_of_reading() {
+fn the_exit_waits_for_the_end_of_reading_however_late_it_is() {
     let mut shutdown = started(Shutdown::sharing_listener());
     assert_eq!(shutdown.next_step(at(0), BUSY), Some(ShutdownStep::StopAccepting));
     assert_eq!(shutdown.next_step(at(3_849), BUSY), None);
     assert_eq!(shutdown.next_step(at(3_850), BUSY), Some(ShutdownStep::StopReading));
-    assert_eq!(shutdown.next_step(at(4_849), BUSY), None);
-    assert_eq!(shutdown.next_step(at(4_850), BUSY), Some(ShutdownStep::Exit));
+    assert_eq!(shutdown.next_step(at(9_000), BUSY), None);
+    assert_eq!(shutdown.wake_at(at(9_000)), None);
+    shutdown.accepting_stopped();
+    shutdown.reading_stopped();
+    assert_eq!(shutdown.next_step(at(9_001), BUSY), Some(ShutdownStep::CloseConnections));
+    assert_eq!(shutdown.next_step(at(9_151), BUSY), Some(ShutdownStep::Exit));
 }
 
 /// A second notice changes nothing; an earlier stop does.
--- a/crates/core/src/stop_times.rs
+++ b/crates/core/src/stop_times.rs
@@ -24,7 +24,7 @@
 }
 
 /// The times of one shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct StopTimes {
     notified_at: Time,
     stop_at: Time,
