--- a/crates/testkit/src/commands/drill.rs
+++ b/crates/testkit/src/commands/drill.rs
@@ -1,7 +1,7 @@
 //! `gradepin-testkit drill`: fault drills against real servers, with one line per claim.
 
 use super::shared::daemon;
-use crate::drill::{Verdict, faults, recovery, registry, release, scgi, shared};
+use crate::drill::{Verdict, faults, recovery, registry, release, scgi, shared, soak};
 use clap::{Args, Subcommand, ValueEnum};
 use std::error::Error;
 use std::path::PathBuf;
@@ -18,6 +18,8 @@
 pub enum Drill {
     /// Faults of clients, processor link, control plane, signals and files, alone and in pairs, judged by four oracles
     Faults(FaultsArgs),
+    /// Servers in upgrade under faults that overlap in time, for many seeds
+    Soak(SoakArgs),
     /// Kills under load: each save runs once, and clients that retry get their answers
     Recovery(RecoveryArgs),
     /// Permits under load: a rollout, and a faulty one that halts and rolls back
@@ -72,6 +74,42 @@
     Provenance,
 }
 
+/// Arguments of `drill soak`.
+#[derive(Debug, Args)]
+pub struct SoakArgs {
+    /// The first seed; every fifth one has a crowd
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Number of consecutive seeds
+    #[arg(long, default_value_t = 1)]
+    pub seeds: u64,
+    /// Play fewer servers for a shorter time, as the tests do
+    #[arg(long)]
+    pub small: bool,
+    /// Play only the server with this number
+    #[arg(long)]
+    pub only: Option<usize>,
+    /// Inject a defect that an oracle must detect. The drill must fail
+    #[arg(long)]
+    pub defect: Option<SoakDefectArg>,
+    /// Path of the daemon's program; by default the one beside this program
+    #[arg(long)]
+    pub daemon: Option<PathBuf>,
+}
+
+/// Defect of a soak.
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub enum SoakDefectArg {
+    /// A process is killed
+    Alive,
+    /// A client drops an answer
+    Answers,
+    /// Old processes are killed right after SIGTERM
+    EarlyKill,
+    /// The processor reports a result that it didn't compute
+    Provenance,
+}
+
 /// Arguments of `drill recovery`.
 #[derive(Debug, Args)]
 pub struct RecoveryArgs {
@@ -191,6 +229,7 @@
 pub fn run(args: DrillArgs) -> Result<bool, Box<dyn Error>> {
     match args.which {
         Drill::Faults(args) => faults(args),
+        Drill::Soak(args) => soak(args),
         Drill::Recovery(RecoveryArgs { seed, kills, plain, daemon: daemon_arg }) => {
             Ok(recovery::run(&recovery::Drill { daemon: daemon(daemon_arg)?, seed, kills, plain })?)
         }
@@ -235,3 +274,21 @@
     }
     Ok(verdict.kept()?)
 }
+
+fn soak(args: SoakArgs) -> Result<bool, Box<dyn Error>> {
+    let daemon = daemon(args.daemon)?;
+    let defect = args.defect.map(|defect| match defect {
+        SoakDefectArg::Alive => soak::Defect::Alive,
+        SoakDefectArg::Answers => soak::Defect::Answers,
+        SoakDefectArg::EarlyKill => soak::Defect::EarlyKill,
+        SoakDefectArg::Provenance => soak::Defect::Provenance,
+    });
+    let mut verdict = Verdict::Kept;
+    for seed in args.seed..args.seed.saturating_add(args.seeds) {
+        let full = soak::Soak::full(daemon.clone(), seed);
+        let played = if args.small { soak::Soak::small(daemon.clone(), seed) } else { full };
+        let report = soak::run(&soak::Soak { only: args.only, defect, ..played })?;
+        verdict = verdict.and(report.verdict);
+    }
+    Ok(verdict.kept()?)
+}
--- a/crates/testkit/src/drill/faults/client.rs
+++ b/crates/testkit/src/drill/faults/client.rs
@@ -108,6 +108,8 @@
     /// Whether the server has announced that it drains and takes no more requests here.
     pub draining: bool,
     ended: bool,
+    /// When the end of the connection was read.
+    ended_at: Option<Instant>,
     connected: Instant,
 }
 
@@ -141,7 +143,18 @@
     /// Wraps a socket; `connected` must have been taken before it was connected.
     pub fn new(stream: TcpStream, target: Target, connected: Instant) -> Self {
         let (open, checks, bytes) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
-        Self { stream, target, next: 1, open, checks, bytes, draining: false, ended: false, connected }
+        Self {
+            stream,
+            target,
+            next: 1,
+            open,
+            checks,
+            bytes,
+            draining: false,
+            ended: false,
+            ended_at: None,
+            connected,
+        }
     }
 
     /// Prepares a request with drawn class and body, and records it as not yet written.
@@ -242,6 +255,18 @@
         }
     }
 
+    /// Cancels requests; no answer is owed to them any more.
+    pub fn cancel(&mut self, all: &[Prepared]) {
+        self.not_owed(all);
+        for (seq, index) in &self.open {
+            if all.iter().any(|prepared| prepared.index == *index) {
+                // Requests and cancellations share one sequence of numbers.
+                let _ = self.stream.write_all(&thrift::cancel(self.next, *seq));
+                self.next += 1;
+            }
+        }
+    }
+
     /// Records that no answer is owed to these requests.
     pub fn not_owed(&self, all: &[Prepared]) {
         let mut entries = self.target.record.entries();
@@ -294,6 +319,7 @@
 
     fn end(&mut self, how: String) -> ReadOutcome {
         self.ended = true;
+        self.ended_at.get_or_insert_with(Instant::now);
         let mut entries = self.target.record.entries();
         for index in self.open.values() {
             entries.requests[*index].ended = Some(how.clone());
@@ -362,7 +388,11 @@
     /// Reads until everything is answered or the connection closes; on a timeout, records the states of the server's
     /// threads.
     pub fn wait_for_answers(&mut self) -> ReadOutcome {
-        let until = Instant::now() + HANG_TIMEOUT;
+        self.wait_for_answers_until(Instant::now() + HANG_TIMEOUT)
+    }
+
+    /// Like [`Self::wait_for_answers`], with another time after which the connection counts as hung.
+    pub fn wait_for_answers_until(&mut self, until: Instant) -> ReadOutcome {
         while !self.unanswered().is_empty() || !self.checked() {
             match self.read(until) {
                 ReadOutcome::Message => {}
@@ -391,19 +421,37 @@
     /// Sends requests that crossed the close of this connection once more on a new one. As on the protocol page,
     /// these are only requests that the server had not read, and only after it announced that it drains.
     pub fn send_crossed_again(self, target: &Target) {
-        let unanswered = self.unanswered();
-        if !self.draining || unanswered.is_empty() {
-            return;
+        if self.draining {
+            self.send_again(target, Duration::MAX);
         }
+    }
+
+    /// Sends requests again that were written at most this long before the end of the connection, whether or not the
+    /// server has announced that it drains. The others stay unanswered.
+    pub fn send_crossing_again(self, target: &Target, crossing: Duration) {
+        self.send_again(target, crossing);
+    }
+
+    fn send_again(self, target: &Target, crossing: Duration) {
+        let ended = self.ended_at.unwrap_or_else(Instant::now);
+        let unanswered = self.unanswered();
         let crossed: Vec<usize> = {
             let mut entries = target.record.entries();
-            let of = |index: &usize| !entries.began(&entries.requests[*index].rid);
+            let of = |index: &usize| {
+                let request = &entries.requests[*index];
+                let is_late =
+                    request.written.is_some_and(|at| ended.saturating_duration_since(at) <= crossing);
+                is_late && !entries.began(&request.rid)
+            };
             let crossed: Vec<usize> = unanswered.into_iter().filter(of).collect();
             for index in &crossed {
                 entries.requests[*index].sent_again = true;
             }
             crossed
         };
+        if crossed.is_empty() {
+            return;
+        }
         let Some(mut connection) = target.connect() else { return };
         // The content is copied from the record, so nothing is drawn.
         let mut random = Random::new(0, 0);
--- a/crates/testkit/src/drill/faults/traffic.rs
+++ b/crates/testkit/src/drill/faults/traffic.rs
@@ -89,15 +89,20 @@
 /// Checks that requests are served again once all faults are reverted, by sending requests until one is served.
 /// Detects a server that rejects every request or lets it time out for good.
 pub fn serves_again(target: &Target, seed: u64) {
+    serves_one_of(target, seed, &RequestOptions { class: Some(READ), ..RequestOptions::default() });
+}
+
+/// Like [`serves_again`], with requests of this kind.
+pub fn serves_one_of(target: &Target, seed: u64, options: &RequestOptions) {
     let (start, mut random) = (Instant::now(), Random::new(seed, 7));
-    let options = RequestOptions { class: Some(READ), ..RequestOptions::default() };
     while start.elapsed() < HANG_TIMEOUT {
         let Some(mut connection) = target.connect() else { return };
-        let prepared = connection.prepare(&mut random, &options);
+        let prepared = connection.prepare(&mut random, options);
         if connection.send(std::slice::from_ref(&prepared)).is_ok() {
             connection.wait_for_answers();
         }
         connection.finish();
+        thread::sleep(POLL_INTERVAL);
         let entries = target.record.entries();
         let answers = &entries.requests[prepared.index].answers;
         if answers.iter().any(|(_, answer)| matches!(answer, Answer::Served(..))) {
--- a/crates/testkit/src/drill/mod.rs
+++ b/crates/testkit/src/drill/mod.rs
@@ -6,6 +6,7 @@
 pub mod release;
 pub mod scgi;
 pub mod shared;
+pub mod soak;
 pub mod verdict;
 
 pub use verdict::{Claims, NotScored, Verdict};
--- /dev/null
+++ b/crates/testkit/src/drill/soak/play.rs
@@ -0,0 +1,288 @@
+//! What happens to one server during a soak: upgrades with signals in series, reloads, pauses, kills, steps of the wall
+//! clock and failing system calls, drawn from a seed, while clients use it.
+
+use super::server::{Process, Server};
+use super::system_faults::SystemFault;
+use crate::drill::faults::control::ControlPlane;
+use crate::drill::faults::processor::Cut;
+use crate::drill::faults::random::Random;
+use rustix::process::Signal;
+use std::io;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longest deadlines that configurations have, in ms.
+const DEADLINES_MS: [u64; 4] = [600, 1_000, 1_500, 2_000];
+/// Steps of the wall clock, in ms.
+const CLOCK_STEPS_MS: [i64; 6] = [3_600_000, -3_600_000, 5_000, -5_000, 2_000, -2_000];
+/// Time in which a new process has to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// A pause of an old process ends at least this long before SIGKILL, so that it can answer what has arrived.
+const TIME_AFTER_PAUSE: Duration = Duration::from_millis(100);
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+/// An event of the script.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Event {
+    Upgrade,
+    /// A second upgrade starts before the old process of the first has ended.
+    UpgradeTwice,
+    /// The new process is killed before or after it is ready.
+    FailedUpgrade,
+    Reload,
+    BrokenReload,
+    Pause,
+    ClockStep,
+    SystemFaults,
+    LinkCut,
+    /// The processor completes no run for a while.
+    SlowRuns,
+    ControlAway,
+    OperatorDrain,
+}
+
+const EVENTS: [Event; 17] = [
+    Event::Upgrade,
+    Event::Upgrade,
+    Event::Upgrade,
+    Event::Upgrade,
+    Event::UpgradeTwice,
+    Event::FailedUpgrade,
+    Event::Reload,
+    Event::Reload,
+    Event::BrokenReload,
+    Event::Pause,
+    Event::ClockStep,
+    Event::SystemFaults,
+    Event::SystemFaults,
+    Event::LinkCut,
+    Event::SlowRuns,
+    Event::ControlAway,
+    Event::OperatorDrain,
+];
+
+/// A pause of an old process.
+struct PlannedPause {
+    index: usize,
+    from: Instant,
+    until: Instant,
+}
+
+/// A script in progress.
+pub struct Script<'s, 'p> {
+    /// The server that it is played on.
+    pub server: &'s mut Server<'p>,
+    /// The control plane of all servers.
+    pub control: &'s ControlPlane,
+    /// Draws the events.
+    pub random: Random,
+    /// Whether processes are killed right after SIGTERM: the seeded defect of answers.
+    pub kills_early: bool,
+    /// What has happened, with the time since the begin.
+    pub history: Vec<String>,
+    /// When the soak began.
+    pub begin: Instant,
+}
+
+impl Script<'_, '_> {
+    /// Plays events until this time, then ends the faults.
+    pub fn play(&mut self, until: Instant) -> io::Result<()> {
+        if self.kills_early {
+            self.upgrade()?;
+        }
+        while Instant::now() < until {
+            thread::sleep(Duration::from_millis(self.random.within(100..=900)));
+            let event = self.random.one_of(&EVENTS);
+            self.note(format!("{event:?}"));
+            self.event(event)?;
+        }
+        self.server.system_faults.set_clock_offset_ms(0)?;
+        Ok(())
+    }
+
+    fn note(&mut self, text: String) {
+        self.history.push(format!("{:>6} ms  {text}", self.begin.elapsed().as_millis()));
+    }
+
+    fn event(&mut self, event: Event) -> io::Result<()> {
+        match event {
+            Event::Upgrade => self.upgrade(),
+            Event::UpgradeTwice => {
+                let old = self.begin_upgrade()?;
+                let older = self.begin_upgrade()?;
+                self.end_old([old, older].into_iter().flatten().collect())
+            }
+            Event::FailedUpgrade => self.fail_upgrade(),
+            Event::Reload => {
+                let deadline = self.draw_deadline();
+                self.current().reload(Some(deadline))
+            }
+            Event::BrokenReload => self.current().reload(None),
+            Event::Pause => {
+                let pause = Duration::from_millis(self.random.within(20..=1_000));
+                self.pause_current(pause);
+                Ok(())
+            }
+            Event::ClockStep => {
+                let step_ms = self.random.one_of(&CLOCK_STEPS_MS);
+                self.note(format!("wall clock {step_ms:+} ms"));
+                self.server.system_faults.set_clock_offset_ms(step_ms)
+            }
+            Event::SystemFaults => self.inject_system_faults(),
+            Event::LinkCut => {
+                let cut = Cut { after: self.random.count(0..=200), resets: self.random.once_in(2), times: 1 };
+                let in_commands = self.random.once_in(2);
+                self.current().processor.script(|script| match in_commands {
+                    true => script.cut_commands = Some(cut),
+                    false => script.cut_notices = Some(cut),
+                });
+                Ok(())
+            }
+            Event::SlowRuns => {
+                let pause = Duration::from_millis(self.random.within(50..=400));
+                self.current().processor.script(|script| script.holds_runs = true);
+                thread::sleep(pause);
+                self.current().processor.script(|script| script.holds_runs = false);
+                Ok(())
+            }
+            Event::ControlAway => {
+                self.control.away(true);
+                thread::sleep(Duration::from_millis(300));
+                self.control.away(false);
+                Ok(())
+            }
+            Event::OperatorDrain => {
+                let process = self.current();
+                // The call may meet a fault that is injected at this time.
+                let _ = process.admin_call("POST /healthcheck/fail");
+                thread::sleep(Duration::from_millis(100));
+                let _ = process.admin_call("POST /healthcheck/ok");
+                Ok(())
+            }
+        }
+    }
+
+    fn current(&mut self) -> &mut Process {
+        self.server.processes.last_mut().expect("a soak starts with a process")
+    }
+
+    fn draw_deadline(&mut self) -> Duration {
+        Duration::from_millis(self.random.one_of(&DEADLINES_MS))
+    }
+
+    fn pause_current(&mut self, pause: Duration) {
+        let process = self.current();
+        process.signal(Signal::STOP);
+        thread::sleep(pause);
+        process.signal(Signal::CONT);
+        self.server.target.record.entries().paused += pause;
+    }
+
+    fn inject_system_faults(&mut self) -> io::Result<()> {
+        let fault = self.random.one_of(&SystemFault::HARMLESS);
+        let permille = self.random.one_of(&[20, 100, 300]);
+        self.note(format!("{fault:?} in {permille} of 1,000 calls"));
+        self.server.system_faults.set(fault, permille)?;
+        thread::sleep(Duration::from_millis(self.random.within(200..=1_500)));
+        self.server.system_faults.set(fault, 0)
+    }
+
+    fn upgrade(&mut self) -> io::Result<()> {
+        let old = self.begin_upgrade()?;
+        self.end_old(old.into_iter().collect())
+    }
+
+    /// Starts a new process and sends SIGTERM to the former one once it is ready. Returns the index of the former one;
+    /// `None` if the new one was not ready in time.
+    fn begin_upgrade(&mut self) -> io::Result<Option<usize>> {
+        let deadline = self.draw_deadline();
+        let old = self.server.processes.len() - 1;
+        self.server.start(deadline)?;
+        if !self.server.wait_ready(READY_TIMEOUT) {
+            let name = &self.server.target.name;
+            self.server.target.record.check(
+                &format!("the start of process {} of {name}", old + 1),
+                Err("it was not ready within 10 s".into()),
+            );
+            return Ok(None);
+        }
+        self.note(format!("SIGTERM to process {old}"));
+        self.server.processes[old].terminate();
+        Ok(Some(old))
+    }
+
+    /// Plays the last moments of old processes: signals in series and pauses, until each has ended or the platform stops it.
+    fn end_old(&mut self, old: Vec<usize>) -> io::Result<()> {
+        let mut pause = self.draw_pause(&old);
+        let mut signals = self.random.within(0..=6);
+        if self.random.once_in(3) {
+            self.note("the runs of the old processes do not end".into());
+            for &index in &old {
+                self.server.processes[index].processor.script(|script| script.holds_runs = true);
+            }
+        }
+        let early = self.kills_early.then(|| Instant::now() + Duration::from_millis(50));
+        while old.iter().any(|&index| !self.server.processes[index].has_ended()) {
+            thread::sleep(POLL_INTERVAL);
+            if signals > 0 && self.random.once_in(40) {
+                signals -= 1;
+                let signal = self.random.one_of(&[Signal::TERM, Signal::HUP]);
+                let index = self.random.one_of(&old);
+                self.server.processes[index].signal(signal);
+            }
+            if let Some(planned) = pause.take_if(|planned| planned.from <= Instant::now()) {
+                self.pause_until(planned.index, planned.until);
+            }
+            for &index in &old {
+                let process = &mut self.server.processes[index];
+                let is_due = process.stop_at().is_some_and(|at| Instant::now() >= at);
+                let is_early = early.is_some_and(|at| Instant::now() >= at);
+                if (is_due || is_early) && !process.has_ended() {
+                    process.kill();
+                    self.history.push(format!("process {index} was stopped by SIGKILL"));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn pause_until(&mut self, index: usize, until: Instant) {
+        let pause = until.saturating_duration_since(Instant::now());
+        self.note(format!("process {index} is stopped for {} ms", pause.as_millis()));
+        self.server.processes[index].signal(Signal::STOP);
+        thread::sleep(pause);
+        self.server.processes[index].signal(Signal::CONT);
+        self.server.target.record.entries().paused += pause;
+    }
+
+    /// Draws which old process is stopped, from when and until when; it often covers its last moments.
+    fn draw_pause(&mut self, old: &[usize]) -> Option<PlannedPause> {
+        if old.is_empty() || !self.random.once_in(2) {
+            return None;
+        }
+        let index = self.random.one_of(old);
+        let latest = self.server.processes[index].stop_at()?.checked_sub(TIME_AFTER_PAUSE)?;
+        let until = latest - Duration::from_millis(self.random.within(0..=300));
+        let from = until - Duration::from_millis(self.random.within(20..=400));
+        Some(PlannedPause { index, from, until })
+    }
+
+    /// A new process that is killed, before it is ready or after it has served for a moment.
+    fn fail_upgrade(&mut self) -> io::Result<()> {
+        let deadline = self.draw_deadline();
+        self.server.start(deadline)?;
+        if self.random.once_in(2) {
+            self.server.wait_ready(READY_TIMEOUT);
+        }
+        thread::sleep(Duration::from_millis(self.random.within(0..=200)));
+        let kill = |server: &Server<'_>| server.target.record.entries().kills.push(Instant::now());
+        // Nothing that is open now is owed an answer, as nobody knows by which process it was accepted.
+        kill(self.server);
+        if let Some(mut process) = self.server.processes.pop() {
+            process.kill();
+            self.server.ended.push(process);
+        }
+        kill(self.server);
+        Ok(())
+    }
+}
