Share the outcome of a keyed run later if the disk fails when the run ends

Callers: a retry at the other process of an upgrade failed for the whole window, although the run had been served, if the folder could not be written (ENOSPC, EIO) at the moment when the run ended.

Cause: the claims thread wrote each outcome once and gave it up with a log line; the claim stayed "in progress".

Change: an outcome that can't be written is kept and tried again every 10 ms, and once more at the exit; the one that fails goes behind the others. Past 1,024 waiting ones the oldest is shared without its result.

Result: a new test makes the draft of results unwritable; the outcome is shared after that is over, and one behind it. Before, the thread had no second write (seen in the code; the test was not run on it, as it would wait for `done` in vain).

--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -28,6 +28,7 @@
 use gradepin_core::idempotency_table::{Fingerprint, RunOutcome};
 use gradepin_core::messages::{Input, LookupId, RecordedRun, RunClaim};
 use slog::{Logger, warn};
+use std::collections::VecDeque;
 use std::io;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
@@ -38,16 +39,26 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between removals of expired files and of files of dead processes.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(2);
+/// Ends of runs that wait to be shared with their results; older ones are shared without.
+const MAX_UNSHARED_RESULTS: usize = 1_024;
 /// Interval between attempts to open a folder that can't be used.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 
 enum Job {
     Claim(PendingClaim),
     LookUp { lookup: LookupId, key: Arc<str>, fingerprint: Fingerprint },
-    Release { key: Arc<str>, fingerprint: Fingerprint, outcome: Option<RunOutcome> },
+    Release(Release),
     SetWindow(Duration),
 }
 
+/// The end of a run that this process has claimed.
+struct Release {
+    key: Arc<str>,
+    fingerprint: Fingerprint,
+    /// `None` if the run never started.
+    outcome: Option<RunOutcome>,
+}
+
 /// A claim that is not answered yet.
 struct PendingClaim {
     id: RequestId,
@@ -115,7 +126,7 @@
 
     /// Shares the outcome of a run that this process claimed; `None` if the run never started.
     pub fn release(&self, key: Arc<str>, fingerprint: Fingerprint, outcome: Option<RunOutcome>) {
-        let _ = self.jobs.send(Job::Release { key, fingerprint, outcome });
+        let _ = self.jobs.send(Job::Release(Release { key, fingerprint, outcome }));
     }
 
     /// Changes the longest time during which a key may be repeated.
@@ -151,7 +162,7 @@
                 inputs.send(Input::RunLookedUp { lookup, run: RecordedRun::Unknown }).ok()?;
             }
             // No claim was granted here that could be released.
-            Ok(Job::Release { .. }) => {}
+            Ok(Job::Release(_)) => {}
             Ok(Job::SetWindow(new)) => window = new,
             Err(RecvTimeoutError::Disconnected) => return None,
             Err(RecvTimeoutError::Timeout) => {
@@ -171,6 +182,8 @@
     inputs: Sender<Input>,
     /// Claims of keys that another process is running.
     waiting: Vec<PendingClaim>,
+    /// Ends of runs that could not be shared yet, at most one for each claim of this process.
+    unshared: VecDeque<Release>,
     last_poll: Instant,
     last_cleanup: Instant,
     /// Whether a failure was logged; only the first one is logged.
@@ -185,6 +198,7 @@
             folder,
             inputs,
             waiting: Vec::new(),
+            unshared: VecDeque::new(),
             last_poll: now,
             last_cleanup: now,
             failure_logged: false,
@@ -195,17 +209,19 @@
     /// Processes jobs until their queue is closed.
     fn run(mut self, queue: &Receiver<Job>) {
         loop {
-            let timeout = if self.waiting.is_empty() { CLEANUP_INTERVAL } else { POLL_INTERVAL };
+            let is_idle = self.waiting.is_empty() && self.unshared.is_empty();
+            let timeout = if is_idle { CLEANUP_INTERVAL } else { POLL_INTERVAL };
             let first = match queue.recv_timeout(timeout) {
                 Ok(job) => Some(job),
                 Err(RecvTimeoutError::Timeout) => None,
-                Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Disconnected) => return self.share_ends(),
             };
             for job in first.into_iter().chain(queue.try_iter()) {
                 self.serve(job);
             }
             if self.last_poll.elapsed() >= POLL_INTERVAL {
                 self.poll();
+                self.share_ends();
             }
             if self.last_cleanup.elapsed() >= CLEANUP_INTERVAL {
                 if let Err(e) = self.folder.clean_up(Instant::now()) {
@@ -224,11 +240,10 @@
                 }
             }
             Job::LookUp { lookup, key, fingerprint } => self.look_up(lookup, &key, fingerprint),
-            Job::Release { key, fingerprint, outcome } => {
-                if let Err(e) = self.folder.release(&key, fingerprint, outcome) {
-                    warn!(self.log, "can't share the outcome of a keyed run; requests for it at the other process fail";
-                          "error" => %e);
-                }
+            Job::Release(release) => {
+                self.unshared.push_back(release);
+                self.drop_surplus_result();
+                self.share_ends();
             }
             Job::SetWindow(window) => self.folder.window = window,
         }
@@ -242,6 +257,25 @@
         let _ = self.inputs.send(Input::RunLookedUp { lookup, run });
     }
 
+    /// Bounds the memory of the results that wait to be shared: the other process then learns that the run has ended.
+    fn drop_surplus_result(&mut self) {
+        let surplus = self.unshared.len().checked_sub(MAX_UNSHARED_RESULTS + 1);
+        if let Some(release) = surplus.and_then(|index| self.unshared.get_mut(index)) {
+            release.outcome = release.outcome.take().map(|_| RunOutcome::Failed);
+        }
+    }
+
+    /// Shares the ends of runs until one can't be written; that one is tried again after the others.
+    fn share_ends(&mut self) {
+        while let Some(Release { key, fingerprint, outcome }) = self.unshared.front() {
+            if let Err(e) = self.folder.release(key, *fingerprint, outcome.clone()) {
+                self.unshared.rotate_left(1);
+                return self.log_failure("outcome", &e);
+            }
+            self.unshared.pop_front();
+        }
+    }
+
     /// Retries all waiting claims.
     fn poll(&mut self) {
         let mut waiting = std::mem::take(&mut self.waiting);
--- a/crates/node/src/claims/tests.rs
+++ b/crates/node/src/claims/tests.rs
@@ -141,6 +141,35 @@
     }
 }
 
+/// Guards against an outcome that is lost because the disk failed when the run ended: it is shared once it can be written,
+/// and other ends behind it.
+#[test]
+fn an_outcome_that_can_not_be_written_is_shared_later() {
+    let folder = Folder::new();
+    let (inputs, received) = unbounded();
+    let settings = ClaimsSettings { folder: folder.0.clone(), seed: 1, memory: MEMORY_BYTES };
+    let window = Span(WINDOW.as_nanos() as u64);
+    let log = Logger::root(Discard, o!());
+    let claims = Claims::start(settings, window, inputs, BufferPool::new(4), log).expect("started");
+    let other = folder.process(2, MEMORY_BYTES);
+    for key in ["t", "u"] {
+        claims.claim(RequestId::new(key), Arc::from(key), 7, Span(0));
+        assert!(matches!(received.recv(), Ok(Input::RunClaimed { claim: RunClaim::Ours, .. })));
+    }
+    // Results are written to this file first.
+    let draft = folder.0.join("draft.alive.0000000000000001");
+    fs::create_dir(&draft).expect("created");
+    claims.release(Arc::from("t"), 7, served("done"));
+    claims.release(Arc::from("u"), 7, Some(RunOutcome::Failed));
+    // Behind the releases in the queue.
+    claims.look_up(1, Arc::from("t"), 7);
+    let run = received.recv();
+    assert!(matches!(run, Ok(Input::RunLookedUp { run: RecordedRun::InProgress, .. })), "{run:?}");
+    fs::remove_dir(&draft).expect("removed");
+    claims.close(crossbeam_channel::never());
+    assert_eq!((look_up(&other, "t", 7), look_up(&other, "u", 7)), ("done".into(), "Ended(Failed)".into()));
+}
+
 /// Guards against unbounded memory use: files are removed when no retry can ask for them any more, results are limited
 /// to their fraction of the memory, and claims beyond the limit are rejected.
 #[test]
