Keep a listener open until a shortage while accepting stops is over

Callers: connections that waited to be accepted were reset, with the requests on them, when a process closed its own listener in a moment in which accept failed (ENFILE, ENOBUFS).

Cause: before it closes an exclusive listener the reader empties its queue; a failing accept ended that, and the listener was closed over the rest.

Change: the listener stays open and is tried again every 5 ms until its queue is empty, at the latest when reading ends. TCP_NODELAY that can't be set no longer drops an accepted connection and pauses accepting.

Result: two tests, of a moment and of a shortage that lasts; the first fails if the listener is closed at once (the code before).

--- a/crates/node/src/frontend/acceptor.rs
+++ b/crates/node/src/frontend/acceptor.rs
@@ -31,6 +31,17 @@
     may_have_queued: bool,
     /// End of the pause after a shortage of descriptors or memory.
     paused_until: Option<Instant>,
+    /// Number of accepts that fail as if the system had no descriptors.
+    #[cfg(test)]
+    pub(super) simulated_shortages: usize,
+}
+
+#[cfg(test)]
+impl ListenerEntry {
+    fn simulated_shortage(&mut self) -> Option<io::Result<OwnedFd>> {
+        self.simulated_shortages = self.simulated_shortages.checked_sub(1)?;
+        Some(Err(rustix::io::Errno::NFILE.into()))
+    }
 }
 
 /// Result of one attempt to accept a connection.
@@ -81,6 +92,8 @@
                 open_connections: Arc::default(),
                 may_have_queued: true,
                 paused_until: None,
+                #[cfg(test)]
+                simulated_shortages: 0,
             });
         }
         Ok(Self { entries, max_connections })
@@ -136,6 +149,11 @@
         self.entries[index].paused_until.is_some_and(|until| now < until)
     }
 
+    /// Whether the latest attempt to accept on a listener met a shortage of descriptors or memory.
+    pub(super) fn has_shortage(&self, index: usize) -> bool {
+        self.entries[index].paused_until.is_some()
+    }
+
     /// Accepts one connection from a listener, if one is queued and a slot is free.
     pub(super) fn accept(&mut self, index: usize, now: Instant) -> Accepted {
         let all_connections = self.open_connections();
@@ -152,8 +170,12 @@
         if all_slots_full || own_slots_full {
             return Accepted::NoSlot;
         }
+        #[cfg(test)]
+        let simulated = entry.simulated_shortage();
+        #[cfg(not(test))]
+        let simulated: Option<io::Result<OwnedFd>> = None;
         let Some(listener) = &entry.listener else { return Accepted::NoneQueued };
-        match listener.accept() {
+        match simulated.unwrap_or_else(|| listener.accept()) {
             Ok(stream) => {
                 entry.paused_until = None;
                 Accepted::Connection { stream, slots_full }
@@ -198,6 +220,12 @@
         entry.listener.take()
     }
 
+    /// Has the next accepts on a listener fail as if the system had no descriptors.
+    #[cfg(test)]
+    pub(super) fn simulate_shortages(&mut self, index: usize, count: usize) {
+        self.entries[index].simulated_shortages = count;
+    }
+
     /// Clears the mark that connections may be queued on a listener, as an interrupted accept does.
     #[cfg(test)]
     pub(super) fn clear_ready(&mut self, index: usize) {
--- a/crates/node/src/frontend/event_loop.rs
+++ b/crates/node/src/frontend/event_loop.rs
@@ -24,7 +24,7 @@
 
 /// Interval between checks of timeouts, and the longest wait for events.
 const TICK: Duration = Duration::from_millis(100);
-/// Longest wait for events once accepting has stopped, so that the end of reading follows soon after it is asked for.
+/// Longest wait for events once accepting is to stop, so that the end of reading follows soon after it is asked for.
 const SHUTDOWN_TICK: Duration = Duration::from_millis(5);
 /// Interval between attempts to accept connections without an event.
 const ACCEPT_PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -39,6 +39,15 @@
 /// First message timeout of a connection in a reserved slot, in place of that of its protocol.
 const RESERVED_SLOT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Connections that are queued on a listener when accepting stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum QueuedConnections {
+    /// All are accepted, also after a shortage of descriptors or memory.
+    AcceptAll,
+    /// Those are accepted for which there are descriptors and memory, as reading ends now.
+    AcceptWhatIsPossible,
+}
+
 /// The state of the reading thread.
 pub(super) struct EventLoop {
     epoll: OwnedFd,
@@ -125,7 +134,8 @@
 
     /// How long to wait for events: at most [`TICK`].
     fn wait_timeout(&self) -> Duration {
-        let longest = if self.acceptor.is_accepting() { TICK } else { SHUTDOWN_TICK };
+        let is_stopping = self.shared.stops.accepting.load(Ordering::SeqCst);
+        let longest = if is_stopping { SHUTDOWN_TICK } else { TICK };
         let mut timeout = if self.scheduled.is_empty() { longest } else { Duration::ZERO };
         if self.acceptor.may_have_queued() {
             timeout = timeout.min(ACCEPT_RETRY_INTERVAL);
@@ -207,7 +217,9 @@
         }
         self.reading_ended = true;
         // Connections that are accepted now are read too.
-        self.accept();
+        if self.acceptor.is_accepting() {
+            self.stop_accepting(QueuedConnections::AcceptWhatIsPossible);
+        }
         self.throttled.clear();
         let ids: Vec<ConnectionId> = self.readers.keys().copied().collect();
         let accepts_inputs = ids.into_iter().all(|id| self.read_rest(id));
@@ -237,7 +249,7 @@
     fn accept(&mut self) {
         if self.shared.stops.accepting.load(Ordering::SeqCst) {
             if self.acceptor.is_accepting() {
-                self.stop_accepting();
+                self.stop_accepting(QueuedConnections::AcceptAll);
             }
             return;
         }
@@ -253,19 +265,24 @@
     }
 
     /// Closes the listeners. Connections queued on an exclusive listener are accepted first, because closing it would
-    /// reset them.
-    fn stop_accepting(&mut self) {
+    /// reset them. If that fails for want of descriptors or memory, the listener stays open until the next call.
+    fn stop_accepting(&mut self, queued: QueuedConnections) {
         for index in 0..self.acceptor.len() {
             if self.acceptor.must_empty_queue(index) {
                 while self.accept_batch(index) {}
+                if queued == QueuedConnections::AcceptAll && self.acceptor.has_shortage(index) {
+                    continue;
+                }
             }
             if let Some(listener) = self.acceptor.take_listener(index) {
                 // Otherwise each connection for the other process would cause an event here.
                 let _ = epoll::delete(&self.epoll, &listener);
             }
         }
-        // In the same queue as the accepted connections, so that it arrives after all of them.
-        let _ = self.shared.inputs.send(Input::StoppedAccepting);
+        if !self.acceptor.is_accepting() {
+            // In the same queue as the accepted connections, so that it arrives after all of them.
+            let _ = self.shared.inputs.send(Input::StoppedAccepting);
+        }
     }
 
     /// Accepts a batch of connections from a listener; returns whether there may be more.
--- a/crates/node/src/frontend/event_loop/tests.rs
+++ b/crates/node/src/frontend/event_loop/tests.rs
@@ -210,3 +210,33 @@
     assert!(received.is_empty(), "something was read after the end of reading");
     assert_eq!(unread(&peer), 0, "it was discarded");
 }
+
+/// Guards against resets of queued connections because accepting them fails for a moment when the listener is to be closed.
+#[test]
+fn a_shortage_while_accepting_stops_resets_no_queued_connection() {
+    let (mut event_loop, address, received) = event_loop(4, false);
+    let _peer = TcpStream::connect(address).unwrap();
+    event_loop.acceptor.simulate_shortages(0, 2);
+    event_loop.shared.stops.accepting.store(true, Ordering::SeqCst);
+    event_loop.accept();
+    event_loop.accept();
+    assert!(received.is_empty(), "the listener was closed with a connection in its queue");
+    event_loop.accept();
+    let inputs: Vec<Input> = received.try_iter().collect();
+    assert!(matches!(inputs[..], [Input::ConnectionOpened(_), Input::StoppedAccepting]), "{inputs:?}");
+    assert!(TcpStream::connect(address).is_err(), "the listener is closed");
+}
+
+/// A shortage that lasts doesn't delay the end of reading.
+#[test]
+fn the_end_of_reading_closes_a_listener_that_has_a_shortage() {
+    let (mut event_loop, address, received) = event_loop(4, false);
+    let _peer = TcpStream::connect(address).unwrap();
+    event_loop.acceptor.simulate_shortages(0, 1_000);
+    event_loop.shared.stops.accepting.store(true, Ordering::SeqCst);
+    event_loop.shared.stops.reading.store(true, Ordering::SeqCst);
+    event_loop.accept();
+    assert!(event_loop.end_reading_if_asked());
+    let inputs: Vec<Input> = received.try_iter().collect();
+    assert!(matches!(inputs[..], [Input::StoppedAccepting, Input::StoppedReading]), "{inputs:?}");
+}
--- a/crates/node/src/frontend/listener.rs
+++ b/crates/node/src/frontend/listener.rs
@@ -71,7 +71,8 @@
         match self {
             Self::Tcp(listener) | Self::Shared(listener) => {
                 let (stream, _) = listener.accept()?;
-                stream.set_nodelay(true)?;
+                // A failure only delays responses; the connection was accepted.
+                let _ = stream.set_nodelay(true);
                 Ok(stream.into())
             }
             Self::Unix(listener, _) => Ok(listener.accept()?.0.into()),
