Simulate a shortage of descriptors without an option that clippy rejects

Cause: clippy denied an option in acceptor.rs that is always empty outside tests.

Change: the accept of one listener is a method, which simulates shortages in tests alone. Nothing else changes.

Result: clippy is clean, the nine tests of the event loop pass.

--- a/crates/node/src/frontend/acceptor.rs
+++ b/crates/node/src/frontend/acceptor.rs
@@ -36,11 +36,15 @@
     pub(super) simulated_shortages: usize,
 }
 
-#[cfg(test)]
 impl ListenerEntry {
-    fn simulated_shortage(&mut self) -> Option<io::Result<OwnedFd>> {
-        self.simulated_shortages = self.simulated_shortages.checked_sub(1)?;
-        Some(Err(rustix::io::Errno::NFILE.into()))
+    /// Accepts one connection; `None` once accepting has stopped.
+    fn accept(&mut self) -> Option<io::Result<OwnedFd>> {
+        #[cfg(test)]
+        if let Some(remaining) = self.simulated_shortages.checked_sub(1) {
+            self.simulated_shortages = remaining;
+            return Some(Err(rustix::io::Errno::NFILE.into()));
+        }
+        self.listener.as_ref().map(Listener::accept)
     }
 }
 
@@ -170,12 +174,8 @@
         if all_slots_full || own_slots_full {
             return Accepted::NoSlot;
         }
-        #[cfg(test)]
-        let simulated = entry.simulated_shortage();
-        #[cfg(not(test))]
-        let simulated: Option<io::Result<OwnedFd>> = None;
-        let Some(listener) = &entry.listener else { return Accepted::NoneQueued };
-        match simulated.unwrap_or_else(|| listener.accept()) {
+        let Some(accepted) = entry.accept() else { return Accepted::NoneQueued };
+        match accepted {
             Ok(stream) => {
                 entry.paused_until = None;
                 Accepted::Connection { stream, slots_full }
