Outlast sockets that the system denies for a moment at a start, overlap the soak's faults

Callers: an upgrade failed, as its new process ended with status 1: "admin endpoint on ..: Too many open files in system".

Cause: a start retried an address in use for 10 s, and took every other error for a lasting one.

Change: ENFILE, ENOBUFS, ENOMEM and EINTR are retried in the same limit, also for the socket of the reports. The soak's failing system calls, slow runs and missing control plane end by their own times while upgrades and signals go on, as they were to; before, each ended before the next event.

--- a/crates/node/src/startup/listeners.rs
+++ b/crates/node/src/startup/listeners.rs
@@ -4,7 +4,7 @@
 //! immediately.
 
 use super::context::StartContext;
-use super::error::{StartAborted, StartError};
+use super::error::StartAborted;
 use super::predecessor_wait::PredecessorWait;
 use super::start_optional;
 use super::state::ServerState;
@@ -42,8 +42,9 @@
         self.roles.warn_if_no_member(self.operator, self.log);
         let peers = self.bind_peers(wait)?;
         let config = self.config;
-        let control = Control::new(&config.name, config.listen, config.control)
-            .map_err(StartError::system("the socket of reports to the control plane"))?;
+        let control = wait.acquire("the socket of reports to the control plane", || {
+            Control::new(&config.name, config.listen, config.control)
+        })?;
         let thrift: Arc<dyn Protocol> = Arc::new(Thrift::new(state.names.clone()));
         let mut client_listeners = vec![(thrift, self.client_listener(wait)?)];
         let scgi = self.scgi_frontend(state)?;
--- a/crates/node/src/startup/predecessor_wait.rs
+++ b/crates/node/src/startup/predecessor_wait.rs
@@ -1,4 +1,5 @@
-//! Waits at the start for addresses and folders that the predecessor process still holds.
+//! Waits at the start for addresses and folders that the predecessor process still holds, and for sockets that the system
+//! has no resources for at the moment.
 //!
 //! A predecessor closes its addresses one after another, and releases its folders and some addresses only when it
 //! exits. Every address and every folder with one owner is acquired here: while another process holds it, the attempt
@@ -8,6 +9,7 @@
 use crate::frontend::Listener;
 use crate::signals::Signals;
 use gradepin_store::disk::{Folder, FolderError};
+use rustix::io::Errno;
 use signal_hook::consts::SIGTERM;
 use slog::{Logger, info, warn};
 use std::io::{self, ErrorKind};
@@ -18,6 +20,8 @@
 
 /// Upper bound of all waits together, counted from the creation of the [`PredecessorWait`].
 const MAX_WAIT: Duration = Duration::from_secs(10);
+/// Logged while an address is in use.
+const HELD_ADDRESS: &str = "another process holds the address";
 const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Acquires the resources of a start within a common limit of [`MAX_WAIT`].
@@ -38,7 +42,8 @@
         self.acquire(&format!("listening on {address}"), || Listener::tcp(address))
     }
 
-    /// Calls `acquire` until it succeeds, fails with an error other than an address in use, or the limit is reached.
+    /// Calls `acquire` until it succeeds, fails with an error that doesn't pass, or the limit is reached. An address in use
+    /// and a shortage of the system's resources pass.
     /// `resource` is the name in the log and in errors.
     pub(super) fn acquire<T>(
         &self,
@@ -50,8 +55,10 @@
             match acquire() {
                 Ok(acquired) => return Ok(acquired),
                 Err(_) if self.shutdown_requested(resource) => return Err(StartAborted::ShutdownRequested),
-                Err(e) if e.kind() == ErrorKind::AddrInUse && self.has_time() => {
-                    self.pause("address", resource, &mut is_logged);
+                Err(e) if is_temporary(&e) && self.has_time() => {
+                    let is_held = e.kind() == ErrorKind::AddrInUse;
+                    let reason = if is_held { HELD_ADDRESS.to_string() } else { e.to_string() };
+                    self.pause(&reason, resource, &mut is_logged);
                 }
                 Err(source) => return Err(StartError::system(resource)(source).into()),
             }
@@ -71,7 +78,7 @@
                 if self.shutdown_requested(&resource) {
                     return Err(StartAborted::ShutdownRequested);
                 }
-                self.pause("folder", &resource, &mut is_logged);
+                self.pause("another process holds the folder", &resource, &mut is_logged);
             }
         }
         Ok(())
@@ -90,10 +97,18 @@
     }
 
     /// Pauses before the next attempt; logs only the first pause for a resource.
-    fn pause(&self, kind: &str, resource: &str, is_logged: &mut bool) {
+    fn pause(&self, reason: &str, resource: &str, is_logged: &mut bool) {
         if !std::mem::replace(is_logged, true) {
-            warn!(self.log, "another process holds the {}; retrying", kind; "resource" => resource);
+            warn!(self.log, "{}; retrying", reason; "resource" => resource);
         }
         thread::sleep(RETRY_INTERVAL);
     }
 }
+
+/// Whether a socket that can't be opened now may be opened later: another process holds its address, or the system lacks
+/// descriptors or memory. The limit of this process is not the system's, and would not pass.
+fn is_temporary(error: &io::Error) -> bool {
+    let shortages = [Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::INTR];
+    error.kind() == ErrorKind::AddrInUse
+        || Errno::from_io_error(error).is_some_and(|errno| shortages.contains(&errno))
+}
--- a/crates/testkit/src/drill/soak/mod.rs
+++ b/crates/testkit/src/drill/soak/mod.rs
@@ -229,6 +229,7 @@
             kills_early: is_first && soak.defect == Some(Defect::EarlyKill),
             history: Vec::new(),
             begin,
+            faults: Vec::new(),
         };
         let played = script.play(begin + soak.duration);
         history = std::mem::take(&mut script.history);
--- a/crates/testkit/src/drill/soak/play.rs
+++ b/crates/testkit/src/drill/soak/play.rs
@@ -82,6 +82,19 @@
     pub history: Vec<String>,
     /// When the soak began.
     pub begin: Instant,
+    /// Faults in force, with the time at which each ends. Other events are played meanwhile.
+    pub faults: Vec<(Instant, LastingFault)>,
+}
+
+/// A fault that stays in force while other events are played.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LastingFault {
+    /// System calls fail.
+    System(SystemFault),
+    /// The processor of the process with this index completes no run.
+    SlowRuns(usize),
+    /// The control plane is gone.
+    ControlAway,
 }
 
 impl Script<'_, '_> {
@@ -91,15 +104,54 @@
             self.upgrade()?;
         }
         while Instant::now() < until {
-            thread::sleep(Duration::from_millis(self.random.within(100..=900)));
+            let pause = Duration::from_millis(self.random.within(50..=600));
+            self.wait(pause)?;
             let event = self.random.one_of(&EVENTS);
             self.note(format!("{event:?}"));
             self.event(event)?;
         }
-        self.server.system_faults.set_clock_offset_ms(0)?;
+        self.faults.iter_mut().for_each(|(ends, _)| *ends = Instant::now());
+        self.end_faults()?;
+        self.server.system_faults.set_clock_offset_ms(0)
+    }
+
+    /// Lets time pass; faults that are over meanwhile end.
+    fn wait(&mut self, pause: Duration) -> io::Result<()> {
+        let until = Instant::now() + pause;
+        while Instant::now() < until {
+            thread::sleep(POLL_INTERVAL);
+            self.end_faults()?;
+        }
+        Ok(())
+    }
+
+    /// Has a fault last for a drawn time.
+    fn begin_fault(&mut self, fault: LastingFault, longest_ms: u64) {
+        let lasts = Duration::from_millis(self.random.within(50..=longest_ms));
+        self.faults.push((Instant::now() + lasts, fault));
+    }
+
+    /// Ends the faults whose time is over.
+    fn end_faults(&mut self) -> io::Result<()> {
+        let now = Instant::now();
+        let over: Vec<LastingFault> =
+            self.faults.extract_if(.., |(ends, _)| *ends <= now).map(|(_, fault)| fault).collect();
+        for fault in over {
+            match fault {
+                LastingFault::System(fault) => self.server.system_faults.set(fault, 0)?,
+                LastingFault::SlowRuns(index) => self.hold_runs(index, false),
+                LastingFault::ControlAway => self.control.away(false),
+            }
+        }
         Ok(())
     }
 
+    fn hold_runs(&mut self, index: usize, holds: bool) {
+        if let Some(process) = self.server.processes.get(index) {
+            process.processor.script(|script| script.holds_runs = holds);
+        }
+    }
+
     fn note(&mut self, text: String) {
         self.history.push(format!("{:>6} ms  {text}", self.begin.elapsed().as_millis()));
     }
@@ -139,16 +191,14 @@
                 Ok(())
             }
             Event::SlowRuns => {
-                let pause = Duration::from_millis(self.random.within(50..=400));
-                self.current().processor.script(|script| script.holds_runs = true);
-                thread::sleep(pause);
-                self.current().processor.script(|script| script.holds_runs = false);
+                let index = self.server.processes.len() - 1;
+                self.hold_runs(index, true);
+                self.begin_fault(LastingFault::SlowRuns(index), 400);
                 Ok(())
             }
             Event::ControlAway => {
                 self.control.away(true);
-                thread::sleep(Duration::from_millis(300));
-                self.control.away(false);
+                self.begin_fault(LastingFault::ControlAway, 500);
                 Ok(())
             }
             Event::OperatorDrain => {
@@ -183,8 +233,8 @@
         let permille = self.random.one_of(&[20, 100, 300]);
         self.note(format!("{fault:?} in {permille} of 1,000 calls"));
         self.server.system_faults.set(fault, permille)?;
-        thread::sleep(Duration::from_millis(self.random.within(200..=1_500)));
-        self.server.system_faults.set(fault, 0)
+        self.begin_fault(LastingFault::System(fault), 3_000);
+        Ok(())
     }
 
     fn upgrade(&mut self) -> io::Result<()> {
@@ -198,7 +248,9 @@
         let deadline = self.draw_deadline();
         let old = self.server.processes.len() - 1;
         self.server.start(deadline)?;
-        if !self.server.wait_ready(READY_TIMEOUT) {
+        let is_ready = self.server.wait_ready(READY_TIMEOUT);
+        self.end_faults()?;
+        if !is_ready {
             let name = &self.server.target.name;
             self.server.target.record.check(
                 &format!("the start of process {} of {name}", old + 1),
@@ -224,6 +276,7 @@
         let early = self.kills_early.then(|| Instant::now() + Duration::from_millis(50));
         while old.iter().any(|&index| !self.server.processes[index].has_ended()) {
             thread::sleep(POLL_INTERVAL);
+            self.end_faults()?;
             if signals > 0 && self.random.once_in(40) {
                 signals -= 1;
                 let signal = self.random.one_of(&[Signal::TERM, Signal::HUP]);
--- a/crates/testkit/tests/system_faults.rs
+++ b/crates/testkit/tests/system_faults.rs
@@ -12,6 +12,11 @@
 
 /// A server with one process that is ready.
 fn with_server(name: &str, check: impl FnOnce(&mut Server<'_>)) {
+    with_server_started_under(name, None, check);
+}
+
+/// Like [`with_server`]; the fault is in force while the process starts.
+fn with_server_started_under(name: &str, fault: Option<SystemFault>, check: impl FnOnce(&mut Server<'_>)) {
     let daemon = fleet::daemon().expect("the daemon is built with the workspace's tests");
     let folder = fleet::folder(name).expect("a folder");
     let control = ControlPlane::start().expect("a control plane");
@@ -24,8 +29,11 @@
         corrupts: false,
     };
     let mut server = Server::create(plan, &control).expect("the library is built with the workspace's tests");
+    if let Some(fault) = fault {
+        server.system_faults.set(fault, 700).expect("written");
+    }
     server.start(Duration::from_millis(1_000)).expect("it starts");
-    assert!(server.wait_ready(TIMEOUT));
+    assert!(server.wait_ready(TIMEOUT), "it is not ready");
     check(&mut server);
     drop(server);
     fleet::remove(&folder);
@@ -100,3 +108,14 @@
         assert!(stats.contains("server_clock_steps_total 3\n"), "{stats}");
     });
 }
+
+/// Guards against a new process of an upgrade that ends because the system had no descriptors for a moment at its start.
+#[test]
+fn a_start_outlasts_sockets_that_fail_for_a_moment() {
+    with_server_started_under("system-faults-start", Some(SystemFault::Socket), |server| {
+        let injected = server.system_faults.injected(SystemFault::Socket).expect("read");
+        assert!(injected > 0, "no socket failed");
+        server.system_faults.set(SystemFault::Socket, 0).expect("written");
+        traffic::serves_one_of(&server.target, 6, &read_options());
+    });
+}
