Report the end of accepting and reading in the simulations of the store and settings

Traced: the simulated shell never answered StopAccepting and StopReading; the exit waits for these reports since, and used to come by time alone.

Change: both simulations report, as the reading thread does. The test and its checks are as they were.

--- a/crates/gradepin/tests/random_settings/simulation.rs
+++ b/crates/gradepin/tests/random_settings/simulation.rs
@@ -254,6 +254,7 @@
                 self.forget_connection(conn);
             }
             Effect::StopAccepting => self.inputs.push(Input::StoppedAccepting),
+            Effect::StopReading => self.inputs.push(Input::StoppedReading),
             Effect::Exit => self.left = true,
             Effect::Log { text, .. } => assert!(!text.contains("turned down"), "{text}"),
             _ => {}
--- a/crates/store/tests/simulation/mod.rs
+++ b/crates/store/tests/simulation/mod.rs
@@ -407,6 +407,9 @@
                 self.connect_processor(true);
             }
             Effect::Log { text, .. } => self.log_lines.push(text),
+            // As the reading thread reports, behind all messages.
+            Effect::StopAccepting => self.inputs.push(Input::StoppedAccepting),
+            Effect::StopReading => self.inputs.push(Input::StoppedReading),
             Effect::Exit => self.exited = true,
             _ => {}
         }
