--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod missing_window;
 mod platform;
 mod site;
+mod store_upgrade;
 
 use platform::{Record, end_processes, watchdog};
 use std::path::Path;
@@ -18,6 +19,7 @@
     record.note(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let violations = match case.as_str() {
         "missing-window" => missing_window::play(&record, trouble),
+        "store-upgrade" => store_upgrade::play(&record, trouble),
         _ => platform::cannot_run("no such case"),
     };
     end_processes();
