--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review. `standin CASE FOLDER`: plays the case and writes `record.txt` to its folder. Status 1: the
 //! rule was broken; 0: it held; 2: the case couldn't run. `TROUBLE=0` leaves out the disruption.
 
+mod ledger_upgrade;
 mod missing_window;
 mod platform;
 mod site;
@@ -20,6 +21,7 @@
     let violations = match case.as_str() {
         "missing-window" => missing_window::play(&record, trouble),
         "store-upgrade" => store_upgrade::play(&record, trouble),
+        "ledger-upgrade" => ledger_upgrade::play(&record, trouble),
         _ => platform::cannot_run("no such case"),
     };
     end_processes();
