--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 mod missing_window;
 mod platform;
 mod site;
+mod stale_stamp;
 mod store_upgrade;
 
 use platform::{Record, end_processes, watchdog};
@@ -21,6 +22,7 @@
     let violations = match case.as_str() {
         "missing-window" => missing_window::play(&record, trouble),
         "store-upgrade" => store_upgrade::play(&record, trouble),
+        "stale-stamp" => stale_stamp::play(&record, trouble),
         "ledger-upgrade" => ledger_upgrade::play(&record, trouble),
         _ => platform::cannot_run("no such case"),
     };
