--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod ledger_upgrade;
 mod missing_window;
 mod platform;
+mod scgi_upgrade;
 mod site;
 mod stale_stamp;
 mod store_upgrade;
@@ -24,6 +25,7 @@
         "store-upgrade" => store_upgrade::play(&record, trouble),
         "stale-stamp" => stale_stamp::play(&record, trouble),
         "ledger-upgrade" => ledger_upgrade::play(&record, trouble),
+        "scgi-upgrade" => scgi_upgrade::play(&record, trouble),
         _ => platform::cannot_run("no such case"),
     };
     end_processes();
