Keep a run at its call running in the stand-in processor of the review

Cause: the stand-in answered a second begin of a request that was over with MOOT though its run went on, and took a run that waits for its call for one that had ended, so a begin that came again after a broken link ran twice.

Change: the stand-in looks for the run first, and counts the runs at calls apart from the set of runs.

--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -124,6 +124,8 @@
     started: Instant,
     notices: Mutex<Notices>,
     running: Mutex<Vec<String>>,
+    /// How many of the running ones wait for their calls, off the cores.
+    at_calls: AtomicU64,
     /// Whether each run makes a call halfway.
     calls: AtomicBool,
     /// Replies to calls by the id of the run.
@@ -149,6 +151,7 @@
             started: Instant::now(),
             notices: Mutex::default(),
             running: Mutex::default(),
+            at_calls: AtomicU64::new(0),
             calls: AtomicBool::new(false),
             replies: Mutex::default(),
         });
@@ -229,8 +232,9 @@
     }
 
     fn tell_gauges(&self, link: &TcpStream, tag: &str) {
-        let running = lock(&self.running).len() as f64;
-        let (busy, memory) = ((running / 6.0).min(1.0), (running * 8.0 * 24.0 / 8346.0).min(1.0));
+        let all = lock(&self.running).len() as f64;
+        let running = (all - self.at_calls.load(Ordering::SeqCst) as f64).max(0.0);
+        let (busy, memory) = ((running / 6.0).min(1.0), (all * 8.0 * 24.0 / 8346.0).min(1.0));
         self.write(link, format!("used {tag} {busy:.3} {running} {memory:.3} 4\r\n").as_bytes());
     }
 
@@ -240,15 +244,16 @@
             self.record.note(format!("processor: begin {id} {class}: rejected, no such request came"));
             return self.write(link, format!("reject begin {id}\r\n").as_bytes());
         };
-        if known.over {
-            self.record.note(format!("processor: begin {id} {class}: MOOT, the request is over"));
-            return self.notice(id, "MOOT", 0, b"");
-        }
         {
             let mut running = lock(&self.running);
             if running.iter().any(|running| running == id) {
                 return;
             }
+            if known.over {
+                drop(running);
+                self.record.note(format!("processor: begin {id} {class}: MOOT, the request is over"));
+                return self.notice(id, "MOOT", 0, b"");
+            }
             running.push(id.to_string());
         }
         let token = lock(&self.machine.tokens).get(id).cloned().unwrap_or_default();
@@ -275,17 +280,18 @@
     /// Waits for the reply to a call of a run; the run ends at the call if its request is over.
     fn make_call(&self, id: &str) -> &'static str {
         let body = format!("call of {id}");
-        lock(&self.running).retain(|running| running != id);
+        self.at_calls.fetch_add(1, Ordering::SeqCst);
         self.number_notice(|number| {
             [format!("ask {number} {id} {}\r\n{body}\r\n", body.len()).into_bytes()].concat()
         });
         while lock(&self.replies).remove(id).is_none() {
             if lock(&self.machine.known).get(id).is_none_or(|known| known.over) {
+                self.at_calls.fetch_sub(1, Ordering::SeqCst);
                 return "STOPPED";
             }
             sleep_ms(2);
         }
-        lock(&self.running).push(id.to_string());
+        self.at_calls.fetch_sub(1, Ordering::SeqCst);
         "OK"
     }
 
