--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -89,6 +89,8 @@
     tokens: Arc<Mutex<HashMap<String, String>>>,
     /// The token of each run that began, in their order.
     runs: Arc<Mutex<Vec<String>>>,
+    /// The ids of the requests whose runs began.
+    begun: Arc<Mutex<Vec<String>>>,
 }
 
 impl Machine {
@@ -104,6 +106,11 @@
         }
     }
 
+    /// Whether the request with this id was run.
+    pub fn has_run(&self, id: &str) -> bool {
+        lock(&self.begun).iter().any(|begun| begun == id)
+    }
+
     /// How many runs of the requests with this token began.
     pub fn runs_of(&self, token: &str) -> usize {
         lock(&self.runs).iter().filter(|run| *run == token).count()
@@ -121,15 +128,10 @@
     machine: Machine,
     record: Record,
     run_ms: Mutex<u64>,
-    started: Instant,
+    /// When the processor came up.
+    started: Mutex<Option<Instant>>,
     notices: Mutex<Notices>,
     running: Mutex<Vec<String>>,
-    /// How many of the running ones wait for their calls, off the cores.
-    at_calls: AtomicU64,
-    /// Whether each run makes a call halfway.
-    calls: AtomicBool,
-    /// Replies to calls by the id of the run.
-    replies: Mutex<HashMap<String, Vec<u8>>>,
 }
 
 #[derive(Default)]
@@ -142,18 +144,22 @@
 impl Processor {
     /// Listens at a free port; runs take `run_ms`.
     pub fn start(machine: &Machine, record: &Record, run_ms: u64) -> Self {
+        let processor = Self::start_later(machine, record, run_ms);
+        processor.come_up();
+        processor
+    }
+
+    /// The same, but the processor is up only from [`Processor::come_up`] on; a link is accepted before.
+    pub fn start_later(machine: &Machine, record: &Record, run_ms: u64) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
         let address = listener.local_addr().expect("an address");
         let shared = Arc::new(ProcessorState {
             machine: machine.clone(),
             record: record.clone(),
             run_ms: Mutex::new(run_ms),
-            started: Instant::now(),
+            started: Mutex::default(),
             notices: Mutex::default(),
             running: Mutex::default(),
-            at_calls: AtomicU64::new(0),
-            calls: AtomicBool::new(false),
-            replies: Mutex::default(),
         });
         let state = Arc::clone(&shared);
         thread::spawn(move || {
@@ -165,15 +171,15 @@
         Self { address, shared }
     }
 
+    /// The processor comes up.
+    pub fn come_up(&self) {
+        *lock(&self.shared.started) = Some(Instant::now());
+    }
+
     /// How long runs that begin from now on take.
     pub fn set_run_ms(&self, run_ms: u64) {
         *lock(&self.shared.run_ms) = run_ms;
     }
-
-    /// Each run makes a call halfway from now on.
-    pub fn make_calls(&self) {
-        self.shared.calls.store(true, Ordering::SeqCst);
-    }
 }
 
 impl ProcessorState {
@@ -196,14 +202,6 @@
                     body.truncate(body.len() - 2);
                     self.begin(&link, id, class, &body);
                 }
-                ["answer", id, length] => {
-                    let mut reply = vec![0; length.parse::<usize>().unwrap_or(0) + 2];
-                    if reader.read_exact(&mut reply).is_err() {
-                        return;
-                    }
-                    reply.truncate(reply.len() - 2);
-                    lock(&self.replies).insert(id.to_string(), reply);
-                }
                 ["interrupt" | "goon", ..] => {}
                 _ => return,
             }
@@ -212,7 +210,12 @@
     }
 
     fn greet(&self, link: &TcpStream, last: usize) {
-        let age = self.started.elapsed().as_millis();
+        let age = loop {
+            if let Some(started) = *lock(&self.started) {
+                break started.elapsed().as_millis();
+            }
+            sleep_ms(5);
+        };
         let Ok(mut new) = link.try_clone() else { return };
         let mut notices = lock(&self.notices);
         if let Some(former) = notices.link.take() {
@@ -232,9 +235,8 @@
     }
 
     fn tell_gauges(&self, link: &TcpStream, tag: &str) {
-        let all = lock(&self.running).len() as f64;
-        let running = (all - self.at_calls.load(Ordering::SeqCst) as f64).max(0.0);
-        let (busy, memory) = ((running / 6.0).min(1.0), (all * 8.0 * 24.0 / 8346.0).min(1.0));
+        let running = lock(&self.running).len() as f64;
+        let (busy, memory) = ((running / 6.0).min(1.0), (running * 8.0 * 24.0 / 8346.0).min(1.0));
         self.write(link, format!("used {tag} {busy:.3} {running} {memory:.3} 4\r\n").as_bytes());
     }
 
@@ -260,51 +262,25 @@
         let number = {
             let mut runs = lock(&self.machine.runs);
             runs.push(token.clone());
+            lock(&self.machine.begun).push(id.to_string());
             runs.len()
         };
         let result = format!("result of run {number}, id {id}").into_bytes();
         self.record.note(format!("processor: run {number} begins: id {id}, class {class}, token {token}"));
         let (state, id, run_ms) = (Arc::clone(self), id.to_string(), *lock(&self.run_ms));
         thread::spawn(move || {
-            sleep_ms(run_ms / 2);
-            let end = if state.calls.load(Ordering::SeqCst) { state.make_call(&id) } else { "OK" };
-            if end == "OK" {
-                sleep_ms(run_ms.div_ceil(2));
-            }
+            sleep_ms(run_ms);
             lock(&state.running).retain(|running| *running != id);
-            state.record.note(format!("processor: run {number} ends {end}: id {id}"));
-            state.notice(&id, end, run_ms, if end == "OK" { &result } else { b"" });
-        });
-    }
-
-    /// Waits for the reply to a call of a run; the run ends at the call if its request is over.
-    fn make_call(&self, id: &str) -> &'static str {
-        let body = format!("call of {id}");
-        self.at_calls.fetch_add(1, Ordering::SeqCst);
-        self.number_notice(|number| {
-            [format!("ask {number} {id} {}\r\n{body}\r\n", body.len()).into_bytes()].concat()
+            state.record.note(format!("processor: run {number} ends OK: id {id}"));
+            state.notice(&id, "OK", run_ms, &result);
         });
-        while lock(&self.replies).remove(id).is_none() {
-            if lock(&self.machine.known).get(id).is_none_or(|known| known.over) {
-                self.at_calls.fetch_sub(1, Ordering::SeqCst);
-                return "STOPPED";
-            }
-            sleep_ms(2);
-        }
-        self.at_calls.fetch_sub(1, Ordering::SeqCst);
-        "OK"
     }
 
     fn notice(&self, id: &str, end: &str, ms: u64, result: &[u8]) {
-        self.number_notice(|number| {
-            let head = format!("complete {number} {id} {end} {ms} {}\r\n", result.len());
-            [head.as_bytes(), result, b"\r\n"].concat()
-        });
-    }
-
-    fn number_notice(&self, notice: impl FnOnce(usize) -> Vec<u8>) {
         let mut notices = lock(&self.notices);
-        let notice = notice(notices.kept.len() + 1);
+        let number = notices.kept.len() + 1;
+        let head = format!("complete {number} {id} {end} {ms} {}\r\n", result.len());
+        let notice = [head.as_bytes(), result, b"\r\n"].concat();
         if let Some(link) = &mut notices.link {
             let _ = link.write_all(&notice);
         }
@@ -355,20 +331,16 @@
     pub stop_ms: u64,
     pub drain_grace_ms: u64,
     pub classes: Vec<Class>,
-    /// The ledger, with this server's share of the calls that it withstands.
-    pub ledger: Option<(SocketAddr, f64)>,
 }
 
 impl Config {
     pub fn text(&self) -> String {
         let profiles: Vec<String> = self.classes.iter().map(profile).collect();
         let zeros = vec!["0.0"; self.classes.len()].join(",");
-        let calls = vec![if self.ledger.is_some() { "true" } else { "false" }; self.classes.len()].join(",");
-        let ledger = self.ledger.map(|(address, _)| format!("\"ledger\":\"{address}\",")).unwrap_or_default();
-        let (below, calls_out) = self.ledger.map_or(("off", 0.0), |(_, share)| ("shared", share));
+        let falses = vec!["false"; self.classes.len()].join(",");
         let admin = self.admin.map(|address| format!("\"admin_addr\":\"{address}\",")).unwrap_or_default();
         format!(
-            r#"{{"name":"n3","listen":"{}","processor":"{}","control":"{}",{admin}{ledger}
+            r#"{{"name":"n3","listen":"{}","processor":"{}","control":"{}",{admin}
 "seed":"{:016x}","stop_ms":{},"limits":{{"cores":1.0,"memory_mb":192,"sockets":512}},
 "settings":{{"callers":{{"marks_retry":true}},
 "customers":[{{"name":"etela-kasvio","portion":0.42,"quota_rps":66.0}},{{"name":"lansi-kasvio","portion":0.58,"quota_rps":91.0}}],
@@ -377,7 +349,7 @@
 "me":7,"over_share_worth":0.05,"prices":{{"connection":0.0,"handshake":0.0,"late_fail":0.083,"origin":0.0,"waste":0.08}},
 "profiles":[{}],"report":{{"how":"inline","names":["latency_ms"]}},
 "rules":{{"answer_slack":100000000,"cold":18000000000,"cold_share":0.21,"drain_grace":{},"fall":1500000000,"tip_multiple":8.0}},
-"servers":10,"specifics":{{"advert":"threshold","below":"{below}","calls_by_class":[{calls}],"calls_out":{calls_out:.1},"class_skip_worth":[{zeros}],
+"servers":10,"specifics":{{"advert":"threshold","below":"off","calls_by_class":[{falses}],"calls_out":0.0,"class_skip_worth":[{zeros}],
 "clients_total":3,"fresh_for":0,"full_checks":false,"gauges":["core_use","on_cores","heap_share","links"],"heeded":1000000000,
 "idle":15000000000,"just_started":false,"kb_per_key":45.47,"linger":200000000,"list_follows":true,"memory_kb":8346.0,"n_cores":6,
 "passes_deadline":true,"run_factor":8.0,"share_span":5000000000,"stop_mode":"off","tells_gone":true}},
@@ -658,24 +630,6 @@
         self.draining.load(Ordering::SeqCst) || self.closed.load(Ordering::SeqCst)
     }
 
-    /// Takes the answers that have come for requests of this connection. Their requests are over.
-    pub fn take_answers(&mut self) -> Vec<(String, Answer)> {
-        let answers: Vec<(i32, (Answer, u64))> = lock(&self.answers).drain().collect();
-        let mut taken = Vec::new();
-        for (sequence, (answer, _)) in answers {
-            if let Some(rid) = self.sent.remove(&sequence) {
-                self.machine.end(&rid);
-                taken.push((rid, answer));
-            }
-        }
-        taken
-    }
-
-    /// Whether all requests of this connection were answered.
-    pub fn is_answered(&self) -> bool {
-        self.sent.is_empty()
-    }
-
     /// Sends a call whose `t0` is now, unless it is set. Returns its sequence number.
     pub fn send(&mut self, call: &mut Call) -> i32 {
         self.send_slowly(call, 0)
@@ -904,87 +858,3 @@
     let _ = stream.read_to_string(&mut answer);
     answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
 }
-
-/// The ledger: replies to each call after a fixed time, and records how long each was in its hands.
-#[derive(Clone)]
-pub struct Ledger {
-    pub address: SocketAddr,
-    started: Instant,
-    /// Start and end of each call, in ms since the start.
-    calls: Arc<Mutex<Vec<(u64, Option<u64>)>>>,
-}
-
-impl Ledger {
-    pub fn start(call_ms: u64) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let address = listener.local_addr().expect("an address");
-        let ledger = Self { address, started: Instant::now(), calls: Arc::default() };
-        let accepting = ledger.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let ledger = accepting.clone();
-                thread::spawn(move || ledger.serve(stream, call_ms));
-            }
-        });
-        ledger
-    }
-
-    fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
-    }
-
-    fn serve(&self, stream: TcpStream, call_ms: u64) {
-        let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
-        let mut reader = BufReader::new(stream);
-        loop {
-            let (mut length, mut line) = (0, String::new());
-            loop {
-                line.clear();
-                if reader.read_line(&mut line).is_ok_and(|bytes| bytes > 0) {
-                    let lower = line.to_ascii_lowercase();
-                    if let Some(value) = lower.strip_prefix("content-length:") {
-                        length = value.trim().parse().unwrap_or(0);
-                    }
-                    if line == "\r\n" {
-                        break;
-                    }
-                } else {
-                    return;
-                }
-            }
-            let mut body = vec![0; length];
-            if reader.read_exact(&mut body).is_err() {
-                return;
-            }
-            let index = {
-                let mut calls = lock(&self.calls);
-                calls.push((self.now_ms(), None));
-                calls.len() - 1
-            };
-            sleep_ms(call_ms);
-            lock(&self.calls)[index].1 = Some(self.now_ms());
-            let reply = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-            if writer.write_all(&[reply.as_bytes(), &body].concat()).is_err() {
-                return;
-            }
-        }
-    }
-
-    /// The greatest mean number of calls in its hands over any `span_ms`, and when that span began.
-    pub fn greatest_mean(&self, span_ms: u64) -> (f64, u64) {
-        let (calls, now) = (lock(&self.calls).clone(), self.now_ms());
-        let mean = |from: u64| {
-            let held = |(start, end): &(u64, Option<u64>)| {
-                end.unwrap_or(now).min(from + span_ms).saturating_sub((*start).max(from))
-            };
-            calls.iter().map(held).sum::<u64>() as f64 / span_ms as f64
-        };
-        let spans = (0..now.saturating_sub(span_ms)).step_by(50);
-        spans.map(|from| (mean(from), from)).fold((0.0, 0), |a, b| if b.0 > a.0 { b } else { a })
-    }
-
-    pub fn count(&self) -> usize {
-        lock(&self.calls).len()
-    }
-}
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -19,8 +19,15 @@
 impl Site {
     /// A site whose runs take `run_ms`.
     pub fn new(record: &Record, run_ms: u64) -> Self {
+        let site = Self::with_late_processor(record, run_ms);
+        site.processor.come_up();
+        site
+    }
+
+    /// The same, but the processor comes up later.
+    pub fn with_late_processor(record: &Record, run_ms: u64) -> Self {
         let machine = Machine::default();
-        let processor = Processor::start(&machine, record, run_ms);
+        let processor = Processor::start_later(&machine, record, run_ms);
         let control = Control::start(record);
         let config = Config {
             listen: free_address(),
@@ -31,7 +38,6 @@
             stop_ms: 3_200,
             drain_grace_ms: 1_800,
             classes: classes(),
-            ledger: None,
         };
         Self { machine, processor, folder: Folder::create(), config, settings: None, listener: None }
     }
