End what a review script started also where its driver is ended midway

Cause: a driver that was ended midway left its tile server, until its drain was over, and its folder; the issue asks that a script ends all processes that it started.

Change: a shell that waits on a pipe of the driver kills the server, and another removes the folder, once the driver ends without dismissing it.

--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdin, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
@@ -43,6 +43,26 @@
     }
 }
 
+/// A shell that carries out a command when this process ends without [`Guard::dismiss`], whatever ends it.
+struct Guard(Option<ChildStdin>);
+
+impl Guard {
+    fn start(command: &str, argument: &str) -> Self {
+        // The pipe is closed by the system at the end of this process; no child inherits it.
+        let script = format!("trap '' HUP INT TERM; read -r line || {{ {command}; }}");
+        let mut shell = Command::new("/bin/sh");
+        shell.args(["-c", &script, "guard", argument]).stdin(Stdio::piped());
+        let shell = shell.stdout(Stdio::null()).stderr(Stdio::null()).spawn();
+        Self(shell.unwrap_or_else(|e| cannot_run(&e.to_string())).stdin)
+    }
+
+    fn dismiss(&mut self) {
+        if let Some(mut pipe) = self.0.take() {
+            let _ = pipe.write_all(b"done\n");
+        }
+    }
+}
+
 /// Ends the test with status 2 if it takes too long.
 pub fn watchdog(limit: Duration) {
     thread::spawn(move || {
@@ -392,13 +412,14 @@
 }
 
 /// A temporary folder, removed on drop.
-pub struct Folder(pub PathBuf);
+pub struct Folder(pub PathBuf, Guard);
 
 impl Folder {
     pub fn create() -> Self {
         let path = std::env::temp_dir().join(format!("gradepin-review-{}", std::process::id()));
         fs::create_dir_all(&path).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        Self(path)
+        let guard = Guard::start("sleep 1; rm -rf \"$1\"", &path.display().to_string());
+        Self(path, guard)
     }
 
     pub fn file(&self, name: &str, text: &str) -> PathBuf {
@@ -413,7 +434,9 @@
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        let _ = fs::remove_dir_all(&self.0);
+        if fs::remove_dir_all(&self.0).is_ok() {
+            self.1.dismiss();
+        }
     }
 }
 
@@ -431,6 +454,8 @@
 /// A tile server.
 pub struct Server {
     child: Child,
+    /// Kills the process if this one ends before it.
+    guard: Guard,
     pub pid: u32,
 }
 
@@ -465,12 +490,14 @@
         let child = shell.spawn().unwrap_or_else(|e| cannot_run(&e.to_string()));
         let pid = child.id();
         lock(&STARTED).push(pid);
-        Self { child, pid }
+        let guard = Guard::start("kill -KILL \"$1\"", &pid.to_string());
+        Self { child, guard, pid }
     }
 
     /// The exit status as text; `None` while the process runs.
     pub fn ended(&mut self) -> Option<String> {
         let status = self.child.try_wait().ok()??;
+        self.guard.dismiss();
         lock(&STARTED).retain(|pid| *pid != self.pid);
         Some(status.to_string())
     }
@@ -479,6 +506,7 @@
         if self.ended().is_none() {
             signal(self.pid, "KILL");
             let _ = self.child.wait();
+            self.guard.dismiss();
             lock(&STARTED).retain(|pid| *pid != self.pid);
         }
     }
