Show that a run gets the reply to another call after a link breaks (review, case 8)

Cause: a reply that is not confirmed when the link to the processor breaks is sent again on the next one, though the run may have had it and wait for its next call by then.

Change: review/8, with a processor whose runs call twice and a ledger in review/standin-3, built by review/build-2.sh. It takes the place of the case of one old stamp (late answers), as slow answers don't count by themselves; that case and its program are in the history.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 "${RUSTC:-rustc}" --edition 2024 -O -o target/review-2/standin review/standin-2/main.rs
+"${RUSTC:-rustc}" --edition 2024 -O -o target/review-2/cases review/standin-3/main.rs
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,12 +1,10 @@
 //! The cases of the second review. `standin CASE FOLDER`: plays the case and writes `record.txt` to its folder. Status 1: the
 //! rule was broken; 0: it held; 2: the case couldn't run. `TROUBLE=0` leaves out the disruption.
 
-mod late_processor;
 mod missing_window;
 mod platform;
 mod scgi_upgrade;
 mod site;
-mod stale_stamp;
 mod store_upgrade;
 
 use platform::{Record, end_processes, watchdog};
@@ -23,8 +21,6 @@
     let violations = match case.as_str() {
         "missing-window" => missing_window::play(&record, trouble),
         "store-upgrade" => store_upgrade::play(&record, trouble),
-        "stale-stamp" => stale_stamp::play(&record, trouble),
-        "late-processor" => late_processor::play(&record, trouble),
         "scgi-upgrade" => scgi_upgrade::play(&record, trouble),
         _ => platform::cannot_run("no such case"),
     };
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -126,11 +126,6 @@
         }
     }
 
-    /// Whether the request with this id was run.
-    pub fn has_run(&self, id: &str) -> bool {
-        lock(&self.begun).iter().any(|begun| begun == id)
-    }
-
     /// How many runs of the requests with this token began.
     pub fn runs_of(&self, token: &str) -> usize {
         lock(&self.runs).iter().filter(|run| *run == token).count()
@@ -689,19 +684,6 @@
         sequence
     }
 
-    /// Sends the frame of a client that is no client proxy: the processor knows nothing of its request.
-    pub fn send_unknown(&mut self, call: &Call) -> i32 {
-        let sequence = self.next_sequence;
-        self.next_sequence += 1;
-        let _ = self.stream.write_all(&call.frame(sequence));
-        let age = unix_ms().saturating_sub(call.t0);
-        self.record.note(format!(
-            "bad client: {} {} with t0 {age} ms ago, budget {} ms",
-            call.class, call.rid, call.budget_ms
-        ));
-        sequence
-    }
-
     /// Waits until `deadline_unix_ms` for the answer. Returns it with the time at which it came.
     pub fn answer(&mut self, sequence: i32, deadline_unix_ms: u64) -> (Answer, u64) {
         let rid = self.sent.get(&sequence).cloned().unwrap_or_default();
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,4 +1,4 @@
-//! The cases of the review that have a script: `cases NAME FOLDER`. Exit status 1 if the rule was broken, 0 if it held, 2 if the
+//! Cases 8 and 9 of the second review: `cases NAME FOLDER`. Exit status 1 if the rule was broken, 0 if it held, 2 if the
 //! case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod cases;
@@ -10,8 +10,6 @@
 use std::time::Duration;
 
 fn main() {
-    // Descriptor 3 is that of the platform's listener in the servers; see `rig::start_server`.
-    let _taken: Vec<_> = (0..4).filter_map(|_| std::fs::File::open("/dev/null").ok()).collect();
     let arguments: Vec<String> = std::env::args().collect();
     let [_, name, folder] = &arguments[..] else {
         eprintln!("usage: cases NAME FOLDER");
--- a/review/standin-3/rig.rs
+++ b/review/standin-3/rig.rs
@@ -5,7 +5,6 @@
 use std::fs::File;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
-use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -16,15 +15,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
-    fn dup2(from: i32, to: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
 }
 
 /// Linux: the signal that a process gets when its parent ends.
 const PR_SET_PDEATHSIG: i32 = 1;
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
@@ -78,9 +74,7 @@
 
 pub fn signal(pid: u32, signal: i32) {
     let name = match signal {
-        SIGHUP => "SIGHUP",
         SIGKILL => "SIGKILL",
-        SIGTERM => "SIGTERM",
         SIGCONT => "SIGCONT",
         SIGSTOP => "SIGSTOP",
         _ => "signal",
@@ -100,6 +94,9 @@
 
 // ---------------------------------------------------------------- processor
 
+/// How long a run takes.
+const RUN_MS: u64 = 20;
+
 struct Run {
     id: String,
     class: String,
@@ -114,8 +111,6 @@
     links: u64,
     running: HashSet<String>,
     runs: Vec<Run>,
-    /// How long runs take, by class; others take 20 ms.
-    run_ms: HashMap<String, u64>,
 }
 
 /// A processor as PROTOCOL describes it: always up, always warm; every begun request runs for a fixed time and succeeds.
@@ -142,10 +137,6 @@
         processor
     }
 
-    pub fn set_run_ms(&self, class: &str, ms: u64) {
-        self.state.lock().unwrap().run_ms.insert(class.to_string(), ms);
-    }
-
     /// Number of runs with this body.
     pub fn runs_of(&self, body: &str) -> usize {
         self.state.lock().unwrap().runs.iter().filter(|run| run.body == body.as_bytes()).count()
@@ -211,11 +202,10 @@
                     record(&format!("{}: begin {id} {class}, body '{text}'", self.name));
                 }
                 state.runs.push(run);
-                let ms = state.run_ms.get(class).copied().unwrap_or(20);
                 let (processor, id) = (self.clone(), id.to_string());
                 thread::spawn(move || {
-                    sleep_ms(ms);
-                    processor.complete(&id, ms);
+                    sleep_ms(RUN_MS);
+                    processor.complete(&id);
                 });
             }
             ["usage", tag] => {
@@ -229,12 +219,12 @@
         true
     }
 
-    fn complete(&self, id: &str, ms: u64) {
+    fn complete(&self, id: &str) {
         let mut state = self.state.lock().unwrap();
         state.running.remove(id);
         let number = state.notices.len() + 1;
         let result = format!("result of {id}");
-        let notice = format!("complete {number} {id} OK {ms} {}\r\n{result}\r\n", result.len()).into_bytes();
+        let notice = format!("complete {number} {id} OK {RUN_MS} {}\r\n{result}\r\n", result.len()).into_bytes();
         write_link(&mut state, &notice);
         state.notices.push(notice);
     }
@@ -281,7 +271,6 @@
     Served(String),
     Refused,
     Failed(String),
-    Health(bool),
     Nothing(String),
 }
 
@@ -354,14 +343,6 @@
         Ok((t0, answer))
     }
 
-    pub fn health(&mut self, wait_ms: u64) -> Outcome<Answer> {
-        self.seq += 1;
-        let mut message = header(1, "health", self.seq);
-        message.extend([2, 0, 1, 0, 0]);
-        self.write(&message)?;
-        Ok(self.answer(wait_ms))
-    }
-
     fn write(&mut self, message: &[u8]) -> Outcome<()> {
         let mut frame = (message.len() as i32).to_be_bytes().to_vec();
         frame.extend(message);
@@ -445,17 +426,17 @@
         Some(String::from_utf8_lossy(self.take(length)?).into_owned())
     }
 
-    /// A struct of texts, bools, numbers, maps of texts and structs; the texts and bools by field id.
-    fn structure(&mut self) -> Option<(HashMap<i16, String>, HashMap<i16, bool>)> {
-        let (mut texts, mut bools) = (HashMap::new(), HashMap::new());
+    /// The texts of a struct of texts, bools, numbers and maps of texts, by field id.
+    fn structure(&mut self) -> Option<HashMap<i16, String>> {
+        let mut texts = HashMap::new();
         loop {
             let kind = self.u8()?;
             if kind == 0 {
-                return Some((texts, bools));
+                return Some(texts);
             }
             let id = self.i16()?;
             match kind {
-                2 => drop(bools.insert(id, self.u8()? != 0)),
+                2 => drop(self.u8()?),
                 8 => drop(self.i32()?),
                 11 => drop(texts.insert(id, self.text()?)),
                 13 => {
@@ -477,12 +458,11 @@
     let _ = reader.i32()?;
     match kind {
         4 => Some(Answer::Nothing(name)),
-        3 => Some(Answer::Failed(reader.structure()?.0.remove(&1).unwrap_or_default())),
+        3 => Some(Answer::Failed(reader.structure()?.remove(&1).unwrap_or_default())),
         _ => {
             let (_, id) = (reader.u8()?, reader.i16()?);
-            let (mut texts, bools) = reader.structure()?;
+            let mut texts = reader.structure()?;
             match id {
-                0 if name == "health" => Some(Answer::Health(bools.get(&3).copied().unwrap_or(false))),
                 0 => Some(Answer::Served(texts.remove(&1).unwrap_or_default())),
                 1 => Some(Answer::Refused),
                 _ => Some(Answer::Failed("Aborted".into())),
@@ -536,17 +516,6 @@
     String::from_utf8_lossy(&bytes).split(' ').nth(1)?.parse().ok()
 }
 
-/// A metric of the operators' door.
-pub fn metric(port: u16, name: &str) -> Option<f64> {
-    let mut stream = TcpStream::connect(("127.0.0.1", port)).ok()?;
-    let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
-    stream.write_all(b"GET /stats HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n\r\n").ok()?;
-    let mut bytes = Vec::new();
-    let _ = stream.read_to_end(&mut bytes);
-    let text = String::from_utf8_lossy(&bytes).into_owned();
-    text.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
-}
-
 // ---------------------------------------------------------------- tile servers
 
 /// What a configuration file says beside the figures that all cases share.
@@ -624,7 +593,6 @@
     pub tmp: &'a Path,
     pub log: PathBuf,
     pub settings: Option<&'a Path>,
-    pub listener: Option<&'a TcpListener>,
     pub admin: u16,
 }
 
@@ -647,18 +615,11 @@
     shell.stdout(log.try_clone().map_err(|e| e.to_string())?).stderr(log);
     shell.env("GW_NAME", "n1").env("GW_CONFIG", start.config).env("TMPDIR", start.tmp);
     shell.env("GW_ADMIN_ADDR", format!("127.0.0.1:{}", start.admin));
-    let inherited = start.listener.map(AsRawFd::as_raw_fd);
-    if inherited.is_some() {
-        shell.env("GW_ACCEPT_FD", "3");
-    }
-    // SAFETY: both calls are allowed between fork and exec. Descriptor 3 is taken in this program, so it isn't a pipe of the library.
+    // SAFETY: the call is allowed between fork and exec.
     unsafe {
-        shell.pre_exec(move || {
+        shell.pre_exec(|| {
             prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
-            match inherited {
-                Some(fd) if dup2(fd, 3) != 3 => Err(std::io::Error::last_os_error()),
-                _ => Ok(()),
-            }
+            Ok(())
         });
     }
     let child = shell.spawn().map_err(|e| format!("start: {e}"))?;
