--- a/review/standin-3/rig.rs
+++ b/review/standin-3/rig.rs
@@ -16,6 +16,7 @@
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
 }
 
 /// Linux: the signal that a process gets when its parent ends.
@@ -84,11 +85,14 @@
     unsafe { kill(pid as i32, signal) };
 }
 
-/// Ends all processes that were started.
+/// Ends all processes that were started, and waits until they have ended.
 pub fn kill_children() {
     for pid in CHILDREN.lock().unwrap().drain(..) {
-        // SAFETY: as above.
-        unsafe { kill(pid, SIGKILL) };
+        // SAFETY: as above; the status is not asked for.
+        unsafe {
+            kill(pid, SIGKILL);
+            waitpid(pid, std::ptr::null_mut(), 0);
+        }
     }
 }
 
