Turn down a configuration that lacks a key, or the window of a keyed class

Cause: three ways led a configuration into force and none said what it must hold. The window had a default of 0, and neither the file's check nor the validation of transactions nor the reducer asked for it; a window of 0 closes as it opens. Most keys had such defaults, the costs of keys and runs and the slow start among them.

Change: ClassDefinition::check says what a class needs, for the file (start, SIGHUP, check, staged releases), proposed transactions and the reducer. config/required_keys.rs lists the keys of a file that the admission module has defaults for. Commits of earlier versions are replayed; no server takes an unusable class into force.

Settings of tests are complete.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -66,7 +66,7 @@
 mod wait_queue;
 
 pub use actions::Action;
-pub use class_definition::{ClassDefinition, ClassProfile, Idempotency};
+pub use class_definition::{ClassDefinition, ClassError, ClassProfile, Idempotency};
 pub use controller::Controller;
 pub use events::{Event, Gauges};
 pub use request::{Outcome, Request, RequestId};
--- a/crates/admission/src/settings.rs
+++ b/crates/admission/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the admission module, as the host reads them from its configuration, and their validation.
 
-use crate::class_definition::{ClassDefinition, ClassProfile};
+use crate::class_definition::{ClassDefinition, ClassError, ClassProfile};
 use crate::numbers::{full_share, whole as whole_number};
 use crate::specifics::Specifics;
 use crate::time::Span;
@@ -51,44 +51,59 @@
     pub specifics: Specifics,
 }
 
-/// A setting that is out of its range.
+/// Why settings can't be used.
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
-#[error("expected settings: {name} {range}, got {value}")]
-pub struct AdmissionSettingsError {
-    /// Path of the setting, with the names of the settings file.
-    pub name: &'static str,
-    /// The allowed range, in words.
-    pub range: &'static str,
-    /// The rejected value.
-    pub value: f64,
+pub enum AdmissionSettingsError {
+    /// A setting is out of its range.
+    #[error("expected settings: {name} {range}, got {value}")]
+    OutOfRange {
+        /// Path of the setting, with the names of the settings file.
+        name: &'static str,
+        /// The allowed range, in words.
+        range: &'static str,
+        /// The rejected value.
+        value: f64,
+    },
+    /// A class lacks a value, or has an unusable one.
+    #[error("expected settings: profiles[{class}].{}", .error.text())]
+    Class {
+        /// Name of the class.
+        class: String,
+        /// The value.
+        error: ClassError,
+    },
 }
 
 impl Settings {
-    /// Checks that all settings are in their range.
+    /// Checks that a server can serve within the rules by these settings: what a configuration needs besides
+    /// its keys before it may come into force.
     ///
     /// # Errors
     ///
     /// Returns the first setting that is out of its range.
     pub fn check(&self) -> Result<(), AdmissionSettingsError> {
-        let positive = |name: &'static str, value: f64| {
-            let good = value > 0.0 && value.is_finite();
-            if good { Ok(()) } else { Err(AdmissionSettingsError { name, range: "above 0", value }) }
-        };
-        positive("number of profiles", self.profiles.len() as f64)?;
-        positive("specifics.n_cores", f64::from(self.specifics.n_cores))?;
-        positive("specifics.memory_kb", self.specifics.memory_kb)?;
-        positive("specifics.run_factor", self.specifics.run_factor)?;
-        positive("rules.tip_multiple", self.rules.max_concurrency_per_core)?;
+        check_positive("number of profiles", self.profiles.len() as f64)?;
+        check_positive("rules.tip_multiple", self.rules.max_concurrency_per_core)?;
         // A share above 1 would advertise a negative capacity.
-        let (name, value) = ("rules.cold_share", self.rules.cold_capacity);
-        if !(0.0..=1.0).contains(&value) {
-            return Err(AdmissionSettingsError { name, range: "from 0 to 1", value });
-        }
-        for profile in &self.profiles {
-            positive("profiles[].deadline", profile.deadline.0 as f64)?;
-            positive("profiles[].promise", profile.latency_objective.0 as f64)?;
-        }
-        Ok(())
+        check_share("rules.cold_share", self.rules.cold_capacity)?;
+        check_non_negative("over_share_worth", self.over_quota_weight)?;
+        self.specifics.check()?;
+        self.tenants.iter().try_for_each(Tenant::check)?;
+        self.class_definitions().try_for_each(|definition| {
+            let class = || definition.profile.name.clone();
+            definition.check().map_err(|error| AdmissionSettingsError::Class { class: class(), error })
+        })
+    }
+
+    /// The classes, each with its values in the lists that are indexed by class. A class past the end of such
+    /// a list makes upstream calls and earns nothing without them.
+    pub fn class_definitions(&self) -> impl Iterator<Item = ClassDefinition> + '_ {
+        let Specifics { calls_by_class, class_skip_weights, .. } = &self.specifics;
+        self.profiles.iter().enumerate().map(|(index, profile)| ClassDefinition {
+            profile: profile.clone(),
+            calls: calls_by_class.get(index).copied().unwrap_or(true),
+            skip_weight: class_skip_weights.get(index).copied().unwrap_or(0.0),
+        })
     }
 
     /// Index of the class with the given name.
@@ -106,17 +121,10 @@
     /// Separates the classes and the tenants from the global settings. Lists that are indexed by class move
     /// into the class definitions.
     pub fn split(mut self) -> SplitSettings {
-        let calls = std::mem::take(&mut self.specifics.calls_by_class);
-        let skip_weights = std::mem::take(&mut self.specifics.class_skip_weights);
-        let define = |(index, profile): (usize, ClassProfile)| {
-            let calls = calls.get(index).copied().unwrap_or(true);
-            Arc::new(ClassDefinition {
-                profile,
-                calls,
-                skip_weight: skip_weights.get(index).copied().unwrap_or(0.0),
-            })
-        };
-        let classes = std::mem::take(&mut self.profiles).into_iter().enumerate().map(define).collect();
+        let classes = self.class_definitions().map(Arc::new).collect();
+        self.profiles = Vec::new();
+        self.specifics.calls_by_class = Vec::new();
+        self.specifics.class_skip_weights = Vec::new();
         let tenants = std::mem::take(&mut self.tenants).into_iter().map(Arc::new).collect();
         SplitSettings { global: self, classes, tenants }
     }
@@ -137,6 +145,24 @@
     1
 }
 
+type CheckResult = Result<(), AdmissionSettingsError>;
+
+pub(crate) fn check_positive(name: &'static str, value: f64) -> CheckResult {
+    check(name, "above 0", value, value > 0.0 && value.is_finite())
+}
+
+pub(crate) fn check_non_negative(name: &'static str, value: f64) -> CheckResult {
+    check(name, "of 0 or more", value, value >= 0.0 && value.is_finite())
+}
+
+fn check_share(name: &'static str, value: f64) -> CheckResult {
+    check(name, "from 0 to 1", value, (0.0..=1.0).contains(&value))
+}
+
+fn check(name: &'static str, range: &'static str, value: f64, is_usable: bool) -> CheckResult {
+    if is_usable { Ok(()) } else { Err(AdmissionSettingsError::OutOfRange { name, range, value }) }
+}
+
 /// A tenant and its quota.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
@@ -150,6 +176,13 @@
     pub portion: f64,
 }
 
+impl Tenant {
+    fn check(&self) -> CheckResult {
+        check_non_negative("customers[].quota_rps", self.quota_rps)?;
+        check_non_negative("customers[].portion", self.portion)
+    }
+}
+
 /// Facts about the callers of this server.
 #[derive(Debug, Clone, Default, Deserialize)]
 pub struct Callers {
--- a/crates/admission/src/specifics.rs
+++ b/crates/admission/src/specifics.rs
@@ -1,6 +1,7 @@
 //! Facts about this server and its site, and the modes that a site supports.
 
 use crate::numbers::{full_share, whole as whole_number};
+use crate::settings::{AdmissionSettingsError, check_non_negative, check_positive};
 use crate::time::Span;
 use serde::Deserialize;
 
@@ -132,3 +133,18 @@
     #[serde(rename = "tells_gone")]
     pub reports_disconnects: bool,
 }
+
+impl Specifics {
+    /// Checks that all values are in their range.
+    pub(crate) fn check(&self) -> Result<(), AdmissionSettingsError> {
+        check_positive("specifics.n_cores", f64::from(self.n_cores))?;
+        check_positive("specifics.memory_kb", self.memory_kb)?;
+        check_positive("specifics.run_factor", self.run_factor)?;
+        check_non_negative("specifics.kb_per_key", self.idempotency_key_kb)?;
+        if self.upstream != UpstreamKind::Shared {
+            return Ok(());
+        }
+        check_positive("specifics.calls_out", self.call_share)?;
+        check_positive("specifics.share_span", self.call_share_window.0 as f64)
+    }
+}
--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -83,7 +83,7 @@
         for rule in RuleSet::of(settings).iter() {
             configuration.put_rule(rule);
         }
-        for class in class_definitions(settings) {
+        for class in settings.class_definitions() {
             let path = format!("settings.profiles.{}", class.profile.name);
             validation::check_chunk_capacity(&configuration, &path, &class.profile.name)?;
             configuration.put_class(Arc::new(class));
@@ -167,9 +167,10 @@
         self.chunks.get(usize::from(number.0))?.as_ref()
     }
 
-    /// Checks that a transaction can be applied to this state. The same check runs before a proposal and at the commit.
+    /// Checks that a transaction can be applied to this state and that its classes are usable.
     pub fn validate(&self, transaction: &Transaction) -> Result<(), Invalid> {
-        validation::check_transaction(self, transaction)
+        validation::check_transaction(self, transaction)?;
+        validation::check_usable(transaction)
     }
 
     /// Checks the texts, the expected revision and the transaction of a proposal against this state.
@@ -183,13 +184,14 @@
         }
     }
 
-    /// Applies the commit that follows this state. On an error the state is unchanged.
+    /// Applies the commit that follows this state. On an error the state is unchanged. A class that an earlier version
+    /// committed may be unusable: all servers must reach the same state, and none takes such a class into force.
     pub fn apply(&mut self, commit: &Commit) -> Result<(), ApplyError> {
         let expected = self.revision.next();
         if commit.revision != expected {
             return Err(ApplyError::Gap { expected, actual: commit.revision });
         }
-        self.validate(&commit.transaction)?;
+        validation::check_transaction(self, &commit.transaction)?;
         commit.transaction.changes.iter().for_each(|change| self.apply_change(change));
         self.revision = commit.revision;
         Ok(())
@@ -291,14 +293,3 @@
         self.chunk(number).map_or(0, |chunk| chunk.len())
     }
 }
-
-/// The classes of settings. Each combines its profile with the values at the same index of the parallel lists.
-pub(crate) fn class_definitions(settings: &Settings) -> impl Iterator<Item = ClassDefinition> + '_ {
-    let specifics = &settings.specifics;
-    settings.profiles.iter().enumerate().map(|(index, profile)| ClassDefinition {
-        profile: profile.clone(),
-        // A class past the end of the list is assumed to make upstream calls, as in the admission module.
-        calls: specifics.calls_by_class.get(index).copied().unwrap_or(true),
-        skip_weight: specifics.class_skip_weights.get(index).copied().unwrap_or(0.0),
-    })
-}
--- a/crates/config/src/validation.rs
+++ b/crates/config/src/validation.rs
@@ -1,4 +1,5 @@
-//! Validation of transactions. The same check runs before a proposal, at its commit, and on every server that applies it.
+//! Validation of transactions. [`check_transaction`] runs before a proposal, at its commit, and on every server that applies it.
+//! [`check_usable`] runs before a proposal; a server repeats it before it takes a class into force.
 //!
 //! Its cost is proportional to the size of the transaction, not of the state. It is stricter than the daemon's check of its
 //! configuration file: it also rejects a deadline below the latency objective, numbers outside of plausible ranges, and texts
@@ -96,6 +97,24 @@
     checker.check_totals()
 }
 
+/// Checks that requests of each class that a transaction adds or replaces could be served within the rules
+/// ([`ClassDefinition::check`]).
+pub(crate) fn check_usable(transaction: &Transaction) -> CheckResult {
+    for (index, change) in transaction.changes.iter().enumerate() {
+        if let Change::PutClass(class) = change {
+            class.check().map_err(|error| {
+                let path = format!("{}.{}", change_path(index, "class", &class.profile.name), error.key);
+                Invalid::new(path, error.range, error.value.to_string())
+            })?;
+        }
+    }
+    Ok(())
+}
+
+fn change_path(index: usize, kind: &str, name: &str) -> String {
+    format!("changes[{index}].{kind}.{}", printable(name))
+}
+
 /// Checks the changes of a transaction one by one and tracks how many entries there would be after each.
 struct TransactionChecker<'a> {
     entries: &'a dyn EntryIndex,
@@ -123,7 +142,7 @@
             Change::RemoveTenant(name) => ("tenant", &**name),
             Change::PutRule(rule) => ("rule", rule.name()),
         };
-        let path = format!("changes[{index}].{kind}.{}", printable(name));
+        let path = change_path(index, kind, name);
         if !self.seen.insert((kind, name)) {
             return Err(Invalid::new(path, "each name once in a transaction", "the name twice"));
         }
--- a/crates/config/tests/validation.rs
+++ b/crates/config/tests/validation.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{base, class, commit, put_class, put_tenant, settings, tenant};
-use gradepin_admission::Span;
+use gradepin_admission::{Idempotency, Span};
 use gradepin_config::change::{MAX_CHANGES, MAX_CLASSES, MAX_TENANTS};
 use gradepin_config::{
     ApplyError, Change, ClassDefinition, Configuration, Invalid, Proposal, ProposalCheckError, Revision,
@@ -98,6 +98,19 @@
     assert_eq!((found.expected.as_str(), found.actual.as_str()), ("at most 128 bytes of text", "129"));
 }
 
+/// Guards against a proposed class whose window closes as it opens, so that each repeat runs again (review, case 6). A commit
+/// of an earlier version is still replayed, so that all servers reach the same state; none takes the class into force.
+#[test]
+fn rejects_a_proposed_keyed_class_without_a_window() {
+    let change = with(|c| (c.profile.effect, c.profile.window) = (Idempotency::Keyed, Span(0)));
+    let commit = commit(1, vec![change]);
+    let invalid =
+        Invalid::new("changes[0].class.label-save.window", "above 0, since the effect is by_key", "0");
+    assert_eq!(base().validate(&commit.transaction), Err(invalid));
+    let mut replayed = base();
+    assert_eq!(replayed.apply(&commit), Ok(()));
+}
+
 #[test]
 fn rejects_changes_and_entries_past_the_bounds() {
     assert_eq!(rejection(&base(), vec![]), Invalid::new("changes", "at least one change", "none"));
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,12 +1,18 @@
 //! The configuration of one tile server, in JSON. The shell reads the file.
+//!
+//! [`Config::parse`] is the only way to a configuration, for the start, a reload and a staged release. It takes a file whole or
+//! turns it down whole: all keys must be there ([`required_keys`]) and all values usable ([`Settings::check`]).
 
 mod address;
 mod error_path;
+mod required_keys;
 
 use crate::classes::{self, NamesError};
 use gradepin_admission::numbers::whole_part;
 use gradepin_admission::{AdmissionSettingsError, Settings, UpstreamKind};
+use required_keys::RequiredKeys;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 
 /// The configuration of a tile server, as the platform writes it. Unknown keys are ignored.
@@ -52,14 +58,10 @@
     #[serde(deserialize_with = "whole_part")]
     pub sockets: usize,
     /// Memory limit of the process, in MiB.
-    #[serde(default = "default_memory_mb", deserialize_with = "whole_part")]
+    #[serde(deserialize_with = "whole_part")]
     pub memory_mb: u64,
 }
 
-fn default_memory_mb() -> u64 {
-    192
-}
-
 const MIN_MEMORY_MB: u64 = 16;
 
 /// Descriptors reserved for the listener, the processor link, reports, signals, standard streams and
@@ -107,6 +109,9 @@
     /// The admission module rejects the settings.
     #[error(transparent)]
     Settings(#[from] AdmissionSettingsError),
+    /// The file has no tenants, although it weights the service to them.
+    #[error("expected settings.customers, since settings.goal.worst_tenant is above 0, got none")]
+    NoTenants,
     /// The names of classes or tenants are invalid.
     #[error(transparent)]
     Names(#[from] NamesError),
@@ -118,10 +123,10 @@
 impl Config {
     /// Parses and validates the text of a configuration file.
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
-        let config: Self = serde_json::from_str(text).map_err(|error| ConfigError::Parse {
-            path: error_path::path(text, error.line(), error.column()),
-            error,
-        })?;
+        let config: Self = read_json(text)?;
+        if read_json::<RequiredKeys>(text)?.lacks_tenants() {
+            return Err(ConfigError::NoTenants);
+        }
         config.check()?;
         Ok(config)
     }
@@ -176,5 +181,12 @@
     }
 }
 
+fn read_json<T: DeserializeOwned>(text: &str) -> Result<T, ConfigError> {
+    serde_json::from_str(text).map_err(|error| ConfigError::Parse {
+        path: error_path::path(text, error.line(), error.column()),
+        error,
+    })
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -1,14 +1,28 @@
 use super::*;
 use serde_json::{Value, json};
 
-fn config(change: impl Fn(&mut Value)) -> Config {
-    let mut text = json!({
+/// A configuration with these classes and all keys that a file must have.
+fn file(class_names: &[&str]) -> Value {
+    let specifics = json!({"advert": "off", "below": "off", "calls_by_class": [], "calls_out": 0.0,
+        "class_skip_worth": [], "clients_total": 0, "fresh_for": 0, "full_checks": false, "gauges": [], "heeded": 0,
+        "idle": 0, "just_started": false, "kb_per_key": 0.0, "linger": 0, "list_follows": false, "memory_kb": 1.0,
+        "n_cores": 1, "run_factor": 1.0, "share_span": 1, "stop_mode": "off", "tells_gone": false});
+    let class = |name: &&str| json!({"name": name, "promise": 1, "deadline": 1, "effect": "once", "late_value": 0.0, "worth": 1.0});
+    json!({
         "name": "n", "listen": "127.0.0.1:1", "processor": "127.0.0.1:2", "control": "127.0.0.1:3", "seed": "1",
-        "stop_ms": 1, "limits": {"sockets": 512}, "settings": {"granularity": 1,
-            "profiles": [{"name": "a", "promise": 1, "deadline": 1, "effect": "once", "worth": 1.0}],
-            "rules": {"fall": 1, "tip_multiple": 1.0, "drain_grace": 1},
-            "specifics": {"n_cores": 1, "memory_kb": 1.0, "run_factor": 1.0}}
-    });
+        "stop_ms": 1, "limits": {"memory_mb": 192, "sockets": 512}, "settings": {
+            "granularity": 1, "servers": 1, "tier": 0, "customers": [], "callers": {"marks_retry": false},
+            "profiles": class_names.iter().map(class).collect::<Vec<_>>(),
+            "goal": {"whole": 1.0, "worst_class": 0.0, "worst_tenant": 0.0, "worst_window": 0.0},
+            "limits": {"max_retry_after": 0, "retry_after": false}, "worth_by": "request", "over_share_worth": 1.0,
+            "prices": {"connection": 0.0, "handshake": 0.0, "late_fail": 0.0, "origin": 0.0, "waste": 0.0},
+            "rules": {"answer_slack": 0, "cold": 0, "cold_share": 1.0, "fall": 1, "tip_multiple": 1.0, "drain_grace": 1},
+            "specifics": specifics}
+    })
+}
+
+fn config(change: impl Fn(&mut Value)) -> Config {
+    let mut text = file(&["a"]);
     change(&mut text);
     Config::parse(&text.to_string()).unwrap()
 }
@@ -29,7 +43,7 @@
         })
     };
     for (share, sockets, calls) in
-        [(0.4, 512, 4), (15.0, 512, 30), (1e9, 512, 64), (1e9, 128, 16), (-1.0, 128, 4)]
+        [(0.4, 512, 4), (15.0, 512, 30), (1e9, 512, 64), (1e9, 128, 16), (1e-9, 128, 4)]
     {
         let config = calling(share, sockets);
         assert_eq!(config.max_upstream_calls(), calls, "a share of {share}");
@@ -43,14 +57,27 @@
 /// file.
 #[test]
 fn accepts_whole_numbers_with_a_point_or_an_exponent() {
-    let text = r#"{"name": "n", "listen": "127.0.0.1:1", "processor": "127.0.0.1:2", "control": "127.0.0.1:3", "seed": "1",
-        "stop_ms": 3200.0, "limits": {"cores": 0.5, "sockets": 5.12e2, "memory_mb": 96.5}, "settings": {"granularity": 2e6,
-        "servers": 10.0, "tier": 0.0, "customers": [{"name": "t", "quota_rps": 66, "portion": 1}],
-        "profiles": [{"name": "a", "promise": 1600000000.0, "deadline": 4e9, "effect": "by_key", "window": 12075000000.5,
-        "worth": 1}], "limits": {"max_retry_after": 1E9, "retry_after": true},
-        "rules": {"fall": 1.5e9, "tip_multiple": 8, "drain_grace": 0.0, "cold_share": 1},
-        "specifics": {"n_cores": 6.0, "clients_total": 3e0, "memory_kb": 8346, "run_factor": 8}}}"#;
-    let config = Config::parse(text).unwrap();
+    let complete = file(&["a"]).to_string();
+    let replaced = [
+        ("\"stop_ms\":1", "\"stop_ms\":3200.0"),
+        ("\"sockets\":512", "\"sockets\":5.12e2"),
+        ("\"memory_mb\":192", "\"memory_mb\":96.5"),
+        ("\"granularity\":1", "\"granularity\":2e6"),
+        ("\"servers\":1", "\"servers\":10.0"),
+        ("\"tier\":0", "\"tier\":0.0"),
+        ("\"deadline\":1", "\"deadline\":4e9"),
+        ("\"effect\":\"once\"", "\"effect\":\"by_key\",\"window\":12075000000.5"),
+        ("\"max_retry_after\":0", "\"max_retry_after\":1E9"),
+        ("\"fall\":1", "\"fall\":1.5e9"),
+        ("\"drain_grace\":1", "\"drain_grace\":0.0"),
+        ("\"n_cores\":1", "\"n_cores\":6.0"),
+        ("\"clients_total\":0", "\"clients_total\":3e0"),
+    ];
+    let text = replaced.iter().fold(complete, |text, (from, to)| {
+        assert_eq!(text.matches(from).count(), 1, "{from}");
+        text.replace(from, to)
+    });
+    let config = Config::parse(&text).unwrap();
     assert_eq!((config.stop_ms, config.limits.sockets, config.limits.memory_mb), (3200, 512, 96));
     let settings = &config.settings;
     let profile = &settings.profiles[0];
@@ -63,14 +90,7 @@
 /// expected and what was found.
 #[test]
 fn error_names_the_path_of_the_invalid_value() {
-    let good = json!({
-        "name": "n", "listen": "127.0.0.1:1", "processor": "127.0.0.1:2", "control": "127.0.0.1:3", "seed": "1",
-        "stop_ms": 1, "limits": {"sockets": 512}, "settings": {"granularity": 1,
-            "profiles": [{"name": "a", "promise": 1, "deadline": 1, "effect": "once", "worth": 1.0},
-                {"name": "b\\\"{[", "promise": 1, "deadline": 1, "effect": "once", "worth": 1.0}],
-            "rules": {"fall": 1, "tip_multiple": 1.0, "drain_grace": 1},
-            "specifics": {"n_cores": 1, "memory_kb": 1.0, "run_factor": 1.0}}
-    });
+    let good = file(&["a", "b\\\"{["]);
     let error_at = |pointer: &str, value: Value| {
         let mut changed = good.clone();
         let (object, key) = pointer.rsplit_once('/').unwrap();
@@ -131,13 +151,7 @@
 /// Guards the thread that reloads files against a panic, whatever byte of a file is missing or changed.
 #[test]
 fn any_corrupted_file_is_an_error() {
-    let good = json!({
-        "name": "n", "listen": "127.0.0.1:1", "processor": "127.0.0.1:2", "control": "127.0.0.1:3", "seed": "1",
-        "stop_ms": 1, "limits": {"sockets": 512}, "settings": {"granularity": 1,
-            "profiles": [{"name": "ä\\\"", "promise": 1, "deadline": 1, "effect": "once", "worth": 1.0}],
-            "rules": {"fall": 1, "tip_multiple": 1.0, "drain_grace": 1},
-            "specifics": {"n_cores": 1, "memory_kb": 1.0, "run_factor": 1.0}}
-    });
+    let good = file(&["ä\\\""]);
     for text in [good.to_string(), serde_json::to_string_pretty(&good).unwrap()] {
         for at in (0..text.len()).filter(|at| text.is_char_boundary(*at)) {
             let error = Config::parse(&text[..at]).unwrap_err().to_string();
--- a/crates/core/src/reducer/apply_summary.rs
+++ b/crates/core/src/reducer/apply_summary.rs
@@ -1,12 +1,13 @@
 //! Summary of the changes made by a transaction or a settings file, and the reasons why a transaction can't be applied.
 
+use gradepin_admission::ClassError;
 use gradepin_config::change::Name;
 
 /// Maximum number of names of each kind of change that a log line lists.
 const MAX_LISTED_NAMES: usize = 8;
 
 /// Why a transaction can't be applied. None of its changes take effect then.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
 pub enum ApplyError {
     /// The transaction removes a class that is not in force.
     #[error("expected the name of a class in force, got '{0}'")]
@@ -14,9 +15,17 @@
     /// The transaction removes a tenant that is not in force.
     #[error("expected the name of a tenant in force, got '{0}'")]
     UnknownTenant(Name),
-    /// A class has an empty name, or its latency objective or deadline is 0.
-    #[error("expected a class with a name, a latency objective and a deadline above 0, got '{0}'")]
-    BadClass(Name),
+    /// A class has an empty name.
+    #[error("expected a class with a name")]
+    UnnamedClass,
+    /// A class lacks a value, or has an unusable one.
+    #[error("class '{class}': {error}")]
+    UnusableClass {
+        /// Name of the class.
+        class: Name,
+        /// The value.
+        error: ClassError,
+    },
     /// A tenant has an empty name.
     #[error("expected a tenant with a name")]
     BadTenant,
--- a/crates/core/src/reducer/configuration/tests.rs
+++ b/crates/core/src/reducer/configuration/tests.rs
@@ -26,7 +26,7 @@
     let mut settings = common::base();
     settings["specifics"]["below"] = json!("off");
     let config = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
-        "stop_ms": 2000, "limits": {"cores": 1.0, "sockets": 128}, "settings": settings});
+        "stop_ms": 2000, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 128}, "settings": settings});
     Config::parse(&config.to_string()).expect("a valid configuration")
 }
 
--- a/crates/core/src/reducer/settings_changes.rs
+++ b/crates/core/src/reducer/settings_changes.rs
@@ -286,11 +286,11 @@
 }
 
 fn check_class(class: &ClassDefinition) -> Result<(), ApplyError> {
-    let profile = &class.profile;
-    if profile.name.is_empty() || profile.latency_objective.0 == 0 || profile.deadline.0 == 0 {
-        return Err(ApplyError::BadClass(Name::from(profile.name.as_str())));
+    if class.profile.name.is_empty() {
+        return Err(ApplyError::UnnamedClass);
     }
-    Ok(())
+    let name = || Name::from(class.profile.name.as_str());
+    class.check().map_err(|error| ApplyError::UnusableClass { class: name(), error })
 }
 
 fn set_rule(settings: &mut Settings, rule: Rule) {
--- a/crates/core/src/reducer/settings_reload.rs
+++ b/crates/core/src/reducer/settings_reload.rs
@@ -17,7 +17,7 @@
 const MAX_CHANGES_PER_STEP: usize = 64;
 
 /// Why a reloaded settings file can't be applied.
-#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, PartialEq, thiserror::Error)]
 enum ReloadError {
     /// The previous file is still being applied.
     #[error("expected the previous settings file to be completely applied, got another one")]
--- a/crates/core/tests/config_keys.rs
+++ b/crates/core/tests/config_keys.rs
@@ -2,6 +2,7 @@
 
 use gradepin_admission::{CapacitySignal, Idempotency, StopMode, UpstreamKind, WeightBasis};
 use gradepin_core::config::Config;
+use serde_json::{Value, json};
 
 const CONFIG: &str = include_str!("golden/config.json");
 
@@ -131,3 +132,67 @@
         assert_eq!(found.to_vec(), expected, "{key}");
     }
 }
+
+/// Keys that the pages allow to be absent, or that the server does not read.
+const OPTIONAL_KEYS: [&str; 6] =
+    ["ledger", "admin_addr", "cores", "attempts_cap", "aim_stretch", "passes_deadline"];
+
+/// Collects the pointers of all keys of objects.
+fn keys(value: &Value, pointer: &str, found: &mut Vec<String>) {
+    match value {
+        Value::Object(map) => map.iter().for_each(|(key, value)| {
+            found.push(format!("{pointer}/{key}"));
+            keys(value, &format!("{pointer}/{key}"), found);
+        }),
+        Value::Array(list) => {
+            list.iter().enumerate().for_each(|(n, value)| keys(value, &format!("{pointer}/{n}"), found))
+        }
+        _ => {}
+    }
+}
+
+/// Guards against a file that lacks a key and is taken with a default in its place: the window of a keyed class (review,
+/// case 6), the cost of a key or a run, the slow start. The error names the key.
+#[test]
+fn a_file_that_lacks_a_key_is_turned_down() {
+    let complete: Value = serde_json::from_str(CONFIG).expect("JSON");
+    let mut pointers = Vec::new();
+    keys(&complete, "", &mut pointers);
+    assert!(pointers.len() > 80, "{}", pointers.len());
+    for pointer in pointers {
+        let (object, key) = pointer.rsplit_once('/').expect("a pointer");
+        let mut file = complete.clone();
+        file.pointer_mut(object).and_then(Value::as_object_mut).expect("an object").remove(key);
+        match Config::parse(&file.to_string()) {
+            Ok(_) => assert!(OPTIONAL_KEYS.contains(&key), "taken without {pointer}"),
+            Err(error) => {
+                assert!(!OPTIONAL_KEYS.contains(&key), "turned down without {pointer}: {error}");
+                assert!(error.to_string().contains(key), "without {pointer}: {error}");
+            }
+        }
+    }
+}
+
+/// Guards against values that are there and break a rule: a window that closes as it opens, a cost below 0 that makes the
+/// memory account too small, a share of the upstream of 0.
+#[test]
+fn a_file_with_an_unusable_value_is_turned_down() {
+    for (pointer, value, named) in [
+        ("/settings/profiles/1/window", json!(0), "profiles[save].window above 0"),
+        ("/settings/profiles/1/deadline", json!(0), "profiles[save].deadline above 0"),
+        ("/settings/profiles/1/late_value", json!(1.5), "profiles[save].late_value from 0 to 1"),
+        ("/settings/profiles/2/worth", json!(-1), "profiles[post].worth of 0 or more"),
+        ("/settings/specifics/class_skip_worth/0", json!(2), "profiles[view].skip_worth from 0 to 1"),
+        ("/settings/specifics/kb_per_key", json!(-0.5), "specifics.kb_per_key of 0 or more"),
+        ("/settings/specifics/run_factor", json!(0), "specifics.run_factor above 0"),
+        ("/settings/specifics/calls_out", json!(0), "specifics.calls_out above 0"),
+        ("/settings/specifics/share_span", json!(0), "specifics.share_span above 0"),
+        ("/settings/customers/0/quota_rps", json!(-1), "customers[].quota_rps of 0 or more"),
+        ("/settings/over_share_worth", json!(-1), "over_share_worth of 0 or more"),
+    ] {
+        let mut file: Value = serde_json::from_str(CONFIG).expect("JSON");
+        *file.pointer_mut(pointer).expect("a value") = value;
+        let error = Config::parse(&file.to_string()).expect_err(pointer).to_string();
+        assert!(error.contains(named), "{pointer}: {error}");
+    }
+}
--- a/crates/node/src/configuration_service.rs
+++ b/crates/node/src/configuration_service.rs
@@ -4,6 +4,7 @@
 use crate::configuration_writer::{ConfigurationWriter, RETRY_INTERVAL};
 use crate::settings::{ConfigurationSettings, ConsensusSettings};
 use crossbeam_channel::Sender;
+use gradepin_admission::AdmissionSettingsError;
 use gradepin_cluster::peer::Peer;
 use gradepin_config::admin::Source;
 use gradepin_config::dissemination::{DisseminationSettings, Member};
@@ -36,6 +37,14 @@
     /// The folder can't be opened, or another process has it open.
     #[error("the folder of the configuration: {0}")]
     Folder(#[from] FolderError),
+    /// The stored configuration has a class that can't be served within the rules; an earlier version accepted it.
+    #[error("the stored configuration of revision {revision}: {error}")]
+    Stored {
+        /// Revision of the stored configuration.
+        revision: u64,
+        /// The setting that is missing or unusable.
+        error: AdmissionSettingsError,
+    },
     /// A voter has no folder in which configurations that it accepted become durable.
     #[error("expected a folder in config: this server is a voter of the consensus group")]
     VoterWithoutFolder,
@@ -73,7 +82,10 @@
             return Ok(Self { state: base, source: Source::StartFile, store: Some(store) });
         };
         info!(log, "starting from the last good configuration"; "revision" => state.revision().0);
-        config.settings = state.to_settings(&config.settings);
+        let settings = state.to_settings(&config.settings);
+        let revision = state.revision().0;
+        settings.check().map_err(|error| ConfigurationStartError::Stored { revision, error })?;
+        config.settings = settings;
         Ok(Self { state, source: Source::Snapshot, store: Some(store) })
     }
 
--- a/crates/node/src/settings/active/tests.rs
+++ b/crates/node/src/settings/active/tests.rs
@@ -1,16 +1,20 @@
+#[path = "../../../../admission/tests/common/mod.rs"]
+#[allow(unreachable_pub, reason = "shared with the integration tests")]
+mod common;
+
 use super::*;
 use serde_json::json;
 
 fn config(classes: &[(&str, u64)], tenants: &[(&str, f64)]) -> Config {
-    let class = |(name, deadline): &(&str, u64)| json!({"name": name, "promise": 1, "deadline": deadline, "effect": "once", "worth": 1.0});
-    let tenant = |(name, quota): &(&str, f64)| json!({"name": name, "quota_rps": quota});
+    let class = |(name, deadline): &(&str, u64)| json!({"name": name, "promise": 1, "deadline": deadline, "effect": "once", "late_value": 0.0, "worth": 1.0});
+    let tenant = |(name, quota): &(&str, f64)| json!({"name": name, "quota_rps": quota, "portion": 0.0});
     let address = "127.0.0.1:1";
+    let mut settings = common::base();
+    settings["specifics"]["below"] = json!("off");
+    settings["profiles"] = classes.iter().map(class).collect();
+    settings["customers"] = tenants.iter().map(tenant).collect();
     let text = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
-        "stop_ms": 2000, "limits": {"sockets": 128}, "settings": {"granularity": 1,
-            "profiles": classes.iter().map(class).collect::<Vec<_>>(),
-            "customers": tenants.iter().map(tenant).collect::<Vec<_>>(),
-            "rules": {"fall": 1, "tip_multiple": 4.0, "drain_grace": 1},
-            "specifics": {"n_cores": 1, "memory_kb": 1.0, "run_factor": 1.0}}});
+        "stop_ms": 2000, "limits": {"memory_mb": 192, "sockets": 128}, "settings": settings});
     Config::parse(&text.to_string()).expect("a valid configuration")
 }
 
--- a/crates/testkit/src/drill/faults/settings.rs
+++ b/crates/testkit/src/drill/faults/settings.rs
@@ -51,6 +51,10 @@
     json!({
         "granularity": 5 * MS,
         "servers": 4,
+        "tier": 0,
+        "worth_by": "request",
+        "over_share_worth": 1.0,
+        "prices": {"connection": 0.0, "handshake": 0.0, "late_fail": 0.0, "origin": 0.0, "waste": 0.0},
         "profiles": [class(READ, "repeatable", 1.0), class(CLAIM, "by_key", 3.0), class(PAY, "once", 2.0)],
         "callers": {"marks_retry": true},
         "customers": [{"name": "acme", "quota_rps": 10_000.0, "portion": 1.0}],
@@ -61,7 +65,9 @@
         "specifics": {"n_cores": 16, "memory_kb": 400_000.0, "run_factor": 4.0, "kb_per_key": 10.0, "below": "off",
                       "share_span": 5_000 * MS, "linger": 200 * MS, "clients_total": 8, "passes_deadline": true,
                       "gauges": ["core_use", "on_cores", "heap_share", "links"], "idle": 60_000 * MS,
-                      "heeded": 1_000 * MS, "tells_gone": true, "stop_mode": "off", "advert": "off"}
+                      "heeded": 1_000 * MS, "tells_gone": true, "stop_mode": "off", "advert": "off",
+                      "calls_by_class": [], "class_skip_worth": [], "calls_out": 0.0, "fresh_for": 0,
+                      "full_checks": false, "just_started": false, "list_follows": false}
     })
 }
 
