Build a refusal from the proof that nothing ran, and fail what may have run

Cause: the new process can't open the store while the old one lives, and took its empty table for the server's. The same held before the store was read after a crash, where it could not be opened, and while records were missing.

Change: reducer/never_ran.rs makes the proof that nothing ran, from the table, the look-up of claims or a store that was read; the response of a refusal is built from it. Without proof a request fails with "outcome unknown". A repeat of a run that began before a crash and has no known end gets the same; it was said to have failed. A request whose run was started is never refused.

Tests of the store that asked for a refusal in these states asked for what WIRE rule 2 forbids: each now asks for the answer without a promise, and the crash simulation fails at any refusal of what ran.

--- a/crates/core/src/idempotency_log.rs
+++ b/crates/core/src/idempotency_log.rs
@@ -236,6 +236,13 @@
         }
     }
 
+    /// Whether all runs of earlier processes are known: there is no store, or it was read completely. While records are
+    /// missing, any key may have run until its window is over.
+    pub fn knows_all_runs(&self, now: Time) -> bool {
+        let is_incomplete = self.incomplete_until.is_some_and(|until| until > now);
+        !matches!(self.state, StoreState::Opening) && !is_incomplete
+    }
+
     /// Returns how long a client should wait if a keyed request must be rejected now; `None` if it can be accepted.
     /// Applies to requests that no earlier run answers.
     pub fn retry_after(&self, now: Time) -> Option<Span> {
--- a/crates/core/src/idempotency_table.rs
+++ b/crates/core/src/idempotency_table.rs
@@ -331,6 +331,11 @@
         self.recovered_runs.remove(id)
     }
 
+    /// Whether the latest run of a key is of an earlier process, and its end is not known yet.
+    pub fn is_recovered_without_end(&self, key: &str) -> bool {
+        self.run(key).is_some_and(|run| self.recovered_runs.contains_key(&run.id))
+    }
+
     /// Whether a processor may still report the end of an earlier process's run.
     pub fn awaits_recovered_runs(&self) -> bool {
         !self.recovered_runs.is_empty()
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -15,6 +15,7 @@
 mod connections;
 mod counter_cells;
 mod drain;
+mod never_ran;
 mod open_requests;
 mod persistence;
 mod processor_link;
--- a/crates/core/src/reducer/open_requests.rs
+++ b/crates/core/src/reducer/open_requests.rs
@@ -75,6 +75,11 @@
 }
 
 impl OpenRequest {
+    /// Whether its run was requested, whatever became of that.
+    pub(super) fn was_started(&self) -> bool {
+        self.start_count > 0 || matches!(self.state, RequestState::Running | RequestState::Stopped)
+    }
+
     /// Returns the idempotency key with the fingerprint of the body and class.
     pub(super) fn key_and_fingerprint(&self) -> Option<(&Arc<str>, Fingerprint)> {
         self.idempotency_key.as_ref().map(|key| (key, self.fingerprint))
--- a/crates/core/src/reducer/refusals.rs
+++ b/crates/core/src/reducer/refusals.rs
@@ -1,13 +1,14 @@
-//! Refusals of valid requests. A refusal promises that the operation never ran on this server, which during an upgrade
-//! is two processes. This is the only place that refuses a keyed attempt, for whatever reason.
+//! Refusals of valid requests. A refusal promises that the operation never ran on this server, so its response is built
+//! from the proof of that ([`super::never_ran`]).
 //!
-//! An attempt whose key has run in this process is answered from that run. If the process shares its keyed runs, it asks
-//! the other process's record before it refuses, and answers from the run found there; meanwhile the request is
+//! An attempt whose key has run is answered from that run. If the process shares its keyed runs by claims, it asks the other
+//! process's record before it refuses, and answers from the run found there; meanwhile the request is
 //! [`RequestState::Refused`]. An attempt that may have run fails, since a failure promises nothing.
 
+use super::never_ran::{NeverRan, RunKnowledge};
 use super::open_requests::{OpenRequest, RequestState};
 use super::{MS, Reducer};
-use crate::idempotency_table::{Fingerprint, RunOutcome};
+use crate::idempotency_table::RunOutcome;
 use crate::messages::{Effect, LookupId, RecordedRun, Response};
 use gradepin_admission::{RequestId, Span, Time, time_after};
 use slog::Level;
@@ -36,8 +37,8 @@
         Self { retry_after, no_failover: false }
     }
 
-    /// The response that carries the refusal.
-    pub(super) fn response(self) -> Response {
+    /// The response that carries the refusal and its promise.
+    pub(super) fn response(self, _promise: NeverRan) -> Response {
         Response::Rejected { retry_after: self.retry_after, no_failover: self.no_failover }
     }
 }
@@ -88,61 +89,36 @@
 }
 
 impl Reducer {
-    /// Refuses an open request that was not started, unless its operation has run.
+    /// Refuses an open request, unless its operation has run or may have run.
     pub(super) fn refuse(&mut self, id: &RequestId, refusal: Refusal) {
-        let Some(open) = self.requests.get(id).filter(|open| open.response_owed) else {
-            return self.respond_and_release(id, refusal.response());
-        };
-        let Some((key, fingerprint)) = open.key_and_fingerprint() else {
-            return self.respond_and_release(id, refusal.response());
-        };
-        let key = Arc::clone(key);
-        if let Some(outcome) = self.outcome_of_own_run(&key, fingerprint, open.arrived_unix_ms) {
-            self.respond_with_outcome(id, outcome);
-            self.forget_request(id);
-        } else if self.pending_claims.is_enabled() {
-            self.look_up_before_refusal(id, key, fingerprint, refusal);
-        } else {
-            self.respond_and_release(id, refusal.response());
+        if !self.requests.get(id).is_some_and(|open| open.response_owed) {
+            return self.release(id);
+        }
+        match self.knowledge_of(id) {
+            Some(RunKnowledge::InOtherProcess) => self.look_up_before_refusal(id, refusal),
+            Some(knowledge) => self.refuse_or_answer(id, refusal, knowledge),
+            None => {}
         }
     }
 
-    /// Whether a keyed attempt may have run: in this process, or in another one whose record was not asked.
-    pub(super) fn may_have_run(&self, key: &str, arrived_unix_ms: u64) -> bool {
-        self.pending_claims.is_enabled() || self.idempotency_table.has_run(key, arrived_unix_ms)
-    }
-
-    /// Returns the outcome from which an attempt is answered if its key has run in this process: a failure while the
-    /// run is in progress or if its result is not retained.
-    fn outcome_of_own_run(
-        &self,
-        key: &Arc<str>,
-        fingerprint: Fingerprint,
-        arrived_unix_ms: u64,
-    ) -> Option<RunOutcome> {
-        if !self.idempotency_table.has_run(key, arrived_unix_ms) {
-            return None;
+    fn refuse_or_answer(&mut self, id: &RequestId, refusal: Refusal, knowledge: RunKnowledge) {
+        match knowledge {
+            RunKnowledge::NeverRan(proof) => self.respond_and_release(id, refusal.response(proof)),
+            RunKnowledge::Ran(outcome) => self.answer_unrefused(id, outcome),
+            RunKnowledge::InOtherProcess => self.answer_unrefused(id, RunOutcome::Failed),
         }
-        let run = self.idempotency_table.known_run(key, self.timestamp.now);
-        let outcome = run.filter(|run| run.fingerprint == fingerprint).and_then(|run| run.outcome);
-        Some(outcome.unwrap_or(RunOutcome::Failed))
     }
 
-    fn look_up_before_refusal(
-        &mut self,
-        id: &RequestId,
-        key: Arc<str>,
-        fingerprint: Fingerprint,
-        refusal: Refusal,
-    ) {
+    fn look_up_before_refusal(&mut self, id: &RequestId, refusal: Refusal) {
         if !self.pending_refusals.has_capacity() {
             return self.answer_unrefused(id, RunOutcome::Failed);
         }
+        let Some(open) = self.requests.get_mut(id) else { return };
+        let Some((key, fingerprint)) = open.key_and_fingerprint() else { return };
+        let key = Arc::clone(key);
         let answer_by = time_after(self.timestamp.now, LOOKUP_TIMEOUT);
         let lookup = self.pending_refusals.add(PendingRefusal { id: id.clone(), refusal, answer_by });
-        if let Some(open) = self.requests.get_mut(id) {
-            open.state = RequestState::Refused { lookup };
-        }
+        open.state = RequestState::Refused { lookup };
         self.effects.push(Effect::LookUpRun { lookup, key, fingerprint });
     }
 
@@ -151,22 +127,8 @@
         let Some(PendingRefusal { id, refusal, .. }) = self.pending_refusals.by_lookup.remove(&lookup) else {
             return;
         };
-        match run {
-            RecordedRun::None => self.refuse_unless_run_here(&id, refusal),
-            RecordedRun::Ended(outcome) => self.answer_unrefused(&id, outcome),
-            RecordedRun::InProgress | RecordedRun::Unknown => self.answer_unrefused(&id, RunOutcome::Failed),
-        }
-    }
-
-    /// Refuses a request whose key the other process has not run. Another attempt may have started here meanwhile.
-    fn refuse_unless_run_here(&mut self, id: &RequestId, refusal: Refusal) {
-        let own_run = self.requests.get(id).and_then(|open| {
-            let (key, fingerprint) = open.key_and_fingerprint()?;
-            self.outcome_of_own_run(key, fingerprint, open.arrived_unix_ms)
-        });
-        match own_run {
-            Some(outcome) => self.answer_unrefused(id, outcome),
-            None => self.respond_and_release(id, refusal.response()),
+        if let Some(knowledge) = self.knowledge_after_lookup(&id, run) {
+            self.refuse_or_answer(&id, refusal, knowledge);
         }
     }
 
@@ -174,14 +136,14 @@
     fn answer_unrefused(&mut self, id: &RequestId, outcome: RunOutcome) {
         if !std::mem::replace(&mut self.pending_refusals.run_logged, true) {
             let text = format!(
-                "the keyed request {} is answered rather than refused, since it may have run in one of the processes \
-                 of the upgrade; further ones are not logged",
+                "the request {} is answered rather than refused, since it ran or may have run in a process of this server; \
+                 further ones are not logged",
                 id.0
             );
             self.log(Level::Info, text);
         }
         self.respond_with_outcome(id, outcome);
-        self.forget_request(id);
+        self.release(id);
     }
 
     /// Fails the requests whose look-ups take too long.
--- a/crates/core/src/reducer/request_intake.rs
+++ b/crates/core/src/reducer/request_intake.rs
@@ -9,7 +9,7 @@
 use super::{MS, Reducer};
 use crate::idempotency_table::Fingerprint;
 use crate::lifecycle_counters::RefusalReason;
-use crate::messages::{ClientRequest, ConnectionId, RequestError, SequenceId};
+use crate::messages::{ClientRequest, ConnectionId, RequestError, Response, SequenceId};
 use gradepin_admission::{Event, Idempotency, Request, RequestId, Span, Time};
 use siphasher::sip::SipHasher13;
 use slog::Level;
@@ -167,13 +167,15 @@
     ) {
         let arrived_unix_ms = request.arrived_unix_ms;
         let is_keyed = self.classes.profile(class).effect == Idempotency::Keyed;
-        let key = request.idempotency_key.as_ref().filter(|_| is_keyed);
-        if !key.is_some_and(|key| self.may_have_run(key, arrived_unix_ms)) {
-            return self.reject(connection, sequence, class, retry_after);
+        let key = request.idempotency_key.as_deref().filter(|_| is_keyed);
+        let refusal = Refusal::retry_after(retry_after);
+        if let Some(proof) = self.prove_never_ran(key, arrived_unix_ms) {
+            return self.answer_unregistered(connection, sequence, class, refusal.response(proof));
         }
         if self.requests.contains(&request.id) {
             // Two open requests can't have one id, and a failure promises nothing.
-            return self.fail_unregistered(connection, sequence, class);
+            let failure = Response::Failed { timed_out: false };
+            return self.answer_unregistered(connection, sequence, class, failure);
         }
         let id = request.id.clone();
         let valid = ValidRequest {
@@ -186,7 +188,7 @@
             earlier: None,
         };
         self.add_open_request(connection, sequence, request, &valid);
-        self.refuse(&id, Refusal::retry_after(retry_after));
+        self.refuse(&id, refusal);
     }
 
     /// Runs all checks in the order in which a client sees their errors.
--- a/crates/core/src/reducer/responses.rs
+++ b/crates/core/src/reducer/responses.rs
@@ -21,24 +21,8 @@
         self.close_if_done(connection);
     }
 
-    /// Rejects a request that can't have run and was not passed on to the admission module.
-    pub(super) fn reject(
-        &mut self,
-        connection: ConnectionId,
-        sequence: SequenceId,
-        class: usize,
-        retry_after: Span,
-    ) {
-        let response = Response::Rejected { retry_after, no_failover: false };
-        self.answer_unregistered(connection, sequence, class, response);
-    }
-
-    /// Fails a request that is not registered as open.
-    pub(super) fn fail_unregistered(&mut self, connection: ConnectionId, sequence: SequenceId, class: usize) {
-        self.answer_unregistered(connection, sequence, class, Response::Failed { timed_out: false });
-    }
-
-    fn answer_unregistered(
+    /// Answers a valid request that is not registered as open.
+    pub(super) fn answer_unregistered(
         &mut self,
         connection: ConnectionId,
         sequence: SequenceId,
@@ -102,6 +86,11 @@
     /// state until the run ends.
     pub(super) fn respond_and_release(&mut self, id: &RequestId, response: Response) {
         self.respond(id, response);
+        self.release(id);
+    }
+
+    /// Removes a request that was answered, unless its run continues.
+    pub(super) fn release(&mut self, id: &RequestId) {
         if self.requests.get(id).is_some_and(|open| open.state != RequestState::Running) {
             self.forget_request(id);
         }
--- a/crates/core/src/reducer/runs.rs
+++ b/crates/core/src/reducer/runs.rs
@@ -157,8 +157,9 @@
     /// Rejects a request and its repeats if its run can't be sent to the processor, because its intent is not durable
     /// or its key, which no process has run, can't be claimed.
     pub(super) fn reject_unstarted_run(&mut self, id: &RequestId) {
+        let Some(proof) = self.prove_unstarted(id) else { return self.fail_unstarted_run(id) };
         let refusal = Refusal::retry_after(self.store_retry_after());
-        self.end_unstarted_run(id, &refusal.response());
+        self.end_unstarted_run(id, &refusal.response(proof));
     }
 
     /// Fails a request and its repeats if its run can't be sent to the processor, because the other process of an
--- a/crates/core/src/response.rs
+++ b/crates/core/src/response.rs
@@ -41,7 +41,8 @@
         /// Whether the request's deadline has passed.
         timed_out: bool,
     },
-    /// The run was started before a crash and its outcome is lost, so it must not run again.
+    /// The request ran or may have run in another process of this server, and its outcome is not known here, so it must not run
+    /// again.
     OutcomeUnknown,
     /// The message is not a valid request.
     Invalid {
@@ -61,4 +62,4 @@
 
 /// Text that front ends send for [`Response::OutcomeUnknown`].
 pub const UNKNOWN_OUTCOME_TEXT: &str =
-    "outcome unknown: it was begun before a crash of this server and must not run again";
+    "outcome unknown: it may have run in another process of this server; never rerun it";
--- a/crates/gradepin/tests/upgrade_platform/mod.rs
+++ b/crates/gradepin/tests/upgrade_platform/mod.rs
@@ -123,6 +123,8 @@
     pub run_duration: Duration,
     /// Number of keyed runs begun at the processors.
     pub keyed_runs: Arc<AtomicU64>,
+    /// Whether keyed runs are kept in a store that both processes are given.
+    pub has_store: bool,
 }
 
 impl Platform {
@@ -140,9 +142,17 @@
             folder,
             run_duration,
             keyed_runs: Arc::default(),
+            has_store: false,
         }
     }
 
+    /// A platform whose processes are given one store.
+    pub fn with_store(name: &str, run_duration: Duration) -> Self {
+        let mut platform = Self::new(name, run_duration);
+        platform.has_store = true;
+        platform
+    }
+
     pub fn connect(&self) -> TcpStream {
         let socket = TcpStream::connect(self.address).expect("the test keeps the listener open");
         socket.set_read_timeout(Some(TIMEOUT)).expect("a timeout");
@@ -172,12 +182,22 @@
         let fd = self.listener.as_raw_fd().to_string();
         let mut child = Command::new(env!("CARGO_BIN_EXE_gradepin"));
         child.arg("serve").env("GW_CONFIG", &file).env("GW_ACCEPT_FD", fd);
+        if self.has_store {
+            child.arg("--settings").arg(self.store_settings());
+        }
         child.stderr(std::fs::File::create(self.log_path(name)).expect("a log"));
         let process = Process(child.env("TMPDIR", &self.folder).spawn().expect("the program starts"));
         wait_ready(admin);
         process
     }
 
+    fn store_settings(&self) -> PathBuf {
+        let file = self.folder.join("store.kdl");
+        let text = format!("store {{\n    path \"{}\"\n}}\n", self.folder.join("store").display());
+        std::fs::write(&file, text).expect("a file for the settings");
+        file
+    }
+
     fn log_path(&self, name: &str) -> PathBuf {
         self.folder.join(format!("{name}.log"))
     }
--- a/crates/gradepin/tests/upgrade_sockets.rs
+++ b/crates/gradepin/tests/upgrade_sockets.rs
@@ -101,6 +101,32 @@
     assert_eq!(platform.keyed_runs.load(Ordering::SeqCst), runs + 1);
 }
 
+#[test]
+fn a_keyed_request_is_not_refused_by_the_new_process_while_the_old_one_has_the_store() {
+    // Guards against a refusal by a process that can't know (review, case 7): the old process has the store, and the new
+    // one refused what the old one had run.
+    let platform = Platform::with_store("store-refusal", RUN_DURATION);
+    let old = platform.start_old();
+    let mut before = platform.connect();
+    assert_eq!(request(&mut before, 1, "rid=1 method=claim token=t body=mine"), "1 served mine");
+    // Keeps the old process until its stop.
+    let running = call(&["2", "rid=2", "body=tile"], unix_ms());
+    let _new = platform.start_new();
+    before.write_all(&running).expect("it takes bytes");
+    platform.hand_over(&old);
+    let mut after = platform.connect();
+    let runs = platform.keyed_runs.load(Ordering::SeqCst);
+    let retry = request(&mut after, 1, "rid=3 method=claim token=t body=mine again=1");
+    // The store may have been taken over by now.
+    assert!(
+        ["1 unknown", "1 failed", "1 served mine"].iter().any(|answer| retry.starts_with(answer)),
+        "{retry}"
+    );
+    assert_eq!(platform.keyed_runs.load(Ordering::SeqCst), runs, "a request ran a second time");
+    let read = request(&mut after, 2, "rid=4 body=tile");
+    assert_eq!(read, "2 served tile");
+}
+
 #[test]
 fn a_try_without_time_left_is_not_refused_by_the_new_process_if_the_old_one_ran_it() {
     // Guards against a caller that takes a request which ran to another server: the new process would refuse a try
--- a/crates/store/tests/simulation/mod.rs
+++ b/crates/store/tests/simulation/mod.rs
@@ -356,6 +356,13 @@
                         "{body}: the answer is not the result of a run"
                     );
                 }
+                let run = self.history.runs_by_body.get(body.as_str());
+                let may_be_repeated = run.is_some_and(|run| self.history.now_ms < run.window_end_ms);
+                // A refusal promises that the operation never ran (review, case 7).
+                assert!(
+                    !(may_be_repeated && matches!(answer, Answer::Rejected(_))),
+                    "{body} is refused although it ran"
+                );
                 answers.push(answer);
             }
             Effect::StartRun { id, class, body, .. } => {
