Run no request twice under one id, and none that was left behind by a reset

Cause: the system returns what arrived before a reset, and the reader decoded it without asking the socket. An id was known for as long as its request was open, which for a client that has left ends with its run.

Change: the reader asks for the socket's error before it decodes. started_runs keeps the ids of started runs without a key, bounded in time and memory; a request that comes again gets "outcome unknown" and is not refused. In an upgrade the run of a class that must run once is claimed by its id.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod response;
 pub mod shutdown;
 pub mod slots;
+pub mod started_runs;
 pub mod stop_times;
 pub mod tenants;
 pub mod timer_wheel;
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -41,6 +41,7 @@
 use crate::registration::Registration;
 use crate::request_metrics::RequestMetrics;
 use crate::shutdown::Shutdown;
+use crate::started_runs::StartedRuns;
 use crate::tenants::Tenants;
 use crate::timestamp::Timestamp;
 use crate::wall_clock::WallClock;
@@ -66,6 +67,8 @@
 const MS: u64 = 1_000_000;
 /// Limit of the retained results of keyed runs: the memory of the process divided by this.
 const RESULT_MEMORY_DIVISOR: usize = 6;
+/// Limit of the ids of started runs: the memory of the process divided by this.
+const STARTED_RUNS_MEMORY_DIVISOR: usize = 32;
 
 /// The state of one tile server.
 pub struct Reducer {
@@ -85,6 +88,8 @@
     connections: Connections,
     idempotency_table: IdempotencyTable,
     idempotency_log: IdempotencyLog,
+    /// Runs of requests without an idempotency key.
+    started_runs: StartedRuns,
     /// Runs that wait for their claims, if the two processes of an upgrade share keyed runs.
     pending_claims: PendingClaims,
     /// Refusals that wait for the record of the other process's runs.
@@ -180,6 +185,7 @@
             connections: Connections::new(config.max_connections()),
             idempotency_table: IdempotencyTable::new(config.memory(RESULT_MEMORY_DIVISOR)),
             idempotency_log: IdempotencyLog::disabled(),
+            started_runs: StartedRuns::new(config.memory(STARTED_RUNS_MEMORY_DIVISOR)),
             pending_claims: PendingClaims::default(),
             pending_refusals: PendingRefusals::default(),
             recovery: Recovery::new(config.seed()?),
--- a/crates/core/src/reducer/never_ran.rs
+++ b/crates/core/src/reducer/never_ran.rs
@@ -10,19 +10,35 @@
 //! | a store that was read completely | all runs: a store has one owner, and its records are in the table |
 //! | a store that is not open yet, or that lacks records | its own runs; nobody tells the others |
 //!
+//! A request without a key is known by its id: in this process for as long as it may come again, and by a claim where it must
+//! run at most once.
+//!
 //! Invariant: a [`NeverRan`] is made here alone, from one of the rows that exclude a run.
 
 use super::Reducer;
 use super::open_requests::OpenRequest;
 use crate::idempotency_table::{Fingerprint, RunOutcome};
 use crate::messages::RecordedRun;
-use gradepin_admission::RequestId;
+use gradepin_admission::{Idempotency, RequestId};
 use std::sync::Arc;
 
 /// Proof that no process of this server has run the operation of an attempt.
 #[derive(Debug)]
 pub(super) struct NeverRan(());
 
+/// An attempt that is answered without being registered as open.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct UnregisteredAttempt<'a> {
+    /// Id of the request.
+    pub(super) id: &'a RequestId,
+    /// Idempotency key, if its class is keyed.
+    pub(super) key: Option<&'a str>,
+    /// Slot of its class.
+    pub(super) class: usize,
+    /// When it reached the machine, in Unix milliseconds.
+    pub(super) arrived_unix_ms: u64,
+}
+
 /// What this process knows about the run of an attempt's operation.
 #[derive(Debug)]
 pub(super) enum RunKnowledge {
@@ -43,6 +59,8 @@
         }
         Some(match open.key_and_fingerprint() {
             Some((key, fingerprint)) => self.knowledge_of_key(key, fingerprint, open),
+            None if self.started_runs.contains(id) => RunKnowledge::Ran(RunOutcome::Unknown),
+            None if self.claim_key(id).is_some() => RunKnowledge::InOtherProcess,
             None => RunKnowledge::NeverRan(NeverRan(())),
         })
     }
@@ -77,10 +95,15 @@
         Some(RunKnowledge::Ran(outcome))
     }
 
-    /// Proves that an attempt that is not registered as open never ran: without a key nothing else can have run it, and a
-    /// key that has run is known here. `None` if that takes an answer from elsewhere.
-    pub(super) fn prove_never_ran(&self, key: Option<&str>, arrived_unix_ms: u64) -> Option<NeverRan> {
-        let Some(key) = key else { return Some(NeverRan(())) };
+    /// Proves that an attempt that is not registered as open never ran. `None` if it ran, or if the other process has to be
+    /// asked.
+    pub(super) fn prove_never_ran(&self, attempt: &UnregisteredAttempt<'_>) -> Option<NeverRan> {
+        let UnregisteredAttempt { id, key, class, arrived_unix_ms } = *attempt;
+        let Some(key) = key else {
+            let runs_once = self.classes.profile(class).effect == Idempotency::NonIdempotent;
+            let has_other_process = runs_once && self.pending_claims.is_enabled();
+            return (!has_other_process && !self.started_runs.contains(id)).then_some(NeverRan(()));
+        };
         let knows_all_runs = !self.pending_claims.is_enabled() && self.has_complete_store();
         let has_run = self.idempotency_table.has_run(key, arrived_unix_ms);
         (knows_all_runs && !has_run).then_some(NeverRan(()))
--- a/crates/core/src/reducer/refusals.rs
+++ b/crates/core/src/reducer/refusals.rs
@@ -13,7 +13,6 @@
 use gradepin_admission::{RequestId, Span, Time, time_after};
 use slog::Level;
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 /// How long a refusal waits for the record of the other process's runs; afterwards the attempt fails. Shorter than the
 /// time by which the answer to an expired request may be late.
@@ -113,9 +112,8 @@
         if !self.pending_refusals.has_capacity() {
             return self.answer_unrefused(id, RunOutcome::Failed);
         }
+        let Some((key, fingerprint)) = self.claim_key(id) else { return };
         let Some(open) = self.requests.get_mut(id) else { return };
-        let Some((key, fingerprint)) = open.key_and_fingerprint() else { return };
-        let key = Arc::clone(key);
         let answer_by = time_after(self.timestamp.now, LOOKUP_TIMEOUT);
         let lookup = self.pending_refusals.add(PendingRefusal { id: id.clone(), refusal, answer_by });
         open.state = RequestState::Refused { lookup };
--- a/crates/core/src/reducer/request_intake.rs
+++ b/crates/core/src/reducer/request_intake.rs
@@ -4,6 +4,7 @@
 //! function that returns an [`IntakeError`]; if several would fail, the client sees the error of the first one. The
 //! admission module decides whether and when a valid request runs.
 
+use super::never_ran::UnregisteredAttempt;
 use super::open_requests::{OpenRequest, RequestState};
 use super::refusals::Refusal;
 use super::{MS, Reducer};
@@ -17,7 +18,7 @@
 use std::sync::Arc;
 
 /// Maximum budget of a request, as a multiple of the deadline of its class.
-const MAX_BUDGET_DEADLINES: u64 = 2;
+pub(super) const MAX_BUDGET_DEADLINES: u64 = 2;
 /// Maximum time for which an expired request is sent, and its connection waits to be accepted. Also bounds how far the clock
 /// of a client may differ without being noticed.
 const MAX_SENDING_DELAY_MS: u64 = 1_000;
@@ -48,6 +49,11 @@
         /// Advised wait before a retry; 0 for no advice.
         retry_after: Span,
     },
+    /// A run was started under the id of the request, which has no idempotency key that would tell its outcome.
+    Started {
+        /// Slot of its class.
+        class: usize,
+    },
 }
 
 impl IntakeError {
@@ -132,6 +138,9 @@
                 self.metrics.lifecycle.count_refusal(reason);
                 self.refuse_at_intake(connection, sequence, class, request, retry_after);
             }
+            Err(IntakeError::Started { class }) => {
+                self.answer_unregistered(connection, sequence, class, Response::OutcomeUnknown);
+            }
         }
     }
 
@@ -169,7 +178,8 @@
         let is_keyed = self.classes.profile(class).effect == Idempotency::Keyed;
         let key = request.idempotency_key.as_deref().filter(|_| is_keyed);
         let refusal = Refusal::retry_after(retry_after);
-        if let Some(proof) = self.prove_never_ran(key, arrived_unix_ms) {
+        let attempt = UnregisteredAttempt { id: &request.id, key, class, arrived_unix_ms };
+        if let Some(proof) = self.prove_never_ran(&attempt) {
             return self.answer_unregistered(connection, sequence, class, refusal.response(proof));
         }
         if self.requests.contains(&request.id) {
@@ -206,6 +216,7 @@
         }
         self.check_budget(class, request)?;
         self.check_id(class, request)?;
+        self.check_not_started(class, request)?;
         if !request.retry {
             // Counted even if it is rejected below: the comparison of versions includes rejected requests.
             self.count_for_rollback(tenant, class, 1, 0);
@@ -278,6 +289,13 @@
         Ok(())
     }
 
+    /// Guards against a second run of a request that comes again after its connection ended. Its id is new with each attempt,
+    /// so the sender repeats a request that it must not repeat.
+    fn check_not_started(&self, class: usize, request: &ClientRequest) -> Result<(), IntakeError> {
+        let is_known_by_id = request.idempotency_key.is_none() && self.started_runs.contains(&request.id);
+        if is_known_by_id { Err(IntakeError::Started { class }) } else { Ok(()) }
+    }
+
     /// Drops a new idempotency key if the class is no longer keyed. Repeats of runs that the class already has are
     /// still answered.
     fn drop_key_of_formerly_keyed_class(
--- a/crates/core/src/reducer/runs.rs
+++ b/crates/core/src/reducer/runs.rs
@@ -6,9 +6,10 @@
 
 use super::open_requests::RequestState;
 use super::refusals::Refusal;
+use super::request_intake::MAX_BUDGET_DEADLINES;
 use super::{MS, Reducer};
 use crate::buffer_pool::Buffer;
-use crate::idempotency_table::RunOutcome;
+use crate::idempotency_table::{MAX_READ_DELAY, RunOutcome};
 use crate::messages::{Effect, Response, RunEnd};
 use gradepin_admission::{Event, Outcome, RequestId, Span};
 use slog::Level;
@@ -45,7 +46,9 @@
             return self.report_not_started(id);
         };
         open.state = RequestState::Running;
-        let Some(key) = &open.idempotency_key else { return self.send_run(id) };
+        let Some(key) = &open.idempotency_key else {
+            return if self.claim_key(id).is_some() { self.claim_run(id) } else { self.send_run(id) };
+        };
         let window_ms = self.classes.profile(open.class).window.0.div_ceil(MS);
         let closes_unix_ms = open.arrived_unix_ms.saturating_add(window_ms);
         self.idempotency_table.run_started(key, open.fingerprint, id, closes_unix_ms, self.timestamp);
@@ -76,6 +79,7 @@
         if !self.is_allowed(start) {
             return;
         }
+        self.note_started_run(id);
         let Some(open) = self.requests.get(id) else { return };
         self.processor.add_unconfirmed_run(id.clone());
         let Some(link) = self.processor.usable_link() else { return };
@@ -88,6 +92,15 @@
         }
     }
 
+    /// Notes the start of a run that no idempotency key tells from another one, for as long as its request may come again.
+    fn note_started_run(&mut self, id: &RequestId) {
+        let Some(open) = self.requests.get(id).filter(|open| open.idempotency_key.is_none()) else { return };
+        let deadline = self.classes.profile(open.class).deadline;
+        let longest_budget = Span(deadline.0.saturating_mul(MAX_BUDGET_DEADLINES));
+        let retention = Span(longest_budget.0.saturating_add(MAX_READ_DELAY.0));
+        self.started_runs.add(id, self.timestamp.now, retention);
+    }
+
     /// Handles a start that the processor did not carry out. The run counts as never started only if it was sent once
     /// and is unconfirmed. Guards against running an operation twice: any other start may have been carried out, and
     /// must not be repeated under the same key.
@@ -173,6 +186,8 @@
         let mut waiting = Vec::new();
         if let Some(key) = open.idempotency_key.clone() {
             waiting = self.idempotency_table.run_ended(&key, id, None);
+        }
+        if let Some((key, _)) = self.claim_key(id) {
             self.release_claim(&key, None);
         }
         for id in std::iter::once(id.clone()).chain(waiting) {
@@ -186,6 +201,7 @@
     pub(super) fn end_run(&mut self, id: &RequestId, end: RunEnd, took: Span, result: Option<Arc<Buffer>>) {
         let Some(open) = self.requests.running(id) else { return };
         let key = open.idempotency_key.clone();
+        let claim_key = self.claim_key(id).filter(|_| key.is_none());
         if end == RunEnd::Ok {
             let (tenant, class) = (open.tenant, open.class);
             self.cluster_run_served(tenant, class, took);
@@ -205,6 +221,8 @@
         }
         if let Some(key) = key {
             self.complete_keyed_run(&key, id, for_repeats);
+        } else if let Some((claim_key, _)) = claim_key {
+            self.release_claim(&claim_key, for_repeats);
         }
     }
 
--- a/crates/node/src/frontend/connection_reader.rs
+++ b/crates/node/src/frontend/connection_reader.rs
@@ -11,6 +11,7 @@
 use gradepin_core::buffer_pool::Buffer;
 use gradepin_core::messages::{ConnectionId, Input};
 use rustix::io::Errno;
+use rustix::net::sockopt::socket_error;
 use rustix::net::{RecvFlags, recv};
 use std::io;
 use std::sync::Arc;
@@ -128,7 +129,7 @@
     /// Delivers buffered messages, then reads a bounded number of times and delivers the received messages.
     ///
     /// # Errors
-    /// If the socket fails; the connection is unusable.
+    /// If the socket fails, or the peer has reset the connection; the connection is unusable.
     pub(super) fn read(&mut self, id: ConnectionId, shared: &Shared) -> io::Result<ReadOutcome> {
         match self.connection.begin_read() {
             ConnectionState::Closed => return Ok(ReadOutcome::Closed { error: None }),
@@ -137,11 +138,12 @@
             _ => return self.discard(shared),
         }
         let mut buffer = self.buffer.take().unwrap_or_else(|| shared.pool.take());
-        if !buffer.is_empty()
-            && let Some(outcome) = self.deliver_messages(id, &mut buffer, shared)
-        {
-            self.buffer = Some(buffer);
-            return Ok(outcome);
+        if !buffer.is_empty() {
+            self.check_not_reset()?;
+            if let Some(outcome) = self.deliver_messages(id, &mut buffer, shared) {
+                self.buffer = Some(buffer);
+                return Ok(outcome);
+            }
         }
         for _ in 0..MAX_READS {
             match recv(&self.connection.socket, buffer.space(), RecvFlags::DONTWAIT) {
@@ -149,6 +151,7 @@
                 Ok((0, _)) => return Ok(ReadOutcome::HalfClosed { malformed: None }),
                 Ok((received_bytes, _)) => {
                     buffer.filled(received_bytes);
+                    self.check_not_reset()?;
                     if let Some(outcome) = self.deliver_messages(id, &mut buffer, shared) {
                         self.buffer = Some(buffer);
                         return Ok(outcome);
@@ -179,6 +182,16 @@
         Ok(ReadOutcome::MoreToRead)
     }
 
+    /// Checks that the peer has not reset the connection. The system still returns bytes that arrived before a reset, and
+    /// nobody waits for the answers to their requests. Those of a peer that has only shut its half are still served.
+    fn check_not_reset(&self) -> io::Result<()> {
+        match socket_error(&self.connection.socket) {
+            Ok(Err(error)) => Err(error.into()),
+            // Without the error's state, the next read reports it.
+            Ok(Ok(())) | Err(_) => Ok(()),
+        }
+    }
+
     /// Has all further bytes discarded.
     pub(super) fn discard_from_now_on(&mut self) {
         self.is_write_blocked = false;
--- a/crates/node/src/frontend/event_loop/tests.rs
+++ b/crates/node/src/frontend/event_loop/tests.rs
@@ -240,3 +240,46 @@
     let inputs: Vec<Input> = received.try_iter().collect();
     assert!(matches!(inputs[..], [Input::StoppedAccepting, Input::StoppedReading]), "{inputs:?}");
 }
+
+fn health_frames(count: i32) -> Vec<u8> {
+    (1..=count).flat_map(health).collect()
+}
+
+fn count_messages(inputs: &[Input]) -> usize {
+    inputs.iter().filter(|input| matches!(input, Input::HealthCheck { .. })).count()
+}
+
+/// Waits until the kernel has reported the reset of the accepted connection.
+fn wait_for_reset(event_loop: &EventLoop, id: ConnectionId) {
+    use rustix::event::{PollFd, PollFlags, Timespec, poll};
+    let socket = &event_loop.readers[&id].connection.socket;
+    let timeout = Timespec { tv_sec: 20, tv_nsec: 0 };
+    let mut polled = [PollFd::new(socket, PollFlags::empty())];
+    assert_eq!(poll(&mut polled, Some(&timeout)).unwrap(), 1, "no reset");
+    assert!(polled[0].revents().contains(PollFlags::ERR));
+}
+
+/// Guards against messages that are delivered although their sender has reset the connection: the system still returns what
+/// arrived before (review, picture c). What came before a shut half is delivered.
+#[test]
+fn delivers_no_message_of_a_connection_that_was_reset() {
+    for is_reset in [true, false] {
+        let (mut event_loop, address, received) = event_loop(4, false);
+        let mut peer = TcpStream::connect(address).unwrap();
+        event_loop.accept();
+        let id = *event_loop.readers.keys().next().unwrap();
+        peer.write_all(&health_frames(32)).unwrap();
+        if is_reset {
+            rustix::net::sockopt::set_socket_linger(&peer, Some(Duration::ZERO)).unwrap();
+            drop(peer);
+            wait_for_reset(&event_loop, id);
+        } else {
+            peer.shutdown(std::net::Shutdown::Write).unwrap();
+        }
+        run_all_events(&mut event_loop);
+        let inputs: Vec<Input> = received.try_iter().collect();
+        assert_eq!(count_messages(&inputs), if is_reset { 0 } else { 32 }, "{inputs:?}");
+        let is_closed = inputs.iter().any(|input| matches!(input, Input::ConnectionClosed(_)));
+        assert_eq!(is_closed, is_reset, "{inputs:?}");
+    }
+}
