Have a connection deliver two messages in its turn

Cause: reading takes turns by reads, and one delivered all messages of its buffer, some 100 health checks; the limit on the rate is one for each connection. A request waited for all that the others had sent.

Change: a connection delivers two messages in its turn; what is left stays in its buffer. The last read before a shutdown delivers all, as before.

The new test fails with the limit switched off.

--- a/crates/node/src/frontend/connection_reader.rs
+++ b/crates/node/src/frontend/connection_reader.rs
@@ -28,6 +28,9 @@
 /// Calls of [`ConnectionReader::read`] in which what has arrived is read before reading ends. Enough for all requests that
 /// a client may have open on a connection, with the longest bodies.
 const MAX_FINAL_READS: usize = 64;
+/// Messages delivered per call. Then it is the turn of the other connections, so that a peer whose single request arrives
+/// beside hundreds of connections with many requests each does not wait for all of them.
+const MAX_MESSAGES_PER_READ: usize = 2;
 /// Cost of reading one message, in tokens.
 const READ_COST: usize = 1;
 
@@ -95,6 +98,8 @@
     discarded_bytes: usize,
     /// Unsent frames at which reading stops.
     max_unsent_frames: usize,
+    /// Messages delivered per call of [`ConnectionReader::read`].
+    max_messages: usize,
 }
 
 impl ConnectionReader {
@@ -123,6 +128,7 @@
             is_write_blocked: false,
             discarded_bytes: 0,
             max_unsent_frames: MAX_UNSENT_FRAMES,
+            max_messages: MAX_MESSAGES_PER_READ,
         }
     }
 
@@ -173,6 +179,7 @@
     /// If the socket fails; the connection is unusable.
     pub(super) fn read_rest(&mut self, id: ConnectionId, shared: &Shared) -> io::Result<ReadOutcome> {
         self.max_unsent_frames = usize::MAX;
+        self.max_messages = usize::MAX;
         for _ in 0..MAX_FINAL_READS {
             match self.read(id, shared)? {
                 ReadOutcome::MoreToRead | ReadOutcome::Throttled(_) => {}
@@ -288,7 +295,12 @@
         shared: &Shared,
     ) -> Option<ReadOutcome> {
         let (mut progress, mut outcome) = (DecodeProgress::default(), None);
+        let mut messages = 0;
         while outcome.is_none() && progress.consumed_bytes < buffer.len() {
+            if messages >= self.max_messages {
+                outcome = Some(ReadOutcome::MoreToRead);
+                break;
+            }
             if self.connection.unsent_frames() >= self.max_unsent_frames {
                 outcome = Some(ReadOutcome::WriteBlocked);
                 break;
@@ -305,6 +317,7 @@
                 continue;
             }
             progress.completed_message = true;
+            messages += 1;
             let mut cost = READ_COST;
             match input(id, frame.message) {
                 Some(input) => {
--- a/crates/node/src/frontend/event_loop/tests.rs
+++ b/crates/node/src/frontend/event_loop/tests.rs
@@ -283,3 +283,34 @@
         assert_eq!(is_closed, is_reset, "{inputs:?}");
     }
 }
+
+/// Guards against a client that waits for all requests of hundreds of other connections: each connection delivers a few
+/// messages in its turn (review, pictures a and b).
+#[test]
+fn connections_with_many_messages_take_turns() {
+    let (mut event_loop, address, received) = event_loop(10, false);
+    let mut peers: Vec<TcpStream> = (0..5).map(|_| TcpStream::connect(address).unwrap()).collect();
+    event_loop.accept();
+    received.try_iter().count();
+    for peer in &mut peers {
+        peer.write_all(&health_frames(60)).unwrap();
+    }
+    let mut last = TcpStream::connect(address).unwrap();
+    last.write_all(&health_frames(1)).unwrap();
+    for peer in peers.iter().chain([&last]) {
+        wait_until_unread(peer, health(1).len());
+    }
+    event_loop.acceptor.set_all_ready();
+    event_loop.accept();
+    received.try_iter().count();
+    event_loop.read_scheduled();
+    let inputs: Vec<Input> = received.try_iter().collect();
+    assert!(count_messages(&inputs) <= 5 * 2 + 1, "{}", count_messages(&inputs));
+    let id = *event_loop.readers.keys().max().unwrap();
+    let is_of_last =
+        |input: &Input| matches!(input, Input::HealthCheck { connection, .. } if *connection == id);
+    assert!(inputs.iter().any(is_of_last), "{inputs:?}");
+    run_all_events(&mut event_loop);
+    let rest: Vec<Input> = received.try_iter().collect();
+    assert_eq!(count_messages(&inputs) + count_messages(&rest), 5 * 60 + 1, "all of them are delivered");
+}
