Count and log each response after its due time, with the stage that it was in

Change: the front end states since when the bytes of a request were unread, when it was read and why not before; the reducer notes the stages up to the response. A response later than t0 + budget + rules.answer_slack is counted by the stage that its request was in when it was due, and logged with the length of each stage, at most once a second. Counted too: waits before reading by cause, pauses of connections, responses that wait for their client, ends of runs and of the link. When bytes were written is known to their sender alone; how long a response waits in the kernel is not seen.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod registration;
 pub mod reload;
 pub mod request_metrics;
+pub mod request_timeline;
 pub mod response;
 pub mod shutdown;
 pub mod slots;
--- a/crates/core/src/lifecycle_counters.rs
+++ b/crates/core/src/lifecycle_counters.rs
@@ -1,7 +1,10 @@
 //! Counters of what happens to connections and requests beside their responses: why connections ended, why requests were
-//! refused, runs that were sent to the processor again, and requests whose callers were gone. They start at 0 with the
-//! process and never decrease.
+//! refused, how runs ended, runs that were sent to the processor again, requests whose callers were gone, how long requests
+//! waited to be read, and responses after their due time. They start at 0 with the process and never decrease.
 
+use crate::messages::RunEnd;
+use crate::request_timeline::{ReadWait, Stage};
+use gradepin_admission::Span;
 use std::collections::BTreeMap;
 
 /// Why a connection ended.
@@ -57,11 +60,40 @@
         [Self::Admission, Self::OpenRequestLimit, Self::NoProcessor, Self::Store, Self::RetryBudget];
 }
 
+/// How long requests or responses waited for one reason.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WaitTotals {
+    /// Number of those that waited.
+    pub count: u64,
+    /// Sum of all waits.
+    pub total: Span,
+    /// The longest wait.
+    pub longest: Span,
+}
+
+impl WaitTotals {
+    /// Counts waits that have this sum and this longest one.
+    pub fn add(&mut self, count: u64, total: Span, longest: Span) {
+        self.count = self.count.saturating_add(count);
+        self.total = Span(self.total.0.saturating_add(total.0));
+        self.longest = self.longest.max(longest);
+    }
+}
+
 /// The counters of one process, or their values at one time.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LifecycleCounters {
     closed: BTreeMap<CloseReason, u64>,
     refused: BTreeMap<RefusalReason, u64>,
+    runs_ended: BTreeMap<RunEnd, u64>,
+    read_waits: BTreeMap<ReadWait, WaitTotals>,
+    late: BTreeMap<Stage, u64>,
+    /// Responses that waited until their client took earlier ones.
+    pub unsent_responses: WaitTotals,
+    /// How often the reading of a connection was paused, because messages on it broke the protocol.
+    pub reading_paused: u64,
+    /// How often the link to the processor ended.
+    pub links_ended: u64,
     /// Runs that were sent to the processor again, because a link ended before their start was confirmed.
     pub runs_repeated: u64,
     /// Requests whose connection ended while a response was owed.
@@ -83,6 +115,36 @@
         *self.refused.entry(reason).or_default() += 1;
     }
 
+    /// Counts the end of a run.
+    pub fn count_run_end(&mut self, end: RunEnd) {
+        *self.runs_ended.entry(end).or_default() += 1;
+    }
+
+    /// Counts a request that waited this long to be read.
+    pub fn count_read_wait(&mut self, cause: ReadWait, wait: Span) {
+        self.read_waits.entry(cause).or_default().add(1, wait, wait);
+    }
+
+    /// Counts a response after its due time, by the stage that its request was in when it was due.
+    pub fn count_late(&mut self, stage: Stage) {
+        *self.late.entry(stage).or_default() += 1;
+    }
+
+    /// Number of runs that ended in this way.
+    pub fn runs_ended(&self, end: RunEnd) -> u64 {
+        self.runs_ended.get(&end).copied().unwrap_or_default()
+    }
+
+    /// How long requests waited to be read for this reason.
+    pub fn read_waits(&self, cause: ReadWait) -> WaitTotals {
+        self.read_waits.get(&cause).copied().unwrap_or_default()
+    }
+
+    /// Number of responses after their due time whose requests were in this stage when they were due.
+    pub fn late(&self, stage: Stage) -> u64 {
+        self.late.get(&stage).copied().unwrap_or_default()
+    }
+
     /// Number of connections that ended for this reason.
     pub fn closed(&self, reason: CloseReason) -> u64 {
         self.closed.get(&reason).copied().unwrap_or_default()
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -4,6 +4,7 @@
 mod input;
 
 use crate::buffer_pool::Buffer;
+pub use crate::request_timeline::Receipt;
 pub use crate::response::{RequestError, Response, UNKNOWN_OUTCOME_TEXT};
 use crate::slots::Handle;
 pub use effect::{Effect, NameChange};
@@ -50,10 +51,12 @@
     pub has_subject: bool,
     /// The body as it was received.
     pub body: Buffer,
+    /// When it was read, and what it waited for before.
+    pub receipt: Receipt,
 }
 
 /// How a run ended, as reported by the processor.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RunEnd {
     /// The run ended with a result.
     Ok,
@@ -65,6 +68,11 @@
     NotStarted,
 }
 
+impl RunEnd {
+    /// All ends, in the order in which they are published.
+    pub const ALL: [Self; 4] = [Self::Ok, Self::Failed, Self::Stopped, Self::NotStarted];
+}
+
 /// Minimum time in which a processor can end and restart. A greeting with a start that is later by more than this is
 /// from a restarted processor, not one that was delayed in transit.
 pub const MIN_PROCESSOR_RESTART: Span = Span(50_000_000);
--- a/crates/core/src/messages/input.rs
+++ b/crates/core/src/messages/input.rs
@@ -138,6 +138,15 @@
         /// How long nothing is read from the connection.
         duration: Span,
     },
+    /// Responses on a connection were written after its client had taken earlier ones.
+    ResponsesDelayed {
+        /// Number of these responses.
+        count: u64,
+        /// Sum of the times that they waited.
+        total: Span,
+        /// The longest of these times.
+        longest: Span,
+    },
     /// SIGTERM: shut down gracefully.
     ShutdownNotice,
     /// The front ends accept no more connections, and have reported all that they accepted.
--- a/crates/core/src/reducer/admission_actions.rs
+++ b/crates/core/src/reducer/admission_actions.rs
@@ -9,6 +9,7 @@
 use crate::idempotency_table::RunOutcome;
 use crate::lifecycle_counters::RefusalReason;
 use crate::messages::Response;
+use crate::request_timeline::Stage;
 use gradepin_admission::{Action, RequestId, Span, time_after};
 use slog::Level;
 
@@ -80,6 +81,7 @@
     fn join_run(&mut self, id: &RequestId) {
         let Some(open) = self.requests.get_mut(id) else { return };
         open.state = RequestState::Joined { since: self.timestamp.now };
+        open.timeline.enter(Stage::OtherRun, self.timestamp.now);
         let outcome = match open.idempotency_key.clone() {
             Some(key) => self.idempotency_table.join(&key, id),
             None => Some(RunOutcome::Failed),
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -15,6 +15,7 @@
 mod connections;
 mod counter_cells;
 mod drain;
+mod due_times;
 mod never_ran;
 mod open_requests;
 mod persistence;
@@ -52,6 +53,7 @@
 use configuration::ConfigurationState;
 use connections::Connections;
 use drain::Drain;
+use due_times::LateLog;
 use gradepin_admission::{
     Action, ClassDefinition, Controller, Event, Settings, Span, SplitSettings, Tenant, Time, time_after,
 };
@@ -116,6 +118,7 @@
     last_upstream_call: UpstreamCallId,
     operator_drain: OperatorDrain,
     metrics: RequestMetrics,
+    late_log: LateLog,
     /// Checks each response, run, close and the exit.
     guard: LifecycleGuard,
     /// Events for the admission module's next decision.
@@ -204,6 +207,7 @@
             last_upstream_call: 0,
             operator_drain: OperatorDrain::default(),
             metrics: RequestMetrics::default(),
+            late_log: LateLog::default(),
             guard: LifecycleGuard::default(),
             events: Vec::new(),
             actions: Vec::new(),
@@ -328,8 +332,12 @@
             Input::ConnectionLate(connection) => self.connection_late(connection),
             Input::ConnectionClosed(connection) => self.connection_closed(connection),
             Input::ConnectionThrottled { connection, duration } => {
+                self.metrics.lifecycle.reading_paused += u64::from(duration.0 > 0);
                 self.connections.throttled(connection, time_after(now, duration));
             }
+            Input::ResponsesDelayed { count, total, longest } => {
+                self.responses_delayed(count, total, longest);
+            }
             Input::Request { connection, sequence, request } => {
                 self.receive_request(connection, sequence, *request);
             }
--- a/crates/core/src/reducer/open_requests.rs
+++ b/crates/core/src/reducer/open_requests.rs
@@ -8,6 +8,7 @@
 use crate::config::Config;
 use crate::idempotency_table::Fingerprint;
 use crate::messages::{ConnectionId, LookupId, SequenceId, UpstreamCallId};
+use crate::request_timeline::RequestTimeline;
 use gradepin_admission::{RequestId, Time};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -72,6 +73,8 @@
     pub(super) upstream_call_since: Option<Time>,
     /// Id of that call once it was sent.
     pub(super) upstream_call_id: Option<UpstreamCallId>,
+    /// When it passed each stage.
+    pub(super) timeline: RequestTimeline,
 }
 
 impl OpenRequest {
--- a/crates/core/src/reducer/processor_link.rs
+++ b/crates/core/src/reducer/processor_link.rs
@@ -177,6 +177,7 @@
     }
 
     pub(super) fn link_down(&mut self) {
+        self.metrics.lifecycle.links_ended += 1;
         self.registration.processor_silent(self.timestamp.now);
         self.processor.disconnected();
     }
--- a/crates/core/src/reducer/refusals.rs
+++ b/crates/core/src/reducer/refusals.rs
@@ -10,6 +10,7 @@
 use super::{MS, Reducer};
 use crate::idempotency_table::RunOutcome;
 use crate::messages::{Effect, LookupId, RecordedRun, Response};
+use crate::request_timeline::Stage;
 use gradepin_admission::{RequestId, Span, Time, time_after};
 use slog::Level;
 use std::collections::BTreeMap;
@@ -117,6 +118,7 @@
         let answer_by = time_after(self.timestamp.now, LOOKUP_TIMEOUT);
         let lookup = self.pending_refusals.add(PendingRefusal { id: id.clone(), refusal, answer_by });
         open.state = RequestState::Refused { lookup };
+        open.timeline.enter(Stage::LookUp, self.timestamp.now);
         self.effects.push(Effect::LookUpRun { lookup, key, fingerprint });
     }
 
--- a/crates/core/src/reducer/request_intake.rs
+++ b/crates/core/src/reducer/request_intake.rs
@@ -11,6 +11,7 @@
 use crate::idempotency_table::Fingerprint;
 use crate::lifecycle_counters::RefusalReason;
 use crate::messages::{ClientRequest, ConnectionId, RequestError, Response, SequenceId};
+use crate::request_timeline::RequestTimeline;
 use gradepin_admission::{Event, Idempotency, Request, RequestId, Span, Time};
 use siphasher::sip::SipHasher13;
 use slog::Level;
@@ -129,16 +130,18 @@
             rejects_requests: state.rejects_requests,
         };
         self.convert_time_stamp(connection_state, &mut request);
+        let timeline = self.begin_timeline(&request);
         match self.validate(connection_state, &mut request) {
-            Ok(valid) => self.register(connection, sequence, request, valid),
+            Ok(valid) => self.register(connection, sequence, request, valid, timeline),
             Err(IntakeError::Invalid { class, error, text }) => {
                 self.reject_invalid(connection, sequence, class, error, text);
             }
             Err(IntakeError::Rejected { class, reason, retry_after }) => {
                 self.metrics.lifecycle.count_refusal(reason);
-                self.refuse_at_intake(connection, sequence, class, request, retry_after);
+                self.refuse_at_intake(connection, sequence, class, request, retry_after, timeline);
             }
             Err(IntakeError::Started { class }) => {
+                self.check_due(&request.id, &timeline);
                 self.answer_unregistered(connection, sequence, class, Response::OutcomeUnknown);
             }
         }
@@ -173,6 +176,7 @@
         class: usize,
         request: ClientRequest,
         retry_after: Span,
+        timeline: RequestTimeline,
     ) {
         let arrived_unix_ms = request.arrived_unix_ms;
         let is_keyed = self.classes.profile(class).effect == Idempotency::Keyed;
@@ -180,10 +184,12 @@
         let refusal = Refusal::retry_after(retry_after);
         let attempt = UnregisteredAttempt { id: &request.id, key, class, arrived_unix_ms };
         if let Some(proof) = self.prove_never_ran(&attempt) {
+            self.check_due(&request.id, &timeline);
             return self.answer_unregistered(connection, sequence, class, refusal.response(proof));
         }
         if self.requests.contains(&request.id) {
             // Two open requests can't have one id, and a failure promises nothing.
+            self.check_due(&request.id, &timeline);
             let failure = Response::Failed { timed_out: false };
             return self.answer_unregistered(connection, sequence, class, failure);
         }
@@ -197,7 +203,7 @@
             fingerprint: self.fingerprint_of(class, &request),
             earlier: None,
         };
-        self.add_open_request(connection, sequence, request, &valid);
+        self.add_open_request(connection, sequence, request, &valid, timeline);
         self.refuse(&id, refusal);
     }
 
@@ -388,6 +394,7 @@
         sequence: SequenceId,
         request: ClientRequest,
         valid: ValidRequest,
+        timeline: RequestTimeline,
     ) {
         if let Some(key) = &request.idempotency_key {
             self.requests.note_key(key, &request.id);
@@ -408,7 +415,7 @@
             earlier_attempt: valid.earlier.clone(),
             unread_for: valid.queued_for,
         });
-        if self.add_open_request(connection, sequence, request, &valid) {
+        if self.add_open_request(connection, sequence, request, &valid, timeline) {
             self.events.push(event);
         }
     }
@@ -420,6 +427,7 @@
         sequence: SequenceId,
         request: ClientRequest,
         valid: &ValidRequest,
+        timeline: RequestTimeline,
     ) -> bool {
         let Some(state) = self.connections.get_mut(connection) else { return false };
         state.open.insert(sequence, request.id.clone());
@@ -440,6 +448,7 @@
             upstream_call: None,
             upstream_call_since: None,
             upstream_call_id: None,
+            timeline,
         };
         self.classes.acquire(valid.class);
         if let Some(tenant) = valid.tenant {
--- a/crates/core/src/reducer/responses.rs
+++ b/crates/core/src/reducer/responses.rs
@@ -132,10 +132,12 @@
         self.guard.request_answered(id, matches!(response, Response::Rejected { .. }));
         let (connection, sequence) = (open.connection, open.sequence);
         let (tenant, class) = (open.tenant, open.class);
+        let timeline = open.timeline;
         if open.is_first_attempt && matches!(response, Response::Served(_)) {
             self.count_for_rollback(tenant, class, 0, 1);
         }
         self.metrics.count_response(&self.classes.profile(class).name, &response);
+        self.check_due(id, &timeline);
         self.connections.response_sent(connection, sequence, self.timestamp.now);
         self.send_response(connection, sequence, response);
         self.close_if_done(connection);
--- a/crates/core/src/reducer/runs.rs
+++ b/crates/core/src/reducer/runs.rs
@@ -11,6 +11,7 @@
 use crate::buffer_pool::Buffer;
 use crate::idempotency_table::{MAX_READ_DELAY, RunOutcome};
 use crate::messages::{Effect, Response, RunEnd};
+use crate::request_timeline::Stage;
 use gradepin_admission::{Event, Outcome, RequestId, Span};
 use slog::Level;
 use std::sync::Arc;
@@ -46,6 +47,7 @@
             return self.report_not_started(id);
         };
         open.state = RequestState::Running;
+        open.timeline.enter(Stage::RunStart, self.timestamp.now);
         let Some(key) = &open.idempotency_key else {
             return if self.claim_key(id).is_some() { self.claim_run(id) } else { self.send_run(id) };
         };
@@ -88,6 +90,7 @@
         self.effects.push(Effect::StartRun { link, id: id.clone(), class, body: Arc::clone(&open.body) });
         if let Some(open) = self.requests.get_mut(id) {
             open.start_count = open.start_count.saturating_add(1);
+            open.timeline.enter(Stage::Run, self.timestamp.now);
             self.metrics.lifecycle.runs_repeated += u64::from(open.start_count > 1);
         }
     }
@@ -207,6 +210,7 @@
             self.cluster_run_served(tenant, class, took);
         }
         self.processor.run_ended(id);
+        self.metrics.lifecycle.count_run_end(end);
         let Completion { outcome, for_repeats } = Completion::of(end, result, key.is_some());
         let is_stopped = outcome == Outcome::Stopped;
         if !is_stopped {
--- a/crates/core/tests/connection_eviction.rs
+++ b/crates/core/tests/connection_eviction.rs
@@ -4,7 +4,7 @@
 
 use gradepin_admission::{RequestId, Span};
 use gradepin_core::buffer_pool::BufferPool;
-use gradepin_core::messages::{ClientRequest, Effect, Input, RequestError};
+use gradepin_core::messages::{ClientRequest, Effect, Input, Receipt, RequestError};
 use support::{MS, reducer, step};
 
 /// With 128 descriptors, 96 connections are allowed; from seven eighths of those on, a new connection evicts an idle
@@ -85,6 +85,7 @@
                 precedence: 0.5,
                 idempotency_key: None,
                 has_subject: false,
+                receipt: Receipt::default(),
                 body: pool.copy(b"in").expect("it fits"),
             };
             effects.extend(step(
--- a/crates/core/tests/refusals.rs
+++ b/crates/core/tests/refusals.rs
@@ -5,7 +5,7 @@
 use gradepin_admission::{RequestId, Span};
 use gradepin_core::buffer_pool::BufferPool;
 use gradepin_core::idempotency_log::{IdempotencyLog, RecoveredRuns, SavedOutcome, SavedRun};
-use gradepin_core::messages::{ClientRequest, Effect, Input, Response};
+use gradepin_core::messages::{ClientRequest, Effect, Input, Receipt, Response};
 use gradepin_core::reducer::Reducer;
 use std::sync::Arc;
 use support::{MS, step};
@@ -61,6 +61,7 @@
             precedence: 0.5,
             idempotency_key: key.map(Arc::from),
             has_subject: false,
+            receipt: Receipt::default(),
             body: BufferPool::new(0).exact(b"body").expect("fits"),
         };
         let effects = self.step(vec![Input::Request { connection: 1, sequence, request: Box::new(request) }]);
--- a/crates/core/tests/repeated_ids.rs
+++ b/crates/core/tests/repeated_ids.rs
@@ -8,7 +8,9 @@
 use gradepin_core::buffer_pool::BufferPool;
 use gradepin_core::config::Config;
 use gradepin_core::keyed_run::RunOutcome;
-use gradepin_core::messages::{ClientRequest, Effect, Input, RecordedRun, Response, RunClaim, RunEnd};
+use gradepin_core::messages::{
+    ClientRequest, Effect, Input, Receipt, RecordedRun, Response, RunClaim, RunEnd,
+};
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
 use gradepin_core::timestamp::Timestamp;
@@ -73,6 +75,7 @@
             precedence: 0.5,
             idempotency_key: None,
             has_subject: false,
+            receipt: Receipt::default(),
             body: BufferPool::new(0).exact(b"body").expect("fits"),
         };
         let connection = self.connection;
--- a/crates/core/tests/request_id_reuse.rs
+++ b/crates/core/tests/request_id_reuse.rs
@@ -4,7 +4,7 @@
 
 use gradepin_admission::{RequestId, Span};
 use gradepin_core::buffer_pool::BufferPool;
-use gradepin_core::messages::{ClientRequest, Effect, Input, Response, RunClaim};
+use gradepin_core::messages::{ClientRequest, Effect, Input, Receipt, Response, RunClaim};
 use std::sync::Arc;
 use support::step;
 
@@ -24,6 +24,7 @@
         precedence: 0.5,
         idempotency_key: Some(Arc::from(key)),
         has_subject: false,
+        receipt: Receipt::default(),
         body: BufferPool::new(0).exact(b"body").expect("fits"),
     };
     Input::Request { connection, sequence, request: Box::new(request) }
--- a/crates/core/tests/settings_changes.rs
+++ b/crates/core/tests/settings_changes.rs
@@ -9,7 +9,7 @@
 use gradepin_core::admin::{AdminRequest, AdminResponse};
 use gradepin_core::buffer_pool::BufferPool;
 use gradepin_core::config::Config;
-use gradepin_core::messages::{ClientRequest, Effect, Input, NameChange, RunEnd};
+use gradepin_core::messages::{ClientRequest, Effect, Input, NameChange, Receipt, RunEnd};
 use gradepin_core::reducer::{ApplyError, Reducer};
 use gradepin_core::registration::Registration;
 use gradepin_core::request_metrics::ResponseCounts;
@@ -230,6 +230,7 @@
             precedence: 0.5,
             idempotency_key: key.clone(),
             has_subject: false,
+            receipt: Receipt::default(),
             body: self.pool.copy(body.as_bytes()).expect("fits"),
         };
         let (name, slot, arrived_ms) = (name.to_string(), handle.slot(), self.ms);
--- a/crates/core/tests/slow_start.rs
+++ b/crates/core/tests/slow_start.rs
@@ -8,7 +8,7 @@
 use gradepin_config::change::{Change, Rule, Transaction};
 use gradepin_core::buffer_pool::BufferPool;
 use gradepin_core::config::Config;
-use gradepin_core::messages::{ClientRequest, Effect, Input, RunEnd};
+use gradepin_core::messages::{ClientRequest, Effect, Input, Receipt, RunEnd};
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
 use gradepin_core::timestamp::Timestamp;
@@ -197,6 +197,7 @@
                 precedence: 0.5,
                 idempotency_key: None,
                 has_subject: false,
+                receipt: Receipt::default(),
                 body: self.pool.copy(b"in").expect("the content fits into a buffer"),
             };
             inputs.push(Input::Request {
--- a/crates/gradepin/tests/random_settings/simulation.rs
+++ b/crates/gradepin/tests/random_settings/simulation.rs
@@ -5,7 +5,7 @@
 use gradepin_admission::{Idempotency, Outcome, RequestId, Span, Time};
 use gradepin_core::buffer_pool::BufferPool;
 use gradepin_core::config::Config;
-use gradepin_core::messages::{ClientRequest, Effect, Input, RunEnd, UpstreamCallId};
+use gradepin_core::messages::{ClientRequest, Effect, Input, Receipt, RunEnd, UpstreamCallId};
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
 use gradepin_core::response::Response;
@@ -417,6 +417,7 @@
             precedence,
             idempotency_key: token.clone(),
             has_subject: has_key,
+            receipt: Receipt::default(),
             body: self.pool.copy(&body).expect("fits"),
         };
         let due_ms = (t0 + budget).max(self.unix_ms());
--- a/crates/model/src/world/machines.rs
+++ b/crates/model/src/world/machines.rs
@@ -9,7 +9,7 @@
 use crate::scenario::{DiscoverySpec, Scenario};
 use crate::service_report::rules::{Server, Violation};
 use gradepin_admission::{RequestId, Span};
-use gradepin_core::messages::{ClientRequest, Effect, Input, Response, RunEnd};
+use gradepin_core::messages::{ClientRequest, Effect, Input, Receipt, Response, RunEnd};
 use gradepin_core::registration::Registration;
 use gradepin_core::timestamp::Timestamp;
 use gradepin_registry::membership::Membership;
@@ -231,6 +231,7 @@
             precedence: request.rank,
             idempotency_key: window.map(|_| Arc::from(format!("{:032x}", attempt.request))),
             has_subject: false,
+            receipt: Receipt::default(),
             body: self.pool.exact(&attempt.request.to_be_bytes()).unwrap_or_else(|| self.pool.take()),
         };
         let (conn, server_notified, size_kb) = (attempt.conn, attempt.server_notified, request.size_kb);
--- a/crates/node/src/admin/exposition.rs
+++ b/crates/node/src/admin/exposition.rs
@@ -14,6 +14,15 @@
 //! | `server_callers_gone_total` | counter | | requests whose connection ended while a response was owed |
 //! | `server_invariant_violations_total` | counter | | actions that violated an invariant; each is a defect |
 //! | `server_clock_steps_total` | counter | | how often the wall clock was set |
+//! | `server_late_responses_total` | counter | `stage` | responses after their due time, by what the request waited for when its response was due |
+//! | `server_reads_total` | counter | `wait` (`turn`, `rate_limit`, `unsent_responses`) | requests read, by what they waited for before |
+//! | `server_read_wait_seconds_total` | counter | `wait` | time that requests waited to be read |
+//! | `server_longest_read_wait_seconds` | gauge | `wait` | the longest of these waits |
+//! | `server_reading_paused_total` | counter | | pauses of connections whose messages broke the protocol |
+//! | `server_unsent_responses_total` | counter | | responses that waited until their client took earlier ones |
+//! | `server_longest_unsent_seconds` | gauge | | the longest of these waits |
+//! | `server_runs_ended_total` | counter | `end` (`ok`, `failed`, `stopped`, `not_started`) | ends of runs |
+//! | `server_links_ended_total` | counter | | ends of the link to the processor |
 //!
 //! In addition, for members of a fleet:
 //!
@@ -36,10 +45,13 @@
 //! | `server_config_revision` | gauge | | revision in force |
 //! | `server_config_age_seconds` | gauge | | time since it was last confirmed as the newest one |
 
+use gradepin_admission::span_seconds;
 use gradepin_cluster::cluster::ClusterStatus;
 use gradepin_core::configuration::ConfigurationMetrics;
 use gradepin_core::lifecycle_counters::{CloseReason, LifecycleCounters, RefusalReason};
+use gradepin_core::messages::RunEnd;
 use gradepin_core::request_metrics::MetricsSnapshot;
+use gradepin_core::request_timeline::{ReadWait, Stage};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -129,6 +141,75 @@
     let violations = counter(counters.violations);
     registry.register("invariant_violations", "Denied actions that are defects", violations);
     registry.register("clock_steps", "Steps of the wall clock", counter(counters.clock_steps));
+    register_waits(registry, counters);
+    register_run_ends(registry, counters);
+}
+
+fn register_waits(registry: &mut Registry, counters: &LifecycleCounters) {
+    let late = Family::<Labels, Counter>::default();
+    for stage in Stage::ALL {
+        let labels = vec![("stage", stage_label(stage).to_string())];
+        late.get_or_create(&labels).inc_by(counters.late(stage));
+    }
+    registry.register("late_responses", "Responses after their due time, by stage", late);
+    let reads = Family::<Labels, Counter>::default();
+    let seconds = Family::<Labels, Counter<f64, AtomicU64>>::default();
+    let longest = Family::<Labels, FloatGauge>::default();
+    for wait in ReadWait::ALL {
+        let labels = vec![("wait", read_wait_label(wait).to_string())];
+        let totals = counters.read_waits(wait);
+        reads.get_or_create(&labels).inc_by(totals.count);
+        seconds.get_or_create(&labels).inc_by(span_seconds(totals.total));
+        longest.get_or_create(&labels).set(span_seconds(totals.longest));
+    }
+    registry.register("reads", "Requests read, by what they waited for", reads);
+    registry.register("read_wait_seconds", "Time that requests waited to be read", seconds);
+    registry.register("longest_read_wait_seconds", "The longest wait of a request to be read", longest);
+    registry.register("reading_paused", "Pauses of connections", counter(counters.reading_paused));
+    let unsent = counters.unsent_responses;
+    registry.register("unsent_responses", "Responses that waited for their client", counter(unsent.count));
+    let longest = float_gauge(span_seconds(unsent.longest));
+    registry.register("longest_unsent_seconds", "The longest wait of a response for its client", longest);
+}
+
+fn register_run_ends(registry: &mut Registry, counters: &LifecycleCounters) {
+    let ended = Family::<Labels, Counter>::default();
+    for end in RunEnd::ALL {
+        let labels = vec![("end", run_end_label(end).to_string())];
+        ended.get_or_create(&labels).inc_by(counters.runs_ended(end));
+    }
+    registry.register("runs_ended", "Runs that ended", ended);
+    registry.register("links_ended", "Ends of the link to the processor", counter(counters.links_ended));
+}
+
+fn stage_label(stage: Stage) -> &'static str {
+    match stage {
+        Stage::Sending => "sending",
+        Stage::Unread(wait) => read_wait_label(wait),
+        Stage::InputQueue => "input_queue",
+        Stage::Decision => "decision",
+        Stage::OtherRun => "other_run",
+        Stage::RunStart => "run_start",
+        Stage::Run => "run",
+        Stage::LookUp => "look_up",
+    }
+}
+
+fn read_wait_label(wait: ReadWait) -> &'static str {
+    match wait {
+        ReadWait::Turn => "turn",
+        ReadWait::RateLimit => "rate_limit",
+        ReadWait::UnsentResponses => "unsent_responses",
+    }
+}
+
+fn run_end_label(end: RunEnd) -> &'static str {
+    match end {
+        RunEnd::Ok => "ok",
+        RunEnd::Failed => "failed",
+        RunEnd::Stopped => "stopped",
+        RunEnd::NotStarted => "not_started",
+    }
 }
 
 fn close_reason_label(reason: CloseReason) -> &'static str {
--- a/crates/node/src/admin/exposition/tests.rs
+++ b/crates/node/src/admin/exposition/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use gradepin_admission::Span;
 use gradepin_core::request_metrics::ResponseCounts;
 use std::sync::Arc;
 
@@ -9,6 +10,12 @@
     counters.count_refusal(RefusalReason::Store);
     (counters.runs_repeated, counters.callers_gone) = (3, 4);
     (counters.clock_steps, counters.violations) = (5, 6);
+    counters.count_late(Stage::Unread(ReadWait::RateLimit));
+    counters.count_read_wait(ReadWait::Turn, Span(500_000_000));
+    counters.count_read_wait(ReadWait::Turn, Span(1_500_000_000));
+    counters.unsent_responses.add(2, Span(3_000_000_000), Span(2_000_000_000));
+    counters.count_run_end(RunEnd::Failed);
+    (counters.reading_paused, counters.links_ended) = (7, 8);
     counters
 }
 
@@ -51,9 +58,36 @@
         "server_callers_gone_total 4",
         "server_clock_steps_total 5",
         "server_invariant_violations_total 6",
+        r#"server_late_responses_total{stage="sending"} 0"#,
+        r#"server_late_responses_total{stage="turn"} 0"#,
+        r#"server_late_responses_total{stage="rate_limit"} 1"#,
+        r#"server_late_responses_total{stage="unsent_responses"} 0"#,
+        r#"server_late_responses_total{stage="input_queue"} 0"#,
+        r#"server_late_responses_total{stage="decision"} 0"#,
+        r#"server_late_responses_total{stage="other_run"} 0"#,
+        r#"server_late_responses_total{stage="run_start"} 0"#,
+        r#"server_late_responses_total{stage="run"} 0"#,
+        r#"server_late_responses_total{stage="look_up"} 0"#,
+        r#"server_reads_total{wait="turn"} 2"#,
+        r#"server_reads_total{wait="rate_limit"} 0"#,
+        r#"server_reads_total{wait="unsent_responses"} 0"#,
+        r#"server_read_wait_seconds_total{wait="turn"} 2.0"#,
+        r#"server_read_wait_seconds_total{wait="rate_limit"} 0.0"#,
+        r#"server_read_wait_seconds_total{wait="unsent_responses"} 0.0"#,
+        r#"server_longest_read_wait_seconds{wait="turn"} 1.5"#,
+        r#"server_longest_read_wait_seconds{wait="rate_limit"} 0.0"#,
+        r#"server_longest_read_wait_seconds{wait="unsent_responses"} 0.0"#,
+        "server_reading_paused_total 7",
+        "server_unsent_responses_total 2",
+        "server_longest_unsent_seconds 2.0",
+        r#"server_runs_ended_total{end="ok"} 0"#,
+        r#"server_runs_ended_total{end="failed"} 1"#,
+        r#"server_runs_ended_total{end="stopped"} 0"#,
+        r#"server_runs_ended_total{end="not_started"} 0"#,
+        "server_links_ended_total 8",
     ] {
         assert!(lines.contains(&line), "{line} is not in\n{text}");
     }
-    assert_eq!(lines.len(), 23, "{text}");
+    assert_eq!(lines.len(), 50, "{text}");
     assert!(text.ends_with("# EOF\n"));
 }
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -23,12 +23,17 @@
         self.0 + Duration::from_nanos(time.0.saturating_sub(ORIGIN_NANOS))
     }
 
+    /// Converts an [`Instant`] to a time of this clock.
+    pub fn time(&self, instant: Instant) -> Time {
+        let nanos = instant.saturating_duration_since(self.0).as_nanos();
+        Time(ORIGIN_NANOS.saturating_add(u64::try_from(nanos).unwrap_or(u64::MAX)))
+    }
+
     /// Reads the monotonic clock and the Unix time.
     pub fn read(&self) -> Timestamp {
-        let nanos = u64::try_from(self.0.elapsed().as_nanos()).unwrap_or(u64::MAX);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Timestamp {
-            now: Time(ORIGIN_NANOS.saturating_add(nanos)),
+            now: self.time(Instant::now()),
             unix_ms: u64::try_from(unix.as_millis()).unwrap_or(u64::MAX),
         }
     }
--- a/crates/node/src/frontend/connection.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -86,11 +86,30 @@
     }
 }
 
+/// A frame that the socket didn't accept yet.
+struct UnsentFrame {
+    frame: Buffer,
+    queued_at: Instant,
+}
+
+/// The result of writing queued frames.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Flushed {
+    /// Frames that remain queued.
+    pub(super) unsent_frames: usize,
+    /// Frames that were written completely.
+    pub(super) written_frames: u32,
+    /// Sum of the times that the written frames were queued.
+    pub(super) total_wait: Duration,
+    /// The longest of these times.
+    pub(super) longest_wait: Duration,
+}
+
 /// The part of a connection that its lock protects.
 struct Inner {
     state: ConnectionState,
     /// Frames that the socket didn't accept yet, in order.
-    unsent: VecDeque<Buffer>,
+    unsent: VecDeque<UnsentFrame>,
     /// Since when the socket accepts no bytes.
     stalled_since: Option<Instant>,
     /// Number of messages delivered to the reducer.
@@ -211,23 +230,29 @@
         }
         if !inner.unsent.is_empty() || !inner.write(&self.socket, &mut frame) {
             // A frame may stay queued for long, so it is copied into a buffer of its own size.
-            inner.unsent.push_back(frame.exact());
+            inner.unsent.push_back(UnsentFrame { frame: frame.exact(), queued_at: Instant::now() });
         }
     }
 
-    /// Writes queued frames as far as the socket accepts them; returns the number of remaining ones.
-    pub(super) fn flush(&self) -> usize {
+    /// Writes queued frames as far as the socket accepts them.
+    pub(super) fn flush(&self) -> Flushed {
+        let mut flushed = Flushed::default();
         let mut inner = self.inner();
-        while let Some(mut frame) = inner.unsent.pop_front() {
-            if !inner.write(&self.socket, &mut frame) {
-                inner.unsent.push_front(frame);
+        while let Some(mut unsent) = inner.unsent.pop_front() {
+            if !inner.write(&self.socket, &mut unsent.frame) {
+                inner.unsent.push_front(unsent);
                 break;
             }
+            let wait = unsent.queued_at.elapsed();
+            flushed.written_frames += 1;
+            flushed.total_wait += wait;
+            flushed.longest_wait = flushed.longest_wait.max(wait);
         }
         if inner.state == ConnectionState::Flushing {
             inner.close(&self.socket);
         }
-        inner.unsent.len()
+        flushed.unsent_frames = inner.unsent.len();
+        flushed
     }
 
     /// Records that the reading thread starts a read, so the connection is no longer idle. Returns the connection's
@@ -338,7 +363,7 @@
     #[cfg(test)]
     pub(super) fn simulate_denied_write(&self, frame: Buffer) {
         let mut inner = self.inner();
-        inner.unsent.push_back(frame);
+        inner.unsent.push_back(UnsentFrame { frame, queued_at: Instant::now() });
         inner.stalled_since = Some(Instant::now());
     }
 
--- a/crates/node/src/frontend/connection/tests.rs
+++ b/crates/node/src/frontend/connection/tests.rs
@@ -99,7 +99,7 @@
         let mut all = Vec::new();
         peer.read_to_end(&mut all).map(|_| all)
     });
-    while conn.flush() > 0 {
+    while conn.flush().unsent_frames > 0 {
         std::thread::yield_now();
     }
     assert!(matches!(conn.inner().state, ConnectionState::Lingering { .. }));
--- a/crates/node/src/frontend/connection_reader.rs
+++ b/crates/node/src/frontend/connection_reader.rs
@@ -8,8 +8,10 @@
 use super::protocol::{DecodedMessage, FirstMessageTimeout, FrameDecoder, ReadTimeouts};
 use super::shared::Shared;
 use super::throttle::{MessageOutcome, TokenBucket};
+use crate::clock::Clock;
 use gradepin_core::buffer_pool::Buffer;
-use gradepin_core::messages::{ConnectionId, Input};
+use gradepin_core::messages::{ConnectionId, Input, Receipt};
+use gradepin_core::request_timeline::ReadWait;
 use rustix::io::Errno;
 use rustix::net::sockopt::socket_error;
 use rustix::net::{RecvFlags, recv};
@@ -96,6 +98,10 @@
     /// Whether reading is paused until the peer has read some of its responses.
     pub(super) is_write_blocked: bool,
     discarded_bytes: usize,
+    /// Since when bytes may be unread without a pause; `None` while the socket is empty.
+    unread_since: Option<Instant>,
+    /// Why they were not read at once.
+    read_wait: ReadWait,
     /// Unsent frames at which reading stops.
     max_unsent_frames: usize,
     /// Messages delivered per call of [`ConnectionReader::read`].
@@ -127,11 +133,18 @@
             is_scheduled: true,
             is_write_blocked: false,
             discarded_bytes: 0,
+            unread_since: Some(now),
+            read_wait: ReadWait::Turn,
             max_unsent_frames: MAX_UNSENT_FRAMES,
             max_messages: MAX_MESSAGES_PER_READ,
         }
     }
 
+    /// Records that the socket has unread bytes.
+    pub(super) fn set_unread(&mut self, now: Instant) {
+        self.unread_since.get_or_insert(now);
+    }
+
     /// Delivers buffered messages, then reads a bounded number of times and delivers the received messages.
     ///
     /// # Errors
@@ -211,6 +224,7 @@
     /// mark, for example, it leaves bytes for which no further edge-triggered event arrives.
     fn wait_for_bytes(&mut self, buffer: Buffer) -> ReadOutcome {
         self.buffer = (!buffer.is_empty()).then_some(buffer);
+        (self.unread_since, self.read_wait) = (None, ReadWait::Turn);
         if self.is_mid_message() {
             self.connection.set_mid_message();
         } else {
@@ -302,6 +316,7 @@
                 break;
             }
             if self.connection.unsent_frames() >= self.max_unsent_frames {
+                self.read_wait = ReadWait::UnsentResponses;
                 outcome = Some(ReadOutcome::WriteBlocked);
                 break;
             }
@@ -319,7 +334,8 @@
             progress.completed_message = true;
             messages += 1;
             let mut cost = READ_COST;
-            match input(id, frame.message) {
+            let now = Instant::now();
+            match input(id, frame.message, self.receipt(now, shared.clock)) {
                 Some(input) => {
                     if let Some(end) = self.deliver(input, shared) {
                         return Some(end);
@@ -328,12 +344,21 @@
                 None => cost += MessageOutcome::Invalid.cost(),
             }
             cost += self.connection.take_response_cost();
-            outcome = self.throttle.take(cost, Instant::now()).map(ReadOutcome::Throttled);
+            if let Some(pause) = self.throttle.take(cost, now) {
+                self.read_wait = ReadWait::RateLimit;
+                outcome = Some(ReadOutcome::Throttled(pause));
+            }
         }
         self.consume(buffer, progress);
         outcome
     }
 
+    /// The receipt of a message that is decoded at `now`.
+    fn receipt(&self, now: Instant, clock: Clock) -> Receipt {
+        let unread_since = self.unread_since.map(|since| clock.time(since));
+        Receipt { unread_since, read_at: Some(clock.time(now)), wait: self.read_wait }
+    }
+
     /// Delivers one input; returns an outcome if the connection is closed or the reducer accepts no more inputs.
     fn deliver(&self, input: Input, shared: &Shared) -> Option<ReadOutcome> {
         if !self.connection.count_delivery() {
@@ -369,9 +394,10 @@
 }
 
 /// Converts a message to an input of the reducer; `None` if it is skipped.
-fn input(connection: ConnectionId, message: DecodedMessage) -> Option<Input> {
+fn input(connection: ConnectionId, message: DecodedMessage, receipt: Receipt) -> Option<Input> {
     match message {
-        DecodedMessage::Request { sequence, request } => {
+        DecodedMessage::Request { sequence, mut request } => {
+            request.receipt = receipt;
             Some(Input::Request { connection, sequence, request })
         }
         DecodedMessage::HealthCheck { sequence } => Some(Input::HealthCheck { connection, sequence }),
--- a/crates/node/src/frontend/event_loop.rs
+++ b/crates/node/src/frontend/event_loop.rs
@@ -5,7 +5,7 @@
 //! the others. [`super::connection_reader`] implements one read, [`super::acceptor`] one accept.
 
 use super::acceptor::{Accepted, Acceptor};
-use super::connection::MAX_UNSENT_FRAMES;
+use super::connection::{Flushed, MAX_UNSENT_FRAMES};
 use super::connection_reader::{ConnectionReader, ReadOutcome};
 use super::listener::Listener;
 use super::protocol::Protocol;
@@ -169,6 +169,7 @@
         let readable = flags.intersects(epoll::EventFlags::IN | epoll::EventFlags::RDHUP);
         if !reader.is_scheduled && (hung_up || readable) {
             reader.is_scheduled = true;
+            reader.set_unread(Instant::now());
             self.scheduled.push_back(id);
         }
     }
@@ -176,14 +177,24 @@
     /// Writes queued frames of a connection and resumes reading it when few enough are left.
     fn flush(&mut self, id: ConnectionId) {
         let Some(reader) = self.readers.get_mut(&id) else { return };
-        let unsent_frames = reader.connection.flush();
-        if reader.is_write_blocked && unsent_frames < MAX_UNSENT_FRAMES {
+        let flushed = reader.connection.flush();
+        if reader.is_write_blocked && flushed.unsent_frames < MAX_UNSENT_FRAMES {
             // Requests sent meanwhile waited because of their own client and not of this server, so the reducer must
             // not count that time as their waiting time.
             let _ = self.shared.inputs.send(Input::ConnectionThrottled { connection: id, duration: Span(0) });
             reader.is_write_blocked = false;
             self.scheduled.push_back(id);
         }
+        self.report_delayed_responses(flushed);
+    }
+
+    fn report_delayed_responses(&self, flushed: Flushed) {
+        if flushed.written_frames == 0 {
+            return;
+        }
+        let (total, longest) = (span(flushed.total_wait), span(flushed.longest_wait));
+        let count = u64::from(flushed.written_frames);
+        let _ = self.shared.inputs.send(Input::ResponsesDelayed { count, total, longest });
     }
 
     /// Schedules the connections whose throttling has ended.
@@ -350,8 +361,7 @@
             ReadOutcome::WriteBlocked => reader.is_write_blocked = true,
             ReadOutcome::Throttled(pause) => {
                 self.throttled.insert(id, Instant::now() + pause);
-                let duration = Span(u64::try_from(pause.as_nanos()).unwrap_or(u64::MAX));
-                let input = Input::ConnectionThrottled { connection: id, duration };
+                let input = Input::ConnectionThrottled { connection: id, duration: span(pause) };
                 return self.shared.inputs.send(input).is_ok();
             }
             ReadOutcome::HalfClosed { malformed } => {
@@ -465,6 +475,10 @@
     }
 }
 
+fn span(duration: Duration) -> Span {
+    Span(u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX))
+}
+
 /// Sends the protocol's response to malformed or incomplete messages, if it has one.
 fn send_malformed_response(reader: &ConnectionReader, reason: &str, shared: &Shared) {
     if let Some(frame) = reader.connection.protocol.malformed_response(reason, &shared.pool) {
--- a/crates/node/src/frontend/event_loop/tests.rs
+++ b/crates/node/src/frontend/event_loop/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::clock::Clock;
 use crate::frontend::thrift::Thrift;
 use crate::settings::ActiveSettings;
 use crossbeam_channel::{Receiver, unbounded};
@@ -17,8 +18,14 @@
     let (inputs, received) = unbounded();
     let protocol: Arc<dyn Protocol> = Arc::new(Thrift::new(ActiveSettings::new(&Default::default())));
     let log = Logger::root(slog::Discard, slog::o!());
-    let shared =
-        Shared { connections: Arc::default(), stops: Arc::default(), inputs, pool: BufferPool::new(4), log };
+    let shared = Shared {
+        connections: Arc::default(),
+        stops: Arc::default(),
+        inputs,
+        pool: BufferPool::new(4),
+        clock: Clock::start(),
+        log,
+    };
     (EventLoop::new(vec![(protocol, listener)], max_connections, shared).unwrap(), address, received)
 }
 
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -30,6 +30,7 @@
     Protocol, ReadTimeouts,
 };
 
+use crate::clock::Clock;
 use connection::Connection;
 use crossbeam_channel::Sender;
 use event_loop::EventLoop;
@@ -65,6 +66,7 @@
         max_connections: usize,
         inputs: Sender<Input>,
         pool: Arc<BufferPool>,
+        clock: Clock,
         log: Logger,
     ) -> io::Result<Self> {
         let connections = Arc::new(Connections::default());
@@ -74,6 +76,7 @@
             stops: Arc::clone(&stops),
             inputs,
             pool: Arc::clone(&pool),
+            clock,
             log,
         };
         let mut event_loop = EventLoop::new(frontends, max_connections, shared)?;
--- a/crates/node/src/frontend/scgi/routes.rs
+++ b/crates/node/src/frontend/scgi/routes.rs
@@ -6,7 +6,7 @@
 use crate::settings::{ActiveSettings, HeaderNames, ScgiSettings};
 use gradepin_admission::{ClassDefinition, Idempotency, RequestId};
 use gradepin_core::buffer_pool::BufferPool;
-use gradepin_core::messages::{ClientRequest, RequestError};
+use gradepin_core::messages::{ClientRequest, Receipt, RequestError};
 use gradepin_core::slots::Handle;
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -181,6 +181,7 @@
             precedence: headers.number(&names.rank, self.default_rank, RANKS)?,
             idempotency_key,
             has_subject: false,
+            receipt: Receipt::default(),
             body: pool
                 .exact(&request.body)
                 .ok_or_else(|| InvalidRequest::new(RequestError::BodyTooLarge, "a body over its limit"))?,
--- a/crates/node/src/frontend/shared.rs
+++ b/crates/node/src/frontend/shared.rs
@@ -1,6 +1,7 @@
 //! State that the reading thread shares with the rest of the server.
 
 use super::connection::Connection;
+use crate::clock::Clock;
 use crossbeam_channel::Sender;
 use gradepin_core::buffer_pool::BufferPool;
 use gradepin_core::messages::{ConnectionId, Input};
@@ -31,6 +32,8 @@
     pub(super) inputs: Sender<Input>,
     /// Buffers for received bytes.
     pub(super) pool: Arc<BufferPool>,
+    /// The reducer's clock.
+    pub(super) clock: Clock,
     /// The server's log.
     pub(super) log: Logger,
 }
--- a/crates/node/src/frontend/thrift/call_fields.rs
+++ b/crates/node/src/frontend/thrift/call_fields.rs
@@ -5,7 +5,7 @@
 use crate::settings::ActiveSettings;
 use gradepin_admission::{ClassDefinition, Idempotency, RequestId};
 use gradepin_core::buffer_pool::BufferPool;
-use gradepin_core::messages::{ClientRequest, RequestError};
+use gradepin_core::messages::{ClientRequest, Receipt, RequestError};
 use gradepin_core::slots::Handle;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -100,6 +100,7 @@
             precedence,
             idempotency_key,
             has_subject: self.obj.is_some(),
+            receipt: Receipt::default(),
             body: pool.exact(body).ok_or_else(|| InvalidRequest::malformed("a body over the size limit"))?,
         })
     }
--- a/crates/node/src/startup/context.rs
+++ b/crates/node/src/startup/context.rs
@@ -198,8 +198,15 @@
         state: &ServerState,
     ) -> Result<Frontend, StartError> {
         let max_connections = self.config.max_connections();
-        Frontend::listen(listeners, max_connections, inputs, Arc::clone(&state.pool), self.log.clone())
-            .map_err(StartError::system("the reader of client connections"))
+        Frontend::listen(
+            listeners,
+            max_connections,
+            inputs,
+            Arc::clone(&state.pool),
+            state.clock,
+            self.log.clone(),
+        )
+        .map_err(StartError::system("the reader of client connections"))
     }
 
     fn start_registry(&self, instance_id: &str) -> Result<Option<Registry>, StartError> {
--- a/crates/store/tests/simulation/mod.rs
+++ b/crates/store/tests/simulation/mod.rs
@@ -11,7 +11,7 @@
 use gradepin_core::config::Config;
 use gradepin_core::idempotency_log::{IdempotencyLog, RecordBatch};
 use gradepin_core::idempotency_table::MAX_READ_DELAY;
-use gradepin_core::messages::{ClientRequest, Effect, Input, Response, RunEnd};
+use gradepin_core::messages::{ClientRequest, Effect, Input, Receipt, Response, RunEnd};
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
 use gradepin_core::timestamp::Timestamp;
@@ -254,6 +254,7 @@
             precedence: 0.5,
             idempotency_key: key,
             has_subject: false,
+            receipt: Receipt::default(),
             body: self.pool.copy(body.as_bytes()).expect("the body fits in a buffer"),
         };
         self.requests
--- a/crates/testkit/src/scale/fleet/requests.rs
+++ b/crates/testkit/src/scale/fleet/requests.rs
@@ -4,7 +4,7 @@
 use crate::load;
 use gradepin_admission::{RequestId, Settings, Span, Time, time_after};
 use gradepin_core::buffer_pool::BufferPool;
-use gradepin_core::messages::{ClientRequest, ConnectionId, Effect, Input, RunEnd};
+use gradepin_core::messages::{ClientRequest, ConnectionId, Effect, Input, Receipt, RunEnd};
 use gradepin_core::timestamp::Timestamp;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
@@ -147,6 +147,7 @@
             precedence: self.unit() * 0.999,
             idempotency_key: keyed.then(|| Arc::from(format!("{number:032x}"))),
             has_subject: false,
+            receipt: Receipt::default(),
             body,
         };
         inputs.push(Input::Request { connection: conn, sequence: self.last_seq, request: Box::new(call) });
