Show answers after their due time while the processor's link breaks (drill due-times)

Change: a drill with a daemon and a fault proxy before its processor as processes, and clients that keep to the protocol: 32 open requests on a connection at most, short budgets, cancels, Thrift or SCGI.

--- a/crates/testkit/src/commands/drill.rs
+++ b/crates/testkit/src/commands/drill.rs
@@ -1,10 +1,14 @@
 //! `gradepin-testkit drill`: fault drills against real servers, with one line per claim.
 
 use super::shared::daemon;
+use crate::drill::due_times::{self, ClientProtocol};
 use crate::drill::{Verdict, faults, recovery, registry, release, scgi, shared, soak};
+use crate::fault_proxy::LinkFault;
+use crate::fleet;
 use clap::{Args, Subcommand, ValueEnum};
 use std::error::Error;
 use std::path::PathBuf;
+use std::time::Duration;
 
 /// Arguments of `drill`.
 #[derive(Debug, Args)]
@@ -20,6 +24,8 @@
     Faults(FaultsArgs),
     /// Servers in upgrade under faults that overlap in time, for many seeds
     Soak(SoakArgs),
+    /// Answers by their due times at any rate, on few and many connections, while the link to the processor breaks
+    DueTimes(DueTimesArgs),
     /// Kills under load: each save runs once, and clients that retry get their answers
     Recovery(RecoveryArgs),
     /// Permits under load: a rollout, and a faulty one that halts and rolls back
@@ -74,6 +80,47 @@
     Provenance,
 }
 
+/// Arguments of `drill due-times`.
+#[derive(Debug, Args)]
+pub struct DueTimesArgs {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Number of consecutive seeds
+    #[arg(long, default_value_t = 1)]
+    pub seeds: u64,
+    /// Connections of the clients
+    #[arg(long, default_value_t = 8)]
+    pub connections: usize,
+    /// Requests per second over all connections
+    #[arg(long, default_value_t = 300.0)]
+    pub rate: f64,
+    /// Mean work of a run in ms; the processor has six cores
+    #[arg(long, default_value_t = 60)]
+    pub run_ms: u64,
+    /// Shortest budget of a request in ms
+    #[arg(long, default_value_t = 20)]
+    pub min_budget_ms: u64,
+    /// Longest budget of a request in ms
+    #[arg(long, default_value_t = 3_000)]
+    pub max_budget_ms: u64,
+    /// What happens to the link to the processor
+    #[arg(long, value_enum, default_value_t = LinkFault::Reset)]
+    pub link: LinkFault,
+    /// Protocol of the clients
+    #[arg(long, value_enum, default_value_t = ClientProtocol::Thrift)]
+    pub protocol: ClientProtocol,
+    /// Nine in ten callers cancel a request when they give up
+    #[arg(long)]
+    pub cancels: bool,
+    /// Length in seconds
+    #[arg(long, default_value_t = 8)]
+    pub seconds: u64,
+    /// Path of the daemon's program; by default the one beside this program
+    #[arg(long)]
+    pub daemon: Option<PathBuf>,
+}
+
 /// Arguments of `drill soak`.
 #[derive(Debug, Args)]
 pub struct SoakArgs {
@@ -230,6 +277,7 @@
     match args.which {
         Drill::Faults(args) => faults(args),
         Drill::Soak(args) => soak(args),
+        Drill::DueTimes(args) => due_times(args),
         Drill::Recovery(RecoveryArgs { seed, kills, plain, daemon: daemon_arg }) => {
             Ok(recovery::run(&recovery::Drill { daemon: daemon(daemon_arg)?, seed, kills, plain })?)
         }
@@ -275,6 +323,28 @@
     Ok(verdict.kept()?)
 }
 
+fn due_times(args: DueTimesArgs) -> Result<bool, Box<dyn Error>> {
+    let (daemon, kit) = (daemon(args.daemon)?, fleet::kit()?);
+    let mut verdict = Verdict::Kept;
+    for seed in args.seed..args.seed.saturating_add(args.seeds) {
+        let drill = due_times::Drill {
+            daemon: daemon.clone(),
+            kit: kit.clone(),
+            seed,
+            connections: args.connections,
+            requests_per_second: args.rate,
+            run_time: Duration::from_millis(args.run_ms),
+            budget_ms: [args.min_budget_ms, args.max_budget_ms],
+            link: args.link,
+            protocol: args.protocol,
+            cancels: args.cancels,
+            duration: Duration::from_secs(args.seconds),
+        };
+        verdict = verdict.and(due_times::run(&drill)?.verdict);
+    }
+    Ok(verdict.kept()?)
+}
+
 fn soak(args: SoakArgs) -> Result<bool, Box<dyn Error>> {
     let daemon = daemon(args.daemon)?;
     let defect = args.defect.map(|defect| match defect {
--- a/crates/testkit/src/commands/mod.rs
+++ b/crates/testkit/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod drill;
 mod explore;
+mod fault_proxy;
 mod fleet;
 mod forward;
 mod load;
@@ -39,6 +40,8 @@
     Load(load::LoadArgs),
     /// Run a minimal forwarder for benchmarks: a thread and a processor link per connection
     Forward(forward::ForwardArgs),
+    /// Run a proxy before a processor that breaks the link; prints its address
+    FaultProxy(fault_proxy::FaultProxyArgs),
     /// Simulate the fleet in virtual time: single days, sweeps and plots
     Model {
         #[command(subcommand)]
@@ -63,6 +66,7 @@
             Self::Bench(args) => bench::run(args),
             Self::Load(args) => load::run(args),
             Self::Forward(args) => forward::run(args),
+            Self::FaultProxy(args) => fault_proxy::run(args),
             Self::Model { command } => model::run(command, &*interrupt::flag()?),
             Self::Drill(args) => drill::run(args),
             Self::Scale(args) => scale::run(args),
--- a/crates/testkit/src/drill/mod.rs
+++ b/crates/testkit/src/drill/mod.rs
@@ -1,5 +1,6 @@
 //! Drills: real processes on loopback under load with injected faults, and claims that are kept or not.
 
+pub mod due_times;
 pub mod faults;
 pub mod recovery;
 pub mod registry;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod drill;
 pub mod explore;
+pub mod fault_proxy;
 pub mod fleet;
 pub mod forward;
 pub mod harness;
