Pause a connection only for messages that break the protocol

Cause: the token bucket of a connection took 11 of 2,000 tokens a second for each refused or failed request (and 2 for a served one), and stopped reading while it was empty. A server that refuses much, as with a broken link, short budgets or too many requests, read 182 requests a second from a connection; the next ones waited unread, and nobody knows the due time of what is unread. Evidence: each late answer of the reproduction was due in stage 'unread, connection paused' while the server was idle (0.9 s of CPU in 6 s). Change: messages that keep to the protocol take no tokens. The reducer charges those that break it (Effect::ChargeConnection): invalid ones, requests over 32 open ones, reused sequence numbers, more cancellations than requests. The first pause of a connection is logged.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -55,6 +55,19 @@
     pub receipt: Receipt,
 }
 
+/// How a message breaks the protocol of its client. A client that keeps to the protocol sends none of these.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ProtocolViolation {
+    /// It is no valid request.
+    InvalidMessage,
+    /// It is a request beyond those that may be open on a connection, or on a connection that takes no more.
+    TooManyOpenRequests,
+    /// It cancels although each request of the connection was cancelled before.
+    SurplusCancel,
+    /// It has the sequence number of an open request.
+    ReusedSequence,
+}
+
 /// How a run ended, as reported by the processor.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RunEnd {
--- a/crates/core/src/messages/effect.rs
+++ b/crates/core/src/messages/effect.rs
@@ -1,6 +1,6 @@
 //! Effects of the reducer.
 
-use super::{ConnectionId, LookupId, Response, SequenceId, UpstreamCallId};
+use super::{ConnectionId, LookupId, ProtocolViolation, Response, SequenceId, UpstreamCallId};
 use crate::admin::{AdminRequestId, AdminResponse};
 use crate::buffer_pool::Buffer;
 use crate::configuration::ConfigurationSave;
@@ -30,6 +30,13 @@
         /// Capacity hint for client proxies; `None` if the admission module has not set one.
         capacity_hint: Option<f64>,
     },
+    /// Charge a connection for a message that breaks the protocol. Reading from it pauses if there are too many.
+    ChargeConnection {
+        /// Connection of the message.
+        connection: ConnectionId,
+        /// What the message breaks.
+        violation: ProtocolViolation,
+    },
     /// Ask the peer of a connection to send no more requests on it.
     RequestDrain(ConnectionId),
     /// Close a connection once everything is written. [`super::Input::ConnectionClosed`] follows when its peer has
--- a/crates/core/src/messages/input.rs
+++ b/crates/core/src/messages/input.rs
@@ -131,7 +131,7 @@
     },
     /// The shell could not start a run.
     RunNotStarted(RequestId),
-    /// Reading from a connection is paused, as too many of its requests are rejected.
+    /// Reading from a connection is paused, as too many of its messages break the protocol.
     ConnectionThrottled {
         /// Connection that is throttled.
         connection: ConnectionId,
--- a/crates/core/src/reducer/connections.rs
+++ b/crates/core/src/reducer/connections.rs
@@ -9,9 +9,10 @@
 use crate::idle_connections::{IdleConnections, IdleEntry};
 use crate::lifecycle_counters::CloseReason;
 use crate::lifecycle_guard::CloseKind;
-use crate::messages::{ConnectionId, Effect, SequenceId};
+use crate::messages::{ConnectionId, Effect, ProtocolViolation, SequenceId};
 use crate::timer_wheel::{DueEntry, TimerWheel};
 use gradepin_admission::{RequestId, Span, Time, time_after};
+use slog::Level;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Maximum number of connections that one sweep checks for idleness.
@@ -59,6 +60,12 @@
     is_late: bool,
     /// Number of complete messages received.
     messages_received: u64,
+    /// Requests that were received and not cancelled.
+    uncancelled_requests: u64,
+    /// The latest message that broke the protocol.
+    last_violation: Option<ProtocolViolation>,
+    /// Whether a pause of its reading was logged.
+    pause_logged: bool,
     /// End of the latest period in which nothing was read because of throttling.
     pub(super) throttled_until: Option<Time>,
     /// The latest request to the shell to close the connection if it is idle.
@@ -135,13 +142,21 @@
         }
     }
 
-    /// Notes that nothing is read from a connection until this time.
-    pub(super) fn throttled(&mut self, connection: ConnectionId, until: Time) {
+    /// Counts a message that is owed a response.
+    pub(super) fn request_received(&mut self, connection: ConnectionId) {
         if let Some(state) = self.table.get_mut(&connection) {
-            state.throttled_until = Some(until);
+            state.uncancelled_requests += 1;
         }
     }
 
+    /// Counts a cancellation; returns false if there are more of them than requests.
+    fn cancellation_received(&mut self, connection: ConnectionId) -> bool {
+        let Some(state) = self.table.get_mut(&connection) else { return true };
+        let has_request = state.uncancelled_requests > 0;
+        state.uncancelled_requests = state.uncancelled_requests.saturating_sub(1);
+        has_request
+    }
+
     /// Sets how long a connection may be idle; 0 stands for the settings' timeout.
     pub(super) fn set_idle_timeout(&mut self, idle_timeout: Span) {
         self.idle_timeout = Some(idle_timeout);
@@ -218,6 +233,40 @@
 }
 
 impl Reducer {
+    /// Charges a connection for a message that breaks the protocol.
+    pub(super) fn charge(&mut self, connection: ConnectionId, violation: ProtocolViolation) {
+        if let Some(state) = self.connections.table.get_mut(&connection) {
+            state.last_violation = Some(violation);
+            self.effects.push(Effect::ChargeConnection { connection, violation });
+        }
+    }
+
+    /// Charges a connection for a cancellation if it sent more of them than requests.
+    pub(super) fn charge_surplus_cancel(&mut self, connection: ConnectionId) {
+        if !self.connections.cancellation_received(connection) {
+            self.charge(connection, ProtocolViolation::SurplusCancel);
+        }
+    }
+
+    /// Notes that nothing is read from a connection for a while. The first pause for violations is logged.
+    pub(super) fn reading_paused(&mut self, connection: ConnectionId, pause: Span) {
+        let until = time_after(self.timestamp.now, pause);
+        let Some(state) = self.connections.table.get_mut(&connection) else { return };
+        state.throttled_until = Some(until);
+        if pause.0 == 0 {
+            return;
+        }
+        self.metrics.lifecycle.reading_paused += 1;
+        if !std::mem::replace(&mut state.pause_logged, true) {
+            let latest = state.last_violation;
+            let text = format!(
+                "reading of connection {connection} is paused, as too many of its messages break the protocol, the latest: \
+                 {latest:?}; its further pauses are not logged"
+            );
+            self.log(Level::Warning, text);
+        }
+    }
+
     /// Adds an accepted connection. If the table is almost full, an idle connection is evicted for it.
     pub(super) fn connection_opened(&mut self, connection: ConnectionId) {
         if let Some(idle) = self.connections.find_evictable(self.timestamp.now) {
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -55,7 +55,7 @@
 use drain::Drain;
 use due_times::LateLog;
 use gradepin_admission::{
-    Action, ClassDefinition, Controller, Event, Settings, Span, SplitSettings, Tenant, Time, time_after,
+    Action, ClassDefinition, Controller, Event, Settings, Span, SplitSettings, Tenant, Time,
 };
 use open_requests::OpenRequests;
 use persistence::Recovery;
@@ -306,6 +306,7 @@
         if !message.is_request {
             return true;
         }
+        self.connections.request_received(message.connection);
         if self.reject_duplicate_sequence(message.connection, message.sequence) {
             return false;
         }
@@ -332,8 +333,7 @@
             Input::ConnectionLate(connection) => self.connection_late(connection),
             Input::ConnectionClosed(connection) => self.connection_closed(connection),
             Input::ConnectionThrottled { connection, duration } => {
-                self.metrics.lifecycle.reading_paused += u64::from(duration.0 > 0);
-                self.connections.throttled(connection, time_after(now, duration));
+                self.reading_paused(connection, duration);
             }
             Input::ResponsesDelayed { count, total, longest } => {
                 self.responses_delayed(count, total, longest);
@@ -344,7 +344,10 @@
             Input::InvalidRequest { connection, sequence, error, text } => {
                 self.reject_invalid(connection, sequence, None, error, text);
             }
-            Input::Cancel { connection, sequence } => self.cancel_request(connection, sequence),
+            Input::Cancel { connection, sequence } => {
+                self.charge_surplus_cancel(connection);
+                self.cancel_request(connection, sequence);
+            }
             Input::HealthCheck { connection, sequence } => self.answer_health_check(connection, sequence),
             Input::LinkUp { link, cold, age } => self.link_up(link, cold, age),
             Input::LinkDown => self.link_down(),
--- a/crates/core/src/reducer/request_intake.rs
+++ b/crates/core/src/reducer/request_intake.rs
@@ -10,7 +10,7 @@
 use super::{MS, Reducer};
 use crate::idempotency_table::Fingerprint;
 use crate::lifecycle_counters::RefusalReason;
-use crate::messages::{ClientRequest, ConnectionId, RequestError, Response, SequenceId};
+use crate::messages::{ClientRequest, ConnectionId, ProtocolViolation, RequestError, Response, SequenceId};
 use crate::request_timeline::RequestTimeline;
 use gradepin_admission::{Event, Idempotency, Request, RequestId, Span, Time};
 use siphasher::sip::SipHasher13;
@@ -76,6 +76,13 @@
     rejects_requests: bool,
 }
 
+impl IntakeConnection {
+    /// Whether as many requests are open as a client may have, or the client was told to send no more.
+    fn takes_no_requests(&self) -> bool {
+        self.rejects_requests || self.open_requests >= MAX_OPEN_PER_CONNECTION
+    }
+}
+
 /// What validation found out about a request that passed it.
 #[derive(Debug)]
 struct ValidRequest {
@@ -112,6 +119,7 @@
         self.log(Level::Warning, text);
         self.connections.stop_accepting_from(connection);
         self.request_drain(connection);
+        self.charge(connection, ProtocolViolation::ReusedSequence);
         true
     }
 
@@ -138,6 +146,9 @@
             }
             Err(IntakeError::Rejected { class, reason, retry_after }) => {
                 self.metrics.lifecycle.count_refusal(reason);
+                if connection_state.takes_no_requests() {
+                    self.charge(connection, ProtocolViolation::TooManyOpenRequests);
+                }
                 self.refuse_at_intake(connection, sequence, class, request, retry_after, timeline);
             }
             Err(IntakeError::Started { class }) => {
@@ -269,9 +280,7 @@
 
     /// Limits the open requests of each connection, and the memory of all request bodies.
     fn check_open_requests(&self, connection: IntakeConnection, class: usize) -> Result<(), IntakeError> {
-        let has_capacity =
-            connection.open_requests < MAX_OPEN_PER_CONNECTION && self.requests.has_body_capacity();
-        if connection.rejects_requests || !has_capacity {
+        if connection.takes_no_requests() || !self.requests.has_body_capacity() {
             let (reason, retry_after) = (RefusalReason::OpenRequestLimit, Span(0));
             return Err(IntakeError::Rejected { class, reason, retry_after });
         }
--- a/crates/core/src/reducer/responses.rs
+++ b/crates/core/src/reducer/responses.rs
@@ -7,7 +7,7 @@
 use super::Reducer;
 use super::open_requests::{OpenRequest, RequestState};
 use crate::idempotency_table::RunOutcome;
-use crate::messages::{ConnectionId, Effect, RequestError, Response, SequenceId};
+use crate::messages::{ConnectionId, Effect, ProtocolViolation, RequestError, Response, SequenceId};
 use gradepin_admission::{Event, Outcome, RequestId, Span};
 use slog::Level;
 
@@ -47,6 +47,7 @@
     ) {
         self.connections.touch_and_mark_idle(connection, self.timestamp.now);
         self.log(Level::Warning, format!("invalid request on connection {connection}: {text}"));
+        self.charge(connection, ProtocolViolation::InvalidMessage);
         let response = Response::Invalid { error, text };
         if let Some(class) = class {
             self.metrics.count_response(&self.classes.profile(class).name, &response);
--- a/crates/core/src/request_timeline.rs
+++ b/crates/core/src/request_timeline.rs
@@ -13,7 +13,7 @@
     /// Other connections and earlier messages of its own were read first.
     #[default]
     Turn,
-    /// Its connection was not read for a while, because messages on it broke the protocol.
+    /// Its connection was not read for a while, as too many messages on it broke the protocol.
     RateLimit,
     /// Its connection was not read until its client had taken some of the responses.
     UnsentResponses,
--- a/crates/core/tests/connection_eviction.rs
+++ b/crates/core/tests/connection_eviction.rs
@@ -2,9 +2,8 @@
 
 mod support;
 
-use gradepin_admission::{RequestId, Span};
-use gradepin_core::buffer_pool::BufferPool;
-use gradepin_core::messages::{ClientRequest, Effect, Input, Receipt, RequestError};
+use gradepin_admission::Span;
+use gradepin_core::messages::{ClientRequest, Effect, Input, RequestError};
 use support::{MS, reducer, step};
 
 /// With 128 descriptors, 96 connections are allowed; from seven eighths of those on, a new connection evicts an idle
@@ -58,7 +57,6 @@
     // not.
     let count_bad_health = |throttled: bool| {
         let mut reducer = reducer();
-        let pool = BufferPool::new(4);
         step(
             &mut reducer,
             9_000,
@@ -73,21 +71,7 @@
         }
         let mut effects = Vec::new();
         for n in 0..12 {
-            let request = ClientRequest {
-                id: RequestId::new(&format!("{n:016x}")),
-                class: 0.into(),
-                tenant: None,
-                client_proxy: 1,
-                arrived_unix_ms: 9_000,
-                budget_ms: 4_000,
-                retry: false,
-                size_kb: 20.0,
-                precedence: 0.5,
-                idempotency_key: None,
-                has_subject: false,
-                receipt: Receipt::default(),
-                body: pool.copy(b"in").expect("it fits"),
-            };
+            let request = ClientRequest { budget_ms: 4_000, size_kb: 20.0, ..support::read(n, 9_000) };
             effects.extend(step(
                 &mut reducer,
                 10_200 + n,
--- a/crates/core/tests/refusals.rs
+++ b/crates/core/tests/refusals.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use gradepin_admission::{RequestId, Span};
+use gradepin_admission::Span;
 use gradepin_core::buffer_pool::BufferPool;
 use gradepin_core::idempotency_log::{IdempotencyLog, RecoveredRuns, SavedOutcome, SavedRun};
-use gradepin_core::messages::{ClientRequest, Effect, Input, Receipt, Response};
+use gradepin_core::messages::{ClientRequest, Effect, Input, Response};
 use gradepin_core::reducer::Reducer;
 use std::sync::Arc;
 use support::{MS, step};
@@ -50,19 +50,9 @@
         self.requests += 1;
         let sequence = self.requests;
         let request = ClientRequest {
-            id: RequestId::new(&format!("{sequence:016x}")),
             class: class.into(),
-            tenant: None,
-            client_proxy: 1,
-            arrived_unix_ms: self.now_ms,
-            budget_ms: 3_000,
-            retry: false,
-            size_kb: 1.0,
-            precedence: 0.5,
             idempotency_key: key.map(Arc::from),
-            has_subject: false,
-            receipt: Receipt::default(),
-            body: BufferPool::new(0).exact(b"body").expect("fits"),
+            ..support::read(sequence as u64, self.now_ms)
         };
         let effects = self.step(vec![Input::Request { connection: 1, sequence, request: Box::new(request) }]);
         effects.into_iter().find_map(|effect| match effect {
--- a/crates/core/tests/request_id_reuse.rs
+++ b/crates/core/tests/request_id_reuse.rs
@@ -3,8 +3,7 @@
 mod support;
 
 use gradepin_admission::{RequestId, Span};
-use gradepin_core::buffer_pool::BufferPool;
-use gradepin_core::messages::{ClientRequest, Effect, Input, Receipt, Response, RunClaim};
+use gradepin_core::messages::{ClientRequest, Effect, Input, Response, RunClaim};
 use std::sync::Arc;
 use support::step;
 
@@ -13,19 +12,11 @@
 
 fn keyed_request(connection: u64, sequence: i32, id: u64, key: &str, ms: u64, retry: bool) -> Input {
     let request = ClientRequest {
-        id: RequestId::new(&format!("{id:016x}")),
         class: KEYED.into(),
-        tenant: None,
         client_proxy: connection,
-        arrived_unix_ms: ms,
-        budget_ms: 3_000,
         retry,
-        size_kb: 1.0,
-        precedence: 0.5,
         idempotency_key: Some(Arc::from(key)),
-        has_subject: false,
-        receipt: Receipt::default(),
-        body: BufferPool::new(0).exact(b"body").expect("fits"),
+        ..support::read(id, ms)
     };
     Input::Request { connection, sequence, request: Box::new(request) }
 }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -1,12 +1,16 @@
 //! Creates a reducer with the settings of the admission module's tests and without upstream calls, and steps it in
 //! virtual time.
 
+// Each test that includes this module uses a part of it.
+#![allow(dead_code)]
+
 #[path = "../../../admission/tests/common/mod.rs"]
 mod common;
 
-use gradepin_admission::Time;
+use gradepin_admission::{RequestId, Time};
+use gradepin_core::buffer_pool::BufferPool;
 use gradepin_core::config::Config;
-use gradepin_core::messages::{Effect, Input};
+use gradepin_core::messages::{ClientRequest, Effect, Input, Receipt};
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
 use gradepin_core::timestamp::Timestamp;
@@ -34,3 +38,22 @@
     reducer.step(Timestamp { now: Time(ms * MS), unix_ms: ms }, inputs, &mut effects);
     effects
 }
+
+/// Returns a read without an idempotency key, sent at this time with a budget of 3 s. Tests change what they need.
+pub fn read(id: u64, ms: u64) -> ClientRequest {
+    ClientRequest {
+        id: RequestId::new(&format!("{id:016x}")),
+        class: 0.into(),
+        tenant: None,
+        client_proxy: 1,
+        arrived_unix_ms: ms,
+        budget_ms: 3_000,
+        retry: false,
+        size_kb: 1.0,
+        precedence: 0.5,
+        idempotency_key: None,
+        has_subject: false,
+        receipt: Receipt::default(),
+        body: BufferPool::new(0).exact(b"body").expect("fits"),
+    }
+}
--- a/crates/gradepin/tests/scenario/virtual_stage.rs
+++ b/crates/gradepin/tests/scenario/virtual_stage.rs
@@ -355,7 +355,10 @@
             }
             Effect::Log { text, .. } if text.starts_with("invariant violated") => panic!("{text}"),
             Effect::Log { text, .. } if text.starts_with("a call to the ledger ") => format!("log {text}"),
-            Effect::Log { .. } | Effect::SendPeerDatagram { .. } | Effect::WriteVoterState { .. } => return,
+            Effect::Log { .. }
+            | Effect::ChargeConnection { .. }
+            | Effect::SendPeerDatagram { .. }
+            | Effect::WriteVoterState { .. } => return,
             Effect::StartRolloutStep { step: turn, .. } => format!("change {}", turn.version),
         };
         self.events.push(event);
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -82,6 +82,7 @@
             Effect::Respond { connection, sequence, response, capacity_hint } => {
                 self.frontend.respond(connection, sequence, &response, capacity_hint);
             }
+            Effect::ChargeConnection { connection, violation } => self.frontend.charge(connection, violation),
             Effect::RequestDrain(connection) => self.frontend.request_drain(connection),
             Effect::StopAccepting => self.frontend.stop_accepting(),
             Effect::StopReading => self.frontend.stop_reading(),
--- a/crates/node/src/frontend/connection.rs
+++ b/crates/node/src/frontend/connection.rs
@@ -187,8 +187,8 @@
     /// The protocol that the peer speaks.
     pub(super) protocol: Arc<dyn Protocol>,
     inner: Mutex<Inner>,
-    /// Throttling cost, in tokens, of the responses sent since the reader last took it.
-    response_cost: AtomicUsize,
+    /// Tokens that the reader has to take for messages that broke the protocol.
+    charged_tokens: AtomicUsize,
     _slot: ConnectionSlot,
 }
 
@@ -212,7 +212,7 @@
             socket,
             protocol,
             inner: Mutex::new(inner),
-            response_cost: AtomicUsize::new(0),
+            charged_tokens: AtomicUsize::new(0),
             _slot: ConnectionSlot(Arc::clone(open_connections)),
         }
     }
@@ -298,14 +298,14 @@
         is_open
     }
 
-    /// Adds the throttling cost of a response, in tokens.
-    pub(super) fn add_response_cost(&self, tokens: usize) {
-        self.response_cost.fetch_add(tokens, Ordering::Relaxed);
+    /// Has the reader take tokens for a message that broke the protocol.
+    pub(super) fn charge(&self, tokens: usize) {
+        self.charged_tokens.fetch_add(tokens, Ordering::Relaxed);
     }
 
-    /// Returns the throttling cost, in tokens, of the responses sent since the last call.
-    pub(super) fn take_response_cost(&self) -> usize {
-        self.response_cost.swap(0, Ordering::Relaxed)
+    /// Returns the tokens charged since the last call.
+    pub(super) fn take_charged_tokens(&self) -> usize {
+        self.charged_tokens.swap(0, Ordering::Relaxed)
     }
 
     /// Closes the connection after all queued frames are written: this server's half first, then the rest after the
--- a/crates/node/src/frontend/connection_reader.rs
+++ b/crates/node/src/frontend/connection_reader.rs
@@ -7,7 +7,7 @@
 use super::connection::{Connection, ConnectionState, MAX_UNSENT_FRAMES};
 use super::protocol::{DecodedMessage, FirstMessageTimeout, FrameDecoder, ReadTimeouts};
 use super::shared::Shared;
-use super::throttle::{MessageOutcome, TokenBucket};
+use super::throttle::{HEALTH_CHECK_TOKENS, TokenBucket, UNSUPPORTED_MESSAGE_TOKENS};
 use crate::clock::Clock;
 use gradepin_core::buffer_pool::Buffer;
 use gradepin_core::messages::{ConnectionId, Input, Receipt};
@@ -33,8 +33,6 @@
 /// Messages delivered per call. Then it is the turn of the other connections, so that a peer whose single request arrives
 /// beside hundreds of connections with many requests each does not wait for all of them.
 const MAX_MESSAGES_PER_READ: usize = 2;
-/// Cost of reading one message, in tokens.
-const READ_COST: usize = 1;
 
 /// How received bytes of a connection are handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -333,18 +331,15 @@
             }
             progress.completed_message = true;
             messages += 1;
-            let mut cost = READ_COST;
+            let tokens = message_tokens(&frame.message);
             let now = Instant::now();
-            match input(id, frame.message, self.receipt(now, shared.clock)) {
-                Some(input) => {
-                    if let Some(end) = self.deliver(input, shared) {
-                        return Some(end);
-                    }
-                }
-                None => cost += MessageOutcome::Invalid.cost(),
+            if let Some(input) = input(id, frame.message, self.receipt(now, shared.clock))
+                && let Some(end) = self.deliver(input, shared)
+            {
+                return Some(end);
             }
-            cost += self.connection.take_response_cost();
-            if let Some(pause) = self.throttle.take(cost, now) {
+            let tokens = tokens + self.connection.take_charged_tokens();
+            if let Some(pause) = self.throttle.take(tokens, now) {
                 self.read_wait = ReadWait::RateLimit;
                 outcome = Some(ReadOutcome::Throttled(pause));
             }
@@ -393,6 +388,18 @@
     }
 }
 
+/// Tokens that a message takes when it is read. The reducer charges those that turn out to break the protocol.
+fn message_tokens(message: &DecodedMessage) -> usize {
+    match message {
+        DecodedMessage::HealthCheck { .. } => HEALTH_CHECK_TOKENS,
+        DecodedMessage::Unsupported => UNSUPPORTED_MESSAGE_TOKENS,
+        DecodedMessage::Request { .. }
+        | DecodedMessage::Cancel { .. }
+        | DecodedMessage::Invalid { .. }
+        | DecodedMessage::Incomplete => 0,
+    }
+}
+
 /// Converts a message to an input of the reducer; `None` if it is skipped.
 fn input(connection: ConnectionId, message: DecodedMessage, receipt: Receipt) -> Option<Input> {
     match message {
--- a/crates/node/src/frontend/mod.rs
+++ b/crates/node/src/frontend/mod.rs
@@ -5,7 +5,7 @@
 //! buffers, throttling, fair reading, connection slots and draining are implemented once, for all protocols:
 //!
 //! - `event_loop` waits for socket events and reads connections in turn, `acceptor` accepts them within their limits;
-//! - `connection_reader` decodes the bytes of one connection, `throttle` limits its rate;
+//! - `connection_reader` decodes the bytes of one connection, `throttle` limits messages that break the protocol;
 //! - `connection` is the state that both threads share, under one lock.
 //!
 //! A connection uses one descriptor and no thread: with a thread per connection, a process limited to its share of a
@@ -35,14 +35,14 @@
 use crossbeam_channel::Sender;
 use event_loop::EventLoop;
 use gradepin_core::buffer_pool::BufferPool;
-use gradepin_core::messages::{ConnectionId, Input, Response, SequenceId};
+use gradepin_core::messages::{ConnectionId, Input, ProtocolViolation, Response, SequenceId};
 use shared::{Connections, Shared, StopRequests};
 use slog::Logger;
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::thread;
-use throttle::MessageOutcome;
+use throttle::violation_tokens;
 
 /// Stack size of the reading thread, whose buffers are on the heap.
 const STACK_BYTES: usize = 64 * 1024;
@@ -116,7 +116,6 @@
         let encode =
             |response| connection.protocol.encode(sequence, response, capacity_hint, draining, &self.pool);
         let frame = encode(response).or_else(|| encode(&Response::Failed { timed_out: false }));
-        connection.add_response_cost(MessageOutcome::of(response).cost());
         let is_last = frame.is_none() || connection.protocol.closes_after_response();
         if let Some(frame) = frame {
             connection.send(frame);
@@ -126,6 +125,13 @@
         }
     }
 
+    /// Charges a connection for a message that breaks the protocol, which may pause its reading.
+    pub fn charge(&self, connection: ConnectionId, violation: ProtocolViolation) {
+        if let Some(connection) = self.connection(connection) {
+            connection.charge(violation_tokens(violation));
+        }
+    }
+
     /// Asks a peer to send no more requests. If the protocol has no such message, the connection is closed unless it
     /// has already delivered a request.
     pub fn request_drain(&self, connection: ConnectionId) {
--- a/crates/node/src/frontend/throttle.rs
+++ b/crates/node/src/frontend/throttle.rs
@@ -1,50 +1,34 @@
-//! A token bucket per connection that limits the rate of its messages by their cost to the server.
+//! A token bucket per connection that limits the rate of messages that break the protocol.
+//!
+//! Invariant: messages that keep to the protocol take no tokens, so the connection of a client that keeps to it is never
+//! paused. While a connection is paused its requests wait unread and may be answered late, which its client brought about.
 
-use gradepin_core::messages::Response;
+use gradepin_core::messages::ProtocolViolation;
 use std::time::{Duration, Instant};
 
-/// Tokens that a connection gains per second. A served request costs one token when it is read and one when it is
-/// answered, so normal client proxies stay far below the limit.
+/// Tokens that a connection gains per second.
 const TOKENS_PER_SECOND: f64 = 2000.0;
 /// Capacity of a bucket.
 const MAX_BURST_TOKENS: f64 = 1000.0;
-
-/// The outcome of a message, which determines its cost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum MessageOutcome {
-    /// A result was sent, or a health check answered.
-    Served,
-    /// The request was rejected, or its run failed.
-    Failed,
-    /// The message was invalid.
-    Invalid,
-}
-
-impl MessageOutcome {
-    /// The outcome of the request that a response answers.
-    pub(super) fn of(response: &Response) -> Self {
-        match response {
-            Response::Served(_) | Response::Health { .. } => Self::Served,
-            Response::Rejected { .. } | Response::Failed { .. } | Response::OutcomeUnknown => Self::Failed,
-            Response::Invalid { .. } => Self::Invalid,
-        }
-    }
-
-    /// Cost in tokens, in addition to the one token for reading the message.
-    pub(super) fn cost(self) -> usize {
-        match self {
-            Self::Served => 1,
-            Self::Failed => 10,
-            Self::Invalid => 50,
-        }
+/// Tokens that a health check takes; each should arrive on a connection of its own.
+pub(super) const HEALTH_CHECK_TOKENS: usize = 2;
+/// Tokens that a message takes which is skipped, as no such message exists.
+pub(super) const UNSUPPORTED_MESSAGE_TOKENS: usize = 51;
+
+/// Tokens that a violation takes.
+pub(super) fn violation_tokens(violation: ProtocolViolation) -> usize {
+    match violation {
+        ProtocolViolation::InvalidMessage | ProtocolViolation::ReusedSequence => 51,
+        ProtocolViolation::TooManyOpenRequests => 11,
+        ProtocolViolation::SurplusCancel => 2,
     }
 }
 
-/// Limits clients that send rejected or invalid messages at full speed: reading, answering and logging them would use
-/// up the CPU time of all other clients. Reading from the connection pauses; no message is dropped.
+/// Limits clients that send messages at full speed and break the protocol: reading, answering and logging them would use up
+/// the CPU time of all other clients. Reading from the connection pauses; no message is dropped.
 #[derive(Debug)]
 pub(super) struct TokenBucket {
-    /// Negative after a message that cost more than was left.
+    /// Negative after a message that took more than was left.
     tokens: f64,
     updated_at: Instant,
 }
@@ -56,9 +40,12 @@
     }
 
     /// Takes tokens; if the balance becomes negative, returns the pause until it is 0 again.
-    pub(super) fn take(&mut self, cost: usize, now: Instant) -> Option<Duration> {
+    pub(super) fn take(&mut self, tokens: usize, now: Instant) -> Option<Duration> {
+        if tokens == 0 {
+            return None;
+        }
         let gained = now.saturating_duration_since(self.updated_at).as_secs_f64() * TOKENS_PER_SECOND;
-        self.tokens = (self.tokens + gained).min(MAX_BURST_TOKENS) - cost as f64;
+        self.tokens = (self.tokens + gained).min(MAX_BURST_TOKENS) - tokens as f64;
         self.updated_at = now;
         (self.tokens < 0.0).then(|| Duration::from_secs_f64(-self.tokens / TOKENS_PER_SECOND))
     }
