Have the soak break links and use short budgets, and claim that no answer is late

Change: a fault proxy before each processor resets, stalls, trickles or is absent for a while; one client in four sends retries and other requests with budgets of 5 to 250 ms, up to 32 at once; each answer is judged by the budget of its request, and excused only by pauses since then. Drill due-times plays clients at full speed beside the others. Tests of the kit's library, soak, faults and due_times pass.

--- a/crates/testkit/src/commands/drill.rs
+++ b/crates/testkit/src/commands/drill.rs
@@ -1,7 +1,7 @@
 //! `gradepin-testkit drill`: fault drills against real servers, with one line per claim.
 
 use super::shared::daemon;
-use crate::drill::due_times::{self, ClientProtocol};
+use crate::drill::due_times::{self, ClientProtocol, FloodKind};
 use crate::drill::{Verdict, faults, recovery, registry, release, scgi, shared, soak};
 use crate::fault_proxy::LinkFault;
 use crate::fleet;
@@ -113,6 +113,12 @@
     /// Nine in ten callers cancel a request when they give up
     #[arg(long)]
     pub cancels: bool,
+    /// What other clients send at full speed
+    #[arg(long, value_enum)]
+    pub flood: Option<FloodKind>,
+    /// Number of these clients
+    #[arg(long, default_value_t = 1)]
+    pub flooding: usize,
     /// Length in seconds
     #[arg(long, default_value_t = 8)]
     pub seconds: u64,
@@ -338,6 +344,7 @@
             link: args.link,
             protocol: args.protocol,
             cancels: args.cancels,
+            flood: args.flood.map(|kind| due_times::Flood { kind, clients: args.flooding }),
             duration: Duration::from_secs(args.seconds),
         };
         verdict = verdict.and(due_times::run(&drill)?.verdict);
--- a/crates/testkit/src/drill/due_times/caller.rs
+++ b/crates/testkit/src/drill/due_times/caller.rs
@@ -2,6 +2,7 @@
 
 use super::Drill;
 use crate::drill::faults::random::Random;
+use std::borrow::Cow;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -27,7 +28,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Request {
     pub(super) rid: String,
-    pub(super) class: &'static str,
+    pub(super) class: Cow<'static, str>,
     pub(super) tenant: &'static str,
     pub(super) token: Option<String>,
     pub(super) is_retry: bool,
@@ -94,6 +95,12 @@
         }
     }
 
+    /// Draws a request that comes now, whatever the rate.
+    pub(super) fn draw_now(&mut self) -> Request {
+        let now = Instant::now();
+        self.draw_request(now, now)
+    }
+
     fn draw_pause(&mut self) -> Duration {
         let unit = (self.random.number() >> 11) as f64 / (1_u64 << 53) as f64;
         self.mean_pause.mul_f64(-(1.0 - unit).ln())
@@ -108,7 +115,7 @@
         let [shortest, longest] = self.budget_ms;
         Request {
             rid: format!("{:016x}", self.random.number()),
-            class,
+            class: class.into(),
             tenant: self.random.one_of(&TENANTS),
             token,
             is_retry: self.random.once_in(RETRY_DRAWS),
--- a/crates/testkit/src/drill/due_times/client.rs
+++ b/crates/testkit/src/drill/due_times/client.rs
@@ -1,7 +1,7 @@
 //! A client proxy with one connection. Over SCGI it has one for each request, one after the other.
 
 use super::caller::{Callers, Request};
-use super::{ClientProtocol, Drill, SLACK};
+use super::{ClientProtocol, Drill, MAX_OPEN_REQUESTS, SLACK};
 use crate::fleet::scgi_of;
 use crate::thrift::{self, Answer, Message};
 use gradepin_node::frontend::scgi::codec::{self as scgi, ScgiResponse};
@@ -10,8 +10,6 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-/// Requests that may be open on a connection.
-const MAX_OPEN_REQUESTS: usize = 32;
 /// Longest wait for bytes before the callers are looked at again.
 const MAX_READ_WAIT: Duration = Duration::from_millis(20);
 /// Time after the last request in which answers are awaited.
@@ -41,6 +39,8 @@
     pub late: Vec<String>,
     /// Longest time from `t0 + budget` to an answer.
     pub latest: Duration,
+    /// Time from the write to the answer of each request, in ms.
+    pub response_ms: Vec<u64>,
 }
 
 impl ClientReport {
@@ -55,6 +55,7 @@
         self.not_sent += other.not_sent;
         self.late.extend(other.late);
         self.latest = self.latest.max(other.latest);
+        self.response_ms.extend(other.response_ms);
     }
 
     fn answered(&mut self, request: &Open, answer: &Answer, now: Instant) {
@@ -63,6 +64,7 @@
             Answer::Refused { .. } => self.refused += 1,
             Answer::Bad | Answer::Failed(_) => self.failed += 1,
         }
+        self.response_ms.push(now.saturating_duration_since(request.written).as_millis() as u64);
         let after = now.saturating_duration_since(request.expires_at);
         self.latest = self.latest.max(after);
         if after > SLACK {
@@ -82,7 +84,7 @@
 /// An open request.
 struct Open {
     rid: String,
-    class: &'static str,
+    class: String,
     came: Instant,
     written: Instant,
     expires_at: Instant,
@@ -93,7 +95,7 @@
     fn new(request: &Request, written: Instant) -> Self {
         Self {
             rid: request.rid.clone(),
-            class: request.class,
+            class: request.class.to_string(),
             came: request.came,
             written,
             expires_at: request.expires_at(),
@@ -275,10 +277,10 @@
     Some((Open { expires_at: written + remaining, ..Open::new(request, written) }, answer))
 }
 
-fn encode_thrift(sequence: i32, request: &Request) -> Vec<u8> {
+pub(super) fn encode_thrift(sequence: i32, request: &Request) -> Vec<u8> {
     let (t0, budget) = (request.t0_ms.to_string(), request.budget.as_millis().to_string());
     let mut fields = vec![
-        ("method", request.class),
+        ("method", request.class.as_ref()),
         ("rid", &request.rid),
         ("t0", &t0),
         ("peer", "4"),
--- a/crates/testkit/src/drill/due_times/mod.rs
+++ b/crates/testkit/src/drill/due_times/mod.rs
@@ -7,11 +7,13 @@
 
 mod caller;
 mod client;
+mod flood;
 mod proxy_process;
 
 pub use client::ClientReport;
+pub use flood::FloodKind;
 
-use super::{Claims, Verdict};
+use super::{Claims, Verdict, quantile};
 use crate::fault_proxy::LinkFault;
 use crate::fleet::{self, Fleet, FleetSpec, Node};
 use crate::harness::machine_delay::{Bounds, MachineDelayMonitor, MonitoredProcess};
@@ -21,12 +23,14 @@
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::thread;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::{self, ScopedJoinHandle};
 use std::time::Duration;
 
 /// Slack of the settings, and what the protocol page adds on sockets.
 pub const SLACK: Duration = Duration::from_millis(100 + 50);
+/// Requests that may be open on a connection.
+const MAX_OPEN_REQUESTS: usize = 32;
 /// Stack of a client's thread.
 const STACK_BYTES: usize = 256 * 1024;
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(2);
@@ -76,10 +80,21 @@
     pub protocol: ClientProtocol,
     /// Whether nine in ten callers cancel a request when they give up.
     pub cancels: bool,
+    /// What other clients send at full speed.
+    pub flood: Option<Flood>,
     /// How long the clients send requests.
     pub duration: Duration,
 }
 
+/// Clients at full speed beside the others.
+#[derive(Debug, Clone, Copy)]
+pub struct Flood {
+    /// What they send.
+    pub kind: FloodKind,
+    /// How many there are, with a connection each.
+    pub clients: usize,
+}
+
 /// The result of the drill.
 #[derive(Debug)]
 pub struct Report {
@@ -95,7 +110,9 @@
     /// Sum of the values of a metric over its labels.
     pub fn metric(&self, name: &str) -> f64 {
         let lines = self.metrics.lines().filter(|line| line.split(['{', ' ']).next() == Some(name));
-        lines.filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok()).sum()
+        lines
+            .filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok())
+            .fold(0.0, |sum, value| sum + value)
     }
 }
 
@@ -128,16 +145,19 @@
         monitor.set_processes(vec![MonitoredProcess { name: "server".into(), pid }]);
     }
     let cpu_before = node.cpu().unwrap_or_default();
-    let clients = play(drill, node.address)?;
+    let mut clients = play(drill, node.address)?;
+    clients.response_ms.sort_unstable();
     let cpu = node.cpu().unwrap_or_default().saturating_sub(cpu_before);
     let lag = monitor.measured();
     drop(monitor);
     let metrics = scrape(node.admin())?;
     let has_crashed = node.crashed();
     println!(
-        "{} requests, {:?}; server: {:.2} s of CPU, {} kB; machine: {}",
+        "{} requests, {:?}, 99 in 100 answered within {} ms, all within {} ms; server: {:.2} s of CPU, {} kB; machine: {}",
         clients.written,
         drill.protocol,
+        quantile(&clients.response_ms, 0.99),
+        quantile(&clients.response_ms, 1.0),
         cpu.as_secs_f64(),
         node.memory().unwrap_or_default() / 1024,
         lag.summary()
@@ -218,15 +238,24 @@
 
 fn play(drill: &Drill, server: SocketAddr) -> io::Result<ClientReport> {
     let mut total = ClientReport::default();
+    let is_over = AtomicBool::new(false);
     thread::scope(|scope| -> io::Result<()> {
+        if let Some(Flood { kind, clients }) = drill.flood {
+            for number in 0..clients {
+                let (thread, is_over) = (thread::Builder::new().stack_size(STACK_BYTES), &is_over);
+                thread.spawn_scoped(scope, move || flood::play(drill, kind, server, number, is_over))?;
+            }
+        }
         let clients: Vec<_> = (0..drill.connections)
             .map(|number| {
                 let thread = thread::Builder::new().stack_size(STACK_BYTES);
                 thread.spawn_scoped(scope, move || client::play(drill, server, number))
             })
             .collect::<io::Result<_>>()?;
-        for client in clients {
-            total.add(client.join().map_err(|_| io::Error::other("a client has panicked"))?);
+        let reports: Vec<_> = clients.into_iter().map(ScopedJoinHandle::join).collect();
+        is_over.store(true, Ordering::Relaxed);
+        for report in reports {
+            total.add(report.map_err(|_| io::Error::other("a client has panicked"))?);
         }
         Ok(())
     })?;
--- a/crates/testkit/src/drill/faults/client.rs
+++ b/crates/testkit/src/drill/faults/client.rs
@@ -19,6 +19,8 @@
 pub const HANG_TIMEOUT: Duration = Duration::from_secs(20);
 /// Interval between attempts to connect, and between checks whether the case is over.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Shortest time for which a client reads what has arrived.
+const MIN_READ_TIME: Duration = Duration::from_millis(1);
 /// Maximum wait for the server to close a connection that the client has finished.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -139,6 +141,14 @@
     pub fields: Vec<(&'static str, String)>,
 }
 
+impl RequestOptions {
+    /// The budget among the fields, if there is one.
+    fn budget(&self) -> Option<Duration> {
+        let (_, budget_ms) = self.fields.iter().find(|(name, _)| *name == "budget")?;
+        budget_ms.parse().ok().map(Duration::from_millis)
+    }
+}
+
 impl Connection {
     /// Wraps a socket; `connected` must have been taken before it was connected.
     pub fn new(stream: TcpStream, target: Target, connected: Instant) -> Self {
@@ -177,7 +187,7 @@
             token: token.clone(),
             connected: self.connected,
             written: None,
-            due: BUDGET + super::settings::SLACK,
+            due: options.budget().unwrap_or(BUDGET) + super::settings::SLACK,
             owed: true,
             answers: Vec::new(),
             ended: None,
@@ -385,6 +395,17 @@
         .collect()
     }
 
+    /// Reads for this time. An end of the connection is so noticed at once, with requests open.
+    pub fn read_for(&mut self, time: Duration) -> ReadOutcome {
+        let until = Instant::now() + time.max(MIN_READ_TIME);
+        loop {
+            match self.read(until) {
+                ReadOutcome::Message => {}
+                outcome => return outcome,
+            }
+        }
+    }
+
     /// Reads until everything is answered or the connection closes; on a timeout, records the states of the server's
     /// threads.
     pub fn wait_for_answers(&mut self) -> ReadOutcome {
@@ -393,7 +414,12 @@
 
     /// Like [`Self::wait_for_answers`], with another time after which the connection counts as hung.
     pub fn wait_for_answers_until(&mut self, until: Instant) -> ReadOutcome {
-        while !self.unanswered().is_empty() || !self.checked() {
+        self.wait_for_places_until(0, until)
+    }
+
+    /// Like [`Self::wait_for_answers_until`], but leaves up to `max_open` requests unanswered.
+    pub fn wait_for_places_until(&mut self, max_open: usize, until: Instant) -> ReadOutcome {
+        while self.unanswered().len() > max_open || !self.checked() {
             match self.read(until) {
                 ReadOutcome::Message => {}
                 ReadOutcome::Closed => return ReadOutcome::Closed,
--- a/crates/testkit/src/drill/faults/inject.rs
+++ b/crates/testkit/src/drill/faults/inject.rs
@@ -7,6 +7,7 @@
 use super::plan::{BadFile, ClientFault, ControlFault, DependencyFault, Fault, ProcessorFault, SignalFault};
 use super::processor::{Cut, Processor};
 use super::random::Random;
+use super::record::Pause;
 use super::server::Server;
 use super::settings;
 use rustix::process::Signal;
@@ -232,10 +233,11 @@
         }
         SignalFault::Pause(ms) => {
             fault_target.with_server(|server| server.signal(Signal::STOP));
-            let start = Instant::now();
+            let from = Instant::now();
             thread::sleep(Duration::from_millis(ms));
             fault_target.with_server(|server| server.signal(Signal::CONT));
-            fault_target.target.record.entries().paused += start.elapsed();
+            let until = Instant::now();
+            fault_target.target.record.entries().pauses.push(Pause { from, until });
         }
         SignalFault::Interrupts(count) => {
             for _ in 0..count {
--- a/crates/testkit/src/drill/faults/mod.rs
+++ b/crates/testkit/src/drill/faults/mod.rs
@@ -205,7 +205,7 @@
     let Outcome { requests, runs, failures, .. } = outcome;
     let mut text = format!("  {case}: {requests} requests, {runs} runs, {} failures", failures.len());
     if outcome.late.count > 0 {
-        let Late { count, max_delay } = outcome.late;
+        let Late { count, max_delay, .. } = outcome.late;
         text.push_str(&format!(", {count} late, by {} ms", max_delay.as_millis()));
     }
     for failure in failures.iter().take(SHOWN_FAILURES) {
@@ -254,7 +254,7 @@
         };
         claims.claim(failed == 0, oracle.claim(), format!("{failed} failures, {of}"));
     }
-    let Late { count, max_delay } = tally.late;
+    let Late { count, max_delay, .. } = tally.late;
     claims.timed(
         count == 0,
         "answers by their due time",
--- a/crates/testkit/src/drill/faults/oracles.rs
+++ b/crates/testkit/src/drill/faults/oracles.rs
@@ -121,12 +121,14 @@
 }
 
 /// Answers after their due time. A late machine causes them too, so they are claimed separately.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Late {
     /// Number of late answers.
     pub count: usize,
     /// Delay of the latest answer past its due time.
     pub max_delay: Duration,
+    /// The request with the latest answer.
+    pub latest_rid: Option<String>,
 }
 
 /// Checks that each complete request has exactly one final answer, and counts the late ones.
@@ -141,9 +143,11 @@
         }
         let Some(written) = request.written.filter(|_| request.owed) else { continue };
         if let Some((at, _)) = request.answers.first() {
-            let due = written + request.due + entries.paused;
+            let due = written + request.due + entries.paused_between(written, *at);
             if let Some(by) = at.checked_duration_since(due).filter(|by| !by.is_zero()) {
-                late = Late { count: late.count + 1, max_delay: late.max_delay.max(by) };
+                late.count += 1;
+                late.max_delay = late.max_delay.max(by);
+                late.latest_rid = if late.max_delay == by { Some(rid.clone()) } else { late.latest_rid };
             }
         } else if !entries.killed_since(request.connected) && !request.sent_again {
             let began = if entries.began(rid) { "its run began" } else { "it never began to run" };
--- a/crates/testkit/src/drill/faults/record.rs
+++ b/crates/testkit/src/drill/faults/record.rs
@@ -36,6 +36,15 @@
     pub sent_again: bool,
 }
 
+/// A time in which a process was stopped by SIGSTOP.
+#[derive(Debug, Clone, Copy)]
+pub struct Pause {
+    /// When it was stopped.
+    pub from: Instant,
+    /// When it was continued.
+    pub until: Instant,
+}
+
 /// A health check or an operator's call.
 #[derive(Debug, Clone)]
 pub struct Check {
@@ -109,8 +118,8 @@
     pub unattributed: Vec<String>,
     /// When the server was killed; requests open at that time are owed no answer.
     pub kills: Vec<Instant>,
-    /// Total time for which the server was stopped by SIGSTOP.
-    pub paused: Duration,
+    /// When a process of the server was stopped by SIGSTOP.
+    pub pauses: Vec<Pause>,
     /// Indexes of the requests by request id.
     indexes_by_id: HashMap<String, Vec<usize>>,
 }
@@ -129,6 +138,13 @@
         self.indexes_by_id.get(rid).into_iter().flatten().map(|index| &self.requests[*index])
     }
 
+    /// For how long a process of the server was stopped between two times. Pauses of several processes that overlap count
+    /// more than once.
+    pub fn paused_between(&self, from: Instant, until: Instant) -> Duration {
+        let overlap = |pause: &Pause| pause.until.min(until).saturating_duration_since(pause.from.max(from));
+        self.pauses.iter().map(overlap).sum()
+    }
+
     /// Whether the processor has read a command to run the request.
     pub fn began(&self, rid: &str) -> bool {
         self.commands.iter().any(|command| command.rid == rid)
--- a/crates/testkit/src/drill/soak/mod.rs
+++ b/crates/testkit/src/drill/soak/mod.rs
@@ -98,7 +98,7 @@
             daemon,
             seed,
             servers: 8,
-            clients: 6,
+            clients: 8,
             duration: Duration::from_secs(25),
             crowd: seed.is_multiple_of(5),
             only: None,
@@ -183,7 +183,9 @@
         claims.claim(failed == 0, oracle.claim(), text);
     }
     let late: usize = outcomes.iter().map(|outcome| outcome.late.count).sum();
-    println!("answers after their due time: {late}");
+    let max_delay = outcomes.iter().map(|outcome| outcome.late.max_delay).max().unwrap_or_default();
+    let text = format!("{late} late, {} ms past the slack at the most", max_delay.as_millis());
+    claims.timed(late == 0, "no answer after its due time", text);
     claims
 }
 
@@ -210,10 +212,11 @@
     thread::scope(|scope| -> io::Result<()> {
         for client in 0..clients {
             let (target, seed) = (&target, seed.wrapping_mul(100).wrapping_add(client as u64));
-            let manner = match client % 6 {
+            let manner = match client % 8 {
                 0..=2 => Manner::Heeds,
                 3 | 4 => Manner::Insists,
-                _ => Manner::Rests,
+                5 => Manner::Rests,
+                _ => Manner::Hurries,
             };
             let pace_ms = if is_crowd { PACE_MS / CROWD_FACTOR } else { PACE_MS };
             let client = thread::Builder::new().stack_size(STACK_BYTES);
@@ -296,12 +299,27 @@
         let logs = lives.iter().map(|life| (life.name.as_str(), life.log.as_str())).collect::<Vec<_>>();
         print_course(&entries, &failure.seen, &logs);
     }
-    if !outcome.failures.is_empty() {
+    if let Some(rid) = &outcome.late.latest_rid {
+        println!("  {name}: the latest answer is that to {rid}");
+        let logs = lives.iter().map(|life| (life.name.as_str(), life.log.as_str())).collect::<Vec<_>>();
+        print_course(&entries, rid, &logs);
+        print_late_lines(&logs);
+    }
+    if !outcome.failures.is_empty() || outcome.late.count > 0 {
         history.iter().for_each(|line| println!("    {line}"));
     }
     outcome
 }
 
+/// Prints what the processes logged of late responses.
+fn print_late_lines(logs: &[(&str, &str)]) {
+    for (name, log) in logs {
+        let late =
+            log.lines().filter(|line| line.contains("is late by") || line.contains("responses waited"));
+        late.take(SHOWN_FAILURES).for_each(|line| println!("      {name}: {line}"));
+    }
+}
+
 /// Prints what is known of the requests that a failure names: from clients, processors and the logs of the processes.
 fn print_course(entries: &Entries, seen: &str, logs: &[(&str, &str)]) {
     let named = entries.requests.iter().filter(|request| seen.contains(request.rid.as_str()));
--- a/crates/testkit/src/drill/soak/play.rs
+++ b/crates/testkit/src/drill/soak/play.rs
@@ -6,6 +6,8 @@
 use crate::drill::faults::control::ControlPlane;
 use crate::drill::faults::processor::Cut;
 use crate::drill::faults::random::Random;
+use crate::drill::faults::record::Pause;
+use crate::fault_proxy::LinkFault;
 use rustix::process::Signal;
 use std::io;
 use std::thread;
@@ -15,6 +17,9 @@
 const DEADLINES_MS: [u64; 4] = [600, 1_000, 1_500, 2_000];
 /// Steps of the wall clock, in ms.
 const CLOCK_STEPS_MS: [i64; 6] = [3_600_000, -3_600_000, 5_000, -5_000, 2_000, -2_000];
+/// What may happen to the link to the processor.
+const LINK_FAULTS: [LinkFault; 5] =
+    [LinkFault::Reset, LinkFault::Stall, LinkFault::Trickle, LinkFault::Absent, LinkFault::Mixed];
 /// Time in which a new process has to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 /// A pause of an old process ends at least this long before SIGKILL, so that it can answer what has arrived.
@@ -35,13 +40,15 @@
     ClockStep,
     SystemFaults,
     LinkCut,
+    /// The link to the processor is broken again and again for a while.
+    LinkFaults,
     /// The processor completes no run for a while.
     SlowRuns,
     ControlAway,
     OperatorDrain,
 }
 
-const EVENTS: [Event; 17] = [
+const EVENTS: [Event; 20] = [
     Event::Upgrade,
     Event::Upgrade,
     Event::Upgrade,
@@ -56,6 +63,9 @@
     Event::SystemFaults,
     Event::SystemFaults,
     Event::LinkCut,
+    Event::LinkFaults,
+    Event::LinkFaults,
+    Event::LinkFaults,
     Event::SlowRuns,
     Event::ControlAway,
     Event::OperatorDrain,
@@ -95,6 +105,8 @@
     System(SystemFault),
     /// The processor of the process with this index completes no run.
     SlowRuns(usize),
+    /// The link of the process with this index is broken again and again.
+    Link(usize),
     /// The control plane is gone.
     ControlAway,
 }
@@ -142,6 +154,7 @@
             match fault {
                 LastingFault::System(fault) => self.server.system_faults.set(fault, 0)?,
                 LastingFault::SlowRuns(index) => self.hold_runs(index, false),
+                LastingFault::Link(index) => self.set_link_fault(index, LinkFault::Whole),
                 LastingFault::ControlAway => self.control.away(false),
             }
         }
@@ -154,6 +167,12 @@
         }
     }
 
+    fn set_link_fault(&mut self, index: usize, fault: LinkFault) {
+        if let Some(process) = self.server.processes.get(index) {
+            process.proxy.set_fault(fault);
+        }
+    }
+
     fn note(&mut self, text: String) {
         self.history.push(format!("{:>6} ms  {text}", self.begin.elapsed().as_millis()));
     }
@@ -193,6 +212,14 @@
                 });
                 Ok(())
             }
+            Event::LinkFaults => {
+                let index = self.server.processes.len() - 1;
+                let fault = self.random.one_of(&LINK_FAULTS);
+                self.note(format!("link: {fault:?}"));
+                self.set_link_fault(index, fault);
+                self.begin_fault(LastingFault::Link(index), 4_000);
+                Ok(())
+            }
             Event::SlowRuns => {
                 let index = self.server.processes.len() - 1;
                 self.hold_runs(index, true);
@@ -225,10 +252,11 @@
 
     fn pause_current(&mut self, pause: Duration) {
         let process = self.current();
+        let from = Instant::now();
         process.signal(Signal::STOP);
         thread::sleep(pause);
         process.signal(Signal::CONT);
-        self.server.target.record.entries().paused += pause;
+        self.note_pause(from);
     }
 
     fn inject_system_faults(&mut self) -> io::Result<()> {
@@ -305,10 +333,16 @@
     fn pause_until(&mut self, index: usize, until: Instant) {
         let pause = until.saturating_duration_since(Instant::now());
         self.note(format!("process {index} is stopped for {} ms", pause.as_millis()));
+        let from = Instant::now();
         self.server.processes[index].signal(Signal::STOP);
         thread::sleep(pause);
         self.server.processes[index].signal(Signal::CONT);
-        self.server.target.record.entries().paused += pause;
+        self.note_pause(from);
+    }
+
+    fn note_pause(&self, from: Instant) {
+        let until = Instant::now();
+        self.server.target.record.entries().pauses.push(Pause { from, until });
     }
 
     /// Draws which old process is stopped, from when and until when; it often covers its last moments.
--- a/crates/testkit/src/drill/soak/server.rs
+++ b/crates/testkit/src/drill/soak/server.rs
@@ -10,6 +10,7 @@
 use crate::drill::faults::record::Record;
 use crate::drill::faults::server::next_address;
 use crate::drill::faults::settings::{self, Addresses, CLAIM};
+use crate::fault_proxy::{FaultProxy, LinkFault};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::fs::{self, File};
@@ -59,6 +60,8 @@
     log: PathBuf,
     /// The processor of this process alone.
     pub processor: Processor,
+    /// The proxy before it.
+    pub proxy: FaultProxy,
     /// Longest deadline of its settings.
     pub deadline: Duration,
     /// When SIGTERM was sent.
@@ -203,11 +206,12 @@
         let seed = self.plan.seed.wrapping_mul(31).wrapping_add(number as u64 + 1);
         let corrupts = self.plan.corrupts && number == 0;
         let processor = Processor::start(&self.target.record, seed, false, corrupts)?;
+        let proxy = FaultProxy::start(processor.address(), LinkFault::Whole, seed)?;
         let name = format!("{}.{number}", self.plan.name);
         let addresses = Addresses {
             listen: self.target.address,
             admin: next_address(),
-            processor: processor.address(),
+            processor: proxy.address(),
             control: self.control,
         };
         let configuration = settings::configuration(&self.plan.name, &addresses, self.plan.descriptors, seed);
@@ -228,6 +232,7 @@
             configuration,
             log,
             processor,
+            proxy,
             deadline,
             terminated_at: None,
             killed: false,
--- a/crates/testkit/src/thrift.rs
+++ b/crates/testkit/src/thrift.rs
@@ -54,6 +54,11 @@
     })
 }
 
+/// Encodes a one-way message without arguments.
+pub fn oneway(seq: i32, name: &str) -> Vec<u8> {
+    message(ONEWAY, name, seq, |_| ())
+}
+
 /// Encodes a health check.
 pub fn health(seq: i32) -> Vec<u8> {
     message(CALL, "health", seq, |out| out.extend([BOOL, 0, 1, 0]))
--- a/crates/testkit/tests/due_times.rs
+++ b/crates/testkit/tests/due_times.rs
@@ -20,6 +20,7 @@
         link: LinkFault::Mixed,
         protocol: ClientProtocol::Thrift,
         cancels: false,
+        flood: None,
         duration: Duration::from_secs(6),
     }
 }
