Know a client's own clock for its connection alone

Cause: WallClock::learn took the stamp of any client for proof of a clock that all clients may have, and each later stamp was read by the clock that makes its request the least old. Change: a clock that a client's stamps prove belongs to its connection; known to all are the server's own clock and its former settings. What a step of the server's own clock makes of requests older than half of the step is as before.

--- a/crates/core/src/reducer/connections.rs
+++ b/crates/core/src/reducer/connections.rs
@@ -11,6 +11,7 @@
 use crate::lifecycle_guard::CloseKind;
 use crate::messages::{ConnectionId, Effect, ProtocolViolation, SequenceId};
 use crate::timer_wheel::{DueEntry, TimerWheel};
+use crate::wall_clock::ClientClock;
 use gradepin_admission::{RequestId, Span, Time, time_after};
 use slog::Level;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -60,6 +61,8 @@
     is_late: bool,
     /// Number of complete messages received.
     messages_received: u64,
+    /// The clock of its client, if it differs from all known ones.
+    pub(super) client_clock: ClientClock,
     /// Requests that were received and not cancelled.
     uncancelled_requests: u64,
     /// The latest message that broke the protocol.
--- a/crates/core/src/reducer/request_intake.rs
+++ b/crates/core/src/reducer/request_intake.rs
@@ -12,6 +12,7 @@
 use crate::lifecycle_counters::RefusalReason;
 use crate::messages::{ClientRequest, ConnectionId, ProtocolViolation, RequestError, Response, SequenceId};
 use crate::request_timeline::RequestTimeline;
+use crate::wall_clock::ClientClock;
 use gradepin_admission::{Event, Idempotency, Request, RequestId, Span, Time};
 use siphasher::sip::SipHasher13;
 use slog::Level;
@@ -74,6 +75,8 @@
     open_requests: usize,
     /// Whether all new requests from the connection are rejected.
     rejects_requests: bool,
+    /// The clock of its client.
+    client_clock: ClientClock,
 }
 
 impl IntakeConnection {
@@ -136,8 +139,9 @@
             throttled_until: state.throttled_until,
             open_requests: state.open.len(),
             rejects_requests: state.rejects_requests,
+            client_clock: state.client_clock,
         };
-        self.convert_time_stamp(connection_state, &mut request);
+        self.convert_time_stamp(connection, connection_state, &mut request);
         let timeline = self.begin_timeline(&request);
         match self.validate(connection_state, &mut request) {
             Ok(valid) => self.register(connection, sequence, request, valid, timeline),
@@ -160,10 +164,15 @@
 
     /// Converts the client's time stamp to the reference time. A stamp in the future counts as now, or it would retain a
     /// key's run forever. If the request had expired even before its connection existed, the client's clock differs from
-    /// all known ones.
-    fn convert_time_stamp(&mut self, connection: IntakeConnection, request: &mut ClientRequest) {
+    /// all known ones, which is kept for its connection.
+    fn convert_time_stamp(
+        &mut self,
+        id: ConnectionId,
+        connection: IntakeConnection,
+        request: &mut ClientRequest,
+    ) {
         let stamp_ms = request.arrived_unix_ms;
-        request.arrived_unix_ms = self.wall_clock.to_reference(stamp_ms);
+        request.arrived_unix_ms = self.wall_clock.to_reference(stamp_ms, connection.client_clock);
         let age_ms = self.timestamp.unix_ms.saturating_sub(request.arrived_unix_ms);
         let connected_ms = self.timestamp.now.0.saturating_sub(connection.opened.0) / MS;
         let expired_ms = age_ms.saturating_sub(connected_ms).saturating_sub(request.budget_ms);
@@ -173,7 +182,9 @@
                 request.client_proxy
             );
             self.log(Level::Warning, text);
-            self.wall_clock.learn(stamp_ms);
+            if let Some(state) = self.connections.get_mut(id) {
+                state.client_clock = self.wall_clock.client_clock(stamp_ms);
+            }
             request.arrived_unix_ms = self.timestamp.unix_ms;
         }
     }
