Move what intake knows of times, request options and program paths to files of their own

Change: arrival_times.rs (core), request_options.rs and fleet/programs.rs (kit), support::read and reducer_with (tests of core); the client keeps answered requests apart. No behaviour of the server changes.

--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -9,6 +9,7 @@
 mod admission_actions;
 mod agreements;
 mod apply_summary;
+mod arrival_times;
 mod cluster;
 mod configuration;
 mod configuration_admin;
--- a/crates/core/tests/repeated_ids.rs
+++ b/crates/core/tests/repeated_ids.rs
@@ -1,19 +1,13 @@
 //! A request without an idempotency key that comes again under its id, after its connection ended or at the other process of
 //! an upgrade (review, picture c).
 
-#[path = "../../admission/tests/common/mod.rs"]
-mod common;
+mod support;
 
-use gradepin_admission::{RequestId, Span, Time};
+use gradepin_admission::{RequestId, Span};
 use gradepin_core::buffer_pool::BufferPool;
-use gradepin_core::config::Config;
 use gradepin_core::keyed_run::RunOutcome;
-use gradepin_core::messages::{
-    ClientRequest, Effect, Input, Receipt, RecordedRun, Response, RunClaim, RunEnd,
-};
+use gradepin_core::messages::{ClientRequest, Effect, Input, RecordedRun, Response, RunClaim, RunEnd};
 use gradepin_core::reducer::Reducer;
-use gradepin_core::registration::Registration;
-use gradepin_core::timestamp::Timestamp;
 use serde_json::json;
 use std::sync::Arc;
 
@@ -31,15 +25,9 @@
 
 impl Server {
     fn start(share: bool) -> Self {
-        let mut settings = common::base();
-        settings["specifics"]["below"] = json!("off");
+        let mut settings = support::settings();
         settings["profiles"][ONCE]["effect"] = json!("once");
-        let address = "127.0.0.1:1";
-        let config = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
-            "stop_ms": 2000, "limits": {"memory_mb": 192, "sockets": 128}, "settings": settings});
-        let config = Config::parse(&config.to_string()).expect("a valid configuration");
-        let settings = Arc::new(config.settings.clone());
-        let reducer = Reducer::new(&config, settings, Registration::default()).expect("a valid seed");
+        let reducer = support::reducer_with(settings);
         let reducer = if share { reducer.sharing_runs(Some(7)) } else { reducer };
         let mut server = Self { reducer, now_ms: 9_000, notices: 0, connection: 0 };
         server.step(vec![Input::LinkUp { link: 1, cold: false, age: Span(0) }]);
@@ -49,10 +37,7 @@
 
     fn step(&mut self, inputs: Vec<Input>) -> Vec<Effect> {
         self.now_ms += 10;
-        let mut effects = Vec::new();
-        let timestamp = Timestamp { now: Time(self.now_ms * MS), unix_ms: self.now_ms };
-        self.reducer.step(timestamp, inputs, &mut effects);
-        effects
+        support::step(&mut self.reducer, self.now_ms, inputs)
     }
 
     /// Replaces the connection of the client.
@@ -63,21 +48,7 @@
     }
 
     fn send(&mut self, class: usize, id: u64, budget_ms: u64) -> Vec<Effect> {
-        let request = ClientRequest {
-            id: request_id(id),
-            class: class.into(),
-            tenant: None,
-            client_proxy: 1,
-            arrived_unix_ms: self.now_ms,
-            budget_ms,
-            retry: false,
-            size_kb: 1.0,
-            precedence: 0.5,
-            idempotency_key: None,
-            has_subject: false,
-            receipt: Receipt::default(),
-            body: BufferPool::new(0).exact(b"body").expect("fits"),
-        };
+        let request = ClientRequest { class: class.into(), budget_ms, ..support::read(id, self.now_ms) };
         let connection = self.connection;
         self.step(vec![Input::Request { connection, sequence: id as i32, request: Box::new(request) }])
     }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -14,16 +14,26 @@
 use gradepin_core::reducer::Reducer;
 use gradepin_core::registration::Registration;
 use gradepin_core::timestamp::Timestamp;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::sync::Arc;
 
 /// Nanoseconds in a millisecond.
 pub const MS: u64 = 1_000_000;
 
-/// Returns a server with 128 descriptors whose processor has not greeted yet.
-pub fn reducer() -> Reducer {
+/// Returns settings without upstream calls.
+pub fn settings() -> Value {
     let mut settings = common::base();
     settings["specifics"]["below"] = json!("off");
+    settings
+}
+
+/// Returns a server with 128 descriptors whose processor has not greeted yet.
+pub fn reducer() -> Reducer {
+    reducer_with(settings())
+}
+
+/// Returns a server with these settings.
+pub fn reducer_with(settings: Value) -> Reducer {
     let address = "127.0.0.1:1";
     let config = json!({"name": "n1", "listen": address, "processor": address, "control": address, "seed": "7",
         "stop_ms": 2000, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 128}, "settings": settings});
--- a/crates/testkit/src/drill/faults/client.rs
+++ b/crates/testkit/src/drill/faults/client.rs
@@ -2,6 +2,7 @@
 
 use super::random::Random;
 use super::record::{Record, Request};
+pub use super::request_options::RequestOptions;
 use super::settings::{BUDGET, CLAIM, CLASSES};
 use super::threads;
 use crate::registry::server::unix_ms;
@@ -103,8 +104,10 @@
     pub stream: TcpStream,
     target: Target,
     next: i32,
-    /// Indexes in the record by sequence number; answered requests stay, so that a second answer is noticed.
+    /// Indexes in the record by sequence number, of requests without an answer.
     open: BTreeMap<i32, usize>,
+    /// The same of answered requests, so that a second answer is noticed.
+    answered: BTreeMap<i32, usize>,
     checks: BTreeMap<i32, Option<bool>>,
     bytes: Vec<u8>,
     /// Whether the server has announced that it drains and takes no more requests here.
@@ -124,40 +127,16 @@
     pub index: usize,
 }
 
-/// Deviations from the usual request.
-#[derive(Debug, Clone, Default)]
-pub struct RequestOptions {
-    /// Makes a further attempt of the keyed request with this index.
-    pub retry_of: Option<usize>,
-    /// Repeats the attempt with this index, which crossed the close of another connection.
-    pub resend_of: Option<usize>,
-    /// Length of the body, in bytes.
-    pub body: Option<usize>,
-    /// Adds a field without meaning of this length, in bytes.
-    pub padding: Option<usize>,
-    /// Class to use instead of a drawn one.
-    pub class: Option<&'static str>,
-    /// Fields that replace the usual ones of the same name.
-    pub fields: Vec<(&'static str, String)>,
-}
-
-impl RequestOptions {
-    /// The budget among the fields, if there is one.
-    fn budget(&self) -> Option<Duration> {
-        let (_, budget_ms) = self.fields.iter().find(|(name, _)| *name == "budget")?;
-        budget_ms.parse().ok().map(Duration::from_millis)
-    }
-}
-
 impl Connection {
     /// Wraps a socket; `connected` must have been taken before it was connected.
     pub fn new(stream: TcpStream, target: Target, connected: Instant) -> Self {
-        let (open, checks, bytes) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+        let (open, answered, checks, bytes) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new(), Vec::new());
         Self {
             stream,
             target,
             next: 1,
             open,
+            answered,
             checks,
             bytes,
             draining: false,
@@ -174,7 +153,7 @@
         let class = options.class.unwrap_or_else(|| random.one_of(&CLASSES));
         let class = earlier.as_ref().map_or(class, |earlier| earlier.class);
         let body = earlier.as_ref().map(|earlier| earlier.body.clone());
-        let body = body.unwrap_or_else(|| body_of(random, options.body));
+        let body = body.unwrap_or_else(|| options.draw_body(random));
         let token = earlier.as_ref().and_then(|earlier| earlier.token.clone());
         let new_token = || format!("{:016x}{:016x}", random.number(), random.number());
         let token = token.or_else(|| (class == CLAIM).then(new_token));
@@ -366,8 +345,7 @@
             }
             return;
         }
-        // The request stays known after its answer, so that a second answer is recognised.
-        let Some(index) = self.open.get(&seq) else {
+        let Some(index) = self.open.get(&seq).or_else(|| self.answered.get(&seq)).copied() else {
             // Sequence number 0 reports bytes that are not a message; it answers no request.
             if seq != 0 {
                 self.target
@@ -381,7 +359,9 @@
         if matches!(answer, Answer::Served(..)) && self.target.drops_answer.swap(false, Ordering::SeqCst) {
             return;
         }
-        self.target.record.entries().requests[*index].answers.push((Instant::now(), answer));
+        self.open.remove(&seq);
+        self.answered.insert(seq, index);
+        self.target.record.entries().requests[index].answers.push((Instant::now(), answer));
     }
 
     /// Indexes of the requests that are owed an answer and have none.
@@ -490,15 +470,3 @@
         }
     }
 }
-
-/// Draws a body of random bytes; lengths at the limits are frequent.
-fn body_of(random: &mut Random, length: Option<usize>) -> Vec<u8> {
-    let limits = [0, 1, 2, 2_047, 2_048];
-    let drawn = if random.once_in(4) { random.one_of(&limits) } else { random.count(0..=500) };
-    let mut body = random.bytes(length.unwrap_or(drawn));
-    if body.len() > 40 {
-        // Would confuse a parser that searches the body for line ends.
-        body[..10].copy_from_slice(b"\r\nbegin x ");
-    }
-    body
-}
--- a/crates/testkit/src/drill/faults/mod.rs
+++ b/crates/testkit/src/drill/faults/mod.rs
@@ -19,6 +19,7 @@
 pub mod processor;
 pub mod random;
 pub mod record;
+pub mod request_options;
 pub mod server;
 pub mod session;
 pub mod settings;
--- a/crates/testkit/src/fleet.rs
+++ b/crates/testkit/src/fleet.rs
@@ -1,5 +1,9 @@
 //! Fleets on loopback addresses: real daemons, each with a stand-in processor, and one stand-in control plane.
 
+mod programs;
+
+pub use programs::{daemon, kit};
+
 use crate::control::Control;
 use crate::processor::{Begun, Processor, Spec};
 use rustix::process::{Pid, Signal, kill_process};
@@ -200,25 +204,6 @@
     }
 }
 
-/// Finds the daemon's program in the folder of the running program or in its parent.
-pub fn daemon() -> io::Result<PathBuf> {
-    program("gradepin")
-}
-
-/// Finds the kit's program in the folder of the running program, which may be a test, or in its parent.
-pub fn kit() -> io::Result<PathBuf> {
-    program("gradepin-testkit")
-}
-
-fn program(name: &str) -> io::Result<PathBuf> {
-    let own = std::env::current_exe()?;
-    let folders = own.ancestors().skip(1).take(2);
-    let found = folders.map(|folder| folder.join(name)).find(|path| path.is_file());
-    found.ok_or_else(|| {
-        io::Error::new(io::ErrorKind::NotFound, format!("no program {name} beside this one: build it first"))
-    })
-}
-
 /// CPU time of a process so far, at 100 ticks per second.
 pub fn cpu_of(pid: u32) -> Option<Duration> {
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
