End a look-up before a refusal when its caller stops waiting, or 10 ms later

What callers saw: refusals of short budgets after their due time from a process of an upgrade, by up to 14 ms past the slack. Cause: the look-up of the other process's runs took up to 50 ms of its own from the refusal on, also where the caller had given up: by design nearly half of the slack of 110 ms, and the rest went on a busy machine. Change: it waits as long as the caller does, at least 10 and at most 50 ms; then the attempt fails, which promises nothing, as before. Look-ups may so end in another order than they began. Result: the new test of core/tests/due_times.rs had 50, 50, 50 ms before, and has 10, 30, 50 ms for budgets of 1, 30, 500 ms.

--- a/crates/core/src/reducer/refusals.rs
+++ b/crates/core/src/reducer/refusals.rs
@@ -15,9 +15,11 @@
 use slog::Level;
 use std::collections::BTreeMap;
 
-/// How long a refusal waits for the record of the other process's runs; afterwards the attempt fails. Shorter than the
-/// time by which the answer to an expired request may be late.
-const LOOKUP_TIMEOUT: Span = Span(50 * MS);
+/// Maximum time that a refusal waits for the record of the other process's runs; afterwards the attempt fails.
+const MAX_LOOKUP_TIME: Span = Span(50 * MS);
+/// The same for an attempt whose caller stops waiting earlier, or has stopped: a small part of the time by which its answer
+/// may be late.
+const MIN_LOOKUP_TIME: Span = Span(10 * MS);
 /// Maximum number of refusals that wait; further attempts fail at once. Bounds the memory that clients can use with
 /// requests that exceed all other limits.
 const MAX_PENDING_REFUSALS: usize = 256;
@@ -51,7 +53,7 @@
     answer_by: Time,
 }
 
-/// The refusals that wait for look-ups, in the order in which these were requested. Invariant: the request of each is
+/// The refusals that wait for look-ups, at most [`MAX_PENDING_REFUSALS`]. Invariant: the request of each is
 /// open and [`RequestState::Refused`].
 #[derive(Debug, Default)]
 pub(super) struct PendingRefusals {
@@ -77,14 +79,14 @@
         self.by_lookup.remove(&lookup);
     }
 
-    /// Returns when the first refusal has waited too long.
+    /// Returns when the next refusal has waited too long.
     pub(super) fn wake_at(&self) -> Option<Time> {
-        self.by_lookup.values().next().map(|pending| pending.answer_by)
+        self.by_lookup.values().map(|pending| pending.answer_by).min()
     }
 
     fn first_overdue(&self, now: Time) -> Option<LookupId> {
-        let (lookup, pending) = self.by_lookup.first_key_value()?;
-        (pending.answer_by <= now).then_some(*lookup)
+        let overdue = self.by_lookup.iter().find(|(_, pending)| pending.answer_by <= now);
+        overdue.map(|(lookup, _)| *lookup)
     }
 }
 
@@ -115,7 +117,9 @@
         }
         let Some((key, fingerprint)) = self.claim_key(id) else { return };
         let Some(open) = self.requests.get_mut(id) else { return };
-        let answer_by = time_after(self.timestamp.now, LOOKUP_TIMEOUT);
+        let remaining_ms = open.deadline_unix_ms.saturating_sub(self.timestamp.unix_ms);
+        let lookup_time = Span(remaining_ms.saturating_mul(MS)).clamp(MIN_LOOKUP_TIME, MAX_LOOKUP_TIME);
+        let answer_by = time_after(self.timestamp.now, lookup_time);
         let lookup = self.pending_refusals.add(PendingRefusal { id: id.clone(), refusal, answer_by });
         open.state = RequestState::Refused { lookup };
         open.timeline.enter(Stage::LookUp, self.timestamp.now);
--- a/crates/core/tests/due_times.rs
+++ b/crates/core/tests/due_times.rs
@@ -4,6 +4,7 @@
 
 use gradepin_admission::Span;
 use gradepin_core::messages::{ClientRequest, Effect, Input, Response};
+use std::sync::Arc;
 use support::{read, reducer, step};
 
 const BAD_CLIENT: u64 = 1;
@@ -40,3 +41,28 @@
     });
     assert!(failed_at.is_some_and(|ms| ms <= due_ms + 20), "due at {due_ms}, answered at {failed_at:?}");
 }
+
+/// Guards against a refusal that spends the slack of its due time on a look-up: the folder that the two processes of an upgrade
+/// share does not answer, and the caller has stopped waiting.
+#[test]
+fn a_lookup_before_a_refusal_ends_soon_after_its_caller_stopped_waiting() {
+    const KEYED: usize = 1;
+    let answered_after_ms = |budget_ms| {
+        let mut reducer = reducer().sharing_runs(Some(7));
+        step(&mut reducer, SENT_MS, vec![Input::ConnectionOpened(CLIENT)]);
+        let request = ClientRequest {
+            class: KEYED.into(),
+            idempotency_key: Some(Arc::from("key")),
+            budget_ms,
+            ..read(1, SENT_MS)
+        };
+        let sent = Input::Request { connection: CLIENT, sequence: 1, request: Box::new(request) };
+        let effects = step(&mut reducer, SENT_MS, vec![sent]);
+        assert!(effects.iter().any(|effect| matches!(effect, Effect::LookUpRun { .. })), "{effects:?}");
+        (1..).find(|ms| {
+            let effects = step(&mut reducer, SENT_MS + ms, Vec::new());
+            effects.iter().any(|effect| matches!(effect, Effect::Respond { .. }))
+        })
+    };
+    assert_eq!([1, 30, 500].map(answered_after_ms), [Some(10), Some(30), Some(50)]);
+}
