Bound the writes of the clients of drill due-times

Cause: a server that stops reading would have a client, and so the test, wait without an end in a write. Change: writes have the timeout of the last answers, 6 s.

--- a/crates/testkit/src/drill/due_times/client.rs
+++ b/crates/testkit/src/drill/due_times/client.rs
@@ -12,7 +12,7 @@
 
 /// Longest wait for bytes before the callers are looked at again.
 const MAX_READ_WAIT: Duration = Duration::from_millis(20);
-/// Time after the last request in which answers are awaited.
+/// Time after the last request in which answers are awaited; also the longest wait of one read or write.
 const LAST_ANSWERS: Duration = Duration::from_secs(6);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Requests of one in this many callers are never cancelled.
@@ -125,6 +125,7 @@
     fn connect(server: SocketAddr) -> Option<Self> {
         let stream = TcpStream::connect_timeout(&server, CONNECT_TIMEOUT).ok()?;
         stream.set_nodelay(true).ok()?;
+        stream.set_write_timeout(Some(LAST_ANSWERS)).ok()?;
         let (bytes, open) = (Vec::new(), HashMap::new());
         Some(Self { stream, bytes, last_sequence: 0, open, is_draining: false })
     }
@@ -263,6 +264,7 @@
 fn exchange_scgi(server: SocketAddr, request: &Request) -> Option<(Open, Answer)> {
     let mut stream = TcpStream::connect_timeout(&server, CONNECT_TIMEOUT).ok()?;
     stream.set_read_timeout(Some(LAST_ANSWERS)).ok()?;
+    stream.set_write_timeout(Some(LAST_ANSWERS)).ok()?;
     let written = Instant::now();
     let remaining = request.expires_at().saturating_duration_since(written).max(Duration::from_millis(1));
     stream.write_all(&encode_scgi(request, remaining)).ok()?;
