Ask a look-up to last as long as its caller waits, in the test that asked for 50 ms

Change: the test wants no answer within 49 ms and one at 50 where the caller waits that long, and none within 9 ms and one at 10 where the caller has stopped; both bounds of both cases are exact.

--- a/crates/gradepin/tests/upgrade_refusals.rs
+++ b/crates/gradepin/tests/upgrade_refusals.rs
@@ -98,11 +98,22 @@
 fn a_try_whose_look_up_takes_too_long_fails_in_time() {
     // Guards against a refusal that is late, or that is given without an answer of the other process's record; and
     // against a late record that answers a request which reused the id.
+    let mut stage = VirtualStage::sharing_runs_without_processor();
+    play(
+        &mut stage,
+        "send a call 1 rid=1 method=claim token=t
+         expect lookup t
+         wait 49
+         expect no a 1
+         wait 1
+         expect a 1 failed",
+    );
+    // Its caller stops waiting after 1 ms.
     play(
         &mut VirtualStage::sharing_runs(),
         "send a call 1 rid=1 method=claim token=t budget=1
          expect lookup t
-         wait 49
+         wait 9
          expect no a 1
          wait 1
          expect a 1 failed
